--- /dev/null
+++ b/bench/customers.ts
@@ -0,0 +1,117 @@
+/**
+ * The two customers at their sizes of today: zones, pools, targets, plans and allowances.
+ */
+import { createHash } from "node:crypto";
+import type { Allowance, Plan } from "../src/contracts/plan.ts";
+import { type Pool, poolSchema } from "../src/contracts/pool.ts";
+import { createTargetStandIn, type TargetStandIn } from "../stand-ins/target.ts";
+
+export type PoolShape = {
+    name: string;
+    customer: string;
+    byKey: boolean;
+    targets: number;
+    concurrency: number;
+    connections: number;
+    serviceMilliseconds: number;
+    zones: string[];
+    /** Method and path of the pool's one route. */
+    method: string;
+    path: string;
+    once: boolean;
+    deferrable: boolean;
+};
+
+export type Customer = { name: string; token: string; zones: string[]; pools: PoolShape[] };
+
+const hallamZones = ["midlands-a", "midlands-b", "midlands-c"];
+const verhaegheZones = ["coast-a", "coast-b", "coast-c", "coast-d"];
+
+const hallamPool = { customer: "hallam", concurrency: 3, connections: 120, zones: hallamZones, deferrable: false };
+const verhaeghePool = {
+    customer: "verhaeghe",
+    concurrency: 4,
+    connections: 110,
+    zones: verhaegheZones,
+    deferrable: false,
+};
+const read = { method: "GET", path: "/", once: false };
+const placement = { method: "POST", path: "/", once: true };
+
+export const hallam: Customer = {
+    name: "hallam",
+    token: "hallam-trial-token",
+    zones: hallamZones,
+    pools: [
+        { ...hallamPool, ...read, name: "tray-stock", byKey: true, targets: 12, serviceMilliseconds: 2 },
+        { ...hallamPool, ...placement, name: "orders", byKey: true, targets: 6, serviceMilliseconds: 4 },
+        {
+            ...hallamPool,
+            ...read,
+            name: "archive",
+            byKey: false,
+            targets: 10,
+            serviceMilliseconds: 8,
+            deferrable: true,
+        },
+    ],
+};
+
+export const verhaeghe: Customer = {
+    name: "verhaeghe",
+    token: "verhaeghe-trial-token",
+    zones: verhaegheZones,
+    pools: [
+        { ...verhaeghePool, ...read, name: "balances", byKey: true, targets: 10, serviceMilliseconds: 2 },
+        { ...verhaeghePool, ...placement, name: "redemptions", byKey: true, targets: 8, serviceMilliseconds: 4 },
+        { ...verhaeghePool, ...read, name: "roster", byKey: false, targets: 10, serviceMilliseconds: 3 },
+    ],
+};
+
+export const customers: Customer[] = [hallam, verhaeghe];
+
+/** The plan of a customer. */
+export const planOf = (customer: Customer): Plan => ({
+    customer: customer.name,
+    tokenHashes: [createHash("sha256").update(customer.token).digest("hex")],
+});
+
+/** The allowance of a customer: all of its own pools. */
+export const allowanceOf = (customer: Customer): Allowance => ({
+    uses: customer.pools.map(pool => ({ pool: pool.name })),
+});
+
+/** Starts the targets of a pool. */
+export const startTargets = (shape: PoolShape): Promise<TargetStandIn[]> =>
+    Promise.all([...Array(shape.targets).keys()].map(index =>
+        createTargetStandIn({
+            name: `${shape.name}-${index + 1}`,
+            checksGrants: true,
+            byKey: shape.byKey,
+            concurrency: shape.concurrency,
+            connections: shape.connections,
+            serviceMilliseconds: shape.serviceMilliseconds,
+        })
+    ));
+
+/** The pool object for targets that run. */
+export const poolOf = (shape: PoolShape, targets: TargetStandIn[]): Pool =>
+    poolSchema.parse({
+        customer: shape.customer,
+        division: shape.byKey ? "by-key" : "any",
+        checksGrants: true,
+        targets: targets.map((target, index) => ({
+            name: target.name,
+            address: target.address,
+            zone: shape.zones[index % shape.zones.length],
+            concurrency: shape.concurrency,
+            connections: shape.connections,
+        })),
+        routes: [{
+            name: "main",
+            method: shape.method,
+            path: shape.path,
+            kind: shape.once ? "once" : "idempotent",
+            deferrable: shape.deferrable,
+        }],
+    });
--- /dev/null
+++ b/src/commands/run.ts
@@ -0,0 +1,47 @@
+/**
+ * `carobpier run`: starts an entry host and serves until it is told to stop.
+ */
+import { Command, Flags } from "@oclif/core";
+import { InputError } from "../contracts/errors.ts";
+import { createLog } from "../links/logs.ts";
+import { readSecret, readSettings } from "../links/settings.ts";
+import { createHost } from "../machines/host.ts";
+
+const untilSignalled = (): Promise<void> =>
+    new Promise(resolve => {
+        let asked = false;
+        const ask = (): void => {
+            if (asked) {
+                process.exit(1);
+            }
+            asked = true;
+            resolve();
+        };
+        process.on("SIGTERM", ask);
+        process.on("SIGINT", ask);
+    });
+
+export class RunCommand extends Command {
+    static override summary = "Start an entry host.";
+    static override description = "SIGTERM stops it gracefully and exits 0; a second signal ends it at once.";
+    static override examples = ["<%= config.bin %> run --settings hallam.yaml"];
+    static override flags = {
+        settings: Flags.string({ char: "s", required: true, summary: "Settings file, YAML." }),
+    };
+
+    override async run(): Promise<void> {
+        const { flags } = await this.parse(RunCommand);
+        const settings = await readSettings(flags.settings);
+        if (settings.peers.keyFiles.length === 0) {
+            throw new InputError(`${flags.settings} peers.keyFiles: expected at least one file, found none.`);
+        }
+        const peerKeys = await Promise.all(settings.peers.keyFiles.map(file => readSecret(flags.settings, file)));
+        const { tokenFile } = settings.platform;
+        const token = tokenFile === undefined ? undefined : await readSecret(flags.settings, tokenFile);
+        const log = createLog({ level: settings.logs.level }).child({ host: settings.host.name });
+        const stopped = untilSignalled();
+        const host = await createHost({ settings, peerKeys, platformToken: token?.toString("utf8"), log });
+        await stopped;
+        await host.stop();
+    }
+}
--- /dev/null
+++ b/src/links/logs.ts
@@ -0,0 +1,67 @@
+/**
+ * Logs: one line of key=value pairs for each event. pino does the levels and the fields, logfmt the writing of a line.
+ */
+import logfmt from "logfmt";
+import { pino } from "pino";
+
+export type LogFields = Record<string, string | number | boolean | undefined>;
+
+/** Writes events. `child` returns a log that adds its fields to every event. */
+export type Log = {
+    debug: (event: string, fields?: LogFields) => void;
+    info: (event: string, fields?: LogFields) => void;
+    warn: (event: string, fields?: LogFields) => void;
+    error: (event: string, fields?: LogFields) => void;
+    child: (fields: LogFields) => Log;
+};
+
+export type LogOptions = {
+    level: "debug" | "info" | "warn" | "error" | "silent";
+    /** Receives each line with its line end. Defaults to standard output. */
+    write?: (line: string) => void;
+    /** Milliseconds since the epoch; replaced in tests so that lines repeat. */
+    wallClock?: () => number;
+};
+
+const writeToStandardOutput = (line: string): void => {
+    process.stdout.write(line);
+};
+
+const wrap = (logger: pino.Logger): Log => ({
+    debug: (event, fields = {}) => logger.debug({ event, ...fields }),
+    info: (event, fields = {}) => logger.info({ event, ...fields }),
+    warn: (event, fields = {}) => logger.warn({ event, ...fields }),
+    error: (event, fields = {}) => logger.error({ event, ...fields }),
+    child: fields => wrap(logger.child(fields)),
+});
+
+/**
+ * Creates a log.
+ *
+ * @example
+ * const log = createLog({ level: "info" });
+ * log.info("request-refused", { pool: "orders", reason: "queue-full" });
+ * // time=2026-01-01T00:00:00.000Z level=info event=request-refused pool=orders reason=queue-full
+ */
+export const createLog = (options: LogOptions): Log => {
+    const write = options.write ?? writeToStandardOutput;
+    const wallClock = options.wallClock ?? Date.now;
+    const destination = {
+        write: (json: string): void => {
+            write(`${logfmt.stringify(JSON.parse(json) as Record<string, unknown>)}\n`);
+        },
+    };
+    const logger = pino({
+        level: options.level,
+        // eslint-disable-next-line no-restricted-syntax -- pino takes null for "no process id and host name".
+        base: null,
+        timestamp: () => `,"time":"${new Date(wallClock()).toISOString()}"`,
+        formatters: { level: label => ({ level: label }) },
+    }, destination);
+    return wrap(logger);
+};
+
+const ignore = (): void => undefined;
+
+/** A log that drops every event, for embedding and tests. */
+export const silentLog: Log = { debug: ignore, info: ignore, warn: ignore, error: ignore, child: () => silentLog };
--- /dev/null
+++ b/src/links/platform.ts
@@ -0,0 +1,135 @@
+/**
+ * The link to the platform's object API. Everything that the product asks of the platform goes through here and is
+ * counted, a waiting watch as one call.
+ */
+import { Pool as ConnectionPool } from "undici";
+import { z } from "zod";
+import { messageOf, PlatformError } from "../contracts/errors.ts";
+import { type ObjectKind, type StoredObject, storedObjectSchema } from "../contracts/objects.ts";
+
+/** A host in the platform's list, which lags. */
+export const listedHostSchema = z.strictObject({
+    name: z.string(),
+    zone: z.string(),
+    state: z.enum(["live", "leaving"]),
+});
+export type ListedHost = z.infer<typeof listedHostSchema>;
+
+const pageSchema = z.strictObject({ position: z.int().min(0), items: z.array(storedObjectSchema) });
+
+/** Objects, and the position in the order of writes up to which they are complete. */
+export type ObjectPage = z.infer<typeof pageSchema>;
+
+export type PutRequest = {
+    kind: ObjectKind;
+    name: string;
+    value: unknown;
+    /** Version that the object must have; 0 when it must not exist. */
+    ifVersion: number;
+    writeId: string;
+    deleted?: boolean;
+};
+
+/** `written` tells the new version; `conflict` carries the object that stands in the way, if there is one. */
+export type PutResult =
+    | { result: "written"; version: number }
+    | { result: "conflict"; current: StoredObject | undefined };
+
+/** The calls of the platform. Each may throw a `PlatformError`; after one a write may have taken effect. */
+export type PlatformLink = {
+    get: (kind: ObjectKind, name: string, signal?: AbortSignal) => Promise<StoredObject | undefined>;
+    /** Objects written after the position, newest version of each; all of them after 0. A linearizable read. */
+    list: (position: number, signal?: AbortSignal) => Promise<ObjectPage>;
+    put: (request: PutRequest, signal?: AbortSignal) => Promise<PutResult>;
+    /** Waits until an object is written after the position, at most the given time. */
+    watch: (position: number, waitMilliseconds: number, signal?: AbortSignal) => Promise<ObjectPage>;
+    hosts: (signal?: AbortSignal) => Promise<ListedHost[]>;
+    /** Calls made so far, by name. */
+    calls: () => Record<string, number>;
+    close: () => Promise<void>;
+};
+
+export type PlatformLinkOptions = { url: string; timeoutMilliseconds: number; token?: string };
+
+type Reply = { statusCode: number; body: unknown };
+
+/** Opens the link. Connections are made on first use. */
+export const createPlatformLink = (options: PlatformLinkOptions): PlatformLink => {
+    const connections = new ConnectionPool(options.url, { connections: 8, pipelining: 1 });
+    const counts: Record<string, number> = {};
+    const headers: Record<string, string> = { "content-type": "application/json" };
+    if (options.token !== undefined) {
+        headers["authorization"] = `Bearer ${options.token}`;
+    }
+
+    const call = async (
+        name: string,
+        method: "GET" | "PUT",
+        path: string,
+        body: unknown,
+        waitMilliseconds: number,
+        signal?: AbortSignal,
+    ): Promise<Reply> => {
+        counts[name] = (counts[name] ?? 0) + 1;
+        const limit = AbortSignal.timeout(options.timeoutMilliseconds + waitMilliseconds);
+        try {
+            const response = await connections.request({
+                method,
+                path,
+                headers,
+                body: body === undefined ? undefined : JSON.stringify(body),
+                signal: signal === undefined ? limit : AbortSignal.any([limit, signal]),
+            });
+            const text = await response.body.text();
+            return { statusCode: response.statusCode, body: text === "" ? undefined : JSON.parse(text) as unknown };
+        }
+        catch (error) {
+            throw new PlatformError(`The platform did not answer ${method} ${path}: ${messageOf(error)}.`);
+        }
+    };
+
+    const checked = <Shape>(schema: z.ZodType<Shape>, path: string, reply: Reply): Shape => {
+        if (reply.statusCode !== 200) {
+            throw new PlatformError(`The platform answered ${reply.statusCode} to ${path}.`);
+        }
+        const result = schema.safeParse(reply.body);
+        if (!result.success) {
+            throw new PlatformError(`The platform's answer to ${path} has the wrong shape: ${result.error.message}.`);
+        }
+        return result.data;
+    };
+
+    return {
+        get: async (kind, name, signal) => {
+            const path = `/objects/${kind}/${encodeURIComponent(name)}`;
+            const reply = await call("get", "GET", path, undefined, 0, signal);
+            return reply.statusCode === 404 ? undefined : checked(storedObjectSchema, path, reply);
+        },
+        list: async (position, signal) => {
+            const path = `/objects?after=${position}`;
+            const reply = await call("list", "GET", path, undefined, 0, signal);
+            return checked(pageSchema, path, reply);
+        },
+        put: async (request, signal) => {
+            const path = `/objects/${request.kind}/${encodeURIComponent(request.name)}`;
+            const { value, ifVersion, writeId, deleted = false } = request;
+            const reply = await call("put", "PUT", path, { value, ifVersion, writeId, deleted }, 0, signal);
+            if (reply.statusCode === 409) {
+                const conflict = z.strictObject({ current: storedObjectSchema.optional() }).parse(reply.body);
+                return { result: "conflict", current: conflict.current };
+            }
+            return { result: "written", version: checked(storedObjectSchema, path, reply).version };
+        },
+        watch: async (position, waitMilliseconds, signal) => {
+            const path = `/watch?after=${position}&waitMilliseconds=${waitMilliseconds}`;
+            const reply = await call("watch", "GET", path, undefined, waitMilliseconds, signal);
+            return checked(pageSchema, "/watch", reply);
+        },
+        hosts: async signal => {
+            const reply = await call("hosts", "GET", "/hosts", undefined, 0, signal);
+            return checked(z.array(listedHostSchema), "/hosts", reply);
+        },
+        calls: () => ({ ...counts }),
+        close: () => connections.destroy(),
+    };
+};
--- /dev/null
+++ b/src/links/targets.ts
@@ -0,0 +1,98 @@
+/**
+ * The link to one target: bounded connections, requests, grants, health, load and cancellation.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Readable } from "node:stream";
+import { Pool as ConnectionPool } from "undici";
+import type { z } from "zod";
+import { type Grant, type GrantAnswer, grantAnswerSchema } from "../contracts/grant.ts";
+import {
+    type TargetHealth,
+    targetHealthSchema,
+    type TargetLoad,
+    targetLoadSchema,
+    targetPaths,
+} from "../contracts/targetprotocol.ts";
+
+export type TargetRequest = {
+    method: string;
+    path: string;
+    headers: Record<string, string>;
+    body: Buffer | undefined;
+};
+
+export type TargetAnswer = {
+    statusCode: number;
+    headers: IncomingHttpHeaders;
+    body: Readable;
+};
+
+export type TargetLink = {
+    /** Sends a request. Rejects with the client's error, whose `code` tells connect failures from broken links. */
+    request: (request: TargetRequest, signal: AbortSignal) => Promise<TargetAnswer>;
+    /** Offers a grant; undefined when the target did not answer in time or not in the agreed shape. */
+    grant: (grant: Grant, timeoutMilliseconds: number) => Promise<GrantAnswer | undefined>;
+    health: (timeoutMilliseconds: number) => Promise<TargetHealth | undefined>;
+    load: (timeoutMilliseconds: number) => Promise<TargetLoad | undefined>;
+    /** Asks the target to drop a request that it has not begun. */
+    cancel: (requestId: string) => Promise<void>;
+    close: () => Promise<void>;
+};
+
+export type TargetLinkOptions = { address: string; connections: number; connectMilliseconds: number };
+
+/** Opens the link. Connections are made on first use, never more than `connections` besides one for control. */
+export const createTargetLink = (options: TargetLinkOptions): TargetLink => {
+    const origin = `http://${options.address}`;
+    const connect = { timeout: options.connectMilliseconds };
+    const requests = new ConnectionPool(origin, { connections: options.connections, pipelining: 1, connect });
+    const control = new ConnectionPool(origin, { connections: 1, pipelining: 1, connect });
+
+    const ask = async <Shape>(
+        schema: z.ZodType<Shape>,
+        method: "GET" | "POST" | "DELETE",
+        path: string,
+        body: unknown,
+        timeoutMilliseconds: number,
+    ): Promise<Shape | undefined> => {
+        try {
+            const response = await control.request({
+                method,
+                path,
+                headers: { "content-type": "application/json" },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                signal: AbortSignal.timeout(timeoutMilliseconds),
+            });
+            return schema.safeParse(await response.body.json()).data;
+        }
+        catch {
+            return undefined;
+        }
+    };
+
+    return {
+        request: async (request, signal) => {
+            const response = await requests.request({
+                method: request.method as "GET",
+                path: request.path,
+                headers: request.headers,
+                body: request.body,
+                signal,
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            });
+            return { statusCode: response.statusCode, headers: response.headers, body: response.body };
+        },
+        grant: (grant, timeoutMilliseconds) =>
+            ask(grantAnswerSchema, "POST", targetPaths.grants, grant, timeoutMilliseconds),
+        health: timeoutMilliseconds =>
+            ask(targetHealthSchema, "GET", targetPaths.health, undefined, timeoutMilliseconds),
+        load: timeoutMilliseconds => ask(targetLoadSchema, "GET", targetPaths.load, undefined, timeoutMilliseconds),
+        cancel: async requestId => {
+            await ask(targetHealthSchema, "DELETE", `${targetPaths.requests}/${requestId}`, undefined, 1_000);
+        },
+        close: async () => {
+            await Promise.all([requests.destroy(), control.destroy()]);
+        },
+    };
+};
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,96 @@
+/**
+ * The entry point of the program: hands the command line to oclif with a fixed table of commands.
+ */
+import type { Command } from "@oclif/core";
+import { Config, Errors, type Interfaces, Plugin, run } from "@oclif/core";
+import packageFile from "../package.json" with { type: "json" };
+import { commands, topics } from "./commands/index.ts";
+import { CarobpierError } from "./contracts/errors.ts";
+
+const programName = "carobpier";
+
+/** Help wants each flag and argument to know its name. */
+const named = (table: Record<string, object>): Record<string, object> =>
+    Object.fromEntries(Object.entries(table).map(([name, entry]) => [name, { ...entry, name }]));
+
+/** oclif finds commands through plugins; this one serves them from the table instead of the disk. */
+class TablePlugin extends Plugin {
+    override async load(): Promise<void> {
+        this.name = programName;
+        this.version = packageFile.version;
+        this.type = "core";
+        this.valid = true;
+        this.alreadyLoaded = true;
+        this.moduleType = "commonjs";
+        this.hooks = {};
+        this.isRoot = true;
+        this.pjson = this.options.pjson as Interfaces.PJSON;
+        this.commandIDs = Object.keys(commands);
+        this.manifest = { version: this.version, commands: {} };
+        this.commands = this.commandIDs.map(id => {
+            const loaded = commands[id];
+            return {
+                ...(loaded as unknown as Command.Loadable),
+                id,
+                aliases: [],
+                hiddenAliases: [],
+                hidden: false,
+                pluginName: programName,
+                pluginAlias: programName,
+                pluginType: "core",
+                summary: loaded.summary,
+                description: loaded.description,
+                examples: loaded.examples,
+                usage: loaded.usage,
+                strict: loaded.strict,
+                enableJsonFlag: loaded.enableJsonFlag,
+                flags: named({ ...loaded.baseFlags, ...loaded.flags }) as unknown as Command.Loadable["flags"],
+                args: named(loaded.args) as unknown as Command.Loadable["args"],
+                load: () => Promise.resolve(this.commandOf(id)),
+            };
+        });
+    }
+
+    override get topics(): Interfaces.Topic[] {
+        return Object.entries(topics).map(([name, description]) => ({ name, description }));
+    }
+
+    override findCommand(id: string): Promise<Command.Class> {
+        return Promise.resolve(this.commandOf(id));
+    }
+
+    private commandOf(id: string): Command.Class {
+        const found = commands[id];
+        if (found === undefined) {
+            throw new Errors.CLIError(`The command "${id}" does not exist.`);
+        }
+        found.id = id;
+        found.plugin = this;
+        return found as unknown as Command.Class;
+    }
+}
+
+const pjson = {
+    name: programName,
+    version: packageFile.version,
+    description: packageFile.description,
+    oclif: { bin: programName, dirname: programName, topicSeparator: " ", commands: {}, plugins: [] },
+} as unknown as Interfaces.PJSON;
+
+const start = async (): Promise<void> => {
+    const root = process.cwd();
+    const plugin = new TablePlugin({ root, pjson, name: programName, isRoot: true });
+    await plugin.load();
+    const config = new Config({ root, pjson, plugins: new Map([[programName, plugin]]) });
+    await config.load();
+    await run(process.argv.slice(2), config);
+};
+
+start().catch((error: unknown) => {
+    if (error instanceof CarobpierError) {
+        process.stderr.write(`${error.message}\n`);
+        process.exitCode = 2;
+        return;
+    }
+    return Errors.handle(error as Error);
+});
--- /dev/null
+++ b/stand-ins/platform.ts
@@ -0,0 +1,220 @@
+/**
+ * A small stand-in of the platform: HTTP objects with versions, conditional updates, a watch by long poll and a lagging
+ * list of hosts. It can be down, slow, or lose the reply to a write that took effect, and it counts every call.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { z } from "zod";
+import { objectSchemas, type StoredObject } from "../src/contracts/objects.ts";
+
+export type PlatformFaults = {
+    /** Refuses every call by closing its connection. */
+    down: boolean;
+    /** Delay before each answer. */
+    slowMilliseconds: number;
+    /** Number of coming writes whose reply is lost after they took effect. */
+    loseReplies: number;
+};
+
+export type PlatformStandInOptions = { port?: number; hostListLagMilliseconds?: number };
+
+export type PlatformStandIn = {
+    url: string;
+    faults: PlatformFaults;
+    /** Calls answered, by name. */
+    calls: Record<string, number>;
+    /** Every write that took effect, oldest first. */
+    writes: StoredObject[];
+    /** Writes without a condition, as a test's own hand. */
+    write: (kind: StoredObject["kind"], name: string, value: unknown, deleted?: boolean) => StoredObject;
+    /** Makes the list of hosts show a state, or drop the host when the state is left out. */
+    listHost: (name: string, state: "live" | "leaving" | undefined) => void;
+    close: () => Promise<void>;
+};
+
+const putSchema = z.strictObject({
+    value: z.unknown(),
+    ifVersion: z.int().min(0),
+    writeId: z.string(),
+    deleted: z.boolean(),
+});
+
+const readBody = async (request: IncomingMessage): Promise<string> => {
+    const parts: Buffer[] = [];
+    for await (const part of request) {
+        parts.push(part as Buffer);
+    }
+    return Buffer.concat(parts).toString("utf8");
+};
+
+/** Starts the stand-in on loopback. */
+export const createPlatformStandIn = async (options: PlatformStandInOptions = {}): Promise<PlatformStandIn> => {
+    const lagMilliseconds = options.hostListLagMilliseconds ?? 500;
+    const objects = new Map<string, StoredObject>();
+    const writes: StoredObject[] = [];
+    const calls: Record<string, number> = {};
+    const faults: PlatformFaults = { down: false, slowMilliseconds: 0, loseReplies: 0 };
+    const listedStates = new Map<string, { state: "live" | "leaving" | undefined; since: number }>();
+    const waiters = new Set<() => void>();
+    let position = 0;
+
+    const answer = (response: ServerResponse, statusCode: number, body: unknown): void => {
+        response.writeHead(statusCode, { "content-type": "application/json" });
+        response.end(JSON.stringify(body));
+    };
+
+    const store = (item: Omit<StoredObject, "version">): StoredObject => {
+        position += 1;
+        const stored = { ...item, version: position };
+        objects.set(`${item.kind}/${item.name}`, stored);
+        writes.push(stored);
+        for (const wake of [...waiters]) {
+            wake();
+        }
+        return stored;
+    };
+
+    const pageAfter = (after: number): unknown => ({
+        position,
+        items: [...objects.values()].filter(item => item.version > after),
+    });
+
+    const waitForWrite = (after: number, waitMilliseconds: number, response: ServerResponse): Promise<void> =>
+        new Promise(resolve => {
+            if (position > after) {
+                resolve();
+                return;
+            }
+            const finish = (): void => {
+                clearTimeout(timer);
+                waiters.delete(finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, waitMilliseconds);
+            waiters.add(finish);
+            response.once("close", finish);
+        });
+
+    const put = async (
+        kind: StoredObject["kind"],
+        name: string,
+        request: IncomingMessage,
+        response: ServerResponse,
+    ) => {
+        const body = putSchema.safeParse(JSON.parse(await readBody(request)));
+        if (!body.success) {
+            answer(response, 400, { message: body.error.message });
+            return;
+        }
+        const current = objects.get(`${kind}/${name}`);
+        if ((current?.version ?? 0) !== body.data.ifVersion) {
+            answer(response, 409, { current });
+            return;
+        }
+        const { value, writeId, deleted } = body.data;
+        const stored = store({ kind, name, value, writeId, deleted });
+        if (faults.loseReplies > 0) {
+            faults.loseReplies -= 1;
+            response.destroy();
+            return;
+        }
+        answer(response, 200, stored);
+    };
+
+    const hostList = (): unknown => {
+        const list = [];
+        for (const item of objects.values()) {
+            if (item.kind !== "status" || item.deleted) {
+                continue;
+            }
+            const value = item.value as { zone: string; state: "live" | "leaving" };
+            const forced = listedStates.get(item.name);
+            const settled = forced !== undefined && performance.now() - forced.since >= lagMilliseconds;
+            const state = settled ? forced.state : value.state;
+            if (state !== undefined) {
+                list.push({ name: item.name, zone: value.zone, state });
+            }
+        }
+        return list;
+    };
+
+    const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+        if (faults.down) {
+            request.socket.destroy();
+            return;
+        }
+        if (faults.slowMilliseconds > 0) {
+            await new Promise(resolve => setTimeout(resolve, faults.slowMilliseconds));
+        }
+        const url = new URL(request.url ?? "/", "http://platform");
+        const [, root, kindText, nameText] = url.pathname.split("/");
+        const count = (name: string): void => {
+            calls[name] = (calls[name] ?? 0) + 1;
+        };
+        if (root === "hosts") {
+            count("hosts");
+            answer(response, 200, hostList());
+            return;
+        }
+        if (root === "watch") {
+            count("watch");
+            const after = Number(url.searchParams.get("after"));
+            await waitForWrite(after, Number(url.searchParams.get("waitMilliseconds")), response);
+            if (faults.down) {
+                request.socket.destroy();
+                return;
+            }
+            answer(response, 200, pageAfter(after));
+            return;
+        }
+        if (root !== "objects") {
+            answer(response, 404, { message: `The path ${url.pathname} does not exist.` });
+            return;
+        }
+        if (kindText === undefined) {
+            count("list");
+            answer(response, 200, pageAfter(Number(url.searchParams.get("after"))));
+            return;
+        }
+        if (!(kindText in objectSchemas) || nameText === undefined) {
+            answer(response, 404, { message: `The kind ${kindText} does not exist.` });
+            return;
+        }
+        const kind = kindText as StoredObject["kind"];
+        const name = decodeURIComponent(nameText);
+        if (request.method === "PUT") {
+            count("put");
+            await put(kind, name, request, response);
+            return;
+        }
+        count("get");
+        const found = objects.get(`${kind}/${name}`);
+        answer(response, found === undefined ? 404 : 200, found ?? { message: `${kind}/${name} does not exist.` });
+    };
+
+    const server = createServer((request, response) => {
+        serve(request, response).catch(() => response.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(options.port ?? 0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    let writeCount = 0;
+
+    return {
+        url: `http://127.0.0.1:${port}`,
+        faults,
+        calls,
+        writes,
+        write: (kind, name, value, deleted = false) => {
+            writeCount += 1;
+            return store({ kind, name, value, writeId: `by-hand-${writeCount}`, deleted });
+        },
+        listHost: (name, state) => {
+            listedStates.set(name, { state, since: performance.now() });
+        },
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeAllConnections();
+            }),
+    };
+};
