Keep the single executable from warning at start

Cause: the require of a single executable warns on any module that is not built in, and libraries probe for optional ones. Change: the bundle begins with an ordinary require made from the module API.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -24,6 +24,9 @@
     },
 };
 
+/** The require of a single executable warns about each module that is not built in; an ordinary one does not. */
+const ordinaryRequire = "require = require(\"node:module\").createRequire(process.execPath);";
+
 mkdirSync("dist", { recursive: true });
 await build({
     entryPoints: ["src/main.ts"],
@@ -33,6 +36,7 @@
     format: "cjs",
     outfile: bundle,
     plugins: [leaveOutOptionalModules],
+    banner: { js: ordinaryRequire },
     logLevel: "warning",
 });
 writeFileSync(
