Add the pure rules of currency, witnesses, moves and grants

Cause: the tasks, the stand-in target and the model check need one set of ownership rules.

Change, where it departs from the starting design: - A new incarnation does not release a move by itself: a renewer that is behind may have granted it the old slots already. It is released by its own answer under the new revision, one round trip later. - Release by time is for moves by force only (Move.forced). A renewer withholds the grant of a target whose slots move by force; otherwise work in flight, kept alive by renewals under the new revision, could outlast the wait. - Hosts that left the renewers of a target count until they acknowledged (Assignment.formerRenewers); so do the former witnesses. - A host renews and vouches only after a read of the platform, its own or a relayed one, sent since its start: a restart forgets acknowledgements. - A witness vouches for the newest revision that it has acknowledged, also when it heard of it from another host. Vouching only for what it read itself would silence all witnesses when the platform goes out right after a write. - Under one revision a grant only adds.

The stand-in target uses decisions/grant.ts in place of its own copy.

--- a/src/contracts/assignment.ts
+++ b/src/contracts/assignment.ts
@@ -14,6 +14,11 @@
     to: z.string(),
     slots: z.array(z.int().min(0)),
     keys: z.array(z.string()),
+    /**
+     * Set when the former owner is taken for lost: it gets no renewal until the move is released, and the move may be
+     * released by time. Left out when the former owner finishes its work and answers for itself.
+     */
+    forced: z.boolean().optional(),
 });
 
 export const keeperGroupSchema = z.strictObject({
@@ -37,8 +42,12 @@
     moves: z.array(moveSchema),
     /** For each target the hosts, up to three in different zones, that renew its grant. */
     renewers: z.record(z.string(), z.array(z.string()).max(3)),
+    /** For each target the hosts that once renewed its grant and are not known to have stopped. */
+    formerRenewers: z.record(z.string(), z.array(z.string())).optional(),
     /** Hosts that vouch for revisions while the platform is out. */
     witnesses: z.array(z.string()),
+    /** The witnesses before the last change of the set, until a majority of them has acknowledged the change. */
+    formerWitnesses: z.array(z.string()).optional(),
     /** Claim keepers; the group of a slot is `slot % keepers.length`. */
     keepers: z.array(keeperGroupSchema),
 });
--- a/src/contracts/grant.ts
+++ b/src/contracts/grant.ts
@@ -37,5 +37,7 @@
     revision: z.int().min(0),
     /** Slots that were taken away and on which requests still run. */
     releasing: z.array(z.int().min(0)),
+    /** Keys that were taken away apart from their slot and on which requests still run. */
+    releasingKeys: z.array(z.string()).optional(),
 });
 export type GrantAnswer = z.infer<typeof grantAnswerSchema>;
--- a/src/contracts/ownershipmessages.ts
+++ b/src/contracts/ownershipmessages.ts
@@ -17,6 +17,8 @@
     revision: z.int(),
     /** What is left of the answering host's own deadline at that revision; 0 when it is not current. */
     remainingMilliseconds: z.number().min(0),
+    /** Time since the sending of the newest question that the platform answered, on whatever way; absent if none. */
+    readAgeMilliseconds: z.number().min(0).optional(),
     /** Whether the answering host vouches for the revision as a witness. */
     vouches: z.boolean(),
 });
--- a/src/decisions/currency.ts
+++ b/src/decisions/currency.ts
@@ -1,19 +1,122 @@
 /**
  * Currency: until when a host may act on a revision. A confirmation counts from the sending of the question, never from
  * the answer, so that a pause between the two can only shorten it.
+ *
+ * A host that restarts has forgotten what it acknowledged. It may route by what others tell it, but it renews grants
+ * and vouches only after a read of the platform that was sent since its start, its own or a relayed one: such a read
+ * can not return less than what the host acknowledged before.
  */
+import { hasMajority } from "./witness.ts";
+
+/** What one host knows of one pool's revision. Times are the host's monotonic milliseconds. */
+export type RevisionRecord = {
+    /** Highest revision acknowledged; 0 when none. The host acts on no lower one. */
+    readonly revision: number;
+    /** When the right to act on the revision ends. */
+    readonly until: number;
+    /** Lower bound of the sending time of the newest read of the platform since the start; undefined when none. */
+    readonly readAt: number | undefined;
+};
+
+/** The record of a host that has just started. */
+export const emptyRecord: RevisionRecord = { revision: 0, until: 0, readAt: undefined };
+
+const later = (left: number | undefined, right: number | undefined): number | undefined =>
+    left === undefined || (right !== undefined && right > left) ? right : left;
+
+/** Takes a revision that exists, without the right to act on it. A higher one ends the lower one at once. */
+export const acknowledgeRevision = (record: RevisionRecord, revision: number): RevisionRecord =>
+    revision > record.revision ? { ...record, revision, until: 0 } : record;
+
+const extend = (record: RevisionRecord, revision: number, until: number): RevisionRecord => {
+    const acknowledged = acknowledgeRevision(record, revision);
+    return acknowledged.revision === revision && until > acknowledged.until
+        ? { ...acknowledged, until }
+        : acknowledged;
+};
+
+/** The platform itself named the revision as the newest, to a question sent at `sentAt`. */
+export const confirmByPlatform = (
+    record: RevisionRecord,
+    revision: number,
+    sentAt: number,
+    freshnessMilliseconds: number,
+): RevisionRecord => ({
+    ...extend(record, revision, sentAt + freshnessMilliseconds),
+    readAt: later(record.readAt, sentAt),
+});
+
+/** What another host answered about a pool. */
+export type HostAnswer = {
+    revision: number;
+    /** What was left of the answering host's own deadline at the revision; 0 when it was not current. */
+    remainingMilliseconds: number;
+    /** Age of the newest read of the platform that the answering host knows of; undefined when it knows of none. */
+    readAgeMilliseconds: number | undefined;
+};
+
+/**
+ * A current host named the revision, to a question sent at `sentAt`: counts for what was left of its own deadline. Its
+ * read of the platform counts as one of this host when it was sent after `startedAt`, the start of this host.
+ */
+export const confirmByHost = (
+    record: RevisionRecord,
+    answer: HostAnswer,
+    sentAt: number,
+    startedAt: number,
+): RevisionRecord => {
+    const readAt = answer.readAgeMilliseconds === undefined ? undefined : sentAt - answer.readAgeMilliseconds;
+    const extended = extend(record, answer.revision, sentAt + answer.remainingMilliseconds);
+    return readAt !== undefined && readAt >= startedAt
+        ? { ...extended, readAt: later(record.readAt, readAt) }
+        : extended;
+};
+
+/** Witnesses vouched for the revision, to questions of which the first was sent at `sentAt`. Needs a majority. */
+export const confirmByWitnesses = (
+    record: RevisionRecord,
+    revision: number,
+    vouchers: readonly string[],
+    witnesses: readonly string[],
+    sentAt: number,
+    freshnessMilliseconds: number,
+): RevisionRecord =>
+    hasMajority(witnesses, host => vouchers.includes(host))
+        ? extend(record, revision, sentAt + freshnessMilliseconds)
+        : record;
+
+/** What is left of the right to act on the revision, in milliseconds; 0 when it has passed. */
+export const remainingOf = (record: RevisionRecord, revision: number, now: number): number =>
+    record.revision === revision ? Math.max(0, record.until - now) : 0;
+
+/** Whether the host may renew grants under the revision: it is current, and has read the platform since its start. */
+export const mayRenew = (record: RevisionRecord, revision: number, now: number): boolean =>
+    record.readAt !== undefined && remainingOf(record, revision, now) > 0;
+
+/** What a host answers to another that asks about the pool. */
+export const answerOf = (record: RevisionRecord, now: number): HostAnswer => ({
+    revision: record.revision,
+    remainingMilliseconds: remainingOf(record, record.revision, now),
+    readAgeMilliseconds: record.readAt === undefined ? undefined : now - record.readAt,
+});
 
 export type Currency = {
-    /** Notes that the revision was the newest at a question sent at `sentAt`, valid for the time given. */
+    /** Notes that the platform named the revision as the newest at a question sent at `sentAt`. */
     confirm: (pool: string, revision: number, sentAt: number, forMilliseconds: number) => void;
-    /** Whether the host may act on the revision now. */
+    /** Replaces the record of a pool by what one of the functions of this module makes of it. */
+    update: (pool: string, change: (record: RevisionRecord) => RevisionRecord) => void;
+    /** The record of the pool. */
+    record: (pool: string) => RevisionRecord;
+    /** Whether the host may route by the revision now. */
     isCurrent: (pool: string, revision: number, now: number) => boolean;
+    /** Whether the host may renew grants under the revision now. */
+    mayRenew: (pool: string, revision: number, now: number) => boolean;
     /** What is left of the deadline at the newest confirmed revision; 0 when it has passed. */
     remaining: (pool: string, revision: number, now: number) => number;
 };
 
 /**
- * Creates the record of confirmations of one host. Times are monotonic milliseconds.
+ * Creates the records of one host, by pool. Times are monotonic milliseconds.
  *
  * @example
  * const currency = createCurrency();
@@ -22,24 +125,20 @@
  * currency.isCurrent("orders", 7, 1_500); // false
  */
 export const createCurrency = (): Currency => {
-    const deadlines = new Map<string, { revision: number; until: number }>();
+    const records = new Map<string, RevisionRecord>();
+    const recordOf = (pool: string): RevisionRecord => records.get(pool) ?? emptyRecord;
 
-    const remaining = (pool: string, revision: number, now: number): number => {
-        const held = deadlines.get(pool);
-        return held === undefined || held.revision !== revision ? 0 : Math.max(0, held.until - now);
+    const update: Currency["update"] = (pool, change) => {
+        records.set(pool, change(recordOf(pool)));
     };
 
     return {
-        confirm: (pool, revision, sentAt, forMilliseconds) => {
-            const held = deadlines.get(pool);
-            if (held !== undefined && held.revision > revision) {
-                return;
-            }
-            const until = sentAt + forMilliseconds;
-            const known = held !== undefined && held.revision === revision ? held.until : 0;
-            deadlines.set(pool, { revision, until: Math.max(known, until) });
-        },
-        isCurrent: (pool, revision, now) => remaining(pool, revision, now) > 0,
-        remaining,
+        confirm: (pool, revision, sentAt, forMilliseconds) =>
+            update(pool, record => confirmByPlatform(record, revision, sentAt, forMilliseconds)),
+        update,
+        record: recordOf,
+        isCurrent: (pool, revision, now) => remainingOf(recordOf(pool), revision, now) > 0,
+        mayRenew: (pool, revision, now) => mayRenew(recordOf(pool), revision, now),
+        remaining: (pool, revision, now) => remainingOf(recordOf(pool), revision, now),
     };
 };
--- /dev/null
+++ b/src/decisions/grant.ts
@@ -0,0 +1,154 @@
+/**
+ * Grants: which slots and keys a renewer may grant a target now, and what a target does with a grant and with a fenced
+ * request.
+ */
+import type { Assignment, Move } from "../contracts/assignment.ts";
+import { type Grant, type GrantAnswer, grantRefusals } from "../contracts/grant.ts";
+import { type TargetRefusal, targetRefusals } from "../contracts/targetprotocol.ts";
+import { ownerOfKey } from "./move.ts";
+
+/** What a target may serve under a revision. */
+export type Entitlement = Required<Pick<Grant, "slots" | "keys" | "exceptKeys">>;
+
+/**
+ * Which slots and keys a renewer may grant the target under the assignment. What an unreleased move takes from another
+ * target is left out. As moves are released, the entitlement at one revision only grows: more slots and keys, fewer
+ * excepted keys.
+ */
+export const entitlementOf = (
+    assignment: Assignment,
+    target: string,
+    isReleased: (move: Move) => boolean,
+    slotOf: (key: string) => number,
+): Entitlement => {
+    const pending = assignment.moves.filter(move => move.from !== target && !isReleased(move));
+    const pendingSlots = new Set(pending.flatMap(move => move.slots));
+    const pendingKeys = new Set(pending.flatMap(move => move.keys));
+    const index = assignment.targets.indexOf(target);
+    const slots: number[] = [];
+    assignment.owners.forEach((owner, slot) => {
+        if (owner === index && index >= 0 && !pendingSlots.has(slot)) {
+            slots.push(slot);
+        }
+    });
+    const placedKeys = new Set([...assignment.hotKeys.map(hot => hot.key), ...pendingKeys]);
+    const keys: string[] = [];
+    const exceptKeys: string[] = [];
+    for (const key of placedKeys) {
+        const slot = slotOf(key);
+        const isHot = assignment.hotKeys.some(hot => hot.key === key);
+        const owns = ownerOfKey(assignment, key, slot) === target && !pendingKeys.has(key);
+        if (owns && isHot) {
+            keys.push(key);
+        }
+        if (!owns && assignment.owners[slot] === index) {
+            exceptKeys.push(key);
+        }
+    }
+    return { slots, keys, exceptKeys };
+};
+
+/** Whether a move by force has taken something from the target and is not released: its grant is not renewed. */
+export const isWithheld = (assignment: Assignment, target: string, isReleased: (move: Move) => boolean): boolean =>
+    assignment.moves.some(move => move.from === target && move.forced === true && !isReleased(move));
+
+/**
+ * Until when a renewer grants, in milliseconds of the target's own clock: from the last reading of that clock that the
+ * renewer holds, never from the receipt of the grant. A withheld target is told the revision with no time to serve.
+ */
+export const validUntilOf = (clockReading: number, timeToLiveMilliseconds: number, withheld: boolean): number =>
+    withheld ? 0 : clockReading + timeToLiveMilliseconds;
+
+/** The grant that an incarnation of a target holds in one pool. Times are milliseconds of the target's own clock. */
+export type HeldGrant = {
+    /** Highest revision accepted: the fence. */
+    readonly revision: number;
+    readonly validUntil: number;
+    readonly slots: ReadonlySet<number>;
+    readonly keys: ReadonlySet<string>;
+    readonly exceptKeys: ReadonlySet<string>;
+};
+
+export type GrantDecision = {
+    /** What the target holds from now on. */
+    held: HeldGrant | undefined;
+    /** Why the grant was refused; undefined when it was taken. */
+    refusal: GrantAnswer["refusal"];
+};
+
+/**
+ * What a target does with a grant. Under the revision that it holds already, a grant only adds: several renewers may
+ * know of different releases, and each of them is right.
+ */
+export const takeGrant = (held: HeldGrant | undefined, grant: Grant, incarnation: string): GrantDecision => {
+    if (grant.incarnation !== incarnation) {
+        return { held, refusal: grantRefusals.otherIncarnation };
+    }
+    if (held !== undefined && grant.revision < held.revision) {
+        return { held, refusal: grantRefusals.staleRevision };
+    }
+    const { revision, validUntil } = grant;
+    if (held !== undefined && held.revision === revision) {
+        const exceptKeys = grant.slots === undefined
+            ? held.exceptKeys
+            : new Set([...held.exceptKeys].filter(key => grant.exceptKeys?.includes(key)));
+        return {
+            held: {
+                revision,
+                validUntil: Math.max(held.validUntil, validUntil),
+                slots: new Set([...held.slots, ...grant.slots ?? []]),
+                keys: new Set([...held.keys, ...grant.keys ?? []]),
+                exceptKeys,
+            },
+            refusal: undefined,
+        };
+    }
+    if (grant.slots === undefined) {
+        return { held, refusal: grantRefusals.slotsNeeded };
+    }
+    return {
+        held: {
+            revision,
+            validUntil,
+            slots: new Set(grant.slots),
+            keys: new Set(grant.keys),
+            exceptKeys: new Set(grant.exceptKeys),
+        },
+        refusal: undefined,
+    };
+};
+
+/** Whether the grant is live and covers the key of the slot. */
+export const ownsKey = (held: HeldGrant | undefined, slot: number, key: string, clock: number): boolean =>
+    held !== undefined && clock < held.validUntil
+    && (held.keys.has(key) || (held.slots.has(slot) && !held.exceptKeys.has(key)));
+
+/** Why a target refuses a request fenced with the revision; undefined when it may run. */
+export const requestRefusal = (
+    held: HeldGrant | undefined,
+    request: { revision: number; slot: number; key: string },
+    clock: number,
+): TargetRefusal | undefined => {
+    if (held !== undefined && request.revision < held.revision) {
+        return targetRefusals.fence;
+    }
+    return ownsKey(held, request.slot, request.key, clock) ? undefined : targetRefusals.noGrant;
+};
+
+/** The requests that still run on what a grant has taken away, for the target's answer. */
+export const releasingOf = (
+    held: HeldGrant | undefined,
+    running: ReadonlyArray<{ slot: number; key: string }>,
+): Pick<Required<GrantAnswer>, "releasing" | "releasingKeys"> => {
+    const slots = new Set<number>();
+    const keys = new Set<string>();
+    for (const { slot, key } of running) {
+        if (held?.slots.has(slot) !== true) {
+            slots.add(slot);
+        }
+        if (!ownsKey(held, slot, key, -Infinity)) {
+            keys.add(key);
+        }
+    }
+    return { releasing: [...slots], releasingKeys: [...keys] };
+};
--- a/stand-ins/target.ts
+++ b/stand-ins/target.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { type Grant, type GrantAnswer, grantRefusals, grantSchema } from "../src/contracts/grant.ts";
+import { type Grant, type GrantAnswer, grantSchema } from "../src/contracts/grant.ts";
 import {
     targetAnswerHeaders,
     targetPaths,
@@ -15,6 +15,7 @@
     targetRequestHeaders,
     targetStates,
 } from "../src/contracts/targetprotocol.ts";
+import { type HeldGrant, releasingOf, requestRefusal, takeGrant } from "../src/decisions/grant.ts";
 import { createSlotHash } from "../src/decisions/hash.ts";
 
 export type TargetStandInOptions = {
@@ -72,13 +73,7 @@
     close: () => Promise<void>;
 };
 
-type HeldGrant = {
-    revision: number;
-    validUntil: number;
-    slots: Set<number>;
-    keys: Set<string>;
-    exceptKeys: Set<string>;
-};
+type Running = { pool: string; slot: number; key: string };
 type Waiting = { start: () => void; request: IncomingMessage };
 
 /** Milliseconds of the machine's monotonic clock, the same in every process. */
@@ -103,10 +98,8 @@
     let incarnation = "";
     let startedAt = 0;
     let grants = new Map<string, HeldGrant>();
-    let highestRevisions = new Map<string, number>();
     let openSpans = new Map<string, OwnedSpan>();
-    let runningSlots = new Map<string, number>();
-    let running = 0;
+    let running = new Set<Running>();
     let waiting: Waiting[] = [];
     let draining = false;
     let shedding = false;
@@ -125,7 +118,7 @@
     const headersNow = (): Record<string, string> => ({
         [targetAnswerHeaders.clock]: String(clock()),
         [targetAnswerHeaders.incarnation]: incarnation,
-        [targetAnswerHeaders.load]: String(running + waiting.length),
+        [targetAnswerHeaders.load]: String(running.size + waiting.length),
     });
 
     const answer = (
@@ -175,11 +168,12 @@
     const recordSpans = (pool: string, held: HeldGrant): void => {
         const now = clock();
         for (const [spanKey, span] of openSpans) {
-            if (span.pool === pool && (!held.slots.has(span.slot) || span.until < now)) {
+            const ended = !held.slots.has(span.slot) || span.until < now || held.validUntil <= now;
+            if (span.pool === pool && ended) {
                 closeSpan(spanKey, now);
             }
         }
-        for (const slot of held.slots) {
+        for (const slot of held.validUntil > now ? held.slots : []) {
             const spanKey = `${pool}/${slot}`;
             const span = openSpans.get(spanKey);
             if (span === undefined) {
@@ -191,64 +185,33 @@
         }
     };
 
-    const grantAnswer = (pool: string, refusal?: GrantAnswer["refusal"]): GrantAnswer => ({
-        accepted: refusal === undefined,
-        ...(refusal === undefined ? {} : { refusal }),
-        clock: clock(),
-        incarnation,
-        revision: highestRevisions.get(pool) ?? 0,
-        releasing: [...runningSlots.keys()].filter(entry => entry.startsWith(`${pool}/`))
-            .map(entry => Number(entry.slice(pool.length + 1)))
-            .filter(slot => grants.get(pool)?.slots.has(slot) !== true),
-    });
-
-    const takeGrant = (grant: Grant): GrantAnswer => {
-        if (grant.incarnation !== incarnation) {
-            return grantAnswer(grant.pool, grantRefusals.otherIncarnation);
+    const answerGrant = (grant: Grant): GrantAnswer => {
+        const { held, refusal } = takeGrant(grants.get(grant.pool), grant, incarnation);
+        if (held !== undefined && refusal === undefined) {
+            grants.set(grant.pool, held);
+            recordSpans(grant.pool, held);
         }
-        if (grant.revision < (highestRevisions.get(grant.pool) ?? 0)) {
-            return grantAnswer(grant.pool, grantRefusals.staleRevision);
-        }
-        const held = grants.get(grant.pool);
-        if (grant.slots === undefined && held?.revision !== grant.revision) {
-            return grantAnswer(grant.pool, grantRefusals.slotsNeeded);
-        }
-        const next: HeldGrant = grant.slots === undefined && held !== undefined
-            ? { ...held, validUntil: Math.max(held.validUntil, grant.validUntil) }
-            : {
-                revision: grant.revision,
-                validUntil: held?.revision === grant.revision
-                    ? Math.max(held.validUntil, grant.validUntil)
-                    : grant.validUntil,
-                slots: new Set(grant.slots),
-                keys: new Set(grant.keys),
-                exceptKeys: new Set(grant.exceptKeys),
-            };
-        highestRevisions.set(grant.pool, grant.revision);
-        grants.set(grant.pool, next);
-        recordSpans(grant.pool, next);
-        return grantAnswer(grant.pool);
+        return {
+            accepted: refusal === undefined,
+            ...(refusal === undefined ? {} : { refusal }),
+            clock: clock(),
+            incarnation,
+            revision: held?.revision ?? 0,
+            ...releasingOf(held, [...running].filter(entry => entry.pool === grant.pool)),
+        };
     };
 
     const fenceRefusal = (request: IncomingMessage, key: string): TargetRefusal | undefined => {
         if (!options.byKey || !options.checksGrants) {
             return undefined;
         }
-        const pool = headerOf(request, targetRequestHeaders.pool);
+        const held = grants.get(headerOf(request, targetRequestHeaders.pool));
         const revision = Number(headerOf(request, targetRequestHeaders.revision));
-        if (revision < (highestRevisions.get(pool) ?? 0)) {
-            return targetRefusals.fence;
-        }
-        const held = grants.get(pool);
-        if (held === undefined || held.validUntil <= clock()) {
-            return targetRefusals.noGrant;
-        }
-        const owned = held.keys.has(key) || (held.slots.has(slotHash(key, slotCount)) && !held.exceptKeys.has(key));
-        return owned ? undefined : targetRefusals.noGrant;
+        return requestRefusal(held, { revision, slot: slotHash(key, slotCount), key }, clock());
     };
 
     const startNext = (): void => {
-        if (running < options.concurrency) {
+        if (running.size < options.concurrency) {
             waiting.shift()?.start();
         }
     };
@@ -266,9 +229,12 @@
             void crash();
             return;
         }
-        const slotEntry = `${headerOf(request, targetRequestHeaders.pool)}/${slotHash(key, slotCount)}`;
-        running += 1;
-        runningSlots.set(slotEntry, (runningSlots.get(slotEntry) ?? 0) + 1);
+        const entry: Running = {
+            pool: headerOf(request, targetRequestHeaders.pool),
+            slot: slotHash(key, slotCount),
+            key,
+        };
+        running.add(entry);
         const idempotencyKey = headerOf(request, targetRequestHeaders.idempotencyKey);
         executions.push({ requestId, idempotencyKey, key, startedAt: clock(), incarnation: life });
         const cold = clock() - startedAt < (options.coldMilliseconds ?? 0) ? options.coldFactor ?? 3 : 1;
@@ -277,14 +243,7 @@
                 if (life !== incarnation) {
                     return;
                 }
-                running -= 1;
-                const left = (runningSlots.get(slotEntry) ?? 1) - 1;
-                if (left === 0) {
-                    runningSlots.delete(slotEntry);
-                }
-                else {
-                    runningSlots.set(slotEntry, left);
-                }
+                running.delete(entry);
                 const text = JSON.stringify({ target: options.name, key, requestId, path: request.url, echo: body });
                 answer(response, 200, text, {
                     [targetAnswerHeaders.requestId]: requestId,
@@ -304,7 +263,7 @@
             refuse(request, response, targetRefusals.shed);
             return;
         }
-        if (running < options.concurrency) {
+        if (running.size < options.concurrency) {
             run(request, response, key, body);
             return;
         }
@@ -323,7 +282,7 @@
     const laggedView = (): { state: string; running: number; queued: number } => {
         const state = draining ? targetStates.draining : targetStates.ready;
         const now = clock();
-        lagged.push({ at: now, state, running, queued: waiting.length });
+        lagged.push({ at: now, state, running: running.size, queued: waiting.length });
         const old = lagged.filter(view => view.at <= now - (options.lagMilliseconds ?? 0));
         const view = old.at(-1) ?? lagged[0];
         lagged = lagged.slice(-200);
@@ -337,7 +296,7 @@
                 answer(response, 400, JSON.stringify({ message: grant.error.message }));
                 return true;
             }
-            const result = takeGrant(grant.data);
+            const result = answerGrant(grant.data);
             answer(response, result.accepted ? 200 : 409, JSON.stringify(result));
             return true;
         }
@@ -377,9 +336,7 @@
         incarnation = randomUUID();
         startedAt = clock();
         grants = new Map();
-        highestRevisions = new Map();
-        runningSlots = new Map();
-        running = 0;
+        running = new Set();
         waiting = [];
         draining = false;
         lagged = [];
