Count a former owner's word only after the last renewal below the move

Cause: a target that took the new revision can restart and forget its fence; a renewer that is still current below the move then grants the new incarnation the slot again, while the new owner holds it too.

Change: releaseTime takes the target's answer only when it was asked after every renewer acknowledged the move or every host below it has lapsed (MoveEvidence.targetAnswer gains askedAt). For targets that do not check, mayReportFinished keeps a restarted host from reporting what it can not know, and mayRouteUnchecked asks for a read sent after the host announced itself.

--- a/src/decisions/currency.ts
+++ b/src/decisions/currency.ts
@@ -93,6 +93,20 @@
 export const mayRenew = (record: RevisionRecord, revision: number, now: number): boolean =>
     record.readAt !== undefined && remainingOf(record, revision, now) > 0;
 
+/**
+ * Whether the host may route to targets that do not check grants. Besides being current it must have read the platform
+ * after its own status was written there at `announcedAt`: then a coordinator that writes a move and afterwards lists
+ * the hosts either finds this host or is certain that it knows of the move.
+ */
+export const mayRouteUnchecked = (
+    record: RevisionRecord,
+    revision: number,
+    now: number,
+    announcedAt: number | undefined,
+): boolean =>
+    announcedAt !== undefined && record.readAt !== undefined && record.readAt >= announcedAt
+    && remainingOf(record, revision, now) > 0;
+
 /** What a host answers to another that asks about the pool. */
 export const answerOf = (record: RevisionRecord, now: number): HostAnswer => ({
     revision: record.revision,
--- a/src/decisions/move.ts
+++ b/src/decisions/move.ts
@@ -22,8 +22,13 @@
     knownAt: number;
     /** Time of the first acknowledgement of the revision or a higher one by the host; undefined when there is none. */
     acknowledgedAt: (host: string, revision: number) => number | undefined;
-    /** Newest answer of the former owner to a grant; undefined when there is none. */
-    targetAnswer: Pick<GrantAnswer, "revision" | "releasing" | "releasingKeys"> | undefined;
+    /** An answer of the former owner to a grant; undefined when there is none. The newest is the most useful one. */
+    targetAnswer: TargetEvidence | undefined;
+};
+
+export type TargetEvidence = Pick<GrantAnswer, "revision" | "releasing" | "releasingKeys"> & {
+    /** No later than the sending of the grant that was answered, on the coordinator's clock. */
+    askedAt: number;
 };
 
 /** What the coordinator of a pool whose targets do not check grants has seen besides. */
@@ -82,9 +87,29 @@
     return plus(latest([evidence.knownAt, ...majorities]), timing.freshnessMilliseconds);
 };
 
+/**
+ * The time from which no renewer sends the target a grant below the revision: all have acknowledged it, or all hosts
+ * below it have lapsed. Undefined when neither is known.
+ */
+export const renewalsEndedBelow = (
+    revision: number,
+    target: string,
+    assignment: Assignment,
+    evidence: Pick<MoveEvidence, "knownAt" | "acknowledgedAt">,
+    timing: MoveTiming,
+): number | undefined => {
+    const acknowledged = renewersOf(assignment, target).map(host => evidence.acknowledgedAt(host, revision));
+    const stopped = latest([evidence.knownAt, ...acknowledged]);
+    return earliest(stopped, lapsedBelow(revision, assignment, evidence, timing));
+};
+
 /**
  * The time from which a move is released, as far as the evidence goes; undefined when it does not suffice. For targets
  * that check grants. `assignment` is the newest one known to be written.
+ *
+ * The former owner's own word counts when it was asked after the last renewal below the move: else the target may have
+ * restarted since, forgotten its fence, and been granted the slots again by a renewer that did not know of the move.
+ * Without its word, a move by force is released when the last grant below the move has lapsed.
  */
 export const releaseTime = (
     move: Move,
@@ -92,18 +117,25 @@
     evidence: MoveEvidence,
     timing: MoveTiming,
 ): number | undefined => {
-    if (releasedByTarget(move, evidence.targetAnswer)) {
-        return evidence.knownAt;
+    const ended = renewalsEndedBelow(move.since, move.from, assignment, evidence, timing);
+    const answer = evidence.targetAnswer;
+    if (ended !== undefined && answer !== undefined && answer.askedAt >= ended && releasedByTarget(move, answer)) {
+        return ended;
     }
-    if (move.forced !== true) {
-        return undefined;
-    }
-    const acknowledged = renewersOf(assignment, move.from).map(host => evidence.acknowledgedAt(host, move.since));
-    const renewersStopped = latest([evidence.knownAt, ...acknowledged]);
-    const hostsLapsed = lapsedBelow(move.since, assignment, evidence, timing);
-    return plus(earliest(renewersStopped, hostsLapsed), timing.timeToLiveMilliseconds);
+    return move.forced === true ? plus(ended, timing.timeToLiveMilliseconds) : undefined;
 };
 
+/**
+ * Whether a host may tell the coordinator that it has finished with a target that does not check grants. A host that
+ * restarted does not know what it had sent before, so it waits until the longest deadline has passed.
+ */
+export const mayReportFinished = (
+    outstandingRequests: number,
+    startedAt: number,
+    now: number,
+    timing: Pick<MoveTiming, "longestDeadlineMilliseconds">,
+): boolean => outstandingRequests === 0 && now >= startedAt + timing.longestDeadlineMilliseconds;
+
 /**
  * The time from which a move is released where targets do not check grants, so that the routers are the fence: every
  * router has finished, or has lapsed and the longest deadline has passed.
--- a/test/decisions/move.test.ts
+++ b/test/decisions/move.test.ts
@@ -31,23 +31,59 @@
     at: number | undefined;
 };
 
+const stopped = { h1: 200, h2: 300 };
+const majority = { h2: 200, h3: 300 };
+const taken = { askedAt: 2_000, revision: 8, releasing: [] };
+const early = { ...taken, askedAt: 299 };
+
 const cases: Case[] = [
     { title: "nothing known", at: undefined },
-    { title: "the target took it", answer: { revision: 8, releasing: [] }, at: 100 },
-    { title: "the target holds a later revision", answer: { revision: 9, releasing: [1] }, at: 100 },
-    { title: "the target holds an earlier revision", answer: { revision: 7, releasing: [] }, at: undefined },
-    { title: "the target still works on the slot", answer: { revision: 8, releasing: [3] }, at: undefined },
     {
-        title: "the target still works on the key",
-        answer: { revision: 8, releasing: [], releasingKeys: ["hot"] },
+        title: "the target took it",
+        answer: { askedAt: 400, revision: 8, releasing: [] },
+        acknowledged: stopped,
+        at: 300,
+    },
+    { title: "the target took it, but a renewer may be behind", answer: taken, at: undefined },
+    { title: "the target was asked before a renewer stopped", answer: early, acknowledged: stopped, at: 700 },
+    {
+        title: "the target was asked before a renewer stopped in a graceful move",
+        move: graceful,
+        answer: early,
+        acknowledged: stopped,
         at: undefined,
     },
-    { title: "a new incarnation holds nothing", answer: { revision: 0, releasing: [] }, at: undefined },
-    { title: "all renewers acknowledged", acknowledged: { h1: 200, h2: 300 }, at: 700 },
+    {
+        title: "the target took it after every host behind has lapsed",
+        answer: taken,
+        acknowledged: majority,
+        at: 1_300,
+    },
+    { title: "the target holds a later revision", answer: { ...taken, revision: 9 }, acknowledged: stopped, at: 300 },
+    {
+        title: "the target holds an earlier revision",
+        answer: { ...taken, revision: 7 },
+        acknowledged: stopped,
+        at: 700,
+    },
+    {
+        title: "the target still works on the slot",
+        answer: { ...taken, releasing: [3] },
+        acknowledged: stopped,
+        at: 700,
+    },
+    {
+        title: "the target still works on the key",
+        answer: { ...taken, releasingKeys: ["hot"] },
+        acknowledged: stopped,
+        at: 700,
+    },
+    { title: "a new incarnation holds nothing", answer: { ...taken, revision: 0 }, acknowledged: stopped, at: 700 },
+    { title: "all renewers acknowledged", acknowledged: stopped, at: 700 },
     { title: "renewers acknowledged before the write was known", acknowledged: { h1: 10, h2: 20 }, at: 500 },
     { title: "a graceful move waits for the target", move: graceful, acknowledged: { h1: 1, h2: 1 }, at: undefined },
     { title: "one renewer is missing", acknowledged: { h1: 200 }, at: undefined },
-    { title: "a majority of witnesses acknowledged", acknowledged: { h2: 200, h3: 300 }, at: 1_700 },
+    { title: "a majority of witnesses acknowledged", acknowledged: majority, at: 1_700 },
     {
         title: "a former renewer is missing",
         acknowledged: { h1: 200, h2: 300 },
