Let evidence count only when it is strictly later

Cause: the model check found, at equal clock readings, a host that read the platform and announced itself in the same millisecond and then routed below a move that was released without it.

Change: a read counts since a start or an announcement, and a target's word since the last renewal, only at a later reading of the clock.

--- a/src/decisions/currency.ts
+++ b/src/decisions/currency.ts
@@ -67,7 +67,7 @@
 ): RevisionRecord => {
     const readAt = answer.readAgeMilliseconds === undefined ? undefined : sentAt - answer.readAgeMilliseconds;
     const extended = extend(record, answer.revision, sentAt + answer.remainingMilliseconds);
-    return readAt !== undefined && readAt >= startedAt
+    return readAt !== undefined && readAt > startedAt
         ? { ...extended, readAt: later(record.readAt, readAt) }
         : extended;
 };
@@ -104,7 +104,7 @@
     now: number,
     announcedAt: number | undefined,
 ): boolean =>
-    announcedAt !== undefined && record.readAt !== undefined && record.readAt >= announcedAt
+    announcedAt !== undefined && record.readAt !== undefined && record.readAt > announcedAt
     && remainingOf(record, revision, now) > 0;
 
 /** What a host answers to another that asks about the pool. */
--- a/src/decisions/move.ts
+++ b/src/decisions/move.ts
@@ -119,7 +119,7 @@
 ): number | undefined => {
     const ended = renewalsEndedBelow(move.since, move.from, assignment, evidence, timing);
     const answer = evidence.targetAnswer;
-    if (ended !== undefined && answer !== undefined && answer.askedAt >= ended && releasedByTarget(move, answer)) {
+    if (ended !== undefined && answer !== undefined && answer.askedAt > ended && releasedByTarget(move, answer)) {
         return ended;
     }
     return move.forced === true ? plus(ended, timing.timeToLiveMilliseconds) : undefined;
--- a/test/decisions/move.test.ts
+++ b/test/decisions/move.test.ts
@@ -34,7 +34,7 @@
 const stopped = { h1: 200, h2: 300 };
 const majority = { h2: 200, h3: 300 };
 const taken = { askedAt: 2_000, revision: 8, releasing: [] };
-const early = { ...taken, askedAt: 299 };
+const early = { ...taken, askedAt: 300 };
 
 const cases: Case[] = [
     { title: "nothing known", at: undefined },
--- a/test/decisions/revisions.test.ts
+++ b/test/decisions/revisions.test.ts
@@ -23,13 +23,13 @@
     { title: "read from the platform", record: read, remaining: 400, renews: true },
     {
         title: "told by a host that read before this host's start",
-        record: hearsay(7, 150, 1_001),
+        record: hearsay(7, 150, 1_000),
         remaining: 50,
         renews: false,
     },
     {
         title: "told by a host that read after this host's start",
-        record: hearsay(7, 150, 1_000),
+        record: hearsay(7, 150, 999),
         remaining: 50,
         renews: true,
     },
