--- a/src/contracts/pool.ts
+++ b/src/contracts/pool.ts
@@ -25,6 +25,8 @@
     connections: z.int().min(1).max(100_000),
     /** Relative speed: a target of speed 2 takes twice the load of one of speed 1. */
     speed: z.number().positive().max(1_000).default(1),
+    /** Set by operators before a target is taken out of the pool: its slots move away while it still serves. */
+    leaving: z.boolean().default(false),
 });
 
 export const routeSchema = z.strictObject({
--- a/src/decisions/assign.ts
+++ b/src/decisions/assign.ts
@@ -1,63 +1,196 @@
 /**
- * Assigning: which target owns each slot and which hosts renew its grant.
+ * Assigning: the next assignment of a pool. Slots move only from targets that must not keep them or that carry more
+ * than their share; hosts that renew and witness stay as long as they live.
  */
-import type { Assignment } from "../contracts/assignment.ts";
+import { isDeepStrictEqual } from "node:util";
+import { type Assignment, type KeeperGroup, type Move, noOwner } from "../contracts/assignment.ts";
 import type { Pool } from "../contracts/pool.ts";
+import { type BalanceOptions, evenOut, placeOrphans } from "./balance.ts";
+import { type Candidate, nextRenewers, nextWitnesses, pickHosts } from "./naming.ts";
 
-/** A host that may be named in an assignment. */
-export type Candidate = { name: string; zone: string };
+export type { Candidate } from "./naming.ts";
 
-const renewersPerTarget = 3;
+export type AssignInput = {
+    pool: Pool;
+    current: Assignment;
+    /** Hosts that may be named. */
+    hosts: Candidate[];
+    /** Share of its speed that a target may carry now; 1 when left out, 0 for one that is lost or held down. */
+    shares: ReadonlyMap<string, number>;
+    /** Slots that a leaving target, which still serves, gives away in one revision. */
+    leavingBatch: number;
+    /** Load of each slot without its hot keys. */
+    slotLoads: readonly number[];
+    /** Keys that stand apart from their slots, with their load. */
+    hotKeys: ReadonlyArray<{ key: string; load: number }>;
+    slotOf: (key: string) => number;
+    /** Whether the former owner is known to hold nothing of the move any more. */
+    isReleased: (move: Move) => boolean;
+    /** Whether a majority of the witnesses has acknowledged the current revision, so that the set may change. */
+    mayChangeWitnesses: boolean;
+    /** How slots of healthy targets are evened out; left out to move only what must move. */
+    balance?: BalanceOptions;
+    keepers?: KeeperGroup[];
+};
+
+/** The first assignment of a pool: slots shared out by speed. */
+export const firstAssignment = (pool: Pool, hosts: Candidate[]): Assignment => {
+    const names = pool.targets.map(target => target.name);
+    return {
+        revision: 1,
+        targets: names,
+        owners: placeOrphans({
+            owners: new Array<number>(pool.slotCount).fill(noOwner),
+            loads: new Array<number>(pool.slotCount).fill(1),
+            weights: pool.targets.map(target => target.leaving ? 0 : target.speed),
+        }),
+        hotKeys: [],
+        moves: [],
+        renewers: nextRenewers({}, names, hosts),
+        witnesses: nextWitnesses([], hosts, true),
+        keepers: [...hosts.keys()].map(index => ({ hosts: pickHosts(hosts, index, 2), since: 1, previous: [] })),
+    };
+};
+
+/** Targets of the pool, and those of unfinished moves. The order of known ones stays. */
+const nextTargets = (input: AssignInput, moves: Move[]): string[] => {
+    const needed = new Set(input.pool.targets.map(target => target.name));
+    for (const move of moves) {
+        needed.add(move.from).add(move.to);
+    }
+    const owning = new Set(input.current.owners);
+    const kept = input.current.targets.filter((name, index) => needed.has(name) || owning.has(index));
+    return [...new Set([...kept, ...needed])];
+};
+
+const weightsOf = (input: AssignInput, targets: string[]): number[] =>
+    targets.map(name => {
+        const target = input.pool.targets.find(candidate => candidate.name === name);
+        return target === undefined || target.leaving ? 0 : target.speed * (input.shares.get(name) ?? 1);
+    });
+
+/** Slots and after them hot keys, with their owners by index into `targets`. */
+type Items = { owners: number[]; loads: number[] };
 
-/** Picks up to `count` hosts beginning at a place of the list, in different zones where it can. */
-export const pickHosts = (candidates: Candidate[], start: number, count: number): string[] => {
-    const picked: Candidate[] = [];
-    const rotated = [...candidates.slice(start % candidates.length), ...candidates.slice(0, start % candidates.length)];
-    for (const candidate of rotated) {
-        if (picked.length < count && !picked.some(other => other.zone === candidate.zone)) {
-            picked.push(candidate);
+const itemsOf = (input: AssignInput, targets: string[]): Items => {
+    const { current, pool } = input;
+    const indexes = current.targets.map(name => targets.indexOf(name));
+    const owners: number[] = [];
+    const loads: number[] = [];
+    for (let slot = 0; slot < pool.slotCount; slot += 1) {
+        owners.push(indexes[current.owners[slot] ?? noOwner] ?? noOwner);
+        loads.push(input.slotLoads[slot] ?? 1);
+    }
+    for (const { key, load } of input.hotKeys) {
+        const lifted = current.hotKeys.find(known => known.key === key);
+        owners.push(lifted === undefined ? owners[input.slotOf(key)] : targets.indexOf(lifted.target));
+        loads.push(load);
+    }
+    return { owners, loads };
+};
+
+/** Takes items away from targets that may carry nothing: in batches while these still serve, else all at once. */
+const takeAway = (input: AssignInput, targets: string[], owners: number[], weights: number[], moves: Move[]) => {
+    const allowance = targets.map(name => {
+        const target = input.pool.targets.find(candidate => candidate.name === name);
+        if (target?.leaving !== true || input.shares.get(name) === 0) {
+            return Infinity;
+        }
+        return moves.some(move => move.from === name) ? 0 : input.leavingBatch;
+    });
+    return owners.map(owner => {
+        if (owner === noOwner || weights[owner] > 0 || allowance[owner] === 0) {
+            return owner;
         }
+        allowance[owner] -= 1;
+        return noOwner;
+    });
+};
+
+/** Evens out what no unfinished move holds. Items held count as load of their owner but stay. */
+const evenOutFree = (
+    input: AssignInput,
+    items: Items,
+    owners: number[],
+    weights: number[],
+    moves: Move[],
+): number[] => {
+    if (input.balance === undefined || moves.length > 0) {
+        return owners;
     }
-    for (const candidate of rotated) {
-        if (picked.length < count && !picked.includes(candidate)) {
-            picked.push(candidate);
+    return evenOut({ owners, loads: items.loads, weights }, input.balance);
+};
+
+type Change = { from: string; to: string; slot?: number; key?: string };
+
+const changesOf = (input: AssignInput, targets: string[], before: number[], after: number[]): Change[] => {
+    const { slotCount } = input.pool;
+    const changes: Change[] = [];
+    after.forEach((owner, item) => {
+        const former = before[item];
+        if (owner !== former && former !== noOwner && owner !== noOwner) {
+            const part = item < slotCount ? { slot: item } : { key: input.hotKeys[item - slotCount].key };
+            changes.push({ from: targets[former], to: targets[owner], ...part });
+        }
+    });
+    for (const { key, target } of input.current.hotKeys) {
+        const to = targets[after[input.slotOf(key)]];
+        if (to !== undefined && to !== target && !input.hotKeys.some(kept => kept.key === key)) {
+            changes.push({ from: target, to, key });
         }
     }
-    return picked.map(candidate => candidate.name);
+    return changes;
 };
 
-/** Shares out the slots by speed: each slot goes to the target that is furthest below its share. */
-const shareOut = (pool: Pool): number[] => {
-    const held = pool.targets.map(() => 0);
-    const owners: number[] = [];
-    for (let slot = 0; slot < pool.slotCount; slot += 1) {
-        let best = 0;
-        for (let index = 1; index < pool.targets.length; index += 1) {
-            const load = (held[index] + 1) / pool.targets[index].speed;
-            if (load < (held[best] + 1) / pool.targets[best].speed) {
-                best = index;
-            }
+const groupMoves = (changes: Change[], since: number): Move[] => {
+    const moves = new Map<string, Move>();
+    for (const { from, to, slot, key } of changes) {
+        const place = `${from} ${to}`;
+        const move = moves.get(place) ?? { since, from, to, slots: [], keys: [] };
+        moves.set(place, move);
+        if (slot !== undefined) {
+            move.slots.push(slot);
+        }
+        if (key !== undefined) {
+            move.keys.push(key);
         }
-        held[best] += 1;
-        owners.push(best);
     }
-    return owners;
-};
-
-/** The first assignment of a pool. */
-export const firstAssignment = (pool: Pool, candidates: Candidate[]): Assignment => ({
-    revision: 1,
-    targets: pool.targets.map(target => target.name),
-    owners: pool.targets.length === 0 ? [] : shareOut(pool),
-    hotKeys: [],
-    moves: [],
-    renewers: Object.fromEntries(
-        pool.targets.map((target, index) => [target.name, pickHosts(candidates, index, renewersPerTarget)]),
-    ),
-    witnesses: pickHosts(candidates, 0, 5),
-    keepers: [...candidates.keys()].map(index => ({
-        hosts: pickHosts(candidates, index, 2),
-        since: 1,
-        previous: [],
-    })),
-});
+    return [...moves.values()];
+};
+
+/** The next assignment; undefined when nothing has to change. Released moves alone are a change. */
+export const nextAssignment = (input: AssignInput): Assignment | undefined => {
+    const { current, pool } = input;
+    const revision = current.revision + 1;
+    const unfinished = current.moves.filter(move => !input.isReleased(move));
+    const targets = nextTargets(input, unfinished);
+    const weights = weightsOf(input, targets);
+    const items = itemsOf(input, targets);
+    const canPlace = weights.some(weight => weight > 0);
+    const taken = canPlace ? takeAway(input, targets, items.owners, weights, unfinished) : items.owners;
+    const placed = placeOrphans({ owners: taken, loads: items.loads, weights });
+    const after = evenOutFree(input, items, placed, weights, unfinished);
+    const fresh = groupMoves(changesOf(input, targets, items.owners, after), revision);
+    const next: Assignment = {
+        revision,
+        targets,
+        owners: after.slice(0, pool.slotCount),
+        hotKeys: input.hotKeys
+            .map(({ key }, index) => ({ key, target: targets[after[pool.slotCount + index]] }))
+            .filter(hot => hot.target !== undefined),
+        moves: [...unfinished, ...fresh],
+        renewers: nextRenewers(current.renewers, targets, input.hosts),
+        witnesses: nextWitnesses(current.witnesses, input.hosts, input.mayChangeWitnesses),
+        keepers: input.keepers ?? current.keepers,
+    };
+    return isDeepStrictEqual({ ...next, revision: current.revision }, current) ? undefined : next;
+};
+
+/** Slots and hot keys that change their owner from one assignment to the next. */
+export const countMoved = (before: Assignment, after: Assignment): number => {
+    let moved = 0;
+    after.owners.forEach((owner, slot) => {
+        moved += after.targets[owner] === before.targets[before.owners[slot] ?? noOwner] ? 0 : 1;
+    });
+    return moved;
+};
--- /dev/null
+++ b/test/decisions/assign.test.ts
@@ -0,0 +1,221 @@
+import test from "ava";
+import type { Assignment } from "../../src/contracts/assignment.ts";
+import { type Pool, poolSchema } from "../../src/contracts/pool.ts";
+import { type AssignInput, countMoved, firstAssignment, nextAssignment } from "../../src/decisions/assign.ts";
+import { defaultBalanceOptions, imbalanceOf } from "../../src/decisions/balance.ts";
+
+const hosts = ["a", "b", "c", "d", "e", "f"].map((name, index) => ({ name, zone: `zone-${index % 3}` }));
+
+type TargetShape = { name: string; speed?: number; leaving?: boolean };
+
+const poolOf = (targets: TargetShape[]): Pool =>
+    poolSchema.parse({
+        customer: "hallam",
+        division: "by-key",
+        checksGrants: true,
+        targets: targets.map(target => ({
+            address: "127.0.0.1:1",
+            zone: "zone-0",
+            concurrency: 3,
+            connections: 10,
+            ...target,
+        })),
+        routes: [{ name: "main", method: "*", path: "/", kind: "idempotent" }],
+    });
+
+const names = (count: number): TargetShape[] => [...Array(count).keys()].map(index => ({ name: `t${index}` }));
+
+const slotOf = (key: string): number => Number(key.slice(1)) % 1_024;
+
+const inputOf = (pool: Pool, current: Assignment, changes: Partial<AssignInput> = {}): AssignInput => ({
+    pool,
+    current,
+    hosts,
+    shares: new Map(),
+    leavingBatch: 16,
+    slotLoads: [],
+    hotKeys: [],
+    slotOf,
+    isReleased: () => true,
+    mayChangeWitnesses: true,
+    balance: { ...defaultBalanceOptions, maxMoves: 1_024 },
+    ...changes,
+});
+
+const countImbalance = (assignment: Assignment, weights: number[]): number =>
+    imbalanceOf({ owners: assignment.owners, loads: assignment.owners.map(() => 1), weights });
+
+const movementCases: Array<{
+    title: string;
+    before: TargetShape[];
+    after: TargetShape[];
+    lost?: string[];
+    /** Slots that may move at most. */
+    limit: number;
+    weights: number[];
+}> = [
+    { title: "nothing changed", before: names(12), after: names(12), limit: 0, weights: Array(12).fill(1) },
+    {
+        title: "a target joins",
+        before: names(12),
+        after: names(13),
+        limit: 1_024 / 13 * 1.1,
+        weights: Array(13).fill(1),
+    },
+    {
+        title: "a faster target joins",
+        before: names(6),
+        after: [...names(6), { name: "fast", speed: 2 }],
+        limit: 1_024 / 8 * 2 * 1.1,
+        weights: [1, 1, 1, 1, 1, 1, 2],
+    },
+    {
+        title: "a target is lost",
+        before: names(12),
+        after: names(12),
+        lost: ["t3"],
+        limit: 1_024 / 12 * 1.1,
+        weights: [1, 1, 1, 0, 1, 1, 1, 1, 1, 1, 1, 1],
+    },
+    {
+        title: "a target is taken out",
+        before: names(6),
+        after: names(5),
+        limit: 1_024 / 6 * 1.1,
+        weights: [1, 1, 1, 1, 1, 0],
+    },
+];
+
+for (const { title, before, after, lost = [], limit, weights } of movementCases) {
+    test(`${title}: few slots move and the load is even`, t => {
+        const first = firstAssignment(poolOf(before), hosts);
+        const shares = new Map(lost.map(name => [name, 0]));
+        const next = nextAssignment(inputOf(poolOf(after), first, { shares })) ?? first;
+        t.true(countMoved(first, next) <= limit, `${countMoved(first, next)} moved`);
+        t.true(countImbalance(next, weights) <= 1.1);
+        const moved = next.moves.reduce((sum, move) => sum + move.slots.length, 0);
+        t.is(moved, countMoved(first, next));
+        t.true(next.moves.every(move => move.since === next.revision));
+    });
+}
+
+test("a new target that ramps up gets a part of its share first", t => {
+    const first = firstAssignment(poolOf(names(9)), hosts);
+    const pool = poolOf(names(10));
+    const quarter = nextAssignment(inputOf(pool, first, { shares: new Map([["t9", 0.25]]) })) ?? first;
+    const whole = nextAssignment(inputOf(pool, quarter)) ?? quarter;
+    const held = (assignment: Assignment): number => assignment.owners.filter(owner => owner === 9).length;
+    t.true(held(quarter) > 15 && held(quarter) < 40, `${held(quarter)} slots`);
+    t.true(held(whole) > 90, `${held(whole)} slots`);
+});
+
+test("a leaving target gives its slots away in batches, one unfinished at a time", t => {
+    const first = firstAssignment(poolOf(names(8)), hosts);
+    const pool = poolOf(names(8).map(target => ({ ...target, leaving: target.name === "t7" })));
+    const once = nextAssignment(inputOf(pool, first)) ?? first;
+    t.is(countMoved(first, once), 16);
+    t.is(nextAssignment(inputOf(pool, once, { isReleased: () => false })), undefined);
+    let current = once;
+    for (let round = 0; round < 7; round += 1) {
+        current = nextAssignment(inputOf(pool, current)) ?? current;
+    }
+    t.is(current.owners.filter(owner => owner === 7).length, 0);
+});
+
+test("a slot whose owner is lost before its move is finished keeps the unfinished move", t => {
+    const first = firstAssignment(poolOf(names(3)), hosts);
+    const once = nextAssignment(inputOf(poolOf(names(3)), first, { shares: new Map([["t0", 0]]) })) ?? first;
+    const moveToSecond = once.moves.find(move => move.to === "t1");
+    const shares = new Map([["t0", 0], ["t1", 0]]);
+    const twice = nextAssignment(inputOf(poolOf(names(3)), once, { shares, isReleased: () => false })) ?? once;
+    t.deepEqual(twice.moves.filter(move => move.since === once.revision), once.moves);
+    const slot = moveToSecond?.slots[0] ?? -1;
+    t.true(twice.moves.some(move => move.from === "t1" && move.to === "t2" && move.slots.includes(slot)));
+    t.true(twice.owners.every(owner => owner === 2));
+});
+
+test("with every target lost nothing moves", t => {
+    const first = firstAssignment(poolOf(names(2)), hosts);
+    const shares = new Map([["t0", 0], ["t1", 0]]);
+    t.is(nextAssignment(inputOf(poolOf(names(2)), first, { shares })), undefined);
+});
+
+test("a hot key is placed by itself and goes back when it cools", t => {
+    const pool = poolOf(names(4));
+    const first = firstAssignment(pool, hosts);
+    const slotLoads = first.owners.map(() => 1);
+    const owner = first.owners[slotOf("k5")];
+    const hot = nextAssignment(inputOf(pool, first, { slotLoads, hotKeys: [{ key: "k5", load: 200 }] })) ?? first;
+    const target = hot.hotKeys[0].target;
+    t.deepEqual(hot.hotKeys.map(held => held.key), ["k5"]);
+    const mean = (1_024 + 200) / 4;
+    const index = hot.targets.indexOf(target);
+    const loadThere = hot.owners.filter(other => other === index).length + 200;
+    t.true(loadThere / mean <= 1.1, `${loadThere} of ${mean}`);
+    const cooled = nextAssignment(inputOf(pool, hot, { slotLoads })) ?? hot;
+    t.deepEqual(cooled.hotKeys, []);
+    const back = cooled.moves.filter(move => move.keys.includes("k5"));
+    t.is(back.length, cooled.targets[cooled.owners[slotOf("k5")]] === target ? 0 : 1);
+    t.true(owner >= 0);
+});
+
+const witnessCases: Array<{ title: string; current: string[]; live: string; mayChange: boolean; witnesses: string[] }> =
+    [
+        { title: "all live", current: ["a", "b", "c"], live: "abc", mayChange: true, witnesses: ["a", "b", "c"] },
+        {
+            title: "one lost is taken away first",
+            current: ["a", "b", "c"],
+            live: "abd",
+            mayChange: true,
+            witnesses: ["a", "b"],
+        },
+        { title: "then one is added", current: ["a", "b"], live: "abd", mayChange: true, witnesses: ["a", "b", "d"] },
+        {
+            title: "two lost go one by one",
+            current: ["a", "b", "c"],
+            live: "ade",
+            mayChange: true,
+            witnesses: ["a", "c"],
+        },
+        {
+            title: "no change before a majority knows the last one",
+            current: ["a", "b", "c"],
+            live: "abd",
+            mayChange: false,
+            witnesses: ["a", "b", "c"],
+        },
+        {
+            title: "the last one is never taken away",
+            current: ["a"],
+            live: "b",
+            mayChange: true,
+            witnesses: ["a", "b"],
+        },
+    ];
+
+for (const { title, current, live, mayChange, witnesses } of witnessCases) {
+    test(`witnesses: ${title}`, t => {
+        const pool = poolOf(names(2));
+        const first = { ...firstAssignment(pool, hosts), witnesses: current };
+        const present = hosts.filter(host => live.includes(host.name));
+        const next = nextAssignment(inputOf(pool, first, { hosts: present, mayChangeWitnesses: mayChange })) ?? first;
+        t.deepEqual(next.witnesses, witnesses);
+    });
+}
+
+test("renewers are three hosts of three zones, and only a lost one is replaced", t => {
+    const pool = poolOf(names(6));
+    const first = firstAssignment(pool, hosts);
+    for (const named of Object.values(first.renewers)) {
+        t.is(new Set(named.map(name => hosts.find(host => host.name === name)?.zone)).size, 3);
+    }
+    const left = hosts.filter(host => host.name !== "b");
+    const next = nextAssignment(inputOf(pool, first, { hosts: left })) ?? first;
+    for (const [target, named] of Object.entries(next.renewers)) {
+        const kept = first.renewers[target].filter(name => name !== "b");
+        t.true(kept.every(name => named.includes(name)));
+        t.is(named.length, 3);
+        t.false(named.includes("b"));
+    }
+    t.is(countMoved(first, next), 0);
+});
