Own slots by several renewers, witnesses and a coordinator that follows each move

Cause: one host wrote the first assignment and nothing after it; a target that was lost kept its slots for ever.

--- a/src/decisions/detect.ts
+++ b/src/decisions/detect.ts
@@ -7,7 +7,7 @@
 export const findings = { answering: "answering", silent: "silent", refusing: "refusing" } as const;
 export type ProbeFinding = (typeof findings)[keyof typeof findings];
 
-/** What a host knows of a target that it probes. Times are monotonic milliseconds of that host. */
+/** What a host knows of a target that it probes, kept up by the renewer. Times are its monotonic milliseconds. */
 export type ProbeRecord = {
     /** When the oldest question without an answer was sent; undefined when all are answered. */
     unansweredSince: number | undefined;
--- a/src/machines/coordinator.ts
+++ b/src/machines/coordinator.ts
@@ -1,56 +1,87 @@
 /**
- * The coordinator decides the assignments of those pools whose lease this host holds.
+ * The coordinator: one assigner for each pool, and the messages of other hosts passed on to them.
  */
-import { randomUUID } from "node:crypto";
 import type { Clock } from "../contracts/clock.ts";
-import { messageOf } from "../contracts/errors.ts";
-import { type Candidate, firstAssignment } from "../decisions/assign.ts";
+import type { Candidate } from "../decisions/assign.ts";
+import type { Currency } from "../decisions/currency.ts";
+import type { MoveTiming } from "../decisions/move.ts";
 import type { Log } from "../links/logs.ts";
 import type { PlatformLink } from "../links/platform.ts";
+import { type Assigner, type AssignerReport, createAssigner } from "./assigner.ts";
+import type { Leases } from "./leases.ts";
 import type { ObjectView } from "./objects.ts";
+import type { Peers } from "./peers.ts";
 
 export type CoordinatorOptions = {
     host: string;
-    platform: PlatformLink;
+    platform: Pick<PlatformLink, "get" | "put">;
     objects: ObjectView;
+    currency: Currency;
+    peers: Peers;
+    leases: Leases;
     /** Hosts that may be named as renewers, witnesses and keepers. */
     candidates: () => Candidate[];
+    slotOf: (pool: string, key: string) => number;
+    timing: MoveTiming;
     clock: Clock;
     log: Log;
     signal: AbortSignal;
 };
 
-const roundMilliseconds = 200;
+export type Coordinator = {
+    /** How the pools stand whose lease this host holds. */
+    report: () => Record<string, AssignerReport>;
+};
+
+const roundMilliseconds = 100;
 
 /** Starts the coordinator until the signal aborts. */
-export const createCoordinator = (options: CoordinatorOptions): void => {
-    const { platform, objects, clock, log, signal } = options;
-
-    const assignFirst = async (pool: string): Promise<void> => {
-        const held = objects.get("pools", pool);
-        const candidates = options.candidates();
-        const first = [...candidates].sort((left, right) => (left.name < right.name ? -1 : 1))[0];
-        if (held === undefined || first?.name !== options.host) {
-            return;
+export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
+    const { objects, peers, leases, clock, signal } = options;
+    const assigners = new Map<string, Assigner>();
+
+    const assignerOf = (pool: string): Assigner | undefined => {
+        const known = assigners.get(pool);
+        if (known !== undefined || objects.get("pools", pool) === undefined) {
+            return known;
         }
-        const value = firstAssignment(held.value, candidates);
-        const writeId = randomUUID();
-        const result = await platform.put({ kind: "assignments", name: pool, value, ifVersion: 0, writeId }, signal);
-        log.info("assignment-written", { pool, revision: value.revision, result: result.result });
+        const assigner = createAssigner({
+            ...options,
+            pool,
+            holdsLease: () => leases.holds(pool),
+            slotOf: key => options.slotOf(pool, key),
+        });
+        assigners.set(pool, assigner);
+        return assigner;
     };
 
+    peers.handle("probe-report", (from, report) => {
+        assignerOf(report.pool)?.takeProbe(from, report);
+        return undefined;
+    });
+    peers.handle("target-report", (...[, report]) => {
+        assignerOf(report.pool)?.takeTarget(report);
+        return undefined;
+    });
+    peers.handle("load-report", (...[, report]) => {
+        assignerOf(report.pool)?.takeLoad(report);
+        return undefined;
+    });
+
     const run = async (): Promise<void> => {
         while (!signal.aborted) {
             for (const { name } of objects.list("pools")) {
-                if (objects.get("assignments", name) === undefined) {
-                    await assignFirst(name).catch((error: unknown) => {
-                        log.warn("assignment-failed", { pool: name, error: messageOf(error) });
-                    });
-                }
+                assignerOf(name)?.check();
             }
             await clock.sleep(roundMilliseconds, signal);
         }
     };
 
     void run();
+    return {
+        report: () => {
+            const held = [...assigners].filter(([pool]) => leases.holds(pool));
+            return Object.fromEntries(held.map(([pool, assigner]) => [pool, assigner.report()]));
+        },
+    };
 };
--- /dev/null
+++ b/src/machines/heartbeat.ts
@@ -0,0 +1,74 @@
+/**
+ * Heartbeats between hosts. Each host tells the others that it runs and whom it hears, so that the loss of a host is
+ * judged by several hosts and not by one.
+ */
+import type { Clock } from "../contracts/clock.ts";
+import { isHostLost } from "../decisions/detect.ts";
+import type { Peers } from "./peers.ts";
+
+export type HeartbeatOptions = { host: string; peers: Peers; clock: Clock; signal: AbortSignal };
+
+export type Heartbeat = {
+    /** Hosts heard lately, without this one. */
+    heard: () => ReadonlySet<string>;
+    /** Whether this host and most of those that it hears do not hear the host. */
+    isLost: (host: string) => boolean;
+    /** Whether this host hears no other, so that it can not tell a lost host from its own bad network. */
+    isAlone: () => boolean;
+};
+
+const beatMilliseconds = 200;
+const silenceMilliseconds = 700;
+const slowRoundFactor = 2;
+
+/** Starts to beat until the signal aborts. */
+export const createHeartbeat = (options: HeartbeatOptions): Heartbeat => {
+    const { host, peers, clock, signal } = options;
+    const beats = new Map<string, { at: number; heard: ReadonlySet<string> }>();
+
+    const heard = (): ReadonlySet<string> => {
+        const now = clock.now();
+        const names = new Set<string>();
+        for (const [name, beat] of beats) {
+            if (now - beat.at < silenceMilliseconds) {
+                names.add(name);
+            }
+        }
+        return names;
+    };
+
+    peers.handle("heartbeat", (from, message) => {
+        beats.set(from, { at: clock.now(), heard: new Set(message.heard) });
+        return undefined;
+    });
+
+    /** After a pause of this process the others have not been silent; this host has not listened. */
+    const forgiveSilence = (now: number): void => {
+        for (const beat of beats.values()) {
+            beat.at = Math.max(beat.at, now - beatMilliseconds);
+        }
+    };
+
+    const run = async (): Promise<void> => {
+        let lastRoundAt = clock.now();
+        while (!signal.aborted) {
+            const now = clock.now();
+            if (now - lastRoundAt > beatMilliseconds * slowRoundFactor) {
+                forgiveSilence(now);
+            }
+            lastRoundAt = now;
+            const names = [host, ...heard()];
+            for (const peer of peers.connected()) {
+                peers.tell(peer, { kind: "heartbeat", heard: names });
+            }
+            await clock.sleep(beatMilliseconds, signal);
+        }
+    };
+
+    void run();
+    return {
+        heard,
+        isAlone: () => heard().size === 0,
+        isLost: name => isHostLost(name, heard(), new Map([...beats].map(([other, beat]) => [other, beat.heard]))),
+    };
+};
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -2,6 +2,7 @@
  * An entry host: this process with its tasks and links. The host owns all of them and disposes of them.
  */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { Clock } from "../contracts/clock.ts";
 import { messageOf } from "../contracts/errors.ts";
 import type { Finding } from "../contracts/finding.ts";
@@ -17,10 +18,9 @@
 import { createMetrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
 import { createPlatformLink, type PlatformLink } from "../links/platform.ts";
-import { createCoordinator } from "./coordinator.ts";
 import { createFollower } from "./follower.ts";
 import { createObjectView } from "./objects.ts";
-import { createRenewer } from "./renewer.ts";
+import { createOwnership, type OwnershipReport } from "./ownership.ts";
 import { createRouter } from "./router.ts";
 import { createTargetViews } from "./target.ts";
 
@@ -44,6 +44,7 @@
     platformCalls: Record<string, number>;
     versions: Record<string, number>;
     findings: Finding[];
+    ownership: OwnershipReport;
     counters: Record<string, number>;
 };
 
@@ -87,6 +88,7 @@
     const incarnation = randomUUID();
     const life = new AbortController();
     const { signal } = life;
+    setMaxListeners(0, signal);
     const metrics = createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
     const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken });
@@ -110,7 +112,22 @@
         metrics,
         signal,
     });
-    const router = createRouter({ objects, views, currency, slotHash, clock });
+    const ownership = await createOwnership({
+        host: name,
+        incarnation,
+        platform,
+        objects,
+        views,
+        currency,
+        links: hosts,
+        slotHash,
+        settings: settings.ownership,
+        longestDeadlineMilliseconds: settings.callers.maxDeadlineMilliseconds,
+        clock,
+        log,
+        signal,
+    });
+    const router = createRouter({ objects, views, currency, slotHash, clock, countLoad: ownership.loads.count });
     const callers = await createCallerLink({
         host: address,
         settings: settings.callers,
@@ -136,6 +153,7 @@
         platformCalls: platform.calls(),
         versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
         findings: objects.findings(),
+        ownership: ownership.report(),
         counters: metrics.snapshot(),
     });
 
@@ -157,29 +175,8 @@
     objects.onChange("status", () => {
         hosts.setPeers(objects.list("status").map(item => ({ name: item.name, address: item.value.peerAddress })));
     });
-    const { freshnessMilliseconds, renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
+    const { freshnessMilliseconds } = settings.ownership;
     const follower = createFollower({ platform, objects, currency, freshnessMilliseconds, clock, log, signal });
-    createRenewer({
-        host: name,
-        objects,
-        views,
-        currency,
-        renewalMilliseconds,
-        timeToLiveMilliseconds,
-        clock,
-        log,
-        signal,
-    });
-    createCoordinator({
-        host: name,
-        platform,
-        objects,
-        candidates: () => objects.list("status").map(item => ({ name: item.name, zone: item.value.zone })),
-        clock,
-        log,
-        signal,
-    });
-
     const tryToAnnounce = async (): Promise<void> => {
         try {
             await announce(platform, name, ownStatus());
--- /dev/null
+++ b/src/machines/ownership.ts
@@ -0,0 +1,121 @@
+/**
+ * Ownership on one host: renewer, prober, witness, heartbeat, leases and coordinator, wired together.
+ */
+import type { Clock } from "../contracts/clock.ts";
+import { divisions } from "../contracts/pool.ts";
+import type { Settings } from "../contracts/settings.ts";
+import type { Candidate } from "../decisions/assign.ts";
+import type { Currency } from "../decisions/currency.ts";
+import { defaultProbeOptions } from "../decisions/detect.ts";
+import type { SlotHash } from "../decisions/hash.ts";
+import { createHostRanking } from "../decisions/lease.ts";
+import type { Log } from "../links/logs.ts";
+import type { PlatformLink } from "../links/platform.ts";
+import type { AssignerReport } from "./assigner.ts";
+import { createCoordinator } from "./coordinator.ts";
+import { createHeartbeat } from "./heartbeat.ts";
+import { createLeases } from "./leases.ts";
+import { createLoadCounter, type LoadCounter } from "./loads.ts";
+import type { ObjectView } from "./objects.ts";
+import { createPeers, type Peers } from "./peers.ts";
+import { createProber } from "./prober.ts";
+import { createRenewer } from "./renewer.ts";
+import type { TargetViews } from "./target.ts";
+import { createWitness } from "./witness.ts";
+
+export type OwnershipOptions = {
+    host: string;
+    incarnation: string;
+    platform: Pick<PlatformLink, "get" | "put">;
+    objects: ObjectView;
+    views: TargetViews;
+    currency: Currency;
+    links: Peers;
+    slotHash: SlotHash;
+    settings: Settings["ownership"];
+    /** Longest time for which a request may run at a target. */
+    longestDeadlineMilliseconds: number;
+    clock: Clock;
+    log: Log;
+    signal: AbortSignal;
+};
+
+export type PoolOwnership = {
+    revision: number;
+    coordinator: string | undefined;
+    /** What is left of this host's right to act on the revision. */
+    currentMilliseconds: number;
+    /** Why something is not decided now; empty when nothing waits. */
+    waiting: string[];
+    /** Present on the coordinator of the pool. */
+    assigner: AssignerReport | undefined;
+};
+
+export type OwnershipReport = { hostsHeard: string[]; pools: Record<string, PoolOwnership> };
+
+export type Ownership = { loads: LoadCounter; report: () => OwnershipReport };
+
+const goneMilliseconds = 3_000;
+
+/** Starts all tasks of ownership until the signal aborts. */
+export const createOwnership = async (options: OwnershipOptions): Promise<Ownership> => {
+    const { host, objects, currency, clock, signal, settings } = options;
+    const peers = createPeers(host, options.links);
+    const ranking = await createHostRanking();
+    const heartbeat = createHeartbeat({ host, peers, clock, signal });
+    const leases = createLeases({ ...options, heartbeat, ranking });
+    const coordinatorOf = (pool: string): string | undefined => leases.holder(pool);
+    const slotOf = (pool: string, key: string): number =>
+        options.slotHash(key, objects.get("pools", pool)?.value.slotCount ?? 1);
+    const lastLiveAt = new Map<string, number>();
+
+    /** Live hosts. One that is no longer heard stays for a while, since hosts come back. */
+    const candidates = (): Candidate[] => {
+        const now = clock.now();
+        const heard = heartbeat.heard();
+        const live = objects.list("status").filter(({ value }) => value.state === "live");
+        for (const { name } of live) {
+            if (name === host || heard.has(name) || !lastLiveAt.has(name)) {
+                lastLiveAt.set(name, now);
+            }
+        }
+        return live
+            .filter(({ name }) => now - (lastLiveAt.get(name) ?? now) < goneMilliseconds)
+            .map(({ name, value }) => ({ name, zone: value.zone }));
+    };
+
+    createWitness({ ...options, peers, freshnessMilliseconds: settings.freshnessMilliseconds });
+    const renewer = createRenewer({ ...options, ...settings, peers, coordinatorOf, slotOf });
+    createProber({ probed: renewer.probed, coordinatorOf, peers, probe: defaultProbeOptions, clock, signal });
+    const coordinator = createCoordinator({
+        ...options,
+        peers,
+        leases,
+        candidates,
+        slotOf,
+        timing: { ...settings, longestDeadlineMilliseconds: options.longestDeadlineMilliseconds },
+    });
+
+    const reportPool = (pool: string, assigner: AssignerReport | undefined): PoolOwnership => {
+        const revision = objects.get("assignments", pool)?.value.revision ?? 0;
+        const currentMilliseconds = Math.round(currency.remaining(pool, revision, clock.now()));
+        const divided = objects.get("pools", pool)?.value.division === divisions.byKey;
+        const notCurrent = divided && revision > 0 && currentMilliseconds === 0
+            ? `Revision ${revision} is not confirmed, so that this host neither routes nor renews by it.`
+            : undefined;
+        const waiting = [assigner?.waiting, leases.waiting(pool), notCurrent].filter(reason => reason !== undefined);
+        return { revision, coordinator: leases.holder(pool), currentMilliseconds, waiting, assigner };
+    };
+
+    return {
+        loads: createLoadCounter({ coordinatorOf, peers, clock, signal }),
+        report: () => {
+            const assigners = coordinator.report();
+            const names = objects.list("pools").map(pool => pool.name);
+            return {
+                hostsHeard: [...heartbeat.heard()].sort(),
+                pools: Object.fromEntries(names.map(name => [name, reportPool(name, assigners[name])])),
+            };
+        },
+    };
+};
--- /dev/null
+++ b/src/machines/peers.ts
@@ -0,0 +1,33 @@
+/**
+ * The tasks' way to other hosts. A message to this host itself takes the same path through the handlers, so that a task
+ * does not care where the one it talks to runs.
+ */
+import type { Message, MessageKind, MessageOf } from "../contracts/messages.ts";
+import type { HostLinks, MessageHandler } from "../links/hosts.ts";
+
+export type Peers = Pick<HostLinks, "tell" | "ask" | "handle" | "connected">;
+
+/** Adds this host itself to its links. `connected` still names the others only. */
+export const createPeers = (self: string, links: Peers): Peers => {
+    const handlers = new Map<MessageKind, MessageHandler<MessageKind>>();
+
+    const deliver = async (message: Message): Promise<Message | undefined> =>
+        handlers.get(message.kind)?.(self, message as MessageOf<MessageKind>);
+
+    return {
+        connected: links.connected,
+        tell: (host, message) => {
+            if (host !== self) {
+                return links.tell(host, message);
+            }
+            void deliver(message);
+            return true;
+        },
+        ask: (host, message, timeoutMilliseconds) =>
+            host === self ? deliver(message) : links.ask(host, message, timeoutMilliseconds),
+        handle: (kind, handler) => {
+            handlers.set(kind, handler as unknown as MessageHandler<MessageKind>);
+            links.handle(kind, handler);
+        },
+    };
+};
--- /dev/null
+++ b/src/machines/prober.ts
@@ -0,0 +1,87 @@
+/**
+ * The prober tells coordinators what this host finds of the targets that it renews: at once when a finding changes, and
+ * now and then in any case.
+ */
+import type { Clock } from "../contracts/clock.ts";
+import type { ProbeReport } from "../contracts/ownershipmessages.ts";
+import { targetStates } from "../contracts/targetprotocol.ts";
+import { findingOf, type ProbeOptions } from "../decisions/detect.ts";
+import type { Peers } from "./peers.ts";
+import type { ProbedTarget } from "./renewer.ts";
+
+export type ProberOptions = {
+    probed: () => ProbedTarget[];
+    coordinatorOf: (pool: string) => string | undefined;
+    peers: Peers;
+    probe: ProbeOptions;
+    clock: Clock;
+    signal: AbortSignal;
+};
+
+const roundMilliseconds = 20;
+const reportMilliseconds = 1_000;
+const healthMilliseconds = 500;
+const healthTimeoutMilliseconds = 400;
+
+/** Starts to report until the signal aborts. */
+export const createProber = (options: ProberOptions): void => {
+    const { peers, clock, signal } = options;
+    const told = new Map<string, { text: string; at: number }>();
+
+    const reportsNow = (now: number): Map<string, ProbeReport> => {
+        const reports = new Map<string, ProbeReport>();
+        for (const { pool, target, view } of options.probed()) {
+            const report = reports.get(pool) ?? { kind: "probe-report", pool, findings: [], draining: [], queues: [] };
+            reports.set(pool, report);
+            report.findings.push({ target: target.name, finding: findingOf(view.probe, now, options.probe) });
+            if (view.state === targetStates.draining) {
+                report.draining.push(target.name);
+            }
+            if (view.queue !== undefined) {
+                report.queues.push({ target: target.name, queue: view.queue });
+            }
+        }
+        return reports;
+    };
+
+    const tellChanges = (): void => {
+        const now = clock.now();
+        for (const [pool, report] of reportsNow(now)) {
+            const coordinator = options.coordinatorOf(pool);
+            const text = JSON.stringify([coordinator, report.findings, report.draining]);
+            const last = told.get(pool);
+            const isDue = last === undefined || last.text !== text || now - last.at >= reportMilliseconds;
+            if (coordinator !== undefined && isDue && peers.tell(coordinator, report)) {
+                told.set(pool, { text, at: now });
+            }
+        }
+    };
+
+    /** Reads the lagging health and load, which tell of draining and of queues. */
+    const readHealth = async ({ target, view }: ProbedTarget): Promise<void> => {
+        const health = await view.link.health(healthTimeoutMilliseconds);
+        if (health !== undefined) {
+            view.state = health.state;
+        }
+        const load = await view.link.load(healthTimeoutMilliseconds);
+        view.queue = load === undefined ? undefined : load.queued / target.concurrency;
+    };
+
+    const runReports = async (): Promise<void> => {
+        while (!signal.aborted) {
+            tellChanges();
+            await clock.sleep(roundMilliseconds, signal);
+        }
+    };
+
+    const runHealth = async (): Promise<void> => {
+        while (!signal.aborted) {
+            const answering = options.probed().filter(({ view }) => view.probe.unansweredSince === undefined);
+            await Promise.all(answering.map(readHealth));
+            await clock.sleep(healthMilliseconds, signal);
+        }
+    };
+
+    void runReports();
+    void runHealth();
+};
--- a/src/machines/renewer.ts
+++ b/src/machines/renewer.ts
@@ -1,91 +1,241 @@
 /**
- * The renewer extends the grants of the targets for which the assignment names this host, while the host is current.
+ * The renewer extends the grants of the targets for which the assignment names this host, on its own while the host is
+ * current. Its questions are also the probes by which the loss of a target is found.
  */
-import { type Assignment, noOwner } from "../contracts/assignment.ts";
+import type { Assignment, Move } from "../contracts/assignment.ts";
 import type { Clock } from "../contracts/clock.ts";
-import type { Target } from "../contracts/pool.ts";
+import type { Grant, GrantAnswer } from "../contracts/grant.ts";
+import type { MoveName } from "../contracts/ownershipmessages.ts";
+import { divisions, type Target } from "../contracts/pool.ts";
 import type { Currency } from "../decisions/currency.ts";
-import type { Log } from "../links/logs.ts";
+import { entitlementOf, isWithheld, validUntilOf } from "../decisions/grant.ts";
 import type { ObjectView } from "./objects.ts";
-import { noteReading, type TargetView, type TargetViews } from "./target.ts";
+import type { Peers } from "./peers.ts";
+import { noteProbeAnswer, noteReading, type TargetView, type TargetViews } from "./target.ts";
 
 export type RenewerOptions = {
     host: string;
     objects: ObjectView;
     views: TargetViews;
     currency: Currency;
+    peers: Peers;
+    /** Host that coordinates the pool; undefined when none is known. */
+    coordinatorOf: (pool: string) => string | undefined;
+    slotOf: (pool: string, key: string) => number;
     renewalMilliseconds: number;
     timeToLiveMilliseconds: number;
     clock: Clock;
-    log: Log;
     signal: AbortSignal;
 };
 
-const slotsOwnedBy = (assignment: Assignment, target: string): number[] => {
-    const index = assignment.targets.indexOf(target);
-    const slots: number[] = [];
-    assignment.owners.forEach((owner, slot) => {
-        if (owner !== noOwner && owner === index) {
-            slots.push(slot);
-        }
-    });
-    return slots;
+export type ProbedTarget = { pool: string; target: Target; view: TargetView };
+
+export type Renewer = {
+    /** Renews the grants of the pool's targets now, without waiting for the next round. */
+    renewSoon: (pool: string) => void;
+    /** The targets for which this host is named. */
+    probed: () => ProbedTarget[];
 };
 
+/** Renewal of one target: one question at a time. */
+type Task = ProbedTarget & { isAsking: boolean; askAgain: boolean; granted: string };
+
+const nameOf = (move: MoveName): string => `${move.since} ${move.from} ${move.to}`;
+const failureShare = 0.8; // A question that ends sooner than this share of its timeout has failed, not timed out.
+const slowRoundFactor = 2;
+
 /** Starts the renewer until the signal aborts. */
-export const createRenewer = (options: RenewerOptions): void => {
-    const { objects, views, currency, clock, log, signal } = options;
+export const createRenewer = (options: RenewerOptions): Renewer => {
+    const { objects, views, currency, peers, clock, signal, timeToLiveMilliseconds } = options;
+    const tasks = new Map<string, Task>();
+    const released = new Map<string, Set<string>>();
+
+    const isReleased = (pool: string) => (move: Move): boolean => released.get(pool)?.has(nameOf(move)) === true;
 
-    const learnReading = async (view: TargetView): Promise<void> => {
-        const health = await view.link.health(options.timeToLiveMilliseconds);
-        if (health !== undefined) {
-            noteReading(view, health.incarnation, health.clock);
+    /** Tells the coordinator how far a target has come with the moves that take slots from it. */
+    const report = (task: Task, assignment: Assignment, answer: GrantAnswer): void => {
+        const coordinator = options.coordinatorOf(task.pool);
+        const isLeaving = assignment.moves.some(move => move.from === task.target.name && !isReleased(task.pool)(move));
+        if (coordinator !== undefined && isLeaving) {
+            const { revision, releasing, releasingKeys = [] } = answer;
+            const { pool, target } = task;
+            peers.tell(coordinator, {
+                kind: "target-report",
+                pool,
+                target: target.name,
+                revision,
+                releasing,
+                releasingKeys,
+            });
         }
     };
 
-    const renew = async (pool: string, target: Target, assignment: Assignment): Promise<void> => {
-        const view = views.of(pool, target);
-        if (view.incarnation === undefined) {
-            await learnReading(view);
-        }
-        if (view.incarnation === undefined || !currency.isCurrent(pool, assignment.revision, clock.now())) {
+    /** Asks for the target's clock and incarnation, which a grant needs. */
+    const learn = async (task: Task): Promise<void> => {
+        const { view } = task;
+        const askedAt = clock.now();
+        view.probe.unansweredSince ??= askedAt;
+        const health = await view.link.health(timeToLiveMilliseconds);
+        if (health === undefined) {
+            noteNoAnswer(task, askedAt);
             return;
         }
-        const full = view.grantedRevision !== assignment.revision;
-        const answer = await view.link.grant({
-            pool,
-            revision: assignment.revision,
-            incarnation: view.incarnation,
-            validUntil: view.clockReading + options.timeToLiveMilliseconds,
-            ...(full ? { slots: slotsOwnedBy(assignment, target.name), keys: [], exceptKeys: [] } : {}),
-        }, options.timeToLiveMilliseconds);
+        noteProbeAnswer(view, askedAt, clock.now());
+        view.state = health.state;
+        noteReading(view, health.incarnation, health.clock);
+    };
+
+    const noteNoAnswer = (task: Task, askedAt: number): void => {
+        if (clock.now() - askedAt < timeToLiveMilliseconds * failureShare) {
+            task.view.probe.failures += 1;
+        }
+    };
+
+    const grantFor = (task: Task, assignment: Assignment, incarnation: string): { grant: Grant; granted: string } => {
+        const { pool, target, view } = task;
+        const { revision } = assignment;
+        const withheld = isWithheld(assignment, target.name, isReleased(pool));
+        const validUntil = validUntilOf(view.clockReading, timeToLiveMilliseconds, withheld);
+        const granted = `${revision} ${incarnation} ${released.get(pool)?.size ?? 0}`;
+        if (task.granted === granted) {
+            return { grant: { pool, revision, incarnation, validUntil }, granted };
+        }
+        const slotOf = (key: string): number => options.slotOf(pool, key);
+        const entitlement = entitlementOf(assignment, target.name, isReleased(pool), slotOf);
+        return { grant: { pool, revision, incarnation, validUntil, ...entitlement }, granted };
+    };
+
+    const offer = async (task: Task, assignment: Assignment, incarnation: string): Promise<void> => {
+        const { view } = task;
+        const askedAt = clock.now();
+        const { grant, granted } = grantFor(task, assignment, incarnation);
+        view.probe.unansweredSince ??= askedAt;
+        const answer = await view.link.grant(grant, timeToLiveMilliseconds);
         if (answer === undefined) {
+            noteNoAnswer(task, askedAt);
             return;
         }
+        noteProbeAnswer(view, askedAt, clock.now());
         noteReading(view, answer.incarnation, answer.clock);
+        task.granted = answer.accepted ? granted : "";
         view.grantedRevision = answer.accepted ? assignment.revision : 0;
-        if (!answer.accepted) {
-            log.debug("grant-refused", { pool, target: target.name, reason: answer.refusal });
+        task.askAgain ||= answer.incarnation !== incarnation;
+        report(task, assignment, answer);
+    };
+
+    const renewOnce = async (task: Task): Promise<void> => {
+        const { pool, view } = task;
+        const checksGrants = objects.get("pools", pool)?.value.checksGrants === true;
+        const assignment = objects.get("assignments", pool)?.value;
+        if (view.incarnation === undefined || !checksGrants || assignment === undefined) {
+            await learn(task);
+        }
+        const mayRenew = assignment !== undefined && currency.mayRenew(pool, assignment.revision, clock.now());
+        if (!checksGrants || view.incarnation === undefined) {
+            return;
+        }
+        if (mayRenew) {
+            await offer(task, assignment, view.incarnation);
+            return;
+        }
+        await learn(task);
+    };
+
+    const renew = async (task: Task): Promise<void> => {
+        task.askAgain = task.isAsking;
+        if (task.isAsking) {
+            return;
+        }
+        task.isAsking = true;
+        do {
+            task.askAgain = false;
+            await renewOnce(task);
+        }
+        while (task.askAgain && !signal.aborted);
+        task.isAsking = false;
+    };
+
+    const isNamed = (assignment: Assignment, target: string): boolean =>
+        assignment.renewers[target]?.includes(options.host) === true;
+
+    /** Brings the tasks of a pool in line with its assignment, and gives them. */
+    const tasksOf = (pool: string): Task[] => {
+        const held = objects.get("pools", pool)?.value;
+        const assignment = objects.get("assignments", pool)?.value;
+        const found: Task[] = [];
+        if (held?.division !== divisions.byKey || assignment === undefined) {
+            return found;
+        }
+        for (const target of held.targets) {
+            const place = `${pool}/${target.name}`;
+            const view = views.of(pool, target);
+            if (!isNamed(assignment, target.name)) {
+                tasks.delete(place);
+                continue;
+            }
+            const known = tasks.get(place);
+            const task = known?.view === view
+                ? known
+                : { pool, target, view, isAsking: false, askAgain: false, granted: "" };
+            tasks.set(place, task);
+            found.push(task);
+        }
+        return found;
+    };
+
+    const renewSoon = (pool: string): void => {
+        for (const task of tasksOf(pool)) {
+            void renew(task);
         }
     };
 
-    const renewAll = (): void => {
-        for (const { name, value: assignment } of objects.list("assignments")) {
-            const pool = objects.get("pools", name)?.value;
-            for (const target of pool?.division === "by-key" && pool.checksGrants ? pool.targets : []) {
-                if (assignment.renewers[target.name]?.includes(options.host)) {
-                    void renew(name, target, assignment);
-                }
+    /** Forgets released moves that the assignment no longer lists. */
+    const forgetReleased = (pool: string): void => {
+        const listed = new Set(objects.get("assignments", pool)?.value.moves.map(nameOf));
+        const names = [...released.get(pool) ?? []].filter(name => listed.has(name));
+        released.set(pool, new Set(names));
+    };
+
+    peers.handle("moves-released", (...[, message]) => {
+        const names = released.get(message.pool) ?? new Set<string>();
+        const before = names.size;
+        message.moves.forEach(move => names.add(nameOf(move)));
+        released.set(message.pool, names);
+        if (names.size > before) {
+            renewSoon(message.pool);
+        }
+        return undefined;
+    });
+
+    objects.onChange("assignments", pool => {
+        forgetReleased(pool);
+        renewSoon(pool);
+    });
+
+    /** After a pause of this process the targets have not been silent; this host has not listened. */
+    const forgiveSilence = (now: number): void => {
+        for (const { view } of tasks.values()) {
+            if (view.probe.unansweredSince !== undefined) {
+                view.probe.unansweredSince = now;
             }
         }
     };
 
     const run = async (): Promise<void> => {
+        let lastRoundAt = clock.now();
         while (!signal.aborted) {
-            renewAll();
+            const now = clock.now();
+            if (now - lastRoundAt > options.renewalMilliseconds * slowRoundFactor) {
+                forgiveSilence(now);
+            }
+            lastRoundAt = now;
+            for (const { name } of objects.list("assignments")) {
+                renewSoon(name);
+            }
             await clock.sleep(options.renewalMilliseconds, signal);
         }
     };
 
     void run();
+    return { renewSoon, probed: () => [...tasks.values()].map(({ pool, target, view }) => ({ pool, target, view })) };
 };
--- a/src/machines/router.ts
+++ b/src/machines/router.ts
@@ -13,7 +13,7 @@
 import type { CallerAnswer, CallerRequest } from "../links/callers.ts";
 import type { TargetAnswer } from "../links/targets.ts";
 import type { ObjectView } from "./objects.ts";
-import { noteReading, type TargetViews } from "./target.ts";
+import { noteEnded, noteReading, noteSent, type TargetViews } from "./target.ts";
 
 export type RouterOptions = {
     objects: ObjectView;
@@ -21,6 +21,8 @@
     currency: Currency;
     slotHash: SlotHash;
     clock: Clock;
+    /** Counts a request that goes to the owner of the slot. */
+    countLoad: (pool: string, slot: number, key: string) => void;
 };
 
 export type Router = { serve: (request: CallerRequest) => Promise<CallerAnswer> };
@@ -87,6 +89,7 @@
         if (target === undefined) {
             return refusal("no-owner", `No target owns slot ${slot} of pool "${poolName}".`);
         }
+        options.countLoad(poolName, slot, key);
         return { target, slot, revision: assignment.revision };
     };
 
@@ -110,6 +113,7 @@
         const left = Math.max(1, Math.round(request.deadlineAt - clock.now()));
         const limit = AbortSignal.timeout(left);
         view.outstanding += 1;
+        noteSent(view, place.revision);
         try {
             const answer = await view.link.request({
                 method: request.method,
@@ -138,6 +142,7 @@
         }
         finally {
             view.outstanding -= 1;
+            noteEnded(view, place.revision);
         }
     };
 
--- a/src/machines/target.ts
+++ b/src/machines/target.ts
@@ -3,6 +3,7 @@
  */
 import type { Target } from "../contracts/pool.ts";
 import { type TargetHealth, targetStates } from "../contracts/targetprotocol.ts";
+import type { ProbeRecord } from "../decisions/detect.ts";
 import { createTargetLink, type TargetLink } from "../links/targets.ts";
 
 export type TargetView = {
@@ -25,6 +26,12 @@
     failingSince: number | undefined;
     /** The target's own word on its state. */
     state: TargetHealth["state"];
+    /** How the target answers the questions of the renewer. */
+    readonly probe: ProbeRecord;
+    /** Requests of this host that run or wait there, by the revision under which they were sent. */
+    readonly inFlight: Map<number, number>;
+    /** Waiting requests over concurrency by the target's own lagging report; undefined when there is none. */
+    queue: number | undefined;
 };
 
 export type TargetViews = {
@@ -59,6 +66,36 @@
     view.failingSince ??= now;
 };
 
+/** Notes that a request was sent under the revision. */
+export const noteSent = (view: TargetView, revision: number): void => {
+    view.inFlight.set(revision, (view.inFlight.get(revision) ?? 0) + 1);
+};
+
+/** Notes that a request sent under the revision has ended. */
+export const noteEnded = (view: TargetView, revision: number): void => {
+    const left = (view.inFlight.get(revision) ?? 1) - 1;
+    if (left === 0) {
+        view.inFlight.delete(revision);
+        return;
+    }
+    view.inFlight.set(revision, left);
+};
+
+/** Whether requests sent under a revision below the given one have not ended. */
+export const isBusyBelow = (view: TargetView, revision: number): boolean =>
+    [...view.inFlight.keys()].some(sentUnder => sentUnder < revision);
+
+const answerSmoothing = 0.2;
+
+/** Notes that the renewer's question at `askedAt` was answered. */
+export const noteProbeAnswer = (view: TargetView, askedAt: number, now: number): void => {
+    const { probe } = view;
+    probe.unansweredSince = undefined;
+    probe.failures = 0;
+    probe.answerMilliseconds += (now - askedAt - probe.answerMilliseconds) * answerSmoothing;
+    noteAnswer(view, now);
+};
+
 /** Creates the views of one host. `connectionsOf` says how many connections this host may open to a target. */
 export const createTargetViews = (connectionsOf: (target: Target) => number): TargetViews => {
     const views = new Map<string, TargetView>();
@@ -86,6 +123,9 @@
                 failures: 0,
                 failingSince: undefined,
                 state: targetStates.ready,
+                probe: { unansweredSince: undefined, failures: 0, answerMilliseconds: 0 },
+                inFlight: new Map(),
+                queue: undefined,
             };
             views.set(place, view);
             return view;
