Ask whether a revision is current before taking it

Change: a host that is handed an assignment asks the coordinator first, takes both in one turn, and renews at once.

--- a/bench/ownership.ts
+++ b/bench/ownership.ts
@@ -65,6 +65,8 @@
     };
 };
 
+const reasons = new Map<string, number>();
+
 const ask = async (agent: Agent, host: HostProcess, key: string): Promise<boolean> => {
     try {
         const response = await agent.request({
@@ -79,6 +81,8 @@
             headersTimeout: 2_000,
         });
         await response.body.dump();
+        const reason = response.headers["carobpier-reason"] ?? "answered";
+        reasons.set(String(reason), (reasons.get(String(reason)) ?? 0) + 1);
         return response.headers["carobpier-outcome"] === "answered";
     }
     catch {
@@ -295,6 +299,7 @@
 };
 
 const measure = async (fleet: Fleet, fault: Fault, run: number): Promise<RunResult> => {
+    reasons.clear();
     const writesBefore = fleet.platform.writes.length;
     const watch = watchKeys(fleet);
     await pause(500);
@@ -343,7 +348,7 @@
         results.push(result);
         console.log(
             `${name} run=${run + 1} unserved=${result.unserved}ms refused=${result.refused} owners=${result.owners} `
-                + `writes=${result.writes}`,
+                + `writes=${result.writes} ${[...reasons].map(([reason, count]) => `${reason}=${count}`).join(" ")}`,
         );
     }
     const calls = (callsNow(fleet) - callsBefore) / (performance.now() - startedAt) * 1_000;
--- a/src/machines/assigner.ts
+++ b/src/machines/assigner.ts
@@ -60,7 +60,7 @@
 
 const calmMilliseconds = 1_000;
 const balanceMilliseconds = 10_000;
-const leavingBatch = 16;
+const leavingBatch = 32;
 const firstRetryMilliseconds = 100;
 const maxRetryMilliseconds = 1_000;
 
@@ -100,9 +100,10 @@
         routersSince,
         clock,
         signal,
-        onReleased: move => {
-            const { since, from, to } = move;
-            log.info("move-released", { pool: poolName, since, from, to, slots: move.slots.length });
+        onReleased: released => {
+            const slots = released.reduce((sum, move) => sum + move.slots.length, 0);
+            const keys = released.reduce((sum, move) => sum + move.keys.length, 0);
+            log.info("moves-released", { pool: poolName, moves: released.length, slots, keys });
             check();
         },
     });
--- a/src/machines/moves.ts
+++ b/src/machines/moves.ts
@@ -18,7 +18,7 @@
     routersSince: (time: number) => readonly string[] | undefined;
     clock: Clock;
     signal: AbortSignal;
-    onReleased: (move: Move) => void;
+    onReleased: (moves: Move[]) => void;
 };
 
 export type Moves = {
@@ -101,20 +101,20 @@
         const { assignment, checksGrants } = current;
         const now = clock.now();
         let nextAt = Infinity;
-        let isNew = false;
+        const fresh: Move[] = [];
         for (const move of assignment.moves.filter(other => !released.has(nameOf(other)))) {
             const at = releaseTimeOf(move, assignment, checksGrants);
             if (at !== undefined && at <= now) {
                 released.add(nameOf(move));
-                isNew = true;
-                options.onReleased(move);
+                fresh.push(move);
             }
             else {
                 nextAt = Math.min(nextAt, at ?? Infinity);
             }
         }
-        if (isNew) {
+        if (fresh.length > 0) {
             tellReleased(assignment);
+            options.onReleased(fresh);
         }
         if (nextAt < Infinity) {
             stopTimer = clock.after(Math.max(1, nextAt - now), judge, signal);
--- a/src/machines/ownership.ts
+++ b/src/machines/ownership.ts
@@ -84,8 +84,13 @@
             .map(({ name, value }) => ({ name, zone: value.zone }));
     };
 
-    createWitness({ ...options, peers, freshnessMilliseconds: settings.freshnessMilliseconds });
     const renewer = createRenewer({ ...options, ...settings, peers, coordinatorOf, slotOf });
+    createWitness({
+        ...options,
+        peers,
+        freshnessMilliseconds: settings.freshnessMilliseconds,
+        onCurrent: renewer.renewSoon,
+    });
     createProber({ probed: renewer.probed, coordinatorOf, peers, probe: defaultProbeOptions, clock, signal });
     const coordinator = createCoordinator({
         ...options,
--- a/src/machines/witness.ts
+++ b/src/machines/witness.ts
@@ -2,7 +2,9 @@
  * The witness answers other hosts' questions whether a revision is current, and vouches for what it has read while the
  * platform can not be reached. It also takes the assignments that a coordinator hands out, and acknowledges them.
  */
+import { assignmentSchema } from "../contracts/assignment.ts";
 import type { Clock } from "../contracts/clock.ts";
+import type { StoredObject } from "../contracts/objects.ts";
 import type { AssignmentAcknowledgement } from "../contracts/ownershipmessages.ts";
 import {
     acknowledgeRevision,
@@ -23,6 +25,8 @@
     currency: Currency;
     peers: Peers;
     freshnessMilliseconds: number;
+    /** Called when this host may act on a new assignment of the pool. */
+    onCurrent: (pool: string) => void;
     clock: Clock;
     signal: AbortSignal;
 };
@@ -118,16 +122,27 @@
         return { kind: "assignment-acknowledgement", pool, revision, busyTargets: [...busyTargets] };
     };
 
-    peers.handle("assignment-offer", (from, { item }) => {
-        if (item.kind !== "assignments") {
-            return undefined;
+    /**
+     * Takes an assignment that a coordinator hands out. It asks first whether the revision is current, so that there is
+     * no moment between the old revision and the right to act on the new one.
+     */
+    const takeOffer = async (from: string, item: StoredObject): Promise<AssignmentAcknowledgement> => {
+        const pool = item.name;
+        const parsed = assignmentSchema.safeParse(item.value);
+        const isNewer = parsed.success && parsed.data.revision > currency.record(pool).revision;
+        if (isNewer && from !== options.host) {
+            await askHost(from, pool, parsed.data.revision);
         }
-        if (objects.accept(item) && from !== options.host) {
-            const revision = objects.get("assignments", item.name)?.value.revision ?? 0;
-            void askHost(from, item.name, revision);
+        if (objects.accept(item)) {
+            options.onCurrent(pool);
         }
-        return acknowledgementOf(item.name);
-    });
+        return acknowledgementOf(pool);
+    };
+
+    peers.handle(
+        "assignment-offer",
+        (from, { item }) => item.kind === "assignments" ? takeOffer(from, item) : undefined,
+    );
 
     objects.onChange("assignments", pool => {
         const revision = objects.get("assignments", pool)?.value.revision ?? 0;
