Test ownership under faults in virtual time

Cause: the tasks had no tests, and in the first run one failed: a target lost 2 s after its coordinator was unserved for 1,590 virtual ms, since the lost host stayed among the former renewers for ever and each later move waited for it. Change: a fleet of real tasks over fakes in virtual time (test/machines/fakes); 32 scenarios. A former renewer is dropped when every host below the revision has lapsed, not only when it acknowledges; a lost host is replaced after 1.5 s, not 3. Ruled out: shorter freshness, which would cost platform calls.

--- a/src/decisions/assign.ts
+++ b/src/decisions/assign.ts
@@ -32,6 +32,8 @@
     isReleased: (move: Move) => boolean;
     /** Whether the host is known to have acknowledged the current revision. */
     hasAcknowledged: (host: string) => boolean;
+    /** Whether the host is known to act on no revision below the current one, acknowledged or not. */
+    hasStopped: (host: string) => boolean;
     /** How slots of healthy targets are evened out; left out to move only what must move. */
     balance?: BalanceOptions;
     keepers?: KeeperGroup[];
@@ -71,9 +73,9 @@
 
 /** Renewers and witnesses, with those before them as long as they may still act by an older revision. */
 const namedHosts = (input: AssignInput, targets: string[]): NamedHosts => {
-    const { current, hosts, hasAcknowledged } = input;
+    const { current, hosts, hasAcknowledged, hasStopped } = input;
     const renewers = nextRenewers(current.renewers, targets, hosts);
-    const formerRenewers = formerRenewersAfter(current, renewers, hasAcknowledged);
+    const formerRenewers = formerRenewersAfter(current, renewers, hasStopped);
     const settled = formerWitnessesAfter(current.formerWitnesses, hasAcknowledged);
     const witnesses = nextWitnesses(current.witnesses, hosts, mayChangeWitnesses(settled));
     const changed = !isDeepStrictEqual(witnesses, current.witnesses);
--- a/src/machines/assigner.ts
+++ b/src/machines/assigner.ts
@@ -137,6 +137,7 @@
         slotOf: options.slotOf,
         isReleased: moves.isReleased,
         hasAcknowledged: moves.hasAcknowledged,
+        hasStopped: moves.hasStopped,
         ...(balances ? { balance: defaultBalanceOptions } : {}),
     });
 
--- a/src/machines/moves.ts
+++ b/src/machines/moves.ts
@@ -6,7 +6,13 @@
 import type { Clock } from "../contracts/clock.ts";
 import type { StoredObject } from "../contracts/objects.ts";
 import type { MoveName, TargetReport } from "../contracts/ownershipmessages.ts";
-import { type MoveEvidence, type MoveTiming, releaseTime, releaseTimeUnchecked } from "../decisions/move.ts";
+import {
+    lapsedBelow,
+    type MoveEvidence,
+    type MoveTiming,
+    releaseTime,
+    releaseTimeUnchecked,
+} from "../decisions/move.ts";
 import type { Peers } from "./peers.ts";
 
 export type MovesOptions = {
@@ -28,6 +34,11 @@
     isReleased: (move: Move) => boolean;
     /** Whether the host is known to have acknowledged the revision that was begun last, or a higher one. */
     hasAcknowledged: (host: string) => boolean;
+    /**
+     * Whether the host is known to act on no lower revision than the one that was begun last: it has acknowledged it, or
+     * every host that has not can no longer be current.
+     */
+    hasStopped: (host: string) => boolean;
     /** Forgets all evidence, as another host coordinates. */
     forget: () => void;
 };
@@ -150,6 +161,18 @@
     const hasAcknowledged = (host: string): boolean =>
         current !== undefined && firstAt(acknowledgements, host, current.assignment.revision) !== undefined;
 
+    const haveLapsed = (): boolean => {
+        if (current === undefined) {
+            return false;
+        }
+        const { assignment } = current;
+        const known = knownAt.get(assignment.revision) ?? clock.now();
+        const acknowledgedAt = (host: string, revision: number): number | undefined =>
+            firstAt(acknowledgements, host, revision);
+        const at = lapsedBelow(assignment.revision, assignment, { knownAt: known, acknowledgedAt }, timing);
+        return at !== undefined && at <= clock.now();
+    };
+
     /** Hosts whose word is still missing: the assignment itself, or that their requests have ended. */
     const hostsToAsk = (): string[] => {
         const unfinished = current?.assignment.moves.some(move => !released.has(nameOf(move))) === true;
@@ -204,6 +227,7 @@
         },
         isReleased: move => released.has(nameOf(move)),
         hasAcknowledged,
+        hasStopped: host => hasAcknowledged(host) || haveLapsed(),
         forget: () => {
             stopTimer();
             current = undefined;
--- a/src/machines/ownership.ts
+++ b/src/machines/ownership.ts
@@ -55,7 +55,7 @@
 
 export type Ownership = { loads: LoadCounter; report: () => OwnershipReport };
 
-const goneMilliseconds = 3_000;
+const goneMilliseconds = 1_500;
 
 /** Starts all tasks of ownership until the signal aborts. */
 export const createOwnership = async (options: OwnershipOptions): Promise<Ownership> => {
--- a/test/decisions/assign.test.ts
+++ b/test/decisions/assign.test.ts
@@ -39,6 +39,7 @@
     isReleased: () => true,
     lost: new Set(),
     hasAcknowledged: () => true,
+    hasStopped: () => true,
     balance: { ...defaultBalanceOptions, maxMoves: 1_024 },
     ...changes,
 });
--- /dev/null
+++ b/test/machines/ownership.test.ts
@@ -0,0 +1,285 @@
+import test from "ava";
+import { createFleet, type FakeHost, type Fleet, poolName } from "./fakes/fleet.ts";
+
+type Scenario = {
+    title: string;
+    /** Does the faults and watches; the figures are virtual milliseconds. */
+    run: (fleet: Fleet) => Promise<void>;
+    /** Time that it is watched after the faults. */
+    watchMilliseconds: number;
+    /** Longest time that a slot may be unserved, in virtual milliseconds. */
+    unservedLimit: number;
+};
+
+const otherThanCoordinator = (fleet: Fleet): FakeHost =>
+    fleet.hosts.find(host => host !== fleet.coordinator()) ?? fleet.hosts[0];
+
+const targetLossLimit = 1_000;
+const moveLimit = 50;
+/** Taking over takes a second, and a renewer that can not be asked is waited out for freshness and timeToLive. */
+const doubleLossLimit = 4_000;
+
+const scenarios: Scenario[] = [
+    { title: "no fault", run: async () => undefined, watchMilliseconds: 2_000, unservedLimit: 0 },
+    {
+        title: "a target freezes",
+        run: async fleet => fleet.busiest().freeze(),
+        watchMilliseconds: 3_000,
+        unservedLimit: targetLossLimit,
+    },
+    ...[300, 500, 700, 2_000].map(thawMilliseconds => ({
+        title: `a target freezes and thaws after ${thawMilliseconds} ms`,
+        run: async (fleet: Fleet) => {
+            const target = fleet.busiest();
+            target.freeze();
+            fleet.clock.after(thawMilliseconds, target.thaw);
+        },
+        watchMilliseconds: 6_000,
+        unservedLimit: targetLossLimit,
+    })),
+    ...[50, 500, 2_000].map(returnMilliseconds => ({
+        title: `a target crashes and returns after ${returnMilliseconds} ms`,
+        run: async (fleet: Fleet) => {
+            const target = fleet.busiest();
+            target.crash();
+            fleet.clock.after(returnMilliseconds, target.restart);
+        },
+        watchMilliseconds: 6_000,
+        unservedLimit: targetLossLimit,
+    })),
+    {
+        title: "a target is frozen while every host is paused, and both go on",
+        run: async fleet => {
+            fleet.busiest().freeze();
+            fleet.hosts.forEach(host => host.clock.pause());
+            fleet.clock.after(3_000, () => fleet.hosts.forEach(host => host.clock.resume()));
+            fleet.clock.after(3_200, fleet.busiest().thaw);
+        },
+        watchMilliseconds: 8_000,
+        unservedLimit: 5_000,
+    },
+    {
+        title: "a host is cut off from the others but not from the platform and the targets",
+        run: async fleet => {
+            const alone = otherThanCoordinator(fleet);
+            fleet.hosts.forEach(host => fleet.cut(alone.name, host.name, true));
+        },
+        watchMilliseconds: 12_000,
+        unservedLimit: 100,
+    },
+    {
+        title: "the platform is out, and a host is replaced",
+        run: async fleet => {
+            fleet.platform.setOut(true);
+            await fleet.clock.advance(3_000);
+            fleet.hosts[1].kill();
+            await fleet.addHost(fleet.hosts[1].name, "zone-1");
+        },
+        watchMilliseconds: 10_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "a target crashes",
+        run: async fleet => fleet.busiest().crash(),
+        watchMilliseconds: 3_000,
+        unservedLimit: targetLossLimit,
+    },
+    {
+        title: "a host is lost",
+        run: async fleet => otherThanCoordinator(fleet).kill(),
+        watchMilliseconds: 8_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "the coordinator is lost",
+        run: async fleet => fleet.coordinator().kill(),
+        watchMilliseconds: 8_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "the platform is out",
+        run: async fleet => fleet.platform.setOut(true),
+        watchMilliseconds: 20_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "the platform is out and a host is lost",
+        run: async fleet => {
+            fleet.platform.setOut(true);
+            await fleet.clock.advance(3_000);
+            fleet.hosts[1].kill();
+        },
+        watchMilliseconds: 10_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "one host's bad network to all targets",
+        run: async fleet => fleet.targets.forEach(target => fleet.cut(fleet.hosts[0].name, target.target.name, true)),
+        watchMilliseconds: 4_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "a host is paused for 5 s",
+        run: async fleet => {
+            const host = otherThanCoordinator(fleet);
+            host.clock.pause();
+            fleet.clock.after(5_000, host.clock.resume);
+        },
+        watchMilliseconds: 8_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "the coordinator is paused for 5 s",
+        run: async fleet => {
+            const host = fleet.coordinator();
+            host.clock.pause();
+            fleet.clock.after(5_000, host.clock.resume);
+        },
+        watchMilliseconds: 8_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "a target is slow",
+        run: async fleet => fleet.busiest().slow(60),
+        watchMilliseconds: 4_000,
+        unservedLimit: 0,
+    },
+    {
+        title: "a target says that it drains",
+        run: async fleet => fleet.busiest().drain(),
+        watchMilliseconds: 4_000,
+        unservedLimit: moveLimit,
+    },
+    {
+        title: "a target is marked as leaving",
+        run: async fleet => {
+            const leaving = fleet.busiest();
+            leaving.target.leaving = true;
+            fleet.writePool(fleet.targets);
+        },
+        watchMilliseconds: 4_000,
+        unservedLimit: moveLimit,
+    },
+    {
+        title: "the coordinator is lost and then a target",
+        run: async fleet => {
+            fleet.coordinator().kill();
+            await fleet.clock.advance(8_000);
+            fleet.busiest().freeze();
+        },
+        watchMilliseconds: 4_000,
+        unservedLimit: targetLossLimit,
+    },
+    {
+        title: "the coordinator and a target are lost at the same time",
+        run: async fleet => {
+            fleet.coordinator().kill();
+            fleet.busiest().freeze();
+        },
+        watchMilliseconds: 6_000,
+        unservedLimit: doubleLossLimit,
+    },
+    {
+        title: "the reply to the write of the assignment is lost",
+        run: async fleet => {
+            fleet.platform.loseReply("assignments");
+            fleet.busiest().crash();
+        },
+        watchMilliseconds: 4_000,
+        unservedLimit: targetLossLimit + 500,
+    },
+];
+
+test("what waits for the platform is reported with its reason, and done when it is back", async t => {
+    const fleet = await createFleet(5, 4);
+    fleet.platform.setOut(true);
+    await fleet.clock.advance(2_000);
+    const lost = fleet.busiest();
+    lost.crash();
+    await fleet.clock.advance(2_000);
+    const report = fleet.coordinator().ownership.report().pools[poolName];
+    t.deepEqual(report.assigner?.lost, [lost.target.name]);
+    t.regex(report.waiting.join(" "), /^Revision \d+ can not be written: The platform did not answer\.$/);
+    fleet.platform.setOut(false);
+    await fleet.clock.advance(3_000);
+    t.deepEqual(fleet.coordinator().ownership.report().pools[poolName].waiting, []);
+    t.false(fleet.assignment().owners.includes(fleet.assignment().targets.indexOf(lost.target.name)));
+    fleet.hosts.forEach(host => host.kill());
+});
+
+const badNetworks = [
+    { title: "to all targets", cutTargets: 4 },
+    { title: "to one target", cutTargets: 1 },
+];
+
+for (const { title, cutTargets } of badNetworks) {
+    test(`one host's bad network ${title} moves no slot`, async t => {
+        const fleet = await createFleet(5, 4);
+        const { owners } = fleet.assignment();
+        for (const target of fleet.targets.slice(0, cutTargets)) {
+            fleet.cut(fleet.assignment().renewers[target.target.name][0], target.target.name, true);
+        }
+        await fleet.clock.advance(5_000);
+        t.deepEqual(fleet.assignment().owners, owners);
+        fleet.hosts.forEach(host => host.kill());
+    });
+}
+
+test("a flapping target is held down longer each time", async t => {
+    const fleet = await createFleet(3, 4);
+    const target = fleet.busiest();
+    const heldMilliseconds = async (): Promise<number> => {
+        target.crash();
+        await fleet.clock.advance(1_000);
+        target.restart();
+        const restartedAt = fleet.clock.now();
+        const owns = (): boolean => [...Array(64).keys()].some(target.owns);
+        while (!owns() && fleet.clock.now() < restartedAt + 20_000) {
+            await fleet.clock.advance(100);
+        }
+        return fleet.clock.now() - restartedAt;
+    };
+    const first = await heldMilliseconds();
+    const second = await heldMilliseconds();
+    const third = await heldMilliseconds();
+    t.true(second > first, `${first} then ${second} virtual ms`);
+    t.true(third > second, `${second} then ${third} virtual ms`);
+    fleet.hosts.forEach(host => host.kill());
+});
+
+test("in rest the platform gets no write", async t => {
+    const fleet = await createFleet(5, 4);
+    await fleet.clock.advance(10_000);
+    const before = fleet.platform.writes("leases") + fleet.platform.writes("assignments");
+    await fleet.clock.advance(30_000);
+    t.is(fleet.platform.writes("leases") + fleet.platform.writes("assignments"), before);
+    fleet.hosts.forEach(host => host.kill());
+});
+
+test("targets that do not check: a move waits until the requests of every router have ended", async t => {
+    const fleet = await createFleet(3, 4, false);
+    const leaving = fleet.busiest();
+    const [host] = fleet.hosts;
+    const view = host.views.of(poolName, leaving.target);
+    view.inFlight.set(fleet.assignment().revision, 1);
+    leaving.target.leaving = true;
+    fleet.writePool(fleet.targets);
+    await fleet.clock.advance(1_500);
+    const waits = fleet.coordinator().ownership.report().pools[poolName].assigner?.unfinishedMoves ?? 0;
+    t.true(waits > 0);
+    view.inFlight.clear();
+    await fleet.clock.advance(1_000);
+    t.is(fleet.coordinator().ownership.report().pools[poolName].assigner?.unfinishedMoves, 0);
+    fleet.hosts.forEach(other => other.kill());
+});
+
+for (const { title, run, watchMilliseconds, unservedLimit } of scenarios) {
+    test(title, async t => {
+        const fleet = await createFleet(5, 4);
+        await run(fleet);
+        const { unservedMilliseconds, owners } = await fleet.watch(watchMilliseconds);
+        t.is(owners, 1);
+        t.true(unservedMilliseconds <= unservedLimit, `unserved for ${unservedMilliseconds} virtual ms`);
+        fleet.hosts.forEach(host => host.kill());
+    });
+}
