Ask the former owner of a move after its renewals have ended

Cause: the model found that a former owner's word counts only when it was asked after the last renewal below the move (decisions/move.ts, askedAt); renewers reported it unasked, so the coordinator could not know when. Change: the coordinator asks the renewers to offer a grant now, and takes the time of its own question.

--- a/src/contracts/ownershipmessages.ts
+++ b/src/contracts/ownershipmessages.ts
@@ -53,7 +53,14 @@
     moves: z.array(moveNameSchema),
 });
 
-/** A renewer tells the coordinator what a target with unfinished moves answered to a grant. */
+/** The coordinator asks a renewer to offer the target a grant now, and what the target answers. */
+export const targetQuestionSchema = z.strictObject({
+    kind: z.literal("target-question"),
+    pool: z.string(),
+    target: z.string(),
+});
+
+/** A renewer tells the coordinator what the target answered to a grant that was sent after the question. */
 export const targetReportSchema = z.strictObject({
     kind: z.literal("target-report"),
     pool: z.string(),
@@ -94,6 +101,7 @@
     assignmentOfferSchema,
     assignmentAcknowledgementSchema,
     movesReleasedSchema,
+    targetQuestionSchema,
     targetReportSchema,
     probeReportSchema,
     loadReportSchema,
--- a/src/machines/assigner.ts
+++ b/src/machines/assigner.ts
@@ -7,7 +7,7 @@
 import type { Clock } from "../contracts/clock.ts";
 import { messageOf } from "../contracts/errors.ts";
 import type { StoredObject } from "../contracts/objects.ts";
-import type { LoadReport, ProbeReport, TargetReport } from "../contracts/ownershipmessages.ts";
+import type { LoadReport, ProbeReport } from "../contracts/ownershipmessages.ts";
 import type { Pool } from "../contracts/pool.ts";
 import { type AssignInput, type Candidate, countMoved, firstAssignment, nextAssignment } from "../decisions/assign.ts";
 import { correctWeights, defaultBalanceOptions } from "../decisions/balance.ts";
@@ -53,7 +53,6 @@
     /** Looks whether something is to be decided now. */
     check: () => void;
     takeProbe: (host: string, report: ProbeReport) => void;
-    takeTarget: (report: TargetReport) => void;
     takeLoad: (report: LoadReport) => void;
     report: () => AssignerReport;
 };
@@ -250,7 +249,6 @@
             evidence.take(host, report);
             check();
         },
-        takeTarget: moves.take,
         takeLoad: loads.take,
         report: () => ({
             lost: [...standings?.lost ?? []],
--- a/src/machines/coordinator.ts
+++ b/src/machines/coordinator.ts
@@ -59,10 +59,6 @@
         assignerOf(report.pool)?.takeProbe(from, report);
         return undefined;
     });
-    peers.handle("target-report", (...[, report]) => {
-        assignerOf(report.pool)?.takeTarget(report);
-        return undefined;
-    });
     peers.handle("load-report", (...[, report]) => {
         assignerOf(report.pool)?.takeLoad(report);
         return undefined;
--- a/src/machines/moves.ts
+++ b/src/machines/moves.ts
@@ -5,13 +5,14 @@
 import type { Assignment, Move } from "../contracts/assignment.ts";
 import type { Clock } from "../contracts/clock.ts";
 import type { StoredObject } from "../contracts/objects.ts";
-import type { MoveName, TargetReport } from "../contracts/ownershipmessages.ts";
+import type { MoveName } from "../contracts/ownershipmessages.ts";
 import {
     lapsedBelow,
     type MoveEvidence,
     type MoveTiming,
     releaseTime,
     releaseTimeUnchecked,
+    renewalsEndedBelow,
 } from "../decisions/move.ts";
 import type { Peers } from "./peers.ts";
 
@@ -30,7 +31,6 @@
 export type Moves = {
     /** Begins with an assignment that is known to be written; `item` is it as the platform keeps it. */
     begin: (assignment: Assignment, item: StoredObject, checksGrants: boolean) => void;
-    take: (report: TargetReport) => void;
     isReleased: (move: Move) => boolean;
     /** Whether the host is known to have acknowledged the revision that was begun last, or a higher one. */
     hasAcknowledged: (host: string) => boolean;
@@ -48,6 +48,7 @@
 const repeatMilliseconds = 100;
 const tellMilliseconds = 500;
 const askTimeoutMilliseconds = 300;
+const askAgainMilliseconds = 10;
 const nameOf = (move: MoveName): string => `${move.since} ${move.from} ${move.to}`;
 
 /** Creates the follower of one pool's moves. It works from `begin` until `forget`, or until the signal aborts. */
@@ -59,6 +60,7 @@
     const answers = new Map<string, MoveEvidence["targetAnswer"]>();
     const knownAt = new Map<number, number>();
     const asking = new Set<string>();
+    const lastAskedAt = new Map<string, number>();
     let current: { assignment: Assignment; item: StoredObject; checksGrants: boolean } | undefined;
     let stopTimer: () => void = () => undefined;
     let lastToldAt = -Infinity;
@@ -103,6 +105,43 @@
         lastToldAt = clock.now();
     };
 
+    /** Asks the former owner itself, through one of its renewers. Its word counts from when the renewals have ended. */
+    const askTarget = async (target: string, renewer: string): Promise<void> => {
+        const place = `${target} ${renewer}`;
+        const askedAt = clock.now();
+        if (asking.has(place) || askedAt - (lastAskedAt.get(place) ?? -Infinity) < askAgainMilliseconds) {
+            return;
+        }
+        asking.add(place);
+        lastAskedAt.set(place, askedAt);
+        const answer = await peers.ask(renewer, { kind: "target-question", pool, target }, askTimeoutMilliseconds);
+        asking.delete(place);
+        if (answer?.kind === "target-report" && answer.pool === pool && answer.target === target) {
+            const { revision, releasing, releasingKeys } = answer;
+            answers.set(target, { revision, releasing, releasingKeys, askedAt });
+            judge();
+        }
+    };
+
+    const haveRenewalsEnded = (move: Move, assignment: Assignment): boolean => {
+        const at = renewalsEndedBelow(move.since, move.from, assignment, evidenceOf(move), timing);
+        return at !== undefined && at <= clock.now();
+    };
+
+    /** Asks the former owners whose word would release a move now. Gives their number. */
+    const askTargets = (): number => {
+        if (current === undefined || !current.checksGrants) {
+            return 0;
+        }
+        const { assignment } = current;
+        const unfinished = assignment.moves.filter(move => !released.has(nameOf(move)));
+        const targets = new Set(unfinished.filter(move => haveRenewalsEnded(move, assignment)).map(move => move.from));
+        for (const target of targets) {
+            (assignment.renewers[target] ?? []).forEach(renewer => void askTarget(target, renewer));
+        }
+        return targets.size;
+    };
+
     /** Releases what can be released now, and comes back when the next move is due. */
     const judge = (): void => {
         stopTimer();
@@ -127,6 +166,9 @@
             tellReleased(assignment);
             options.onReleased(fresh);
         }
+        if (askTargets() > 0) {
+            nextAt = Math.min(nextAt, now + askAgainMilliseconds);
+        }
         if (nextAt < Infinity) {
             stopTimer = clock.after(Math.max(1, nextAt - now), judge, signal);
         }
@@ -218,13 +260,6 @@
             }
             judge();
         },
-        take: report => {
-            const held = answers.get(report.target);
-            if (held === undefined || report.revision >= held.revision) {
-                answers.set(report.target, report);
-                judge();
-            }
-        },
         isReleased: move => released.has(nameOf(move)),
         hasAcknowledged,
         hasStopped: host => hasAcknowledged(host) || haveLapsed(),
--- a/src/machines/ownership.ts
+++ b/src/machines/ownership.ts
@@ -84,7 +84,7 @@
             .map(({ name, value }) => ({ name, zone: value.zone }));
     };
 
-    const renewer = createRenewer({ ...options, ...settings, peers, coordinatorOf, slotOf });
+    const renewer = createRenewer({ ...options, ...settings, peers, slotOf });
     createWitness({
         ...options,
         peers,
--- a/src/machines/renewer.ts
+++ b/src/machines/renewer.ts
@@ -19,8 +19,6 @@
     views: TargetViews;
     currency: Currency;
     peers: Peers;
-    /** Host that coordinates the pool; undefined when none is known. */
-    coordinatorOf: (pool: string) => string | undefined;
     slotOf: (pool: string, key: string) => number;
     renewalMilliseconds: number;
     timeToLiveMilliseconds: number;
@@ -38,7 +36,14 @@
 };
 
 /** Renewal of one target: one question at a time. */
-type Task = ProbedTarget & { isAsking: boolean; askAgain: boolean; granted: string };
+type Task = ProbedTarget & {
+    isAsking: boolean;
+    askAgain: boolean;
+    /** What the target was last granted with its slots; a renewal of the same leaves these out. */
+    granted: string;
+    /** Called with the answer to the next grant that is sent. */
+    waiting: Array<(answer: GrantAnswer | undefined) => void>;
+};
 
 const nameOf = (move: MoveName): string => `${move.since} ${move.from} ${move.to}`;
 const failureShare = 0.8; // A question that ends sooner than this share of its timeout has failed, not timed out.
@@ -52,24 +57,6 @@
 
     const isReleased = (pool: string) => (move: Move): boolean => released.get(pool)?.has(nameOf(move)) === true;
 
-    /** Tells the coordinator how far a target has come with the moves that take slots from it. */
-    const report = (task: Task, assignment: Assignment, answer: GrantAnswer): void => {
-        const coordinator = options.coordinatorOf(task.pool);
-        const isLeaving = assignment.moves.some(move => move.from === task.target.name && !isReleased(task.pool)(move));
-        if (coordinator !== undefined && isLeaving) {
-            const { revision, releasing, releasingKeys = [] } = answer;
-            const { pool, target } = task;
-            peers.tell(coordinator, {
-                kind: "target-report",
-                pool,
-                target: target.name,
-                revision,
-                releasing,
-                releasingKeys,
-            });
-        }
-    };
-
     /** Asks for the target's clock and incarnation, which a grant needs. */
     const learn = async (task: Task): Promise<void> => {
         const { view } = task;
@@ -110,7 +97,9 @@
         const askedAt = clock.now();
         const { grant, granted } = grantFor(task, assignment, incarnation);
         view.probe.unansweredSince ??= askedAt;
+        const waiting = task.waiting.splice(0);
         const answer = await view.link.grant(grant, timeToLiveMilliseconds);
+        waiting.forEach(resolve => resolve(answer));
         if (answer === undefined) {
             noteNoAnswer(task, askedAt);
             return;
@@ -120,7 +109,6 @@
         task.granted = answer.accepted ? granted : "";
         view.grantedRevision = answer.accepted ? assignment.revision : 0;
         task.askAgain ||= answer.incarnation !== incarnation;
-        report(task, assignment, answer);
     };
 
     const renewOnce = async (task: Task): Promise<void> => {
@@ -153,6 +141,7 @@
         }
         while (task.askAgain && !signal.aborted);
         task.isAsking = false;
+        task.waiting.splice(0).forEach(resolve => resolve(undefined));
     };
 
     const isNamed = (assignment: Assignment, target: string): boolean =>
@@ -176,7 +165,7 @@
             const known = tasks.get(place);
             const task = known?.view === view
                 ? known
-                : { pool, target, view, isAsking: false, askAgain: false, granted: "" };
+                : { pool, target, view, isAsking: false, askAgain: false, granted: "", waiting: [] };
             tasks.set(place, task);
             found.push(task);
         }
@@ -196,6 +185,21 @@
         released.set(pool, new Set(names));
     };
 
+    peers.handle("target-question", async (...[, { pool, target }]) => {
+        const task = tasksOf(pool).find(known => known.target.name === target);
+        if (task === undefined) {
+            return undefined;
+        }
+        const asked = new Promise<GrantAnswer | undefined>(resolve => task.waiting.push(resolve));
+        void renew(task);
+        const answer = await asked;
+        if (answer === undefined) {
+            return undefined;
+        }
+        const { revision, releasing, releasingKeys = [] } = answer;
+        return { kind: "target-report", pool, target, revision, releasing, releasingKeys };
+    });
+
     peers.handle("moves-released", (...[, message]) => {
         const names = released.get(message.pool) ?? new Set<string>();
         const before = names.size;
