Give the stand-ins all faults and a control endpoint

The stand-ins had few faults and could only be driven in process. They now take every fault over /stand-in/faults and give their records over /stand-in/records, so that they can run in processes of their own.

The target's record of ownership is one span a grant, with the hot keys in and out of it; a renewal that waited past its end opens no span, and a request that ends after its grant lapsed is rolled back and answered as not run. Runs carry their end and whether a crash cut them off.

--- a/stand-ins/platform.ts
+++ b/stand-ins/platform.ts
@@ -6,14 +6,33 @@
 import type { AddressInfo } from "node:net";
 import { z } from "zod";
 import { objectSchemas, type StoredObject } from "../src/contracts/objects.ts";
+import { isControlPath, readBody, serveControl } from "./control.ts";
+import { machineMilliseconds } from "./target.ts";
 
-export type PlatformFaults = {
-    /** Refuses every call by closing its connection. */
-    down: boolean;
+export const platformFaultsSchema = z.strictObject({
+    /** Closes the connection of every call, those of waiting watches included. */
+    down: z.boolean(),
     /** Delay before each answer. */
-    slowMilliseconds: number;
+    slowMilliseconds: z.number().min(0),
     /** Number of coming writes whose reply is lost after they took effect. */
-    loseReplies: number;
+    loseReplies: z.int().min(0),
+    /** What the list of hosts shows, after its lag, in place of what a host reported of itself. */
+    listedHosts: z.record(z.string(), z.enum(["live", "leaving", "gone"])),
+});
+
+export type PlatformFaults = z.infer<typeof platformFaultsSchema>;
+
+type ListedState = PlatformFaults["listedHosts"][string];
+
+/** What the platform's own records tell. */
+export type PlatformRecords = {
+    /** Calls received, by name. */
+    calls: Record<string, number>;
+    /** Calls received, by name and second of the machine's monotonic clock. */
+    callsBySecond: Record<string, Record<string, number>>;
+    bytes: { received: number; sent: number };
+    writes: Array<Pick<StoredObject, "kind" | "name" | "version" | "deleted"> & { at: number }>;
+    objects: StoredObject[];
 };
 
 export type PlatformStandInOptions = { port?: number; hostListLagMilliseconds?: number };
@@ -21,6 +40,9 @@
 export type PlatformStandIn = {
     url: string;
     faults: PlatformFaults;
+    /** Changes the named faults and leaves the others. */
+    change: (faults: Partial<PlatformFaults>) => void;
+    records: () => PlatformRecords;
     /** Calls answered, by name. */
     calls: Record<string, number>;
     /** Every write that took effect, oldest first. */
@@ -39,28 +61,39 @@
     deleted: z.boolean(),
 });
 
-const readBody = async (request: IncomingMessage): Promise<string> => {
-    const parts: Buffer[] = [];
-    for await (const part of request) {
-        parts.push(part as Buffer);
-    }
-    return Buffer.concat(parts).toString("utf8");
-};
-
 /** Starts the stand-in on loopback. */
 export const createPlatformStandIn = async (options: PlatformStandInOptions = {}): Promise<PlatformStandIn> => {
     const lagMilliseconds = options.hostListLagMilliseconds ?? 500;
     const objects = new Map<string, StoredObject>();
     const writes: StoredObject[] = [];
     const calls: Record<string, number> = {};
-    const faults: PlatformFaults = { down: false, slowMilliseconds: 0, loseReplies: 0 };
-    const listedStates = new Map<string, { state: "live" | "leaving" | undefined; since: number }>();
+    const callsBySecond: PlatformRecords["callsBySecond"] = {};
+    const writeTimes: number[] = [];
+    const bytes = { received: 0, sent: 0 };
+    const faults: PlatformFaults = { down: false, slowMilliseconds: 0, loseReplies: 0, listedHosts: {} };
+    const listedStates = new Map<string, { state: ListedState; since: number }>();
     const waiters = new Set<() => void>();
     let position = 0;
 
     const answer = (response: ServerResponse, statusCode: number, body: unknown): void => {
+        const text = JSON.stringify(body);
+        bytes.sent += text.length;
         response.writeHead(statusCode, { "content-type": "application/json" });
-        response.end(JSON.stringify(body));
+        response.end(text);
+    };
+
+    const wakeWaiters = (): void => {
+        for (const wake of [...waiters]) {
+            wake();
+        }
+    };
+
+    const countCall = (name: string): void => {
+        calls[name] = (calls[name] ?? 0) + 1;
+        const second = String(Math.floor(machineMilliseconds() / 1_000));
+        const inSecond = callsBySecond[second] ?? {};
+        inSecond[name] = (inSecond[name] ?? 0) + 1;
+        callsBySecond[second] = inSecond;
     };
 
     const store = (item: Omit<StoredObject, "version">): StoredObject => {
@@ -68,9 +101,8 @@
         const stored = { ...item, version: position };
         objects.set(`${item.kind}/${item.name}`, stored);
         writes.push(stored);
-        for (const wake of [...waiters]) {
-            wake();
-        }
+        writeTimes.push(machineMilliseconds());
+        wakeWaiters();
         return stored;
     };
 
@@ -101,7 +133,9 @@
         request: IncomingMessage,
         response: ServerResponse,
     ) => {
-        const body = putSchema.safeParse(JSON.parse(await readBody(request)));
+        const text = await readBody(request);
+        bytes.received += text.length;
+        const body = putSchema.safeParse(JSON.parse(text));
         if (!body.success) {
             answer(response, 400, { message: body.error.message });
             return;
@@ -131,7 +165,7 @@
             const forced = listedStates.get(item.name);
             const settled = forced !== undefined && performance.now() - forced.since >= lagMilliseconds;
             const state = settled ? forced.state : value.state;
-            if (state !== undefined) {
+            if (state !== "gone") {
                 list.push({ name: item.name, zone: value.zone, state });
             }
         }
@@ -148,16 +182,13 @@
         }
         const url = new URL(request.url ?? "/", "http://platform");
         const [, root, kindText, nameText] = url.pathname.split("/");
-        const count = (name: string): void => {
-            calls[name] = (calls[name] ?? 0) + 1;
-        };
         if (root === "hosts") {
-            count("hosts");
+            countCall("hosts");
             answer(response, 200, hostList());
             return;
         }
         if (root === "watch") {
-            count("watch");
+            countCall("watch");
             const after = Number(url.searchParams.get("after"));
             await waitForWrite(after, Number(url.searchParams.get("waitMilliseconds")), response);
             if (faults.down) {
@@ -172,7 +203,7 @@
             return;
         }
         if (kindText === undefined) {
-            count("list");
+            countCall("list");
             answer(response, 200, pageAfter(Number(url.searchParams.get("after"))));
             return;
         }
@@ -183,17 +214,49 @@
         const kind = kindText as StoredObject["kind"];
         const name = decodeURIComponent(nameText);
         if (request.method === "PUT") {
-            count("put");
+            countCall("put");
             await put(kind, name, request, response);
             return;
         }
-        count("get");
+        countCall("get");
         const found = objects.get(`${kind}/${name}`);
         answer(response, found === undefined ? 404 : 200, found ?? { message: `${kind}/${name} does not exist.` });
     };
 
+    const listHost = (name: string, state: ListedState): void => {
+        listedStates.set(name, { state, since: performance.now() });
+    };
+
+    const change = (changes: Partial<PlatformFaults>): void => {
+        Object.assign(faults, changes);
+        for (const [name, state] of Object.entries(changes.listedHosts ?? {})) {
+            listHost(name, state);
+        }
+        if (faults.down) {
+            wakeWaiters();
+        }
+    };
+
+    const records = (): PlatformRecords => ({
+        calls,
+        callsBySecond,
+        bytes,
+        writes: writes.map(({ kind, name, version, deleted }, index) => ({
+            kind,
+            name,
+            version,
+            deleted,
+            at: writeTimes[index],
+        })),
+        objects: [...objects.values()],
+    });
+
     const server = createServer((request, response) => {
-        serve(request, response).catch(() => response.destroy());
+        const control = isControlPath(request.url ?? "/");
+        const done = control
+            ? serveControl({ shape: platformFaultsSchema.partial(), change, records }, request, response)
+            : serve(request, response);
+        done.catch(() => response.destroy());
     });
     await new Promise<void>(resolve => server.listen(options.port ?? 0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
@@ -202,15 +265,15 @@
     return {
         url: `http://127.0.0.1:${port}`,
         faults,
+        change,
+        records,
         calls,
         writes,
         write: (kind, name, value, deleted = false) => {
             writeCount += 1;
             return store({ kind, name, value, writeId: `by-hand-${writeCount}`, deleted });
         },
-        listHost: (name, state) => {
-            listedStates.set(name, { state, since: performance.now() });
-        },
+        listHost: (name, state) => listHost(name, state ?? "gone"),
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
--- a/stand-ins/target.ts
+++ b/stand-ins/target.ts
@@ -1,14 +1,15 @@
 /**
  * A small stand-in of a target: it takes grants and checks fences, runs a bounded number of requests at once, starts
- * cold, drains, sheds, obeys deadlines and cancellation, and reports health and load that lag. It can freeze and thaw,
- * crash and return. Its own records tell which requests ran and when it owned which slots.
+ * cold, drains, sheds, obeys deadlines and cancellation, and reports health and load that lag or mislead. It can freeze
+ * and thaw, crash and return. Its own records tell which requests ran and when it owned which slots.
  */
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { type Grant, type GrantAnswer, grantRefusals, grantSchema } from "../src/contracts/grant.ts";
+import { grantSchema } from "../src/contracts/grant.ts";
 import {
     targetAnswerHeaders,
+    type TargetHealth,
     targetPaths,
     type TargetRefusal,
     targetRefusals,
@@ -16,6 +17,14 @@
     targetStates,
 } from "../src/contracts/targetprotocol.ts";
 import { createSlotHash } from "../src/decisions/hash.ts";
+import { writePlain, writeRan } from "./answers.ts";
+import { isControlPath, readBody, serveControl } from "./control.ts";
+import { createGrantLedger, type GrantLedger, type OwnedSpan } from "./grants.ts";
+import { noTargetFaults, type TargetFaults, targetFaultsSchema } from "./targetfaults.ts";
+import { createWorkQueue, type Execution, runOutcomes, type WorkQueue } from "./work.ts";
+
+export type { OwnedSpan } from "./grants.ts";
+export type { Execution } from "./work.ts";
 
 export type TargetStandInOptions = {
     name: string;
@@ -28,29 +37,21 @@
     concurrency: number;
     connections: number;
     serviceMilliseconds: number;
-    /** Delay added to each answer, for the way between zones. */
-    networkMilliseconds?: number;
-    /** Time after a start during which requests take `coldFactor` times as long. */
-    coldMilliseconds?: number;
-    coldFactor?: number;
     /** Waiting requests beyond which new ones are shed. */
     queueLength?: number;
-    /** Age of the answers of the health and load endpoints. */
-    lagMilliseconds?: number;
+    /** Faults from the start. */
+    faults?: Partial<TargetFaults>;
 };
 
-/** One run of a request, from the target's own records. */
-export type Execution = {
-    requestId: string;
-    idempotencyKey: string;
-    key: string;
-    startedAt: number;
-    incarnation: string;
+/** What a target's own records tell. */
+export type TargetRecords = {
+    name: string;
+    executions: Execution[];
+    spans: OwnedSpan[];
+    refusals: Record<string, number>;
+    peakConnections: number;
 };
 
-/** A time during which the target would have served a slot, in milliseconds of the machine's monotonic clock. */
-export type OwnedSpan = { pool: string; slot: number; from: number; until: number };
-
 export type TargetStandIn = {
     name: string;
     address: string;
@@ -58,28 +59,21 @@
     /** Spans of ownership so far, those that are open included. */
     ownedSpans: () => OwnedSpan[];
     refusals: Record<string, number>;
-    peakConnections: () => number;
-    freeze: () => void;
-    thaw: () => void;
-    /** Drops all connections and state at once. */
-    crash: () => Promise<void>;
-    /** Starts again at the same address, as a new incarnation. */
-    restart: () => Promise<void>;
-    drain: () => void;
-    shed: (active: boolean) => void;
-    /** Crashes on each request whose key has this value. */
-    poisonKey: (key: string | undefined) => void;
+    records: () => TargetRecords;
+    /** The faults in force. Those of single answers count down. */
+    faults: () => TargetFaults;
+    /** Changes the named faults and leaves the others. */
+    change: (faults: Partial<TargetFaults>) => Promise<void>;
     close: () => Promise<void>;
 };
 
-type HeldGrant = {
-    revision: number;
-    validUntil: number;
-    slots: Set<number>;
-    keys: Set<string>;
-    exceptKeys: Set<string>;
-};
-type Waiting = { start: () => void; request: IncomingMessage };
+type Life = { incarnation: string; startedAt: number; grants: GrantLedger; work: WorkQueue };
+type View = { at: number; state: TargetHealth["state"]; running: number; queued: number };
+
+const defaultQueueLength = 32;
+const defaultDeadlineMilliseconds = 30_000;
+const shedBackOffMilliseconds = 100;
+const keptViews = 200;
 
 /** Milliseconds of the machine's monotonic clock, the same in every process. */
 export const machineMilliseconds = (): number => Number(process.hrtime.bigint() / 1_000n) / 1_000;
@@ -90,301 +84,211 @@
 export const createTargetStandIn = async (options: TargetStandInOptions): Promise<TargetStandIn> => {
     const slotHash = await createSlotHash();
     const slotCount = options.slotCount ?? 1_024;
+    const clock = machineMilliseconds;
     const executions: Execution[] = [];
-    const closedSpans: OwnedSpan[] = [];
+    const spans: OwnedSpan[] = [];
     const refusals: Record<string, number> = {};
+    const faults: TargetFaults = { ...noTargetFaults, ...options.faults };
     let peakConnections = 0;
     let port = options.port ?? 0;
     let server: Server;
-    let frozen: Array<() => void> | undefined;
-    let poisonedKey: string | undefined;
-
-    // State of one incarnation, lost at a crash.
-    let incarnation = "";
-    let startedAt = 0;
-    let grants = new Map<string, HeldGrant>();
-    let highestRevisions = new Map<string, number>();
-    let openSpans = new Map<string, OwnedSpan>();
-    let runningSlots = new Map<string, number>();
-    let running = 0;
-    let waiting: Waiting[] = [];
-    let draining = false;
-    let shedding = false;
-    let lagged: Array<{ at: number; state: string; running: number; queued: number }> = [];
-
-    const clock = machineMilliseconds;
+    let life: Life;
+    let held: Array<() => void> = [];
+    let views: View[] = [];
 
     const unlessFrozen = (work: () => void): void => {
-        if (frozen === undefined) {
-            work();
+        if (faults.frozen) {
+            held.push(work);
             return;
         }
-        frozen.push(work);
+        work();
     };
 
-    const headersNow = (): Record<string, string> => ({
+    const ownHeaders = (): Record<string, string> => ({
         [targetAnswerHeaders.clock]: String(clock()),
-        [targetAnswerHeaders.incarnation]: incarnation,
-        [targetAnswerHeaders.load]: String(running + waiting.length),
+        [targetAnswerHeaders.incarnation]: life.incarnation,
+        [targetAnswerHeaders.load]: String(Math.round((life.work.running() + life.work.queued()) * faults.loadFactor)),
     });
 
-    const answer = (
-        response: ServerResponse,
-        statusCode: number,
-        body: string,
-        headers: Record<string, string> = {},
-    ): void => {
-        const send = (): void => {
-            if (response.destroyed) {
-                return;
+    /** Calls back after the way through the network, unless the connection is gone. */
+    const afterNetwork = (response: ServerResponse, send: () => void): void => {
+        const unlessGone = (): void => {
+            if (!response.destroyed) {
+                send();
             }
-            response.writeHead(statusCode, {
-                "content-type": "application/json",
-                "content-length": Buffer.byteLength(body),
-                ...headersNow(),
-                ...headers,
-            });
-            response.end(body);
         };
-        const delay = options.networkMilliseconds ?? 0;
-        if (delay === 0) {
-            send();
+        if (faults.networkMilliseconds === 0) {
+            unlessGone();
             return;
         }
-        setTimeout(() => unlessFrozen(send), delay);
+        setTimeout(() => unlessFrozen(unlessGone), faults.networkMilliseconds);
+    };
+
+    const answer = (response: ServerResponse, statusCode: number, body: unknown, headers = {}): void => {
+        const made = { statusCode, body: JSON.stringify(body), headers: { ...ownHeaders(), ...headers } };
+        afterNetwork(response, () => writePlain(response, made));
     };
 
     const refuse = (request: IncomingMessage, response: ServerResponse, refusal: TargetRefusal): void => {
         refusals[refusal] = (refusals[refusal] ?? 0) + 1;
-        answer(response, 503, JSON.stringify({ refusal }), {
+        answer(response, 503, { refusal }, {
             [targetAnswerHeaders.requestId]: headerOf(request, targetRequestHeaders.requestId),
             [targetAnswerHeaders.outcome]: "not-run",
             [targetAnswerHeaders.refusal]: refusal,
-            [targetAnswerHeaders.backOff]: refusal === targetRefusals.shed ? "100" : "0",
+            [targetAnswerHeaders.backOff]: refusal === targetRefusals.shed ? String(shedBackOffMilliseconds) : "0",
         });
     };
 
-    const closeSpan = (spanKey: string, until: number): void => {
-        const span = openSpans.get(spanKey);
-        if (span !== undefined) {
-            openSpans.delete(spanKey);
-            closedSpans.push({ ...span, until: Math.min(until, span.until) });
-        }
+    const answerRan = (request: IncomingMessage, response: ServerResponse, run: Execution, body: string): void => {
+        const text = { target: options.name, key: run.key, requestId: run.requestId, path: request.url, echo: body };
+        const headers = {
+            ...ownHeaders(),
+            [targetAnswerHeaders.requestId]: run.requestId,
+            [targetAnswerHeaders.outcome]: "ran",
+        };
+        const made = { statusCode: 200, body: JSON.stringify(text), headers };
+        afterNetwork(response, () => writeRan(response, made, faults));
     };
 
-    const recordSpans = (pool: string, held: HeldGrant): void => {
-        const now = clock();
-        for (const [spanKey, span] of openSpans) {
-            if (span.pool === pool && (!held.slots.has(span.slot) || span.until < now)) {
-                closeSpan(spanKey, now);
-            }
+    const begin = (request: IncomingMessage, response: ServerResponse, body: string): () => void => {
+        const own = life;
+        const pool = headerOf(request, targetRequestHeaders.pool);
+        const key = headerOf(request, targetRequestHeaders.key);
+        const run: Execution = {
+            requestId: headerOf(request, targetRequestHeaders.requestId),
+            idempotencyKey: headerOf(request, targetRequestHeaders.idempotencyKey),
+            pool,
+            key,
+            revision: Number(headerOf(request, targetRequestHeaders.revision)),
+            startedAt: clock(),
+            outcome: runOutcomes.running,
+            incarnation: own.incarnation,
+        };
+        executions.push(run);
+        const work = own.grants.begin(pool, key);
+        if (faults.poisonKey !== "" && key === faults.poisonKey) {
+            setImmediate(() => void change({ crashed: true }));
         }
-        for (const slot of held.slots) {
-            const spanKey = `${pool}/${slot}`;
-            const span = openSpans.get(spanKey);
-            if (span === undefined) {
-                openSpans.set(spanKey, { pool, slot, from: now, until: held.validUntil });
-            }
-            else {
-                span.until = held.validUntil;
+        return () => {
+            const entitled = own.grants.end(work);
+            run.finishedAt = clock();
+            if (checks && !entitled) {
+                run.outcome = runOutcomes.rolledBack;
+                refuse(request, response, targetRefusals.noGrant);
+                return;
             }
-        }
+            run.outcome = runOutcomes.ran;
+            answerRan(request, response, run, body);
+        };
     };
 
-    const grantAnswer = (pool: string, refusal?: GrantAnswer["refusal"]): GrantAnswer => ({
-        accepted: refusal === undefined,
-        ...(refusal === undefined ? {} : { refusal }),
-        clock: clock(),
-        incarnation,
-        revision: highestRevisions.get(pool) ?? 0,
-        releasing: [...runningSlots.keys()].filter(entry => entry.startsWith(`${pool}/`))
-            .map(entry => Number(entry.slice(pool.length + 1)))
-            .filter(slot => grants.get(pool)?.slots.has(slot) !== true),
-    });
+    const checks = options.byKey && options.checksGrants;
 
-    const takeGrant = (grant: Grant): GrantAnswer => {
-        if (grant.incarnation !== incarnation) {
-            return grantAnswer(grant.pool, grantRefusals.otherIncarnation);
-        }
-        if (grant.revision < (highestRevisions.get(grant.pool) ?? 0)) {
-            return grantAnswer(grant.pool, grantRefusals.staleRevision);
-        }
-        const held = grants.get(grant.pool);
-        if (grant.slots === undefined && held?.revision !== grant.revision) {
-            return grantAnswer(grant.pool, grantRefusals.slotsNeeded);
-        }
-        const next: HeldGrant = grant.slots === undefined && held !== undefined
-            ? { ...held, validUntil: Math.max(held.validUntil, grant.validUntil) }
-            : {
-                revision: grant.revision,
-                validUntil: held?.revision === grant.revision
-                    ? Math.max(held.validUntil, grant.validUntil)
-                    : grant.validUntil,
-                slots: new Set(grant.slots),
-                keys: new Set(grant.keys),
-                exceptKeys: new Set(grant.exceptKeys),
-            };
-        highestRevisions.set(grant.pool, grant.revision);
-        grants.set(grant.pool, next);
-        recordSpans(grant.pool, next);
-        return grantAnswer(grant.pool);
-    };
-
-    const fenceRefusal = (request: IncomingMessage, key: string): TargetRefusal | undefined => {
-        if (!options.byKey || !options.checksGrants) {
-            return undefined;
+    const admit = (request: IncomingMessage, response: ServerResponse, body: string): void => {
+        if (faults.draining || faults.shedding) {
+            refuse(request, response, faults.draining ? targetRefusals.draining : targetRefusals.shed);
+            return;
         }
         const pool = headerOf(request, targetRequestHeaders.pool);
+        const key = headerOf(request, targetRequestHeaders.key);
         const revision = Number(headerOf(request, targetRequestHeaders.revision));
-        if (revision < (highestRevisions.get(pool) ?? 0)) {
-            return targetRefusals.fence;
-        }
-        const held = grants.get(pool);
-        if (held === undefined || held.validUntil <= clock()) {
-            return targetRefusals.noGrant;
-        }
-        const owned = held.keys.has(key) || (held.slots.has(slotHash(key, slotCount)) && !held.exceptKeys.has(key));
-        return owned ? undefined : targetRefusals.noGrant;
+        life.work.add({
+            requestId: headerOf(request, targetRequestHeaders.requestId),
+            deadlineMilliseconds: Number(headerOf(request, targetRequestHeaders.deadline))
+                || defaultDeadlineMilliseconds,
+            refusal: () => checks ? life.grants.refusal(pool, revision, key) : undefined,
+            begin: () => begin(request, response, body),
+            refuse: refusal => refuse(request, response, refusal),
+        });
     };
 
-    const startNext = (): void => {
-        if (running < options.concurrency) {
-            waiting.shift()?.start();
-        }
+    /** The state and load of some time ago. */
+    const laggedView = (): View => {
+        const now = clock();
+        const state = faults.draining ? targetStates.draining : targetStates.ready;
+        views.push({ at: now, state, running: life.work.running(), queued: life.work.queued() });
+        views = views.slice(-keptViews);
+        return views.filter(view => view.at <= now - faults.lagMilliseconds).at(-1) ?? views[0];
     };
 
-    const run = (request: IncomingMessage, response: ServerResponse, key: string, body: string): void => {
-        const requestId = headerOf(request, targetRequestHeaders.requestId);
-        const life = incarnation;
-        const refusal = fenceRefusal(request, key);
-        if (refusal !== undefined) {
-            refuse(request, response, refusal);
-            startNext();
-            return;
-        }
-        if (poisonedKey !== undefined && key === poisonedKey) {
-            void crash();
+    const serveHealth = (response: ServerResponse): void => {
+        const state = faults.healthSays === "" ? laggedView().state : faults.healthSays;
+        answer(response, 200, { state, clock: clock(), incarnation: life.incarnation });
+    };
+
+    const serveLoad = (response: ServerResponse): void => {
+        const view = laggedView();
+        const { loadFactor } = faults;
+        answer(response, 200, {
+            running: Math.round(view.running * loadFactor),
+            queued: Math.round(view.queued * loadFactor),
+        });
+    };
+
+    const serveGrant = (response: ServerResponse, body: string): void => {
+        const grant = grantSchema.safeParse(JSON.parse(body));
+        if (!grant.success) {
+            answer(response, 400, { message: grant.error.message });
             return;
         }
-        const slotEntry = `${headerOf(request, targetRequestHeaders.pool)}/${slotHash(key, slotCount)}`;
-        running += 1;
-        runningSlots.set(slotEntry, (runningSlots.get(slotEntry) ?? 0) + 1);
-        const idempotencyKey = headerOf(request, targetRequestHeaders.idempotencyKey);
-        executions.push({ requestId, idempotencyKey, key, startedAt: clock(), incarnation: life });
-        const cold = clock() - startedAt < (options.coldMilliseconds ?? 0) ? options.coldFactor ?? 3 : 1;
-        setTimeout(() =>
-            unlessFrozen(() => {
-                if (life !== incarnation) {
-                    return;
-                }
-                running -= 1;
-                const left = (runningSlots.get(slotEntry) ?? 1) - 1;
-                if (left === 0) {
-                    runningSlots.delete(slotEntry);
-                }
-                else {
-                    runningSlots.set(slotEntry, left);
-                }
-                const text = JSON.stringify({ target: options.name, key, requestId, path: request.url, echo: body });
-                answer(response, 200, text, {
-                    [targetAnswerHeaders.requestId]: requestId,
-                    [targetAnswerHeaders.outcome]: "ran",
-                });
-                startNext();
-            }), options.serviceMilliseconds * cold);
+        const result = life.grants.take(grant.data);
+        answer(response, result.accepted ? 200 : 409, result);
     };
 
-    const admit = (request: IncomingMessage, response: ServerResponse, body: string): void => {
-        const key = headerOf(request, targetRequestHeaders.key);
-        if (draining) {
-            refuse(request, response, targetRefusals.draining);
+    const serve = (request: IncomingMessage, response: ServerResponse, body: string): void => {
+        const path = request.url ?? "/";
+        if (path === targetPaths.grants) {
+            serveGrant(response, body);
             return;
         }
-        if (shedding || waiting.length >= (options.queueLength ?? 32)) {
-            refuse(request, response, targetRefusals.shed);
+        if (path === targetPaths.health) {
+            serveHealth(response);
             return;
         }
-        if (running < options.concurrency) {
-            run(request, response, key, body);
+        if (path === targetPaths.load) {
+            serveLoad(response);
             return;
         }
-        const entry: Waiting = { request, start: () => run(request, response, key, body) };
-        waiting.push(entry);
-        const deadline = Number(headerOf(request, targetRequestHeaders.deadline)) || 30_000;
-        const timer = setTimeout(() => {
-            if (waiting.includes(entry)) {
-                waiting = waiting.filter(other => other !== entry);
-                refuse(request, response, targetRefusals.deadline);
-            }
-        }, deadline);
-        response.once("close", () => clearTimeout(timer));
-    };
-
-    const laggedView = (): { state: string; running: number; queued: number } => {
-        const state = draining ? targetStates.draining : targetStates.ready;
-        const now = clock();
-        lagged.push({ at: now, state, running, queued: waiting.length });
-        const old = lagged.filter(view => view.at <= now - (options.lagMilliseconds ?? 0));
-        const view = old.at(-1) ?? lagged[0];
-        lagged = lagged.slice(-200);
-        return { state: view.state, running: view.running, queued: view.queued };
+        if (path.startsWith(`${targetPaths.requests}/`) && request.method === "DELETE") {
+            answer(response, 200, { cancelled: life.work.cancel(path.slice(targetPaths.requests.length + 1)) });
+            return;
+        }
+        admit(request, response, body);
     };
 
-    const serveOwnPath = (url: string, request: IncomingMessage, response: ServerResponse, body: string): boolean => {
-        if (url === targetPaths.grants) {
-            const grant = grantSchema.safeParse(JSON.parse(body));
-            if (!grant.success) {
-                answer(response, 400, JSON.stringify({ message: grant.error.message }));
-                return true;
-            }
-            const result = takeGrant(grant.data);
-            answer(response, result.accepted ? 200 : 409, JSON.stringify(result));
-            return true;
-        }
-        if (url === targetPaths.health) {
-            answer(response, 200, JSON.stringify({ state: laggedView().state, clock: clock(), incarnation }));
-            return true;
-        }
-        if (url === targetPaths.load) {
-            const view = laggedView();
-            answer(response, 200, JSON.stringify({ running: view.running, queued: view.queued }));
-            return true;
-        }
-        if (url.startsWith(`${targetPaths.requests}/`) && request.method === "DELETE") {
-            const requestId = url.slice(targetPaths.requests.length + 1);
-            const held = waiting.length;
-            waiting = waiting.filter(entry => headerOf(entry.request, targetRequestHeaders.requestId) !== requestId);
-            answer(response, 200, JSON.stringify({ cancelled: waiting.length < held }));
-            return true;
+    const receive = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+        if (isControlPath(request.url ?? "/")) {
+            await serveControl({ shape: targetFaultsSchema.partial(), change, records }, request, response);
+            return;
         }
-        return false;
+        const body = await readBody(request);
+        unlessFrozen(() => serve(request, response, body));
     };
 
-    const serve = (request: IncomingMessage, response: ServerResponse): void => {
-        const parts: Buffer[] = [];
-        request.on("data", (part: Buffer) => parts.push(part));
-        request.on("error", () => undefined);
-        request.on("end", () =>
-            unlessFrozen(() => {
-                const body = Buffer.concat(parts).toString("utf8");
-                if (!serveOwnPath(request.url ?? "/", request, response, body)) {
-                    admit(request, response, body);
-                }
-            }));
+    const createLife = (): Life => {
+        const incarnation = randomUUID();
+        const startedAt = clock();
+        const warmth = (): number => clock() - startedAt < faults.coldMilliseconds ? faults.coldFactor : 1;
+        return {
+            incarnation,
+            startedAt,
+            grants: createGrantLedger({ incarnation, slotCount, slotHash, clock, spans }),
+            work: createWorkQueue({
+                concurrency: options.concurrency,
+                queueLength: options.queueLength ?? defaultQueueLength,
+                serviceMilliseconds: () => options.serviceMilliseconds * faults.slowFactor * warmth(),
+                unlessFrozen,
+            }),
+        };
     };
 
     const open = async (): Promise<void> => {
-        incarnation = randomUUID();
-        startedAt = clock();
-        grants = new Map();
-        highestRevisions = new Map();
-        runningSlots = new Map();
-        running = 0;
-        waiting = [];
-        draining = false;
-        lagged = [];
-        server = createServer({ keepAliveTimeout: 60_000 }, serve);
+        life = createLife();
+        views = [];
         let connections = 0;
+        server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+            receive(request, response).catch(() => response.destroy());
+        });
         server.on("connection", socket => {
             connections += 1;
             peakConnections = Math.max(peakConnections, connections);
@@ -405,46 +309,55 @@
             server.closeAllConnections();
         });
 
-    const crash = async (): Promise<void> => {
-        const now = clock();
-        for (const spanKey of [...openSpans.keys()]) {
-            closeSpan(spanKey, now);
+    const loseRunning = (): void => {
+        for (const run of executions) {
+            if (run.outcome === runOutcomes.running) {
+                run.outcome = runOutcomes.lost;
+                run.finishedAt = clock();
+            }
         }
-        openSpans = new Map();
-        incarnation = "";
-        frozen = undefined;
+    };
+
+    const crash = async (): Promise<void> => {
+        life.grants.close();
+        life.work.close();
+        loseRunning();
+        held = [];
         await shut();
     };
 
+    const thaw = (): void => {
+        const works = held;
+        held = [];
+        works.forEach(work => work());
+    };
+
+    const change = async (changes: Partial<TargetFaults>): Promise<void> => {
+        const wasCrashed = faults.crashed;
+        Object.assign(faults, changes);
+        if (faults.crashed && !wasCrashed) {
+            await crash();
+        }
+        if (!faults.crashed && wasCrashed) {
+            await open();
+        }
+        if (!faults.frozen) {
+            thaw();
+        }
+    };
+
+    const records = (): TargetRecords => ({ name: options.name, executions, spans, refusals, peakConnections });
+
     await open();
     return {
         name: options.name,
         address: `127.0.0.1:${port}`,
         executions,
-        ownedSpans: () => [...closedSpans, ...openSpans.values()],
+        ownedSpans: () => spans,
         refusals,
-        peakConnections: () => peakConnections,
-        freeze: () => {
-            frozen ??= [];
-        },
-        thaw: () => {
-            const held = frozen ?? [];
-            frozen = undefined;
-            for (const work of held) {
-                work();
-            }
-        },
-        crash,
-        restart: open,
-        drain: () => {
-            draining = true;
-        },
-        shed: active => {
-            shedding = active;
-        },
-        poisonKey: key => {
-            poisonedKey = key;
-        },
+        records,
+        faults: () => faults,
+        change,
         close: shut,
     };
 };
