--- a/stand-ins/target.ts
+++ b/stand-ins/target.ts
@@ -64,6 +64,13 @@
     faults: () => TargetFaults;
     /** Changes the named faults and leaves the others. */
     change: (faults: Partial<TargetFaults>) => Promise<void>;
+    freeze: () => void;
+    thaw: () => void;
+    /** Drops all connections and state at once. */
+    crash: () => Promise<void>;
+    /** Starts again at the same address, as a new incarnation. */
+    restart: () => Promise<void>;
+    drain: () => void;
     close: () => Promise<void>;
 };
 
@@ -358,6 +365,11 @@
         records,
         faults: () => faults,
         change,
+        freeze: () => void change({ frozen: true }),
+        thaw: () => void change({ frozen: false }),
+        crash: () => change({ crashed: true }),
+        restart: () => change({ crashed: false }),
+        drain: () => void change({ draining: true }),
         close: shut,
     };
 };
