Give the trial a lost target, a stopped host and a verdict

The trial ran a load and counted sends. Its callers now heed the hosts' health check and send again what did not run; a target is lost and a host stopped on the way; the table and the exit code come from the verdict on the targets' own records.

--- /dev/null
+++ b/bench/load.ts
@@ -0,0 +1,117 @@
+/**
+ * A seeded open-loop load: requests are due at times that do not depend on answers, and latency counts from when a
+ * request was due.
+ */
+import { build as buildHistogram, type Histogram } from "hdr-histogram-js";
+import type { Agent } from "undici";
+import { outcomes } from "../src/contracts/outcome.ts";
+import { machineMilliseconds } from "../stand-ins/target.ts";
+import { callUntilAnswered, createAgent, createBalancer, pause } from "./caller.ts";
+import { createRandom, type Random } from "./random.ts";
+import type { CallerRecord } from "./verdict.ts";
+
+/** A change of the load from a moment on. */
+export type LoadPhase = {
+    atSeconds: number;
+    /** Factor on the rate of all pools. */
+    factor: number;
+    /** Share of the requests that go to the first key. */
+    hotShare: number;
+};
+
+export type PoolLoad = { pool: string; method: string; token: string; perSecond: number; keys: number };
+
+export type LoadOptions = {
+    /** Callers' addresses of the hosts. */
+    hosts: string[];
+    pools: PoolLoad[];
+    seed: number;
+    /** Begin, on the machine's monotonic clock. */
+    startAt: number;
+    seconds: number;
+    phases: LoadPhase[];
+    bodyBytes: number;
+    /** Told once a second of the requests answered so far. */
+    onProgress?: (second: number, answered: number) => void;
+};
+
+/** What became of the load of one pool. */
+export type LoadResult = {
+    records: CallerRecord[];
+    /** Latencies of answered requests in microseconds. */
+    histogram: Histogram;
+    /** Longest delay between when a request was due and when the generator sent it, in milliseconds. */
+    latestSendMilliseconds: number;
+};
+
+const steady: LoadPhase = { atSeconds: 0, factor: 1, hotShare: 0 };
+const microsecondsPerMillisecond = 1_000;
+
+const phaseAt = (phases: LoadPhase[], seconds: number): LoadPhase =>
+    phases.filter(phase => phase.atSeconds <= seconds).at(-1) ?? steady;
+
+const keyOf = (load: PoolLoad, phase: LoadPhase, random: Random): string =>
+    phase.hotShare > 0 && random.unit() < phase.hotShare ? "key-0" : `key-${random.below(load.keys)}`;
+
+const runPool = async (
+    options: LoadOptions,
+    load: PoolLoad,
+    seed: number,
+    agent: Agent,
+    result: LoadResult,
+    signal: AbortSignal,
+): Promise<void> => {
+    const random = createRandom(seed);
+    const backOffRandom = createRandom(seed + 1);
+    const balancer = createBalancer(options.hosts, agent, createRandom(seed + 2), signal);
+    const pending: Array<Promise<void>> = [];
+    let dueAt = options.startAt;
+    let sequence = 0;
+
+    const sendOne = async (due: number, key: string, id: string): Promise<void> => {
+        const { pool, method, token } = load;
+        const request = { pool, method, token, key, id, dueAt: due, bodyBytes: options.bodyBytes };
+        const records = await callUntilAnswered(agent, balancer, request, backOffRandom);
+        result.records.push(...records);
+        const last = records[records.length - 1];
+        if (last.outcome === outcomes.answered) {
+            result.histogram.recordValue(Math.max(1, Math.round((last.endedAt - due) * microsecondsPerMillisecond)));
+        }
+    };
+
+    while (dueAt < options.startAt + options.seconds * 1_000) {
+        const wait = dueAt - machineMilliseconds();
+        if (wait > 0) {
+            await pause(wait);
+        }
+        result.latestSendMilliseconds = Math.max(result.latestSendMilliseconds, machineMilliseconds() - dueAt);
+        const phase = phaseAt(options.phases, (dueAt - options.startAt) / 1_000);
+        pending.push(sendOne(dueAt, keyOf(load, phase, random), `${load.pool}-${seed}-${sequence}`));
+        sequence += 1;
+        dueAt += random.exponential(1_000 / (load.perSecond * phase.factor));
+    }
+    await Promise.all(pending);
+};
+
+/** Runs the load of all pools and gives the result of each. */
+export const runLoad = async (options: LoadOptions): Promise<Record<string, LoadResult>> => {
+    const agent = createAgent();
+    const life = new AbortController();
+    const results: Record<string, LoadResult> = {};
+    const total = (): number => Object.values(results).reduce((sum, result) => sum + result.histogram.totalCount, 0);
+    const progress = setInterval(() => {
+        const second = Math.floor((machineMilliseconds() - options.startAt) / 1_000);
+        if (second >= 1) {
+            options.onProgress?.(second, total());
+        }
+    }, 1_000);
+    await Promise.all(options.pools.map((load, index) => {
+        const result = { records: [], histogram: buildHistogram(), latestSendMilliseconds: 0 };
+        results[load.pool] = result;
+        return runPool(options, load, options.seed + index * 1_000, agent, result, life.signal);
+    }));
+    clearInterval(progress);
+    life.abort();
+    await agent.destroy();
+    return results;
+};
--- a/bench/trial.ts
+++ b/bench/trial.ts
@@ -1,48 +1,34 @@
 /**
- * The trial: the whole path in one process, with embedded stand-ins, three hosts in three zones and a seeded load.
+ * The trial: the whole path in one process, with embedded stand-ins, three hosts in three zones and a seeded load. On
+ * the way one target is lost and one host is stopped.
  */
-import { build as buildHistogram, type Histogram } from "hdr-histogram-js";
-import { Agent } from "undici";
 import { settingsSchema } from "../src/contracts/settings.ts";
+import { createSlotHash } from "../src/decisions/hash.ts";
 import { silentLog } from "../src/links/logs.ts";
 import { createHost, type Host } from "../src/machines/host.ts";
-import { createPlatformStandIn } from "../stand-ins/platform.ts";
-import type { TargetStandIn } from "../stand-ins/target.ts";
+import { createPlatformStandIn, type PlatformStandIn } from "../stand-ins/platform.ts";
+import { machineMilliseconds, type TargetStandIn } from "../stand-ins/target.ts";
+import { createAgent, pause, sendOnce } from "./caller.ts";
 import { allowanceOf, customers, planOf, poolOf, type PoolShape, startTargets } from "./customers.ts";
-import { createRandom, type Random } from "./random.ts";
+import { type LoadResult, runLoad } from "./load.ts";
+import { allKept, type PoolSummary, sumLine, summarize, summaryTable } from "./summary.ts";
+import { judgePool } from "./verdict.ts";
 
 export type TrialOptions = { seconds: number; seed: number; write: (line: string) => void };
 
-export type TrialPoolResult = {
-    requests: number;
-    answered: number;
-    notRun: number;
-    unknown: number;
-    doubled: number;
-    wrong: number;
-    partial: number;
-    p50Milliseconds: number;
-    p99Milliseconds: number;
-};
-
-export type TrialResult = { kept: boolean; pools: Record<string, TrialPoolResult> };
+export type TrialResult = { kept: boolean; pools: Record<string, PoolSummary> };
 
-type PoolRun = {
-    shape: PoolShape;
-    token: string;
-    targets: TargetStandIn[];
-    histogram: Histogram;
-    result: TrialPoolResult;
-};
+type TrialPool = { shape: PoolShape; token: string; targets: TargetStandIn[] };
 
 const hostNames = ["host-a", "host-b", "host-c"];
 const zones = ["midlands-a", "midlands-b", "midlands-c"];
 const requestsPerSecondPerPool = 60;
 const keysPerPool = 500;
 const readyPollMilliseconds = 50;
-const readyLimitMilliseconds = 10_000;
-
-const pause = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
+const readyLimitMilliseconds = 15_000;
+const warmUpRequests = 20;
+const lossShare = 0.3;
+const stopShare = 0.6;
 
 const startHost = (name: string, zone: string, url: string): Promise<Host> =>
     createHost({
@@ -57,141 +43,111 @@
         log: silentLog,
     });
 
-const emptyResult = (): TrialPoolResult => ({
-    requests: 0,
-    answered: 0,
-    notRun: 0,
-    unknown: 0,
-    doubled: 0,
-    wrong: 0,
-    partial: 0,
-    p50Milliseconds: 0,
-    p99Milliseconds: 0,
-});
-
-const sendOne = async (agent: Agent, host: Host, run: PoolRun, random: Random): Promise<void> => {
-    const key = `key-${random.below(keysPerPool)}`;
-    const id = `id-${run.shape.name}-${run.result.requests}`;
-    const { result } = run;
-    const startedAt = performance.now();
-    result.requests += 1;
-    try {
-        const response = await agent.request({
-            origin: `http://${host.callerAddress}`,
-            method: run.shape.method as "GET",
-            path: `/${run.shape.name}/item`,
-            headers: {
-                authorization: `Bearer ${run.token}`,
-                "carobpier-key": key,
-                "idempotency-key": id,
-                "carobpier-attempt": "1",
-            },
-        });
-        const body = await response.body.json() as { key?: string };
-        const outcome = response.headers["carobpier-outcome"];
-        if (outcome === "answered") {
-            result.answered += 1;
-            result.wrong += body.key === key ? 0 : 1;
-            run.histogram.recordValue(Math.round((performance.now() - startedAt) * 1_000));
-            return;
+const startPools = async (platform: PlatformStandIn): Promise<TrialPool[]> => {
+    const pools: TrialPool[] = [];
+    for (const customer of customers) {
+        for (const shape of customer.pools) {
+            const targets = await startTargets(shape);
+            pools.push({ shape, token: customer.token, targets });
+            platform.write("pools", shape.name, poolOf(shape, targets));
         }
-        result.notRun += outcome === "not-run" ? 1 : 0;
-        result.unknown += outcome === "not-run" ? 0 : 1;
-    }
-    catch {
-        result.unknown += 1;
+        platform.write("plans", customer.name, planOf(customer));
+        platform.write("allowances", customer.name, allowanceOf(customer));
     }
+    return pools;
 };
 
-const load = async (run: PoolRun, hosts: Host[], agent: Agent, random: Random, seconds: number): Promise<void> => {
-    const endAt = performance.now() + seconds * 1_000;
-    const pending: Array<Promise<void>> = [];
-    let nextAt = performance.now();
-    while (nextAt < endAt) {
-        await pause(Math.max(0, nextAt - performance.now()));
-        pending.push(sendOne(agent, hosts[random.below(hosts.length)], run, random));
-        nextAt += random.exponential(1_000 / requestsPerSecondPerPool);
+/** Sends requests over the host until enough were answered, so that the load meets a system that serves. */
+const warmUp = async (host: Host, pools: TrialPool[]): Promise<void> => {
+    const agent = createAgent();
+    const endAt = machineMilliseconds() + readyLimitMilliseconds;
+    for (const { shape, token } of pools) {
+        let answered = 0;
+        let sent = 0;
+        while (answered < warmUpRequests && machineMilliseconds() < endAt) {
+            sent += 1;
+            const id = `warm-up-${host.name}-${shape.name}-${sent}`;
+            const { name: pool, method } = shape;
+            const request = { pool, method, token, key: `key-${sent}`, id, dueAt: 0, bodyBytes: 0 };
+            const record = await sendOnce(agent, host.callerAddress, request, 1, machineMilliseconds(), 1_000);
+            answered += record.outcome === "answered" ? 1 : 0;
+            await pause(record.outcome === "answered" ? 0 : readyPollMilliseconds);
+        }
     }
-    await Promise.all(pending);
+    await agent.destroy();
 };
 
-const countDoubled = (run: PoolRun): number => {
-    const seen = new Set<string>();
-    let doubled = 0;
-    for (const execution of run.targets.flatMap(target => target.executions)) {
-        doubled += run.shape.once && seen.has(execution.idempotencyKey) ? 1 : 0;
-        seen.add(execution.idempotencyKey);
-    }
-    return doubled;
+/** Loses a target and stops a host on the way. */
+const disturb = async (options: TrialOptions, pools: TrialPool[], hosts: Host[]): Promise<void> => {
+    const lost = pools[0].targets[0];
+    const stopped = hosts[hosts.length - 1];
+    await pause(options.seconds * 1_000 * lossShare);
+    options.write(`Target "${lost.name}" is lost.`);
+    await lost.crash();
+    await pause(options.seconds * 1_000 * (stopShare - lossShare));
+    options.write(`Host "${stopped.name}" stops.`);
+    await stopped.stop();
 };
 
-const untilReady = async (hosts: Host[], runs: PoolRun[], agent: Agent): Promise<void> => {
-    const endAt = performance.now() + readyLimitMilliseconds;
-    for (const host of hosts) {
-        for (const run of runs) {
-            const probe = { ...run, result: emptyResult(), histogram: buildHistogram() };
-            while (probe.result.answered === 0 && performance.now() < endAt) {
-                await sendOne(agent, host, probe, createRandom(probe.result.requests));
-                await pause(probe.result.answered === 0 ? readyPollMilliseconds : 0);
-            }
-        }
-    }
-    runs.forEach(run => run.targets.forEach(target => target.executions.splice(0)));
-};
-
-const report = (runs: PoolRun[], write: (line: string) => void): TrialResult => {
-    const pools: TrialResult["pools"] = {};
-    const sums = { doubled: 0, wrong: 0, partial: 0, answered: 0, notRun: 0, unknown: 0 };
-    write("pool          requests answered not-run unknown doubled    p50    p99");
-    for (const run of runs) {
-        const { result } = run;
-        result.doubled = countDoubled(run);
-        result.p50Milliseconds = run.histogram.getValueAtPercentile(50) / 1_000;
-        result.p99Milliseconds = run.histogram.getValueAtPercentile(99) / 1_000;
-        pools[run.shape.name] = result;
-        sums.doubled += result.doubled;
-        sums.wrong += result.wrong;
-        sums.partial += result.partial;
-        sums.answered += result.answered;
-        sums.notRun += result.notRun;
-        sums.unknown += result.unknown;
-        write([
-            run.shape.name.padEnd(13),
-            ...[result.requests, result.answered, result.notRun, result.unknown, result.doubled]
-                .map(count => String(count).padStart(7)),
-            result.p50Milliseconds.toFixed(1).padStart(6),
-            result.p99Milliseconds.toFixed(1).padStart(6),
-        ].join(" "));
+const judge = async (
+    pools: TrialPool[],
+    results: Record<string, LoadResult>,
+): Promise<Record<string, PoolSummary>> => {
+    const slotHash = await createSlotHash();
+    const summaries: Record<string, PoolSummary> = {};
+    for (const { shape, targets } of pools) {
+        const { records, histogram } = results[shape.name];
+        const verdict = judgePool({
+            pool: shape.name,
+            slotCount: 1_024,
+            slotHash,
+            byKey: shape.byKey,
+            once: shape.once,
+            targets: targets.map(target => ({ ...target.records(), speed: 1 })),
+            callers: records,
+            endedAt: machineMilliseconds(),
+        });
+        summaries[shape.name] = summarize(verdict, histogram);
     }
-    write(
-        `doubled=${sums.doubled} wrong=${sums.wrong} partial=${sums.partial} answered=${sums.answered} `
-            + `not-run=${sums.notRun} unknown=${sums.unknown}`,
-    );
-    return { kept: sums.doubled + sums.wrong + sums.partial === 0 && sums.answered > 0, pools };
+    return summaries;
 };
 
 /** Runs the trial and disposes of all that it started. */
 export const runTrial = async (options: TrialOptions): Promise<TrialResult> => {
     const platform = await createPlatformStandIn();
-    const agent = new Agent({ connections: 64 });
-    const runs: PoolRun[] = [];
-    for (const customer of customers) {
-        for (const shape of customer.pools) {
-            const targets = await startTargets(shape);
-            runs.push({ shape, token: customer.token, targets, histogram: buildHistogram(), result: emptyResult() });
-            platform.write("pools", shape.name, poolOf(shape, targets));
-        }
-        platform.write("plans", customer.name, planOf(customer));
-        platform.write("allowances", customer.name, allowanceOf(customer));
-    }
+    const pools = await startPools(platform);
     const hosts = await Promise.all(hostNames.map((name, index) => startHost(name, zones[index], platform.url)));
-    await untilReady(hosts, runs, agent);
-    options.write(`${hosts.length} hosts serve ${runs.length} pools; load for ${options.seconds} s.`);
-    const random = createRandom(options.seed);
-    await Promise.all(runs.map(run => load(run, hosts, agent, random, options.seconds)));
-    await Promise.all(hosts.map(host => host.stop()));
-    await agent.destroy();
-    await Promise.all(runs.flatMap(run => run.targets.map(target => target.close())));
+    for (const host of hosts) {
+        await warmUp(host, pools);
+    }
+    pools.forEach(({ targets }) => targets.forEach(target => target.executions.splice(0)));
+    options.write(`${hosts.length} hosts serve ${pools.length} pools; load for ${options.seconds} s.`);
+    const disturbance = disturb(options, pools, hosts);
+    const results = await runLoad({
+        hosts: hosts.map(host => host.callerAddress),
+        pools: pools.map(({ shape, token }) => ({
+            pool: shape.name,
+            method: shape.method,
+            token,
+            perSecond: requestsPerSecondPerPool,
+            keys: keysPerPool,
+        })),
+        seed: options.seed,
+        startAt: machineMilliseconds(),
+        seconds: options.seconds,
+        phases: [],
+        bodyBytes: 64,
+        onProgress: (second, answered) => options.write(`${second} s: ${answered} answered.`),
+    });
+    await disturbance;
+    const summaries = await judge(pools, results);
+    await Promise.all(hosts.slice(0, -1).map(host => host.stop()));
+    await Promise.all(pools.flatMap(({ targets }) => targets.map(target => target.close())));
     await platform.close();
-    return report(runs, options.write);
+    summaryTable(summaries).forEach(options.write);
+    for (const { findings } of Object.values(summaries)) {
+        findings.forEach(options.write);
+    }
+    options.write(sumLine(summaries));
+    return { kept: allKept(summaries), pools: summaries };
 };
