Run cases with hosts and stand-ins as separate processes

npm run bench -- CASE starts hosts, the platform's and the targets' stand-ins and the load generator as processes of their own, follows a timeline of faults from a YAML file, and judges the run by the targets' records.

--- a/bench/customers.ts
+++ b/bench/customers.ts
@@ -20,6 +20,10 @@
     path: string;
     once: boolean;
     deferrable: boolean;
+    /** Relative speeds of the targets, repeated over them. */
+    speeds: number[];
+    /** Average delay that the way between zones adds to an answer. */
+    networkMilliseconds: number;
 };
 
 export type Customer = { name: string; token: string; zones: string[]; pools: PoolShape[] };
@@ -27,13 +31,23 @@
 const hallamZones = ["midlands-a", "midlands-b", "midlands-c"];
 const verhaegheZones = ["coast-a", "coast-b", "coast-c", "coast-d"];
 
-const hallamPool = { customer: "hallam", concurrency: 3, connections: 120, zones: hallamZones, deferrable: false };
+const hallamPool = {
+    customer: "hallam",
+    concurrency: 3,
+    connections: 120,
+    zones: hallamZones,
+    deferrable: false,
+    speeds: [1, 1.5, 0.7],
+    networkMilliseconds: 2,
+};
 const verhaeghePool = {
     customer: "verhaeghe",
     concurrency: 4,
     connections: 110,
     zones: verhaegheZones,
     deferrable: false,
+    speeds: [1, 1, 2],
+    networkMilliseconds: 1.5,
 };
 const read = { method: "GET", path: "/", once: false };
 const placement = { method: "POST", path: "/", once: true };
@@ -81,6 +95,16 @@
     uses: customer.pools.map(pool => ({ pool: pool.name })),
 });
 
+/** The relative speed of a target of the pool. */
+export const speedOf = (shape: PoolShape, index: number): number => shape.speeds[index % shape.speeds.length];
+
+/** Requests a second that the targets of a pool can serve together. */
+export const capacityOf = (shape: PoolShape): number =>
+    [...Array(shape.targets).keys()].reduce(
+        (sum, index) => sum + speedOf(shape, index) * shape.concurrency * 1_000 / shape.serviceMilliseconds,
+        0,
+    );
+
 /** Starts the targets of a pool. */
 export const startTargets = (shape: PoolShape): Promise<TargetStandIn[]> =>
     Promise.all([...Array(shape.targets).keys()].map(index =>
@@ -91,11 +115,12 @@
             concurrency: shape.concurrency,
             connections: shape.connections,
             serviceMilliseconds: shape.serviceMilliseconds,
+            faults: { slowFactor: 1 / speedOf(shape, index), networkMilliseconds: shape.networkMilliseconds },
         })
     ));
 
 /** The pool object for targets that run. */
-export const poolOf = (shape: PoolShape, targets: TargetStandIn[]): Pool =>
+export const poolOf = (shape: PoolShape, targets: Array<Pick<TargetStandIn, "name" | "address">>): Pool =>
     poolSchema.parse({
         customer: shape.customer,
         division: shape.byKey ? "by-key" : "any",
@@ -106,6 +131,7 @@
             zone: shape.zones[index % shape.zones.length],
             concurrency: shape.concurrency,
             connections: shape.connections,
+            speed: speedOf(shape, index),
         })),
         routes: [{
             name: "main",
--- /dev/null
+++ b/bench/fleet.ts
@@ -0,0 +1,217 @@
+/**
+ * The fleet of a case: the platform's and the targets' stand-ins and the hosts, each in a process of its own.
+ */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { bundleProgram } from "../scripts/bundle.ts";
+import type { HostReport } from "../src/machines/host.ts";
+import type { BenchCase } from "./case.ts";
+import { type Child, type ProcessFigures, startPart, startProgram, type TalkingChild } from "./children.ts";
+import {
+    allowanceOf,
+    capacityOf,
+    type Customer,
+    customers,
+    planOf,
+    poolOf,
+    type PoolShape,
+    speedOf,
+} from "./customers.ts";
+import type { StandInsAnswer, StandInsQuestion } from "./standinspart.ts";
+
+export type StandInsChild = TalkingChild<StandInsQuestion, StandInsAnswer>;
+
+/** Bundled programs of one state of the source. */
+export type Programs = { folder: string; host: string; standIns: string; load: string };
+
+export type FleetHost = {
+    name: string;
+    callerAddress: string;
+    settingsFile: string;
+    child: Child;
+    /** How each process that ran under the name ended. */
+    ends: string[];
+    status: () => Promise<HostReport | undefined>;
+    figures: () => ProcessFigures | undefined;
+};
+
+export type Fleet = {
+    customer: Customer;
+    platformUrl: string;
+    platform: StandInsChild;
+    targets: StandInsChild;
+    hosts: FleetHost[];
+    /** Starts the process of a host again. */
+    startHost: (host: FleetHost) => void;
+    close: () => Promise<void>;
+};
+
+const stopLimitMilliseconds = 10_000;
+const statusTimeoutMilliseconds = 500;
+
+/** Bundles the programs. Hosts come from `tree`, another state of the source, when it is given. */
+export const bundlePrograms = async (tree = "."): Promise<Programs> => {
+    const folder = await mkdtemp(join(tmpdir(), "carobpier-bench-"));
+    const programs = {
+        folder,
+        host: join(folder, "host.cjs"),
+        standIns: join(folder, "standins.cjs"),
+        load: join(folder, "load.cjs"),
+    };
+    await bundleProgram(join(tree, "src/main.ts"), programs.host);
+    await bundleProgram("bench/standinspart.ts", programs.standIns);
+    await bundleProgram("bench/loadpart.ts", programs.load);
+    return programs;
+};
+
+const freePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+
+const setAt = (settings: Record<string, unknown>, path: string, value: unknown): void => {
+    const names = path.split(".");
+    let current = settings;
+    for (const name of names.slice(0, -1)) {
+        current[name] = current[name] ?? {};
+        current = current[name] as Record<string, unknown>;
+    }
+    current[names[names.length - 1]] = value;
+};
+
+/** The customer's pools at the sizes of the case. */
+export const shapesOf = (customer: Customer, benchCase: BenchCase): PoolShape[] =>
+    customer.pools.map(shape => ({
+        ...shape,
+        targets: Math.max(1, Math.round(shape.targets * benchCase.targetFactor)),
+        serviceMilliseconds: shape.serviceMilliseconds * benchCase.serviceFactor,
+    }));
+
+/** The requests a second of a pool: its share of the case's rate by capacity. */
+export const rateOf = (shapes: PoolShape[], shape: PoolShape, perSecond: number): number =>
+    perSecond * capacityOf(shape) / shapes.reduce((sum, other) => sum + capacityOf(other), 0);
+
+const fetchStatus = async (address: string): Promise<HostReport | undefined> => {
+    try {
+        const limit = AbortSignal.timeout(statusTimeoutMilliseconds);
+        const response = await fetch(`http://${address}/status`, { signal: limit });
+        return await response.json() as HostReport;
+    }
+    catch {
+        return undefined;
+    }
+};
+
+/** Starts the fleet of a case. Logs of the hosts go to the programs' folder. */
+export const startFleet = async (benchCase: BenchCase, programs: Programs): Promise<Fleet> => {
+    const customer = customers.find(({ name }) => name === benchCase.customer) ?? customers[0];
+    const shapes = shapesOf(customer, benchCase);
+    const targets: StandInsChild = startPart(programs.standIns);
+    const platform: StandInsChild = startPart(programs.standIns);
+    const started = await targets.ask({
+        kind: "start-targets",
+        targets: shapes.flatMap(shape =>
+            [...Array(shape.targets).keys()].map(index => ({
+                name: `${shape.name}-${index + 1}`,
+                checksGrants: true,
+                byKey: shape.byKey,
+                slotCount: benchCase.slotCount,
+                concurrency: shape.concurrency,
+                connections: shape.connections,
+                serviceMilliseconds: shape.serviceMilliseconds,
+                faults: { slowFactor: 1 / speedOf(shape, index), networkMilliseconds: shape.networkMilliseconds },
+            }))
+        ),
+    });
+    const objects = shapes.map(shape => {
+        const own = started.targets?.filter(({ name }) => name.startsWith(`${shape.name}-`)) ?? [];
+        const value = { ...poolOf(shape, own), slotCount: benchCase.slotCount };
+        return { kind: "pools" as const, name: shape.name, value };
+    });
+    const { platformUrl = "" } = await platform.ask({
+        kind: "start-platform",
+        objects: [
+            ...objects,
+            { kind: "plans", name: customer.name, value: planOf(customer) },
+            { kind: "allowances", name: customer.name, value: allowanceOf(customer) },
+        ],
+    });
+
+    const keyFile = join(programs.folder, "peer.key");
+    await writeFile(keyFile, "bench-key");
+
+    const createFleetHost = async (index: number): Promise<FleetHost> => {
+        const name = `host-${String(index + 1).padStart(2, "0")}`;
+        const ports = [await freePort(), await freePort(), await freePort()];
+        const settings: Record<string, unknown> = {
+            host: { name, zone: customer.zones[index % customer.zones.length] },
+            platform: { url: platformUrl },
+            callers: { port: ports[0] },
+            peers: { port: ports[1], keyFiles: [keyFile] },
+            operators: { port: ports[2] },
+        };
+        Object.entries(benchCase.settings).forEach(([path, value]) => setAt(settings, path, value));
+        const settingsFile = join(programs.folder, `${name}.yaml`);
+        await writeFile(settingsFile, JSON.stringify(settings));
+        const host: FleetHost = {
+            name,
+            callerAddress: `127.0.0.1:${ports[0]}`,
+            settingsFile,
+            child: undefined as unknown as Child,
+            ends: [],
+            status: () => fetchStatus(`127.0.0.1:${ports[2]}`),
+            figures: () => host.child.figures(),
+        };
+        startHost(host);
+        return host;
+    };
+
+    const startHost = (host: FleetHost): void => {
+        const child = startProgram(
+            programs.host,
+            ["run", "--settings", host.settingsFile],
+            join(programs.folder, `${host.name}.log`),
+        );
+        host.child = child;
+        void child.ended.then(end => host.ends.push(end));
+    };
+
+    const hosts: FleetHost[] = [];
+    for (let index = 0; index < benchCase.hosts; index += 1) {
+        hosts.push(await createFleetHost(index));
+    }
+
+    const endHost = async ({ child }: FleetHost): Promise<void> => {
+        child.signal("SIGCONT");
+        child.signal("SIGTERM");
+        const limit = setTimeout(() => child.signal("SIGKILL"), stopLimitMilliseconds);
+        await child.ended;
+        clearTimeout(limit);
+    };
+
+    return {
+        customer: { ...customer, pools: shapes },
+        platformUrl,
+        platform,
+        targets,
+        hosts,
+        startHost,
+        close: async () => {
+            await Promise.all(hosts.filter(host => host.child.isRunning()).map(endHost));
+            targets.signal("SIGKILL");
+            platform.signal("SIGKILL");
+            await Promise.all([targets.ended, platform.ended]);
+        },
+    };
+};
+
+/** Removes the bundled programs and the hosts' logs. */
+export const removePrograms = (programs: Programs): Promise<void> =>
+    rm(programs.folder, { recursive: true, force: true });
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -6,7 +6,7 @@
 import type { Agent } from "undici";
 import { outcomes } from "../src/contracts/outcome.ts";
 import { machineMilliseconds } from "../stand-ins/target.ts";
-import { callUntilAnswered, createAgent, createBalancer, pause } from "./caller.ts";
+import { type Balancer, callUntilAnswered, createAgent, createBalancer, pause } from "./caller.ts";
 import { createRandom, type Random } from "./random.ts";
 import type { CallerRecord } from "./verdict.ts";
 
@@ -58,12 +58,11 @@
     load: PoolLoad,
     seed: number,
     agent: Agent,
+    balancer: Balancer,
     result: LoadResult,
-    signal: AbortSignal,
 ): Promise<void> => {
     const random = createRandom(seed);
     const backOffRandom = createRandom(seed + 1);
-    const balancer = createBalancer(options.hosts, agent, createRandom(seed + 2), signal);
     const pending: Array<Promise<void>> = [];
     let dueAt = options.startAt;
     let sequence = 0;
@@ -97,6 +96,7 @@
 export const runLoad = async (options: LoadOptions): Promise<Record<string, LoadResult>> => {
     const agent = createAgent();
     const life = new AbortController();
+    const balancer = createBalancer(options.hosts, agent, createRandom(options.seed - 1), life.signal);
     const results: Record<string, LoadResult> = {};
     const total = (): number => Object.values(results).reduce((sum, result) => sum + result.histogram.totalCount, 0);
     const progress = setInterval(() => {
@@ -108,7 +108,7 @@
     await Promise.all(options.pools.map((load, index) => {
         const result = { records: [], histogram: buildHistogram(), latestSendMilliseconds: 0 };
         results[load.pool] = result;
-        return runPool(options, load, options.seed + index * 1_000, agent, result, life.signal);
+        return runPool(options, load, options.seed + index * 1_000, agent, balancer, result);
     }));
     clearInterval(progress);
     life.abort();
--- /dev/null
+++ b/bench/report.ts
@@ -0,0 +1,58 @@
+/**
+ * Reports of runs as small text files.
+ */
+import { mkdir, writeFile } from "node:fs/promises";
+import type { CaseResult } from "./runcase.ts";
+import { sumLine, summaryTable } from "./summary.ts";
+import { tableOf } from "./table.ts";
+
+const resultsFolder = "bench/results";
+
+const fixed = (value: number, digits: number): string => value.toFixed(digits);
+
+const hostRows = (result: CaseResult): string[] =>
+    tableOf(
+        ["host", "cpu-%", "resident-MB", "peak-MB", "peer-KB/s", "ended"],
+        result.hosts.map(host => [
+            host.name,
+            fixed(host.cpuShare * 100, 1),
+            fixed(host.residentMegabytes, 0),
+            fixed(host.peakMegabytes, 0),
+            fixed(host.peerBytesPerSecond / 1_000, 2),
+            host.ends.join(",") || "-",
+        ]),
+    );
+
+const platformLine = ({ platform }: CaseResult): string => {
+    const calls = Object.entries(platform.callsPerSecond).map(([name, count]) => `${name}=${fixed(count, 1)}`);
+    return `platform calls/s: ${calls.join(" ")} peak=${platform.peakCallsPerSecond} writes=${platform.writes} `
+        + `KB/s=${fixed(platform.bytesPerSecond / 1_000, 1)}`;
+};
+
+const reasonLines = (result: CaseResult): string[] =>
+    Object.entries(result.pools).filter(([, pool]) => Object.keys(pool.reasons).length > 0).map(([name, pool]) => {
+        const counts = Object.entries(pool.reasons).map(([reason, count]) => `${reason}=${count}`);
+        return `reasons ${name}: ${counts.join(" ")}`;
+    });
+
+/** The lines of one run. */
+export const reportLines = (result: CaseResult): string[] => [
+    `case=${result.name} seed=${result.seed} kept=${result.kept} warm=${result.warm} cut-off=${result.cutOff}`,
+    ...result.events.map(({ at, text, broken }) => `event at ${at} s: ${text}${broken ? " (broken)" : ""}`),
+    ...summaryTable(result.pools),
+    ...reasonLines(result),
+    ...Object.values(result.pools).flatMap(({ findings }) => findings.map(finding => `finding: ${finding}`)),
+    sumLine(result.pools),
+    ...hostRows(result),
+    platformLine(result),
+    `load generator: cpu-%=${fixed(result.load.cpuShare * 100, 1)} `
+    + `latest send ${fixed(result.load.latestSendMilliseconds, 1)} ms after it was due`,
+];
+
+/** Writes lines to `bench/results/NAME`. */
+export const saveResult = async (name: string, text: string): Promise<string> => {
+    await mkdir(resultsFolder, { recursive: true });
+    const file = `${resultsFolder}/${name}`;
+    await writeFile(file, text.endsWith("\n") ? text : `${text}\n`);
+    return file;
+};
--- /dev/null
+++ b/bench/slope.ts
@@ -0,0 +1,70 @@
+/**
+ * Slopes: how a figure grows with a size, as a least-squares line through at least three runs.
+ */
+import { type BenchCase, caseSchema } from "./case.ts";
+import type { Programs } from "./fleet.ts";
+import { type CaseResult, runCase } from "./runcase.ts";
+import { tableOf } from "./table.ts";
+
+export type Line = { intercept: number; slope: number; residual: number };
+
+export type SlopeFigures = Record<string, number>;
+
+/** The least-squares line through points, with the root mean square of what it leaves over. */
+export const fitLine = (points: Array<[x: number, y: number]>): Line => {
+    const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+    const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+    const spread = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+    const slope = spread === 0 ? 0 : points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0) / spread;
+    const intercept = meanY - slope * meanX;
+    const squares = points.reduce((sum, [x, y]) => sum + (y - intercept - slope * x) ** 2, 0);
+    return { intercept, slope, residual: Math.sqrt(squares / points.length) };
+};
+
+const mean = (values: number[]): number => values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+
+/** The figures of a run of which slopes are taken. Those of hosts are means over the hosts. */
+export const figuresOf = (result: CaseResult): SlopeFigures => ({
+    "host-cpu-%": mean(result.hosts.map(host => host.cpuShare * 100)),
+    "host-peak-MB": mean(result.hosts.map(host => host.peakMegabytes)),
+    "host-peer-KB/s": mean(result.hosts.map(host => host.peerBytesPerSecond / 1_000)),
+    "platform-reads/s": (result.platform.callsPerSecond["list"] ?? 0) + (result.platform.callsPerSecond["get"] ?? 0)
+        + (result.platform.callsPerSecond["watch"] ?? 0) + (result.platform.callsPerSecond["hosts"] ?? 0),
+    "platform-writes/s": result.platform.callsPerSecond["put"] ?? 0,
+    "platform-KB/s": result.platform.bytesPerSecond / 1_000,
+});
+
+/** Runs the case once for each size and gives a table of figures and the lines through them. */
+export const runSlope = async (
+    name: string,
+    benchCase: BenchCase,
+    seed: number,
+    programs: Programs,
+): Promise<{ lines: string[]; fits: Record<string, Line>; kept: boolean }> => {
+    const { slope, ...base } = benchCase;
+    const over = slope?.over ?? "hosts";
+    const rows: Array<{ size: number; figures: SlopeFigures; kept: boolean }> = [];
+    for (const size of slope?.values ?? []) {
+        const sized = caseSchema.parse({ ...base, [over]: size });
+        const result = await runCase({ name: `${name}-${size}`, benchCase: sized, seed, programs });
+        rows.push({ size, figures: figuresOf(result), kept: result.kept });
+    }
+    const figureNames = Object.keys(rows[0].figures);
+    const fits = Object.fromEntries(
+        figureNames.map(figure => [figure, fitLine(rows.map(row => [row.size, row.figures[figure]]))]),
+    );
+    const table = tableOf(
+        [over, ...figureNames, "kept"],
+        rows.map(row => [
+            String(row.size),
+            ...figureNames.map(figure => row.figures[figure].toFixed(2)),
+            String(row.kept),
+        ]),
+    );
+    const fitRows = figureNames.map(figure => {
+        const { intercept, slope: rise, residual } = fits[figure];
+        return [figure, intercept.toPrecision(4), rise.toPrecision(4), residual.toPrecision(2)];
+    });
+    const lines = [...table, ...tableOf(["figure", "at-zero", `per-${over}`, "residual"], fitRows)];
+    return { lines, fits, kept: rows.every(row => row.kept) };
+};
--- /dev/null
+++ b/bench/timeline.ts
@@ -0,0 +1,151 @@
+/**
+ * The timeline of a case: does each event at its time and notes what became of it.
+ */
+import { randomUUID } from "node:crypto";
+import { createPlatformLink } from "../src/links/platform.ts";
+import { machineMilliseconds } from "../stand-ins/target.ts";
+import { pause } from "./caller.ts";
+import { type BenchEvent, hostActions } from "./case.ts";
+import type { Fleet, FleetHost } from "./fleet.ts";
+
+/** What became of an event. */
+export type EventNote = { at: number; text: string; broken: boolean };
+
+type EventOf<Name extends string> = Extract<BenchEvent, Record<Name, unknown>>;
+
+const platformTimeoutMilliseconds = 2_000;
+const spreadPollMilliseconds = 20;
+const spreadLimitMilliseconds = 11_000;
+const liveLimitMilliseconds = 10_000;
+
+const coordinatorOf = async (fleet: Fleet): Promise<FleetHost> => {
+    const { platformRecords } = await fleet.platform.ask({ kind: "records" });
+    const counts = new Map<string, number>();
+    for (const { kind, value } of platformRecords?.objects ?? []) {
+        if (kind === "leases") {
+            const { holder } = value as { holder: string };
+            counts.set(holder, (counts.get(holder) ?? 0) + 1);
+        }
+    }
+    const most = [...counts].sort(([, left], [, right]) => right - left)[0]?.[0];
+    return fleet.hosts.find(({ name }) => name === most) ?? fleet.hosts[0];
+};
+
+const listAs = async (fleet: Fleet, host: FleetHost, state: "live" | "gone"): Promise<void> => {
+    await fleet.platform.ask({ kind: "platform-faults", faults: { listedHosts: { [host.name]: state } } });
+};
+
+const stopHost = async (fleet: Fleet, host: FleetHost): Promise<string> => {
+    host.child.signal("SIGTERM");
+    const end = await host.child.ended;
+    await listAs(fleet, host, "gone");
+    return end;
+};
+
+const startHost = async (fleet: Fleet, host: FleetHost): Promise<void> => {
+    fleet.startHost(host);
+    await listAs(fleet, host, "live");
+    const endAt = machineMilliseconds() + liveLimitMilliseconds;
+    while ((await host.status())?.state !== "live" && machineMilliseconds() < endAt) {
+        await pause(spreadPollMilliseconds);
+    }
+};
+
+const actOnHost = async (fleet: Fleet, event: EventOf<"action">): Promise<Omit<EventNote, "at">> => {
+    const host = event.host === "coordinator" ? await coordinatorOf(fleet) : fleet.hosts[event.host - 1];
+    const text = `${host.name} ${event.action}`;
+    switch (event.action) {
+        case hostActions.kill:
+            host.child.signal("SIGKILL");
+            await listAs(fleet, host, "gone");
+            return { text, broken: false };
+        case hostActions.stop: {
+            const end = await stopHost(fleet, host);
+            return { text: `${text} ended with ${end}`, broken: end !== "0" };
+        }
+        case hostActions.start:
+            await startHost(fleet, host);
+            return { text, broken: false };
+        case hostActions.pause:
+            host.child.signal("SIGSTOP");
+            return { text, broken: false };
+        case hostActions.resume:
+            host.child.signal("SIGCONT");
+            return { text, broken: false };
+    }
+};
+
+const replaceHosts = async (fleet: Fleet, pauseSeconds: number): Promise<Omit<EventNote, "at">> => {
+    const ends: string[] = [];
+    for (const host of fleet.hosts) {
+        ends.push(await stopHost(fleet, host));
+        await startHost(fleet, host);
+        await pause(pauseSeconds * 1_000);
+    }
+    const broken = ends.some(end => end !== "0");
+    return { text: `replaced ${ends.length} hosts, which ended with ${[...new Set(ends)].join(", ")}`, broken };
+};
+
+/** Time until all hosts that answer have the version; undefined when some had not within the limit. */
+const spreadOf = async (fleet: Fleet, place: string, version: number): Promise<number | undefined> => {
+    const startedAt = machineMilliseconds();
+    while (machineMilliseconds() - startedAt < spreadLimitMilliseconds) {
+        const reports = await Promise.all(fleet.hosts.map(host => host.status()));
+        const known = reports.filter(report => report !== undefined);
+        if (known.length > 0 && known.every(report => (report.versions[place] ?? 0) >= version)) {
+            return machineMilliseconds() - startedAt;
+        }
+        await pause(spreadPollMilliseconds);
+    }
+    return undefined;
+};
+
+const editPlan = async (fleet: Fleet, name: string, operators: number): Promise<Omit<EventNote, "at">> => {
+    const platform = createPlatformLink({ url: fleet.platformUrl, timeoutMilliseconds: platformTimeoutMilliseconds });
+    const current = await platform.get("plans", name);
+    const results = await Promise.all([...Array(operators).keys()].map(index =>
+        platform.put({
+            kind: "plans",
+            name,
+            value: { ...current?.value as object, rate: { perSecond: 100_000 + index, burst: 100_000 } },
+            ifVersion: current?.version ?? 0,
+            writeId: randomUUID(),
+        })
+    ));
+    await platform.close();
+    const written = results.filter(result => result.result === "written");
+    const spread = written.length === 1 ? await spreadOf(fleet, `plans/${name}`, written[0].version) : undefined;
+    const time = spread === undefined
+        ? "not in force everywhere in time"
+        : `in force everywhere in ${spread.toFixed(0)} ms`;
+    return {
+        text: `${operators} edits of plan ${name}: ${written.length} written, ${time}`,
+        broken: written.length !== 1 || spread === undefined,
+    };
+};
+
+const perform = async (fleet: Fleet, event: BenchEvent): Promise<Omit<EventNote, "at">> => {
+    if ("target" in event) {
+        await fleet.targets.ask({ kind: "target-faults", target: event.target, faults: event.faults });
+        return { text: `${event.target} ${JSON.stringify(event.faults)}`, broken: false };
+    }
+    if ("platform" in event) {
+        await fleet.platform.ask({ kind: "platform-faults", faults: event.platform });
+        return { text: `platform ${JSON.stringify(event.platform)}`, broken: false };
+    }
+    if ("replaceHosts" in event) {
+        return replaceHosts(fleet, event.pauseSeconds);
+    }
+    if ("editPlan" in event) {
+        return editPlan(fleet, event.editPlan, event.operators);
+    }
+    return actOnHost(fleet, event);
+};
+
+/** Does all events, each at its time after the start, and resolves when the last is done. */
+export const runTimeline = (fleet: Fleet, events: BenchEvent[], startAt: number): Promise<EventNote[]> =>
+    Promise.all(events.map(async event => {
+        await pause(Math.max(0, startAt + event.at * 1_000 - machineMilliseconds()));
+        const note = await perform(fleet, event);
+        return { at: event.at, ...note };
+    }));
--- a/bench/trial.ts
+++ b/bench/trial.ts
@@ -8,11 +8,12 @@
 import { createHost, type Host } from "../src/machines/host.ts";
 import { createPlatformStandIn, type PlatformStandIn } from "../stand-ins/platform.ts";
 import { machineMilliseconds, type TargetStandIn } from "../stand-ins/target.ts";
-import { createAgent, pause, sendOnce } from "./caller.ts";
-import { allowanceOf, customers, planOf, poolOf, type PoolShape, startTargets } from "./customers.ts";
+import { pause } from "./caller.ts";
+import { allowanceOf, customers, planOf, poolOf, type PoolShape, speedOf, startTargets } from "./customers.ts";
 import { type LoadResult, runLoad } from "./load.ts";
 import { allKept, type PoolSummary, sumLine, summarize, summaryTable } from "./summary.ts";
 import { judgePool } from "./verdict.ts";
+import { warmUp } from "./warmup.ts";
 
 export type TrialOptions = { seconds: number; seed: number; write: (line: string) => void };
 
@@ -24,9 +25,6 @@
 const zones = ["midlands-a", "midlands-b", "midlands-c"];
 const requestsPerSecondPerPool = 60;
 const keysPerPool = 500;
-const readyPollMilliseconds = 50;
-const readyLimitMilliseconds = 15_000;
-const warmUpRequests = 20;
 const lossShare = 0.3;
 const stopShare = 0.6;
 
@@ -57,26 +55,6 @@
     return pools;
 };
 
-/** Sends requests over the host until enough were answered, so that the load meets a system that serves. */
-const warmUp = async (host: Host, pools: TrialPool[]): Promise<void> => {
-    const agent = createAgent();
-    const endAt = machineMilliseconds() + readyLimitMilliseconds;
-    for (const { shape, token } of pools) {
-        let answered = 0;
-        let sent = 0;
-        while (answered < warmUpRequests && machineMilliseconds() < endAt) {
-            sent += 1;
-            const id = `warm-up-${host.name}-${shape.name}-${sent}`;
-            const { name: pool, method } = shape;
-            const request = { pool, method, token, key: `key-${sent}`, id, dueAt: 0, bodyBytes: 0 };
-            const record = await sendOnce(agent, host.callerAddress, request, 1, machineMilliseconds(), 1_000);
-            answered += record.outcome === "answered" ? 1 : 0;
-            await pause(record.outcome === "answered" ? 0 : readyPollMilliseconds);
-        }
-    }
-    await agent.destroy();
-};
-
 /** Loses a target and stops a host on the way. */
 const disturb = async (options: TrialOptions, pools: TrialPool[], hosts: Host[]): Promise<void> => {
     const lost = pools[0].targets[0];
@@ -103,7 +81,7 @@
             slotHash,
             byKey: shape.byKey,
             once: shape.once,
-            targets: targets.map(target => ({ ...target.records(), speed: 1 })),
+            targets: targets.map((target, index) => ({ ...target.records(), speed: speedOf(shape, index) })),
             callers: records,
             endedAt: machineMilliseconds(),
         });
@@ -117,21 +95,20 @@
     const platform = await createPlatformStandIn();
     const pools = await startPools(platform);
     const hosts = await Promise.all(hostNames.map((name, index) => startHost(name, zones[index], platform.url)));
-    for (const host of hosts) {
-        await warmUp(host, pools);
-    }
+    const loads = pools.map(({ shape, token }) => ({
+        pool: shape.name,
+        method: shape.method,
+        token,
+        perSecond: requestsPerSecondPerPool,
+        keys: keysPerPool,
+    }));
+    await warmUp(hosts.map(host => host.callerAddress), loads);
     pools.forEach(({ targets }) => targets.forEach(target => target.executions.splice(0)));
     options.write(`${hosts.length} hosts serve ${pools.length} pools; load for ${options.seconds} s.`);
     const disturbance = disturb(options, pools, hosts);
     const results = await runLoad({
         hosts: hosts.map(host => host.callerAddress),
-        pools: pools.map(({ shape, token }) => ({
-            pool: shape.name,
-            method: shape.method,
-            token,
-            perSecond: requestsPerSecondPerPool,
-            keys: keysPerPool,
-        })),
+        pools: loads,
         seed: options.seed,
         startAt: machineMilliseconds(),
         seconds: options.seconds,
--- /dev/null
+++ b/scripts/bundle.ts
@@ -0,0 +1,35 @@
+/**
+ * Bundles a program into one CommonJS file.
+ */
+import { build, type Plugin } from "esbuild";
+
+/** Native modules and tools that the libraries load where they find them, and do without otherwise. */
+const optionalModules = /^(unix-dgram|bufferutil|utf-8-validate|msgpackr-extract|typescript)$/;
+
+const leaveOutOptionalModules: Plugin = {
+    name: "leave-out-optional-modules",
+    setup: builder => {
+        builder.onResolve({ filter: optionalModules }, ({ path }) => ({ path, namespace: "left-out" }));
+        builder.onLoad({ filter: /.*/, namespace: "left-out" }, ({ path }) => ({
+            contents: `throw new Error("The optional module ${path} is not part of this program.");`,
+        }));
+    },
+};
+
+/** The require of a single executable warns about each module that is not built in; an ordinary one does not. */
+const ordinaryRequire = "require = require(\"node:module\").createRequire(process.execPath);";
+
+/** Bundles the program that starts at `entry` into `file`. */
+export const bundleProgram = async (entry: string, file: string): Promise<void> => {
+    await build({
+        entryPoints: [entry],
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        outfile: file,
+        plugins: [leaveOutOptionalModules],
+        banner: { js: ordinaryRequire },
+        logLevel: "warning",
+    });
+};
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -42,6 +42,8 @@
     inFlight: number;
     peers: string[];
     platformCalls: Record<string, number>;
+    /** Bytes on the links to other hosts so far. */
+    peerTraffic: { sentBytes: number; receivedBytes: number };
     versions: Record<string, number>;
     findings: Finding[];
     counters: Record<string, number>;
@@ -134,6 +136,7 @@
         inFlight: callers.inFlight(),
         peers: hosts.connected(),
         platformCalls: platform.calls(),
+        peerTraffic: hosts.traffic(),
         versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
         findings: objects.findings(),
         counters: metrics.snapshot(),
