--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -12,6 +12,8 @@
         zone: z.string().min(1),
         /** IP address that other hosts and callers reach. */
         address: z.string().min(1).default("127.0.0.1"),
+        /** IP address from which connections to others are made; the system chooses when left out. */
+        sourceAddress: z.string().min(1).optional(),
         /** Relative capacity of the machine. */
         size: z.number().positive().default(1),
     }),
@@ -30,6 +32,8 @@
     }).prefault({}),
     peers: z.strictObject({
         port: port.default(8_081),
+        /** IP address and port that other hosts dial, where it differs from the listening one. */
+        announcedAddress: z.string().min(1).optional(),
         /** Files that hold shared keys. The first signs; any of them is accepted, so that keys can be rotated. */
         keyFiles: z.array(z.string()).default([]),
         maxFrameBytes: z.int().min(1_024).default(1_048_576),
--- a/stand-ins/answers.ts
+++ b/stand-ins/answers.ts
@@ -41,9 +41,9 @@
     response.socket?.write(text + text);
 };
 
-/** Writes more bytes than the length announces. */
+/** Writes fewer bytes than the length announces and keeps the connection open. */
 const writeWrongLength = (response: ServerResponse, answer: Answer): void => {
-    response.socket?.write(rawAnswer(answer, Buffer.byteLength(answer.body) - 1));
+    response.socket?.write(rawAnswer(answer, Buffer.byteLength(answer.body) + 1));
 };
 
 /** Writes an answer to a request that ran, with the next fault that waits for one. */
--- a/stand-ins/grants.ts
+++ b/stand-ins/grants.ts
@@ -1,9 +1,10 @@
 /**
  * The grants of one incarnation of a stand-in target, the requests that run under them, and the record of when the
- * target owned what, in milliseconds of the machine's monotonic clock.
+ * target owned what, in milliseconds of the machine's monotonic clock. What it accepts are the pure rules of grants.
  */
-import { type Grant, type GrantAnswer, grantRefusals } from "../src/contracts/grant.ts";
-import { type TargetRefusal, targetRefusals } from "../src/contracts/targetprotocol.ts";
+import type { Grant, GrantAnswer } from "../src/contracts/grant.ts";
+import type { TargetRefusal } from "../src/contracts/targetprotocol.ts";
+import { type HeldGrant, ownsKey, releasingOf, requestRefusal, takeGrant } from "../src/decisions/grant.ts";
 import type { SlotHash } from "../src/decisions/hash.ts";
 
 /** A time during which the target would have served these slots, without `exceptKeys`, and these keys. */
@@ -17,15 +18,7 @@
     until: number;
 };
 
-type HeldGrant = {
-    revision: number;
-    validUntil: number;
-    slots: Set<number>;
-    keys: Set<string>;
-    exceptKeys: Set<string>;
-};
-
-/** A request that runs. `endsAt` is set when its slot was taken away: until then the former grant covers it. */
+/** A request that runs. `endsAt` is set when its right was taken away: until then the former grant covers it. */
 export type RunningWork = { pool: string; slot: number; key: string; takenAt?: number; endsAt?: number };
 
 export type GrantLedger = {
@@ -49,8 +42,9 @@
     spans: OwnedSpan[];
 };
 
-const owns = (held: HeldGrant, slot: number, key: string): boolean =>
-    held.keys.has(key) || (held.slots.has(slot) && !held.exceptKeys.has(key));
+const coverSame = (left: HeldGrant, right: HeldGrant): boolean =>
+    left.revision === right.revision && left.slots.size === right.slots.size && left.keys.size === right.keys.size
+    && left.exceptKeys.size === right.exceptKeys.size;
 
 /** Creates the ledger of an incarnation that has no grant yet. */
 export const createGrantLedger = (options: GrantLedgerOptions): GrantLedger => {
@@ -67,9 +61,9 @@
         }
     };
 
-    const recordSpan = (pool: string, held: HeldGrant, now: number, sameSlots: boolean): void => {
+    const recordSpan = (pool: string, former: HeldGrant | undefined, held: HeldGrant, now: number): void => {
         const open = openSpans.get(pool);
-        if (sameSlots && open !== undefined && open.until >= now) {
+        if (open !== undefined && open.until >= now && former !== undefined && coverSame(former, held)) {
             open.until = held.validUntil;
             return;
         }
@@ -84,10 +78,11 @@
         openSpans.set(pool, span);
     };
 
-    const takeAway = (former: HeldGrant, next: HeldGrant, pool: string, now: number): void => {
+    /** Notes for the requests that run until when the former grant covers them, where it ends or lapsed. */
+    const noteTaken = (former: HeldGrant, next: HeldGrant, pool: string, now: number): void => {
         const lapsed = former.validUntil <= now;
         for (const work of running) {
-            const lost = lapsed || !owns(next, work.slot, work.key);
+            const lost = lapsed || !ownsKey(next, work.slot, work.key, -Infinity);
             if (work.pool === pool && work.endsAt === undefined && lost) {
                 work.takenAt = now;
                 work.endsAt = former.validUntil;
@@ -95,60 +90,29 @@
         }
     };
 
-    const releasing = (pool: string): number[] => {
-        const held = grants.get(pool);
-        const slots = new Set<number>();
-        for (const work of running) {
-            if (work.pool === pool && held !== undefined && !owns(held, work.slot, work.key)) {
-                slots.add(work.slot);
-            }
-        }
-        return [...slots];
-    };
-
-    const answer = (pool: string, refusal?: GrantAnswer["refusal"]): GrantAnswer => ({
-        accepted: refusal === undefined,
-        ...(refusal === undefined ? {} : { refusal }),
-        clock: clock(),
-        incarnation,
-        revision: grants.get(pool)?.revision ?? 0,
-        releasing: releasing(pool),
-    });
-
-    const extended = (held: HeldGrant, validUntil: number): HeldGrant => ({
-        ...held,
-        validUntil: Math.max(held.validUntil, validUntil),
-    });
-
     const take = (grant: Grant): GrantAnswer => {
-        const held = grants.get(grant.pool);
-        if (grant.incarnation !== incarnation) {
-            return answer(grant.pool, grantRefusals.otherIncarnation);
-        }
-        if (grant.revision < (held?.revision ?? 0)) {
-            return answer(grant.pool, grantRefusals.staleRevision);
-        }
-        if (grant.slots === undefined && held?.revision !== grant.revision) {
-            return answer(grant.pool, grantRefusals.slotsNeeded);
-        }
         const now = clock();
-        const sameRevision = held !== undefined && held.revision === grant.revision;
-        const renewal = grant.slots === undefined && sameRevision;
-        const next: HeldGrant = renewal ? extended(held, grant.validUntil) : {
-            revision: grant.revision,
-            validUntil: sameRevision ? Math.max(held.validUntil, grant.validUntil) : grant.validUntil,
-            slots: new Set(grant.slots),
-            keys: new Set(grant.keys),
-            exceptKeys: new Set(grant.exceptKeys),
-        };
-        if (held !== undefined) {
-            takeAway(held, next, grant.pool, now);
+        const { pool } = grant;
+        const former = grants.get(pool);
+        const { held, refusal } = takeGrant(former, grant, incarnation);
+        if (held !== undefined && refusal === undefined) {
+            if (former !== undefined) {
+                noteTaken(former, held, pool, now);
+            }
+            grants.set(pool, held);
+            recordSpan(pool, former, held, now);
         }
-        grants.set(grant.pool, next);
-        recordSpan(grant.pool, next, now, renewal);
-        return answer(grant.pool);
+        return {
+            accepted: refusal === undefined,
+            ...(refusal === undefined ? {} : { refusal }),
+            clock: clock(),
+            incarnation,
+            revision: held?.revision ?? 0,
+            ...releasingOf(held, [...running].filter(work => work.pool === pool)),
+        };
     };
 
+    /** A request that outlives its grant's revision owns its key until it ends or the former grant does. */
     const recordRelease = (work: RunningWork, now: number): void => {
         if (work.takenAt !== undefined && work.endsAt !== undefined && work.endsAt > work.takenAt) {
             const { pool, key, takenAt: from, endsAt } = work;
@@ -160,16 +124,8 @@
 
     return {
         take,
-        refusal: (pool, revision, key) => {
-            const held = grants.get(pool);
-            if (revision < (held?.revision ?? 0)) {
-                return targetRefusals.fence;
-            }
-            if (held === undefined || held.validUntil <= clock()) {
-                return targetRefusals.noGrant;
-            }
-            return owns(held, slotHash(key, slotCount), key) ? undefined : targetRefusals.noGrant;
-        },
+        refusal: (pool, revision, key) =>
+            requestRefusal(grants.get(pool), { revision, slot: slotHash(key, slotCount), key }, clock()),
         begin: (pool, key) => {
             const work: RunningWork = { pool, slot: slotHash(key, slotCount), key };
             running.add(work);
--- a/stand-ins/platform.ts
+++ b/stand-ins/platform.ts
@@ -16,6 +16,8 @@
     slowMilliseconds: z.number().min(0),
     /** Number of coming writes whose reply is lost after they took effect. */
     loseReplies: z.int().min(0),
+    /** Source addresses from which nothing arrives and to which nothing is sent until they are left out again. */
+    cutFrom: z.array(z.string()),
     /** What the list of hosts shows, after its lag, in place of what a host reported of itself. */
     listedHosts: z.record(z.string(), z.enum(["live", "leaving", "gone"])),
 });
@@ -70,16 +72,31 @@
     const callsBySecond: PlatformRecords["callsBySecond"] = {};
     const writeTimes: number[] = [];
     const bytes = { received: 0, sent: 0 };
-    const faults: PlatformFaults = { down: false, slowMilliseconds: 0, loseReplies: 0, listedHosts: {} };
+    const faults: PlatformFaults = { down: false, slowMilliseconds: 0, loseReplies: 0, cutFrom: [], listedHosts: {} };
+    let held: Array<{ request: IncomingMessage; work: () => void }> = [];
     const listedStates = new Map<string, { state: ListedState; since: number }>();
     const waiters = new Set<() => void>();
     let position = 0;
 
+    const isCutFrom = (request: IncomingMessage): boolean =>
+        faults.cutFrom.includes(request.socket.remoteAddress ?? "");
+
+    /** Does the work now, or when the way to the caller is open again. */
+    const unlessCut = (request: IncomingMessage, work: () => void): void => {
+        if (isCutFrom(request)) {
+            held.push({ request, work });
+            return;
+        }
+        work();
+    };
+
     const answer = (response: ServerResponse, statusCode: number, body: unknown): void => {
         const text = JSON.stringify(body);
         bytes.sent += text.length;
-        response.writeHead(statusCode, { "content-type": "application/json" });
-        response.end(text);
+        unlessCut(response.req, () => {
+            response.writeHead(statusCode, { "content-type": "application/json" });
+            response.end(text);
+        });
     };
 
     const wakeWaiters = (): void => {
@@ -173,6 +190,9 @@
     };
 
     const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+        if (isCutFrom(request)) {
+            await new Promise<void>(resolve => unlessCut(request, resolve));
+        }
         if (faults.down) {
             request.socket.destroy();
             return;
@@ -232,6 +252,9 @@
         for (const [name, state] of Object.entries(changes.listedHosts ?? {})) {
             listHost(name, state);
         }
+        const released = held;
+        held = [];
+        released.forEach(({ request, work }) => unlessCut(request, work));
         if (faults.down) {
             wakeWaiters();
         }
--- a/stand-ins/target.ts
+++ b/stand-ins/target.ts
@@ -75,6 +75,7 @@
 };
 
 type Life = { incarnation: string; startedAt: number; grants: GrantLedger; work: WorkQueue };
+type HeldWork = { peer: string; work: () => void };
 type View = { at: number; state: TargetHealth["state"]; running: number; queued: number };
 
 const defaultQueueLength = 32;
@@ -87,6 +88,9 @@
 
 const headerOf = (request: IncomingMessage, name: string): string => String(request.headers[name] ?? "");
 
+/** The source address of a request's connection. */
+const peerOf = (request: IncomingMessage): string => request.socket?.remoteAddress ?? "";
+
 /** Starts the stand-in on loopback. */
 export const createTargetStandIn = async (options: TargetStandInOptions): Promise<TargetStandIn> => {
     const slotHash = await createSlotHash();
@@ -100,12 +104,15 @@
     let port = options.port ?? 0;
     let server: Server;
     let life: Life;
-    let held: Array<() => void> = [];
+    let held: HeldWork[] = [];
     let views: View[] = [];
 
-    const unlessFrozen = (work: () => void): void => {
-        if (faults.frozen) {
-            held.push(work);
+    const isHeld = (peer: string): boolean => faults.frozen || faults.cutFrom.includes(peer);
+
+    /** Does the work now, or when the target is thawed and the way to the peer is open again. */
+    const unlessFrozen = (work: () => void, peer = ""): void => {
+        if (isHeld(peer)) {
+            held.push({ peer, work });
             return;
         }
         work();
@@ -124,11 +131,12 @@
                 send();
             }
         };
+        const peer = peerOf(response.req);
         if (faults.networkMilliseconds === 0) {
-            unlessGone();
+            unlessFrozen(unlessGone, peer);
             return;
         }
-        setTimeout(() => unlessFrozen(unlessGone), faults.networkMilliseconds);
+        setTimeout(() => unlessFrozen(unlessGone, peer), faults.networkMilliseconds);
     };
 
     const answer = (response: ServerResponse, statusCode: number, body: unknown, headers = {}): void => {
@@ -269,7 +277,7 @@
             return;
         }
         const body = await readBody(request);
-        unlessFrozen(() => serve(request, response, body));
+        unlessFrozen(() => serve(request, response, body), peerOf(request));
     };
 
     const createLife = (): Life => {
@@ -333,10 +341,10 @@
         await shut();
     };
 
-    const thaw = (): void => {
+    const release = (): void => {
         const works = held;
         held = [];
-        works.forEach(work => work());
+        works.forEach(({ peer, work }) => unlessFrozen(work, peer));
     };
 
     const change = async (changes: Partial<TargetFaults>): Promise<void> => {
@@ -348,9 +356,7 @@
         if (!faults.crashed && wasCrashed) {
             await open();
         }
-        if (!faults.frozen) {
-            thaw();
-        }
+        release();
     };
 
     const records = (): TargetRecords => ({ name: options.name, executions, spans, refusals, peakConnections });
--- a/stand-ins/targetfaults.ts
+++ b/stand-ins/targetfaults.ts
@@ -33,8 +33,10 @@
     doubled: count,
     /** Coming answers that carry the id of another request. */
     mismatched: count,
-    /** Coming answers that are longer than their length says. */
+    /** Coming answers that are shorter than their length says, on a connection that stays open. */
     wrongLength: count,
+    /** Source addresses from which nothing arrives and to which nothing is sent until they are left out again. */
+    cutFrom: z.array(z.string()),
     /** Crashes on each request whose key has this value; none when empty. */
     poisonKey: z.string(),
 });
@@ -58,5 +60,6 @@
     doubled: 0,
     mismatched: 0,
     wrongLength: 0,
+    cutFrom: [],
     poisonKey: "",
 };
