--- /dev/null
+++ b/bench/verdict.ts
@@ -0,0 +1,190 @@
+/**
+ * The verdict on a run: what callers were told, held against what the targets' own records say. Pure judgement, with no
+ * clock and no socket.
+ */
+import { type Outcome, outcomes } from "../src/contracts/outcome.ts";
+import type { SlotHash } from "../src/decisions/hash.ts";
+import { type Execution, runOutcomes } from "../stand-ins/work.ts";
+import { judgeOwnership, type OwnershipFindings, type TargetEvidence } from "./ownership.ts";
+
+/** One send of a request, as its caller saw it. Times are on the machine's monotonic clock. */
+export type CallerRecord = {
+    key: string;
+    /** Idempotency key, the same for each send of a request. */
+    id: string;
+    /** Request id that the entry host gave; empty when no answer came. */
+    requestId: string;
+    /** When the send was due, which is not later than when it was made. */
+    startedAt: number;
+    endedAt: number;
+    outcome: Outcome;
+    /** Reason of a refusal; empty for an answer. */
+    reason: string;
+    /** The answer was another request's. */
+    wrong: boolean;
+    /** The answer was passed off as whole and was not. */
+    partial: boolean;
+};
+
+export type PoolEvidence = {
+    pool: string;
+    slotCount: number;
+    slotHash: SlotHash;
+    byKey: boolean;
+    once: boolean;
+    targets: TargetEvidence[];
+    callers: CallerRecord[];
+    /** End of the run on the machine's monotonic clock. */
+    endedAt: number;
+};
+
+export type PoolVerdict = {
+    sends: number;
+    requests: number;
+    answered: number;
+    notRun: number;
+    unknown: number;
+    /** Requests that may run once and ran more often. */
+    doubled: number;
+    /** Answers that no run of a target stands behind. */
+    lost: number;
+    wrong: number;
+    partial: number;
+    /** Sends that were refused as `not-run` and ran. */
+    ranAfterNotRun: number;
+    /** Overlapping ownership of a slot or key by two targets. */
+    ownersAtOnce: number;
+    /** Runs outside their target's ownership. */
+    outsideOwnership: number;
+    /** Longest time from when a send was due until its key was next answered, in milliseconds. */
+    longestUnservedMilliseconds: number;
+    longestUnownedMilliseconds: number;
+    /** Highest load of a target over the mean, weighted by speed. */
+    imbalance: number;
+    slotsMoved: number;
+    keysMoved: number;
+    /** Refusals of callers by reason. */
+    reasons: Record<string, number>;
+    /** The first few broken promises, in words. */
+    findings: string[];
+};
+
+const maxFindings = 5;
+const noOwnership: OwnershipFindings = {
+    overlaps: [],
+    outside: [],
+    slotsMoved: 0,
+    keysMoved: 0,
+    longestUnownedMilliseconds: 0,
+};
+
+/** Whether a run had, or may have had, an effect. */
+const hadEffect = (run: Execution): boolean => run.outcome !== runOutcomes.rolledBack;
+
+const countRunsBy = (runs: Execution[], name: "requestId" | "idempotencyKey"): Map<string, number> => {
+    const counts = new Map<string, number>();
+    for (const run of runs) {
+        counts.set(run[name], (counts.get(run[name]) ?? 0) + 1);
+    }
+    return counts;
+};
+
+/** Highest load over the mean, each weighted by speed: 1 is even. */
+export const imbalanceOf = (loads: Array<{ load: number; speed: number }>): number => {
+    const sum = loads.reduce((total, { load }) => total + load, 0);
+    const speeds = loads.reduce((total, { speed }) => total + speed, 0);
+    if (sum === 0) {
+        return 1;
+    }
+    return Math.max(...loads.map(({ load, speed }) => load / speed)) / (sum / speeds);
+};
+
+const longestWaitOf = (sends: CallerRecord[], endedAt: number): number => {
+    let nextAnswerAt = endedAt;
+    let longest = 0;
+    for (const send of [...sends].sort((left, right) => right.startedAt - left.startedAt)) {
+        if (send.outcome === outcomes.answered) {
+            nextAnswerAt = Math.min(nextAnswerAt, send.endedAt);
+        }
+        longest = Math.max(longest, nextAnswerAt - send.startedAt);
+    }
+    return longest;
+};
+
+/** Longest wait of any key. */
+export const longestUnservedOf = (sends: CallerRecord[], endedAt: number): number => {
+    const byKey = new Map<string, CallerRecord[]>();
+    for (const send of sends) {
+        const known = byKey.get(send.key) ?? [];
+        known.push(send);
+        byKey.set(send.key, known);
+    }
+    return Math.max(0, ...[...byKey.values()].map(known => longestWaitOf(known, endedAt)));
+};
+
+const countReasons = (sends: CallerRecord[]): Record<string, number> => {
+    const counts: Record<string, number> = {};
+    for (const { reason } of sends) {
+        if (reason !== "") {
+            counts[reason] = (counts[reason] ?? 0) + 1;
+        }
+    }
+    return counts;
+};
+
+/** Judges one pool. */
+export const judgePool = (evidence: PoolEvidence): PoolVerdict => {
+    const { callers, pool, targets } = evidence;
+    const runs = targets.flatMap(target => target.executions).filter(run => run.pool === pool);
+    const effects = runs.filter(hadEffect);
+    const effectsById = countRunsBy(effects, "idempotencyKey");
+    const effectsByRequest = countRunsBy(effects, "requestId");
+    const ranByRequest = countRunsBy(runs.filter(run => run.outcome === runOutcomes.ran), "requestId");
+    const ownership = evidence.byKey
+        ? judgeOwnership({ ...evidence, keys: [...new Set(callers.map(({ key }) => key))] })
+        : noOwnership;
+    const doubledIds = evidence.once ? [...effectsById].filter(([, count]) => count > 1).map(([id]) => id) : [];
+    const answered = callers.filter(send => send.outcome === outcomes.answered);
+    const notRun = callers.filter(send => send.outcome === outcomes.notRun);
+    const lost = answered.filter(send => !ranByRequest.has(send.requestId));
+    const ranAfterNotRun = notRun.filter(send => send.requestId !== "" && effectsByRequest.has(send.requestId));
+    const loads = targets.map(({ speed, executions }) => ({
+        speed,
+        load: executions.filter(run => run.pool === pool && hadEffect(run)).length,
+    }));
+    return {
+        sends: callers.length,
+        requests: new Set(callers.map(({ id }) => id)).size,
+        answered: answered.length,
+        notRun: notRun.length,
+        unknown: callers.length - answered.length - notRun.length,
+        doubled: doubledIds.length,
+        lost: lost.length,
+        wrong: callers.filter(send => send.wrong).length,
+        partial: callers.filter(send => send.partial).length,
+        ranAfterNotRun: ranAfterNotRun.length,
+        ownersAtOnce: ownership.overlaps.length,
+        outsideOwnership: ownership.outside.length,
+        longestUnservedMilliseconds: longestUnservedOf(callers, evidence.endedAt),
+        longestUnownedMilliseconds: ownership.longestUnownedMilliseconds,
+        imbalance: imbalanceOf(loads),
+        slotsMoved: ownership.slotsMoved,
+        keysMoved: ownership.keysMoved,
+        reasons: countReasons(callers),
+        findings: [
+            ...doubledIds.map(id => `Request "${id}" of pool "${pool}" ran more than once.`),
+            ...lost.map(({ id }) => `Request "${id}" of pool "${pool}" was answered and no target ran it.`),
+            ...ranAfterNotRun.map(({ id, reason }) => `Request "${id}" was refused as not run (${reason}) and ran.`),
+            ...ownership.overlaps.map(({ unit, first, second }) =>
+                `Targets "${first.target}" and "${second.target}" of pool "${pool}" owned ${unit} at once for `
+                + `${(Math.min(first.until, second.until) - second.from).toFixed(1)} ms.`
+            ),
+            ...ownership.outside.map(({ key }) => `A request for key "${key}" of pool "${pool}" ran without a grant.`),
+        ].slice(0, maxFindings),
+    };
+};
+
+/** Whether every promise to callers was kept in the pool. */
+export const isKept = (verdict: PoolVerdict): boolean =>
+    verdict.doubled + verdict.lost + verdict.wrong + verdict.partial + verdict.ranAfterNotRun + verdict.ownersAtOnce
+            + verdict.outsideOwnership === 0;
--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -53,6 +53,8 @@
     incarnation: string;
     host: string;
     port: number;
+    /** IP address from which links are dialled. */
+    sourceAddress?: string;
     /** Shared keys: the first signs, all are accepted. */
     keys: Buffer[];
     maxFrameBytes: number;
@@ -235,7 +237,10 @@
         let delay = firstRetryMilliseconds;
         while (!signal.aborted && peers.get(peer.name)?.address === peer.address) {
             if (!links.has(peer.name)) {
-                const socket = new WebSocket(`ws://${peer.address}`, { maxPayload: options.maxFrameBytes });
+                const socket = new WebSocket(`ws://${peer.address}`, {
+                    maxPayload: options.maxFrameBytes,
+                    localAddress: options.sourceAddress,
+                });
                 const opened = await new Promise<boolean>(resolve => {
                     socket.once("open", () => resolve(true));
                     socket.once("error", () => resolve(false));
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -42,6 +42,8 @@
     inFlight: number;
     peers: string[];
     platformCalls: Record<string, number>;
+    /** Bytes on the links to other hosts so far. */
+    peerTraffic: { sentBytes: number; receivedBytes: number };
     versions: Record<string, number>;
     findings: Finding[];
     counters: Record<string, number>;
@@ -83,17 +85,17 @@
 export const createHost = async (options: HostOptions): Promise<Host> => {
     const { settings, log } = options;
     const clock = options.clock ?? systemClock;
-    const { name, zone, address, size } = settings.host;
+    const { name, zone, address, size, sourceAddress } = settings.host;
     const incarnation = randomUUID();
     const life = new AbortController();
     const { signal } = life;
     const metrics = createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
-    const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken });
+    const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken, sourceAddress });
     const objects = createObjectView();
     const currency = createCurrency();
     const slotHash = await createSlotHash();
-    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 12)));
+    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 12)), sourceAddress);
     let state: HostReport["state"] = "starting";
 
     const hosts = await createHostLinks({
@@ -102,6 +104,7 @@
         incarnation,
         host: address,
         port: settings.peers.port,
+        sourceAddress,
         keys: options.peerKeys,
         maxFrameBytes: settings.peers.maxFrameBytes,
         queueLength: settings.peers.queueLength,
@@ -134,6 +137,7 @@
         inFlight: callers.inFlight(),
         peers: hosts.connected(),
         platformCalls: platform.calls(),
+        peerTraffic: hosts.traffic(),
         versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
         findings: objects.findings(),
         counters: metrics.snapshot(),
@@ -148,7 +152,7 @@
     const ownStatus = (): HostStatus => ({
         zone,
         incarnation,
-        peerAddress: hosts.address,
+        peerAddress: settings.peers.announcedAddress ?? hosts.address,
         operatorAddress: operators.address,
         size,
         state: state === "leaving" ? "leaving" : "live",
