--- a/src/contracts/assignment.ts
+++ b/src/contracts/assignment.ts
@@ -21,8 +21,10 @@
     hosts: z.array(z.string()).max(2),
     /** Revision that named these hosts. */
     since: z.int().min(1),
-    /** Hosts that kept the group before, until the hand-over is known to be done. */
+    /** Hosts that kept the group before; the new ones take the memory over from one of them. */
     previous: z.array(z.string()).max(2),
+    /** Revision that had named the previous hosts; left out when there were none. */
+    previousSince: z.int().min(1).optional(),
 });
 
 export const assignmentSchema = z.strictObject({
--- a/src/contracts/outcome.ts
+++ b/src/contracts/outcome.ts
@@ -31,6 +31,7 @@
     "malformed-request": { outcome: "not-run", statusCode: 400, sendAgain: false, title: "The request is not valid." },
     "head-too-large": { outcome: "not-run", statusCode: 431, sendAgain: false, title: "The head is over its limit." },
     "body-too-large": { outcome: "not-run", statusCode: 413, sendAgain: false, title: "The body is over its limit." },
+    "memory-full": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The memory for bodies is full." },
     "unknown-pool": { outcome: "not-run", statusCode: 404, sendAgain: false, title: "The pool does not exist." },
     "unknown-route": { outcome: "not-run", statusCode: 404, sendAgain: false, title: "No route of the pool matches." },
     "missing-key": { outcome: "not-run", statusCode: 400, sendAgain: false, title: "The pool needs a Carobpier-Key." },
@@ -70,6 +71,7 @@
     "host-isolated": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The host is cut off." },
     "host-starting": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The host is not ready yet." },
     "target-shed": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The target shed the request." },
+    "target-refused": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The target did not run it." },
     "target-draining": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The target is draining." },
     "fence-refused": {
         outcome: "not-run",
@@ -104,6 +106,8 @@
     "connection-lost": { outcome: "unknown", statusCode: 502, sendAgain: false, title: "The target hung up." },
     "answer-cut-short": { outcome: "unknown", statusCode: 502, sendAgain: false, title: "The answer broke off." },
     "answer-mismatched": { outcome: "unknown", statusCode: 502, sendAgain: false, title: "The answer was another's." },
+    "answer-malformed": { outcome: "unknown", statusCode: 502, sendAgain: false, title: "The answer is not valid." },
+    "caller-gone": { outcome: "unknown", statusCode: 499, sendAgain: false, title: "The caller hung up meanwhile." },
     "timed-out": { outcome: "unknown", statusCode: 504, sendAgain: false, title: "No answer by the deadline." },
 } as const satisfies Record<string, ReasonFacts>;
 
@@ -115,7 +119,10 @@
     connectionLost: "connection-lost",
     targetShed: "target-shed",
     targetDraining: "target-draining",
-    fenceRefused: "fence-refused",
+    targetRefused: "target-refused",
     answerCutShort: "answer-cut-short",
+    answerMalformed: "answer-malformed",
+    answerMismatched: "answer-mismatched",
+    ownerChanged: "owner-changed",
 } as const;
 export type RetryReason = (typeof retryReasons)[keyof typeof retryReasons];
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -25,6 +25,8 @@
         port: port.default(8_080),
         maxHeadBytes: z.int().min(1_024).default(16_384),
         maxBodyBytes: z.int().min(0).default(1_048_576),
+        /** Bodies of all requests together that wait to be sent. */
+        maxBufferedBodyBytes: z.int().min(0).default(67_108_864),
         defaultDeadlineMilliseconds: milliseconds.default(2_000),
         maxDeadlineMilliseconds: milliseconds.default(30_000),
     }).prefault({}),
@@ -43,7 +45,12 @@
         leaseMilliseconds: milliseconds.default(2_000),
     }).prefault({}),
     requests: z.strictObject({
+        /** Requests that wait for one target. */
         queueLength: z.int().min(0).default(64),
+        /** Requests of all pools together that wait for an owner. */
+        heldLength: z.int().min(0).default(1_024),
+        /** Time in which a target that started is brought up to its full share. */
+        rampMilliseconds: milliseconds.default(2_000),
         retryBudgetRatio: z.number().min(0).max(1).default(0.1),
         claimEntries: z.int().min(1).default(200_000),
         claimAgeMilliseconds: milliseconds.default(300_000),
--- a/src/decisions/assign.ts
+++ b/src/decisions/assign.ts
@@ -3,6 +3,7 @@
  */
 import type { Assignment } from "../contracts/assignment.ts";
 import type { Pool } from "../contracts/pool.ts";
+import { chooseKeepers } from "./keepers.ts";
 
 /** A host that may be named in an assignment. */
 export type Candidate = { name: string; zone: string };
@@ -55,9 +56,5 @@
         pool.targets.map((target, index) => [target.name, pickHosts(candidates, index, renewersPerTarget)]),
     ),
     witnesses: pickHosts(candidates, 0, 5),
-    keepers: [...candidates.keys()].map(index => ({
-        hosts: pickHosts(candidates, index, 2),
-        since: 1,
-        previous: [],
-    })),
+    keepers: chooseKeepers([], candidates, 1),
 });
--- /dev/null
+++ b/src/decisions/retry.ts
@@ -0,0 +1,87 @@
+/**
+ * Retries: an idempotent request is sent at most once more, within a budget that is a part of recent requests.
+ */
+import { type Reason, type RetryReason, retryReasons } from "../contracts/outcome.ts";
+
+export type RetryBudget = {
+    /** Notes a request that was sent for the first time. */
+    noteRequest: (now: number) => void;
+    /** Takes one retry out of the budget; false when it is spent. */
+    take: (now: number) => boolean;
+};
+
+const windowMilliseconds = 10_000;
+const bucketCount = 10;
+const bucketMilliseconds = windowMilliseconds / bucketCount;
+/** Retries in each window that need no earlier requests, so that a quiet host can retry at all. */
+const freeRetries = 3;
+
+/**
+ * Creates a budget: in each window of ten seconds at most `ratio` of the requests are retried.
+ */
+export const createRetryBudget = (ratio: number): RetryBudget => {
+    const requests = new Array<number>(bucketCount).fill(0);
+    const retries = new Array<number>(bucketCount).fill(0);
+    let newestBucket = 0;
+
+    const bucketAt = (now: number): number => {
+        const bucket = Math.floor(now / bucketMilliseconds);
+        const passed = Math.min(bucketCount, Math.max(0, bucket - newestBucket));
+        for (let step = 1; step <= passed; step += 1) {
+            const index = (newestBucket + step) % bucketCount;
+            requests[index] = 0;
+            retries[index] = 0;
+        }
+        newestBucket = Math.max(bucket, newestBucket);
+        return newestBucket % bucketCount;
+    };
+
+    const sum = (values: number[]): number => values.reduce((total, value) => total + value, 0);
+
+    return {
+        noteRequest: now => {
+            requests[bucketAt(now)] += 1;
+        },
+        take: now => {
+            const index = bucketAt(now);
+            if (sum(retries) + 1 > sum(requests) * ratio + freeRetries) {
+                return false;
+            }
+            retries[index] += 1;
+            return true;
+        },
+    };
+};
+
+const reasonsToRetry: Partial<Record<Reason, RetryReason>> = {
+    "connect-failed": retryReasons.connectFailed,
+    "connection-lost": retryReasons.connectionLost,
+    "target-shed": retryReasons.targetShed,
+    "target-draining": retryReasons.targetDraining,
+    "target-refused": retryReasons.targetRefused,
+    "answer-cut-short": retryReasons.answerCutShort,
+    "answer-malformed": retryReasons.answerMalformed,
+    "answer-mismatched": retryReasons.answerMismatched,
+};
+
+/** Why a request that failed for the reason may be sent a second time; undefined when it may not. */
+export const retryReasonOf = (reason: Reason): RetryReason | undefined => reasonsToRetry[reason];
+
+/** Reasons of certain non-execution after which a request waits for its key's owner and is sent again. */
+const holdReasons = new Set<Reason>([
+    "no-owner",
+    "not-current",
+    "fence-refused",
+    "connect-failed",
+    "target-draining",
+]);
+
+/** Whether a request for an owned key waits for the owner. Sending it again then is not a retry: it did not run. */
+export const waitsForOwner = (reason: Reason): boolean => holdReasons.has(reason);
+
+const firstHoldMilliseconds = 5;
+const maxHoldMilliseconds = 40;
+
+/** How long a held request waits before its next attempt unless a new assignment wakes it. */
+export const holdDelay = (timesHeld: number): number =>
+    Math.min(maxHoldMilliseconds, firstHoldMilliseconds * 2 ** Math.min(timesHeld, 8));
--- /dev/null
+++ b/src/links/callerhead.ts
@@ -0,0 +1,122 @@
+/**
+ * The head of a caller's request: checked before anything else looks at it, so that all machines on the way read the
+ * same request from the same bytes.
+ */
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { callerHeaders } from "../contracts/outcome.ts";
+import type { Settings } from "../contracts/settings.ts";
+
+/** Tells that the caller hung up. One listener in place of an abort signal for each request. */
+export type HangUp = { happened: boolean; listener: (() => void) | undefined };
+
+export type CallerRequest = {
+    id: string;
+    method: string;
+    pool: string;
+    /** Path below the pool with its query, beginning with `/`. */
+    path: string;
+    headers: IncomingMessage["headers"];
+    body: Buffer | undefined;
+    key: string | undefined;
+    idempotencyKey: string | undefined;
+    /** 1 for the first send; undefined when the caller does not say. */
+    attempt: number | undefined;
+    /** Monotonic milliseconds on the host's clock. */
+    receivedAt: number;
+    deadlineAt: number;
+    hangUp: HangUp;
+};
+
+const maxKeyLength = 1_024;
+const maxIdLength = 256;
+const dotSegment = /(^|\/|\\|%2f|%5c)(\.|%2e){1,2}(\/|\\|%2f|%5c|$)/i;
+
+/** Splits `/{pool}/{path}?{query}`; undefined when the URL is not a path or steps out of its pool or route. */
+export const splitUrl = (url: string): { pool: string; path: string } | undefined => {
+    if (!url.startsWith("/") || url.includes("#")) {
+        return undefined;
+    }
+    const queryAt = url.indexOf("?");
+    const wholePath = queryAt === -1 ? url : url.slice(0, queryAt);
+    if (dotSegment.test(wholePath)) {
+        return undefined;
+    }
+    const query = queryAt === -1 ? "" : url.slice(queryAt);
+    const end = wholePath.indexOf("/", 1);
+    return end === -1
+        ? { pool: wholePath.slice(1), path: `/${query}` }
+        : { pool: wholePath.slice(1, end), path: wholePath.slice(end) + query };
+};
+
+const textHeader = (incoming: IncomingMessage, name: string): string | undefined => {
+    const value = incoming.headers[name];
+    return typeof value === "string" && value !== "" ? value : undefined;
+};
+
+/** Node joins repeated headers; two values of one of ours would be read differently by different machines. */
+const isRepeated = (incoming: IncomingMessage, name: string): boolean =>
+    textHeader(incoming, name)?.includes(",") === true && (incoming.headersDistinct[name]?.length ?? 0) > 1;
+
+const ownHeaders = [
+    callerHeaders.key,
+    callerHeaders.attempt,
+    callerHeaders.deadline,
+    callerHeaders.idempotencyKey,
+    "authorization",
+];
+
+const positiveNumber = (text: string | undefined): number | undefined | "invalid" => {
+    if (text === undefined) {
+        return undefined;
+    }
+    const value = /^\d{1,9}(\.\d{1,6})?$/.test(text) ? Number(text) : 0;
+    return value > 0 ? value : "invalid";
+};
+
+/** Reads a head. Gives what is wrong with it as text. */
+export const readHead = (
+    incoming: IncomingMessage,
+    settings: Settings["callers"],
+    receivedAt: number,
+): CallerRequest | string => {
+    const place = splitUrl(incoming.url ?? "");
+    if (place === undefined) {
+        return "The URL must be a path without dot segments that begins with the pool.";
+    }
+    if (incoming.httpVersion !== "1.1") {
+        return "HTTP/1.1 is needed, since older versions can not tell an answer that was cut short.";
+    }
+    const repeated = ownHeaders.find(name => isRepeated(incoming, name));
+    if (repeated !== undefined) {
+        return `The header ${repeated} must be sent once.`;
+    }
+    const key = textHeader(incoming, callerHeaders.key);
+    const idempotencyKey = textHeader(incoming, callerHeaders.idempotencyKey);
+    if ((key?.length ?? 0) > maxKeyLength || (idempotencyKey?.length ?? 0) > maxIdLength) {
+        return `A key may have ${maxKeyLength} characters and an ${callerHeaders.idempotencyKey} ${maxIdLength}.`;
+    }
+    const attempt = positiveNumber(textHeader(incoming, callerHeaders.attempt));
+    if (attempt === "invalid" || !Number.isInteger(attempt ?? 1)) {
+        return `The header ${callerHeaders.attempt} must be a whole number from 1.`;
+    }
+    const deadline = positiveNumber(textHeader(incoming, callerHeaders.deadline));
+    if (deadline === "invalid") {
+        return `The header ${callerHeaders.deadline} must be a number of milliseconds above 0.`;
+    }
+    const wantedMilliseconds = deadline ?? settings.defaultDeadlineMilliseconds;
+    return {
+        id: randomUUID(),
+        method: incoming.method ?? "GET",
+        pool: place.pool,
+        path: place.path,
+        headers: incoming.headers,
+        body: undefined,
+        key,
+        idempotencyKey,
+        attempt,
+        receivedAt,
+        deadlineAt: receivedAt + Math.min(wantedMilliseconds, settings.maxDeadlineMilliseconds),
+        hangUp: { happened: false, listener: undefined },
+    };
+};
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -2,39 +2,44 @@
  * The link to callers: an HTTP server that reads requests within limits, hands them on, and writes back whole answers
  * or refusals as problem details (RFC 9457).
  */
-import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import type { Readable } from "node:stream";
-import { pipeline } from "node:stream/promises";
 import type { Clock } from "../contracts/clock.ts";
 import { callerHeaders, type Outcome, outcomes, type Reason, reasons } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
+import { announcesBody, createBodyReader } from "./callerbody.ts";
+import { type CallerRequest, readHead } from "./callerhead.ts";
+
+export type { CallerRequest } from "./callerhead.ts";
+
+/** Receives a streamed body. After `onEnd` or `onCut` nothing more is called. */
+export type StreamReceiver = {
+    /** False asks for a pause until `resume`. */
+    onBytes: (bytes: Buffer) => boolean;
+    onEnd: () => void;
+    /** The rest of the body is lost. */
+    onCut: () => void;
+};
 
-export type CallerRequest = {
-    id: string;
-    method: string;
-    pool: string;
-    /** Path below the pool with its query, beginning with `/`. */
-    path: string;
-    headers: IncomingMessage["headers"];
-    body: Buffer | undefined;
-    key: string | undefined;
-    idempotencyKey: string | undefined;
-    /** 1 for the first send; undefined when the caller does not say. */
-    attempt: number | undefined;
-    /** Monotonic milliseconds on the host's clock. */
-    receivedAt: number;
-    deadlineAt: number;
-    /** Aborts when the caller hangs up. */
-    signal: AbortSignal;
+/** A body that is passed on while it arrives. */
+export type AnswerStream = {
+    start: (receiver: StreamReceiver) => void;
+    resume: () => void;
+    abort: () => void;
 };
 
 /** A target's whole answer, or a refusal. */
 export type CallerAnswer =
-    | { kind: "answer"; statusCode: number; headers: Record<string, string>; body: Readable }
+    | {
+        kind: "answer";
+        statusCode: number;
+        headers: Record<string, string | string[]>;
+        body: Buffer | undefined | AnswerStream;
+    }
     | { kind: "refusal"; reason: Reason; detail: string; retryAfterMilliseconds?: number };
 
+export type CallerRefusal = CallerAnswer & { kind: "refusal" };
+
 export type CallerLinkOptions = {
     host: string;
     settings: Settings["callers"];
@@ -42,6 +47,8 @@
     serve: (request: CallerRequest) => Promise<CallerAnswer>;
     /** Called once for each request when its answer was written or its caller is gone. */
     onDone: (request: CallerRequest, outcome: Outcome, reason: Reason | undefined) => void;
+    /** Called for bytes that are not a request; such a refusal has no request. */
+    onMalformed: (reason: Reason) => void;
     /** Whether the balancer may send requests here. */
     healthy: () => boolean;
 };
@@ -69,33 +76,6 @@
     });
 };
 
-const readBody = async (request: IncomingMessage, maxBytes: number): Promise<Buffer | "too-large" | undefined> => {
-    if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-        return "too-large";
-    }
-    const parts: Buffer[] = [];
-    let size = 0;
-    for await (const part of request) {
-        size += (part as Buffer).length;
-        if (size > maxBytes) {
-            return "too-large";
-        }
-        parts.push(part as Buffer);
-    }
-    return size === 0 ? undefined : Buffer.concat(parts);
-};
-
-const splitPath = (url: string): { pool: string; path: string } => {
-    const end = url.indexOf("/", 1);
-    const pool = end === -1 ? url.slice(1) : url.slice(1, end);
-    return { pool: pool.split("?")[0], path: end === -1 ? "/" : url.slice(end) };
-};
-
-const textHeader = (request: IncomingMessage, name: string): string | undefined => {
-    const value = request.headers[name];
-    return typeof value === "string" && value !== "" ? value : undefined;
-};
-
 /** Opens the server. */
 export const createCallerLink = async (options: CallerLinkOptions): Promise<CallerLink> => {
     const { settings, clock } = options;
@@ -103,7 +83,7 @@
     let inFlight = 0;
     let accepting = true;
 
-    const writeRefusal = (response: ServerResponse, id: string, answer: CallerAnswer & { kind: "refusal" }): void => {
+    const writeRefusal = (response: ServerResponse, id: string, answer: CallerRefusal, unread: boolean): void => {
         const facts = reasons[answer.reason];
         const body = problemOf(id, answer.reason, answer.detail);
         const headers: Record<string, string | number> = {
@@ -116,72 +96,62 @@
         if (answer.retryAfterMilliseconds !== undefined) {
             headers["retry-after"] = Math.max(1, Math.ceil(answer.retryAfterMilliseconds / 1_000));
         }
-        if (!accepting) {
+        if (!accepting || unread) {
             headers["connection"] = "close";
         }
         response.writeHead(facts.statusCode, headers);
         response.end(body);
     };
 
-    /** True when the whole body was passed on. A body cut short closes the caller's connection instead. */
-    const writeAnswer = async (
+    const refuseHead = (response: ServerResponse, detail: string): void => {
+        writeRefusal(response, "none", { kind: "refusal", reason: "malformed-request", detail }, true);
+        options.onMalformed("malformed-request");
+    };
+
+    /** Resolves to true when the whole body was passed on. A body cut short closes the caller's connection instead. */
+    const passOn = (response: ServerResponse, stream: AnswerStream): Promise<boolean> =>
+        new Promise(resolve => {
+            response.on("drain", stream.resume);
+            response.once("close", () => {
+                stream.abort();
+                resolve(false);
+            });
+            stream.start({
+                onBytes: bytes => response.write(bytes),
+                onEnd: () => response.end(() => resolve(true)),
+                onCut: () => response.destroy(),
+            });
+        });
+
+    const writeAnswer = (
         response: ServerResponse,
         id: string,
         answer: CallerAnswer & { kind: "answer" },
-    ): Promise<boolean> => {
-        const closing: Record<string, string> = accepting ? {} : { connection: "close" };
-        response.writeHead(answer.statusCode, {
-            ...answer.headers,
-            ...closing,
-            [callerHeaders.outcome]: outcomes.answered,
-            [callerHeaders.requestId]: id,
-        });
-        try {
-            await pipeline(answer.body, response);
-            return true;
+    ): true | Promise<boolean> => {
+        const { headers, body } = answer;
+        headers[callerHeaders.outcome] = outcomes.answered;
+        headers[callerHeaders.requestId] = id;
+        if (!accepting) {
+            headers["connection"] = "close";
         }
-        catch {
-            response.destroy();
-            return false;
+        response.writeHead(answer.statusCode, headers);
+        if (body === undefined || Buffer.isBuffer(body)) {
+            response.end(body);
+            return true;
         }
+        return passOn(response, body);
     };
 
-    const deadlineOf = (request: IncomingMessage, receivedAt: number): number => {
-        const asked = Number(textHeader(request, callerHeaders.deadline));
-        const wanted = Number.isFinite(asked) && asked > 0 ? asked : settings.defaultDeadlineMilliseconds;
-        return receivedAt + Math.min(wanted, settings.maxDeadlineMilliseconds);
-    };
+    const readBody = createBodyReader({
+        maxBodyBytes: settings.maxBodyBytes,
+        maxBufferedBytes: settings.maxBufferedBodyBytes,
+        clock,
+    });
 
-    const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
-        const receivedAt = clock.now();
-        const hangUp = new AbortController();
-        response.once("close", () => hangUp.abort());
-        const { pool, path } = splitPath(incoming.url ?? "/");
-        const request: CallerRequest = {
-            id: randomUUID(),
-            method: incoming.method ?? "GET",
-            pool,
-            path,
-            headers: incoming.headers,
-            body: undefined,
-            key: textHeader(incoming, callerHeaders.key),
-            idempotencyKey: textHeader(incoming, callerHeaders.idempotencyKey),
-            attempt: Number(textHeader(incoming, callerHeaders.attempt)) || undefined,
-            receivedAt,
-            deadlineAt: deadlineOf(incoming, receivedAt),
-            signal: hangUp.signal,
-        };
-        const body = await readBody(incoming, settings.maxBodyBytes);
-        if (body === "too-large") {
-            const detail = `The body is larger than ${settings.maxBodyBytes} bytes.`;
-            writeRefusal(response, request.id, { kind: "refusal", reason: "body-too-large", detail });
-            options.onDone(request, "not-run", "body-too-large");
-            return;
-        }
-        request.body = body;
+    const answerCaller = async (request: CallerRequest, response: ServerResponse): Promise<void> => {
         const answer = await options.serve(request);
         if (answer.kind === "refusal") {
-            writeRefusal(response, request.id, answer);
+            writeRefusal(response, request.id, answer, false);
             options.onDone(request, reasons[answer.reason].outcome, answer.reason);
             return;
         }
@@ -189,6 +159,30 @@
         options.onDone(request, whole ? "answered" : "unknown", whole ? undefined : "answer-cut-short");
     };
 
+    const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+        const request = readHead(incoming, settings, clock.now());
+        if (typeof request === "string") {
+            refuseHead(response, request);
+            return;
+        }
+        response.once("close", () => {
+            request.hangUp.happened = !response.writableFinished;
+            request.hangUp.listener?.();
+        });
+        if (!announcesBody(incoming)) {
+            await answerCaller(request, response);
+            return;
+        }
+        const result = await readBody(incoming, request.deadlineAt);
+        if ("reason" in result) {
+            writeRefusal(response, request.id, { kind: "refusal", ...result }, true);
+            options.onDone(request, reasons[result.reason].outcome, result.reason);
+            return;
+        }
+        request.body = result.body;
+        await answerCaller(request, response).finally(result.release);
+    };
+
     const server = createServer(
         { maxHeaderSize: settings.maxHeadBytes, keepAliveTimeout: 30_000 },
         (incoming, response) => {
@@ -208,6 +202,10 @@
         sockets.add(socket);
         socket.once("close", () => sockets.delete(socket));
     });
+    server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
+        incoming.pause();
+        refuseHead(response, "The only expectation that is met is 100-continue.");
+    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         if (!socket.writable) {
             socket.destroy();
@@ -215,6 +213,7 @@
         }
         const reason: Reason = error.code === "HPE_HEADER_OVERFLOW" ? "head-too-large" : "malformed-request";
         const { statusCode } = reasons[reason];
+        options.onMalformed(reason);
         const body = problemOf("none", reason, "The bytes received are not an acceptable HTTP request.");
         socket.end(
             `HTTP/1.1 ${statusCode} Refused\r\nconnection: close\r\ncontent-type: application/problem+json\r\n`
--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -236,13 +236,11 @@
         while (!signal.aborted && peers.get(peer.name)?.address === peer.address) {
             if (!links.has(peer.name)) {
                 const socket = new WebSocket(`ws://${peer.address}`, { maxPayload: options.maxFrameBytes });
-                const opened = await new Promise<boolean>(resolve => {
-                    socket.once("open", () => resolve(true));
-                    socket.once("error", () => resolve(false));
+                await new Promise<void>(resolve => {
+                    // The other end's hello may come together with the opening, so its reader is set in the same turn.
+                    socket.once("open", () => void establish(socket).then(resolve));
+                    socket.once("error", () => resolve());
                 });
-                if (opened) {
-                    await establish(socket);
-                }
                 delay = links.has(peer.name) ? firstRetryMilliseconds : Math.min(delay * 2, maxRetryMilliseconds);
             }
             await clock.sleep(delay * (0.5 + Math.random()), signal);
--- a/src/links/targets.ts
+++ b/src/links/targets.ts
@@ -2,8 +2,7 @@
  * The link to one target: bounded connections, requests, grants, health, load and cancellation.
  */
 import type { IncomingHttpHeaders } from "node:http";
-import type { Readable } from "node:stream";
-import { Pool as ConnectionPool } from "undici";
+import { type Dispatcher, Pool as ConnectionPool } from "undici";
 import type { z } from "zod";
 import { type Grant, type GrantAnswer, grantAnswerSchema } from "../contracts/grant.ts";
 import {
@@ -17,19 +16,37 @@
 export type TargetRequest = {
     method: string;
     path: string;
-    headers: Record<string, string>;
+    /** Names and values in turn. */
+    headers: string[];
     body: Buffer | undefined;
 };
 
-export type TargetAnswer = {
-    statusCode: number;
-    headers: IncomingHttpHeaders;
-    body: Readable;
+/** How far a request had come when it failed. Only of an unsent one is it certain that no byte reached the target. */
+export const sendStages = { unsent: "unsent", sent: "sent", answering: "answering" } as const;
+export type SendStage = (typeof sendStages)[keyof typeof sendStages];
+
+/** Receives one answer. After `onEnd` or `onFailure` nothing more is called. */
+export type AnswerReceiver = {
+    /** Called in the same turn as the write to the socket. False keeps the request from being written. */
+    mayStart: () => boolean;
+    onHead: (statusCode: number, headers: IncomingHttpHeaders) => void;
+    /** False asks for a pause until `resume`. */
+    onBytes: (bytes: Buffer) => boolean;
+    /** The whole answer has arrived. */
+    onEnd: () => void;
+    /** The error's `code` tells connect failures from broken links. */
+    onFailure: (stage: SendStage, error: Error) => void;
+};
+
+export type TargetExchange = {
+    resume: () => void;
+    /** Drops the request; a connection on which it was written is closed, so that no late answer can be mistaken. */
+    abort: () => void;
 };
 
 export type TargetLink = {
-    /** Sends a request. Rejects with the client's error, whose `code` tells connect failures from broken links. */
-    request: (request: TargetRequest, signal: AbortSignal) => Promise<TargetAnswer>;
+    /** Sends a request once. Nothing is sent again by the link itself. */
+    send: (request: TargetRequest, receiver: AnswerReceiver) => TargetExchange;
     /** Offers a grant; undefined when the target did not answer in time or not in the agreed shape. */
     grant: (grant: Grant, timeoutMilliseconds: number) => Promise<GrantAnswer | undefined>;
     health: (timeoutMilliseconds: number) => Promise<TargetHealth | undefined>;
@@ -41,6 +58,68 @@
 
 export type TargetLinkOptions = { address: string; connections: number; connectMilliseconds: number };
 
+const abortedError = new Error("The exchange was aborted.");
+
+const startExchange = (
+    connections: ConnectionPool,
+    request: TargetRequest,
+    receiver: AnswerReceiver,
+): TargetExchange => {
+    let stage: SendStage = sendStages.unsent;
+    let controller: Dispatcher.DispatchController | undefined;
+    let over = false;
+
+    const fail = (error: Error): void => {
+        if (!over) {
+            over = true;
+            receiver.onFailure(stage, error);
+        }
+    };
+
+    const abort = (): void => {
+        fail(abortedError);
+        controller?.abort(abortedError);
+    };
+
+    connections.dispatch({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    }, {
+        onRequestStart: current => {
+            const again = controller !== undefined;
+            controller = current;
+            if (over || again || !receiver.mayStart()) {
+                abort();
+                return;
+            }
+            stage = sendStages.sent;
+        },
+        onResponseStart: (...[, statusCode, headers]) => {
+            if (!over && statusCode >= 200) {
+                stage = sendStages.answering;
+                receiver.onHead(statusCode, headers);
+            }
+        },
+        onResponseData: (current, bytes) => {
+            if (!over && !receiver.onBytes(bytes)) {
+                current.pause();
+            }
+        },
+        onResponseEnd: () => {
+            if (!over) {
+                over = true;
+                receiver.onEnd();
+            }
+        },
+        onResponseError: (...[, error]) => fail(error),
+    });
+    return { resume: () => controller?.resume(), abort };
+};
+
 /** Opens the link. Connections are made on first use, never more than `connections` besides one for control. */
 export const createTargetLink = (options: TargetLinkOptions): TargetLink => {
     const origin = `http://${options.address}`;
@@ -71,18 +150,7 @@
     };
 
     return {
-        request: async (request, signal) => {
-            const response = await requests.request({
-                method: request.method as "GET",
-                path: request.path,
-                headers: request.headers,
-                body: request.body,
-                signal,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-            });
-            return { statusCode: response.statusCode, headers: response.headers, body: response.body };
-        },
+        send: (request, receiver) => startExchange(requests, request, receiver),
         grant: (grant, timeoutMilliseconds) =>
             ask(grantAnswerSchema, "POST", targetPaths.grants, grant, timeoutMilliseconds),
         health: timeoutMilliseconds =>
--- /dev/null
+++ b/src/machines/claimkeeper.ts
@@ -0,0 +1,212 @@
+/**
+ * The claim keeper remembers, for the groups for which assignments name this host, which ids have run or may run. It
+ * takes over the memory of groups that it did not keep before.
+ */
+import { randomUUID } from "node:crypto";
+import type { Clock } from "../contracts/clock.ts";
+import type { ClaimAnswer, ClaimOutcome, ClaimQuestion, MemoryPage } from "../contracts/requestmessages.ts";
+import { claimVerdicts } from "../contracts/requestmessages.ts";
+import { type ClaimMemory, createClaimMemory, type EntryBound } from "../decisions/claim.ts";
+import type { Currency } from "../decisions/currency.ts";
+import type { HostLinks } from "../links/hosts.ts";
+import type { Log } from "../links/logs.ts";
+import type { Metrics } from "../links/metrics.ts";
+import type { ObjectView } from "./objects.ts";
+
+export type ClaimKeeperOptions = {
+    host: string;
+    objects: ObjectView;
+    hosts: Pick<HostLinks, "ask" | "handle">;
+    currency: Currency;
+    /** Resolves after the first complete read of the platform. */
+    ready: Promise<void>;
+    claimEntries: number;
+    claimAgeMilliseconds: number;
+    /** Time after which hosts that can not be reached have certainly stopped to keep claims under older keepers. */
+    lapseMilliseconds: number;
+    clock: Clock;
+    log: Log;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
+
+export type ClaimKeeper = {
+    /** Answers a claim of this host or of another. */
+    claim: (question: ClaimQuestion) => ClaimAnswer;
+    settle: (outcome: ClaimOutcome) => void;
+    /** Remembered ids, and groups that are kept here but not ready. */
+    report: () => { entries: number; groups: number; notReady: number };
+};
+
+const pageTimeoutMilliseconds = 500;
+const roundMilliseconds = 20;
+const expiryMilliseconds = 1_000;
+
+type Kept = { pool: string; index: number; memory: ClaimMemory; learnedAt: number; taking: boolean };
+
+/** Starts the keeper until the signal aborts. */
+export const createClaimKeeper = (options: ClaimKeeperOptions): ClaimKeeper => {
+    const { host, objects, hosts, currency, clock, log, metrics, signal } = options;
+    const kept = new Map<string, Kept>();
+    const knownAtStart = new Set<string>();
+    const bound: EntryBound = { used: 0, max: options.claimEntries };
+    let isReady = false;
+
+    const keptOf = (pool: string, index: number): Kept | undefined => kept.get(`${pool}/${index}`);
+
+    const observe = (pool: string): void => {
+        const assignment = objects.get("assignments", pool)?.value;
+        if (!isReady || assignment === undefined) {
+            return;
+        }
+        const born = assignment.revision === 1 && !knownAtStart.has(pool);
+        knownAtStart.add(pool);
+        assignment.keepers.forEach((group, index) => {
+            let entry = keptOf(pool, index);
+            if (entry === undefined && !group.hosts.includes(host)) {
+                return;
+            }
+            if (entry === undefined) {
+                const { claimAgeMilliseconds: ageMilliseconds } = options;
+                const memory = createClaimMemory({ host, ageMilliseconds, bound });
+                entry = { pool, index, memory, learnedAt: 0, taking: false };
+                kept.set(`${pool}/${index}`, entry);
+            }
+            if (entry.memory.group()?.since !== group.since) {
+                entry.memory.observe(group, born);
+                entry.learnedAt = clock.now();
+            }
+        });
+    };
+
+    /** Copies the memory from one host. False when that host does not hold it. */
+    const copyFrom = async (source: string, entry: Kept, since: number): Promise<boolean> => {
+        const epoch = randomUUID();
+        const pages: MemoryPage[] = [];
+        let offset = 0;
+        for (;;) {
+            const answer = await hosts.ask(source, {
+                kind: "claim-memory-question",
+                pool: entry.pool,
+                group: entry.index,
+                since,
+                epoch,
+                offset,
+            }, pageTimeoutMilliseconds);
+            if (answer?.kind !== "claim-memory-page" || !answer.available) {
+                return false;
+            }
+            pages.push(answer);
+            offset += answer.entries.length;
+            if (answer.last) {
+                break;
+            }
+        }
+        pages.forEach(page => entry.memory.takePage(page, since, epoch, clock.now()));
+        return true;
+    };
+
+    const takeOver = async (entry: Kept): Promise<void> => {
+        const group = entry.memory.group();
+        const sources = entry.memory.sources();
+        if (group === undefined || sources === undefined) {
+            return;
+        }
+        for (const source of sources) {
+            if (await copyFrom(source, entry, group.since)) {
+                log.info("claim-memory-taken", { pool: entry.pool, group: entry.index, from: source });
+                metrics.count("claim-memory", { event: "taken" });
+                return;
+            }
+        }
+        if (clock.now() - entry.learnedAt >= options.lapseMilliseconds && !entry.memory.isReady()) {
+            entry.memory.declareLost(randomUUID(), clock.now());
+            if (entry.memory.isReady()) {
+                log.warn("claim-memory-lost", { pool: entry.pool, group: entry.index, since: group.since });
+                metrics.count("claim-memory", { event: "lost" });
+            }
+        }
+    };
+
+    const once = async (entry: Kept, work: () => Promise<unknown>): Promise<void> => {
+        if (entry.taking) {
+            return;
+        }
+        entry.taking = true;
+        await work().finally(() => {
+            entry.taking = false;
+        });
+    };
+
+    /** The second keeper follows the first when both hold memory of different epochs. */
+    const followFirst = (entry: Kept, otherEpoch: string | undefined): void => {
+        const group = entry.memory.group();
+        const differs = otherEpoch !== undefined && otherEpoch !== entry.memory.epoch();
+        if (differs && group?.hosts[1] === host && entry.memory.isReady()) {
+            void once(entry, () => copyFrom(group.hosts[0], entry, group.since));
+        }
+    };
+
+    const claim = (question: ClaimQuestion): ClaimAnswer => {
+        const entry = keptOf(question.pool, question.group);
+        const refuse = (verdict: ClaimAnswer["verdict"]): ClaimAnswer => ({ kind: "claim-answer", verdict, epoch: "" });
+        const revision = objects.get("assignments", question.pool)?.value.revision;
+        if (entry === undefined || revision === undefined) {
+            return refuse(claimVerdicts.otherKeepers);
+        }
+        if (!currency.isCurrent(question.pool, revision, clock.now())) {
+            return refuse(claimVerdicts.notCurrent);
+        }
+        followFirst(entry, question.otherEpoch);
+        return entry.memory.claim(question, clock.now());
+    };
+
+    const settle = (outcome: ClaimOutcome): void => keptOf(outcome.pool, outcome.group)?.memory.settle(outcome);
+
+    hosts.handle("claim", (...[, question]) => claim(question));
+    hosts.handle("claim-outcome", (...[, outcome]) => {
+        settle(outcome);
+        return undefined;
+    });
+    hosts.handle("claim-memory-question", (...[, question]) => {
+        const page = keptOf(question.pool, question.group)?.memory.page(question, clock.now());
+        return page ?? { kind: "claim-memory-page", available: false, entries: [], last: true, lostMilliseconds: 0 };
+    });
+    objects.onChange("assignments", observe);
+
+    const run = async (): Promise<void> => {
+        await options.ready;
+        isReady = true;
+        for (const { name } of objects.list("assignments")) {
+            knownAtStart.add(name);
+            observe(name);
+        }
+        let expiredAt = clock.now();
+        while (!signal.aborted) {
+            for (const entry of kept.values()) {
+                if (entry.memory.sources() !== undefined) {
+                    void once(entry, () => takeOver(entry));
+                }
+            }
+            if (clock.now() - expiredAt >= expiryMilliseconds) {
+                expiredAt = clock.now();
+                kept.forEach(entry => entry.memory.expire(expiredAt));
+            }
+            await clock.sleep(roundMilliseconds, signal);
+        }
+    };
+
+    void run();
+    return {
+        claim,
+        settle,
+        report: () => {
+            const own = [...kept.values()].filter(entry => entry.memory.group()?.hosts.includes(host) === true);
+            return {
+                entries: bound.used,
+                groups: own.length,
+                notReady: own.filter(entry => !entry.memory.isReady()).length,
+            };
+        },
+    };
+};
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -6,7 +6,6 @@
 import { messageOf } from "../contracts/errors.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
-import { outcomes } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
 import { createCurrency } from "../decisions/currency.ts";
 import { createSlotHash } from "../decisions/hash.ts";
@@ -21,7 +20,7 @@
 import { createFollower } from "./follower.ts";
 import { createObjectView } from "./objects.ts";
 import { createRenewer } from "./renewer.ts";
-import { createRouter } from "./router.ts";
+import { createRequestPath, type RequestReport } from "./requests.ts";
 import { createTargetViews } from "./target.ts";
 
 export type HostOptions = {
@@ -45,7 +44,7 @@
     versions: Record<string, number>;
     findings: Finding[];
     counters: Record<string, number>;
-};
+} & RequestReport;
 
 export type Host = {
     name: string;
@@ -93,7 +92,7 @@
     const objects = createObjectView();
     const currency = createCurrency();
     const slotHash = await createSlotHash();
-    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 12)));
+    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 2)));
     let state: HostReport["state"] = "starting";
 
     const hosts = await createHostLinks({
@@ -110,19 +109,28 @@
         metrics,
         signal,
     });
-    const router = createRouter({ objects, views, currency, slotHash, clock });
+    const { freshnessMilliseconds, renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
+    const follower = createFollower({ platform, objects, currency, freshnessMilliseconds, clock, log, signal });
+    const requests = createRequestPath({
+        settings,
+        objects,
+        views,
+        currency,
+        slotHash,
+        hosts,
+        ready: follower.ready,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
     const callers = await createCallerLink({
         host: address,
         settings: settings.callers,
         clock,
-        serve: router.serve,
-        onDone: (request, outcome, reason) => {
-            metrics.count("requests", { pool: request.pool, outcome });
-            metrics.timing("request-milliseconds", clock.now() - request.receivedAt, { pool: request.pool });
-            if (outcome !== outcomes.answered && reason !== undefined) {
-                metrics.count("refusals", { reason });
-            }
-        },
+        serve: requests.serve,
+        onDone: requests.noteDone,
+        onMalformed: requests.noteMalformed,
         healthy: () => state === "live",
     });
 
@@ -137,6 +145,7 @@
         versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
         findings: objects.findings(),
         counters: metrics.snapshot(),
+        ...requests.report(),
     });
 
     const operators = await createOperatorLink({
@@ -157,8 +166,6 @@
     objects.onChange("status", () => {
         hosts.setPeers(objects.list("status").map(item => ({ name: item.name, address: item.value.peerAddress })));
     });
-    const { freshnessMilliseconds, renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
-    const follower = createFollower({ platform, objects, currency, freshnessMilliseconds, clock, log, signal });
     createRenewer({
         host: name,
         objects,
--- /dev/null
+++ b/src/machines/requests.ts
@@ -0,0 +1,152 @@
+/**
+ * The request path of one host: the router with the tasks that it needs, and what they report.
+ */
+import type { Clock } from "../contracts/clock.ts";
+import type { Reason } from "../contracts/outcome.ts";
+import { type Outcome, outcomes, reasons } from "../contracts/outcome.ts";
+import type { Settings } from "../contracts/settings.ts";
+import type { Currency } from "../decisions/currency.ts";
+import type { SlotHash } from "../decisions/hash.ts";
+import { type Member, shareOf } from "../decisions/share.ts";
+import type { CallerRequest } from "../links/callers.ts";
+import type { HostLinks } from "../links/hosts.ts";
+import type { Log } from "../links/logs.ts";
+import type { Metrics } from "../links/metrics.ts";
+import { type ClaimKeeper, createClaimKeeper } from "./claimkeeper.ts";
+import { createClaims } from "./claims.ts";
+import { createLanes } from "./lanes.ts";
+import type { ObjectView } from "./objects.ts";
+import { createPlaces } from "./places.ts";
+import { createQuarantines, type QuarantineReport } from "./quarantines.ts";
+import { createRouter, type Router } from "./router.ts";
+import { createSender } from "./send.ts";
+import type { TargetViews } from "./target.ts";
+
+export type RequestPathOptions = {
+    settings: Settings;
+    objects: ObjectView;
+    views: TargetViews;
+    currency: Currency;
+    slotHash: SlotHash;
+    hosts: Pick<HostLinks, "ask" | "tell" | "handle" | "connected" | "onChange">;
+    /** Resolves after the first complete read of the platform. */
+    ready: Promise<void>;
+    clock: Clock;
+    log: Log;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
+
+export type RequestReport = {
+    claims: ReturnType<ClaimKeeper["report"]>;
+    quarantine: QuarantineReport[];
+};
+
+export type RequestPath = {
+    serve: Router["serve"];
+    unfinishedBelow: Router["unfinishedBelow"];
+    /** Counts and logs a request that is done. */
+    noteDone: (request: CallerRequest, outcome: Outcome, reason: Reason | undefined) => void;
+    /** Counts bytes that were not a request. */
+    noteMalformed: (reason: Reason) => void;
+    report: () => RequestReport;
+    /** Lifts a quarantine on all hosts that can be reached. False when there is none. */
+    removeQuarantine: (fingerprint: string) => boolean;
+};
+
+/** Way to another zone and back, until it is measured. */
+const otherZoneMilliseconds = 2;
+/** Hosts that can not be reached have stopped to keep claims after this many times the freshness of assignments. */
+const lapseFactor = 3;
+
+/** Starts the request path of a host until the signal aborts. */
+export const createRequestPath = (options: RequestPathOptions): RequestPath => {
+    const { settings, objects, views, currency, slotHash, hosts, clock, log, metrics, signal } = options;
+    const { name, zone, size } = settings.host;
+    const { requests } = settings;
+    const self: Member = { name, size };
+    let share = 1;
+
+    const lanes = createLanes({
+        queueLength: requests.queueLength,
+        rampMilliseconds: requests.rampMilliseconds,
+        clock,
+        signal,
+    });
+    const places = createPlaces({
+        objects,
+        views,
+        currency,
+        slotHash,
+        lanes,
+        distanceTo: other => other === zone ? 0 : otherZoneMilliseconds,
+        unit: Math.random,
+        clock,
+    });
+    const sender = createSender({ clock, onOver: lanes.leave });
+    const keeper = createClaimKeeper({
+        host: name,
+        objects,
+        hosts,
+        currency,
+        ready: options.ready,
+        claimEntries: requests.claimEntries,
+        claimAgeMilliseconds: requests.claimAgeMilliseconds,
+        lapseMilliseconds: settings.ownership.freshnessMilliseconds * lapseFactor,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
+    const claims = createClaims({ host: name, objects, hosts, keeper, slotHash, clock });
+    const quarantines = createQuarantines({
+        hosts,
+        ageMilliseconds: requests.quarantineAgeMilliseconds,
+        clock,
+        log,
+        metrics,
+    });
+    const router = createRouter({
+        objects,
+        places,
+        lanes,
+        sender,
+        claims,
+        quarantines,
+        share: () => share,
+        settings: requests,
+        metrics,
+        clock,
+        signal,
+    });
+
+    const updateShare = (): void => {
+        const members = objects.list("status").map(item => ({ name: item.name, size: item.value.size }));
+        share = shareOf(members, self);
+        lanes.setShare(share);
+    };
+    objects.onChange("status", updateShare);
+    updateShare();
+
+    return {
+        serve: router.serve,
+        unfinishedBelow: router.unfinishedBelow,
+        noteDone: (request, outcome, reason) => {
+            const { id, pool, receivedAt } = request;
+            metrics.count("requests", { pool, outcome });
+            metrics.timing("request-milliseconds", clock.now() - receivedAt, { pool });
+            if (reason === undefined) {
+                return;
+            }
+            metrics.count("refusals", { reason });
+            const event = outcome === outcomes.unknown ? log.info : log.debug;
+            event("request-refused", { request: id, pool, reason, outcome });
+        },
+        noteMalformed: reason => {
+            metrics.count("requests", { pool: "none", outcome: reasons[reason].outcome });
+            metrics.count("refusals", { reason });
+        },
+        report: () => ({ claims: keeper.report(), quarantine: quarantines.report() }),
+        removeQuarantine: quarantines.remove,
+    };
+};
--- a/src/machines/router.ts
+++ b/src/machines/router.ts
@@ -2,205 +2,271 @@
  * The router admits callers' requests, finds the target entitled to the key, sends the request there and says with
  * certainty what became of it.
  */
-import { noOwner } from "../contracts/assignment.ts";
 import type { Clock } from "../contracts/clock.ts";
-import { callerHeaders, type Reason } from "../contracts/outcome.ts";
-import { divisions, type Pool, type Route, routeKinds, type Target } from "../contracts/pool.ts";
-import { targetAnswerHeaders, targetRefusals, targetRequestHeaders } from "../contracts/targetprotocol.ts";
-import type { Currency } from "../decisions/currency.ts";
-import { allowanceRefusal, planOfCaller, routeOf } from "../decisions/gate.ts";
-import type { SlotHash } from "../decisions/hash.ts";
-import type { CallerAnswer, CallerRequest } from "../links/callers.ts";
-import type { TargetAnswer } from "../links/targets.ts";
+import { outcomes, reasons } from "../contracts/outcome.ts";
+import { divisions } from "../contracts/pool.ts";
+import type { Settings } from "../contracts/settings.ts";
+import { stopCauses } from "../decisions/classify.ts";
+import { createTokenIndex, type GateView, isGateRefusal, type Passage, passGate } from "../decisions/gate.ts";
+import { concurrencyShare, createRates } from "../decisions/rate.ts";
+import { createRetryBudget, retryReasonOf, waitsForOwner } from "../decisions/retry.ts";
+import type { CallerAnswer, CallerRefusal, CallerRequest } from "../links/callers.ts";
+import type { Metrics } from "../links/metrics.ts";
+import type { Claims } from "./claims.ts";
+import { createHolds } from "./holds.ts";
+import { createJourney, type Journey, type Place, refusal } from "./journey.ts";
+import type { Lanes } from "./lanes.ts";
 import type { ObjectView } from "./objects.ts";
-import { noteReading, type TargetViews } from "./target.ts";
+import { isRefusal, type Places } from "./places.ts";
+import type { Quarantines } from "./quarantines.ts";
+import type { Attempt, FailedAttempt, Sender } from "./send.ts";
 
 export type RouterOptions = {
     objects: ObjectView;
-    views: TargetViews;
-    currency: Currency;
-    slotHash: SlotHash;
+    places: Places;
+    lanes: Lanes;
+    sender: Sender;
+    claims: Claims;
+    quarantines: Quarantines;
+    /** This host's part of rates and concurrency, from 0 to 1. */
+    share: () => number;
+    settings: Settings["requests"];
+    metrics: Metrics;
     clock: Clock;
+    signal: AbortSignal;
 };
 
-export type Router = { serve: (request: CallerRequest) => Promise<CallerAnswer> };
-
-type Place = { target: Target; slot: number; revision: number };
+export type Router = {
+    serve: (request: CallerRequest) => Promise<CallerAnswer>;
+    /** Requests for owned keys of the pool that were sent under a revision below the one given and are not over. */
+    unfinishedBelow: (pool: string, revision: number) => number;
+};
 
-const refusal = (reason: Reason, detail: string): CallerAnswer => ({ kind: "refusal", reason, detail });
+/** A target of a pool not divided by key that failed is left alone for this time. */
+const failurePauseMilliseconds = 100;
+/** An owner that has said nothing for this time is given up once its key has another owner. */
+const silentMilliseconds = 200;
 
-const isRefusal = (value: Place | CallerAnswer): value is CallerAnswer => "kind" in value;
+const didNotRun = (failed: FailedAttempt): boolean => reasons[failed.reason].outcome === outcomes.notRun;
 
-/** Headers that belong to one connection and are not passed on. */
-const hopHeaders = new Set(["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "host"]);
+/** Creates the router of one host. */
+export const createRouter = (options: RouterOptions): Router => {
+    const { objects, places, lanes, sender, claims, quarantines, settings, metrics, clock, signal } = options;
+    const budget = createRetryBudget(settings.retryBudgetRatio);
+    const rates = createRates();
+    const holds = createHolds({ length: settings.heldLength, clock, signal });
+    const inFlightByPlan = new Map<string, number>();
+    const sent = new Set<Journey>();
 
-const forwardedHeaders = (request: CallerRequest): Record<string, string> => {
-    const headers: Record<string, string> = {};
-    for (const [name, value] of Object.entries(request.headers)) {
-        const own = name === "authorization" || name === "content-length" || name.startsWith("carobpier-");
-        if (typeof value === "string" && !own && !hopHeaders.has(name)) {
-            headers[name] = value;
-        }
-    }
-    return headers;
-};
+    const gateView: GateView = {
+        planOf: createTokenIndex([]),
+        allowanceOf: plan => objects.get("allowances", plan)?.value,
+        poolOf: name => objects.get("pools", name)?.value,
+    };
+    const indexTokens = (): void => {
+        const plans = objects.list("plans").map(({ name, value }) => ({ name, plan: value }));
+        gateView.planOf = createTokenIndex(plans);
+        rates.keep(
+            new Set(plans.flatMap(({ name }) => [name, ...objects.list("pools").map(pool => `${name}/${pool.name}`)])),
+        );
+    };
+    indexTokens();
+    objects.onChange("plans", indexTokens);
 
-const answerHeaders = (answer: TargetAnswer): Record<string, string> => {
-    const headers: Record<string, string> = {};
-    for (const [name, value] of Object.entries(answer.headers)) {
-        const own = name.startsWith("target-") || name.startsWith("carobpier-") || name === "request-id";
-        if (typeof value === "string" && !own && !hopHeaders.has(name)) {
-            headers[name] = value;
+    const refusedByRate = (request: CallerRequest, { caller, use }: Passage): CallerRefusal | undefined => {
+        const { rate, concurrency } = caller.plan;
+        const share = options.share();
+        const now = clock.now();
+        const inFlight = inFlightByPlan.get(caller.name) ?? 0;
+        if (concurrency !== undefined && inFlight >= concurrencyShare(concurrency, share)) {
+            return refusal("concurrency-exceeded", `Plan "${caller.name}" has ${inFlight} requests in flight here.`);
         }
-    }
-    return headers;
-};
-
-/** Reasons for a target's own word that it did not run the request. */
-const refusalReasons: Record<string, Reason> = {
-    [targetRefusals.fence]: "fence-refused",
-    [targetRefusals.noGrant]: "fence-refused",
-    [targetRefusals.shed]: "target-shed",
-    [targetRefusals.draining]: "target-draining",
-    [targetRefusals.deadline]: "deadline-unreachable",
-    [targetRefusals.cancelled]: "cancelled",
-};
-
-const neverConnectedCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
+        const waits = [
+            rate === undefined ? undefined : rates.take(caller.name, rate, share, now),
+            use.rate === undefined ? undefined : rates.take(`${caller.name}/${request.pool}`, use.rate, share, now),
+        ];
+        const wait = waits.find(milliseconds => milliseconds !== undefined);
+        return wait === undefined
+            ? undefined
+            : refusal("rate-exceeded", `Plan "${caller.name}" has used up its rate.`, wait);
+    };
 
-/** Creates the router of one host. */
-export const createRouter = (options: RouterOptions): Router => {
-    const { objects, views, currency, slotHash, clock } = options;
+    /** Waits for the owner of the key. False when the request ends with the refusal that it has. */
+    const hold = async (journey: Journey, reason: string): Promise<boolean> => {
+        const { pool, deadlineAt, hangUp } = journey.request;
+        metrics.count("holds", { reason });
+        const result = await holds.wait(pool, journey.timesHeld, deadlineAt, hangUp);
+        journey.timesHeld += 1;
+        return result === "again";
+    };
 
-    const placeByKey = (poolName: string, pool: Pool, key: string): Place | CallerAnswer => {
-        const assignment = objects.get("assignments", poolName)?.value;
-        if (assignment === undefined) {
-            return refusal("no-owner", `Pool "${poolName}" has no assignment yet.`);
+    const mayRetry = (journey: Journey, failed: FailedAttempt): boolean => {
+        const retryReason = retryReasonOf(failed.reason);
+        if (retryReason === undefined || journey.retried || (journey.once && !didNotRun(failed))) {
+            return false;
         }
-        if (!currency.isCurrent(poolName, assignment.revision, clock.now())) {
-            return refusal("not-current", `Revision ${assignment.revision} of pool "${poolName}" is not confirmed.`);
+        if (quarantines.refuses(journey.request)) {
+            return false;
         }
-        const slot = slotHash(key, pool.slotCount);
-        const owner = assignment.owners[slot] ?? noOwner;
-        const name = assignment.hotKeys.find(hot => hot.key === key)?.target ?? assignment.targets[owner];
-        const target = pool.targets.find(candidate => candidate.name === name);
-        if (target === undefined) {
-            return refusal("no-owner", `No target owns slot ${slot} of pool "${poolName}".`);
+        if (!budget.take(clock.now())) {
+            metrics.count("retries-refused", { reason: "budget-spent" });
+            return false;
         }
-        return { target, slot, revision: assignment.revision };
+        journey.retried = true;
+        metrics.count("retries", { reason: retryReason });
+        return true;
     };
 
-    const placeAnywhere = (poolName: string, pool: Pool): Place | CallerAnswer => {
-        let best: Target | undefined;
-        let least = Infinity;
-        for (const target of pool.targets) {
-            const load = (views.of(poolName, target).outstanding + 1) / target.speed;
-            if (load < least) {
-                least = load;
-                best = target;
-            }
+    /** Whether the request is sent again after a failure; resolves when that is due. */
+    const goesOn = async (journey: Journey, place: Place, failed: FailedAttempt): Promise<boolean> => {
+        const byKey = journey.passage.pool.division === divisions.byKey;
+        if (failed.reason === "target-shed") {
+            lanes.shed(place.view, failed.backOffMilliseconds);
         }
-        return best === undefined
-            ? refusal("no-target", `Pool "${poolName}" has no targets.`)
-            : { target: best, slot: 0, revision: 0 };
-    };
-
-    const send = async (request: CallerRequest, poolName: string, place: Place): Promise<CallerAnswer> => {
-        const view = views.of(poolName, place.target);
-        const left = Math.max(1, Math.round(request.deadlineAt - clock.now()));
-        const limit = AbortSignal.timeout(left);
-        view.outstanding += 1;
-        try {
-            const answer = await view.link.request({
-                method: request.method,
-                path: request.path,
-                headers: {
-                    ...forwardedHeaders(request),
-                    [targetRequestHeaders.requestId]: request.id,
-                    [targetRequestHeaders.pool]: poolName,
-                    [targetRequestHeaders.revision]: String(place.revision),
-                    [targetRequestHeaders.slot]: String(place.slot),
-                    [targetRequestHeaders.key]: request.key ?? "",
-                    [targetRequestHeaders.deadline]: String(left),
-                },
-                body: request.body,
-            }, AbortSignal.any([limit, request.signal]));
-            return await conclude(request, poolName, place, answer);
+        if (!byKey && (failed.reason === "connect-failed" || failed.reason === "connection-lost")) {
+            lanes.block(place.view, failurePauseMilliseconds);
         }
-        catch (error) {
-            const code = (error as { code?: string }).code ?? "";
-            if (neverConnectedCodes.has(code)) {
-                return refusal("connect-failed", `Target "${place.target.name}" did not accept a connection.`);
-            }
-            return limit.aborted
-                ? refusal("timed-out", `Target "${place.target.name}" did not answer in time.`)
-                : refusal("connection-lost", `The connection to target "${place.target.name}" broke.`);
+        if (byKey && waitsForOwner(failed.reason)) {
+            return hold(journey, failed.reason);
         }
-        finally {
-            view.outstanding -= 1;
+        if (!mayRetry(journey, failed)) {
+            return false;
         }
+        journey.avoid = byKey ? undefined : place.view.target.name;
+        return true;
     };
 
-    const conclude = async (
-        request: CallerRequest,
-        poolName: string,
-        place: Place,
-        answer: TargetAnswer,
-    ): Promise<CallerAnswer> => {
-        const incarnation = answer.headers[targetAnswerHeaders.incarnation];
-        const reading = Number(answer.headers[targetAnswerHeaders.clock]);
-        if (typeof incarnation === "string" && Number.isFinite(reading)) {
-            noteReading(views.of(poolName, place.target), incarnation, reading);
+    const dispatch = async (journey: Journey, place: Place): Promise<Attempt> => {
+        const { request } = journey;
+        journey.attempts += 1;
+        const handle = sender.send({
+            request,
+            pool: request.pool,
+            view: place.view,
+            slot: place.slot,
+            revision: place.revision,
+            attempt: journey.attempts,
+            mayStart: () => clock.now() < request.deadlineAt && places.isStillValid(journey, place),
+            cancellable: !journey.once,
+        });
+        journey.place = place;
+        journey.stop = handle.stop;
+        sent.add(journey);
+        const attempt = await handle.result;
+        sent.delete(journey);
+        journey.stop = undefined;
+        if (attempt.kind === "answered") {
+            quarantines.noteAnswered(request);
         }
-        if (answer.headers[targetAnswerHeaders.requestId] !== request.id) {
-            answer.body.destroy();
-            return refusal("answer-mismatched", `Target "${place.target.name}" answered another request.`);
+        else if (attempt.reason === "connection-lost") {
+            quarantines.noteBroken(request, place.view, attempt.incarnation);
         }
-        if (answer.headers[targetAnswerHeaders.outcome] === "not-run") {
-            answer.body.resume();
-            const why = String(answer.headers[targetAnswerHeaders.refusal]);
-            return refusal(refusalReasons[why] ?? "target-shed", `Target "${place.target.name}" refused: ${why}.`);
-        }
-        return { kind: "answer", statusCode: answer.statusCode, headers: answerHeaders(answer), body: answer.body };
+        return attempt;
     };
 
-    const refusedAtGate = (request: CallerRequest, pool: Pool, route: Route | undefined): CallerAnswer | undefined => {
-        const plans = objects.list("plans").map(({ name, value }) => ({ name, plan: value }));
-        const caller = planOfCaller(request.headers.authorization, plans);
-        if (caller === undefined) {
-            return refusal("unknown-caller", "The bearer token belongs to no plan.");
+    const deliver = async (journey: Journey): Promise<CallerAnswer> => {
+        const { request } = journey;
+        budget.noteRequest(clock.now());
+        for (;;) {
+            if (request.hangUp.happened) {
+                return refusal("cancelled", "The caller hung up before the request was sent.");
+            }
+            const place = places.of(journey);
+            if (isRefusal(place)) {
+                if (await hold(journey, place.reason)) {
+                    continue;
+                }
+                return place;
+            }
+            const { priority } = journey;
+            const verdict = await lanes.enter(place.view, { priority, deadlineAt: request.deadlineAt }, request.hangUp);
+            if (verdict === "dispersed") {
+                continue;
+            }
+            if (verdict !== "admitted") {
+                return refusal(verdict, `Target "${place.view.target.name}" can not take the request in time.`);
+            }
+            const attempt = await dispatch(journey, place);
+            if (attempt.kind === "answered") {
+                return attempt.answer;
+            }
+            if (!(await goesOn(journey, place, attempt))) {
+                return refusal(attempt.reason, attempt.detail, attempt.backOffMilliseconds || undefined);
+            }
         }
-        if (route === undefined) {
-            return refusal("unknown-route", `No route of pool "${request.pool}" matches ${request.method}.`);
+    };
+
+    const deliverOnce = async (journey: Journey): Promise<CallerAnswer> => {
+        const claim = await claims.claim(journey.request, journey.passage.caller.name);
+        if ("reason" in claim) {
+            return refusal(claim.reason, claim.detail);
         }
-        const allowance = objects.get("allowances", caller.name)?.value;
-        const reason = allowanceRefusal(allowance, request.pool, route.name, request.key);
-        if (reason !== undefined) {
-            return refusal(reason, `Plan "${caller.name}" does not allow this use of pool "${request.pool}".`);
+        const answer = await deliver(journey);
+        claim.settle(answer.kind === "answer" ? outcomes.answered : settledAs(answer));
+        return answer;
+    };
+
+    const settledAs = (answer: CallerRefusal): "not-run" | "unknown" =>
+        reasons[answer.reason].outcome === outcomes.notRun ? outcomes.notRun : outcomes.unknown;
+
+    const serveAdmitted = async (request: CallerRequest, passage: Passage): Promise<CallerAnswer> => {
+        const plan = passage.caller.name;
+        const journey = createJourney(request, passage);
+        inFlightByPlan.set(plan, (inFlightByPlan.get(plan) ?? 0) + 1);
+        try {
+            return await (journey.once ? deliverOnce(journey) : deliver(journey));
         }
-        if (pool.division === divisions.byKey && request.key === undefined) {
-            return refusal("missing-key", `Pool "${request.pool}" is divided by key: send ${callerHeaders.key}.`);
+        finally {
+            inFlightByPlan.set(plan, (inFlightByPlan.get(plan) ?? 1) - 1);
         }
-        if (route.kind === routeKinds.once && request.idempotencyKey === undefined) {
-            return refusal("missing-id", `Route "${route.name}" runs once: send ${callerHeaders.idempotencyKey}.`);
+    };
+
+    /** Requests that wait at an owner which is silent and has lost the key are given up, so that they can go on. */
+    const leaveFormerOwners = (pool: string): void => {
+        const now = clock.now();
+        for (const journey of sent) {
+            const { place, request } = journey;
+            const silent = place !== undefined && now - (place.view.lastAnswerAt ?? 0) > silentMilliseconds;
+            if (request.pool !== pool || journey.once || !silent) {
+                continue;
+            }
+            const next = places.of(journey);
+            if (!isRefusal(next) && next.view !== place.view) {
+                journey.stop?.(stopCauses.ownerChanged);
+            }
         }
-        return undefined;
     };
 
+    objects.onChange("assignments", pool => {
+        lanes.disperse(pool);
+        holds.wake(pool);
+        leaveFormerOwners(pool);
+    });
+
     return {
         serve: async request => {
-            const pool = objects.get("pools", request.pool)?.value;
-            if (pool === undefined) {
-                return refusal("unknown-pool", `Pool "${request.pool}" does not exist.`);
+            const passed = passGate({
+                authorization: request.headers.authorization,
+                poolName: request.pool,
+                method: request.method,
+                path: request.path,
+                key: request.key,
+                idempotencyKey: request.idempotencyKey,
+            }, gateView);
+            if (isGateRefusal(passed)) {
+                return refusal(passed.reason, passed.detail);
+            }
+            if (quarantines.refuses(request)) {
+                return refusal("quarantined", "The request crashed targets and is refused until that has aged.");
             }
-            const refused = refusedAtGate(request, pool, routeOf(pool, request.method, request.path));
-            if (refused !== undefined) {
-                return refused;
+            return refusedByRate(request, passed) ?? serveAdmitted(request, passed);
+        },
+        unfinishedBelow: (pool, revision) => {
+            let count = 0;
+            for (const journey of sent) {
+                count += journey.request.pool === pool && (journey.place?.revision ?? revision) < revision ? 1 : 0;
             }
-            const place = pool.division === divisions.byKey
-                ? placeByKey(request.pool, pool, request.key ?? "")
-                : placeAnywhere(request.pool, pool);
-            return isRefusal(place) ? place : send(request, request.pool, place);
+            return count;
         },
     };
 };
