--- a/src/decisions/claim.ts
+++ b/src/decisions/claim.ts
@@ -4,7 +4,8 @@
  *
  * Why no id is granted twice: a claim counts only when all keepers of the group granted it in one epoch. When a keeper
  * is replaced or starts again, it takes the memory over from a keeper that grants nothing under the older keepers any
- * more; every claim that counted is in that memory. The hand-over begins a new epoch, so that a grant of the lost
+ * more; every claim that counted is in that memory. Keepers of before are asked only by a host that knows that it never
+ * kept claims under the present ones, since these count nothing without it. The hand-over begins a new epoch, so that a grant of the lost
  * keeper never counts together with one that was made after the memory was copied.
  */
 import type { KeeperGroup } from "../contracts/assignment.ts";
@@ -20,6 +21,17 @@
     type MemoryQuestion,
 } from "../contracts/requestmessages.ts";
 
+/** How a host learned of the keepers of a group. */
+export const keeperOrigins = {
+    /** The host has seen the pool without any assignment: nothing was claimed before. */
+    born: "born",
+    /** They were named while the host ran, so that it knows what it kept since then. */
+    changed: "changed",
+    /** The host found them when it started, and may have kept claims in an earlier life. */
+    found: "found",
+} as const;
+export type KeeperOrigin = (typeof keeperOrigins)[keyof typeof keeperOrigins];
+
 /** Counts the entries of all groups of one keeper, so that their sum stays bounded. */
 export type EntryBound = { used: number; readonly max: number };
 
@@ -33,8 +45,8 @@
 };
 
 export type ClaimMemory = {
-    /** Takes the keepers of the group. `born` says that the host has seen the pool without any assignment. */
-    observe: (group: KeeperGroup, born: boolean) => void;
+    /** Takes the keepers of the group. */
+    observe: (group: KeeperGroup, origin: KeeperOrigin) => void;
     claim: (question: ClaimQuestion, now: number) => ClaimAnswer;
     settle: (outcome: ClaimOutcome) => void;
     /** Hosts that may hold the memory, when this keeper has to take it over; undefined otherwise. */
@@ -69,6 +81,8 @@
     /** Revision of the keepers under which this host last held the whole memory. */
     let completeSince: number | undefined;
     let epoch = "";
+    /** Whether this life of the host began before the keepers were named. */
+    let wasNamedHere = false;
     let lostAt = -Infinity;
     let lostUntil = -Infinity;
 
@@ -135,20 +149,21 @@
     };
 
     return {
-        observe: (next, born) => {
+        observe: (next, origin) => {
             if (group !== undefined && next.since <= group.since) {
                 return;
             }
             const isContinued = completeSince !== undefined && completeSince === next.previousSince
                 && next.previous.includes(host);
             group = next;
+            wasNamedHere = origin !== keeperOrigins.found;
             if (!next.hosts.includes(host)) {
                 return;
             }
             if (isContinued) {
                 completeSince = next.since;
             }
-            else if (born && next.previous.length === 0) {
+            else if (origin === keeperOrigins.born && next.previous.length === 0) {
                 completeSince = next.since;
                 epoch = firstEpoch;
             }
@@ -169,7 +184,8 @@
             if (group === undefined || !group.hosts.includes(host) || isReady()) {
                 return undefined;
             }
-            return [...new Set([...group.hosts, ...group.previous])].filter(name => name !== host);
+            const names = wasNamedHere ? [...group.hosts, ...group.previous] : group.hosts;
+            return [...new Set(names)].filter(name => name !== host);
         },
         page: (question, now) => {
             if (!maySource(question.since)) {
--- a/src/decisions/keepers.ts
+++ b/src/decisions/keepers.ts
@@ -89,29 +89,45 @@
     return replaceHost(group, hosts, revision);
 };
 
-/** Moves one keeper of a few groups from the most to the least loaded host. */
+type Swap = { index: number; from: string; to: Candidate };
+
+/** A group whose keeper on a loaded host can go to a less loaded one without leaving its two zones to one. */
+const findSwap = (
+    groups: readonly KeeperGroup[],
+    candidates: Candidate[],
+    load: Load,
+    revision: number,
+): Swap | undefined => {
+    const loadOf = (name: string): number => load.get(name) ?? 0;
+    const zones = new Map(candidates.map(candidate => [candidate.name, candidate.zone]));
+    const ascending = [...candidates].sort((left, right) => loadOf(left.name) - loadOf(right.name));
+    for (const { name: from } of [...ascending].reverse()) {
+        for (const to of ascending.filter(other => loadOf(from) - loadOf(other.name) > toleratedSurplus)) {
+            const index = groups.findIndex(group =>
+                group.since !== revision && group.hosts.includes(from) && !group.hosts.includes(to.name)
+                && group.hosts.every(host => host === from || zones.get(host) !== to.zone)
+            );
+            if (index !== -1) {
+                return { index, from, to };
+            }
+        }
+    }
+    return undefined;
+};
+
+/** Moves one keeper of a few groups from loaded to less loaded hosts. */
 const balance = (groups: KeeperGroup[], candidates: Candidate[], load: Load, revision: number): KeeperGroup[] => {
     const balanced = [...groups];
     for (let moved = 0; moved < maxBalancedPerChange; moved += 1) {
-        const sorted = [...candidates].sort((left, right) => (load.get(left.name) ?? 0) - (load.get(right.name) ?? 0));
-        const least = sorted[0];
-        const most = sorted[sorted.length - 1];
-        if ((load.get(most.name) ?? 0) - (load.get(least.name) ?? 0) <= toleratedSurplus) {
-            return balanced;
-        }
-        const zoneOf = (name: string): string | undefined => candidates.find(other => other.name === name)?.zone;
-        const index = balanced.findIndex(group =>
-            group.since !== revision && group.hosts.includes(most.name) && !group.hosts.includes(least.name)
-            && group.hosts.every(host => host === most.name || zoneOf(host) !== least.zone)
-        );
-        if (index === -1) {
+        const swap = findSwap(balanced, candidates, load, revision);
+        if (swap === undefined) {
             return balanced;
         }
-        const group = balanced[index];
-        const hosts = group.hosts.map(host => host === most.name ? least.name : host);
-        balanced[index] = replaceHost(group, hosts, revision);
-        load.set(most.name, (load.get(most.name) ?? 0) - 1);
-        load.set(least.name, (load.get(least.name) ?? 0) + 1);
+        const { index, from, to } = swap;
+        const hosts = balanced[index].hosts.map(host => host === from ? to.name : host);
+        balanced[index] = replaceHost(balanced[index], hosts, revision);
+        load.set(from, (load.get(from) ?? 0) - 1);
+        load.set(to.name, (load.get(to.name) ?? 0) + 1);
     }
     return balanced;
 };
--- a/src/machines/claimkeeper.ts
+++ b/src/machines/claimkeeper.ts
@@ -6,7 +6,13 @@
 import type { Clock } from "../contracts/clock.ts";
 import type { ClaimAnswer, ClaimOutcome, ClaimQuestion, MemoryPage } from "../contracts/requestmessages.ts";
 import { claimVerdicts } from "../contracts/requestmessages.ts";
-import { type ClaimMemory, createClaimMemory, type EntryBound } from "../decisions/claim.ts";
+import {
+    type ClaimMemory,
+    createClaimMemory,
+    type EntryBound,
+    type KeeperOrigin,
+    keeperOrigins,
+} from "../decisions/claim.ts";
 import type { Currency } from "../decisions/currency.ts";
 import type { HostLinks } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
@@ -44,11 +50,19 @@
 
 type Kept = { pool: string; index: number; memory: ClaimMemory; learnedAt: number; taking: boolean };
 
+const originOf = (since: number, seenRevision: number | undefined): KeeperOrigin => {
+    if (seenRevision === undefined || seenRevision >= since) {
+        return keeperOrigins.found;
+    }
+    return seenRevision === 0 && since === 1 ? keeperOrigins.born : keeperOrigins.changed;
+};
+
 /** Starts the keeper until the signal aborts. */
 export const createClaimKeeper = (options: ClaimKeeperOptions): ClaimKeeper => {
     const { host, objects, hosts, currency, clock, log, metrics, signal } = options;
     const kept = new Map<string, Kept>();
-    const knownAtStart = new Set<string>();
+    /** Newest revision seen of each pool; 0 for a pool that was seen without any assignment. */
+    const revisions = new Map<string, number>();
     const bound: EntryBound = { used: 0, max: options.claimEntries };
     let isReady = false;
 
@@ -59,8 +73,8 @@
         if (!isReady || assignment === undefined) {
             return;
         }
-        const born = assignment.revision === 1 && !knownAtStart.has(pool);
-        knownAtStart.add(pool);
+        const seen = revisions.get(pool);
+        revisions.set(pool, Math.max(seen ?? 0, assignment.revision));
         assignment.keepers.forEach((group, index) => {
             let entry = keptOf(pool, index);
             if (entry === undefined && !group.hosts.includes(host)) {
@@ -73,12 +87,19 @@
                 kept.set(`${pool}/${index}`, entry);
             }
             if (entry.memory.group()?.since !== group.since) {
-                entry.memory.observe(group, born);
+                entry.memory.observe(group, originOf(group.since, seen));
                 entry.learnedAt = clock.now();
             }
         });
     };
 
+    /** A pool that is known before its first assignment has no earlier claims. */
+    const notePool = (pool: string): void => {
+        if (isReady && !revisions.has(pool) && objects.get("assignments", pool) === undefined) {
+            revisions.set(pool, 0);
+        }
+    };
+
     /** Copies the memory from one host. False when that host does not hold it. */
     const copyFrom = async (source: string, entry: Kept, since: number): Promise<boolean> => {
         const epoch = randomUUID();
@@ -172,15 +193,14 @@
         const page = keptOf(question.pool, question.group)?.memory.page(question, clock.now());
         return page ?? { kind: "claim-memory-page", available: false, entries: [], last: true, lostMilliseconds: 0 };
     });
+    objects.onChange("pools", notePool);
     objects.onChange("assignments", observe);
 
     const run = async (): Promise<void> => {
         await options.ready;
         isReady = true;
-        for (const { name } of objects.list("assignments")) {
-            knownAtStart.add(name);
-            observe(name);
-        }
+        objects.list("assignments").forEach(({ name }) => observe(name));
+        objects.list("pools").forEach(({ name }) => notePool(name));
         let expiredAt = clock.now();
         while (!signal.aborted) {
             for (const entry of kept.values()) {
--- a/test/decisions/balance.test.ts
+++ b/test/decisions/balance.test.ts
@@ -35,7 +35,11 @@
 });
 
 const skewCases = [
-    { title: "one target carries twice its share", hot: (slot: number, owner: number) => owner === 3 ? 2 : Math.min(1, slot + 1), limit: 1.1 },
+    {
+        title: "one target carries twice its share",
+        hot: (slot: number, owner: number) => owner === 3 ? 2 : Math.min(1, slot + 1),
+        limit: 1.1,
+    },
     { title: "one heavy slot", hot: (slot: number) => slot === 5 ? 60 : 1, limit: 1.1 },
 ];
 
