Spread objects by relays and harden the links between hosts

Cause: every host asked the platform four times a second, so its calls grew with the fleet; a link's proof could be sent back, an unknown message counted as malformed, and a changed address was never dialled again.

Change: one or two relays a zone, chosen by rendezvous hashing, ask the platform and push changes as differences; the other hosts ask a relay over their link, which also passes on what is left of its deadlines. A host admits only after its announcement is written and confirmed, and stops when it hears neither the platform nor a majority of the hosts. Members are put together from status objects, the platform's list and own links. Proofs cover both hellos and the sender's part; each way a link ends has a reason that is counted.

Found on the way: the hello of the acceptor can come with the answer to the upgrade, and was missed by a dialler that listened only after it. The handshake now listens from the start; the tests of two linked hosts hold it.

--- a/src/contracts/errors.ts
+++ b/src/contracts/errors.ts
@@ -15,5 +15,8 @@
 /** A link between hosts was closed or its message was refused. */
 export const PeerError = CarobpierError.subclass("PeerError");
 
+/** A conditional write met a version other than the expected one, and nothing was written. */
+export const ConflictError = CarobpierError.subclass("ConflictError");
+
 /** The message of any thrown value. */
 export const messageOf = (error: unknown): string => error instanceof Error ? error.message : String(error);
--- a/src/contracts/objects.ts
+++ b/src/contracts/objects.ts
@@ -18,6 +18,8 @@
     /** Relative capacity of the machine. */
     size: z.number().positive(),
     state: z.enum(["live", "leaving"]),
+    /** Once it hears neither the platform nor a majority of the hosts, the host stops admitting after this time. */
+    isolationMilliseconds: z.number().positive().default(10_000),
 });
 
 /** The lease of the coordinator of one pool. */
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -32,7 +32,7 @@
         port: port.default(8_081),
         /** Files that hold shared keys. The first signs; any of them is accepted, so that keys can be rotated. */
         keyFiles: z.array(z.string()).default([]),
-        maxFrameBytes: z.int().min(1_024).default(1_048_576),
+        maxFrameBytes: z.int().min(1_024).default(4_194_304),
         queueLength: z.int().min(1).default(1_024),
     }).prefault({}),
     operators: z.strictObject({ port: port.default(8_082) }).prefault({}),
--- /dev/null
+++ b/src/decisions/difference.ts
@@ -0,0 +1,70 @@
+/**
+ * Differences between two values of an object: as a patch that one host sends another, and as lines that operators
+ * read.
+ */
+import jsonPatch, { type Operation } from "fast-json-patch";
+import type { ObjectDifference } from "../contracts/objectmessages.ts";
+import type { StoredObject } from "../contracts/objects.ts";
+
+const isDocument = (value: unknown): value is object => typeof value === "object" && Boolean(value);
+
+/** The difference from one version to the next; undefined when the whole object is no larger. */
+export const differenceOf = (before: StoredObject | undefined, after: StoredObject): ObjectDifference | undefined => {
+    const comparable = before !== undefined && !before.deleted && !after.deleted;
+    if (!comparable || !isDocument(before.value) || !isDocument(after.value)) {
+        return undefined;
+    }
+    const operations = jsonPatch.compare(before.value, after.value) as ObjectDifference["operations"];
+    if (JSON.stringify(operations).length >= JSON.stringify(after.value).length) {
+        return undefined;
+    }
+    const { kind, name, version, writeId } = after;
+    return { kind, name, baseVersion: before.version, version, writeId, operations };
+};
+
+/** Applies a difference; undefined when the held object is not the one that it was made against. */
+export const applyDifference = (
+    held: StoredObject | undefined,
+    difference: ObjectDifference,
+): StoredObject | undefined => {
+    if (held === undefined || held.deleted || held.version !== difference.baseVersion) {
+        return undefined;
+    }
+    const { kind, name, version, writeId } = difference;
+    try {
+        const patched = jsonPatch.applyPatch(held.value, difference.operations as Operation[], true, false);
+        return { kind, name, version, writeId, deleted: false, value: patched.newDocument };
+    }
+    catch {
+        return undefined;
+    }
+};
+
+const describe = (value: unknown): string => value === undefined ? "nothing" : JSON.stringify(value);
+
+const pathOf = (pointer: string): string =>
+    pointer.slice(1).split("/")
+        .map(part => part.replaceAll("~1", "/").replaceAll("~0", "~"))
+        .map(part => (/^\d+$/.test(part) ? `[${part}]` : `.${part}`))
+        .join("")
+        .replace(/^\./, "");
+
+/**
+ * Lines that tell how one value differs from another: `+` and `-` for what is added and gone, and
+ * `~ rate.perSecond: 10 -> 20` for what is changed.
+ */
+export const describeDifference = (before: unknown, after: unknown): string[] => {
+    if (!isDocument(before) || !isDocument(after)) {
+        return before === after ? [] : [`~ (whole): ${describe(before)} -> ${describe(after)}`];
+    }
+    return jsonPatch.compare(before, after).map(operation => {
+        const path = pathOf(operation.path);
+        if (operation.op === "add") {
+            return `+ ${path}: ${describe(operation.value)}`;
+        }
+        const former = describe(jsonPatch.getValueByPointer(before, operation.path));
+        return operation.op === "replace"
+            ? `~ ${path}: ${former} -> ${describe(operation.value)}`
+            : `- ${path}: ${former}`;
+    });
+};
--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -1,27 +1,19 @@
 /**
  * Links between hosts: one WebSocket for each pair, msgpack messages, questions with answers and plain messages. Both
- * ends prove that they hold a shared key before anything else is read. The host with the lower name dials.
+ * ends prove that they hold a shared key before anything else is read. The host with the lower name dials; the other
+ * one does when no link has come up.
  */
-import { pack, unpack } from "msgpackr";
-import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import type { AddressInfo } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import type { Clock } from "../contracts/clock.ts";
-import { PeerError } from "../contracts/errors.ts";
-import {
-    helloSchema,
-    type Message,
-    type MessageKind,
-    type MessageOf,
-    messageSchema,
-    proofSchema,
-    protocolVersion,
-} from "../contracts/messages.ts";
+import type { Hello, Message, MessageKind, MessageOf } from "../contracts/messages.ts";
+import { type CloseReason, closeReasons, type LinkPart, linkParts, shakeHands } from "./handshake.ts";
+import { createHostLink, type HostLink } from "./hostlink.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
 
-/** Another host and where its links are accepted. */
-export type PeerAddress = { name: string; address: string };
+/** Another host, where its links are accepted, and its newest known incarnation. */
+export type PeerAddress = { name: string; address: string; incarnation?: string };
 
 export type MessageHandler<Kind extends MessageKind> = (
     from: string,
@@ -31,10 +23,12 @@
 export type HostLinks = {
     /** IP address and port at which links are accepted. */
     address: string;
-    /** Sets the hosts to which links are kept; others are closed. */
+    /** Sets the hosts to which links are kept; others that this host dialled are closed. */
     setPeers: (peers: PeerAddress[]) => void;
     /** Names of the hosts with an open link. */
     connected: () => string[];
+    /** The incarnation at the other end of an open link. */
+    incarnationOf: (host: string) => string | undefined;
     /** Sends without waiting; false when there is no link or its queue is full. */
     tell: (host: string, message: Message) => boolean;
     /** Sends and waits for the answer; undefined when none came in time. */
@@ -61,270 +55,195 @@
     log: Log;
     metrics: Metrics;
     signal: AbortSignal;
+    /** Random numbers from 0 up to 1, for jitter. */
+    random?: () => number;
 };
 
-type Envelope = { id: number; answers: boolean; message: unknown };
-
-type Link = {
-    host: string;
-    socket: WebSocket;
-    waiting: Map<number, (message: Message | undefined) => void>;
-};
-
-const handshakeMilliseconds = 2_000;
 const firstRetryMilliseconds = 50;
 const maxRetryMilliseconds = 2_000;
+const secondDialMilliseconds = 3_000;
+const connectMilliseconds = 1_000;
 const averageMessageBytes = 512;
-
-const proofOf = (key: Buffer, challenge: string, host: string): string =>
-    createHmac("sha256", key).update(`${protocolVersion}\n${challenge}\n${host}`).digest("hex");
-
-const proofMatches = (keys: Buffer[], challenge: string, host: string, proof: string): boolean =>
-    keys.some(key => {
-        const expected = Buffer.from(proofOf(key, challenge, host));
-        const given = Buffer.from(proof);
-        return expected.length === given.length && timingSafeEqual(expected, given);
-    });
-
-const isEnvelope = (value: unknown): value is Envelope => {
-    const envelope = value as Partial<Envelope> | undefined;
-    return typeof envelope?.id === "number" && typeof envelope.answers === "boolean";
-};
-
-const decode = (data: unknown): unknown => {
-    try {
-        return unpack(data as Buffer);
-    }
-    catch {
-        return undefined;
-    }
-};
+const formerIncarnationsKept = 8;
 
 /** Opens the listening socket and keeps links to the peers until the signal aborts. */
 export const createHostLinks = async (options: HostLinksOptions): Promise<HostLinks> => {
     const { name, clock, log, metrics, signal } = options;
-    const links = new Map<string, Link>();
+    const random = options.random ?? Math.random;
+    const links = new Map<string, HostLink>();
     const handlers = new Map<MessageKind, MessageHandler<MessageKind>>();
     const listeners: Array<(host: string, open: boolean) => void> = [];
-    const dialing = new Set<string>();
+    const kept = new Set<string>();
+    const formerIncarnations = new Map<string, string[]>();
+    const sockets = new Set<WebSocket>();
+    const traffic = { sentBytes: 0, receivedBytes: 0 };
     let peers = new Map<string, PeerAddress>();
-    let nextId = 1;
-    let sentBytes = 0;
-    let receivedBytes = 0;
 
-    const closeFor = (socket: WebSocket, reason: string, host = "unknown"): void => {
+    const countClose = (host: string, reason: CloseReason): void => {
         metrics.count("peer-closed", { reason });
         log.warn("peer-link-closed", { peer: host, reason });
-        socket.terminate();
     };
 
-    const send = (socket: WebSocket, value: unknown): void => {
-        const bytes = pack(value);
-        sentBytes += bytes.length;
-        socket.send(bytes);
+    const notify = (host: string, open: boolean): void => listeners.forEach(listener => listener(host, open));
+
+    const receive = async (host: string, message: Message): Promise<Message | undefined> =>
+        handlers.get(message.kind)?.(host, message);
+
+    /** Whether a new link gives way to the one that is open, so that both ends keep the same one of two. */
+    const isSpare = (former: HostLink | undefined, hello: Hello, dialer: string): boolean => {
+        const preferred = name < hello.host ? name : hello.host;
+        return former !== undefined && former.incarnation === hello.incarnation
+            && former.dialer === preferred && dialer !== preferred;
     };
 
-    const dispatch = async (link: Link, envelope: Envelope): Promise<void> => {
-        const parsed = messageSchema.safeParse(envelope.message);
-        if (!parsed.success) {
-            closeFor(link.socket, "malformed-message", link.host);
+    const adopt = (hello: Hello, socket: WebSocket, part: LinkPart): void => {
+        const { host, incarnation } = hello;
+        const dialer = part === linkParts.dialer ? name : host;
+        const former = links.get(host);
+        const link = createHostLink({
+            socket,
+            host,
+            incarnation,
+            dialer,
+            maxQueuedBytes: options.queueLength * averageMessageBytes,
+            maxWaiting: options.queueLength,
+            clock,
+            receive: message => receive(host, message),
+            onBytes: (direction, bytes) => {
+                traffic[direction === "sent" ? "sentBytes" : "receivedBytes"] += bytes;
+            },
+            onQueueFull: () => metrics.count("peer-queue-full"),
+            onClose: reason => {
+                if (reason !== undefined) {
+                    countClose(host, reason);
+                }
+                if (links.get(host) === link) {
+                    links.delete(host);
+                    notify(host, false);
+                }
+            },
+            onError: error => log.error("peer-message-failed", { peer: host, error: String(error) }),
+        });
+        if (formerIncarnations.get(host)?.includes(incarnation)) {
+            link.close(closeReasons.formerIncarnation);
             return;
         }
-        if (envelope.answers) {
-            const resolve = link.waiting.get(envelope.id);
-            link.waiting.delete(envelope.id);
-            resolve?.(parsed.data);
+        if (isSpare(former, hello, dialer)) {
+            link.close(closeReasons.spareLink);
             return;
         }
-        const handler = handlers.get(parsed.data.kind);
-        const answer = await handler?.(link.host, parsed.data);
-        if (answer !== undefined && envelope.id !== 0 && link.socket.readyState === WebSocket.OPEN) {
-            send(link.socket, { id: envelope.id, answers: true, message: answer });
-        }
-    };
-
-    const adopt = (host: string, socket: WebSocket): void => {
-        const former = links.get(host);
-        const link: Link = { host, socket, waiting: new Map() };
         links.set(host, link);
-        former?.socket.terminate();
-        socket.on("message", (data: Buffer) => {
-            receivedBytes += data.length;
-            const envelope = decode(data);
-            if (!isEnvelope(envelope)) {
-                closeFor(socket, "malformed-frame", host);
-                return;
-            }
-            dispatch(link, envelope).catch((error: unknown) => {
-                log.error("peer-message-failed", { peer: host, error: String(error) });
-            });
-        });
-        socket.once("close", () => {
-            for (const resolve of link.waiting.values()) {
-                resolve(undefined);
-            }
-            link.waiting.clear();
-            if (links.get(host) === link) {
-                links.delete(host);
-                listeners.forEach(listener => listener(host, false));
-            }
-        });
-        listeners.forEach(listener => listener(host, true));
+        former?.close();
+        notify(host, true);
     };
 
-    /** Both ends run the same handshake: hello, then the proof for the other's challenge. */
-    const shakeHands = (socket: WebSocket): Promise<string> =>
-        new Promise((resolve, reject) => {
-            const challenge = randomBytes(16).toString("hex");
-            let peer: string | undefined;
-            const limit = setTimeout(() => {
-                reject(new PeerError("The handshake took too long."));
-                socket.terminate();
-            }, handshakeMilliseconds);
-            const fail = (reason: string): void => {
-                clearTimeout(limit);
-                closeFor(socket, reason, peer);
-                reject(new PeerError(`The handshake with host "${peer ?? "unknown"}" failed: ${reason}.`));
-            };
-            socket.once("close", () => {
-                clearTimeout(limit);
-                reject(new PeerError("The link closed during the handshake."));
-            });
-            const onMessage = (data: Buffer): void => {
-                const value = decode(data);
-                if (peer === undefined) {
-                    const hello = helloSchema.safeParse(value);
-                    if (!hello.success) {
-                        fail("malformed-hello");
-                        return;
-                    }
-                    if (hello.data.protocolVersion !== protocolVersion) {
-                        fail("other-protocol-version");
-                        return;
-                    }
-                    peer = hello.data.host;
-                    send(socket, { kind: "proof", proof: proofOf(options.keys[0], hello.data.challenge, name) });
-                    return;
-                }
-                const proof = proofSchema.safeParse(value);
-                if (!proof.success || !proofMatches(options.keys, challenge, peer, proof.data.proof)) {
-                    fail("wrong-proof");
-                    return;
-                }
-                clearTimeout(limit);
-                socket.off("message", onMessage);
-                resolve(peer);
-            };
-            socket.on("message", onMessage);
-            const { zone, incarnation } = options;
-            send(socket, { kind: "hello", protocolVersion, host: name, zone, incarnation, challenge });
-        });
-
-    const establish = async (socket: WebSocket): Promise<void> => {
+    const establish = async (socket: WebSocket, part: LinkPart, expected?: string): Promise<void> => {
+        sockets.add(socket);
         socket.on("error", () => undefined);
-        try {
-            adopt(await shakeHands(socket), socket);
+        socket.once("close", () => sockets.delete(socket));
+        const self = { host: name, zone: options.zone, incarnation: options.incarnation };
+        const onAgreed = (hello: Hello): void => adopt(hello, socket, part);
+        const result = await shakeHands(socket, { self, part, expected, keys: options.keys, clock, onAgreed });
+        if (result === "agreed") {
+            return;
         }
-        catch (error) {
-            log.debug("peer-handshake-failed", { error: String(error) });
+        if (result !== "closed") {
+            countClose(expected ?? "unknown", result);
         }
+        socket.terminate();
     };
 
     const dial = async (peer: PeerAddress): Promise<void> => {
-        dialing.add(peer.name);
+        const socket = new WebSocket(`ws://${peer.address}`, {
+            maxPayload: options.maxFrameBytes,
+            handshakeTimeout: connectMilliseconds,
+        });
+        await establish(socket, linkParts.dialer, peer.name);
+    };
+
+    /** Keeps a link open for as long as the peer is wanted. */
+    const keep = async (peerName: string): Promise<void> => {
         let delay = firstRetryMilliseconds;
-        while (!signal.aborted && peers.get(peer.name)?.address === peer.address) {
-            if (!links.has(peer.name)) {
-                const socket = new WebSocket(`ws://${peer.address}`, { maxPayload: options.maxFrameBytes });
-                const opened = await new Promise<boolean>(resolve => {
-                    socket.once("open", () => resolve(true));
-                    socket.once("error", () => resolve(false));
-                });
-                if (opened) {
-                    await establish(socket);
-                }
-                delay = links.has(peer.name) ? firstRetryMilliseconds : Math.min(delay * 2, maxRetryMilliseconds);
+        const pause = (milliseconds: number): Promise<void> => clock.sleep(milliseconds * (0.5 + random()), signal);
+        while (!signal.aborted && peers.has(peerName)) {
+            const link = links.get(peerName);
+            if (link !== undefined) {
+                await link.closed;
+                delay = firstRetryMilliseconds;
+                await pause(delay);
+                continue;
+            }
+            if (peerName < name) {
+                await pause(secondDialMilliseconds);
+            }
+            const peer = peers.get(peerName);
+            if (peer !== undefined && !links.has(peerName) && !signal.aborted) {
+                await dial(peer);
+                delay = Math.min(delay * 2, maxRetryMilliseconds);
+            }
+            if (!links.has(peerName)) {
+                await pause(delay);
+            }
+        }
+        kept.delete(peerName);
+    };
+
+    const noteFormerIncarnations = (next: Map<string, PeerAddress>): void => {
+        for (const [peerName, { incarnation }] of next) {
+            const known = peers.get(peerName)?.incarnation;
+            if (known !== undefined && incarnation !== undefined && known !== incarnation) {
+                const former = [...formerIncarnations.get(peerName) ?? [], known].filter(id => id !== incarnation);
+                formerIncarnations.set(peerName, former.slice(-formerIncarnationsKept));
             }
-            await clock.sleep(delay * (0.5 + Math.random()), signal);
         }
-        dialing.delete(peer.name);
     };
 
     const server = new WebSocketServer({ host: options.host, port: options.port, maxPayload: options.maxFrameBytes });
     server.on("connection", socket => {
-        void establish(socket);
+        void establish(socket, linkParts.acceptor);
     });
     await new Promise<void>((resolve, reject) => {
         server.once("listening", resolve);
         server.once("error", reject);
     });
     signal.addEventListener("abort", () => {
-        for (const link of links.values()) {
-            link.socket.terminate();
-        }
+        sockets.forEach(socket => socket.terminate());
         server.close();
     }, { once: true });
     const { port } = server.address() as AddressInfo;
 
-    const openLink = (host: string): Link | undefined => {
-        const link = links.get(host);
-        const full = link !== undefined
-            && link.socket.bufferedAmount > options.queueLength * averageMessageBytes;
-        if (full) {
-            metrics.count("peer-queue-full");
-            return undefined;
-        }
-        return link?.socket.readyState === WebSocket.OPEN ? link : undefined;
-    };
-
     return {
         address: `${options.host}:${port}`,
         setPeers: list => {
-            peers = new Map(list.filter(peer => peer.name !== name).map(peer => [peer.name, peer]));
-            for (const link of links.values()) {
-                if (!peers.has(link.host)) {
-                    link.socket.terminate();
+            const next = new Map(list.filter(peer => peer.name !== name).map(peer => [peer.name, peer]));
+            noteFormerIncarnations(next);
+            peers = next;
+            for (const link of [...links.values()]) {
+                if (formerIncarnations.get(link.host)?.includes(link.incarnation)) {
+                    link.close(closeReasons.formerIncarnation);
+                }
+                else if (!peers.has(link.host) && link.dialer === name) {
+                    link.close(closeReasons.notWanted);
                 }
             }
             for (const peer of peers.values()) {
-                if (name < peer.name && !dialing.has(peer.name)) {
-                    void dial(peer);
+                if (!kept.has(peer.name)) {
+                    kept.add(peer.name);
+                    void keep(peer.name);
                 }
             }
         },
         connected: () => [...links.keys()],
-        tell: (host, message) => {
-            const link = openLink(host);
-            if (link !== undefined) {
-                send(link.socket, { id: 0, answers: false, message });
-            }
-            return link !== undefined;
-        },
-        ask: (host, message, timeoutMilliseconds) => {
-            const link = openLink(host);
-            if (link === undefined) {
-                return Promise.resolve(undefined);
-            }
-            const id = nextId;
-            nextId += 1;
-            return new Promise(resolve => {
-                const cancel = clock.after(timeoutMilliseconds, () => {
-                    link.waiting.delete(id);
-                    resolve(undefined);
-                });
-                link.waiting.set(id, answer => {
-                    cancel();
-                    resolve(answer);
-                });
-                send(link.socket, { id, answers: false, message });
-            });
-        },
+        incarnationOf: host => links.get(host)?.incarnation,
+        tell: (host, message) => links.get(host)?.tell(message) ?? false,
+        ask: (host, message, timeoutMilliseconds) =>
+            links.get(host)?.ask(message, timeoutMilliseconds) ?? Promise.resolve(undefined),
         handle: (kind, handler) => {
             handlers.set(kind, handler as unknown as MessageHandler<MessageKind>);
         },
         onChange: listener => {
             listeners.push(listener);
         },
-        traffic: () => ({ sentBytes, receivedBytes }),
+        traffic: () => ({ ...traffic }),
     };
 };
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -3,23 +3,23 @@
  */
 import { randomUUID } from "node:crypto";
 import type { Clock } from "../contracts/clock.ts";
-import { messageOf } from "../contracts/errors.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
-import { outcomes } from "../contracts/outcome.ts";
+import { outcomes, type Reason } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
 import { createCurrency } from "../decisions/currency.ts";
 import { createSlotHash } from "../decisions/hash.ts";
+import type { AdmissionBar } from "../decisions/isolation.ts";
 import { createCallerLink } from "../links/callers.ts";
 import { systemClock } from "../links/clock.ts";
 import { createHostLinks } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
 import { createMetrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
-import { createPlatformLink, type PlatformLink } from "../links/platform.ts";
+import { createPlatformLink } from "../links/platform.ts";
 import { createCoordinator } from "./coordinator.ts";
-import { createFollower } from "./follower.ts";
-import { createObjectView } from "./objects.ts";
+import { createFleet, type FleetReport } from "./fleet.ts";
+import { createObjectView, type ObjectStanding } from "./objects.ts";
 import { createRenewer } from "./renewer.ts";
 import { createRouter } from "./router.ts";
 import { createTargetViews } from "./target.ts";
@@ -42,7 +42,11 @@
     inFlight: number;
     peers: string[];
     platformCalls: Record<string, number>;
-    versions: Record<string, number>;
+    /** How each object stands on this host. */
+    objects: ObjectStanding[];
+    fleet: FleetReport;
+    /** Bytes sent and received on links between hosts. */
+    peerTraffic: { sentBytes: number; receivedBytes: number };
     findings: Finding[];
     counters: Record<string, number>;
 };
@@ -62,15 +66,12 @@
 const balancerNoticeMilliseconds = 200;
 const stopPollMilliseconds = 10;
 
-const announce = async (platform: PlatformLink, name: string, status: HostStatus): Promise<void> => {
-    const current = await platform.get("status", name);
-    await platform.put({
-        kind: "status",
-        name,
-        value: status,
-        ifVersion: current?.version ?? 0,
-        writeId: randomUUID(),
-    });
+/** Why a host that is barred from admitting refuses a request. */
+const barRefusals: Record<AdmissionBar, { reason: Reason; detail: string }> = {
+    starting: { reason: "host-starting", detail: "The host has not caught up with the platform yet." },
+    paused: { reason: "host-starting", detail: "The host was paused and has not caught up yet." },
+    isolated: { reason: "host-isolated", detail: "The host hears neither the platform nor a majority of the hosts." },
+    replaced: { reason: "host-stopping", detail: "Another process has taken the host's place." },
 };
 
 /**
@@ -110,12 +111,39 @@
         metrics,
         signal,
     });
+    const ownStatus = (): HostStatus => ({
+        zone,
+        incarnation,
+        peerAddress: hosts.address,
+        operatorAddress: operators.address,
+        size,
+        state: state === "leaving" ? "leaving" : "live",
+        isolationMilliseconds: settings.isolationMilliseconds,
+    });
+
+    const fleet = createFleet({
+        settings,
+        incarnation,
+        platform,
+        objects,
+        currency,
+        links: hosts,
+        slotHash,
+        ownStatus,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
     const router = createRouter({ objects, views, currency, slotHash, clock });
     const callers = await createCallerLink({
         host: address,
         settings: settings.callers,
         clock,
-        serve: router.serve,
+        serve: async request => {
+            const bar = fleet.bar();
+            return bar === undefined ? router.serve(request) : { kind: "refusal", ...barRefusals[bar] };
+        },
         onDone: (request, outcome, reason) => {
             metrics.count("requests", { pool: request.pool, outcome });
             metrics.timing("request-milliseconds", clock.now() - request.receivedAt, { pool: request.pool });
@@ -123,7 +151,7 @@
                 metrics.count("refusals", { reason });
             }
         },
-        healthy: () => state === "live",
+        healthy: () => state === "live" && fleet.bar() === undefined,
     });
 
     const report = (): HostReport => ({
@@ -134,7 +162,9 @@
         inFlight: callers.inFlight(),
         peers: hosts.connected(),
         platformCalls: platform.calls(),
-        versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
+        objects: objects.standings(),
+        fleet: fleet.report(),
+        peerTraffic: hosts.traffic(),
         findings: objects.findings(),
         counters: metrics.snapshot(),
     });
@@ -142,23 +172,10 @@
     const operators = await createOperatorLink({
         host: address,
         port: settings.operators.port,
-        healthy: () => state === "live",
+        healthy: () => state === "live" && fleet.bar() === undefined,
         status: report,
     });
-    const ownStatus = (): HostStatus => ({
-        zone,
-        incarnation,
-        peerAddress: hosts.address,
-        operatorAddress: operators.address,
-        size,
-        state: state === "leaving" ? "leaving" : "live",
-    });
-
-    objects.onChange("status", () => {
-        hosts.setPeers(objects.list("status").map(item => ({ name: item.name, address: item.value.peerAddress })));
-    });
-    const { freshnessMilliseconds, renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
-    const follower = createFollower({ platform, objects, currency, freshnessMilliseconds, clock, log, signal });
+    const { renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
     createRenewer({
         host: name,
         objects,
@@ -174,25 +191,15 @@
         host: name,
         platform,
         objects,
-        candidates: () => objects.list("status").map(item => ({ name: item.name, zone: item.value.zone })),
+        candidates: () => fleet.live().map(({ name: host, zone: hostZone }) => ({ name: host, zone: hostZone })),
         clock,
         log,
         signal,
     });
 
-    const tryToAnnounce = async (): Promise<void> => {
-        try {
-            await announce(platform, name, ownStatus());
-        }
-        catch (error) {
-            log.warn("announcement-failed", { error: messageOf(error) });
-        }
-    };
-
-    void follower.ready.then(async () => {
+    void fleet.start().then(() => {
         state = "live";
         log.info("host-live", { host: name, zone, callers: callers.address });
-        await tryToAnnounce();
     });
 
     const dispose = async (): Promise<void> => {
@@ -209,12 +216,13 @@
         stop: async () => {
             state = "leaving";
             log.info("host-leaving", { host: name, inFlight: callers.inFlight() });
-            await tryToAnnounce();
+            await fleet.leave();
             await clock.sleep(balancerNoticeMilliseconds);
             callers.stopAccepting();
             while (callers.inFlight() > 0) {
                 await clock.sleep(stopPollMilliseconds);
             }
+            await fleet.withdraw();
             await dispose();
             log.info("host-stopped", { host: name });
         },
--- a/src/machines/objects.ts
+++ b/src/machines/objects.ts
@@ -8,6 +8,19 @@
 /** An object in force. */
 export type HeldObject<Kind extends ObjectKind> = { name: string; version: number; value: ObjectValue<Kind> };
 
+/** How an object stands on this host. */
+export type ObjectStanding = {
+    kind: ObjectKind;
+    name: string;
+    /** Newest version that was accepted. */
+    version: number;
+    /** Version that is in force: the newest, or the last good one when the newest has the wrong shape; 0 for none. */
+    inForce: number;
+    deleted: boolean;
+    /** When the version in force came into force, in milliseconds since the epoch. */
+    since: number;
+};
+
 export type ObjectView = {
     /** Takes an object if its version is higher than the held one. True when it changed what is in force. */
     accept: (item: StoredObject) => boolean;
@@ -15,15 +28,19 @@
     list: <Kind extends ObjectKind>(kind: Kind) => Array<HeldObject<Kind>>;
     /** Newest accepted version of every object, tombstones included, as the platform gave it. */
     stored: () => StoredObject[];
+    /** Newest accepted version of an object, as the platform gave it. */
+    newest: (kind: ObjectKind, name: string) => StoredObject | undefined;
+    standings: () => ObjectStanding[];
     /** What is wrong with objects that were not taken, by `kind/name`. */
     findings: () => Finding[];
     /** Calls back after an object of the kind changed. */
     onChange: (kind: ObjectKind, listener: (name: string) => void) => void;
 };
 
-/** Creates an empty view. */
-export const createObjectView = (): ObjectView => {
+/** Creates an empty view. `wallClock` gives milliseconds since the epoch. */
+export const createObjectView = (wallClock: () => number = Date.now): ObjectView => {
     const newest = new Map<string, StoredObject>();
+    const standings = new Map<string, ObjectStanding>();
     const inForce = new Map<ObjectKind, Map<string, HeldObject<ObjectKind>>>();
     const findings = new Map<string, Finding[]>();
     const listeners = new Map<ObjectKind, Array<(name: string) => void>>();
@@ -50,6 +67,17 @@
         return true;
     };
 
+    const noteStanding = (place: string, item: StoredObject): void => {
+        const { kind, name, version, deleted } = item;
+        const former = standings.get(place);
+        if (findings.has(place)) {
+            const unchanged = { inForce: former?.inForce ?? 0, since: former?.since ?? wallClock() };
+            standings.set(place, { kind, name, version, deleted: false, ...unchanged });
+            return;
+        }
+        standings.set(place, { kind, name, version, inForce: version, deleted, since: wallClock() });
+    };
+
     return {
         accept: item => {
             const place = `${item.kind}/${item.name}`;
@@ -58,6 +86,7 @@
             }
             newest.set(place, item);
             const changed = apply(item);
+            noteStanding(place, item);
             if (changed) {
                 listeners.get(item.kind)?.forEach(listener => listener(item.name));
             }
@@ -67,6 +96,8 @@
             heldOf(kind).get(name) as HeldObject<Kind> | undefined,
         list: <Kind extends ObjectKind>(kind: Kind) => [...heldOf(kind).values()] as Array<HeldObject<Kind>>,
         stored: () => [...newest.values()],
+        newest: (kind, name) => newest.get(`${kind}/${name}`),
+        standings: () => [...standings.values()],
         findings: () => [...findings.values()].flat(),
         onChange: (kind, listener) => {
             const known = listeners.get(kind) ?? [];
--- /dev/null
+++ b/test/links/hosts.test.ts
@@ -0,0 +1,291 @@
+import test, { type ExecutionContext } from "ava";
+import { pack } from "msgpackr";
+import { WebSocket } from "ws";
+import type { Hello, Message } from "../../src/contracts/messages.ts";
+import { protocolVersion } from "../../src/contracts/messages.ts";
+import { systemClock } from "../../src/links/clock.ts";
+import { decodeFrame, linkParts, proofOf } from "../../src/links/handshake.ts";
+import { createHostLinks, type HostLinks } from "../../src/links/hosts.ts";
+import { silentLog } from "../../src/links/logs.ts";
+import { createMetrics, type Metrics } from "../../src/links/metrics.ts";
+import { until } from "../system.ts";
+
+const key = Buffer.from("shared-key");
+const otherKey = Buffer.from("other-key");
+const maxFrameBytes = 4_096;
+
+type TestHost = { links: HostLinks; metrics: Metrics; stop: () => void };
+
+const startHost = async (name: string, keys: Buffer[] = [key], incarnation = `${name}-1`): Promise<TestHost> => {
+    const life = new AbortController();
+    const metrics = createMetrics();
+    const links = await createHostLinks({
+        name,
+        zone: "zone-1",
+        incarnation,
+        host: "127.0.0.1",
+        port: 0,
+        keys,
+        maxFrameBytes,
+        queueLength: 4,
+        clock: systemClock,
+        log: silentLog,
+        metrics,
+        signal: life.signal,
+    });
+    links.handle("objects-question", (...[, { after }]) => ({
+        kind: "objects-answer",
+        ready: true,
+        position: after + 1,
+        more: false,
+        items: [],
+        readAgeMilliseconds: 0,
+        admitMilliseconds: 0,
+        current: [],
+        departures: [],
+    }));
+    return { links, metrics, stop: () => life.abort() };
+};
+
+const question: Message = { kind: "objects-question", after: 7 };
+
+const connect = (left: TestHost, leftName: string, right: TestHost, rightName: string): void => {
+    left.links.setPeers([{ name: rightName, address: right.links.address }]);
+    right.links.setPeers([{ name: leftName, address: left.links.address }]);
+};
+
+const positionHeard = async (host: TestHost, peer: string): Promise<number | undefined> => {
+    const answer = await host.links.ask(peer, question, 30_000);
+    return answer?.kind === "objects-answer" ? answer.position : undefined;
+};
+
+test("two hosts link up and answer each other's questions", async t => {
+    const [a, b] = [await startHost("a"), await startHost("b")];
+    connect(a, "a", b, "b");
+    await until(() => a.links.connected().includes("b") && b.links.connected().includes("a"));
+    t.is(await positionHeard(a, "b"), 8);
+    t.is(await positionHeard(b, "a"), 8);
+    t.is(a.links.incarnationOf("b"), "b-1");
+    a.stop();
+    await until(() => b.links.connected().length === 0);
+    t.false(b.links.tell("a", question));
+    t.is(await b.links.ask("a", question, 30_000), undefined);
+    b.stop();
+});
+
+const rotation: Array<{ title: string; left: Buffer[]; right: Buffer[] }> = [
+    { title: "one host accepts the new key already", left: [key], right: [key, otherKey] },
+    { title: "one host signs with the new key", left: [key, otherKey], right: [otherKey, key] },
+    { title: "one host has dropped the old key", left: [otherKey, key], right: [otherKey] },
+];
+
+for (const { title, left, right } of rotation) {
+    test(`keys are rotated: ${title}`, async t => {
+        const [a, b] = [await startHost("a", left), await startHost("b", right)];
+        connect(a, "a", b, "b");
+        await until(() => a.links.connected().includes("b") && b.links.connected().includes("a"));
+        t.deepEqual(a.metrics.snapshot(), {});
+        a.stop();
+        b.stop();
+    });
+}
+
+test("a host with another key is refused on both sides", async t => {
+    const [a, b] = [await startHost("a"), await startHost("b", [otherKey])];
+    connect(a, "a", b, "b");
+    const refused = "peer-closed{reason=wrong-proof}";
+    await until(() => (a.metrics.snapshot()[refused] ?? 0) + (b.metrics.snapshot()[refused] ?? 0) > 0);
+    t.deepEqual([a.links.connected(), b.links.connected()], [[], []]);
+    a.stop();
+    b.stop();
+});
+
+test("a former incarnation is cut off and refused", async t => {
+    const [a, old] = [await startHost("a"), await startHost("b", [key], "b-1")];
+    a.links.setPeers([{ name: "b", address: old.links.address, incarnation: "b-1" }]);
+    await until(() => a.links.incarnationOf("b") === "b-1");
+    const young = await startHost("b", [key], "b-2");
+    a.links.setPeers([{ name: "b", address: young.links.address, incarnation: "b-2" }]);
+    await until(() => a.links.incarnationOf("b") === "b-2");
+    old.links.setPeers([{ name: "a", address: a.links.address }]);
+    await until(() => (a.metrics.snapshot()["peer-closed{reason=former-incarnation}"] ?? 0) > 1);
+    t.is(a.links.incarnationOf("b"), "b-2");
+    [a, old, young].forEach(host => host.stop());
+});
+
+/** A raw socket that plays a host named "z". */
+type RawPeer = { socket: WebSocket; frames: unknown[]; hello: Hello };
+
+const helloOf = (changes: Partial<Hello> = {}): Hello => ({
+    kind: "hello",
+    protocolVersion,
+    host: "z",
+    zone: "zone-1",
+    incarnation: "z-1",
+    challenge: "0123456789abcdef",
+    ...changes,
+});
+
+const openRaw = async (host: TestHost): Promise<RawPeer> => {
+    const socket = new WebSocket(`ws://${host.links.address}`);
+    const frames: unknown[] = [];
+    socket.on("error", () => undefined);
+    socket.on("message", (data: Buffer) => frames.push(decodeFrame(data)));
+    await until(() => frames.length > 0);
+    return { socket, frames, hello: frames[0] as Hello };
+};
+
+const shakeRaw = async (host: TestHost): Promise<RawPeer> => {
+    const peer = await openRaw(host);
+    const own = helloOf();
+    peer.socket.send(pack(own));
+    peer.socket.send(pack({ kind: "proof", proof: proofOf(key, linkParts.dialer, own, peer.hello) }));
+    await until(() => host.links.connected().includes("z"));
+    return peer;
+};
+
+const untilRefused = async (t: ExecutionContext, host: TestHost, peer: RawPeer, reason: string): Promise<void> => {
+    await until(() => peer.socket.readyState === WebSocket.CLOSED);
+    await until(() => host.links.connected().length === 0);
+    t.deepEqual(host.metrics.snapshot(), { [`peer-closed{reason=${reason}}`]: 1 });
+};
+
+type BadFrames = { title: string; reason: string; frames: (hello: Hello) => Buffer[] };
+
+const badHandshakes: BadFrames[] = [
+    { title: "garbage", reason: "malformed-hello", frames: () => [Buffer.from([0xc1, 0xff, 0x00])] },
+    { title: "an empty frame", reason: "malformed-hello", frames: () => [Buffer.alloc(0)] },
+    {
+        title: "a huge declared length",
+        reason: "malformed-hello",
+        frames: () => [Buffer.from([0xdd, 0xff, 0xff, 0xff, 0xff])],
+    },
+    { title: "a hello without a name", reason: "malformed-hello", frames: () => [pack({ kind: "hello" })] },
+    {
+        title: "another protocol version",
+        reason: "other-protocol-version",
+        frames: () => [pack(helloOf({ protocolVersion: protocolVersion + 1 }))],
+    },
+    {
+        title: "a hello of a later version with other fields",
+        reason: "other-protocol-version",
+        frames: () => [pack({ kind: "hello", protocolVersion: protocolVersion + 1, name: "z" })],
+    },
+    { title: "the host's own name", reason: "own-name", frames: () => [pack(helloOf({ host: "a" }))] },
+    {
+        title: "a message before the proof",
+        reason: "wrong-proof",
+        frames: () => [pack(helloOf()), pack({ id: 0, answers: false, message: question })],
+    },
+    {
+        title: "an oversized frame",
+        reason: "oversized-frame",
+        frames: () => [Buffer.alloc(maxFrameBytes + 1)],
+    },
+    {
+        title: "a proof for another challenge",
+        reason: "wrong-proof",
+        frames: hello => {
+            const stale = { ...hello, challenge: "fedcba9876543210" };
+            return [
+                pack(helloOf()),
+                pack({ kind: "proof", proof: proofOf(key, linkParts.dialer, helloOf(), stale) }),
+            ];
+        },
+    },
+    {
+        title: "a proof for the other part in the link",
+        reason: "wrong-proof",
+        frames: hello => [
+            pack(helloOf()),
+            pack({ kind: "proof", proof: proofOf(key, linkParts.acceptor, helloOf(), hello) }),
+        ],
+    },
+];
+
+for (const { title, reason, frames } of badHandshakes) {
+    test(`refused in the handshake: ${title}`, async t => {
+        const host = await startHost("a");
+        const peer = await openRaw(host);
+        frames(peer.hello).forEach(frame => peer.socket.send(frame));
+        await untilRefused(t, host, peer, reason);
+        host.stop();
+    });
+}
+
+test("a proof that is sent back is refused", async t => {
+    const host = await startHost("a");
+    const peer = await openRaw(host);
+    peer.socket.send(pack(helloOf({ challenge: peer.hello.challenge })));
+    await until(() => peer.frames.length > 1);
+    peer.socket.send(pack(peer.frames[1]));
+    await untilRefused(t, host, peer, "wrong-proof");
+    host.stop();
+});
+
+test("the host's own proof from a link it dialled is refused on another link", async t => {
+    const host = await startHost("a");
+    const peer = await openRaw(host);
+    const mirrored = { ...peer.hello, host: "z" };
+    peer.socket.send(pack(mirrored));
+    await until(() => peer.frames.length > 1);
+    peer.socket.send(pack({ kind: "proof", proof: proofOf(key, linkParts.acceptor, peer.hello, mirrored) }));
+    await untilRefused(t, host, peer, "wrong-proof");
+    host.stop();
+});
+
+const badMessages: Array<{ title: string; reason: string; frame: Buffer }> = [
+    { title: "garbage", reason: "malformed-frame", frame: Buffer.from([0xc1]) },
+    { title: "no envelope", reason: "malformed-frame", frame: pack("hello") },
+    { title: "a negative id", reason: "malformed-frame", frame: pack({ id: -1, answers: false, message: question }) },
+    {
+        title: "an unknown message",
+        reason: "unknown-message",
+        frame: pack({ id: 1, answers: false, message: { kind: "teleport" } }),
+    },
+    {
+        title: "a known message with wrong types",
+        reason: "malformed-message",
+        frame: pack({ id: 1, answers: false, message: { kind: "objects-question", after: "soon" } }),
+    },
+    {
+        title: "a known message with a field too many",
+        reason: "malformed-message",
+        frame: pack({ id: 1, answers: false, message: { ...question, hurry: true } }),
+    },
+    { title: "an oversized frame", reason: "oversized-frame", frame: Buffer.alloc(maxFrameBytes + 1) },
+];
+
+for (const { title, reason, frame } of badMessages) {
+    test(`closed after the handshake: ${title}`, async t => {
+        const host = await startHost("a");
+        const peer = await shakeRaw(host);
+        peer.socket.send(frame);
+        await untilRefused(t, host, peer, reason);
+        const next = await shakeRaw(host);
+        next.socket.terminate();
+        host.stop();
+    });
+}
+
+test("an answer to no question is ignored", async t => {
+    const host = await startHost("a");
+    const peer = await shakeRaw(host);
+    peer.socket.send(pack({ id: 99, answers: true, message: question }));
+    peer.socket.send(pack({ id: 5, answers: false, message: question }));
+    await until(() => peer.frames.length > 2);
+    t.is((peer.frames[2] as { id: number }).id, 5);
+    peer.socket.terminate();
+    host.stop();
+});
+
+test("questions beyond the queue are refused at once and counted", async t => {
+    const host = await startHost("a");
+    const peer = await shakeRaw(host);
+    const waiting = [1, 2, 3, 4].map(() => host.links.ask("z", question, 30_000));
+    t.is(await host.links.ask("z", question, 30_000), undefined);
+    t.is(host.metrics.snapshot()["peer-queue-full"], 1);
+    peer.socket.terminate();
+    t.deepEqual(await Promise.all(waiting), [undefined, undefined, undefined, undefined]);
+    host.stop();
+});
