--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -47,6 +47,8 @@
     incarnation: string;
     host: string;
     port: number;
+    /** IP address from which links are dialled. */
+    sourceAddress?: string;
     /** Shared keys: the first signs, all are accepted. */
     keys: Buffer[];
     maxFrameBytes: number;
@@ -157,6 +159,7 @@
         const socket = new WebSocket(`ws://${peer.address}`, {
             maxPayload: options.maxFrameBytes,
             handshakeTimeout: connectMilliseconds,
+            localAddress: options.sourceAddress,
         });
         await establish(socket, linkParts.dialer, peer.name);
     };
--- a/src/links/targets.ts
+++ b/src/links/targets.ts
@@ -39,14 +39,24 @@
     close: () => Promise<void>;
 };
 
-export type TargetLinkOptions = { address: string; connections: number; connectMilliseconds: number };
+export type TargetLinkOptions = {
+    address: string;
+    connections: number;
+    connectMilliseconds: number;
+    /** IP address from which the connections are made. */
+    sourceAddress?: string;
+};
 
 /** Opens the link. Connections are made on first use, never more than `connections` besides one for control. */
 export const createTargetLink = (options: TargetLinkOptions): TargetLink => {
     const origin = `http://${options.address}`;
-    const connect = { timeout: options.connectMilliseconds };
-    const requests = new ConnectionPool(origin, { connections: options.connections, pipelining: 1, connect });
-    const control = new ConnectionPool(origin, { connections: 1, pipelining: 1, connect });
+    const shared = {
+        pipelining: 1,
+        connect: { timeout: options.connectMilliseconds },
+        localAddress: options.sourceAddress,
+    };
+    const requests = new ConnectionPool(origin, { ...shared, connections: options.connections });
+    const control = new ConnectionPool(origin, { ...shared, connections: 1 });
 
     const ask = async <Shape>(
         schema: z.ZodType<Shape>,
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -44,6 +44,8 @@
     platformCalls: Record<string, number>;
     /** How each object stands on this host. */
     objects: ObjectStanding[];
+    /** Newest accepted version of each object. */
+    versions: Record<string, number>;
     fleet: FleetReport;
     /** Bytes sent and received on links between hosts. */
     peerTraffic: { sentBytes: number; receivedBytes: number };
@@ -84,17 +86,17 @@
 export const createHost = async (options: HostOptions): Promise<Host> => {
     const { settings, log } = options;
     const clock = options.clock ?? systemClock;
-    const { name, zone, address, size } = settings.host;
+    const { name, zone, address, size, sourceAddress } = settings.host;
     const incarnation = randomUUID();
     const life = new AbortController();
     const { signal } = life;
     const metrics = createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
-    const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken });
+    const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken, sourceAddress });
     const objects = createObjectView();
     const currency = createCurrency();
     const slotHash = await createSlotHash();
-    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 12)));
+    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 12)), sourceAddress);
     let state: HostReport["state"] = "starting";
 
     const hosts = await createHostLinks({
@@ -103,6 +105,7 @@
         incarnation,
         host: address,
         port: settings.peers.port,
+        sourceAddress,
         keys: options.peerKeys,
         maxFrameBytes: settings.peers.maxFrameBytes,
         queueLength: settings.peers.queueLength,
@@ -114,7 +117,7 @@
     const ownStatus = (): HostStatus => ({
         zone,
         incarnation,
-        peerAddress: hosts.address,
+        peerAddress: settings.peers.announcedAddress ?? hosts.address,
         operatorAddress: operators.address,
         size,
         state: state === "leaving" ? "leaving" : "live",
@@ -163,6 +166,7 @@
         peers: hosts.connected(),
         platformCalls: platform.calls(),
         objects: objects.standings(),
+        versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
         fleet: fleet.report(),
         peerTraffic: hosts.traffic(),
         findings: objects.findings(),
