--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -3,22 +3,23 @@
  */
 import { randomUUID } from "node:crypto";
 import type { Clock } from "../contracts/clock.ts";
-import { messageOf } from "../contracts/errors.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
+import type { Reason } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
 import { createCurrency } from "../decisions/currency.ts";
 import { createSlotHash } from "../decisions/hash.ts";
+import type { AdmissionBar } from "../decisions/isolation.ts";
 import { createCallerLink } from "../links/callers.ts";
 import { systemClock } from "../links/clock.ts";
 import { createHostLinks } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
 import { createMetrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
-import { createPlatformLink, type PlatformLink } from "../links/platform.ts";
+import { createPlatformLink } from "../links/platform.ts";
 import { createCoordinator } from "./coordinator.ts";
-import { createFollower } from "./follower.ts";
-import { createObjectView } from "./objects.ts";
+import { createFleet, type FleetReport } from "./fleet.ts";
+import { createObjectView, type ObjectStanding } from "./objects.ts";
 import { createRenewer } from "./renewer.ts";
 import { createRequestPath, type RequestReport } from "./requests.ts";
 import { createTargetViews } from "./target.ts";
@@ -41,9 +42,13 @@
     inFlight: number;
     peers: string[];
     platformCalls: Record<string, number>;
-    /** Bytes on the links to other hosts so far. */
-    peerTraffic: { sentBytes: number; receivedBytes: number };
+    /** How each object stands on this host. */
+    objects: ObjectStanding[];
+    /** Newest accepted version of each object. */
     versions: Record<string, number>;
+    fleet: FleetReport;
+    /** Bytes sent and received on links between hosts. */
+    peerTraffic: { sentBytes: number; receivedBytes: number };
     findings: Finding[];
     counters: Record<string, number>;
 } & RequestReport;
@@ -63,15 +68,12 @@
 const balancerNoticeMilliseconds = 200;
 const stopPollMilliseconds = 10;
 
-const announce = async (platform: PlatformLink, name: string, status: HostStatus): Promise<void> => {
-    const current = await platform.get("status", name);
-    await platform.put({
-        kind: "status",
-        name,
-        value: status,
-        ifVersion: current?.version ?? 0,
-        writeId: randomUUID(),
-    });
+/** Why a host that is barred from admitting refuses a request. */
+const barRefusals: Record<AdmissionBar, { reason: Reason; detail: string }> = {
+    starting: { reason: "host-starting", detail: "The host has not caught up with the platform yet." },
+    paused: { reason: "host-starting", detail: "The host was paused and has not caught up yet." },
+    isolated: { reason: "host-isolated", detail: "The host hears neither the platform nor a majority of the hosts." },
+    replaced: { reason: "host-stopping", detail: "Another process has taken the host's place." },
 };
 
 /**
@@ -96,6 +98,10 @@
     const slotHash = await createSlotHash();
     const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 2)), sourceAddress);
     let state: HostReport["state"] = "starting";
+    let markReady: () => void = () => undefined;
+    const ready = new Promise<void>(resolve => {
+        markReady = resolve;
+    });
 
     const hosts = await createHostLinks({
         name,
@@ -112,8 +118,30 @@
         metrics,
         signal,
     });
-    const { freshnessMilliseconds, renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
-    const follower = createFollower({ platform, objects, currency, freshnessMilliseconds, clock, log, signal });
+    const ownStatus = (): HostStatus => ({
+        zone,
+        incarnation,
+        peerAddress: settings.peers.announcedAddress ?? hosts.address,
+        operatorAddress: operators.address,
+        size,
+        state: state === "leaving" ? "leaving" : "live",
+        isolationMilliseconds: settings.isolationMilliseconds,
+    });
+
+    const fleet = createFleet({
+        settings,
+        incarnation,
+        platform,
+        objects,
+        currency,
+        links: hosts,
+        slotHash,
+        ownStatus,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
     const requests = createRequestPath({
         settings,
         objects,
@@ -121,7 +149,7 @@
         currency,
         slotHash,
         hosts,
-        ready: follower.ready,
+        ready,
         clock,
         log,
         metrics,
@@ -131,10 +159,13 @@
         host: address,
         settings: settings.callers,
         clock,
-        serve: requests.serve,
+        serve: async request => {
+            const bar = fleet.bar();
+            return bar === undefined ? requests.serve(request) : { kind: "refusal", ...barRefusals[bar] };
+        },
         onDone: requests.noteDone,
         onMalformed: requests.noteMalformed,
-        healthy: () => state === "live",
+        healthy: () => state === "live" && fleet.bar() === undefined,
     });
 
     const report = (): HostReport => ({
@@ -145,8 +176,10 @@
         inFlight: callers.inFlight(),
         peers: hosts.connected(),
         platformCalls: platform.calls(),
-        peerTraffic: hosts.traffic(),
+        objects: objects.standings(),
         versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
+        fleet: fleet.report(),
+        peerTraffic: hosts.traffic(),
         findings: objects.findings(),
         counters: metrics.snapshot(),
         ...requests.report(),
@@ -155,21 +188,10 @@
     const operators = await createOperatorLink({
         host: address,
         port: settings.operators.port,
-        healthy: () => state === "live",
+        healthy: () => state === "live" && fleet.bar() === undefined,
         status: report,
     });
-    const ownStatus = (): HostStatus => ({
-        zone,
-        incarnation,
-        peerAddress: settings.peers.announcedAddress ?? hosts.address,
-        operatorAddress: operators.address,
-        size,
-        state: state === "leaving" ? "leaving" : "live",
-    });
-
-    objects.onChange("status", () => {
-        hosts.setPeers(objects.list("status").map(item => ({ name: item.name, address: item.value.peerAddress })));
-    });
+    const { renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
     createRenewer({
         host: name,
         objects,
@@ -185,25 +207,16 @@
         host: name,
         platform,
         objects,
-        candidates: () => objects.list("status").map(item => ({ name: item.name, zone: item.value.zone })),
+        candidates: () => fleet.live().map(({ name: host, zone: hostZone }) => ({ name: host, zone: hostZone })),
         clock,
         log,
         signal,
     });
 
-    const tryToAnnounce = async (): Promise<void> => {
-        try {
-            await announce(platform, name, ownStatus());
-        }
-        catch (error) {
-            log.warn("announcement-failed", { error: messageOf(error) });
-        }
-    };
-
-    void follower.ready.then(async () => {
+    void fleet.start().then(() => {
         state = "live";
+        markReady();
         log.info("host-live", { host: name, zone, callers: callers.address });
-        await tryToAnnounce();
     });
 
     const dispose = async (): Promise<void> => {
@@ -220,12 +233,13 @@
         stop: async () => {
             state = "leaving";
             log.info("host-leaving", { host: name, inFlight: callers.inFlight() });
-            await tryToAnnounce();
+            await fleet.leave();
             await clock.sleep(balancerNoticeMilliseconds);
             callers.stopAccepting();
             while (callers.inFlight() > 0) {
                 await clock.sleep(stopPollMilliseconds);
             }
+            await fleet.withdraw();
             await dispose();
             log.info("host-stopped", { host: name });
         },
