--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -20,15 +20,19 @@
     type PoolShape,
     speedOf,
 } from "./customers.ts";
+import type { RelayAnswer, RelayQuestion } from "./relaypart.ts";
 import type { StandInsAnswer, StandInsQuestion } from "./standinspart.ts";
 
 export type StandInsChild = TalkingChild<StandInsQuestion, StandInsAnswer>;
 
 /** Bundled programs of one state of the source. */
-export type Programs = { folder: string; host: string; standIns: string; load: string };
+export type Programs = { folder: string; host: string; standIns: string; load: string; relay: string };
 
 export type FleetHost = {
     name: string;
+    zone: string;
+    /** The IP address that its connections come from. */
+    sourceAddress: string;
     callerAddress: string;
     settingsFile: string;
     child: Child;
@@ -43,6 +47,8 @@
     platformUrl: string;
     platform: StandInsChild;
     targets: StandInsChild;
+    /** Through which the hosts dial one another. */
+    relay: TalkingChild<RelayQuestion, RelayAnswer>;
     hosts: FleetHost[];
     /** Starts the process of a host again. */
     startHost: (host: FleetHost) => void;
@@ -60,10 +66,12 @@
         host: join(folder, "host.cjs"),
         standIns: join(folder, "standins.cjs"),
         load: join(folder, "load.cjs"),
+        relay: join(folder, "relay.cjs"),
     };
     await bundleProgram(join(tree, "src/main.ts"), programs.host);
     await bundleProgram("bench/standinspart.ts", programs.standIns);
     await bundleProgram("bench/loadpart.ts", programs.load);
+    await bundleProgram("bench/relaypart.ts", programs.relay);
     return programs;
 };
 
@@ -147,14 +155,32 @@
     const keyFile = join(programs.folder, "peer.key");
     await writeFile(keyFile, "bench-key");
 
+    const relay: Fleet["relay"] = startPart(programs.relay);
+    const places = await Promise.all([...Array(benchCase.hosts).keys()].map(async index => {
+        const zoneIndex = index % customer.zones.length;
+        return {
+            name: `host-${String(index + 1).padStart(2, "0")}`,
+            zone: customer.zones[zoneIndex],
+            sourceAddress: `127.0.${zoneIndex + 1}.${index + 1}`,
+            ports: [await freePort(), await freePort(), await freePort()],
+        };
+    }));
+    const { addresses } = await relay.ask({
+        kind: "start",
+        hosts: places.map(({ zone, sourceAddress, ports }) => ({
+            zone,
+            sourceAddress,
+            listens: { host: "127.0.0.1", port: ports[1] },
+        })),
+    });
+
     const createFleetHost = async (index: number): Promise<FleetHost> => {
-        const name = `host-${String(index + 1).padStart(2, "0")}`;
-        const ports = [await freePort(), await freePort(), await freePort()];
+        const { name, zone, sourceAddress, ports } = places[index];
         const settings: Record<string, unknown> = {
-            host: { name, zone: customer.zones[index % customer.zones.length] },
+            host: { name, zone, sourceAddress },
             platform: { url: platformUrl },
             callers: { port: ports[0] },
-            peers: { port: ports[1], keyFiles: [keyFile] },
+            peers: { port: ports[1], announcedAddress: addresses[index], keyFiles: [keyFile] },
             operators: { port: ports[2] },
         };
         Object.entries(benchCase.settings).forEach(([path, value]) => setAt(settings, path, value));
@@ -162,6 +188,8 @@
         await writeFile(settingsFile, JSON.stringify(settings));
         const host: FleetHost = {
             name,
+            zone,
+            sourceAddress,
             callerAddress: `127.0.0.1:${ports[0]}`,
             settingsFile,
             child: undefined as unknown as Child,
@@ -201,13 +229,14 @@
         platformUrl,
         platform,
         targets,
+        relay,
         hosts,
         startHost,
         close: async () => {
             await Promise.all(hosts.filter(host => host.child.isRunning()).map(endHost));
-            targets.signal("SIGKILL");
-            platform.signal("SIGKILL");
-            await Promise.all([targets.ended, platform.ended]);
+            const parts: Child[] = [targets, platform, relay];
+            parts.forEach(part => part.signal("SIGKILL"));
+            await Promise.all(parts.map(part => part.ended));
         },
     };
 };
--- a/bench/timeline.ts
+++ b/bench/timeline.ts
@@ -124,6 +124,28 @@
     };
 };
 
+const zoneOfTarget = (fleet: Fleet, name: string): string => {
+    const shape = fleet.customer.pools.find(pool => name.startsWith(`${pool.name}-`));
+    const index = Number(name.slice((shape?.name.length ?? 0) + 1)) - 1;
+    return shape?.zones[index % shape.zones.length] ?? "";
+};
+
+/** Lets nothing pass between the zone and the rest; callers reach all hosts as before. */
+const cutZone = async (fleet: Fleet, zone: string): Promise<Omit<EventNote, "at">> => {
+    const inside = fleet.hosts.filter(host => host.zone === zone).map(host => host.sourceAddress);
+    const outside = zone === "" ? [] : fleet.hosts.filter(host => host.zone !== zone).map(host => host.sourceAddress);
+    await fleet.platform.ask({ kind: "platform-faults", faults: { cutFrom: inside } });
+    await fleet.relay.ask({ kind: "cut", zones: zone === "" ? [] : [zone] });
+    for (const pool of fleet.customer.pools) {
+        for (let index = 1; index <= pool.targets; index += 1) {
+            const target = `${pool.name}-${index}`;
+            const cutFrom = zoneOfTarget(fleet, target) === zone ? outside : inside;
+            await fleet.targets.ask({ kind: "target-faults", target, faults: { cutFrom } });
+        }
+    }
+    return { text: zone === "" ? "all cuts healed" : `zone ${zone} cut off`, broken: false };
+};
+
 const perform = async (fleet: Fleet, event: BenchEvent): Promise<Omit<EventNote, "at">> => {
     if ("target" in event) {
         await fleet.targets.ask({ kind: "target-faults", target: event.target, faults: event.faults });
@@ -136,6 +158,9 @@
     if ("replaceHosts" in event) {
         return replaceHosts(fleet, event.pauseSeconds);
     }
+    if ("cutZone" in event) {
+        return cutZone(fleet, event.cutZone);
+    }
     if ("editPlan" in event) {
         return editPlan(fleet, event.editPlan, event.operators);
     }
