Give each host of the bench a loopback address of its own

Ports that were free when they were chosen were taken by the relay before a host listened, and host-paused ran with one host short (warm=false). Hosts now listen at addresses of their own; a fleet that did not warm up breaks the verdict. The targets' stand-ins count the calls and bytes of control.

--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -2,8 +2,6 @@
  * The fleet of a case: the platform's and the targets' stand-ins and the hosts, each in a process of its own.
  */
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { bundleProgram } from "../scripts/bundle.ts";
@@ -31,8 +29,8 @@
 export type FleetHost = {
     name: string;
     zone: string;
-    /** The IP address that its connections come from. */
-    sourceAddress: string;
+    /** The loopback address of the host alone, at which it listens and from which its connections come. */
+    address: string;
     callerAddress: string;
     settingsFile: string;
     child: Child;
@@ -55,6 +53,11 @@
     close: () => Promise<void>;
 };
 
+const callersPort = 8_080;
+const peersPort = 8_081;
+const operatorsPort = 8_082;
+/** Loopback networks among which benches that run at the same time are spread. */
+const networks = 250;
 const stopLimitMilliseconds = 10_000;
 const statusTimeoutMilliseconds = 500;
 
@@ -75,15 +78,6 @@
     return programs;
 };
 
-const freePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
 const setAt = (settings: Record<string, unknown>, path: string, value: unknown): void => {
     const names = path.split(".");
     let current = settings;
@@ -156,32 +150,32 @@
     await writeFile(keyFile, "bench-key");
 
     const relay: Fleet["relay"] = startPart(programs.relay);
-    const places = await Promise.all([...Array(benchCase.hosts).keys()].map(async index => {
+    const network = 1 + process.pid % networks;
+    const places = [...Array(benchCase.hosts).keys()].map(index => {
         const zoneIndex = index % customer.zones.length;
         return {
             name: `host-${String(index + 1).padStart(2, "0")}`,
             zone: customer.zones[zoneIndex],
-            sourceAddress: `127.0.${zoneIndex + 1}.${index + 1}`,
-            ports: [await freePort(), await freePort(), await freePort()],
+            address: `127.${network}.${zoneIndex + 1}.${index + 1}`,
         };
-    }));
+    });
     const { addresses } = await relay.ask({
         kind: "start",
-        hosts: places.map(({ zone, sourceAddress, ports }) => ({
+        hosts: places.map(({ zone, address }) => ({
             zone,
-            sourceAddress,
-            listens: { host: "127.0.0.1", port: ports[1] },
+            sourceAddress: address,
+            listens: { host: address, port: peersPort },
         })),
     });
 
     const createFleetHost = async (index: number): Promise<FleetHost> => {
-        const { name, zone, sourceAddress, ports } = places[index];
+        const { name, zone, address } = places[index];
         const settings: Record<string, unknown> = {
-            host: { name, zone, sourceAddress },
+            host: { name, zone, address, sourceAddress: address },
             platform: { url: platformUrl },
-            callers: { port: ports[0] },
-            peers: { port: ports[1], announcedAddress: addresses[index], keyFiles: [keyFile] },
-            operators: { port: ports[2] },
+            callers: { port: callersPort },
+            peers: { port: peersPort, announcedAddress: addresses[index], keyFiles: [keyFile] },
+            operators: { port: operatorsPort },
         };
         Object.entries(benchCase.settings).forEach(([path, value]) => setAt(settings, path, value));
         const settingsFile = join(programs.folder, `${name}.yaml`);
@@ -189,12 +183,12 @@
         const host: FleetHost = {
             name,
             zone,
-            sourceAddress,
-            callerAddress: `127.0.0.1:${ports[0]}`,
+            address,
+            callerAddress: `${address}:${callersPort}`,
             settingsFile,
             child: undefined as unknown as Child,
             ends: [],
-            status: () => fetchStatus(`127.0.0.1:${ports[2]}`),
+            status: () => fetchStatus(`${address}:${operatorsPort}`),
             figures: () => host.child.figures(),
         };
         startHost(host);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -57,7 +57,10 @@
     const programs = await bundlePrograms();
     try {
         if (benchCase.slope !== undefined) {
-            const { lines, kept } = await runSlope(name, benchCase, options.seed, programs);
+            const { lines, fits, kept } = await runSlope(name, benchCase, options.seed, programs);
+            if (options.save) {
+                await saveResult(`${name}.json`, JSON.stringify(fits, undefined, 4));
+            }
             await emit(name, [`slope case=${name} seed=${options.seed}`, ...lines], options.save);
             return kept;
         }
--- a/bench/runcase.ts
+++ b/bench/runcase.ts
@@ -53,6 +53,8 @@
     pools: Record<string, PoolSummary>;
     hosts: HostFigures[];
     platform: PlatformFigures;
+    /** Calls and bytes of grants, health and load at the targets, from all hosts together. */
+    targetControl: { callsPerSecond: number; bytesPerSecond: number };
     /** Share of a core that the load generator used, and its longest delay in sending. */
     load: { cpuShare: number; latestSendMilliseconds: number };
     /** Sends whose connection to the host broke. */
@@ -76,6 +78,14 @@
     };
 };
 
+const targetControlOf = async (fleet: Fleet): Promise<TargetRecords["control"]> => {
+    const { targetRecords = [] } = await fleet.targets.ask({ kind: "records" });
+    return targetRecords.reduce((sum, { control }) => ({
+        calls: sum.calls + control.calls,
+        bytes: sum.bytes + control.bytes,
+    }), { calls: 0, bytes: 0 });
+};
+
 const trafficOf = (report: HostReport | undefined): number =>
     report === undefined ? 0 : report.peerTraffic.sentBytes + report.peerTraffic.receivedBytes;
 
@@ -182,10 +192,12 @@
         const loadOptions = { hosts, pools, seed, startAt, seconds, phases, bodyBytes };
         const loading = generator.ask({ kind: "load", options: loadOptions });
         await pause(startAt - machineMilliseconds());
+        const controlBefore = await targetControlOf(fleet);
         const before = await snapshotOf(fleet);
         const timeline = runTimeline(fleet, benchCase.events, startAt);
         await pause(startAt + seconds * 1_000 - machineMilliseconds());
         const after = await snapshotOf(fleet);
+        const controlAfter = await targetControlOf(fleet);
         const [load, events] = [await loading, await timeline];
         const endedAt = machineMilliseconds();
         const { targetRecords = [] } = await fleet.targets.ask({ kind: "records" });
@@ -196,10 +208,14 @@
             name: options.name,
             seed,
             warm,
-            kept: allKept(summaries) && events.every(({ broken }) => !broken),
+            kept: warm && allKept(summaries) && events.every(({ broken }) => !broken),
             pools: summaries,
             hosts: hostFigures(fleet, before, after, seconds),
             platform: platformFigures(platformRecords as PlatformRecords, startAt, seconds),
+            targetControl: {
+                callsPerSecond: (controlAfter.calls - controlBefore.calls) / seconds,
+                bytesPerSecond: (controlAfter.bytes - controlBefore.bytes) / seconds,
+            },
             load: {
                 cpuShare: load.cpuSeconds / seconds,
                 latestSendMilliseconds: Math.max(
--- a/bench/slope.ts
+++ b/bench/slope.ts
@@ -28,6 +28,7 @@
     "host-cpu-%": mean(result.hosts.map(host => host.cpuShare * 100)),
     "host-peak-MB": mean(result.hosts.map(host => host.peakMegabytes)),
     "host-peer-KB/s": mean(result.hosts.map(host => host.peerBytesPerSecond / 1_000)),
+    "host-target-control-KB/s": result.targetControl.bytesPerSecond / 1_000 / result.hosts.length,
     "platform-reads/s": (result.platform.callsPerSecond["list"] ?? 0) + (result.platform.callsPerSecond["get"] ?? 0)
         + (result.platform.callsPerSecond["watch"] ?? 0) + (result.platform.callsPerSecond["hosts"] ?? 0),
     "platform-writes/s": result.platform.callsPerSecond["put"] ?? 0,
--- a/bench/timeline.ts
+++ b/bench/timeline.ts
@@ -132,8 +132,8 @@
 
 /** Lets nothing pass between the zone and the rest; callers reach all hosts as before. */
 const cutZone = async (fleet: Fleet, zone: string): Promise<Omit<EventNote, "at">> => {
-    const inside = fleet.hosts.filter(host => host.zone === zone).map(host => host.sourceAddress);
-    const outside = zone === "" ? [] : fleet.hosts.filter(host => host.zone !== zone).map(host => host.sourceAddress);
+    const inside = fleet.hosts.filter(host => host.zone === zone).map(host => host.address);
+    const outside = zone === "" ? [] : fleet.hosts.filter(host => host.zone !== zone).map(host => host.address);
     await fleet.platform.ask({ kind: "platform-faults", faults: { cutFrom: inside } });
     await fleet.relay.ask({ kind: "cut", zones: zone === "" ? [] : [zone] });
     for (const pool of fleet.customer.pools) {
--- a/stand-ins/target.ts
+++ b/stand-ins/target.ts
@@ -50,6 +50,8 @@
     spans: OwnedSpan[];
     refusals: Record<string, number>;
     peakConnections: number;
+    /** Calls of grants, health and load, and their bytes both ways, heads included. */
+    control: { calls: number; bytes: number };
 };
 
 export type TargetStandIn = {
@@ -78,6 +80,7 @@
 type HeldWork = { peer: string; work: () => void };
 type View = { at: number; state: TargetHealth["state"]; running: number; queued: number };
 
+const controlPrefix = "/target/";
 const defaultQueueLength = 32;
 const defaultDeadlineMilliseconds = 30_000;
 const shedBackOffMilliseconds = 100;
@@ -100,6 +103,7 @@
     const spans: OwnedSpan[] = [];
     const refusals: Record<string, number> = {};
     const faults: TargetFaults = { ...noTargetFaults, ...options.faults };
+    const control = { calls: 0, bytes: 0 };
     let peakConnections = 0;
     let port = options.port ?? 0;
     let server: Server;
@@ -250,8 +254,20 @@
         answer(response, result.accepted ? 200 : 409, result);
     };
 
+    const countControl = (request: IncomingMessage, response: ServerResponse, body: string): void => {
+        const writtenBefore = response.socket?.bytesWritten ?? 0;
+        control.calls += 1;
+        control.bytes += request.rawHeaders.join(": ").length + body.length;
+        response.once("finish", () => {
+            control.bytes += Math.max(0, (request.socket.bytesWritten ?? 0) - writtenBefore);
+        });
+    };
+
     const serve = (request: IncomingMessage, response: ServerResponse, body: string): void => {
         const path = request.url ?? "/";
+        if (path.startsWith(controlPrefix)) {
+            countControl(request, response, body);
+        }
         if (path === targetPaths.grants) {
             serveGrant(response, body);
             return;
@@ -359,7 +375,14 @@
         release();
     };
 
-    const records = (): TargetRecords => ({ name: options.name, executions, spans, refusals, peakConnections });
+    const records = (): TargetRecords => ({
+        name: options.name,
+        executions,
+        spans,
+        refusals,
+        peakConnections,
+        control,
+    });
 
     await open();
     return {
