--- a/src/machines/target.ts
+++ b/src/machines/target.ts
@@ -60,7 +60,10 @@
 };
 
 /** Creates the views of one host. `connectionsOf` says how many connections this host may open to a target. */
-export const createTargetViews = (connectionsOf: (target: Target) => number): TargetViews => {
+export const createTargetViews = (
+    connectionsOf: (target: Target) => number,
+    sourceAddress?: string,
+): TargetViews => {
     const views = new Map<string, TargetView>();
     return {
         of: (pool, target) => {
@@ -77,6 +80,7 @@
                     address: target.address,
                     connections: connectionsOf(target),
                     connectMilliseconds,
+                    sourceAddress,
                 }),
                 incarnation: undefined,
                 clockReading: 0,
