Let every task of a host listen to its end

Cause: a host has more than ten tasks, and node warned of a leak at the eleventh. Change: no limit on the listeners of the host's abort signal.

--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -2,6 +2,7 @@
  * An entry host: this process with its tasks and links. The host owns all of them and disposes of them.
  */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { Clock } from "../contracts/clock.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
@@ -90,6 +91,7 @@
     const incarnation = randomUUID();
     const life = new AbortController();
     const { signal } = life;
+    setMaxListeners(0, signal);
     const metrics = createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
     const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken, sourceAddress });
