--- a/bench/ownershipfaults.ts
+++ b/bench/ownershipfaults.ts
@@ -169,10 +169,12 @@
 const ownersAtOnce = (targets: TargetStandIn[]): number => {
     const edges = new Map<string, Array<{ at: number; change: number }>>();
     const add = (span: OwnedSpan): void => {
-        const place = `${span.pool}/${span.slot}`;
-        const list = edges.get(place) ?? [];
-        list.push({ at: span.from, change: 1 }, { at: Math.min(span.until, machineMilliseconds()), change: -1 });
-        edges.set(place, list);
+        for (const slot of span.slots) {
+            const place = `${span.pool}/${slot}`;
+            const list = edges.get(place) ?? [];
+            list.push({ at: span.from, change: 1 }, { at: Math.min(span.until, machineMilliseconds()), change: -1 });
+            edges.set(place, list);
+        }
     };
     targets.forEach(target => target.ownedSpans().filter(span => span.until > span.from).forEach(add));
     let highest = 0;
@@ -212,7 +214,7 @@
     const slot = slotHash(keys[run % keyCount], 1_024);
     const now = machineMilliseconds();
     const owner = fleet.targets.find(target =>
-        target.ownedSpans().some(span => span.slot === slot && span.until > now)
+        target.ownedSpans().some(span => span.slots.includes(slot) && span.until > now)
     );
     return owner ?? fleet.targets[run % fleet.targets.length];
 };
--- a/src/contracts/ownershipmessages.ts
+++ b/src/contracts/ownershipmessages.ts
@@ -38,8 +38,8 @@
     pool: z.string(),
     /** Newest revision that the answering host holds: it acts on no lower one any more. */
     revision: z.int().min(0),
-    /** Former owners of unfinished moves at which this host still has requests from before the revision. */
-    busyTargets: z.array(z.string()),
+    /** Highest revision below which this host certainly has no request under way; 0 when it can not tell. */
+    finishedBelow: z.int().min(0),
 });
 
 /** Names one move; `since`, `from` and `to` are those of the move in the assignment. */
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -12,6 +12,8 @@
         zone: z.string().min(1),
         /** IP address that other hosts and callers reach. */
         address: z.string().min(1).default("127.0.0.1"),
+        /** IP address from which connections to others are made; the system chooses when left out. */
+        sourceAddress: z.string().min(1).optional(),
         /** Relative capacity of the machine. */
         size: z.number().positive().default(1),
     }),
@@ -25,14 +27,18 @@
         port: port.default(8_080),
         maxHeadBytes: z.int().min(1_024).default(16_384),
         maxBodyBytes: z.int().min(0).default(1_048_576),
+        /** Bodies of all requests together that wait to be sent. */
+        maxBufferedBodyBytes: z.int().min(0).default(67_108_864),
         defaultDeadlineMilliseconds: milliseconds.default(2_000),
         maxDeadlineMilliseconds: milliseconds.default(30_000),
     }).prefault({}),
     peers: z.strictObject({
         port: port.default(8_081),
+        /** IP address and port that other hosts dial, where it differs from the listening one. */
+        announcedAddress: z.string().min(1).optional(),
         /** Files that hold shared keys. The first signs; any of them is accepted, so that keys can be rotated. */
         keyFiles: z.array(z.string()).default([]),
-        maxFrameBytes: z.int().min(1_024).default(1_048_576),
+        maxFrameBytes: z.int().min(1_024).default(4_194_304),
         queueLength: z.int().min(1).default(1_024),
     }).prefault({}),
     operators: z.strictObject({ port: port.default(8_082) }).prefault({}),
@@ -43,7 +49,12 @@
         leaseMilliseconds: milliseconds.default(2_000),
     }).prefault({}),
     requests: z.strictObject({
+        /** Requests that wait for one target. */
         queueLength: z.int().min(0).default(64),
+        /** Requests of all pools together that wait for an owner. */
+        heldLength: z.int().min(0).default(1_024),
+        /** Time in which a target that started is brought up to its full share. */
+        rampMilliseconds: milliseconds.default(2_000),
         retryBudgetRatio: z.number().min(0).max(1).default(0.1),
         claimEntries: z.int().min(1).default(200_000),
         claimAgeMilliseconds: milliseconds.default(300_000),
--- a/src/decisions/assign.ts
+++ b/src/decisions/assign.ts
@@ -6,8 +6,9 @@
 import { type Assignment, type KeeperGroup, type Move, noOwner } from "../contracts/assignment.ts";
 import type { Pool } from "../contracts/pool.ts";
 import { type BalanceOptions, evenOut, placeOrphans } from "./balance.ts";
+import { chooseKeepers } from "./keepers.ts";
 import { formerRenewersAfter, movesAfter } from "./move.ts";
-import { type Candidate, nextRenewers, nextWitnesses, pickHosts } from "./naming.ts";
+import { type Candidate, nextRenewers, nextWitnesses } from "./naming.ts";
 import { formerWitnessesAfter, mayChangeWitnesses } from "./witness.ts";
 
 export type { Candidate } from "./naming.ts";
@@ -54,7 +55,7 @@
         moves: [],
         renewers: nextRenewers({}, names, hosts),
         witnesses: nextWitnesses([], hosts, true),
-        keepers: [...hosts.keys()].map(index => ({ hosts: pickHosts(hosts, index, 2), since: 1, previous: [] })),
+        keepers: chooseKeepers([], hosts, 1),
     };
 };
 
--- a/src/decisions/lease.ts
+++ b/src/decisions/lease.ts
@@ -2,22 +2,9 @@
  * Who coordinates a pool. Safety does not hang on it: every write is conditional and every take-over repeats the waits.
  * So the lease is written only when the coordinator changes, and never for its renewal.
  */
-import xxhash from "xxhash-wasm";
-
 /** Ranks hosts for a pool, best first. Every host finds the same order. */
 export type HostRanking = (pool: string, hosts: readonly string[]) => string[];
 
-/** Loads the hash and creates a ranking by rendezvous hashing, which spreads pools and moves few when hosts change. */
-export const createHostRanking = async (): Promise<HostRanking> => {
-    const { h32 } = await xxhash();
-    return (pool, hosts) => {
-        const weights = new Map(hosts.map(host => [host, h32(`${pool} ${host}`)]));
-        return [...hosts].sort((left, right) =>
-            (weights.get(right) ?? 0) - (weights.get(left) ?? 0) || (left < right ? -1 : 1)
-        );
-    };
-};
-
 export type LeaseView = {
     host: string;
     incarnation: string;
--- a/src/machines/assigner.ts
+++ b/src/machines/assigner.ts
@@ -81,8 +81,7 @@
 
     const poolNow = (): Pool | undefined => objects.get("pools", poolName)?.value;
     const assignmentNow = (): Assignment | undefined => objects.get("assignments", poolName)?.value;
-    const itemNow = (): StoredObject | undefined =>
-        objects.stored().find(item => item.kind === "assignments" && item.name === poolName);
+    const itemNow = (): StoredObject | undefined => objects.newest("assignments", poolName);
 
     /** Host statuses as of a read sent after the time; the record of currency tells when the newest read was sent. */
     const routersSince = (time: number): string[] | undefined => {
--- a/src/machines/moves.ts
+++ b/src/machines/moves.ts
@@ -88,8 +88,7 @@
             return releaseTime(move, assignment, evidence, timing);
         }
         const routers = options.routersSince(evidence.knownAt);
-        const finishedAt = (host: string, revision: number): number | undefined =>
-            firstAt(finished, `${move.from} ${host}`, revision);
+        const finishedAt = (host: string, revision: number): number | undefined => firstAt(finished, host, revision);
         return routers === undefined
             ? undefined
             : releaseTimeUnchecked(move, assignment, { ...evidence, routers, finishedAt }, timing);
@@ -188,11 +187,7 @@
         if (answer?.kind === "assignment-acknowledgement" && answer.pool === pool) {
             const now = clock.now();
             note(acknowledgements, host, answer.revision, now);
-            for (const move of current.assignment.moves) {
-                if (!answer.busyTargets.includes(move.from)) {
-                    note(finished, `${move.from} ${host}`, answer.revision, now);
-                }
-            }
+            note(finished, host, answer.finishedBelow, now);
             judge();
         }
         if (current.item !== item) {
--- a/src/machines/ownership.ts
+++ b/src/machines/ownership.ts
@@ -8,9 +8,9 @@
 import type { Currency } from "../decisions/currency.ts";
 import { defaultProbeOptions } from "../decisions/detect.ts";
 import type { SlotHash } from "../decisions/hash.ts";
-import { createHostRanking } from "../decisions/lease.ts";
 import type { Log } from "../links/logs.ts";
 import type { PlatformLink } from "../links/platform.ts";
+import { rankHosts } from "../zones/relays.ts";
 import type { AssignerReport } from "./assigner.ts";
 import { createCoordinator } from "./coordinator.ts";
 import { createHeartbeat } from "./heartbeat.ts";
@@ -35,6 +35,8 @@
     settings: Settings["ownership"];
     /** Longest time for which a request may run at a target. */
     longestDeadlineMilliseconds: number;
+    /** Requests for owned keys of the pool that were sent under a revision below the one given and are not over. */
+    unfinishedBelow: (pool: string, revision: number) => number;
     clock: Clock;
     log: Log;
     signal: AbortSignal;
@@ -58,10 +60,14 @@
 const goneMilliseconds = 1_500;
 
 /** Starts all tasks of ownership until the signal aborts. */
-export const createOwnership = async (options: OwnershipOptions): Promise<Ownership> => {
+export const createOwnership = (options: OwnershipOptions): Ownership => {
     const { host, objects, currency, clock, signal, settings } = options;
     const peers = createPeers(host, options.links);
-    const ranking = await createHostRanking();
+    const ranking = (pool: string, names: readonly string[]): string[] =>
+        rankHosts(options.slotHash, `coordinator-${pool}`, names.map(name => ({ name, zone: "" }))).map(({ name }) =>
+            name
+        );
+    const timing = { ...settings, longestDeadlineMilliseconds: options.longestDeadlineMilliseconds };
     const heartbeat = createHeartbeat({ host, peers, clock, signal });
     const leases = createLeases({ ...options, heartbeat, ranking });
     const coordinatorOf = (pool: string): string | undefined => leases.holder(pool);
@@ -88,6 +94,7 @@
     createWitness({
         ...options,
         peers,
+        timing,
         freshnessMilliseconds: settings.freshnessMilliseconds,
         onCurrent: renewer.renewSoon,
     });
@@ -98,7 +105,7 @@
         leases,
         candidates,
         slotOf,
-        timing: { ...settings, longestDeadlineMilliseconds: options.longestDeadlineMilliseconds },
+        timing,
     });
 
     const reportPool = (pool: string, assigner: AssignerReport | undefined): PoolOwnership => {
--- a/src/machines/witness.ts
+++ b/src/machines/witness.ts
@@ -2,7 +2,7 @@
  * The witness answers other hosts' questions whether a revision is current, and vouches for what it has read while the
  * platform can not be reached. It also takes the assignments that a coordinator hands out, and acknowledges them.
  */
-import { assignmentSchema } from "../contracts/assignment.ts";
+import { type Assignment, assignmentSchema } from "../contracts/assignment.ts";
 import type { Clock } from "../contracts/clock.ts";
 import type { StoredObject } from "../contracts/objects.ts";
 import type { AssignmentAcknowledgement } from "../contracts/ownershipmessages.ts";
@@ -13,15 +13,17 @@
     confirmByWitnesses,
     type Currency,
 } from "../decisions/currency.ts";
+import { mayReportFinished, type MoveTiming } from "../decisions/move.ts";
 import { vouchesFor } from "../decisions/witness.ts";
 import type { ObjectView } from "./objects.ts";
 import type { Peers } from "./peers.ts";
-import { isBusyBelow, type TargetViews } from "./target.ts";
 
 export type WitnessOptions = {
     host: string;
     objects: ObjectView;
-    views: TargetViews;
+    /** Requests for owned keys of the pool that were sent under a revision below the one given and are not over. */
+    unfinishedBelow: (pool: string, revision: number) => number;
+    timing: Pick<MoveTiming, "longestDeadlineMilliseconds">;
     currency: Currency;
     peers: Peers;
     freshnessMilliseconds: number;
@@ -40,7 +42,7 @@
 
 /** Starts to answer, and to ask where this host's own right to act runs low, until the signal aborts. */
 export const createWitness = (options: WitnessOptions): void => {
-    const { objects, views, currency, peers, clock, signal, freshnessMilliseconds } = options;
+    const { objects, currency, peers, clock, signal, freshnessMilliseconds } = options;
     const startedAt = clock.now();
     const asking = new Set<string>();
 
@@ -109,17 +111,23 @@
         asking.delete(pool);
     };
 
+    /** The revision below which all requests of this host have ended, as far as an unfinished move asks for it. */
+    const finishedBelow = (pool: string, assignment: Assignment): number => {
+        const revisions = [...assignment.moves.map(move => move.since), assignment.revision];
+        const ended = revisions.filter(revision =>
+            mayReportFinished(options.unfinishedBelow(pool, revision), startedAt, clock.now(), options.timing)
+        );
+        return Math.max(0, ...ended);
+    };
+
     const acknowledgementOf = (pool: string): AssignmentAcknowledgement => {
         const assignment = objects.get("assignments", pool)?.value;
-        const busyTargets = new Set<string>();
-        for (const move of assignment?.moves ?? []) {
-            const target = objects.get("pools", pool)?.value.targets.find(known => known.name === move.from);
-            if (target !== undefined && isBusyBelow(views.of(pool, target), move.since)) {
-                busyTargets.add(move.from);
-            }
-        }
-        const revision = assignment?.revision ?? 0;
-        return { kind: "assignment-acknowledgement", pool, revision, busyTargets: [...busyTargets] };
+        return {
+            kind: "assignment-acknowledgement",
+            pool,
+            revision: assignment?.revision ?? 0,
+            finishedBelow: assignment === undefined ? 0 : finishedBelow(pool, assignment),
+        };
     };
 
     /**
--- a/test/machines/fakes/fleet.ts
+++ b/test/machines/fakes/fleet.ts
@@ -24,7 +24,8 @@
     objects: ObjectView;
     currency: Currency;
     ownership: Ownership;
-    views: TargetViews;
+    /** Requests that the host says are not over. */
+    unfinished: { count: number };
     isAlive: () => boolean;
     kill: () => void;
 };
@@ -127,7 +128,6 @@
                     failingSince: undefined,
                     state: "ready",
                     probe: { unansweredSince: undefined, failures: 0, answerMilliseconds: 0 },
-                    inFlight: new Map(),
                     queue: undefined,
                 };
                 views.set(target.name, view);
@@ -166,7 +166,8 @@
         if (former >= 0) {
             hosts.splice(former, 1);
         }
-        const ownership = await createOwnership({
+        const unfinished = { count: 0 };
+        const ownership = createOwnership({
             host: name,
             incarnation,
             platform: link,
@@ -177,6 +178,7 @@
             slotHash,
             settings,
             longestDeadlineMilliseconds: 2_000,
+            unfinishedBelow: () => unfinished.count,
             clock: hostClock,
             log: silentLog,
             signal: life.signal,
@@ -188,7 +190,7 @@
             objects,
             currency,
             ownership,
-            views,
+            unfinished,
             isAlive: () => !signal.aborted,
             kill: () => life.abort(),
         };
--- a/test/machines/ownership.test.ts
+++ b/test/machines/ownership.test.ts
@@ -260,14 +260,13 @@
     const fleet = await createFleet(3, 4, false);
     const leaving = fleet.busiest();
     const [host] = fleet.hosts;
-    const view = host.views.of(poolName, leaving.target);
-    view.inFlight.set(fleet.assignment().revision, 1);
+    host.unfinished.count = 1;
     leaving.target.leaving = true;
     fleet.writePool(fleet.targets);
     await fleet.clock.advance(1_500);
     const waits = fleet.coordinator().ownership.report().pools[poolName].assigner?.unfinishedMoves ?? 0;
     t.true(waits > 0);
-    view.inFlight.clear();
+    host.unfinished.count = 0;
     await fleet.clock.advance(1_000);
     t.is(fleet.coordinator().ownership.report().pools[poolName].assigner?.unfinishedMoves, 0);
     fleet.hosts.forEach(other => other.kill());
