--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -18,10 +18,9 @@
 import { createMetrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
 import { createPlatformLink } from "../links/platform.ts";
-import { createCoordinator } from "./coordinator.ts";
 import { createFleet, type FleetReport } from "./fleet.ts";
 import { createObjectView, type ObjectStanding } from "./objects.ts";
-import { createRenewer } from "./renewer.ts";
+import { createOwnership, type OwnershipReport } from "./ownership.ts";
 import { createRequestPath, type RequestReport } from "./requests.ts";
 import { createTargetViews } from "./target.ts";
 
@@ -51,6 +50,7 @@
     /** Bytes sent and received on links between hosts. */
     peerTraffic: { sentBytes: number; receivedBytes: number };
     findings: Finding[];
+    ownership: OwnershipReport;
     counters: Record<string, number>;
 } & RequestReport;
 
@@ -144,6 +144,22 @@
         metrics,
         signal,
     });
+    const ownership = createOwnership({
+        host: name,
+        incarnation,
+        platform,
+        objects,
+        views,
+        currency,
+        links: hosts,
+        slotHash,
+        settings: settings.ownership,
+        longestDeadlineMilliseconds: settings.callers.maxDeadlineMilliseconds,
+        unfinishedBelow: (pool, revision) => requests.unfinishedBelow(pool, revision),
+        clock,
+        log,
+        signal,
+    });
     const requests = createRequestPath({
         settings,
         objects,
@@ -151,6 +167,7 @@
         currency,
         slotHash,
         hosts,
+        countLoad: ownership.loads.count,
         ready,
         clock,
         log,
@@ -183,6 +200,7 @@
         fleet: fleet.report(),
         peerTraffic: hosts.traffic(),
         findings: objects.findings(),
+        ownership: ownership.report(),
         counters: metrics.snapshot(),
         ...requests.report(),
     });
@@ -193,28 +211,6 @@
         healthy: () => state === "live" && fleet.bar() === undefined,
         status: report,
     });
-    const { renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
-    createRenewer({
-        host: name,
-        objects,
-        views,
-        currency,
-        renewalMilliseconds,
-        timeToLiveMilliseconds,
-        clock,
-        log,
-        signal,
-    });
-    createCoordinator({
-        host: name,
-        platform,
-        objects,
-        candidates: () => fleet.live().map(({ name: host, zone: hostZone }) => ({ name: host, zone: hostZone })),
-        clock,
-        log,
-        signal,
-    });
-
     void fleet.start().then(() => {
         state = "live";
         markReady();
--- a/src/machines/target.ts
+++ b/src/machines/target.ts
@@ -3,6 +3,7 @@
  */
 import type { Target } from "../contracts/pool.ts";
 import { type TargetHealth, targetStates } from "../contracts/targetprotocol.ts";
+import type { ProbeRecord } from "../decisions/detect.ts";
 import { createTargetLink, type TargetLink } from "../links/targets.ts";
 
 export type TargetView = {
@@ -25,6 +26,10 @@
     failingSince: number | undefined;
     /** The target's own word on its state. */
     state: TargetHealth["state"];
+    /** How the target answers the questions of the renewer. */
+    readonly probe: ProbeRecord;
+    /** Waiting requests over concurrency by the target's own lagging report; undefined when there is none. */
+    queue: number | undefined;
 };
 
 export type TargetViews = {
@@ -59,6 +64,17 @@
     view.failingSince ??= now;
 };
 
+const answerSmoothing = 0.2;
+
+/** Notes that the renewer's question at `askedAt` was answered. */
+export const noteProbeAnswer = (view: TargetView, askedAt: number, now: number): void => {
+    const { probe } = view;
+    probe.unansweredSince = undefined;
+    probe.failures = 0;
+    probe.answerMilliseconds += (now - askedAt - probe.answerMilliseconds) * answerSmoothing;
+    noteAnswer(view, now);
+};
+
 /** Creates the views of one host. `connectionsOf` says how many connections this host may open to a target. */
 export const createTargetViews = (
     connectionsOf: (target: Target) => number,
@@ -90,6 +106,8 @@
                 failures: 0,
                 failingSince: undefined,
                 state: targetStates.ready,
+                probe: { unansweredSince: undefined, failures: 0, answerMilliseconds: 0 },
+                queue: undefined,
             };
             views.set(place, view);
             return view;
