Give operators commands for plans, allowances and pools, and a wait that is true

Cause: operators had no way to edit the two lists, and nothing told when an edit is in force.

Every write is conditional on the version that was seen; a conflict shows both versions and both changes; a lost reply is known by its write id. `--wait` asks every announced host, and takes one that it can not reach for cut off only when that host's isolation time has passed since a majority has the version in force.

--- a/bench/case.ts
+++ b/bench/case.ts
@@ -5,7 +5,7 @@
 import { z } from "zod";
 import { InputError } from "../src/contracts/errors.ts";
 import { describeFinding } from "../src/contracts/finding.ts";
-import { checkYaml } from "../src/links/settings.ts";
+import { checkYaml } from "../src/links/yaml.ts";
 import { platformFaultsSchema } from "../stand-ins/platform.ts";
 import { targetFaultsSchema } from "../stand-ins/targetfaults.ts";
 
--- /dev/null
+++ b/src/commands/intent.ts
@@ -0,0 +1,253 @@
+/**
+ * What operators do with plans, allowances and pools: read, compare, apply, edit and delete. Every write is conditional
+ * on the version that the operator saw, so that of two operators the second loses nothing and sees what the first did.
+ */
+import { stringify } from "yaml";
+import { z } from "zod";
+import type { Clock } from "../contracts/clock.ts";
+import { ConflictError, InputError } from "../contracts/errors.ts";
+import { describeFinding, type Finding, findingsOf } from "../contracts/finding.ts";
+import { type ObjectKind, objectSchemas, type StoredObject } from "../contracts/objects.ts";
+import type { Allowance, Plan } from "../contracts/plan.ts";
+import type { Pool } from "../contracts/pool.ts";
+import { describeDifference } from "../decisions/difference.ts";
+import { applyEdits, type Edit } from "../decisions/edits.ts";
+import { referenceFindings } from "../decisions/references.ts";
+import type { PlatformLink } from "../links/platform.ts";
+import { writeObject } from "../links/writes.ts";
+import { checkYamlDocuments } from "../links/yaml.ts";
+
+/** Kinds that operators edit. */
+export type IntentKind = "plans" | "allowances" | "pools";
+
+export type IntentOptions = {
+    kind: IntentKind;
+    platform: PlatformLink;
+    clock: Clock;
+    /** Writes one line for the operator. */
+    write: (line: string) => void;
+    /** Chooses write ids; random when left out. */
+    writeId?: () => string;
+};
+
+/** An object as a file describes it: its name, the version it was read at if any, and its value. */
+export type IntentDocument = { name: string; version: number | undefined; value: unknown };
+
+export type Written = { place: string; version: number; changed: boolean; replyLost: boolean };
+
+export type ApplyOptions = {
+    /** Writes over whatever stands, also when the file does not say which version it was made from. */
+    replace: boolean;
+};
+
+const nameSchema = z.string().regex(
+    /^[a-z0-9][a-z0-9.-]{0,62}$/,
+    "a name of lower-case letters, digits, dots, hyphens",
+);
+
+const documentSchemas = {
+    plans: objectSchemas.plans.extend({ name: nameSchema, version: z.int().min(1).optional() }),
+    allowances: objectSchemas.allowances.extend({ name: nameSchema, version: z.int().min(1).optional() }),
+    pools: objectSchemas.pools.extend({ name: nameSchema, version: z.int().min(1).optional() }),
+} as const;
+
+/** Reads the documents of a file, or throws an `InputError` that lists every finding. */
+export const readDocuments = (kind: IntentKind, source: string, text: string): IntentDocument[] => {
+    const checked = checkYamlDocuments<{ name: string; version?: number }>(source, text, documentSchemas[kind]);
+    const findings = checked.flatMap(document => document.findings);
+    if (findings.length > 0) {
+        throw new InputError(findings.map(describeFinding).join("\n"));
+    }
+    return checked.flatMap(({ value: document }) => {
+        if (document === undefined) {
+            return [];
+        }
+        const { name, version, ...value } = document;
+        return [{ name, version, value }];
+    });
+};
+
+/** Writes an object as a file that `apply` takes. */
+export const documentOf = (item: StoredObject): string =>
+    stringify({ name: item.name, version: item.version, ...item.value as object });
+
+export const listObjects = async (options: IntentOptions): Promise<StoredObject[]> => {
+    const page = await options.platform.list(0);
+    return page.items
+        .filter(item => item.kind === options.kind && !item.deleted)
+        .sort((left, right) => (left.name < right.name ? -1 : 1));
+};
+
+/** The object, or `undefined` when there is none or only its tombstone. */
+const standing = async (options: IntentOptions, name: string): Promise<StoredObject | undefined> =>
+    options.platform.get(options.kind, name);
+
+const existing = async (options: IntentOptions, name: string): Promise<StoredObject> => {
+    const item = await standing(options, name);
+    if (item === undefined || item.deleted) {
+        throw new InputError(`${options.kind}/${name} does not exist.`);
+    }
+    return item;
+};
+
+export const showObject = existing;
+
+const valueOf = (item: StoredObject | undefined): unknown => item === undefined || item.deleted ? {} : item.value;
+
+/** Lines that tell what applying the documents would change. */
+export const diffDocuments = async (options: IntentOptions, documents: IntentDocument[]): Promise<string[]> => {
+    const lines: string[] = [];
+    for (const { name, value } of documents) {
+        const item = await standing(options, name);
+        const difference = describeDifference(valueOf(item), value);
+        if (difference.length > 0) {
+            const version = item === undefined || item.deleted ? "new" : `version ${item.version}`;
+            lines.push(`${options.kind}/${name} (${version}):`, ...difference.map(line => `  ${line}`));
+        }
+    }
+    return lines;
+};
+
+type Attempt = { name: string; value: unknown; ifVersion: number; deleted?: boolean; former: StoredObject | undefined };
+
+const conflictMessage = (
+    place: string,
+    attempt: Attempt,
+    current: StoredObject | undefined,
+    mayHaveWritten: boolean,
+): string => {
+    const theirs = current === undefined ? "nothing" : `version ${current.version}`;
+    const intended = attempt.deleted === true ? {} : attempt.value;
+    const lines = [
+        `${place} was written by another operator: it stands at ${theirs}, not at version ${attempt.ifVersion}. `
+        + (mayHaveWritten
+            ? "The reply to this write was lost, and it may have taken effect before the other one."
+            : "Nothing was written."),
+    ];
+    if (attempt.former !== undefined && attempt.former.version === attempt.ifVersion) {
+        lines.push("The other change:", ...describeDifference(valueOf(attempt.former), valueOf(current)).map(indent));
+        lines.push("Your change:", ...describeDifference(valueOf(attempt.former), intended).map(indent));
+    }
+    if (attempt.deleted === true) {
+        return [...lines, "What stands now:", ...fileLines(valueOf(current))].join("\n");
+    }
+    lines.push("From what stands to yours:", ...describeDifference(valueOf(current), intended).map(indent));
+    lines.push("What stands now:", ...fileLines(valueOf(current)), "Yours:", ...fileLines(intended));
+    return lines.join("\n");
+};
+
+const indent = (line: string): string => `  ${line}`;
+
+const fileLines = (value: unknown): string[] => stringify(value).trimEnd().split("\n").map(indent);
+
+const put = async (options: IntentOptions, attempt: Attempt): Promise<Written> => {
+    const place = `${options.kind}/${attempt.name}`;
+    const { name, value, ifVersion, deleted } = attempt;
+    const request = { kind: options.kind as ObjectKind, name, value, ifVersion, deleted, writeId: options.writeId?.() };
+    const result = await writeObject(request, { platform: options.platform, clock: options.clock });
+    if (result.result === "conflict") {
+        throw new ConflictError(conflictMessage(place, attempt, result.current, result.mayHaveWritten));
+    }
+    if (result.replyLost) {
+        options.write(`The reply to the write of ${place} was lost; its write id shows that it took effect.`);
+    }
+    options.write(`${place} ${deleted === true ? "deleted" : "written"} at version ${result.version}.`);
+    return { place, version: result.version, changed: true, replyLost: result.replyLost };
+};
+
+const applyOne = async (
+    options: IntentOptions,
+    document: IntentDocument,
+    { replace }: ApplyOptions,
+): Promise<Written> => {
+    const { name, value } = document;
+    const place = `${options.kind}/${name}`;
+    const item = await standing(options, name);
+    const difference = describeDifference(valueOf(item), value);
+    if (item !== undefined && !item.deleted && difference.length === 0) {
+        options.write(`${place} stands as described at version ${item.version}.`);
+        return { place, version: item.version, changed: false, replyLost: false };
+    }
+    const isNew = item === undefined || item.deleted;
+    if (!isNew && document.version === undefined && !replace) {
+        throw new ConflictError([
+            `${place} exists at version ${item.version} and differs. Say which version the file was made from `
+            + `(version: ${item.version}), or pass --replace. Nothing was written.`,
+            ...difference.map(indent),
+        ].join("\n"));
+    }
+    const ifVersion = replace || document.version === undefined ? item?.version ?? 0 : document.version;
+    difference.forEach(line => options.write(indent(line)));
+    return put(options, { name, value, ifVersion, former: item });
+};
+
+/** Applies documents one by one; ends at the first conflict. What was written before it stays. */
+export const applyDocuments = async (
+    options: IntentOptions,
+    documents: IntentDocument[],
+    apply: ApplyOptions,
+): Promise<Written[]> => {
+    const written: Written[] = [];
+    for (const document of documents) {
+        written.push(await applyOne(options, document, apply));
+    }
+    return written;
+};
+
+/** Edits fields of one object. `ifVersion` is the version the operator looked at; the newest when left out. */
+export const editObject = async (
+    options: IntentOptions,
+    name: string,
+    edits: Edit[],
+    ifVersion?: number,
+): Promise<Written> => {
+    const item = await existing(options, name);
+    const place = `${options.kind}/${name}`;
+    const edited = applyEdits(place, item.value, edits);
+    const checked = objectSchemas[options.kind].safeParse(edited.value);
+    const findings: Finding[] = [
+        ...edited.findings,
+        ...checked.success ? [] : findingsOf(place, edited.value, checked.error),
+    ];
+    if (findings.length > 0) {
+        throw new InputError([...findings.map(describeFinding), "Nothing was written."].join("\n"));
+    }
+    const difference = describeDifference(item.value, checked.data);
+    if (difference.length === 0) {
+        options.write(`${place} stands as described at version ${item.version}.`);
+        return { place, version: item.version, changed: false, replyLost: false };
+    }
+    difference.forEach(line => options.write(indent(line)));
+    return put(options, { name, value: checked.data, ifVersion: ifVersion ?? item.version, former: item });
+};
+
+/** Deletes one object, which leaves a tombstone with a version. */
+export const deleteObject = async (options: IntentOptions, name: string, ifVersion?: number): Promise<Written> => {
+    const item = await existing(options, name);
+    const attempt = { name, value: {}, ifVersion: ifVersion ?? item.version, deleted: true, former: item };
+    return put(options, attempt);
+};
+
+/** What plans, allowances and pools name that is not there, as the platform has them now. */
+export const readReferenceFindings = async (platform: PlatformLink): Promise<Finding[]> => {
+    const objects = {
+        plans: new Map<string, Plan>(),
+        allowances: new Map<string, Allowance>(),
+        pools: new Map<string, Pool>(),
+    };
+    const findings: Finding[] = [];
+    for (const item of (await platform.list(0)).items) {
+        const known = objects[item.kind as IntentKind] as Map<string, unknown> | undefined;
+        if (known === undefined || item.deleted) {
+            continue;
+        }
+        const parsed = objectSchemas[item.kind].safeParse(item.value);
+        if (parsed.success) {
+            known.set(item.name, parsed.data);
+        }
+        else {
+            findings.push(...findingsOf(`${item.kind}/${item.name}`, item.value, parsed.error));
+        }
+    }
+    return [...findings, ...referenceFindings(objects)];
+};
--- /dev/null
+++ b/src/commands/objects.ts
@@ -0,0 +1,221 @@
+/**
+ * `carobpier plan|allowance|pool ...`: the commands by which operators edit the lists of plans, allowances and pools.
+ * The three families have the same commands; each is made for its kind.
+ */
+import { Args, type Command, Flags } from "@oclif/core";
+import { readFile } from "node:fs/promises";
+import { parse } from "yaml";
+import { InputError, messageOf } from "../contracts/errors.ts";
+import type { Edit } from "../decisions/edits.ts";
+import { exitCodes } from "./exitcodes.ts";
+import {
+    applyDocuments,
+    deleteObject,
+    diffDocuments,
+    documentOf,
+    editObject,
+    type IntentDocument,
+    type IntentKind,
+    listObjects,
+    readDocuments,
+    showObject,
+    type Written,
+} from "./intent.ts";
+import { OperatorCommand, platformFlags, waitFlags } from "./operator.ts";
+import { formatRows } from "./rows.ts";
+
+type Family = { topic: string; kind: IntentKind; example: string; editExample: string };
+
+const families: Family[] = [
+    { topic: "plan", kind: "plans", example: "hallam", editExample: "--set rate.perSecond=200" },
+    { topic: "allowance", kind: "allowances", example: "hallam", editExample: "--add 'uses={pool: archive}'" },
+    { topic: "pool", kind: "pools", example: "orders", editExample: "--set 'targets[0].speed=2'" },
+];
+
+const nameArgument = { name: Args.string({ required: true, description: "Name of the object." }) };
+const fileFlag = { file: Flags.string({ char: "f", required: true, summary: "YAML file, one document an object." }) };
+const versionFlag = {
+    version: Flags.integer({ min: 1, summary: "Version that must stand; the newest when left out." }),
+};
+
+const readFileDocuments = async (kind: IntentKind, file: string): Promise<IntentDocument[]> => {
+    const text = await readFile(file, "utf8").catch((error: unknown) => {
+        throw new InputError(`The file "${file}" is not readable: ${messageOf(error)}.`);
+    });
+    return readDocuments(kind, file, text);
+};
+
+/** Reads `path=value`, the value as YAML; `undefined` as the value when there is no `=`. */
+const editOf = (action: Edit["action"], text: string): Edit => {
+    const end = text.indexOf("=");
+    if (end === -1 && action !== "remove") {
+        throw new InputError(`--${action} ${text}: expected path=value, found no "=".`);
+    }
+    return end === -1
+        ? { action, path: text, value: undefined }
+        : { action, path: text.slice(0, end), value: parse(text.slice(end + 1)) as unknown };
+};
+
+const listCommand = ({ topic, kind }: Family): typeof Command =>
+    class extends OperatorCommand {
+        static override summary = `List ${kind}.`;
+        static override examples = [`<%= config.bin %> ${topic} list --settings hallam.yaml`];
+        static override flags = platformFlags;
+
+        override async run(): Promise<object> {
+            const { flags } = await this.parse({ flags: platformFlags });
+            return this.withPlatform(flags, async platform => {
+                const items = await listObjects(this.intentOptions(kind, platform));
+                const rows = items.map(({ name, version }) => ({ name, version }));
+                formatRows(rows, process.stdout.isTTY).forEach(line => this.log(line));
+                return { items };
+            });
+        }
+    };
+
+const showCommand = ({ topic, kind, example }: Family): typeof Command =>
+    class extends OperatorCommand {
+        static override summary = `Show one of the ${kind} as a file that apply takes.`;
+        static override examples = [`<%= config.bin %> ${topic} show ${example} > ${example}.yaml`];
+        static override flags = platformFlags;
+        static override args = nameArgument;
+
+        override async run(): Promise<object> {
+            const { args, flags } = await this.parse({ flags: platformFlags, args: nameArgument });
+            return this.withPlatform(flags, async platform => {
+                const item = await showObject(this.intentOptions(kind, platform), args.name);
+                this.log(documentOf(item).trimEnd());
+                return item;
+            });
+        }
+    };
+
+const diffCommand = ({ topic, kind, example }: Family): typeof Command =>
+    class extends OperatorCommand {
+        static override summary = `Show what applying a file would change. Exits ${exitCodes.findings} if anything.`;
+        static override examples = [`<%= config.bin %> ${topic} diff -f ${example}.yaml`];
+        static override flags = { ...platformFlags, ...fileFlag };
+
+        override async run(): Promise<object> {
+            const { flags } = await this.parse({ flags: { ...platformFlags, ...fileFlag } });
+            const documents = await readFileDocuments(kind, flags.file);
+            return this.withPlatform(flags, async platform => {
+                const lines = await diffDocuments(this.intentOptions(kind, platform), documents);
+                lines.forEach(line => this.log(line));
+                process.exitCode = lines.length > 0 ? exitCodes.findings : exitCodes.done;
+                return { lines };
+            });
+        }
+    };
+
+const applyFlags = {
+    ...platformFlags,
+    ...fileFlag,
+    ...waitFlags,
+    replace: Flags.boolean({ summary: "Write over what stands, whichever version the file was made from." }),
+};
+
+const applyCommand = ({ topic, kind, example }: Family): typeof Command =>
+    class extends OperatorCommand {
+        static override summary = `Create or change ${kind} as a file describes them.`;
+        static override description =
+            "A document with `version` is written only if that version still stands. Exit codes: 0 done, "
+            + "2 findings in the file, 3 another operator wrote first, 4 the platform is out, 5 not in force in time.";
+        static override examples = [
+            `<%= config.bin %> ${topic} apply -f ${example}.yaml`,
+            `<%= config.bin %> ${topic} apply -f ${example}.yaml --wait --timeout 30`,
+        ];
+        static override flags = applyFlags;
+
+        override async run(): Promise<object> {
+            const { flags } = await this.parse({ flags: applyFlags });
+            const documents = await readFileDocuments(kind, flags.file);
+            return this.withPlatform(flags, async platform => {
+                const options = this.intentOptions(kind, platform);
+                const written = await applyDocuments(options, documents, { replace: flags.replace });
+                const findings = await this.reportReferences(platform);
+                const waits: object[] = [];
+                for (const { place, version } of written) {
+                    waits.push(await this.waitIfAsked(platform, flags, place, version));
+                }
+                return { written, findings, waits };
+            });
+        }
+    };
+
+const editFlags = {
+    ...platformFlags,
+    ...waitFlags,
+    ...versionFlag,
+    set: Flags.string({ multiple: true, summary: "path=value: set a field.", multipleNonGreedy: true }),
+    add: Flags.string({ multiple: true, summary: "path=value: add to a list.", multipleNonGreedy: true }),
+    remove: Flags.string({
+        multiple: true,
+        summary: "path or path=value: remove a field, or an entry of a list.",
+        multipleNonGreedy: true,
+    }),
+};
+
+const editCommand = ({ topic, kind, example, editExample }: Family): typeof Command =>
+    class extends OperatorCommand {
+        static override summary = `Change fields of one of the ${kind}.`;
+        static override examples = [`<%= config.bin %> ${topic} edit ${example} ${editExample} --wait`];
+        static override flags = editFlags;
+        static override args = nameArgument;
+
+        override async run(): Promise<object> {
+            const { args, flags } = await this.parse({ flags: editFlags, args: nameArgument });
+            const edits = [
+                ...(flags.set ?? []).map(text => editOf("set", text)),
+                ...(flags.add ?? []).map(text => editOf("add", text)),
+                ...(flags.remove ?? []).map(text => editOf("remove", text)),
+            ];
+            if (edits.length === 0) {
+                throw new InputError("Say what to change: pass --set, --add or --remove.");
+            }
+            return this.withPlatform(flags, async platform => {
+                const options = this.intentOptions(kind, platform);
+                const written = await editObject(options, args.name, edits, flags.version);
+                const findings = await this.reportReferences(platform);
+                return {
+                    written,
+                    findings,
+                    ...await this.waitIfAsked(platform, flags, written.place, written.version),
+                };
+            });
+        }
+    };
+
+const deleteFlags = { ...platformFlags, ...waitFlags, ...versionFlag };
+
+const deleteCommand = ({ topic, kind, example }: Family): typeof Command =>
+    class extends OperatorCommand {
+        static override summary = `Delete one of the ${kind}. Its version stays, so that no host goes back to it.`;
+        static override examples = [`<%= config.bin %> ${topic} delete ${example} --wait`];
+        static override flags = deleteFlags;
+        static override args = nameArgument;
+
+        override async run(): Promise<object> {
+            const { args, flags } = await this.parse({ flags: deleteFlags, args: nameArgument });
+            return this.withPlatform(flags, async platform => {
+                const written: Written = await deleteObject(
+                    this.intentOptions(kind, platform),
+                    args.name,
+                    flags.version,
+                );
+                return { written, ...await this.waitIfAsked(platform, flags, written.place, written.version) };
+            });
+        }
+    };
+
+const commandsOf = (family: Family): Array<[string, typeof Command]> => [
+    [`${family.topic}:list`, listCommand(family)],
+    [`${family.topic}:show`, showCommand(family)],
+    [`${family.topic}:diff`, diffCommand(family)],
+    [`${family.topic}:apply`, applyCommand(family)],
+    [`${family.topic}:edit`, editCommand(family)],
+    [`${family.topic}:delete`, deleteCommand(family)],
+];
+
+/** The commands of the three families by their id. */
+export const objectCommands: Record<string, typeof Command> = Object.fromEntries(families.flatMap(commandsOf));
--- /dev/null
+++ b/src/commands/operator.ts
@@ -0,0 +1,118 @@
+/**
+ * What the operators' commands share: where the platform is, how errors end, and how results are written.
+ */
+import { Command, Flags } from "@oclif/core";
+import { readFile } from "node:fs/promises";
+import { InputError, messageOf } from "../contracts/errors.ts";
+import { describeFinding } from "../contracts/finding.ts";
+import { systemClock } from "../links/clock.ts";
+import { createPlatformLink, type PlatformLink } from "../links/platform.ts";
+import { readSecret, readSettings } from "../links/settings.ts";
+import { exitCodeOf, exitCodes } from "./exitcodes.ts";
+import { type IntentKind, type IntentOptions, readReferenceFindings } from "./intent.ts";
+import { waitUntilInForce } from "./wait.ts";
+
+const platformTimeoutMilliseconds = 2_000;
+
+/** Flags of every command that speaks with the platform. */
+export const platformFlags = {
+    platform: Flags.string({ summary: "URL of the platform's object API.", exclusive: ["settings"] }),
+    settings: Flags.string({ char: "s", summary: "Settings file that says where the platform is." }),
+    "token-file": Flags.string({ summary: "File that holds the bearer token for the platform." }),
+};
+
+/** Flags of every command that writes. */
+export const waitFlags = {
+    wait: Flags.boolean({ summary: "Wait until no host serves by an older version." }),
+    timeout: Flags.integer({ default: 60, min: 1, summary: "Seconds to wait at most." }),
+};
+
+export type PlatformFlags = { platform?: string; settings?: string; "token-file"?: string };
+
+const readToken = async (file: string): Promise<string> => {
+    const text = await readFile(file, "utf8").catch((error: unknown) => {
+        throw new InputError(`The token file "${file}" is not readable: ${messageOf(error)}.`);
+    });
+    return text.trim();
+};
+
+const openPlatform = async (flags: PlatformFlags): Promise<PlatformLink> => {
+    const tokenFile = flags["token-file"];
+    const token = tokenFile === undefined ? undefined : await readToken(tokenFile);
+    if (flags.platform !== undefined) {
+        return createPlatformLink({ url: flags.platform, timeoutMilliseconds: platformTimeoutMilliseconds, token });
+    }
+    if (flags.settings === undefined) {
+        throw new InputError("Say where the platform is: pass --platform URL or --settings FILE.");
+    }
+    const { platform } = await readSettings(flags.settings);
+    const named = platform.tokenFile === undefined ? undefined : await readSecret(flags.settings, platform.tokenFile);
+    return createPlatformLink({
+        url: platform.url,
+        timeoutMilliseconds: platformTimeoutMilliseconds,
+        token: token ?? named?.toString("utf8"),
+    });
+};
+
+/** A command that speaks with the platform. */
+export abstract class OperatorCommand extends Command {
+    static override enableJsonFlag = true;
+
+    /** Opens the platform for the time of the work. */
+    protected async withPlatform<Result>(
+        flags: PlatformFlags,
+        work: (platform: PlatformLink) => Promise<Result>,
+    ): Promise<Result> {
+        const platform = await openPlatform(flags);
+        try {
+            return await work(platform);
+        }
+        finally {
+            await platform.close();
+        }
+    }
+
+    protected intentOptions(kind: IntentKind, platform: PlatformLink): IntentOptions {
+        return { kind, platform, clock: systemClock, write: line => this.log(line) };
+    }
+
+    /** Reports references that lead nowhere, without making the command fail. */
+    protected async reportReferences(platform: PlatformLink): Promise<string[]> {
+        const lines = (await readReferenceFindings(platform)).map(describeFinding);
+        lines.forEach(line => this.log(`finding: ${line}`));
+        return lines;
+    }
+
+    /** Waits for one written version when the flags ask for it. */
+    protected async waitIfAsked(
+        platform: PlatformLink,
+        flags: { wait: boolean; timeout: number },
+        place: string,
+        version: number,
+    ): Promise<object> {
+        if (!flags.wait) {
+            return {};
+        }
+        const result = await waitUntilInForce(place, version, {
+            platform,
+            clock: systemClock,
+            write: line => this.log(line),
+            timeoutMilliseconds: flags.timeout * 1_000,
+        });
+        const hosts = Object.keys(result.hosts).length;
+        const verdict = result.everywhere
+            ? "is in force: no host serves by an older one"
+            : "is not in force everywhere";
+        this.log(`${place} version ${version} ${verdict} (${hosts} hosts, ${result.milliseconds} ms).`);
+        if (!result.everywhere) {
+            process.exitCode = exitCodes.notInForce;
+        }
+        return { wait: result };
+    }
+
+    protected override async catch(error: Error): Promise<unknown> {
+        const isUsage = "oclif" in error && !("exit" in error && error.exit === 0);
+        process.exitCode = isUsage ? exitCodes.input : exitCodeOf(error);
+        return super.catch(error);
+    }
+}
--- /dev/null
+++ b/src/commands/rows.ts
@@ -0,0 +1,20 @@
+/**
+ * Rows for people and for scripts: an aligned table on a terminal, key=value lines elsewhere.
+ */
+import logfmt from "logfmt";
+
+export type Row = Record<string, string | number | boolean>;
+
+/** Writes rows that all have the same columns. */
+export const formatRows = (rows: Row[], isTerminal: boolean): string[] => {
+    if (!isTerminal) {
+        return rows.map(row => logfmt.stringify(row));
+    }
+    if (rows.length === 0) {
+        return [];
+    }
+    const columns = Object.keys(rows[0]);
+    const lines = [columns.map(column => column.toUpperCase()), ...rows.map(row => columns.map(c => String(row[c])))];
+    const widths = [...columns.keys()].map(index => Math.max(...lines.map(line => line[index].length)));
+    return lines.map(line => line.map((cell, index) => cell.padEnd(widths[index])).join("  ").trimEnd());
+};
--- a/src/commands/settings.ts
+++ b/src/commands/settings.ts
@@ -1,13 +1,15 @@
 /**
- * `carobpier settings check`: checks settings files and reports all findings together.
+ * `carobpier settings check|show`: checks settings files and reports all findings together, or shows the settings with
+ * their defaults.
  */
 import { Args, Command } from "@oclif/core";
 import { readFile } from "node:fs/promises";
+import { stringify } from "yaml";
 import { describeFinding, type Finding } from "../contracts/finding.ts";
-import { settingsSchema } from "../contracts/settings.ts";
-import { checkYaml } from "../links/settings.ts";
-
-const findingsExitCode = 1;
+import { type Settings, settingsSchema } from "../contracts/settings.ts";
+import { readSettings } from "../links/settings.ts";
+import { checkYaml } from "../links/yaml.ts";
+import { exitCodes } from "./exitcodes.ts";
 
 export class SettingsCheckCommand extends Command {
     static override summary = "Check settings files and list every finding with its place.";
@@ -25,8 +27,22 @@
         }
         findings.forEach(finding => this.log(describeFinding(finding)));
         if (findings.length > 0) {
-            process.exitCode = findingsExitCode;
+            process.exitCode = exitCodes.findings;
         }
         return { findings };
     }
 }
+
+export class SettingsShowCommand extends Command {
+    static override summary = "Show the settings of a file with their defaults. Secrets are only named by their files.";
+    static override examples = ["<%= config.bin %> settings show hallam.yaml"];
+    static override enableJsonFlag = true;
+    static override args = { file: Args.string({ required: true, description: "Settings file, YAML." }) };
+
+    override async run(): Promise<Settings> {
+        const { args } = await this.parse(SettingsShowCommand);
+        const settings = await readSettings(args.file);
+        this.log(stringify(settings).trimEnd());
+        return settings;
+    }
+}
--- a/src/contracts/finding.ts
+++ b/src/contracts/finding.ts
@@ -51,6 +51,9 @@
     error.issues.map(issue => ({
         source,
         path: describePath(issue.path),
-        expected: issue.message.replace(/^Invalid input: expected /, "").replace(/, received .*$/, ""),
+        expected: issue.message.replace(/^(Invalid input|Too small|Too big): expected /, "").replace(
+            /, received .*$/,
+            "",
+        ),
         found: describeValue(valueAt(value, issue.path)),
     }));
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -53,7 +53,7 @@
         claimAgeMilliseconds: milliseconds.default(300_000),
         quarantineAgeMilliseconds: milliseconds.default(600_000),
     }).prefault({}),
-    /** A host that hears neither the platform nor another host for longer stops admitting. */
+    /** A host that hears neither the platform nor a majority of the hosts for longer stops admitting. */
     isolationMilliseconds: milliseconds.default(10_000),
     logs: z.strictObject({
         level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
--- a/src/links/operators.ts
+++ b/src/links/operators.ts
@@ -1,5 +1,6 @@
 /**
- * The link to operators: an HTTP endpoint of each host that gives its health and its status as JSON.
+ * The link to operators: an HTTP endpoint of each host that gives its health, its status and how one object stands on
+ * it as JSON.
  */
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -11,9 +12,14 @@
     port: number;
     healthy: () => boolean;
     status: () => unknown;
+    /** How an object stands on the host. */
+    standing: (kind: string, name: string) => unknown;
 };
 
-/** Opens the endpoint: `GET /health` answers 200 or 503, `GET /status` the host's status. */
+/**
+ * Opens the endpoint: `GET /health` answers 200 or 503, `GET /status` the host's status, and
+ * `GET /standing/KIND/NAME` how one object stands.
+ */
 export const createOperatorLink = async (options: OperatorLinkOptions): Promise<OperatorLink> => {
     const server = createServer((request, response) => {
         if (request.url === "/health") {
@@ -24,6 +30,12 @@
             response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(options.status()));
             return;
         }
+        const [, root, kind, name] = (request.url ?? "").split("/");
+        if (root === "standing" && kind !== undefined && name !== undefined) {
+            const standing = options.standing(kind, decodeURIComponent(name));
+            response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(standing));
+            return;
+        }
         response.writeHead(404).end();
     });
     await new Promise<void>((resolve, reject) => {
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -2,6 +2,7 @@
  * An entry host: this process with its tasks and links. The host owns all of them and disposes of them.
  */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { Clock } from "../contracts/clock.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
@@ -53,6 +54,16 @@
     counters: Record<string, number>;
 };
 
+/** How one object stands on a host, as its operators' endpoint tells. */
+export type HostStanding = {
+    host: string;
+    incarnation: string;
+    bar: AdmissionBar | undefined;
+    version: number;
+    inForce: number;
+    since: number;
+};
+
 export type Host = {
     name: string;
     callerAddress: string;
@@ -90,6 +101,7 @@
     const incarnation = randomUUID();
     const life = new AbortController();
     const { signal } = life;
+    setMaxListeners(0, signal);
     const metrics = createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
     const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken, sourceAddress });
@@ -178,6 +190,11 @@
         port: settings.operators.port,
         healthy: () => state === "live" && fleet.bar() === undefined,
         status: report,
+        standing: (kind, object): HostStanding => {
+            const held = objects.standings().find(item => item.kind === kind && item.name === object);
+            const { version, inForce, since } = held ?? { version: 0, inForce: 0, since: 0 };
+            return { host: name, incarnation, bar: fleet.bar(), version, inForce, since };
+        },
     });
     const { renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
     createRenewer({
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,6 +4,7 @@
 import type { Command } from "@oclif/core";
 import { Config, Errors, type Interfaces, Plugin, run } from "@oclif/core";
 import packageFile from "../package.json" with { type: "json" };
+import { exitCodeOf } from "./commands/exitcodes.ts";
 import { commands, topics } from "./commands/index.ts";
 import { CarobpierError } from "./contracts/errors.ts";
 
@@ -89,7 +90,7 @@
 start().catch((error: unknown) => {
     if (error instanceof CarobpierError) {
         process.stderr.write(`${error.message}\n`);
-        process.exitCode = 2;
+        process.exitCode = exitCodeOf(error);
         return;
     }
     return Errors.handle(error as Error);
--- a/test/system.ts
+++ b/test/system.ts
@@ -36,7 +36,8 @@
     platform: PlatformStandIn;
     targets: TargetStandIn[];
     hosts: Host[];
-    startHost: (name: string) => Promise<Host>;
+    /** Starts a host; `own` is merged into the `host` part of its settings. */
+    startHost: (name: string, own?: Record<string, unknown>) => Promise<Host>;
     call: (host: Host, options?: CallOptions) => Promise<CallResult>;
     /** Calls until a target answered. */
     untilAnswered: (host: Host, options?: CallOptions) => Promise<CallResult>;
@@ -110,10 +111,10 @@
     writeObjects(platform, targets, options.pool);
     const hosts: Host[] = [];
 
-    const startHost = async (name: string): Promise<Host> => {
+    const startHost = async (name: string, own: Record<string, unknown> = {}): Promise<Host> => {
         const host = await createHost({
             settings: settingsSchema.parse({
-                host: { name, zone: `zone-${hosts.length % 3 + 1}` },
+                host: { name, zone: `zone-${hosts.length % 3 + 1}`, ...own },
                 platform: { url: platform.url },
                 peers: { port: 0 },
                 operators: { port: 0 },
