--- a/src/contracts/assignment.ts
+++ b/src/contracts/assignment.ts
@@ -26,8 +26,10 @@
     hosts: z.array(z.string()).max(2),
     /** Revision that named these hosts. */
     since: z.int().min(1),
-    /** Hosts that kept the group before, until the hand-over is known to be done. */
+    /** Hosts that kept the group before; the new ones take the memory over from one of them. */
     previous: z.array(z.string()).max(2),
+    /** Revision that had named the previous hosts; left out when there were none. */
+    previousSince: z.int().min(1).optional(),
 });
 
 export const assignmentSchema = z.strictObject({
@@ -48,7 +50,7 @@
     witnesses: z.array(z.string()),
     /** The witnesses before the last change of the set, until a majority of them has acknowledged the change. */
     formerWitnesses: z.array(z.string()).optional(),
-    /** Claim keepers; the group of a slot is `slot % keepers.length`. */
+    /** Claim keepers; the group of an id is its hash modulo the number of groups, which never changes. */
     keepers: z.array(keeperGroupSchema),
 });
 
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "../contracts/clock.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
-import { outcomes, type Reason } from "../contracts/outcome.ts";
+import type { Reason } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
 import { createCurrency } from "../decisions/currency.ts";
 import { createSlotHash } from "../decisions/hash.ts";
@@ -22,7 +22,7 @@
 import { createFleet, type FleetReport } from "./fleet.ts";
 import { createObjectView, type ObjectStanding } from "./objects.ts";
 import { createRenewer } from "./renewer.ts";
-import { createRouter } from "./router.ts";
+import { createRequestPath, type RequestReport } from "./requests.ts";
 import { createTargetViews } from "./target.ts";
 
 export type HostOptions = {
@@ -52,7 +52,7 @@
     peerTraffic: { sentBytes: number; receivedBytes: number };
     findings: Finding[];
     counters: Record<string, number>;
-};
+} & RequestReport;
 
 /** How one object stands on a host, as its operators' endpoint tells. */
 export type HostStanding = {
@@ -108,8 +108,12 @@
     const objects = createObjectView();
     const currency = createCurrency();
     const slotHash = await createSlotHash();
-    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 12)), sourceAddress);
+    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 2)), sourceAddress);
     let state: HostReport["state"] = "starting";
+    let markReady: () => void = () => undefined;
+    const ready = new Promise<void>(resolve => {
+        markReady = resolve;
+    });
 
     const hosts = await createHostLinks({
         name,
@@ -150,22 +154,29 @@
         metrics,
         signal,
     });
-    const router = createRouter({ objects, views, currency, slotHash, clock });
+    const requests = createRequestPath({
+        settings,
+        objects,
+        views,
+        currency,
+        slotHash,
+        hosts,
+        ready,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
     const callers = await createCallerLink({
         host: address,
         settings: settings.callers,
         clock,
         serve: async request => {
             const bar = fleet.bar();
-            return bar === undefined ? router.serve(request) : { kind: "refusal", ...barRefusals[bar] };
-        },
-        onDone: (request, outcome, reason) => {
-            metrics.count("requests", { pool: request.pool, outcome });
-            metrics.timing("request-milliseconds", clock.now() - request.receivedAt, { pool: request.pool });
-            if (outcome !== outcomes.answered && reason !== undefined) {
-                metrics.count("refusals", { reason });
-            }
+            return bar === undefined ? requests.serve(request) : { kind: "refusal", ...barRefusals[bar] };
         },
+        onDone: requests.noteDone,
+        onMalformed: requests.noteMalformed,
         healthy: () => state === "live" && fleet.bar() === undefined,
     });
 
@@ -183,6 +194,7 @@
         peerTraffic: hosts.traffic(),
         findings: objects.findings(),
         counters: metrics.snapshot(),
+        ...requests.report(),
     });
 
     const operators = await createOperatorLink({
@@ -220,6 +232,7 @@
 
     void fleet.start().then(() => {
         state = "live";
+        markReady();
         log.info("host-live", { host: name, zone, callers: callers.address });
     });
 
