--- /dev/null
+++ b/bench/spreadpart.ts
@@ -0,0 +1,74 @@
+/**
+ * A process of the spread bench that runs some of the hosts and notes when each of them accepted a version.
+ */
+import { settingsSchema } from "../src/contracts/settings.ts";
+import { type Log, type LogFields, silentLog } from "../src/links/logs.ts";
+import { createHost, type Host } from "../src/machines/host.ts";
+import { machineMilliseconds } from "../stand-ins/target.ts";
+import { answerParent } from "./children.ts";
+
+export type SpreadQuestion =
+    | { kind: "start"; url: string; hosts: Array<{ name: string; zone: string }> }
+    | { kind: "standing" }
+    | { kind: "accepted" }
+    | { kind: "stop" };
+
+/** When a host accepted a version of an object, in milliseconds of the machine's monotonic clock. */
+export type Acceptance = { host: string; version: number; at: number };
+
+export type SpreadAnswer = {
+    acceptances: Acceptance[];
+    /** Hosts that admit and are linked to all others of the fleet that they know. */
+    ready: number;
+    relays: number;
+    links: number;
+    peerBytes: number;
+};
+
+const acceptances: Acceptance[] = [];
+let hosts: Host[] = [];
+
+const noteAcceptances = (host: string): Log => ({
+    ...silentLog,
+    debug: (event: string, fields: LogFields = {}) => {
+        if (event === "object-accepted" && fields["kind"] === "plans") {
+            acceptances.push({ host, version: Number(fields["version"]), at: machineMilliseconds() });
+        }
+    },
+    child: () => noteAcceptances(host),
+});
+
+const startHost = (url: string, name: string, zone: string): Promise<Host> =>
+    createHost({
+        settings: settingsSchema.parse({
+            host: { name, zone },
+            platform: { url },
+            callers: { port: 0 },
+            peers: { port: 0 },
+            operators: { port: 0 },
+        }),
+        peerKeys: [Buffer.from("bench-key")],
+        log: noteAcceptances(name),
+    });
+
+const answer = (withAcceptances: boolean): SpreadAnswer => {
+    const reports = hosts.map(host => host.report());
+    return {
+        acceptances: withAcceptances ? acceptances.splice(0) : [],
+        ready: reports.filter(report => report.fleet.bar === undefined && report.state === "live").length,
+        relays: reports.filter(report => report.fleet.relay).length,
+        links: reports.reduce((sum, report) => sum + report.peers.length, 0),
+        peerBytes: reports.reduce((sum, report) => sum + report.peerTraffic.sentBytes, 0),
+    };
+};
+
+answerParent<SpreadQuestion, SpreadAnswer>(async question => {
+    if (question.kind === "start") {
+        hosts = await Promise.all(question.hosts.map(({ name, zone }) => startHost(question.url, name, zone)));
+    }
+    if (question.kind === "stop") {
+        await Promise.all(hosts.map(host => host.kill()));
+        hosts = [];
+    }
+    return answer(question.kind === "accepted");
+});
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -238,6 +238,9 @@
     };
 
     replica.onAdvance(({ changes }) => {
+        for (const { item: { kind, name, version, deleted } } of changes) {
+            log.debug("object-accepted", { kind, name, version, deleted });
+        }
         if (changes.some(({ item }) => item.kind === "status")) {
             membership.announce(objects.list("status"), clock.now());
             checkOwnStatus();
