--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -54,6 +54,16 @@
     counters: Record<string, number>;
 } & RequestReport;
 
+/** How one object stands on a host, as its operators' endpoint tells. */
+export type HostStanding = {
+    host: string;
+    incarnation: string;
+    bar: AdmissionBar | undefined;
+    version: number;
+    inForce: number;
+    since: number;
+};
+
 export type Host = {
     name: string;
     callerAddress: string;
@@ -210,6 +220,11 @@
         port: settings.operators.port,
         healthy: () => state === "live" && fleet.bar() === undefined,
         status: report,
+        standing: (kind, object): HostStanding => {
+            const held = objects.standings().find(item => item.kind === kind && item.name === object);
+            const { version, inForce, since } = held ?? { version: 0, inForce: 0, since: 0 };
+            return { host: name, incarnation, bar: fleet.bar(), version, inForce, since };
+        },
     });
     void fleet.start().then(() => {
         state = "live";
