Do not say not-run after an attempt that may have run

poison-request found it: a read crashed its target (connection-lost, which may have run), was sent again, met connect-failed and was refused as not-run.

Several generators share a load.

--- a/bench/load.ts
+++ b/bench/load.ts
@@ -44,9 +44,13 @@
     latestSendMilliseconds: number;
 };
 
+const highestMicroseconds = 120_000_000;
 const steady: LoadPhase = { atSeconds: 0, factor: 1, hotShare: 0 };
 const microsecondsPerMillisecond = 1_000;
 
+/** A histogram of latencies in microseconds, with which others of its kind can be merged. */
+export const createLatencyHistogram = (): Histogram => buildHistogram({ highestTrackableValue: highestMicroseconds });
+
 const phaseAt = (phases: LoadPhase[], seconds: number): LoadPhase =>
     phases.filter(phase => phase.atSeconds <= seconds).at(-1) ?? steady;
 
@@ -106,7 +110,7 @@
         }
     }, 1_000);
     await Promise.all(options.pools.map((load, index) => {
-        const result = { records: [], histogram: buildHistogram(), latestSendMilliseconds: 0 };
+        const result = { records: [], histogram: createLatencyHistogram(), latestSendMilliseconds: 0 };
         results[load.pool] = result;
         return runPool(options, load, options.seed + index * 1_000, agent, balancer, result);
     }));
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -47,7 +47,7 @@
     platformLine(result),
     `control at targets: calls/s=${fixed(result.targetControl.callsPerSecond, 0)} `
     + `KB/s=${fixed(result.targetControl.bytesPerSecond / 1_000, 1)}`,
-    `load generator: cpu-%=${fixed(result.load.cpuShare * 100, 1)} `
+    `load generators: ${result.load.processes}, cpu-% each=${fixed(result.load.cpuShare * 100, 1)} `
     + `latest send ${fixed(result.load.latestSendMilliseconds, 1)} ms after it was due`,
 ];
 
--- a/src/machines/journey.ts
+++ b/src/machines/journey.ts
@@ -22,6 +22,8 @@
     /** Attempts so far. */
     attempts: number;
     retried: boolean;
+    /** Refusal of an attempt that may have run, although the request went on afterwards. */
+    uncertain: CallerRefusal | undefined;
     timesHeld: number;
     /** Target that failed the request; another is taken where the pool allows. */
     avoid: string | undefined;
@@ -44,6 +46,7 @@
         claim: undefined,
         attempts: 0,
         retried: false,
+        uncertain: undefined,
         timesHeld: 0,
         avoid: undefined,
         place: undefined,
--- a/src/machines/router.ts
+++ b/src/machines/router.ts
@@ -164,7 +164,14 @@
         return attempt;
     };
 
+    /** A request of which an attempt may have run is never refused as `not-run` by what came later. */
     const deliver = async (journey: Journey): Promise<CallerAnswer> => {
+        const answer = await travel(journey);
+        const claimsNotRun = answer.kind === "refusal" && settledAs(answer) === outcomes.notRun;
+        return claimsNotRun ? journey.uncertain ?? answer : answer;
+    };
+
+    const travel = async (journey: Journey): Promise<CallerAnswer> => {
         const { request } = journey;
         budget.noteRequest(clock.now());
         for (;;) {
@@ -190,6 +197,9 @@
             if (attempt.kind === "answered") {
                 return attempt.answer;
             }
+            if (!didNotRun(attempt)) {
+                journey.uncertain = refusal(attempt.reason, attempt.detail);
+            }
             if (!(await goesOn(journey, place, attempt))) {
                 return refusal(attempt.reason, attempt.detail, attempt.backOffMilliseconds || undefined);
             }
