--- a/src/machines/lanes.ts
+++ b/src/machines/lanes.ts
@@ -123,7 +123,7 @@
                 const cancelTimer = clock.after(Math.max(0, entrant.deadlineAt - now), () => {
                     entry.lane.withdraw(waiting);
                     decide("deadline-unreachable");
-                }, signal);
+                });
                 gone.listener = () => {
                     entry.lane.withdraw(waiting);
                     decide("cancelled");
