--- a/src/links/platform.ts
+++ b/src/links/platform.ts
@@ -49,13 +49,23 @@
     close: () => Promise<void>;
 };
 
-export type PlatformLinkOptions = { url: string; timeoutMilliseconds: number; token?: string };
+export type PlatformLinkOptions = {
+    url: string;
+    timeoutMilliseconds: number;
+    token?: string;
+    /** IP address from which the connections are made. */
+    sourceAddress?: string;
+};
 
 type Reply = { statusCode: number; body: unknown };
 
 /** Opens the link. Connections are made on first use. */
 export const createPlatformLink = (options: PlatformLinkOptions): PlatformLink => {
-    const connections = new ConnectionPool(options.url, { connections: 8, pipelining: 1 });
+    const connections = new ConnectionPool(options.url, {
+        connections: 8,
+        pipelining: 1,
+        localAddress: options.sourceAddress,
+    });
     const counts: Record<string, number> = {};
     const headers: Record<string, string> = { "content-type": "application/json" };
     if (options.token !== undefined) {
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -2,26 +2,26 @@
  * An entry host: this process with its tasks and links. The host owns all of them and disposes of them.
  */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { Clock } from "../contracts/clock.ts";
-import { messageOf } from "../contracts/errors.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
-import { outcomes } from "../contracts/outcome.ts";
+import type { Reason } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
 import { createCurrency } from "../decisions/currency.ts";
 import { createSlotHash } from "../decisions/hash.ts";
+import type { AdmissionBar } from "../decisions/isolation.ts";
 import { createCallerLink } from "../links/callers.ts";
 import { systemClock } from "../links/clock.ts";
 import { createHostLinks } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
 import { createMetrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
-import { createPlatformLink, type PlatformLink } from "../links/platform.ts";
-import { createCoordinator } from "./coordinator.ts";
-import { createFollower } from "./follower.ts";
-import { createObjectView } from "./objects.ts";
-import { createRenewer } from "./renewer.ts";
-import { createRouter } from "./router.ts";
+import { createPlatformLink } from "../links/platform.ts";
+import { createFleet, type FleetReport } from "./fleet.ts";
+import { createObjectView, type ObjectStanding } from "./objects.ts";
+import { createOwnership, type OwnershipReport } from "./ownership.ts";
+import { createRequestPath, type RequestReport } from "./requests.ts";
 import { createTargetViews } from "./target.ts";
 
 export type HostOptions = {
@@ -42,9 +42,26 @@
     inFlight: number;
     peers: string[];
     platformCalls: Record<string, number>;
+    /** How each object stands on this host. */
+    objects: ObjectStanding[];
+    /** Newest accepted version of each object. */
     versions: Record<string, number>;
+    fleet: FleetReport;
+    /** Bytes sent and received on links between hosts. */
+    peerTraffic: { sentBytes: number; receivedBytes: number };
     findings: Finding[];
+    ownership: OwnershipReport;
     counters: Record<string, number>;
+} & RequestReport;
+
+/** How one object stands on a host, as its operators' endpoint tells. */
+export type HostStanding = {
+    host: string;
+    incarnation: string;
+    bar: AdmissionBar | undefined;
+    version: number;
+    inForce: number;
+    since: number;
 };
 
 export type Host = {
@@ -62,15 +79,12 @@
 const balancerNoticeMilliseconds = 200;
 const stopPollMilliseconds = 10;
 
-const announce = async (platform: PlatformLink, name: string, status: HostStatus): Promise<void> => {
-    const current = await platform.get("status", name);
-    await platform.put({
-        kind: "status",
-        name,
-        value: status,
-        ifVersion: current?.version ?? 0,
-        writeId: randomUUID(),
-    });
+/** Why a host that is barred from admitting refuses a request. */
+const barRefusals: Record<AdmissionBar, { reason: Reason; detail: string }> = {
+    starting: { reason: "host-starting", detail: "The host has not caught up with the platform yet." },
+    paused: { reason: "host-starting", detail: "The host was paused and has not caught up yet." },
+    isolated: { reason: "host-isolated", detail: "The host hears neither the platform nor a majority of the hosts." },
+    replaced: { reason: "host-stopping", detail: "Another process has taken the host's place." },
 };
 
 /**
@@ -83,18 +97,23 @@
 export const createHost = async (options: HostOptions): Promise<Host> => {
     const { settings, log } = options;
     const clock = options.clock ?? systemClock;
-    const { name, zone, address, size } = settings.host;
+    const { name, zone, address, size, sourceAddress } = settings.host;
     const incarnation = randomUUID();
     const life = new AbortController();
     const { signal } = life;
+    setMaxListeners(0, signal);
     const metrics = createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
-    const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken });
+    const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken, sourceAddress });
     const objects = createObjectView();
     const currency = createCurrency();
     const slotHash = await createSlotHash();
-    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 12)));
+    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 2)), sourceAddress);
     let state: HostReport["state"] = "starting";
+    let markReady: () => void = () => undefined;
+    const ready = new Promise<void>(resolve => {
+        markReady = resolve;
+    });
 
     const hosts = await createHostLinks({
         name,
@@ -102,6 +121,7 @@
         incarnation,
         host: address,
         port: settings.peers.port,
+        sourceAddress,
         keys: options.peerKeys,
         maxFrameBytes: settings.peers.maxFrameBytes,
         queueLength: settings.peers.queueLength,
@@ -110,20 +130,71 @@
         metrics,
         signal,
     });
-    const router = createRouter({ objects, views, currency, slotHash, clock });
+    const ownStatus = (): HostStatus => ({
+        zone,
+        incarnation,
+        peerAddress: settings.peers.announcedAddress ?? hosts.address,
+        operatorAddress: operators.address,
+        size,
+        state: state === "leaving" ? "leaving" : "live",
+        isolationMilliseconds: settings.isolationMilliseconds,
+    });
+
+    const fleet = createFleet({
+        settings,
+        incarnation,
+        platform,
+        objects,
+        currency,
+        links: hosts,
+        slotHash,
+        ownStatus,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
+    const ownership = createOwnership({
+        host: name,
+        incarnation,
+        platform,
+        objects,
+        views,
+        currency,
+        links: hosts,
+        slotHash,
+        settings: settings.ownership,
+        longestDeadlineMilliseconds: settings.callers.maxDeadlineMilliseconds,
+        unfinishedBelow: (pool, revision) => requests.unfinishedBelow(pool, revision),
+        clock,
+        log,
+        signal,
+    });
+    const requests = createRequestPath({
+        settings,
+        objects,
+        views,
+        currency,
+        slotHash,
+        hosts,
+        countLoad: ownership.loads.count,
+        ready,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
     const callers = await createCallerLink({
         host: address,
         settings: settings.callers,
         clock,
-        serve: router.serve,
-        onDone: (request, outcome, reason) => {
-            metrics.count("requests", { pool: request.pool, outcome });
-            metrics.timing("request-milliseconds", clock.now() - request.receivedAt, { pool: request.pool });
-            if (outcome !== outcomes.answered && reason !== undefined) {
-                metrics.count("refusals", { reason });
-            }
+        serve: async request => {
+            const bar = fleet.bar();
+            return bar === undefined ? requests.serve(request) : { kind: "refusal", ...barRefusals[bar] };
         },
-        healthy: () => state === "live",
+        onDone: requests.noteDone,
+        onMalformed: requests.noteMalformed,
+        healthy: () => state === "live" && fleet.bar() === undefined,
     });
 
     const report = (): HostReport => ({
@@ -134,65 +205,31 @@
         inFlight: callers.inFlight(),
         peers: hosts.connected(),
         platformCalls: platform.calls(),
+        objects: objects.standings(),
         versions: Object.fromEntries(objects.stored().map(item => [`${item.kind}/${item.name}`, item.version])),
+        fleet: fleet.report(),
+        peerTraffic: hosts.traffic(),
         findings: objects.findings(),
+        ownership: ownership.report(),
         counters: metrics.snapshot(),
+        ...requests.report(),
     });
 
     const operators = await createOperatorLink({
         host: address,
         port: settings.operators.port,
-        healthy: () => state === "live",
+        healthy: () => state === "live" && fleet.bar() === undefined,
         status: report,
+        standing: (kind, object): HostStanding => {
+            const held = objects.standings().find(item => item.kind === kind && item.name === object);
+            const { version, inForce, since } = held ?? { version: 0, inForce: 0, since: 0 };
+            return { host: name, incarnation, bar: fleet.bar(), version, inForce, since };
+        },
     });
-    const ownStatus = (): HostStatus => ({
-        zone,
-        incarnation,
-        peerAddress: hosts.address,
-        operatorAddress: operators.address,
-        size,
-        state: state === "leaving" ? "leaving" : "live",
-    });
-
-    objects.onChange("status", () => {
-        hosts.setPeers(objects.list("status").map(item => ({ name: item.name, address: item.value.peerAddress })));
-    });
-    const { freshnessMilliseconds, renewalMilliseconds, timeToLiveMilliseconds } = settings.ownership;
-    const follower = createFollower({ platform, objects, currency, freshnessMilliseconds, clock, log, signal });
-    createRenewer({
-        host: name,
-        objects,
-        views,
-        currency,
-        renewalMilliseconds,
-        timeToLiveMilliseconds,
-        clock,
-        log,
-        signal,
-    });
-    createCoordinator({
-        host: name,
-        platform,
-        objects,
-        candidates: () => objects.list("status").map(item => ({ name: item.name, zone: item.value.zone })),
-        clock,
-        log,
-        signal,
-    });
-
-    const tryToAnnounce = async (): Promise<void> => {
-        try {
-            await announce(platform, name, ownStatus());
-        }
-        catch (error) {
-            log.warn("announcement-failed", { error: messageOf(error) });
-        }
-    };
-
-    void follower.ready.then(async () => {
+    void fleet.start().then(() => {
         state = "live";
+        markReady();
         log.info("host-live", { host: name, zone, callers: callers.address });
-        await tryToAnnounce();
     });
 
     const dispose = async (): Promise<void> => {
@@ -209,12 +246,13 @@
         stop: async () => {
             state = "leaving";
             log.info("host-leaving", { host: name, inFlight: callers.inFlight() });
-            await tryToAnnounce();
+            await fleet.leave();
             await clock.sleep(balancerNoticeMilliseconds);
             callers.stopAccepting();
             while (callers.inFlight() > 0) {
                 await clock.sleep(stopPollMilliseconds);
             }
+            await fleet.withdraw();
             await dispose();
             log.info("host-stopped", { host: name });
         },
