Spread renewals and probes over their interval, and count no own lag as silence

Change: renewals go in five turns, health and load every 1.5 s in ten turns, cleared timers instead of timeout signals, and the lag of each turn is taken off the silence.

--- a/src/links/targets.ts
+++ b/src/links/targets.ts
@@ -144,19 +144,25 @@
         body: unknown,
         timeoutMilliseconds: number,
     ): Promise<Shape | undefined> => {
+        // A timer that is cleared costs far less than a timeout signal, which fires and makes an error for each answer.
+        const limit = new AbortController();
+        const timer = setTimeout(() => limit.abort(), timeoutMilliseconds);
         try {
             const response = await control.request({
                 method,
                 path,
                 headers: { "content-type": "application/json" },
                 body: body === undefined ? undefined : JSON.stringify(body),
-                signal: AbortSignal.timeout(timeoutMilliseconds),
+                signal: limit.signal,
             });
             return schema.safeParse(await response.body.json()).data;
         }
         catch {
             return undefined;
         }
+        finally {
+            clearTimeout(timer);
+        }
     };
 
     return {
--- a/src/machines/prober.ts
+++ b/src/machines/prober.ts
@@ -20,7 +20,9 @@
 
 const roundMilliseconds = 20;
 const reportMilliseconds = 1_000;
-const healthMilliseconds = 500;
+/** Each of a target's three renewers asks this often, so that coordinators hear of a target three times as often. */
+const healthMilliseconds = 1_500;
+const turnsPerInterval = 10;
 const healthTimeoutMilliseconds = 400;
 
 /** Starts to report until the signal aborts. */
@@ -75,10 +77,12 @@
     };
 
     const runHealth = async (): Promise<void> => {
+        let turn = 0;
         while (!signal.aborted) {
-            const answering = options.probed().filter(({ view }) => view.probe.unansweredSince === undefined);
-            await Promise.all(answering.map(readHealth));
-            await clock.sleep(healthMilliseconds, signal);
+            const inTurn = options.probed().filter((...[, index]) => index % turnsPerInterval === turn);
+            inTurn.filter(({ view }) => view.probe.unansweredSince === undefined).forEach(one => void readHealth(one));
+            turn = (turn + 1) % turnsPerInterval;
+            await clock.sleep(healthMilliseconds / turnsPerInterval, signal);
         }
     };
 
--- a/src/machines/renewer.ts
+++ b/src/machines/renewer.ts
@@ -47,7 +47,7 @@
 
 const nameOf = (move: MoveName): string => `${move.since} ${move.from} ${move.to}`;
 const failureShare = 0.8; // A question that ends sooner than this share of its timeout has failed, not timed out.
-const slowRoundFactor = 2;
+const turnsPerInterval = 5;
 
 /** Starts the renewer until the signal aborts. */
 export const createRenewer = (options: RenewerOptions): Renewer => {
@@ -216,27 +216,37 @@
         renewSoon(pool);
     });
 
-    /** After a pause of this process the targets have not been silent; this host has not listened. */
-    const forgiveSilence = (now: number): void => {
+    /** Time for which this process did not listen, as it was paused or busy, is not silence of the targets. */
+    const forgive = (lag: number, now: number): void => {
         for (const { view } of tasks.values()) {
             if (view.probe.unansweredSince !== undefined) {
-                view.probe.unansweredSince = now;
+                view.probe.unansweredSince = Math.min(now, view.probe.unansweredSince + lag);
             }
         }
     };
 
+    /** Renews the targets whose turn it is, each once an interval, so that they do not all ask for time at once. */
+    const renewTurn = (turn: number): void => {
+        const all = objects.list("assignments").flatMap(({ name }) => tasksOf(name));
+        for (let index = turn; index < all.length; index += turnsPerInterval) {
+            void renew(all[index]);
+        }
+    };
+
     const run = async (): Promise<void> => {
-        let lastRoundAt = clock.now();
+        const turnMilliseconds = options.renewalMilliseconds / turnsPerInterval;
+        let lastTurnAt = clock.now();
+        let turn = 0;
         while (!signal.aborted) {
             const now = clock.now();
-            if (now - lastRoundAt > options.renewalMilliseconds * slowRoundFactor) {
-                forgiveSilence(now);
-            }
-            lastRoundAt = now;
-            for (const { name } of objects.list("assignments")) {
-                renewSoon(name);
+            const lag = now - lastTurnAt - turnMilliseconds;
+            if (lag > 0) {
+                forgive(lag, now);
             }
-            await clock.sleep(options.renewalMilliseconds, signal);
+            lastTurnAt = now;
+            renewTurn(turn);
+            turn = (turn + 1) % turnsPerInterval;
+            await clock.sleep(turnMilliseconds, signal);
         }
     };
 
