--- a/src/decisions/classify.ts
+++ b/src/decisions/classify.ts
@@ -18,15 +18,16 @@
 export type ExchangeFailure = {
     /** How far the request had come. Only `unsent` is certain. */
     stage: "unsent" | "sent" | "answering";
-    /** The HTTP client's code. */
+    /** Code and name of the HTTP client's error. */
     code: string | undefined;
+    name: string;
     stopped: StopCause | undefined;
 };
 
 const invalidCodes = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 
-const isParserCode = (code: string | undefined): boolean =>
-    code !== undefined && (code.startsWith("HPE_") || code === "UND_ERR_HEADERS_OVERFLOW");
+const isParserError = (name: string, code: string | undefined): boolean =>
+    name === "HTTPParserError" || code === "UND_ERR_HEADERS_OVERFLOW";
 
 const unsentReasons: Record<StopCause, Reason> = {
     [stopCauses.deadline]: "deadline-unreachable",
@@ -43,7 +44,7 @@
 };
 
 /** Reason of an exchange that failed. Not one byte of an unsent request can have reached the target. */
-export const reasonOfFailure = ({ stage, code, stopped }: ExchangeFailure): Reason => {
+export const reasonOfFailure = ({ stage, code, name, stopped }: ExchangeFailure): Reason => {
     if (stage === "unsent") {
         if (stopped !== undefined) {
             return unsentReasons[stopped];
@@ -53,7 +54,7 @@
     if (stopped !== undefined) {
         return sentReasons[stopped];
     }
-    if (isParserCode(code)) {
+    if (isParserError(name, code)) {
         return "answer-malformed";
     }
     return stage === "answering" ? "answer-cut-short" : "connection-lost";
--- a/src/machines/send.ts
+++ b/src/machines/send.ts
@@ -180,7 +180,7 @@
         finish();
         const written = stage !== sendStages.unsent;
         const { code } = error as { code?: string };
-        const reason = reasonOfFailure({ stage, code, stopped });
+        const reason = reasonOfFailure({ stage, code, name: error.name, stopped });
         if (stopped === stopCauses.deadline || reason === "connect-failed" || reason === "connection-lost") {
             noteFailure(view, clock.now());
         }
--- /dev/null
+++ b/test/rawtarget.ts
@@ -0,0 +1,112 @@
+/**
+ * A target for tests that answers with given bytes, and requests to send to it.
+ */
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { CallerRequest } from "../src/links/callers.ts";
+import { systemClock } from "../src/links/clock.ts";
+import { type Attempt, createSender, type ExchangeSample } from "../src/machines/send.ts";
+import { createTargetViews, type TargetView } from "../src/machines/target.ts";
+
+/** Answers one request: `request` is what was received, `id` its request id. */
+export type RawAnswer = (socket: Socket, id: string, request: string) => void;
+
+export type RawTarget = {
+    address: string;
+    /** Connections on which requests were received so far. */
+    used: () => number;
+    /** Requests that were received whole so far. */
+    received: () => number;
+    close: () => Promise<void>;
+};
+
+/** Starts a target that passes each request to the answer of its number, and the later ones to the last. */
+export const startRawTarget = async (answers: RawAnswer[]): Promise<RawTarget> => {
+    const sockets = new Set<Socket>();
+    const used = new Set<Socket>();
+    let received = 0;
+    const server: Server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.once("close", () => sockets.delete(socket));
+        socket.on("data", (data: Buffer) => {
+            const text = data.toString("latin1");
+            const id = /request-id: ([^\r\n]+)/.exec(text)?.[1];
+            if (id !== undefined) {
+                const answer = answers[Math.min(received, answers.length - 1)];
+                received += 1;
+                used.add(socket);
+                answer(socket, id, text);
+            }
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        used: () => used.size,
+        received: () => received,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                sockets.forEach(socket => socket.destroy());
+            }),
+    };
+};
+
+/** The head of an answer with the id given, and with further header lines. */
+export const headOf = (id: string, ...lines: string[]): string =>
+    ["HTTP/1.1 200 OK", `request-id: ${id}`, "target-outcome: ran", ...lines, "", ""].join("\r\n");
+
+export const wholeAnswer: RawAnswer = (socket, id) => socket.write(`${headOf(id, "content-length: 5")}whole`);
+
+let requestCount = 0;
+
+/** A request as the link to callers gives it. */
+export const requestOf = (part: Partial<CallerRequest> = {}): CallerRequest => {
+    requestCount += 1;
+    return {
+        id: `request-${requestCount}`,
+        method: "GET",
+        pool: "orders",
+        path: "/item",
+        headers: {},
+        body: undefined,
+        key: "key",
+        idempotencyKey: undefined,
+        attempt: undefined,
+        receivedAt: systemClock.now(),
+        deadlineAt: systemClock.now() + 30_000,
+        hangUp: { happened: false, listener: undefined },
+        ...part,
+    };
+};
+
+export type Exchange = {
+    view: TargetView;
+    samples: ExchangeSample[];
+    send: (request: CallerRequest) => Promise<Attempt>;
+};
+
+/** Opens a sender to one target address. Close it at the end of the test. */
+export const openExchange = (address: string): Exchange & { close: () => Promise<void> } => {
+    const views = createTargetViews(() => 4);
+    const target = { name: "target-1", address, zone: "zone-1", concurrency: 3, connections: 4, speed: 1 };
+    const view = views.of("orders", { leaving: false, ...target });
+    const samples: ExchangeSample[] = [];
+    const sender = createSender({ clock: systemClock, onOver: (...[, sample]) => samples.push(sample) });
+    return {
+        view,
+        samples,
+        send: request =>
+            sender.send({
+                request,
+                pool: "orders",
+                view,
+                slot: 1,
+                revision: 1,
+                attempt: 1,
+                mayStart: () => true,
+                cancellable: true,
+            }).result,
+        close: views.close,
+    };
+};
