--- /dev/null
+++ b/test/contracts/reasons.test.ts
@@ -0,0 +1,39 @@
+import test from "ava";
+import { readFileSync } from "node:fs";
+import { reasons, retryReasons } from "../../src/contracts/outcome.ts";
+import { reasonOfFailure, reasonOfRefusal, stopCauses } from "../../src/decisions/classify.ts";
+
+const page = readFileSync(new URL("../../docs/requests.md", import.meta.url), "utf8");
+const rows = page.split("\n").filter(line => line.includes("`refusals{reason="));
+
+test("the page lists each reason with its facts, and no other", t => {
+    const expected = Object.entries(reasons).map(([name, facts]) => {
+        const again = facts.sendAgain ? "yes" : "no";
+        const counter = `\`refusals{reason=${name}}\``;
+        return `| \`${name}\` | ${facts.outcome} | ${facts.statusCode} | ${again} | ${counter} | ${facts.title} |`;
+    });
+    t.deepEqual(rows, expected);
+});
+
+test("the page of metrics lists each retry reason", t => {
+    const metrics = readFileSync(new URL("../../docs/operations/metrics.md", import.meta.url), "utf8");
+    for (const reason of Object.values(retryReasons)) {
+        t.true(metrics.includes(`\`${reason}\``), reason);
+    }
+});
+
+const stages = ["unsent", "sent", "answering"] as const;
+
+test("only an unsent request or a target's own word is certain not to have run", t => {
+    for (const stage of stages) {
+        for (const stopped of [undefined, ...Object.values(stopCauses)]) {
+            for (const name of ["Error", "HTTPParserError"]) {
+                const reason = reasonOfFailure({ stage, code: "UND_ERR_SOCKET", name, stopped });
+                t.is(reasons[reason].outcome, stage === "unsent" ? "not-run" : "unknown", `${stage} ${stopped}`);
+            }
+        }
+    }
+    for (const refusal of ["fence", "no-grant", "shed", "draining", "deadline", "cancelled", "", "other"]) {
+        t.is(reasons[reasonOfRefusal(refusal)].outcome, "not-run");
+    }
+});
--- /dev/null
+++ b/test/links/callerinput.test.ts
@@ -0,0 +1,168 @@
+/**
+ * Callers' input: heads in tables, and random bytes on real sockets. Whatever comes, the link answers with a refusal
+ * or closes, passes on nothing that it can not read with certainty, and goes on to serve.
+ */
+import test from "ava";
+import fc from "fast-check";
+import { connect } from "node:net";
+import type { Reason } from "../../src/contracts/outcome.ts";
+import { settingsSchema } from "../../src/contracts/settings.ts";
+import { splitUrl } from "../../src/links/callerhead.ts";
+import { type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
+import { systemClock } from "../../src/links/clock.ts";
+
+const urls: Array<{ url: string; place: { pool: string; path: string } | undefined }> = [
+    { url: "/orders", place: { pool: "orders", path: "/" } },
+    { url: "/orders/a/b", place: { pool: "orders", path: "/a/b" } },
+    { url: "/orders?x=/y", place: { pool: "orders", path: "/?x=/y" } },
+    { url: "/orders/a?x=../y", place: { pool: "orders", path: "/a?x=../y" } },
+    { url: "/orders/a..b", place: { pool: "orders", path: "/a..b" } },
+    { url: "http://other/orders/a", place: undefined },
+    { url: "*", place: undefined },
+    { url: "/orders/../stock", place: undefined },
+    { url: "/orders/%2E%2e/stock", place: undefined },
+    { url: "/orders/a%2f..%2Fb", place: undefined },
+    { url: "/orders/..\\b", place: undefined },
+    { url: "/orders/.", place: undefined },
+    { url: "/orders/a#b", place: undefined },
+];
+
+for (const { url, place } of urls) {
+    test(`url ${url}`, t => {
+        t.deepEqual(splitUrl(url), place);
+    });
+}
+
+const openLink = async () => {
+    const served: CallerRequest[] = [];
+    const malformed: Reason[] = [];
+    const settings = settingsSchema.parse({
+        host: { name: "host-a", zone: "zone-1" },
+        platform: { url: "http://127.0.0.1:1" },
+        callers: { port: 0, maxBodyBytes: 64, maxHeadBytes: 2_048 },
+    }).callers;
+    const link = await createCallerLink({
+        host: "127.0.0.1",
+        settings,
+        clock: systemClock,
+        serve: request => {
+            served.push(request);
+            return Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: Buffer.from("served") });
+        },
+        onDone: () => undefined,
+        onMalformed: reason => malformed.push(reason),
+        healthy: () => true,
+    });
+    return { link, served, malformed };
+};
+
+/** Sends bytes on a new connection, ends it and gives all that came back. */
+const exchange = (address: string, bytes: Uint8Array | string): Promise<string> =>
+    new Promise(resolve => {
+        const [host, port] = address.split(":");
+        const parts: Buffer[] = [];
+        const socket = connect(Number(port), host, () => socket.end(bytes));
+        socket.on("data", part => parts.push(part));
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve(Buffer.concat(parts).toString("latin1")));
+    });
+
+const get = (...lines: string[]): string => ["GET /orders/a HTTP/1.1", "host: x", ...lines, "", ""].join("\r\n");
+const post = (...lines: string[]): string => ["POST /orders HTTP/1.1", "host: x", ...lines].join("\r\n");
+
+const inputs: Array<{ title: string; bytes: string; statuses: number[]; served: number }> = [
+    { title: "a request", bytes: get(), statuses: [200], served: 1 },
+    { title: "two requests one after the other", bytes: get() + get(), statuses: [200, 200], served: 2 },
+    { title: "a key twice", bytes: get("carobpier-key: a", "carobpier-key: b"), statuses: [400], served: 0 },
+    { title: "a key with a comma", bytes: get("carobpier-key: a, b"), statuses: [200], served: 1 },
+    { title: "an id twice", bytes: get("idempotency-key: a", "idempotency-key: b"), statuses: [400], served: 0 },
+    { title: "an id that is too long", bytes: get(`idempotency-key: ${"a".repeat(257)}`), statuses: [400], served: 0 },
+    { title: "a deadline that is no number", bytes: get("carobpier-deadline: soon"), statuses: [400], served: 0 },
+    { title: "a deadline below one", bytes: get("carobpier-deadline: -5"), statuses: [400], served: 0 },
+    { title: "an attempt that is no number", bytes: get("carobpier-attempt: 0x1"), statuses: [400], served: 0 },
+    { title: "HTTP/1.0", bytes: get().replace("HTTP/1.1", "HTTP/1.0"), statuses: [400], served: 0 },
+    {
+        title: "a length and chunks",
+        bytes: post("content-length: 5", "transfer-encoding: chunked", "", "0\r\n\r\n"),
+        statuses: [400],
+        served: 0,
+    },
+    {
+        title: "two lengths",
+        bytes: post("content-length: 5", "content-length: 6", "", "12345"),
+        statuses: [400],
+        served: 0,
+    },
+    { title: "a length that is no number", bytes: post("content-length: +5", "", "12345"), statuses: [400], served: 0 },
+    {
+        title: "chunks under another name",
+        bytes: post("transfer-encoding: xchunked", "", ""),
+        statuses: [400],
+        served: 0,
+    },
+    { title: "a bare line feed in the head", bytes: get("a: b\nc: d"), statuses: [400], served: 0 },
+    { title: "a space before the colon", bytes: get("carobpier-key : a"), statuses: [400], served: 0 },
+    {
+        title: "a body over its limit",
+        bytes: post("content-length: 65", "", "a".repeat(65)),
+        statuses: [413],
+        served: 0,
+    },
+    {
+        title: "chunks over the limit",
+        bytes: post("transfer-encoding: chunked", "", `41\r\n${"a".repeat(65)}\r\n0\r\n\r\n`),
+        statuses: [413],
+        served: 0,
+    },
+    { title: "a head over its limit", bytes: get(`a: ${"b".repeat(4_096)}`), statuses: [431], served: 0 },
+    { title: "an expectation that is not met", bytes: get("expect: miracles"), statuses: [400], served: 0 },
+    { title: "a body that never comes", bytes: post("content-length: 5", "", "123"), statuses: [], served: 0 },
+];
+
+for (const { title, bytes, statuses, served } of inputs) {
+    test(`input: ${title}`, async t => {
+        const opened = await openLink();
+        t.teardown(opened.link.close);
+        const answer = await exchange(opened.link.address, bytes);
+        const found = [...answer.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, code]) => Number(code));
+        t.deepEqual(found.filter(code => code !== 400 || statuses.length > 0), statuses);
+        t.is(opened.served.length, served);
+        t.is(/carobpier-outcome: (not-run|answered)/i.test(answer), answer !== "");
+    });
+}
+
+const fragment = fc.constantFrom(
+    "GET /orders/a HTTP/1.1\r\n",
+    "POST /orders HTTP/1.1\r\n",
+    "host: x\r\n",
+    "content-length: 3\r\n",
+    "transfer-encoding: chunked\r\n",
+    "carobpier-key: k\r\n",
+    "connection: carobpier-key\r\n",
+    "\r\n",
+    "3\r\nabc\r\n",
+    "0\r\n\r\n",
+    "\0",
+    "abc",
+);
+
+test("random input never stops the link, and is served only when it is a request", async t => {
+    const opened = await openLink();
+    t.teardown(opened.link.close);
+    await fc.assert(
+        fc.asyncProperty(fc.array(fragment, { maxLength: 12 }), async parts => {
+            const before = opened.served.length;
+            const answer = await exchange(opened.link.address, parts.join(""));
+            const answered = answer.split("HTTP/1.1 200").length - 1;
+            return answered === opened.served.length - before;
+        }),
+        { seed: 11, numRuns: 200 },
+    );
+    await fc.assert(
+        fc.asyncProperty(fc.uint8Array({ maxLength: 200 }), async bytes => {
+            await exchange(opened.link.address, bytes);
+        }),
+        { seed: 12, numRuns: 100 },
+    );
+    t.regex(await exchange(opened.link.address, get()), /^HTTP\/1\.1 200/);
+});
