--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -2,8 +2,6 @@
  * The fleet of a case: the platform's and the targets' stand-ins and the hosts, each in a process of its own.
  */
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { bundleProgram } from "../scripts/bundle.ts";
@@ -20,15 +18,19 @@
     type PoolShape,
     speedOf,
 } from "./customers.ts";
+import type { RelayAnswer, RelayQuestion } from "./relaypart.ts";
 import type { StandInsAnswer, StandInsQuestion } from "./standinspart.ts";
 
 export type StandInsChild = TalkingChild<StandInsQuestion, StandInsAnswer>;
 
 /** Bundled programs of one state of the source. */
-export type Programs = { folder: string; host: string; standIns: string; load: string };
+export type Programs = { folder: string; host: string; standIns: string; load: string; relay: string };
 
 export type FleetHost = {
     name: string;
+    zone: string;
+    /** The loopback address of the host alone, at which it listens and from which its connections come. */
+    address: string;
     callerAddress: string;
     settingsFile: string;
     child: Child;
@@ -43,12 +45,19 @@
     platformUrl: string;
     platform: StandInsChild;
     targets: StandInsChild;
+    /** Through which the hosts dial one another. */
+    relay: TalkingChild<RelayQuestion, RelayAnswer>;
     hosts: FleetHost[];
     /** Starts the process of a host again. */
     startHost: (host: FleetHost) => void;
     close: () => Promise<void>;
 };
 
+const callersPort = 8_080;
+const peersPort = 8_081;
+const operatorsPort = 8_082;
+/** Loopback networks among which benches that run at the same time are spread. */
+const networks = 250;
 const stopLimitMilliseconds = 10_000;
 const statusTimeoutMilliseconds = 500;
 
@@ -60,22 +69,15 @@
         host: join(folder, "host.cjs"),
         standIns: join(folder, "standins.cjs"),
         load: join(folder, "load.cjs"),
+        relay: join(folder, "relay.cjs"),
     };
     await bundleProgram(join(tree, "src/main.ts"), programs.host);
     await bundleProgram("bench/standinspart.ts", programs.standIns);
     await bundleProgram("bench/loadpart.ts", programs.load);
+    await bundleProgram("bench/relaypart.ts", programs.relay);
     return programs;
 };
 
-const freePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
 const setAt = (settings: Record<string, unknown>, path: string, value: unknown): void => {
     const names = path.split(".");
     let current = settings;
@@ -147,26 +149,46 @@
     const keyFile = join(programs.folder, "peer.key");
     await writeFile(keyFile, "bench-key");
 
+    const relay: Fleet["relay"] = startPart(programs.relay);
+    const network = 1 + process.pid % networks;
+    const places = [...Array(benchCase.hosts).keys()].map(index => {
+        const zoneIndex = index % customer.zones.length;
+        return {
+            name: `host-${String(index + 1).padStart(2, "0")}`,
+            zone: customer.zones[zoneIndex],
+            address: `127.${network}.${zoneIndex + 1}.${index + 1}`,
+        };
+    });
+    const { addresses } = await relay.ask({
+        kind: "start",
+        hosts: places.map(({ zone, address }) => ({
+            zone,
+            sourceAddress: address,
+            listens: { host: address, port: peersPort },
+        })),
+    });
+
     const createFleetHost = async (index: number): Promise<FleetHost> => {
-        const name = `host-${String(index + 1).padStart(2, "0")}`;
-        const ports = [await freePort(), await freePort(), await freePort()];
+        const { name, zone, address } = places[index];
         const settings: Record<string, unknown> = {
-            host: { name, zone: customer.zones[index % customer.zones.length] },
+            host: { name, zone, address, sourceAddress: address },
             platform: { url: platformUrl },
-            callers: { port: ports[0] },
-            peers: { port: ports[1], keyFiles: [keyFile] },
-            operators: { port: ports[2] },
+            callers: { port: callersPort },
+            peers: { port: peersPort, announcedAddress: addresses[index], keyFiles: [keyFile] },
+            operators: { port: operatorsPort },
         };
         Object.entries(benchCase.settings).forEach(([path, value]) => setAt(settings, path, value));
         const settingsFile = join(programs.folder, `${name}.yaml`);
         await writeFile(settingsFile, JSON.stringify(settings));
         const host: FleetHost = {
             name,
-            callerAddress: `127.0.0.1:${ports[0]}`,
+            zone,
+            address,
+            callerAddress: `${address}:${callersPort}`,
             settingsFile,
             child: undefined as unknown as Child,
             ends: [],
-            status: () => fetchStatus(`127.0.0.1:${ports[2]}`),
+            status: () => fetchStatus(`${address}:${operatorsPort}`),
             figures: () => host.child.figures(),
         };
         startHost(host);
@@ -201,13 +223,14 @@
         platformUrl,
         platform,
         targets,
+        relay,
         hosts,
         startHost,
         close: async () => {
             await Promise.all(hosts.filter(host => host.child.isRunning()).map(endHost));
-            targets.signal("SIGKILL");
-            platform.signal("SIGKILL");
-            await Promise.all([targets.ended, platform.ended]);
+            const parts: Child[] = [targets, platform, relay];
+            parts.forEach(part => part.signal("SIGKILL"));
+            await Promise.all(parts.map(part => part.ended));
         },
     };
 };
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -45,7 +45,9 @@
     sumLine(result.pools),
     ...hostRows(result),
     platformLine(result),
-    `load generator: cpu-%=${fixed(result.load.cpuShare * 100, 1)} `
+    `control at targets: calls/s=${fixed(result.targetControl.callsPerSecond, 0)} `
+    + `KB/s=${fixed(result.targetControl.bytesPerSecond / 1_000, 1)}`,
+    `load generators: ${result.load.processes}, cpu-% each=${fixed(result.load.cpuShare * 100, 1)} `
     + `latest send ${fixed(result.load.latestSendMilliseconds, 1)} ms after it was due`,
 ];
 
--- a/bench/runcase.ts
+++ b/bench/runcase.ts
@@ -1,7 +1,6 @@
 /**
  * Runs one case: starts its fleet, drives the load and the timeline of faults, and gathers verdict and figures.
  */
-import { decodeFromCompressedBase64 } from "hdr-histogram-js";
 import { outcomes } from "../src/contracts/outcome.ts";
 import { createSlotHash } from "../src/decisions/hash.ts";
 import type { HostReport } from "../src/machines/host.ts";
@@ -9,10 +8,10 @@
 import { machineMilliseconds, type TargetRecords } from "../stand-ins/target.ts";
 import { pause } from "./caller.ts";
 import type { BenchCase } from "./case.ts";
-import { type ProcessFigures, startPart } from "./children.ts";
+import type { ProcessFigures } from "./children.ts";
 import { speedOf } from "./customers.ts";
 import { type Fleet, type Programs, rateOf, startFleet } from "./fleet.ts";
-import type { LoadAnswer, LoadQuestion } from "./loadpart.ts";
+import { type GeneratedLoad, generateLoad, generatorCountOf, startGenerators } from "./generators.ts";
 import { allKept, type PoolSummary, summarize } from "./summary.ts";
 import { type EventNote, runTimeline } from "./timeline.ts";
 import { type CallerRecord, judgePool } from "./verdict.ts";
@@ -53,8 +52,10 @@
     pools: Record<string, PoolSummary>;
     hosts: HostFigures[];
     platform: PlatformFigures;
-    /** Share of a core that the load generator used, and its longest delay in sending. */
-    load: { cpuShare: number; latestSendMilliseconds: number };
+    /** Calls and bytes of grants, health and load at the targets, from all hosts together. */
+    targetControl: { callsPerSecond: number; bytesPerSecond: number };
+    /** Share of a core that each load generator used, and the longest delay in sending. */
+    load: { processes: number; cpuShare: number; latestSendMilliseconds: number };
     /** Sends whose connection to the host broke. */
     cutOff: number;
     events: EventNote[];
@@ -76,6 +77,14 @@
     };
 };
 
+const targetControlOf = async (fleet: Fleet): Promise<TargetRecords["control"]> => {
+    const { targetRecords = [] } = await fleet.targets.ask({ kind: "records" });
+    return targetRecords.reduce((sum, { control }) => ({
+        calls: sum.calls + control.calls,
+        bytes: sum.bytes + control.bytes,
+    }), { calls: 0, bytes: 0 });
+};
+
 const trafficOf = (report: HostReport | undefined): number =>
     report === undefined ? 0 : report.peerTraffic.sentBytes + report.peerTraffic.receivedBytes;
 
@@ -135,14 +144,14 @@
 const judge = async (
     options: RunOptions,
     fleet: Fleet,
-    load: LoadAnswer,
+    load: GeneratedLoad,
     records: TargetRecords[],
     endedAt: number,
 ): Promise<Record<string, PoolSummary>> => {
     const slotHash = await createSlotHash();
     const summaries: Record<string, PoolSummary> = {};
     for (const shape of fleet.customer.pools) {
-        const { encodedHistogram, records: callers } = load.pools[shape.name];
+        const { histogram, records: callers } = load.pools[shape.name];
         const own = records.filter(({ name }) => name.startsWith(`${shape.name}-`));
         const verdict = judgePool({
             pool: shape.name,
@@ -154,7 +163,7 @@
             callers,
             endedAt,
         });
-        summaries[shape.name] = summarize(verdict, decodeFromCompressedBase64(encodedHistogram));
+        summaries[shape.name] = summarize(verdict, histogram);
     }
     return summaries;
 };
@@ -163,7 +172,7 @@
 export const runCase = async (options: RunOptions): Promise<CaseResult> => {
     const { benchCase, seed } = options;
     const fleet = await startFleet(benchCase, options.programs);
-    const generator = startPart<LoadQuestion, LoadAnswer>(options.programs.load);
+    const generators = startGenerators(options.programs, generatorCountOf(benchCase));
     try {
         const { pools: shapes, token } = fleet.customer;
         const pools = shapes.map(shape => ({
@@ -174,18 +183,20 @@
             keys: benchCase.keys,
         }));
         const hosts = fleet.hosts.map(host => host.callerAddress);
-        const { warm } = await generator.ask({ kind: "warm-up", hosts, pools });
+        const warmUps = await Promise.all(generators.map(generator => generator.warmUp(hosts, pools)));
+        const warm = warmUps.every(Boolean);
         await pause(settleMilliseconds);
         await fleet.targets.ask({ kind: "forget-runs" });
         const startAt = machineMilliseconds() + startDelayMilliseconds;
         const { seconds, phases, bodyBytes } = benchCase;
-        const loadOptions = { hosts, pools, seed, startAt, seconds, phases, bodyBytes };
-        const loading = generator.ask({ kind: "load", options: loadOptions });
+        const loading = generateLoad(generators, { hosts, pools, seed, startAt, seconds, phases, bodyBytes });
         await pause(startAt - machineMilliseconds());
+        const controlBefore = await targetControlOf(fleet);
         const before = await snapshotOf(fleet);
         const timeline = runTimeline(fleet, benchCase.events, startAt);
         await pause(startAt + seconds * 1_000 - machineMilliseconds());
         const after = await snapshotOf(fleet);
+        const controlAfter = await targetControlOf(fleet);
         const [load, events] = [await loading, await timeline];
         const endedAt = machineMilliseconds();
         const { targetRecords = [] } = await fleet.targets.ask({ kind: "records" });
@@ -196,12 +207,17 @@
             name: options.name,
             seed,
             warm,
-            kept: allKept(summaries) && events.every(({ broken }) => !broken),
+            kept: warm && allKept(summaries) && events.every(({ broken }) => !broken),
             pools: summaries,
             hosts: hostFigures(fleet, before, after, seconds),
             platform: platformFigures(platformRecords as PlatformRecords, startAt, seconds),
+            targetControl: {
+                callsPerSecond: (controlAfter.calls - controlBefore.calls) / seconds,
+                bytesPerSecond: (controlAfter.bytes - controlBefore.bytes) / seconds,
+            },
             load: {
-                cpuShare: load.cpuSeconds / seconds,
+                processes: generators.length,
+                cpuShare: load.cpuSeconds / seconds / generators.length,
                 latestSendMilliseconds: Math.max(
                     ...Object.values(load.pools).map(pool => pool.latestSendMilliseconds),
                 ),
@@ -212,7 +228,7 @@
         };
     }
     finally {
-        generator.signal("SIGKILL");
+        generators.forEach(generator => generator.end());
         await fleet.close();
     }
 };
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -38,7 +38,7 @@
         announcedAddress: z.string().min(1).optional(),
         /** Files that hold shared keys. The first signs; any of them is accepted, so that keys can be rotated. */
         keyFiles: z.array(z.string()).default([]),
-        maxFrameBytes: z.int().min(1_024).default(1_048_576),
+        maxFrameBytes: z.int().min(1_024).default(4_194_304),
         queueLength: z.int().min(1).default(1_024),
     }).prefault({}),
     operators: z.strictObject({ port: port.default(8_082) }).prefault({}),
@@ -60,7 +60,7 @@
         claimAgeMilliseconds: milliseconds.default(300_000),
         quarantineAgeMilliseconds: milliseconds.default(600_000),
     }).prefault({}),
-    /** A host that hears neither the platform nor another host for longer stops admitting. */
+    /** A host that hears neither the platform nor a majority of the hosts for longer stops admitting. */
     isolationMilliseconds: milliseconds.default(10_000),
     logs: z.strictObject({
         level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
--- a/src/machines/places.ts
+++ b/src/machines/places.ts
@@ -24,6 +24,8 @@
     distanceTo: (zone: string) => number;
     /** A number from 0 up to, not including, 1. */
     unit: () => number;
+    /** Counts a request that goes to the owner of the slot. */
+    countLoad: (pool: string, slot: number, key: string) => void;
     clock: Clock;
 };
 
@@ -92,8 +94,16 @@
             : { view: seen[index], slot: 0, revision: 0 };
     };
 
-    const of = (journey: Journey): Place | CallerRefusal =>
-        journey.passage.pool.division === divisions.byKey ? byKey(journey) : anywhere(journey);
+    const of = (journey: Journey): Place | CallerRefusal => {
+        if (journey.passage.pool.division !== divisions.byKey) {
+            return anywhere(journey);
+        }
+        const place = byKey(journey);
+        if (!isRefusal(place) && journey.attempts === 0) {
+            options.countLoad(journey.request.pool, place.slot, journey.request.key ?? "");
+        }
+        return place;
+    };
 
     return {
         of,
