Replace lost claim keepers with each assignment, and compare a host with a pass-through

The next assignment kept the keepers of the first one for good, so that the loss of one stopped all requests that may run once in its groups.

--- a/src/decisions/assign.ts
+++ b/src/decisions/assign.ts
@@ -3,7 +3,7 @@
  * than their share; hosts that renew and witness stay as long as they live.
  */
 import { isDeepStrictEqual } from "node:util";
-import { type Assignment, type KeeperGroup, type Move, noOwner } from "../contracts/assignment.ts";
+import { type Assignment, type Move, noOwner } from "../contracts/assignment.ts";
 import type { Pool } from "../contracts/pool.ts";
 import { type BalanceOptions, evenOut, placeOrphans } from "./balance.ts";
 import { chooseKeepers } from "./keepers.ts";
@@ -37,7 +37,6 @@
     hasStopped: (host: string) => boolean;
     /** How slots of healthy targets are evened out; left out to move only what must move. */
     balance?: BalanceOptions;
-    keepers?: KeeperGroup[];
 };
 
 /** The first assignment of a pool: slots shared out by speed. */
@@ -179,7 +178,7 @@
         ...placement,
         moves: movesAfter(current, placement, { revision, slotOf, isReleased, lost }),
         ...namedHosts(input, targets),
-        keepers: input.keepers ?? current.keepers,
+        keepers: chooseKeepers(current.keepers, input.hosts, revision),
     };
     return isDeepStrictEqual({ ...next, revision: current.revision }, current) ? undefined : next;
 };
