--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -18,7 +18,7 @@
         size: z.number().positive().default(1),
     }),
     platform: z.strictObject({
-        url: z.url(),
+        url: z.url("a URL such as http://10.0.0.10:8090"),
         /** File that holds the bearer token. */
         tokenFile: z.string().optional(),
         timeoutMilliseconds: milliseconds.default(1_000),
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,87 @@
+import test from "ava";
+import { readFile } from "node:fs/promises";
+import { type IntentKind, readDocuments } from "../src/commands/intent.ts";
+import { describeFinding } from "../src/contracts/finding.ts";
+import type { Allowance, Plan } from "../src/contracts/plan.ts";
+import type { Pool } from "../src/contracts/pool.ts";
+import { settingsSchema } from "../src/contracts/settings.ts";
+import { referenceFindings } from "../src/decisions/references.ts";
+import { checkYaml } from "../src/links/yaml.ts";
+
+const cases: Array<{ title: string; text: string; findings: string[] }> = [
+    {
+        title: "all findings come together, each with its place",
+        text: [
+            "host:",
+            "  name: Host A",
+            "  zone: 7",
+            "platform:",
+            "  url: nowhere",
+            "callers:",
+            "  prot: 8080",
+            "  maxBodyBytes: -1",
+            "log: {}",
+        ].join("\n"),
+        findings: [
+            "s.yaml:2:9 host.name: expected a name of lower-case letters, digits, dots and hyphens, found \"Host A\".",
+            "s.yaml:3:9 host.zone: expected string, found 7.",
+            "s.yaml:5:8 platform.url: expected a URL such as http://10.0.0.10:8090, found \"nowhere\".",
+            "s.yaml:8:17 callers.maxBodyBytes: expected number to be >=0, found -1.",
+            "s.yaml:7:9 callers.prot: expected a known name such as \"port\", found the unknown name \"prot\".",
+            "s.yaml:9:6 log: expected a known name such as \"logs\", found the unknown name \"log\".",
+        ],
+    },
+    {
+        title: "a missing part is found at what encloses it",
+        text: "host: { name: a, zone: b }\n",
+        findings: ["s.yaml:1:1 platform: expected object, found nothing."],
+    },
+    {
+        title: "broken YAML",
+        text: "host: { name: a\n",
+        findings: [
+            "s.yaml:2:1 (whole): expected valid YAML, found "
+            + "Flow map in block collection must be sufficiently indented and end with a } at line 2, column 1:.",
+        ],
+    },
+    {
+        title: "an empty file",
+        text: "",
+        findings: [
+            "s.yaml:1:1 host: expected object, found nothing.",
+            "s.yaml:1:1 platform: expected object, found nothing.",
+        ],
+    },
+    {
+        title: "two documents",
+        text: "host: {}\n---\nhost: {}\n",
+        findings: ["s.yaml (whole): expected one document, found a second document."],
+    },
+];
+
+for (const { title, text, findings } of cases) {
+    test(title, t => {
+        t.deepEqual(checkYaml("s.yaml", text, settingsSchema).findings.map(describeFinding), findings);
+    });
+}
+
+const example = (path: string): Promise<string> => readFile(new URL(`../examples/${path}`, import.meta.url), "utf8");
+
+const documentsOf = async <Value>(kind: IntentKind, path: string): Promise<Map<string, Value>> => {
+    const documents = readDocuments(kind, path, await example(path));
+    return new Map(documents.map(({ name, value }) => [name, value as Value]));
+};
+
+for (const customer of ["hallam", "verhaeghe"]) {
+    test(`the examples of ${customer} are without findings`, async t => {
+        const file = `${customer}.yaml`;
+        t.deepEqual(checkYaml(file, await example(file), settingsSchema).findings, []);
+        const objects = {
+            plans: await documentsOf<Plan>("plans", `${customer}/plans.yaml`),
+            allowances: await documentsOf<Allowance>("allowances", `${customer}/allowances.yaml`),
+            pools: await documentsOf<Pool>("pools", `${customer}/pools.yaml`),
+        };
+        t.deepEqual(referenceFindings(objects), []);
+        t.deepEqual([...objects.allowances.keys()], [...objects.plans.keys()]);
+    });
+}
