--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -99,27 +99,31 @@
     };
 };
 
-/** Writes changes at seeded moments. Gives the version and time of each. */
+type Change = { plan: string; version: number; at: number };
+
+/** Writes changes at seeded moments. */
 const writeChanges = async (run: Run, count: number, gapMilliseconds: number) => {
-    const written: Array<{ version: number; at: number }> = [];
+    const written: Change[] = [];
     for (let index = 0; index < count; index += 1) {
         const value = { ...planOf(index), rate: { perSecond: 1_000 + run.random.below(1_000), burst: 20 } };
-        const { version } = run.platform.write("plans", `plan-${run.random.below(planCount)}`, value);
-        written.push({ version, at: machineMilliseconds() });
+        const plan = `plan-${run.random.below(planCount)}`;
+        const { version } = run.platform.write("plans", plan, value);
+        written.push({ plan, version, at: machineMilliseconds() });
         await pause(gapMilliseconds * (0.5 + run.random.unit()));
     }
     return written;
 };
 
-/** For each change the time until the last of the expected hosts held it or a later one; undefined for never. */
-const everywhereAfter = (
-    written: Array<{ version: number; at: number }>,
-    acceptances: Acceptance[],
-    hostCount: number,
-): number[] =>
-    written.map(({ version, at }) => {
-        const times = acceptances.filter(acceptance => acceptance.version === version).map(entry => entry.at - at);
-        return times.length < hostCount ? Infinity : Math.max(...times);
+/** For each change the time until the last of the hosts held it or a later one of the plan; infinite for never. */
+const everywhereAfter = (written: Change[], acceptances: Acceptance[], hostCount: number): number[] =>
+    written.map(({ plan, version, at }) => {
+        const first = new Map<string, number>();
+        for (const entry of acceptances) {
+            if (entry.plan === plan && entry.version >= version) {
+                first.set(entry.host, Math.min(first.get(entry.host) ?? Infinity, entry.at - at));
+            }
+        }
+        return first.size < hostCount ? Infinity : Math.max(...first.values());
     }).sort((left, right) => left - right);
 
 const figuresOf = (times: number[]): Row => ({
@@ -205,7 +209,7 @@
     const perSecond = Object.entries(run.platform.records().callsBySecond)
         .filter(([second]) => (Number(second) + 1) * 1_000 > at)
         .map(([, byName]) => sum(Object.values(byName)));
-    const times = everywhereAfter([{ version, at }], await acceptancesOf(run), run.size);
+    const times = everywhereAfter([{ plan: "plan-0", version, at }], await acceptancesOf(run), run.size);
     return {
         "everywhere-after-return-ms": times[0].toFixed(0),
         "most-calls-in-one-second": Math.max(...perSecond),
--- a/bench/spreadpart.ts
+++ b/bench/spreadpart.ts
@@ -14,7 +14,7 @@
     | { kind: "stop" };
 
 /** When a host accepted a version of an object, in milliseconds of the machine's monotonic clock. */
-export type Acceptance = { host: string; version: number; at: number };
+export type Acceptance = { host: string; plan: string; version: number; at: number };
 
 export type SpreadAnswer = {
     acceptances: Acceptance[];
@@ -32,7 +32,8 @@
     ...silentLog,
     debug: (event: string, fields: LogFields = {}) => {
         if (event === "object-accepted" && fields["kind"] === "plans") {
-            acceptances.push({ host, version: Number(fields["version"]), at: machineMilliseconds() });
+            const version = Number(fields["version"]);
+            acceptances.push({ host, plan: String(fields["name"]), version, at: machineMilliseconds() });
         }
     },
     child: () => noteAcceptances(host),
--- a/src/links/hostlink.ts
+++ b/src/links/hostlink.ts
@@ -29,6 +29,8 @@
     host: string;
     incarnation: string;
     dialer: string;
+    /** Whether this end sends the heartbeat; one of the two does, and both see it come or be answered. */
+    sendsHeartbeat: boolean;
     /** Bytes that may wait to be sent, and questions that may wait for answers. */
     maxQueuedBytes: number;
     maxWaiting: number;
@@ -45,8 +47,8 @@
 const envelopeSchema = z.strictObject({ id: z.int().min(0), answers: z.boolean(), message: z.unknown() });
 type Envelope = z.infer<typeof envelopeSchema>;
 
-const heartbeatMilliseconds = 500;
-const silenceMilliseconds = 2_000;
+const heartbeatMilliseconds = 1_000;
+const silenceMilliseconds = 3_500;
 
 /** Takes over a socket whose handshake is done. */
 export const createHostLink = (options: HostLinkOptions): HostLink => {
@@ -105,7 +107,7 @@
             close();
             return;
         }
-        if (isOpen()) {
+        if (isOpen() && options.sendsHeartbeat) {
             socket.ping();
         }
         clock.after(heartbeatMilliseconds, beat, life.signal);
--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -107,6 +107,7 @@
             host,
             incarnation,
             dialer,
+            sendsHeartbeat: part === linkParts.dialer,
             maxQueuedBytes: options.queueLength * averageMessageBytes,
             maxWaiting: options.queueLength,
             clock,
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -70,8 +70,8 @@
 const listLagMilliseconds = 30_000;
 const listMilliseconds = 5_000;
 const removalMilliseconds = 120_000;
-const upkeepMilliseconds = 250;
-const turnMilliseconds = 100;
+const upkeepMilliseconds = 500;
+const turnMilliseconds = 250;
 
 /** Creates the host's part in the fleet. Nothing is asked or sent before `start`. */
 export const createFleet = (options: FleetOptions): Fleet => {
@@ -80,10 +80,15 @@
     const { freshnessMilliseconds } = settings.ownership;
     const { isolationMilliseconds } = settings;
     const isolation = createIsolation({ isolationMilliseconds, pauseMilliseconds: freshnessMilliseconds });
-    const membership = createMembership({ self: self.name, lostMilliseconds, listLagMilliseconds });
+    const membership = createMembership({
+        self: self.name,
+        lostMilliseconds,
+        listLagMilliseconds,
+        removalMilliseconds,
+    });
     const maxAnswerBytes = settings.peers.maxFrameBytes / 2;
-    const lostSince = new Map<string, number>();
     let ownVersion = 0;
+    let withdrawn = false;
 
     const replica = createReplica({
         objects,
@@ -163,7 +168,7 @@
     /** Looks at the host's own announcement: another process may have taken the name, or a host removed it. */
     const checkOwnStatus = (): void => {
         const newest = objects.newest("status", self.name);
-        if (newest === undefined || newest.version <= ownVersion) {
+        if (withdrawn || newest === undefined || newest.version <= ownVersion) {
             return;
         }
         ownVersion = newest.version;
@@ -196,20 +201,10 @@
 
     /** Removes the announcements of hosts that are long lost and that the platform does not list. */
     const removeGoneHosts = async (): Promise<void> => {
-        const now = clock.now();
-        const absent = new Set(membership.departures().filter(({ state }) => state === "absent").map(d => d.name));
-        for (const { name, state } of members()) {
-            if (state === "live" || !absent.has(name)) {
-                lostSince.delete(name);
-                continue;
-            }
-            const since = lostSince.get(name) ?? now;
-            lostSince.set(name, since);
-            if (isFirst() && now - since >= removalMilliseconds) {
-                lostSince.delete(name);
-                log.info("gone-host-removed", { removed: name });
-                await announcement.remove(name);
-            }
+        const gone = membership.gone(clock.now());
+        for (const name of isFirst() ? gone : []) {
+            log.info("gone-host-removed", { removed: name });
+            await announcement.remove(name);
         }
     };
 
@@ -276,7 +271,8 @@
             await announcement.tryToWrite(options.ownStatus());
         },
         withdraw: async () => {
-            isolation.replace();
+            withdrawn = true;
+            isolation.withdraw();
             await announcement.remove(self.name);
         },
         report: () => ({
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -34,6 +34,8 @@
     members: (now: number) => Member[];
     /** Members that are live, this host included. */
     live: (now: number) => Member[];
+    /** Members that have not been live, and absent from the platform's list, at each look for the removal time. */
+    gone: (now: number) => string[];
     /** The departures in hand, to be passed on to hosts that do not read the platform's list. */
     departures: () => Departure[];
 };
@@ -44,6 +46,8 @@
     lostMilliseconds: number;
     /** The platform's list may lag by this much: it says nothing yet about a newer incarnation. */
     listLagMilliseconds: number;
+    /** A member that stays lost and absent for this long is gone for good. */
+    removalMilliseconds: number;
 };
 
 type MemberRecord = {
@@ -52,6 +56,8 @@
     since: number;
     /** When a wanted link was first found closed; undefined while it is open or not wanted. */
     unlinkedSince: number | undefined;
+    /** When it was first found neither live nor listed; undefined while it is either. */
+    absentSince: number | undefined;
 };
 
 /** Creates the membership of one host. Times are monotonic milliseconds. */
@@ -78,7 +84,7 @@
             known.status = value;
             return;
         }
-        const record = { status: value, since: now, unlinkedSince: undefined };
+        const record = { status: value, since: now, unlinkedSince: undefined, absentSince: undefined };
         records.set(name, record);
         noteSilence(name, record, now);
     };
@@ -133,6 +139,17 @@
         },
         members,
         live: now => members(now).filter(member => member.state === memberStates.live),
+        gone: now => {
+            const names: string[] = [];
+            for (const [name, record] of records) {
+                const missing = stateOf(name, record, now) !== memberStates.live && departed.get(name) === "absent";
+                record.absentSince = missing ? record.absentSince ?? now : undefined;
+                if (record.absentSince !== undefined && now - record.absentSince >= options.removalMilliseconds) {
+                    names.push(name);
+                }
+            }
+            return names;
+        },
         departures: () => [...departed].map(([name, state]) => ({ name, state })),
     };
 };
--- a/test/zones/membership.test.ts
+++ b/test/zones/membership.test.ts
@@ -12,6 +12,13 @@
     isolationMilliseconds: 10_000,
 });
 
+const options = {
+    self: "self",
+    lostMilliseconds: 1_500,
+    listLagMilliseconds: 30_000,
+    removalMilliseconds: 120_000,
+};
+
 const self = { name: "self", value: status("self-1") };
 const other = (incarnation: string, state?: HostStatus["state"]) => ({
     name: "other",
@@ -139,10 +146,44 @@
 
 for (const { title, steps, now, state } of cases) {
     test(title, t => {
-        const membership = createMembership({ self: "self", lostMilliseconds: 1_500, listLagMilliseconds: 30_000 });
+        const membership = createMembership(options);
         steps(membership);
         t.is(membership.members(now).find(member => member.name === "other")?.state, state as never);
         t.is(membership.live(now).some(member => member.name === "other"), state === "live");
         t.true(membership.live(now).some(member => member.name === "self"));
     });
 }
+
+const absent = [{ name: "other", state: "absent" as const }];
+
+const removals: Array<
+    { title: string; listed: typeof absent; linkedAt?: number; announcedAt?: number; gone: string[] }
+> = [
+    { title: "lost and absent for the whole time", listed: absent, gone: ["other"] },
+    { title: "lost but still listed", listed: [], gone: [] },
+    { title: "linked again on the way", listed: absent, linkedAt: 50_000, gone: [] },
+    { title: "announced anew on the way", listed: absent, announcedAt: 50_000, gone: [] },
+];
+
+for (const { title, listed, linkedAt, announcedAt, gone } of removals) {
+    test(`a host that is gone: ${title}`, t => {
+        const membership = createMembership(options);
+        membership.announce([self, other("1")], 0);
+        membership.wantLinks(wanted, 0);
+        for (let now = 5_000; now <= 130_000; now += 5_000) {
+            membership.depart(listed);
+            if (now === linkedAt) {
+                membership.link("other", "1", now);
+                t.deepEqual(membership.gone(now), []);
+                membership.link("other", undefined, now);
+            }
+            if (now === announcedAt) {
+                membership.announce([self, other("2")], now);
+            }
+            if (now < 125_000) {
+                t.deepEqual(membership.gone(now), []);
+            }
+        }
+        t.deepEqual(membership.gone(130_000), gone);
+    });
+}
