--- a/src/machines/requests.ts
+++ b/src/machines/requests.ts
@@ -29,6 +29,8 @@
     currency: Currency;
     slotHash: SlotHash;
     hosts: Pick<HostLinks, "ask" | "tell" | "handle" | "connected" | "onChange">;
+    /** Counts a request that goes to the owner of the slot. */
+    countLoad: (pool: string, slot: number, key: string) => void;
     /** Resolves after the first complete read of the platform. */
     ready: Promise<void>;
     clock: Clock;
@@ -81,6 +83,7 @@
         lanes,
         distanceTo: other => other === zone ? 0 : otherZoneMilliseconds,
         unit: Math.random,
+        countLoad: options.countLoad,
         clock,
     });
     const sender = createSender({ clock, onOver: lanes.leave });
