--- a/bench/children.ts
+++ b/bench/children.ts
@@ -40,12 +40,24 @@
     }
 };
 
+const runningChildren = new Set<ChildProcess>();
+
+/** Ends all children with this process, whatever ends it. */
+export const endChildrenWithProcess = (): void => {
+    process.on("exit", () => runningChildren.forEach(child => child.kill("SIGKILL")));
+    for (const signal of ["SIGINT", "SIGTERM"] as const) {
+        process.on(signal, () => process.exit(2));
+    }
+};
+
 const wrap = (child: ChildProcess): Child => {
     const pid = child.pid ?? 0;
     let running = true;
+    runningChildren.add(child);
     const ended = new Promise<string>(resolve => {
         child.once("exit", (code, signal) => {
             running = false;
+            runningChildren.delete(child);
             resolve(signal ?? String(code));
         });
     });
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,15 +6,23 @@
 import { InputError, messageOf } from "../src/contracts/errors.ts";
 import { type BenchCase, caseNames, readCase } from "./case.ts";
 import { chartOf } from "./chart.ts";
+import { endChildrenWithProcess } from "./children.ts";
 import { runComparison } from "./compare.ts";
 import { bundlePrograms, removePrograms } from "./fleet.ts";
 import { reportLines, saveResult } from "./report.ts";
 import { runCase } from "./runcase.ts";
 import { runSlope } from "./slope.ts";
 
-type Arguments = { seed: number; runs: number; seconds: number | undefined; save: boolean; compare: boolean };
+type Arguments = {
+    seed: number;
+    runs: number;
+    seconds: number | undefined;
+    save: boolean;
+    compare: boolean;
+    tree: string;
+};
 
-const usage = "Usage: npm run bench -- CASE... [--seed N] [--runs N] [--seconds N] [--save]\n"
+const usage = "Usage: npm run bench -- CASE... [--seed N] [--runs N] [--seconds N] [--save] [--tree FOLDER]\n"
     + "       npm run bench -- CASE --compare A B [--runs N]\n"
     + "CASE is the name of a file in bench/cases, or all. A and B are default or path=value[,path=value].";
 
@@ -31,16 +39,17 @@
             seconds: { type: "string" },
             save: { type: "boolean", default: false },
             compare: { type: "boolean", default: false },
+            tree: { type: "string", default: "." },
         },
     });
     if (positionals.length === 0) {
         throw new InputError(usage);
     }
-    const { save, compare } = values;
+    const { save, compare, tree } = values;
     const seconds = values.seconds === undefined ? undefined : Number(values.seconds);
     return {
         names: positionals,
-        options: { seed: Number(values.seed), runs: Number(values.runs), seconds, save, compare },
+        options: { seed: Number(values.seed), runs: Number(values.runs), seconds, save, compare, tree },
     };
 };
 
@@ -54,7 +63,7 @@
 };
 
 const runAll = async (name: string, benchCase: BenchCase, options: Arguments): Promise<boolean> => {
-    const programs = await bundlePrograms();
+    const programs = await bundlePrograms(options.tree);
     try {
         if (benchCase.slope !== undefined) {
             const { lines, fits, kept } = await runSlope(name, benchCase, options.seed, programs);
@@ -101,6 +110,7 @@
     }
 };
 
+endChildrenWithProcess();
 start().catch((error: unknown) => {
     process.stderr.write(`${messageOf(error)}\n`);
     process.exitCode = 2;
