--- a/stand-ins/platform.ts
+++ b/stand-ins/platform.ts
@@ -8,6 +8,7 @@
 import { objectSchemas, type StoredObject } from "../src/contracts/objects.ts";
 import { isControlPath, readBody, serveControl } from "./control.ts";
 import { machineMilliseconds } from "./target.ts";
+import { createWay, peerOf } from "./way.ts";
 
 export const platformFaultsSchema = z.strictObject({
     /** Closes the connection of every call, those of waiting watches included. */
@@ -73,30 +74,19 @@
     const writeTimes: number[] = [];
     const bytes = { received: 0, sent: 0 };
     const faults: PlatformFaults = { down: false, slowMilliseconds: 0, loseReplies: 0, cutFrom: [], listedHosts: {} };
-    let held: Array<{ request: IncomingMessage; work: () => void }> = [];
     const listedStates = new Map<string, { state: ListedState; since: number }>();
     const waiters = new Set<() => void>();
     let position = 0;
 
-    const isCutFrom = (request: IncomingMessage): boolean =>
-        faults.cutFrom.includes(request.socket.remoteAddress ?? "");
-
-    /** Does the work now, or when the way to the caller is open again. */
-    const unlessCut = (request: IncomingMessage, work: () => void): void => {
-        if (isCutFrom(request)) {
-            held.push({ request, work });
-            return;
-        }
-        work();
-    };
+    const way = createWay(peer => faults.cutFrom.includes(peer));
 
     const answer = (response: ServerResponse, statusCode: number, body: unknown): void => {
         const text = JSON.stringify(body);
         bytes.sent += text.length;
-        unlessCut(response.req, () => {
+        way.pass(() => {
             response.writeHead(statusCode, { "content-type": "application/json" });
             response.end(text);
-        });
+        }, peerOf(response.req));
     };
 
     const wakeWaiters = (): void => {
@@ -190,9 +180,7 @@
     };
 
     const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-        if (isCutFrom(request)) {
-            await new Promise<void>(resolve => unlessCut(request, resolve));
-        }
+        await new Promise<void>(resolve => way.pass(resolve, peerOf(request)));
         if (faults.down) {
             request.socket.destroy();
             return;
@@ -252,9 +240,7 @@
         for (const [name, state] of Object.entries(changes.listedHosts ?? {})) {
             listHost(name, state);
         }
-        const released = held;
-        held = [];
-        released.forEach(({ request, work }) => unlessCut(request, work));
+        way.release();
         if (faults.down) {
             wakeWaiters();
         }
--- a/stand-ins/target.ts
+++ b/stand-ins/target.ts
@@ -9,18 +9,19 @@
 import { grantSchema } from "../src/contracts/grant.ts";
 import {
     targetAnswerHeaders,
-    type TargetHealth,
+    type TargetLoad,
     targetPaths,
     type TargetRefusal,
     targetRefusals,
     targetRequestHeaders,
-    targetStates,
 } from "../src/contracts/targetprotocol.ts";
 import { createSlotHash } from "../src/decisions/hash.ts";
 import { writePlain, writeRan } from "./answers.ts";
 import { isControlPath, readBody, serveControl } from "./control.ts";
 import { createGrantLedger, type GrantLedger, type OwnedSpan } from "./grants.ts";
 import { noTargetFaults, type TargetFaults, targetFaultsSchema } from "./targetfaults.ts";
+import { createLaggedViews, type LaggedViews } from "./views.ts";
+import { createWay, peerOf } from "./way.ts";
 import { createWorkQueue, type Execution, runOutcomes, type WorkQueue } from "./work.ts";
 
 export type { OwnedSpan } from "./grants.ts";
@@ -76,24 +77,18 @@
     close: () => Promise<void>;
 };
 
-type Life = { incarnation: string; startedAt: number; grants: GrantLedger; work: WorkQueue };
-type HeldWork = { peer: string; work: () => void };
-type View = { at: number; state: TargetHealth["state"]; running: number; queued: number };
+type Life = { incarnation: string; views: LaggedViews; grants: GrantLedger; work: WorkQueue };
 
 const controlPrefix = "/target/";
 const defaultQueueLength = 32;
 const defaultDeadlineMilliseconds = 30_000;
 const shedBackOffMilliseconds = 100;
-const keptViews = 200;
 
 /** Milliseconds of the machine's monotonic clock, the same in every process. */
 export const machineMilliseconds = (): number => Number(process.hrtime.bigint() / 1_000n) / 1_000;
 
 const headerOf = (request: IncomingMessage, name: string): string => String(request.headers[name] ?? "");
 
-/** The source address of a request's connection. */
-const peerOf = (request: IncomingMessage): string => request.socket?.remoteAddress ?? "";
-
 /** Starts the stand-in on loopback. */
 export const createTargetStandIn = async (options: TargetStandInOptions): Promise<TargetStandIn> => {
     const slotHash = await createSlotHash();
@@ -108,19 +103,8 @@
     let port = options.port ?? 0;
     let server: Server;
     let life: Life;
-    let held: HeldWork[] = [];
-    let views: View[] = [];
 
-    const isHeld = (peer: string): boolean => faults.frozen || faults.cutFrom.includes(peer);
-
-    /** Does the work now, or when the target is thawed and the way to the peer is open again. */
-    const unlessFrozen = (work: () => void, peer = ""): void => {
-        if (isHeld(peer)) {
-            held.push({ peer, work });
-            return;
-        }
-        work();
-    };
+    const way = createWay(peer => faults.frozen || faults.cutFrom.includes(peer));
 
     const ownHeaders = (): Record<string, string> => ({
         [targetAnswerHeaders.clock]: String(clock()),
@@ -137,10 +121,10 @@
         };
         const peer = peerOf(response.req);
         if (faults.networkMilliseconds === 0) {
-            unlessFrozen(unlessGone, peer);
+            way.pass(unlessGone, peer);
             return;
         }
-        setTimeout(() => unlessFrozen(unlessGone, peer), faults.networkMilliseconds);
+        setTimeout(() => way.pass(unlessGone, peer), faults.networkMilliseconds);
     };
 
     const answer = (response: ServerResponse, statusCode: number, body: unknown, headers = {}): void => {
@@ -221,28 +205,7 @@
         });
     };
 
-    /** The state and load of some time ago. */
-    const laggedView = (): View => {
-        const now = clock();
-        const state = faults.draining ? targetStates.draining : targetStates.ready;
-        views.push({ at: now, state, running: life.work.running(), queued: life.work.queued() });
-        views = views.slice(-keptViews);
-        return views.filter(view => view.at <= now - faults.lagMilliseconds).at(-1) ?? views[0];
-    };
-
-    const serveHealth = (response: ServerResponse): void => {
-        const state = faults.healthSays === "" ? laggedView().state : faults.healthSays;
-        answer(response, 200, { state, clock: clock(), incarnation: life.incarnation });
-    };
-
-    const serveLoad = (response: ServerResponse): void => {
-        const view = laggedView();
-        const { loadFactor } = faults;
-        answer(response, 200, {
-            running: Math.round(view.running * loadFactor),
-            queued: Math.round(view.queued * loadFactor),
-        });
-    };
+    const loadNow = (): TargetLoad => ({ running: life.work.running(), queued: life.work.queued() });
 
     const serveGrant = (response: ServerResponse, body: string): void => {
         const grant = grantSchema.safeParse(JSON.parse(body));
@@ -273,11 +236,12 @@
             return;
         }
         if (path === targetPaths.health) {
-            serveHealth(response);
+            const state = life.views.state(loadNow());
+            answer(response, 200, { state, clock: clock(), incarnation: life.incarnation });
             return;
         }
         if (path === targetPaths.load) {
-            serveLoad(response);
+            answer(response, 200, life.views.load(loadNow()));
             return;
         }
         if (path.startsWith(`${targetPaths.requests}/`) && request.method === "DELETE") {
@@ -293,7 +257,7 @@
             return;
         }
         const body = await readBody(request);
-        unlessFrozen(() => serve(request, response, body), peerOf(request));
+        way.pass(() => serve(request, response, body), peerOf(request));
     };
 
     const createLife = (): Life => {
@@ -302,20 +266,19 @@
         const warmth = (): number => clock() - startedAt < faults.coldMilliseconds ? faults.coldFactor : 1;
         return {
             incarnation,
-            startedAt,
+            views: createLaggedViews(faults, clock),
             grants: createGrantLedger({ incarnation, slotCount, slotHash, clock, spans }),
             work: createWorkQueue({
                 concurrency: options.concurrency,
                 queueLength: options.queueLength ?? defaultQueueLength,
                 serviceMilliseconds: () => options.serviceMilliseconds * faults.slowFactor * warmth(),
-                unlessFrozen,
+                unlessFrozen: way.pass,
             }),
         };
     };
 
     const open = async (): Promise<void> => {
         life = createLife();
-        views = [];
         let connections = 0;
         server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
             receive(request, response).catch(() => response.destroy());
@@ -353,16 +316,10 @@
         life.grants.close();
         life.work.close();
         loseRunning();
-        held = [];
+        way.clear();
         await shut();
     };
 
-    const release = (): void => {
-        const works = held;
-        held = [];
-        works.forEach(({ peer, work }) => unlessFrozen(work, peer));
-    };
-
     const change = async (changes: Partial<TargetFaults>): Promise<void> => {
         const wasCrashed = faults.crashed;
         Object.assign(faults, changes);
@@ -372,7 +329,7 @@
         if (!faults.crashed && wasCrashed) {
             await open();
         }
-        release();
+        way.release();
     };
 
     const records = (): TargetRecords => ({
