--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -2,7 +2,9 @@
  * Measures how fast a change is in force everywhere and what it costs: `npx tsx bench/spread.ts 3 10 40`, where each
  * number is a count of hosts. The platform's stand-in runs here, the hosts in up to ten processes beside it.
  */
+import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
+import { availableParallelism, loadavg } from "node:os";
 import { fileURLToPath } from "node:url";
 import { createPlatformStandIn, type PlatformStandIn } from "../stand-ins/platform.ts";
 import { machineMilliseconds } from "../stand-ins/target.ts";
@@ -223,6 +225,7 @@
     const run = await start(size);
     await untilReady(run);
     await pause(1_000);
+    write(line(size, "machine", { cores: availableParallelism(), "load-average": loadavg()[0].toFixed(1) }));
     const { row, rates } = await measureRest(run);
     write(line(size, "rest", row));
     write(line(size, "changes", await measureChanges(run, changes, 300)));
@@ -240,7 +243,8 @@
 };
 
 const sizes = process.argv.slice(2).map(Number);
-const lines: string[] = [];
+const source = execFileSync("git", ["describe", "--always", "--dirty"], { encoding: "utf8" }).trim();
+const lines = [`source=${source}`];
 for (const size of sizes.length === 0 ? [3, 10, 40] : sizes) {
     await measure(size, text => {
         lines.push(text);
