--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -75,7 +75,14 @@
     }
 };
 
-type Costs = { at: number; calls: number; platformBytes: number; peerBytes: number; cpuSeconds: number };
+type Costs = {
+    at: number;
+    calls: number;
+    platformBytes: number;
+    peerBytes: number;
+    objectBytes: number;
+    cpuSeconds: number;
+};
 
 const costsOf = async (run: Run): Promise<Costs> => {
     const answers = await askAll(run, "standing");
@@ -85,11 +92,12 @@
         calls: sum(Object.values(run.platform.calls)),
         platformBytes: bytes.received + bytes.sent,
         peerBytes: sum(answers.map(answer => answer.peerBytes)),
+        objectBytes: sum(answers.map(answer => answer.objectBytes)),
         cpuSeconds: sum(run.parts.map(part => part.figures()?.cpuSeconds ?? 0)),
     };
 };
 
-type Rates = { calls: number; platformBytes: number; peerBytes: number; cpuPercent: number };
+type Rates = { calls: number; platformBytes: number; peerBytes: number; objectBytes: number; cpuPercent: number };
 
 const ratesBetween = (before: Costs, after: Costs): Rates => {
     const seconds = (after.at - before.at) / 1_000;
@@ -97,6 +105,7 @@
         calls: (after.calls - before.calls) / seconds,
         platformBytes: (after.platformBytes - before.platformBytes) / seconds,
         peerBytes: (after.peerBytes - before.peerBytes) / seconds,
+        objectBytes: (after.objectBytes - before.objectBytes) / seconds,
         cpuPercent: (after.cpuSeconds - before.cpuSeconds) / seconds * 100,
     };
 };
@@ -156,6 +165,7 @@
             "platform-calls-per-s": rates.calls.toFixed(1),
             "platform-body-bytes-per-s": rates.platformBytes.toFixed(0),
             "peer-bytes-per-s-per-host": (rates.peerBytes / run.size).toFixed(0),
+            "object-bytes-per-s-per-host": (rates.objectBytes / run.size).toFixed(0),
             "cpu-percent-per-host": (rates.cpuPercent / run.size).toFixed(2),
             "megabytes-per-process": (megabytes / run.parts.length).toFixed(0),
             processes: run.parts.length,
@@ -170,12 +180,12 @@
     const after = await costsOf(run);
     const seconds = (after.at - before.at) / 1_000;
     const rates = ratesBetween(before, after);
-    const added = (name: "calls" | "platformBytes" | "peerBytes"): string =>
+    const added = (name: "calls" | "platformBytes" | "objectBytes"): string =>
         ((rates[name] - rest[name]) * seconds / changes).toFixed(name === "calls" ? 2 : 0);
     return {
         "calls-per-change": added("calls"),
         "platform-body-bytes-per-change": added("platformBytes"),
-        "peer-bytes-per-change-all-hosts": added("peerBytes"),
+        "object-bytes-per-change-all-hosts": added("objectBytes"),
     };
 };
 
--- a/bench/spreadpart.ts
+++ b/bench/spreadpart.ts
@@ -23,6 +23,8 @@
     relays: number;
     links: number;
     peerBytes: number;
+    /** The part of them that carries objects and what is left of deadlines. */
+    objectBytes: number;
 };
 
 const acceptances: Acceptance[] = [];
@@ -52,6 +54,9 @@
         log: noteAcceptances(name),
     });
 
+const objectBytesOf = (sentByKind: Record<string, number>): number =>
+    Object.entries(sentByKind).reduce((sum, [kind, bytes]) => sum + (kind.startsWith("objects") ? bytes : 0), 0);
+
 const answer = (withAcceptances: boolean): SpreadAnswer => {
     const reports = hosts.map(host => host.report());
     return {
@@ -60,6 +65,7 @@
         relays: reports.filter(report => report.fleet.relay).length,
         links: reports.reduce((sum, report) => sum + report.peers.length, 0),
         peerBytes: reports.reduce((sum, report) => sum + report.peerTraffic.sentBytes, 0),
+        objectBytes: reports.reduce((sum, report) => sum + objectBytesOf(report.peerTraffic.sentByKind), 0),
     };
 };
 
--- a/src/links/hostlink.ts
+++ b/src/links/hostlink.ts
@@ -6,7 +6,7 @@
 import { WebSocket } from "ws";
 import { z } from "zod";
 import type { Clock } from "../contracts/clock.ts";
-import { type Message, messageKinds, messageSchema } from "../contracts/messages.ts";
+import { type Message, type MessageKind, messageKinds, messageSchema } from "../contracts/messages.ts";
 import { type CloseReason, closeReasons, decodeFrame } from "./handshake.ts";
 
 export type HostLink = {
@@ -37,7 +37,8 @@
     clock: Clock;
     /** Handles a message; what it resolves with answers a question. */
     receive: (message: Message) => Promise<Message | undefined>;
-    onBytes: (direction: "sent" | "received", bytes: number) => void;
+    onSent: (kind: MessageKind, bytes: number) => void;
+    onReceived: (bytes: number) => void;
     onQueueFull: () => void;
     /** Called once, with the reason when this end closed it for one. */
     onClose: (reason: CloseReason | undefined) => void;
@@ -70,7 +71,7 @@
 
     const isOpen = (): boolean => socket.readyState === WebSocket.OPEN;
 
-    const send = (envelope: Envelope): boolean => {
+    const send = (envelope: Envelope & { message: Message }): boolean => {
         if (!isOpen()) {
             return false;
         }
@@ -79,7 +80,7 @@
             return false;
         }
         const bytes = pack(envelope);
-        options.onBytes("sent", bytes.length);
+        options.onSent(envelope.message.kind, bytes.length);
         socket.send(bytes);
         return true;
     };
@@ -115,7 +116,7 @@
 
     socket.on("message", (data: Buffer) => {
         lastHeardAt = clock.now();
-        options.onBytes("received", data.length);
+        options.onReceived(data.length);
         const envelope = envelopeSchema.safeParse(decodeFrame(data));
         if (!envelope.success) {
             close(closeReasons.malformedFrame);
--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -20,6 +20,9 @@
     message: MessageOf<Kind>,
 ) => Message | undefined | Promise<Message | undefined>;
 
+/** Bytes of messages on the links of this host so far, and those that were sent by kind of message. */
+export type HostTraffic = { sentBytes: number; receivedBytes: number; sentByKind: Record<string, number> };
+
 export type HostLinks = {
     /** IP address and port at which links are accepted. */
     address: string;
@@ -38,7 +41,7 @@
     /** Calls back when a link opens or closes. */
     onChange: (listener: (host: string, open: boolean) => void) => void;
     /** Bytes sent and received on all links so far. */
-    traffic: () => { sentBytes: number; receivedBytes: number };
+    traffic: () => HostTraffic;
 };
 
 export type HostLinksOptions = {
@@ -78,7 +81,7 @@
     const kept = new Set<string>();
     const formerIncarnations = new Map<string, string[]>();
     const sockets = new Set<WebSocket>();
-    const traffic = { sentBytes: 0, receivedBytes: 0 };
+    const traffic: HostTraffic = { sentBytes: 0, receivedBytes: 0, sentByKind: {} };
     let peers = new Map<string, PeerAddress>();
 
     const countClose = (host: string, reason: CloseReason): void => {
@@ -112,8 +115,12 @@
             maxWaiting: options.queueLength,
             clock,
             receive: message => receive(host, message),
-            onBytes: (direction, bytes) => {
-                traffic[direction === "sent" ? "sentBytes" : "receivedBytes"] += bytes;
+            onSent: (kind, bytes) => {
+                traffic.sentBytes += bytes;
+                traffic.sentByKind[kind] = (traffic.sentByKind[kind] ?? 0) + bytes;
+            },
+            onReceived: bytes => {
+                traffic.receivedBytes += bytes;
             },
             onQueueFull: () => metrics.count("peer-queue-full"),
             onClose: reason => {
@@ -248,6 +255,6 @@
         onChange: listener => {
             listeners.push(listener);
         },
-        traffic: () => ({ ...traffic }),
+        traffic: () => ({ ...traffic, sentByKind: { ...traffic.sentByKind } }),
     };
 };
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -13,7 +13,7 @@
 import type { AdmissionBar } from "../decisions/isolation.ts";
 import { createCallerLink } from "../links/callers.ts";
 import { systemClock } from "../links/clock.ts";
-import { createHostLinks } from "../links/hosts.ts";
+import { createHostLinks, type HostTraffic } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
 import { createMetrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
@@ -48,7 +48,7 @@
     versions: Record<string, number>;
     fleet: FleetReport;
     /** Bytes sent and received on links between hosts. */
-    peerTraffic: { sentBytes: number; receivedBytes: number };
+    peerTraffic: HostTraffic;
     findings: Finding[];
     ownership: OwnershipReport;
     counters: Record<string, number>;
