--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -2,7 +2,9 @@
  * Measures how fast a change is in force everywhere and what it costs: `npx tsx bench/spread.ts 3 10 40`, where each
  * number is a count of hosts. The platform's stand-in runs here, the hosts in up to ten processes beside it.
  */
+import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
+import { availableParallelism, loadavg } from "node:os";
 import { fileURLToPath } from "node:url";
 import { createPlatformStandIn, type PlatformStandIn } from "../stand-ins/platform.ts";
 import { machineMilliseconds } from "../stand-ins/target.ts";
@@ -73,7 +75,14 @@
     }
 };
 
-type Costs = { at: number; calls: number; platformBytes: number; peerBytes: number; cpuSeconds: number };
+type Costs = {
+    at: number;
+    calls: number;
+    platformBytes: number;
+    peerBytes: number;
+    objectBytes: number;
+    cpuSeconds: number;
+};
 
 const costsOf = async (run: Run): Promise<Costs> => {
     const answers = await askAll(run, "standing");
@@ -83,11 +92,12 @@
         calls: sum(Object.values(run.platform.calls)),
         platformBytes: bytes.received + bytes.sent,
         peerBytes: sum(answers.map(answer => answer.peerBytes)),
+        objectBytes: sum(answers.map(answer => answer.objectBytes)),
         cpuSeconds: sum(run.parts.map(part => part.figures()?.cpuSeconds ?? 0)),
     };
 };
 
-type Rates = { calls: number; platformBytes: number; peerBytes: number; cpuPercent: number };
+type Rates = { calls: number; platformBytes: number; peerBytes: number; objectBytes: number; cpuPercent: number };
 
 const ratesBetween = (before: Costs, after: Costs): Rates => {
     const seconds = (after.at - before.at) / 1_000;
@@ -95,6 +105,7 @@
         calls: (after.calls - before.calls) / seconds,
         platformBytes: (after.platformBytes - before.platformBytes) / seconds,
         peerBytes: (after.peerBytes - before.peerBytes) / seconds,
+        objectBytes: (after.objectBytes - before.objectBytes) / seconds,
         cpuPercent: (after.cpuSeconds - before.cpuSeconds) / seconds * 100,
     };
 };
@@ -154,6 +165,7 @@
             "platform-calls-per-s": rates.calls.toFixed(1),
             "platform-body-bytes-per-s": rates.platformBytes.toFixed(0),
             "peer-bytes-per-s-per-host": (rates.peerBytes / run.size).toFixed(0),
+            "object-bytes-per-s-per-host": (rates.objectBytes / run.size).toFixed(0),
             "cpu-percent-per-host": (rates.cpuPercent / run.size).toFixed(2),
             "megabytes-per-process": (megabytes / run.parts.length).toFixed(0),
             processes: run.parts.length,
@@ -168,12 +180,12 @@
     const after = await costsOf(run);
     const seconds = (after.at - before.at) / 1_000;
     const rates = ratesBetween(before, after);
-    const added = (name: "calls" | "platformBytes" | "peerBytes"): string =>
+    const added = (name: "calls" | "platformBytes" | "objectBytes"): string =>
         ((rates[name] - rest[name]) * seconds / changes).toFixed(name === "calls" ? 2 : 0);
     return {
         "calls-per-change": added("calls"),
         "platform-body-bytes-per-change": added("platformBytes"),
-        "peer-bytes-per-change-all-hosts": added("peerBytes"),
+        "object-bytes-per-change-all-hosts": added("objectBytes"),
     };
 };
 
@@ -223,6 +235,7 @@
     const run = await start(size);
     await untilReady(run);
     await pause(1_000);
+    write(line(size, "machine", { cores: availableParallelism(), "load-average": loadavg()[0].toFixed(1) }));
     const { row, rates } = await measureRest(run);
     write(line(size, "rest", row));
     write(line(size, "changes", await measureChanges(run, changes, 300)));
@@ -240,7 +253,8 @@
 };
 
 const sizes = process.argv.slice(2).map(Number);
-const lines: string[] = [];
+const source = execFileSync("git", ["describe", "--always", "--dirty"], { encoding: "utf8" }).trim();
+const lines = [`source=${source}`];
 for (const size of sizes.length === 0 ? [3, 10, 40] : sizes) {
     await measure(size, text => {
         lines.push(text);
