--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -34,6 +34,7 @@
     callerAddress: string;
     settingsFile: string;
     child: Child;
+    isPaused: boolean;
     /** How each process that ran under the name ended. */
     ends: string[];
     status: () => Promise<HostReport | undefined>;
@@ -187,6 +188,7 @@
             callerAddress: `${address}:${callersPort}`,
             settingsFile,
             child: undefined as unknown as Child,
+            isPaused: false,
             ends: [],
             status: () => fetchStatus(`${address}:${operatorsPort}`),
             figures: () => host.child.figures(),
--- a/bench/timeline.ts
+++ b/bench/timeline.ts
@@ -51,8 +51,17 @@
     }
 };
 
+/** The host that an event means. The coordinator that resumes is the one that was paused. */
+const chosenHost = async (fleet: Fleet, event: EventOf<"action">): Promise<FleetHost> => {
+    if (event.host !== "coordinator") {
+        return fleet.hosts[event.host - 1];
+    }
+    const paused = fleet.hosts.find(host => host.isPaused);
+    return event.action === hostActions.resume && paused !== undefined ? paused : coordinatorOf(fleet);
+};
+
 const actOnHost = async (fleet: Fleet, event: EventOf<"action">): Promise<Omit<EventNote, "at">> => {
-    const host = event.host === "coordinator" ? await coordinatorOf(fleet) : fleet.hosts[event.host - 1];
+    const host = await chosenHost(fleet, event);
     const text = `${host.name} ${event.action}`;
     switch (event.action) {
         case hostActions.kill:
@@ -68,9 +77,11 @@
             return { text, broken: false };
         case hostActions.pause:
             host.child.signal("SIGSTOP");
+            host.isPaused = true;
             return { text, broken: false };
         case hostActions.resume:
             host.child.signal("SIGCONT");
+            host.isPaused = false;
             return { text, broken: false };
     }
 };
