Widen the balance's deviations by what chance makes of a low rate

A correction now starts at three deviations of that chance. Reports list the platform's writes by object.

--- a/bench/report.ts
+++ b/bench/report.ts
@@ -25,8 +25,9 @@
 
 const platformLine = ({ platform }: CaseResult): string => {
     const calls = Object.entries(platform.callsPerSecond).map(([name, count]) => `${name}=${fixed(count, 1)}`);
-    return `platform calls/s: ${calls.join(" ")} peak=${platform.peakCallsPerSecond} writes=${platform.writes} `
-        + `KB/s=${fixed(platform.bytesPerSecond / 1_000, 1)}`;
+    const writes = Object.entries(platform.writes).map(([place, count]) => `${place}=${count}`);
+    return `platform calls/s: ${calls.join(" ")} peak=${platform.peakCallsPerSecond} `
+        + `KB/s=${fixed(platform.bytesPerSecond / 1_000, 1)} writes: ${writes.join(" ") || "none"}`;
 };
 
 const reasonLines = (result: CaseResult): string[] =>
--- a/bench/runcase.ts
+++ b/bench/runcase.ts
@@ -31,7 +31,8 @@
 export type PlatformFigures = {
     callsPerSecond: Record<string, number>;
     peakCallsPerSecond: number;
-    writes: number;
+    /** Writes during the load, by object. */
+    writes: Record<string, number>;
     bytesPerSecond: number;
 };
 
@@ -102,6 +103,15 @@
         };
     });
 
+const countWrites = (writes: PlatformRecords["writes"]): Record<string, number> => {
+    const counts: Record<string, number> = {};
+    for (const { kind, name } of writes) {
+        const place = `${kind}/${name}`;
+        counts[place] = (counts[place] ?? 0) + 1;
+    }
+    return counts;
+};
+
 const platformFigures = (records: PlatformRecords, startAt: number, seconds: number): PlatformFigures => {
     const first = Math.floor(startAt / 1_000);
     const sums: Record<string, number> = {};
@@ -117,7 +127,7 @@
     return {
         callsPerSecond: Object.fromEntries(Object.entries(sums).map(([name, count]) => [name, count / seconds])),
         peakCallsPerSecond: peak,
-        writes: records.writes.filter(({ at }) => at >= startAt).length,
+        writes: countWrites(records.writes.filter(({ at }) => at >= startAt)),
         bytesPerSecond: (records.bytes.received + records.bytes.sent) / Math.max(1, lifeSeconds),
     };
 };
--- a/src/decisions/balance.ts
+++ b/src/decisions/balance.ts
@@ -196,6 +196,25 @@
     };
 };
 
+const noiseDeviations = 3;
+
+/**
+ * Widens the deviations by what chance alone makes of a low rate: counts of `n` requests stray by one part in the root
+ * of `n`. `ratePerTarget` is the smoothed mean in requests a second; 0 when the loads were not counted.
+ */
+export const boundByNoise = (options: BalanceOptions, ratePerTarget: number): BalanceOptions => {
+    if (ratePerTarget === 0) {
+        return options;
+    }
+    const counted = ratePerTarget * 2 * smoothingMilliseconds / 1_000;
+    const noise = 1 / Math.sqrt(counted);
+    return {
+        ...options,
+        startDeviation: Math.max(options.startDeviation, noiseDeviations * noise),
+        endDeviation: Math.max(options.endDeviation, noise),
+    };
+};
+
 const minWeightFactor = 0.5;
 
 /**
--- a/src/machines/assigner.ts
+++ b/src/machines/assigner.ts
@@ -10,7 +10,7 @@
 import type { LoadReport, ProbeReport } from "../contracts/ownershipmessages.ts";
 import type { Pool } from "../contracts/pool.ts";
 import { type AssignInput, type Candidate, countMoved, firstAssignment, nextAssignment } from "../decisions/assign.ts";
-import { correctWeights, defaultBalanceOptions } from "../decisions/balance.ts";
+import { type BalanceOptions, boundByNoise, correctWeights, defaultBalanceOptions } from "../decisions/balance.ts";
 import type { Currency } from "../decisions/currency.ts";
 import type { MoveTiming } from "../decisions/move.ts";
 import type { Log } from "../links/logs.ts";
@@ -123,21 +123,29 @@
         return new Map(names.map((name, index) => [name, weights[index]]));
     };
 
-    const inputOf = (pool: Pool, current: Assignment, now: Standings, balances: boolean): AssignInput => ({
-        pool,
-        current,
-        hosts: options.candidates(),
-        shares: balances ? weightShares(pool, now) : now.shares,
-        lost: now.lost,
-        leavingBatch,
-        slotLoads: loads.slotLoads(options.slotOf),
-        hotKeys: loads.hotKeys(),
-        slotOf: options.slotOf,
-        isReleased: moves.isReleased,
-        hasAcknowledged: moves.hasAcknowledged,
-        hasStopped: moves.hasStopped,
-        ...(balances ? { balance: defaultBalanceOptions } : {}),
-    });
+    const balanceOf = (pool: Pool, slotLoads: number[]): BalanceOptions => {
+        const total = slotLoads.reduce((sum, load) => sum + load, 0);
+        return boundByNoise(defaultBalanceOptions, total / Math.max(1, pool.targets.length));
+    };
+
+    const inputOf = (pool: Pool, current: Assignment, now: Standings, balances: boolean): AssignInput => {
+        const slotLoads = loads.slotLoads(options.slotOf);
+        return {
+            pool,
+            current,
+            hosts: options.candidates(),
+            shares: balances ? weightShares(pool, now) : now.shares,
+            lost: now.lost,
+            leavingBatch,
+            slotLoads,
+            hotKeys: loads.hotKeys(),
+            slotOf: options.slotOf,
+            isReleased: moves.isReleased,
+            hasAcknowledged: moves.hasAcknowledged,
+            hasStopped: moves.hasStopped,
+            ...(balances ? { balance: balanceOf(pool, slotLoads) } : {}),
+        };
+    };
 
     const write = async (value: Assignment, reason: string): Promise<void> => {
         writing = true;
--- a/test/decisions/balance.test.ts
+++ b/test/decisions/balance.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { createRandom } from "../../bench/random.ts";
 import {
+    boundByNoise,
     correctWeights,
     createLoadEstimate,
     defaultBalanceOptions,
@@ -34,6 +35,19 @@
     }
 });
 
+const noiseCases = [
+    { title: "nothing counted", rate: 0, start: 0.1, end: 0.04 },
+    { title: "a high rate", rate: 1_000, start: 0.1, end: 0.04 },
+    { title: "a low rate", rate: 10 / 3, start: 0.3, end: 0.1 },
+];
+
+for (const { title, rate, start, end } of noiseCases) {
+    test(`bounds by noise: ${title}`, t => {
+        const { startDeviation, endDeviation } = boundByNoise(defaultBalanceOptions, rate);
+        t.deepEqual([startDeviation, endDeviation].map(value => Number(value.toFixed(6))), [start, end]);
+    });
+}
+
 const skewCases = [
     {
         title: "one target carries twice its share",
