Walk a newcomer through five minutes by hand

Cause: the README named two commands and nothing else. Change: what it is, the path, a walk with stand-ins, a page for each reader; the walk's files under examples/quickstart, checked by a test.

--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -85,3 +85,14 @@
         t.deepEqual([...objects.allowances.keys()], [...objects.plans.keys()]);
     });
 }
+
+test("the example for trying by hand is without findings", async t => {
+    const file = "quickstart/settings.yaml";
+    t.deepEqual(checkYaml(file, await example(file), settingsSchema).findings, []);
+    const objects = {
+        plans: await documentsOf<Plan>("plans", "quickstart/plan.yaml"),
+        allowances: await documentsOf<Allowance>("allowances", "quickstart/allowance.yaml"),
+        pools: await documentsOf<Pool>("pools", "quickstart/pool.yaml"),
+    };
+    t.deepEqual(referenceFindings(objects), []);
+});
