--- a/bench/passthrough.ts
+++ b/bench/passthrough.ts
@@ -1,15 +1,17 @@
 /**
  * Compares one host with a bare pass-through: Node `http` that hands every request to `undici`. Both run in their own
- * process; the target and the load run in this one. Prints throughput with a fixed number of connections, and the
+ * process, and so does the target; the load runs in this one. Prints throughput with a fixed number of connections, and the
  * latency at half of the lower throughput.
  *
  * Run with `npx tsx bench/passthrough.ts [--seconds N]`.
  */
+import { build } from "esbuild";
 import { build as buildHistogram, type Histogram } from "hdr-histogram-js";
 import { type ChildProcess, fork } from "node:child_process";
 import { createHash } from "node:crypto";
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
 import { Pool as ConnectionPool } from "undici";
@@ -17,34 +19,31 @@
 
 const connections = 32;
 const token = "bench-token";
-const partPath = fileURLToPath(new URL("./passthroughpart.ts", import.meta.url));
+
+/** Bundles the parts as the product is built, since running from sources costs time for each function made. */
+const bundlePart = async (): Promise<string> => {
+    const outfile = join(await mkdtemp(join(tmpdir(), "carobpier-passthrough-")), "part.cjs");
+    const entryPoints = [fileURLToPath(new URL("./passthroughpart.ts", import.meta.url))];
+    await build({ entryPoints, outfile, bundle: true, platform: "node", format: "cjs", target: "node20" });
+    return outfile;
+};
 
 type Result = { perSecond: number; histogram: Histogram; failed: number };
 
-const startTarget = async (): Promise<{ address: string; close: () => void }> => {
-    const body = "x".repeat(512);
-    const server = createServer((request, response) => {
-        response.writeHead(200, {
-            "content-type": "text/plain",
-            "content-length": body.length,
-            "request-id": String(request.headers["request-id"] ?? ""),
-            "target-outcome": "ran",
-            "target-clock": "1",
-            "target-incarnation": "bench",
-            "target-load": "0",
-        });
-        response.end(body);
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, close: () => server.close() };
-};
+type PartKind = "target" | "bare" | "host";
 
-const startPart = (kind: "bare" | "host", argument: string): Promise<{ address: string; child: ChildProcess }> =>
+const startPart = (path: string, kind: PartKind, argument: string): Promise<{ address: string; child: ChildProcess }> =>
     new Promise(resolve => {
-        const child = fork(partPath, [kind, argument], { execArgv: ["--import=tsx"] });
+        const child = fork(path, [kind, argument], { execArgv: [] });
         child.once("message", address => resolve({ address: String(address), child }));
     });
 
+const processorMicroseconds = (child: ChildProcess): Promise<number> =>
+    new Promise(resolve => {
+        child.once("message", used => resolve(Number(used)));
+        child.send("processor");
+    });
+
 const sendOne = async (pool: ConnectionPool, path: string, result: Result): Promise<void> => {
     const startedAt = performance.now();
     const headers = { authorization: `Bearer ${token}`, accept: "text/plain", "user-agent": "bench" };
@@ -96,7 +95,8 @@
 const main = async (): Promise<void> => {
     const { values } = parseArgs({ options: { seconds: { type: "string", default: "5" } } });
     const seconds = Number(values.seconds);
-    const target = await startTarget();
+    const partPath = await bundlePart();
+    const target = await startPart(partPath, "target", "");
     const platform = await createPlatformStandIn();
     platform.write("pools", "bench", {
         customer: "hallam",
@@ -109,20 +109,28 @@
     platform.write("plans", "hallam", { customer: "hallam", tokenHashes });
     platform.write("allowances", "hallam", { uses: [{ pool: "bench" }] });
     const parts = [
-        { name: "pass-through", part: await startPart("bare", target.address) },
-        { name: "host", part: await startPart("host", platform.url) },
+        { name: "pass-through", part: await startPart(partPath, "bare", target.address) },
+        { name: "host", part: await startPart(partPath, "host", platform.url) },
     ].map(({ name, part }) => ({ name, part, pool: new ConnectionPool(`http://${part.address}`, { connections }) }));
     const path = "/bench/item";
     for (const { pool } of parts) {
         await runFull(pool, path, 2);
     }
     const full: Result[] = [];
-    for (const { name, pool } of parts) {
-        full.push(await runFull(pool, path, seconds));
-        console.log(describe(`${name}`, full[full.length - 1]));
+    const costs: number[] = [];
+    for (const { name, pool, part } of parts) {
+        const before = await processorMicroseconds(part.child);
+        const result = await runFull(pool, path, seconds);
+        const cost = (await processorMicroseconds(part.child) - before) / result.histogram.totalCount;
+        full.push(result);
+        costs.push(cost);
+        console.log(`${describe(name, result)} processor=${cost.toFixed(0)} us a request`);
     }
+    console.log(`throughput of one core by processor time: ratio ${(costs[0] / costs[1]).toFixed(2)}`);
     const half = Math.min(...full.map(result => result.perSecond)) / 2;
-    console.log(`throughput ratio ${(full[1].perSecond / full[0].perSecond).toFixed(2)}; at ${half.toFixed(0)}/s:`);
+    console.log(
+        `throughput as run: ratio ${(full[1].perSecond / full[0].perSecond).toFixed(2)}; at ${half.toFixed(0)}/s:`,
+    );
     for (const { name, pool } of parts) {
         console.log(describe(name, await runAt(pool, path, half, seconds)));
     }
@@ -130,7 +138,8 @@
         await pool.destroy();
         part.child.kill();
     }
-    target.close();
+    target.child.kill();
+    await rm(dirname(partPath), { recursive: true });
     await platform.close();
 };
 
--- a/bench/passthroughpart.ts
+++ b/bench/passthroughpart.ts
@@ -1,5 +1,5 @@
 /**
- * The processes that `passthrough.ts` compares: a bare pass-through, or one host.
+ * The processes that `passthrough.ts` compares: a target, a bare pass-through, and one host.
  */
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -11,6 +11,24 @@
 
 const hopHeaders = new Set(["connection", "host", "keep-alive", "transfer-encoding"]);
 
+const startTarget = async (): Promise<string> => {
+    const body = "x".repeat(512);
+    const server = createServer((request, response) => {
+        response.writeHead(200, {
+            "content-type": "text/plain",
+            "content-length": body.length,
+            "request-id": String(request.headers["request-id"] ?? ""),
+            "target-outcome": "ran",
+            "target-clock": "1",
+            "target-incarnation": "bench",
+            "target-load": "0",
+        });
+        response.end(body);
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
 const startBare = async (target: string): Promise<string> => {
     const pool = new ConnectionPool(`http://${target}`, { connections: 64, pipelining: 1 });
     const server = createServer((incoming, response) => {
@@ -46,4 +64,11 @@
 };
 
 const [, , kind, argument] = process.argv;
-process.send?.(await (kind === "host" ? startHost(argument) : startBare(argument)));
+const starts = { target: startTarget, bare: startBare, host: startHost };
+void starts[kind as keyof typeof starts](argument).then(address => process.send?.(address));
+
+/** Any message asks for the processor time used so far, in microseconds. */
+process.on("message", () => {
+    const { user, system } = process.cpuUsage();
+    process.send?.(user + system);
+});
--- a/src/machines/places.ts
+++ b/src/machines/places.ts
@@ -66,7 +66,7 @@
         return { view: views.of(poolName, target), slot, revision: assignment.revision };
     };
 
-    const choosableOf = (view: TargetView, avoid: string | undefined, now: number): Choosable => {
+    const choosableOf = (view: TargetView, now: number): Choosable => {
         const { target } = view;
         const entry = lanes.of(view);
         return {
@@ -78,17 +78,27 @@
             speed: target.speed,
             warmth: lanes.warmth(view),
             distanceMilliseconds: options.distanceTo(target.zone),
-            usable: view.state !== targetStates.draining && entry.blockedUntil <= now && target.name !== avoid,
+            usable: view.state !== targetStates.draining && entry.blockedUntil <= now,
         };
     };
 
+    /** Takes the target that failed the request only where there is no other. */
+    const chooseBesides = (choosable: Choosable[], failed: number): number => {
+        if (failed === -1 || !choosable[failed].usable) {
+            return chooseTarget(choosable, options.unit);
+        }
+        choosable[failed].usable = false;
+        const other = chooseTarget(choosable, options.unit);
+        return other === -1 ? failed : other;
+    };
+
     const anywhere = (journey: Journey): Place | CallerRefusal => {
         const { pool: poolName } = journey.request;
         const { targets } = journey.passage.pool;
         const now = clock.now();
         const seen = targets.map(target => views.of(poolName, target));
-        const choosable = seen.map(view => choosableOf(view, journey.avoid, now));
-        const index = chooseTarget(choosable, options.unit);
+        const choosable = seen.map(view => choosableOf(view, now));
+        const index = chooseBesides(choosable, targets.findIndex(target => target.name === journey.avoid));
         return index === -1
             ? refusal("no-target", `No target of pool "${poolName}" takes new work.`)
             : { view: seen[index], slot: 0, revision: 0 };
