--- a/bench/spread.ts
+++ b/bench/spread.ts
@@ -2,7 +2,9 @@
  * Measures how fast a change is in force everywhere and what it costs: `npx tsx bench/spread.ts 3 10 40`, where each
  * number is a count of hosts. The platform's stand-in runs here, the hosts in up to ten processes beside it.
  */
+import { execFileSync } from "node:child_process";
 import { mkdir, writeFile } from "node:fs/promises";
+import { availableParallelism, loadavg } from "node:os";
 import { fileURLToPath } from "node:url";
 import { createPlatformStandIn, type PlatformStandIn } from "../stand-ins/platform.ts";
 import { machineMilliseconds } from "../stand-ins/target.ts";
@@ -73,7 +75,14 @@
     }
 };
 
-type Costs = { at: number; calls: number; platformBytes: number; peerBytes: number; cpuSeconds: number };
+type Costs = {
+    at: number;
+    calls: number;
+    platformBytes: number;
+    peerBytes: number;
+    objectBytes: number;
+    cpuSeconds: number;
+};
 
 const costsOf = async (run: Run): Promise<Costs> => {
     const answers = await askAll(run, "standing");
@@ -83,11 +92,12 @@
         calls: sum(Object.values(run.platform.calls)),
         platformBytes: bytes.received + bytes.sent,
         peerBytes: sum(answers.map(answer => answer.peerBytes)),
+        objectBytes: sum(answers.map(answer => answer.objectBytes)),
         cpuSeconds: sum(run.parts.map(part => part.figures()?.cpuSeconds ?? 0)),
     };
 };
 
-type Rates = { calls: number; platformBytes: number; peerBytes: number; cpuPercent: number };
+type Rates = { calls: number; platformBytes: number; peerBytes: number; objectBytes: number; cpuPercent: number };
 
 const ratesBetween = (before: Costs, after: Costs): Rates => {
     const seconds = (after.at - before.at) / 1_000;
@@ -95,31 +105,36 @@
         calls: (after.calls - before.calls) / seconds,
         platformBytes: (after.platformBytes - before.platformBytes) / seconds,
         peerBytes: (after.peerBytes - before.peerBytes) / seconds,
+        objectBytes: (after.objectBytes - before.objectBytes) / seconds,
         cpuPercent: (after.cpuSeconds - before.cpuSeconds) / seconds * 100,
     };
 };
 
-/** Writes changes at seeded moments. Gives the version and time of each. */
+type Change = { plan: string; version: number; at: number };
+
+/** Writes changes at seeded moments. */
 const writeChanges = async (run: Run, count: number, gapMilliseconds: number) => {
-    const written: Array<{ version: number; at: number }> = [];
+    const written: Change[] = [];
     for (let index = 0; index < count; index += 1) {
         const value = { ...planOf(index), rate: { perSecond: 1_000 + run.random.below(1_000), burst: 20 } };
-        const { version } = run.platform.write("plans", `plan-${run.random.below(planCount)}`, value);
-        written.push({ version, at: machineMilliseconds() });
+        const plan = `plan-${run.random.below(planCount)}`;
+        const { version } = run.platform.write("plans", plan, value);
+        written.push({ plan, version, at: machineMilliseconds() });
         await pause(gapMilliseconds * (0.5 + run.random.unit()));
     }
     return written;
 };
 
-/** For each change the time until the last of the expected hosts held it or a later one; undefined for never. */
-const everywhereAfter = (
-    written: Array<{ version: number; at: number }>,
-    acceptances: Acceptance[],
-    hostCount: number,
-): number[] =>
-    written.map(({ version, at }) => {
-        const times = acceptances.filter(acceptance => acceptance.version === version).map(entry => entry.at - at);
-        return times.length < hostCount ? Infinity : Math.max(...times);
+/** For each change the time until the last of the hosts held it or a later one of the plan; infinite for never. */
+const everywhereAfter = (written: Change[], acceptances: Acceptance[], hostCount: number): number[] =>
+    written.map(({ plan, version, at }) => {
+        const first = new Map<string, number>();
+        for (const entry of acceptances) {
+            if (entry.plan === plan && entry.version >= version) {
+                first.set(entry.host, Math.min(first.get(entry.host) ?? Infinity, entry.at - at));
+            }
+        }
+        return first.size < hostCount ? Infinity : Math.max(...first.values());
     }).sort((left, right) => left - right);
 
 const figuresOf = (times: number[]): Row => ({
@@ -150,6 +165,7 @@
             "platform-calls-per-s": rates.calls.toFixed(1),
             "platform-body-bytes-per-s": rates.platformBytes.toFixed(0),
             "peer-bytes-per-s-per-host": (rates.peerBytes / run.size).toFixed(0),
+            "object-bytes-per-s-per-host": (rates.objectBytes / run.size).toFixed(0),
             "cpu-percent-per-host": (rates.cpuPercent / run.size).toFixed(2),
             "megabytes-per-process": (megabytes / run.parts.length).toFixed(0),
             processes: run.parts.length,
@@ -164,12 +180,12 @@
     const after = await costsOf(run);
     const seconds = (after.at - before.at) / 1_000;
     const rates = ratesBetween(before, after);
-    const added = (name: "calls" | "platformBytes" | "peerBytes"): string =>
+    const added = (name: "calls" | "platformBytes" | "objectBytes"): string =>
         ((rates[name] - rest[name]) * seconds / changes).toFixed(name === "calls" ? 2 : 0);
     return {
         "calls-per-change": added("calls"),
         "platform-body-bytes-per-change": added("platformBytes"),
-        "peer-bytes-per-change-all-hosts": added("peerBytes"),
+        "object-bytes-per-change-all-hosts": added("objectBytes"),
     };
 };
 
@@ -205,7 +221,7 @@
     const perSecond = Object.entries(run.platform.records().callsBySecond)
         .filter(([second]) => (Number(second) + 1) * 1_000 > at)
         .map(([, byName]) => sum(Object.values(byName)));
-    const times = everywhereAfter([{ version, at }], await acceptancesOf(run), run.size);
+    const times = everywhereAfter([{ plan: "plan-0", version, at }], await acceptancesOf(run), run.size);
     return {
         "everywhere-after-return-ms": times[0].toFixed(0),
         "most-calls-in-one-second": Math.max(...perSecond),
@@ -219,6 +235,7 @@
     const run = await start(size);
     await untilReady(run);
     await pause(1_000);
+    write(line(size, "machine", { cores: availableParallelism(), "load-average": loadavg()[0].toFixed(1) }));
     const { row, rates } = await measureRest(run);
     write(line(size, "rest", row));
     write(line(size, "changes", await measureChanges(run, changes, 300)));
@@ -236,7 +253,8 @@
 };
 
 const sizes = process.argv.slice(2).map(Number);
-const lines: string[] = [];
+const source = execFileSync("git", ["describe", "--always", "--dirty"], { encoding: "utf8" }).trim();
+const lines = [`source=${source}`];
 for (const size of sizes.length === 0 ? [3, 10, 40] : sizes) {
     await measure(size, text => {
         lines.push(text);
--- a/bench/spreadpart.ts
+++ b/bench/spreadpart.ts
@@ -14,7 +14,7 @@
     | { kind: "stop" };
 
 /** When a host accepted a version of an object, in milliseconds of the machine's monotonic clock. */
-export type Acceptance = { host: string; version: number; at: number };
+export type Acceptance = { host: string; plan: string; version: number; at: number };
 
 export type SpreadAnswer = {
     acceptances: Acceptance[];
@@ -23,6 +23,8 @@
     relays: number;
     links: number;
     peerBytes: number;
+    /** The part of them that carries objects and what is left of deadlines. */
+    objectBytes: number;
 };
 
 const acceptances: Acceptance[] = [];
@@ -32,7 +34,8 @@
     ...silentLog,
     debug: (event: string, fields: LogFields = {}) => {
         if (event === "object-accepted" && fields["kind"] === "plans") {
-            acceptances.push({ host, version: Number(fields["version"]), at: machineMilliseconds() });
+            const version = Number(fields["version"]);
+            acceptances.push({ host, plan: String(fields["name"]), version, at: machineMilliseconds() });
         }
     },
     child: () => noteAcceptances(host),
@@ -51,6 +54,9 @@
         log: noteAcceptances(name),
     });
 
+const objectBytesOf = (sentByKind: Record<string, number>): number =>
+    Object.entries(sentByKind).reduce((sum, [kind, bytes]) => sum + (kind.startsWith("objects") ? bytes : 0), 0);
+
 const answer = (withAcceptances: boolean): SpreadAnswer => {
     const reports = hosts.map(host => host.report());
     return {
@@ -59,6 +65,7 @@
         relays: reports.filter(report => report.fleet.relay).length,
         links: reports.reduce((sum, report) => sum + report.peers.length, 0),
         peerBytes: reports.reduce((sum, report) => sum + report.peerTraffic.sentBytes, 0),
+        objectBytes: reports.reduce((sum, report) => sum + objectBytesOf(report.peerTraffic.sentByKind), 0),
     };
 };
 
