--- a/src/commands/objects.ts
+++ b/src/commands/objects.ts
@@ -32,6 +32,7 @@
     { topic: "pool", kind: "pools", example: "orders", editExample: "--set 'targets[0].speed=2'" },
 ];
 
+const jsonFlag = { enableJsonFlag: true };
 const nameArgument = { name: Args.string({ required: true, description: "Name of the object." }) };
 const fileFlag = { file: Flags.string({ char: "f", required: true, summary: "YAML file, one document an object." }) };
 const versionFlag = {
@@ -63,7 +64,7 @@
         static override flags = platformFlags;
 
         override async run(): Promise<object> {
-            const { flags } = await this.parse({ flags: platformFlags });
+            const { flags } = await this.parse({ ...jsonFlag, flags: platformFlags });
             return this.withPlatform(flags, async platform => {
                 const items = await listObjects(this.intentOptions(kind, platform));
                 const rows = items.map(({ name, version }) => ({ name, version }));
@@ -81,7 +82,7 @@
         static override args = nameArgument;
 
         override async run(): Promise<object> {
-            const { args, flags } = await this.parse({ flags: platformFlags, args: nameArgument });
+            const { args, flags } = await this.parse({ ...jsonFlag, flags: platformFlags, args: nameArgument });
             return this.withPlatform(flags, async platform => {
                 const item = await showObject(this.intentOptions(kind, platform), args.name);
                 this.log(documentOf(item).trimEnd());
@@ -97,7 +98,7 @@
         static override flags = { ...platformFlags, ...fileFlag };
 
         override async run(): Promise<object> {
-            const { flags } = await this.parse({ flags: { ...platformFlags, ...fileFlag } });
+            const { flags } = await this.parse({ ...jsonFlag, flags: { ...platformFlags, ...fileFlag } });
             const documents = await readFileDocuments(kind, flags.file);
             return this.withPlatform(flags, async platform => {
                 const lines = await diffDocuments(this.intentOptions(kind, platform), documents);
@@ -128,7 +129,7 @@
         static override flags = applyFlags;
 
         override async run(): Promise<object> {
-            const { flags } = await this.parse({ flags: applyFlags });
+            const { flags } = await this.parse({ ...jsonFlag, flags: applyFlags });
             const documents = await readFileDocuments(kind, flags.file);
             return this.withPlatform(flags, async platform => {
                 const options = this.intentOptions(kind, platform);
@@ -164,7 +165,7 @@
         static override args = nameArgument;
 
         override async run(): Promise<object> {
-            const { args, flags } = await this.parse({ flags: editFlags, args: nameArgument });
+            const { args, flags } = await this.parse({ ...jsonFlag, flags: editFlags, args: nameArgument });
             const edits = [
                 ...(flags.set ?? []).map(text => editOf("set", text)),
                 ...(flags.add ?? []).map(text => editOf("add", text)),
@@ -196,7 +197,7 @@
         static override args = nameArgument;
 
         override async run(): Promise<object> {
-            const { args, flags } = await this.parse({ flags: deleteFlags, args: nameArgument });
+            const { args, flags } = await this.parse({ ...jsonFlag, flags: deleteFlags, args: nameArgument });
             return this.withPlatform(flags, async platform => {
                 const written: Written = await deleteObject(
                     this.intentOptions(kind, platform),
