--- a/src/links/settings.ts
+++ b/src/links/settings.ts
@@ -26,5 +26,9 @@
     const text = await readFile(path, "utf8").catch((error: unknown) => {
         throw new InputError(`The secret file "${secretFile}" is not readable: ${messageOf(error)}.`);
     });
-    return Buffer.from(text.trim());
+    const secret = text.trim();
+    if (secret === "") {
+        throw new InputError(`The secret file "${secretFile}" is empty.`);
+    }
+    return Buffer.from(secret);
 };
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,11 +1,14 @@
 import test from "ava";
-import { readFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { type IntentKind, readDocuments } from "../src/commands/intent.ts";
 import { describeFinding } from "../src/contracts/finding.ts";
 import type { Allowance, Plan } from "../src/contracts/plan.ts";
 import type { Pool } from "../src/contracts/pool.ts";
 import { settingsSchema } from "../src/contracts/settings.ts";
 import { referenceFindings } from "../src/decisions/references.ts";
+import { readSecret } from "../src/links/settings.ts";
 import { checkYaml } from "../src/links/yaml.ts";
 
 const cases: Array<{ title: string; text: string; findings: string[] }> = [
@@ -85,3 +88,26 @@
         t.deepEqual([...objects.allowances.keys()], [...objects.plans.keys()]);
     });
 }
+
+const secrets: Array<{ title: string; text: string | undefined; message: RegExp | undefined }> = [
+    { title: "a secret without its line end", text: "key\n", message: undefined },
+    { title: "an empty secret", text: " \n", message: /^The secret file "key" is empty\.$/ },
+    { title: "no file", text: undefined, message: /^The secret file "key" is not readable: ENOENT/ },
+];
+
+for (const { title, text, message } of secrets) {
+    test(`a secret beside the settings: ${title}`, async t => {
+        const folder = await mkdtemp(join(tmpdir(), "carobpier-"));
+        if (text !== undefined) {
+            await writeFile(join(folder, "key"), text);
+        }
+        const read = readSecret(join(folder, "settings.yaml"), "key");
+        if (message === undefined) {
+            t.is((await read).toString(), "key");
+        }
+        else {
+            await t.throwsAsync(read, { message });
+        }
+        await rm(folder, { recursive: true });
+    });
+}
