--- a/bench/runcase.ts
+++ b/bench/runcase.ts
@@ -68,7 +68,7 @@
 type Snapshot = { figures: Map<string, ProcessFigures | undefined>; reports: Map<string, HostReport | undefined> };
 
 const startDelayMilliseconds = 1_500;
-const settleMilliseconds = 1_500;
+const settleMilliseconds = 5_000;
 
 const snapshotOf = async (fleet: Fleet): Promise<Snapshot> => {
     const reports = await Promise.all(fleet.hosts.map(host => host.status()));
--- a/bench/warmup.ts
+++ b/bench/warmup.ts
@@ -4,6 +4,7 @@
 import { machineMilliseconds } from "../stand-ins/target.ts";
 import { createAgent, pause, sendOnce } from "./caller.ts";
 import type { PoolLoad } from "./load.ts";
+import { createRandom } from "./random.ts";
 
 const pollMilliseconds = 50;
 const limitMilliseconds = 30_000;
@@ -13,13 +14,14 @@
 /** Warms all pools up over all hosts. False when some were still not served when the time was up. */
 export const warmUp = async (addresses: string[], loads: PoolLoad[]): Promise<boolean> => {
     const agent = createAgent();
+    const random = createRandom(1);
     const endAt = machineMilliseconds() + limitMilliseconds;
 
-    const warmPool = async (address: string, { pool, method, token }: PoolLoad): Promise<boolean> => {
+    const warmPool = async (address: string, { pool, method, token, keys }: PoolLoad): Promise<boolean> => {
         let answered = 0;
         for (let sent = 1; answered < answersPerPool && machineMilliseconds() < endAt; sent += 1) {
             const id = `warm-up-${address}-${pool}-${sent}`;
-            const request = { pool, method, token, key: `key-${sent}`, id, dueAt: 0, bodyBytes: 0 };
+            const request = { pool, method, token, key: `key-${random.below(keys)}`, id, dueAt: 0, bodyBytes: 0 };
             const record = await sendOnce(agent, address, request, 1, machineMilliseconds(), sendMilliseconds);
             const isAnswered = record.outcome === "answered";
             answered += isAnswered ? 1 : 0;
