--- a/bench/ownershipfaults.ts
+++ b/bench/ownershipfaults.ts
@@ -56,6 +56,7 @@
     const file = join(fleet.folder, `host-${index + 1}.yaml`);
     writeFileSync(file, settingsText(index, fleet.platform.url));
     const child = spawn("dist/carobpier", ["run", "--settings", file], { stdio: ["ignore", "inherit", "inherit"] });
+    process.once("exit", () => child.kill("SIGKILL"));
     return {
         name: `host-${index + 1}`,
         process: child,
@@ -368,6 +369,7 @@
     await fleet.platform.close();
 };
 
+process.once("SIGTERM", () => process.exit(1));
 const [name = "target-frozen", runs = "3"] = process.argv.slice(2);
 await runCase(name, Number(runs));
 process.exit(0);
