--- a/bench/report.ts
+++ b/bench/report.ts
@@ -25,8 +25,9 @@
 
 const platformLine = ({ platform }: CaseResult): string => {
     const calls = Object.entries(platform.callsPerSecond).map(([name, count]) => `${name}=${fixed(count, 1)}`);
-    return `platform calls/s: ${calls.join(" ")} peak=${platform.peakCallsPerSecond} writes=${platform.writes} `
-        + `KB/s=${fixed(platform.bytesPerSecond / 1_000, 1)}`;
+    const writes = Object.entries(platform.writes).map(([place, count]) => `${place}=${count}`);
+    return `platform calls/s: ${calls.join(" ")} peak=${platform.peakCallsPerSecond} `
+        + `KB/s=${fixed(platform.bytesPerSecond / 1_000, 1)} writes: ${writes.join(" ") || "none"}`;
 };
 
 const reasonLines = (result: CaseResult): string[] =>
@@ -47,7 +48,7 @@
     platformLine(result),
     `control at targets: calls/s=${fixed(result.targetControl.callsPerSecond, 0)} `
     + `KB/s=${fixed(result.targetControl.bytesPerSecond / 1_000, 1)}`,
-    `load generator: cpu-%=${fixed(result.load.cpuShare * 100, 1)} `
+    `load generators: ${result.load.processes}, cpu-% each=${fixed(result.load.cpuShare * 100, 1)} `
     + `latest send ${fixed(result.load.latestSendMilliseconds, 1)} ms after it was due`,
 ];
 
--- a/bench/runcase.ts
+++ b/bench/runcase.ts
@@ -1,7 +1,6 @@
 /**
  * Runs one case: starts its fleet, drives the load and the timeline of faults, and gathers verdict and figures.
  */
-import { decodeFromCompressedBase64 } from "hdr-histogram-js";
 import { outcomes } from "../src/contracts/outcome.ts";
 import { createSlotHash } from "../src/decisions/hash.ts";
 import type { HostReport } from "../src/machines/host.ts";
@@ -9,10 +8,10 @@
 import { machineMilliseconds, type TargetRecords } from "../stand-ins/target.ts";
 import { pause } from "./caller.ts";
 import type { BenchCase } from "./case.ts";
-import { type ProcessFigures, startPart } from "./children.ts";
+import type { ProcessFigures } from "./children.ts";
 import { speedOf } from "./customers.ts";
 import { type Fleet, type Programs, rateOf, startFleet } from "./fleet.ts";
-import type { LoadAnswer, LoadQuestion } from "./loadpart.ts";
+import { type GeneratedLoad, generateLoad, generatorCountOf, startGenerators } from "./generators.ts";
 import { allKept, type PoolSummary, summarize } from "./summary.ts";
 import { type EventNote, runTimeline } from "./timeline.ts";
 import { type CallerRecord, judgePool } from "./verdict.ts";
@@ -32,7 +31,8 @@
 export type PlatformFigures = {
     callsPerSecond: Record<string, number>;
     peakCallsPerSecond: number;
-    writes: number;
+    /** Writes during the load, by object. */
+    writes: Record<string, number>;
     bytesPerSecond: number;
 };
 
@@ -55,8 +55,8 @@
     platform: PlatformFigures;
     /** Calls and bytes of grants, health and load at the targets, from all hosts together. */
     targetControl: { callsPerSecond: number; bytesPerSecond: number };
-    /** Share of a core that the load generator used, and its longest delay in sending. */
-    load: { cpuShare: number; latestSendMilliseconds: number };
+    /** Share of a core that each load generator used, and the longest delay in sending. */
+    load: { processes: number; cpuShare: number; latestSendMilliseconds: number };
     /** Sends whose connection to the host broke. */
     cutOff: number;
     events: EventNote[];
@@ -103,6 +103,15 @@
         };
     });
 
+const countWrites = (writes: PlatformRecords["writes"]): Record<string, number> => {
+    const counts: Record<string, number> = {};
+    for (const { kind, name } of writes) {
+        const place = `${kind}/${name}`;
+        counts[place] = (counts[place] ?? 0) + 1;
+    }
+    return counts;
+};
+
 const platformFigures = (records: PlatformRecords, startAt: number, seconds: number): PlatformFigures => {
     const first = Math.floor(startAt / 1_000);
     const sums: Record<string, number> = {};
@@ -118,7 +127,7 @@
     return {
         callsPerSecond: Object.fromEntries(Object.entries(sums).map(([name, count]) => [name, count / seconds])),
         peakCallsPerSecond: peak,
-        writes: records.writes.filter(({ at }) => at >= startAt).length,
+        writes: countWrites(records.writes.filter(({ at }) => at >= startAt)),
         bytesPerSecond: (records.bytes.received + records.bytes.sent) / Math.max(1, lifeSeconds),
     };
 };
@@ -145,14 +154,14 @@
 const judge = async (
     options: RunOptions,
     fleet: Fleet,
-    load: LoadAnswer,
+    load: GeneratedLoad,
     records: TargetRecords[],
     endedAt: number,
 ): Promise<Record<string, PoolSummary>> => {
     const slotHash = await createSlotHash();
     const summaries: Record<string, PoolSummary> = {};
     for (const shape of fleet.customer.pools) {
-        const { encodedHistogram, records: callers } = load.pools[shape.name];
+        const { histogram, records: callers } = load.pools[shape.name];
         const own = records.filter(({ name }) => name.startsWith(`${shape.name}-`));
         const verdict = judgePool({
             pool: shape.name,
@@ -164,7 +173,7 @@
             callers,
             endedAt,
         });
-        summaries[shape.name] = summarize(verdict, decodeFromCompressedBase64(encodedHistogram));
+        summaries[shape.name] = summarize(verdict, histogram);
     }
     return summaries;
 };
@@ -173,7 +182,7 @@
 export const runCase = async (options: RunOptions): Promise<CaseResult> => {
     const { benchCase, seed } = options;
     const fleet = await startFleet(benchCase, options.programs);
-    const generator = startPart<LoadQuestion, LoadAnswer>(options.programs.load);
+    const generators = startGenerators(options.programs, generatorCountOf(benchCase));
     try {
         const { pools: shapes, token } = fleet.customer;
         const pools = shapes.map(shape => ({
@@ -184,13 +193,13 @@
             keys: benchCase.keys,
         }));
         const hosts = fleet.hosts.map(host => host.callerAddress);
-        const { warm } = await generator.ask({ kind: "warm-up", hosts, pools });
+        const warmUps = await Promise.all(generators.map(generator => generator.warmUp(hosts, pools)));
+        const warm = warmUps.every(Boolean);
         await pause(settleMilliseconds);
         await fleet.targets.ask({ kind: "forget-runs" });
         const startAt = machineMilliseconds() + startDelayMilliseconds;
         const { seconds, phases, bodyBytes } = benchCase;
-        const loadOptions = { hosts, pools, seed, startAt, seconds, phases, bodyBytes };
-        const loading = generator.ask({ kind: "load", options: loadOptions });
+        const loading = generateLoad(generators, { hosts, pools, seed, startAt, seconds, phases, bodyBytes });
         await pause(startAt - machineMilliseconds());
         const controlBefore = await targetControlOf(fleet);
         const before = await snapshotOf(fleet);
@@ -217,7 +226,8 @@
                 bytesPerSecond: (controlAfter.bytes - controlBefore.bytes) / seconds,
             },
             load: {
-                cpuShare: load.cpuSeconds / seconds,
+                processes: generators.length,
+                cpuShare: load.cpuSeconds / seconds / generators.length,
                 latestSendMilliseconds: Math.max(
                     ...Object.values(load.pools).map(pool => pool.latestSendMilliseconds),
                 ),
@@ -228,7 +238,7 @@
         };
     }
     finally {
-        generator.signal("SIGKILL");
+        generators.forEach(generator => generator.end());
         await fleet.close();
     }
 };
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -18,7 +18,7 @@
         size: z.number().positive().default(1),
     }),
     platform: z.strictObject({
-        url: z.url(),
+        url: z.url("a URL such as http://10.0.0.10:8090"),
         /** File that holds the bearer token. */
         tokenFile: z.string().optional(),
         timeoutMilliseconds: milliseconds.default(1_000),
@@ -60,7 +60,7 @@
         claimAgeMilliseconds: milliseconds.default(300_000),
         quarantineAgeMilliseconds: milliseconds.default(600_000),
     }).prefault({}),
-    /** A host that hears neither the platform nor another host for longer stops admitting. */
+    /** A host that hears neither the platform nor a majority of the hosts for longer stops admitting. */
     isolationMilliseconds: milliseconds.default(10_000),
     logs: z.strictObject({
         level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
--- a/src/links/hostlink.ts
+++ b/src/links/hostlink.ts
@@ -6,7 +6,7 @@
 import { WebSocket } from "ws";
 import { z } from "zod";
 import type { Clock } from "../contracts/clock.ts";
-import { type Message, messageKinds, messageSchema } from "../contracts/messages.ts";
+import { type Message, type MessageKind, messageKinds, messageSchema } from "../contracts/messages.ts";
 import { type CloseReason, closeReasons, decodeFrame } from "./handshake.ts";
 
 export type HostLink = {
@@ -29,13 +29,16 @@
     host: string;
     incarnation: string;
     dialer: string;
+    /** Whether this end sends the heartbeat; one of the two does, and both see it come or be answered. */
+    sendsHeartbeat: boolean;
     /** Bytes that may wait to be sent, and questions that may wait for answers. */
     maxQueuedBytes: number;
     maxWaiting: number;
     clock: Clock;
     /** Handles a message; what it resolves with answers a question. */
     receive: (message: Message) => Promise<Message | undefined>;
-    onBytes: (direction: "sent" | "received", bytes: number) => void;
+    onSent: (kind: MessageKind, bytes: number) => void;
+    onReceived: (bytes: number) => void;
     onQueueFull: () => void;
     /** Called once, with the reason when this end closed it for one. */
     onClose: (reason: CloseReason | undefined) => void;
@@ -45,8 +48,8 @@
 const envelopeSchema = z.strictObject({ id: z.int().min(0), answers: z.boolean(), message: z.unknown() });
 type Envelope = z.infer<typeof envelopeSchema>;
 
-const heartbeatMilliseconds = 500;
-const silenceMilliseconds = 2_000;
+const heartbeatMilliseconds = 1_000;
+const silenceMilliseconds = 3_500;
 
 /** Takes over a socket whose handshake is done. */
 export const createHostLink = (options: HostLinkOptions): HostLink => {
@@ -68,7 +71,7 @@
 
     const isOpen = (): boolean => socket.readyState === WebSocket.OPEN;
 
-    const send = (envelope: Envelope): boolean => {
+    const send = (envelope: Envelope & { message: Message }): boolean => {
         if (!isOpen()) {
             return false;
         }
@@ -77,7 +80,7 @@
             return false;
         }
         const bytes = pack(envelope);
-        options.onBytes("sent", bytes.length);
+        options.onSent(envelope.message.kind, bytes.length);
         socket.send(bytes);
         return true;
     };
@@ -105,7 +108,7 @@
             close();
             return;
         }
-        if (isOpen()) {
+        if (isOpen() && options.sendsHeartbeat) {
             socket.ping();
         }
         clock.after(heartbeatMilliseconds, beat, life.signal);
@@ -113,7 +116,7 @@
 
     socket.on("message", (data: Buffer) => {
         lastHeardAt = clock.now();
-        options.onBytes("received", data.length);
+        options.onReceived(data.length);
         const envelope = envelopeSchema.safeParse(decodeFrame(data));
         if (!envelope.success) {
             close(closeReasons.malformedFrame);
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -13,7 +13,7 @@
 import type { AdmissionBar } from "../decisions/isolation.ts";
 import { createCallerLink } from "../links/callers.ts";
 import { systemClock } from "../links/clock.ts";
-import { createHostLinks } from "../links/hosts.ts";
+import { createHostLinks, type HostTraffic } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
 import { createMetrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
@@ -48,12 +48,22 @@
     versions: Record<string, number>;
     fleet: FleetReport;
     /** Bytes sent and received on links between hosts. */
-    peerTraffic: { sentBytes: number; receivedBytes: number };
+    peerTraffic: HostTraffic;
     findings: Finding[];
     ownership: OwnershipReport;
     counters: Record<string, number>;
 } & RequestReport;
 
+/** How one object stands on a host, as its operators' endpoint tells. */
+export type HostStanding = {
+    host: string;
+    incarnation: string;
+    bar: AdmissionBar | undefined;
+    version: number;
+    inForce: number;
+    since: number;
+};
+
 export type Host = {
     name: string;
     callerAddress: string;
@@ -210,6 +220,11 @@
         port: settings.operators.port,
         healthy: () => state === "live" && fleet.bar() === undefined,
         status: report,
+        standing: (kind, object): HostStanding => {
+            const held = objects.standings().find(item => item.kind === kind && item.name === object);
+            const { version, inForce, since } = held ?? { version: 0, inForce: 0, since: 0 };
+            return { host: name, incarnation, bar: fleet.bar(), version, inForce, since };
+        },
     });
     void fleet.start().then(() => {
         state = "live";
