Let a host be the fence of unchecked targets only after a read since its announcement

Cause: review of the model against the tasks: a host confirmed by another whose read is older than the host's own announcement could route to targets that check no grants while the coordinator's list of routers did not hold it yet. The rule (mayRouteUnchecked) stood in the decisions and in the model, and nobody called it. Change: places call it where targets check no grants; the coordinator's list of routers counts only when it was read strictly after the write was known. Measured: test/machines/places.test.ts, seven cases; the two of a read before and at the announcement routed before the change, by the code that it replaces.

--- a/src/decisions/isolation.ts
+++ b/src/decisions/isolation.ts
@@ -35,6 +35,8 @@
     bar: (now: number) => AdmissionBar | undefined;
     /** Whether the host has been confirmed since it announced itself, so that what it holds counts for others. */
     hasCaughtUp: () => boolean;
+    /** When the platform was first known to keep the host's announcement; undefined while it is not. */
+    announcedAt: () => number | undefined;
     /** Milliseconds until the host stops admitting; 0 when it does not admit. */
     remaining: (now: number) => number;
 };
@@ -45,7 +47,7 @@
     let confirmedUntil: number | undefined;
     let lastTurnAt: number | undefined;
     let resumedAt: number | undefined;
-    let announced = false;
+    let announcedAt: number | undefined;
     let replaced = false;
 
     const turn = (now: number): void => {
@@ -57,7 +59,7 @@
 
     const confirm = (sentAt: number, forMilliseconds: number): void => {
         const tooOld = resumedAt !== undefined && sentAt < resumedAt;
-        if (!announced || tooOld || forMilliseconds <= 0) {
+        if (announcedAt === undefined || tooOld || forMilliseconds <= 0) {
             return;
         }
         resumedAt = undefined;
@@ -93,11 +95,11 @@
             }
         },
         announce: now => {
-            announced = true;
+            announcedAt ??= now;
             resumedAt = now;
         },
         withdraw: () => {
-            announced = false;
+            announcedAt = undefined;
             confirmedUntil = undefined;
         },
         turn,
@@ -105,7 +107,8 @@
             replaced = true;
         },
         bar,
-        hasCaughtUp: () => announced && !replaced && confirmedUntil !== undefined,
+        announcedAt: () => announcedAt,
+        hasCaughtUp: () => announcedAt !== undefined && !replaced && confirmedUntil !== undefined,
         remaining: now => bar(now) === undefined ? Math.max(0, (confirmedUntil ?? now) - now) : 0,
     };
 };
--- a/src/machines/assigner.ts
+++ b/src/machines/assigner.ts
@@ -86,7 +86,7 @@
     /** Host statuses as of a read sent after the time; the record of currency tells when the newest read was sent. */
     const routersSince = (time: number): string[] | undefined => {
         const { readAt } = options.currency.record(poolName);
-        const isRecent = readAt !== undefined && readAt >= time;
+        const isRecent = readAt !== undefined && readAt > time;
         return isRecent ? objects.list("status").map(status => status.name) : undefined;
     };
 
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -54,6 +54,8 @@
     start: () => Promise<void>;
     /** Why the host does not admit; undefined while it does. */
     bar: () => AdmissionBar | undefined;
+    /** When the platform was first known to keep this host's announcement; undefined while it does not. */
+    announcedAt: () => number | undefined;
     /** Members that may take over roles, this host included. */
     live: () => Member[];
     members: () => Member[];
@@ -264,6 +266,7 @@
             });
         },
         bar: () => isolation.bar(clock.now()),
+        announcedAt: isolation.announcedAt,
         live,
         members,
         platformReachable: () => replica.freshMilliseconds() > 0,
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -178,6 +178,7 @@
         slotHash,
         hosts,
         countLoad: ownership.loads.count,
+        announcedAt: fleet.announcedAt,
         ready,
         clock,
         log,
--- a/src/machines/places.ts
+++ b/src/machines/places.ts
@@ -3,10 +3,10 @@
  */
 import { noOwner } from "../contracts/assignment.ts";
 import type { Clock } from "../contracts/clock.ts";
-import { divisions } from "../contracts/pool.ts";
+import { divisions, type Pool } from "../contracts/pool.ts";
 import { targetStates } from "../contracts/targetprotocol.ts";
 import { type Choosable, chooseTarget } from "../decisions/choose.ts";
-import type { Currency } from "../decisions/currency.ts";
+import { type Currency, mayRouteUnchecked } from "../decisions/currency.ts";
 import type { SlotHash } from "../decisions/hash.ts";
 import type { CallerRefusal } from "../links/callers.ts";
 import { type Journey, type Place, refusal } from "./journey.ts";
@@ -18,6 +18,7 @@
     objects: ObjectView;
     views: TargetViews;
     currency: Currency;
+    announcedAt: () => number | undefined;
     slotHash: SlotHash;
     lanes: Lanes;
     /** Way to a zone and back, in milliseconds. */
@@ -45,6 +46,12 @@
 export const createPlaces = (options: PlacesOptions): Places => {
     const { objects, views, currency, slotHash, lanes, clock } = options;
 
+    /** Whether the host may send by the revision. Where targets check no grants, the routers are the only fence. */
+    const mayRoute = (poolName: string, pool: Pool, revision: number): boolean =>
+        pool.checksGrants
+            ? currency.isCurrent(poolName, revision, clock.now())
+            : mayRouteUnchecked(currency.record(poolName), revision, clock.now(), options.announcedAt());
+
     const byKey = (journey: Journey): Place | CallerRefusal => {
         const { pool: poolName, key = "" } = journey.request;
         const { pool } = journey.passage;
@@ -52,7 +59,7 @@
         if (assignment === undefined) {
             return refusal("no-owner", `Pool "${poolName}" has no assignment yet.`);
         }
-        if (!currency.isCurrent(poolName, assignment.revision, clock.now())) {
+        if (!mayRoute(poolName, pool, assignment.revision)) {
             return refusal("not-current", `Revision ${assignment.revision} of pool "${poolName}" is not confirmed.`);
         }
         const slot = slotHash(key, pool.slotCount);
--- a/src/machines/requests.ts
+++ b/src/machines/requests.ts
@@ -27,6 +27,8 @@
     objects: ObjectView;
     views: TargetViews;
     currency: Currency;
+    /** When the platform was first known to keep this host's announcement; undefined while it does not. */
+    announcedAt: () => number | undefined;
     slotHash: SlotHash;
     hosts: Pick<HostLinks, "ask" | "tell" | "handle" | "connected" | "onChange">;
     /** Counts a request that goes to the owner of the slot. */
@@ -79,6 +81,7 @@
         objects,
         views,
         currency,
+        announcedAt: options.announcedAt,
         slotHash,
         lanes,
         distanceTo: other => other === zone ? 0 : otherZoneMilliseconds,
--- /dev/null
+++ b/test/machines/places.test.ts
@@ -0,0 +1,70 @@
+import test from "ava";
+import type { Clock } from "../../src/contracts/clock.ts";
+import { poolSchema } from "../../src/contracts/pool.ts";
+import { firstAssignment } from "../../src/decisions/assign.ts";
+import { createCurrency } from "../../src/decisions/currency.ts";
+import type { CallerRequest } from "../../src/links/callers.ts";
+import type { Journey } from "../../src/machines/journey.ts";
+import type { Lanes } from "../../src/machines/lanes.ts";
+import { createObjectView } from "../../src/machines/objects.ts";
+import { createPlaces, isRefusal } from "../../src/machines/places.ts";
+import type { TargetViews } from "../../src/machines/target.ts";
+
+const freshnessMilliseconds = 1_000;
+
+const cases: Array<{
+    title: string;
+    checksGrants: boolean;
+    announcedAt: number | undefined;
+    readAt: number;
+    now: number;
+    routes: boolean;
+}> = [
+    { title: "checked, fresh", checksGrants: true, announcedAt: undefined, readAt: 100, now: 200, routes: true },
+    { title: "checked, lapsed", checksGrants: true, announcedAt: 50, readAt: 100, now: 1_100, routes: false },
+    {
+        title: "unchecked, not announced",
+        checksGrants: false,
+        announcedAt: undefined,
+        readAt: 100,
+        now: 200,
+        routes: false,
+    },
+    { title: "unchecked, read before", checksGrants: false, announcedAt: 150, readAt: 100, now: 200, routes: false },
+    { title: "unchecked, read at once", checksGrants: false, announcedAt: 100, readAt: 100, now: 200, routes: false },
+    { title: "unchecked, read after", checksGrants: false, announcedAt: 50, readAt: 100, now: 200, routes: true },
+    { title: "unchecked, lapsed", checksGrants: false, announcedAt: 50, readAt: 100, now: 1_100, routes: false },
+];
+
+for (const { title, checksGrants, announcedAt, readAt, now, routes } of cases) {
+    test(`a host ${routes ? "routes" : "does not route"}: ${title}`, t => {
+        const pool = poolSchema.parse({
+            customer: "hallam",
+            division: "by-key",
+            checksGrants,
+            slotCount: 4,
+            targets: [{ name: "a", address: "127.0.0.1:1", zone: "z", concurrency: 1, connections: 1 }],
+            routes: [{ name: "check", method: "*", path: "/", kind: "idempotent" }],
+        });
+        const objects = createObjectView();
+        const value = firstAssignment(pool, [{ name: "host-a", zone: "z" }]);
+        objects.accept({ kind: "assignments", name: "orders", version: 1, writeId: "w", deleted: false, value });
+        const currency = createCurrency();
+        currency.confirm("orders", 1, readAt, freshnessMilliseconds);
+        const places = createPlaces({
+            objects,
+            currency,
+            announcedAt: () => announcedAt,
+            views: { of: (...[, target]) => ({ target }) } as TargetViews,
+            slotHash: () => 0,
+            lanes: {} as Lanes,
+            countLoad: () => undefined,
+            distanceTo: () => 0,
+            unit: () => 0,
+            clock: { now: () => now } as Clock,
+        });
+        const request = { pool: "orders", key: "tray-7" } as CallerRequest;
+        const place = places.of({ request, passage: { pool } } as Journey);
+        t.is(isRefusal(place) ? place.reason : "routed", routes ? "routed" : "not-current");
+    });
+}
