--- a/src/machines/announcement.ts
+++ b/src/machines/announcement.ts
@@ -29,6 +29,7 @@
     remove: (host: string) => Promise<void>;
 };
 
+const removalAttempts = 3;
 const retryMilliseconds = 200;
 const maxRetryMilliseconds = 4_000;
 
@@ -54,6 +55,15 @@
         }
     };
 
+    const removeOnce = async (name: string): Promise<void> => {
+        const version = name === host
+            ? (await platform.get("status", name))?.version
+            : options.objects.newest("status", name)?.version;
+        if (version !== undefined) {
+            await put(name, undefined, version);
+        }
+    };
+
     return {
         write: async status => {
             let delay = retryMilliseconds;
@@ -68,16 +78,14 @@
         },
         tryToWrite,
         remove: async name => {
-            try {
-                const version = name === host
-                    ? (await platform.get("status", name))?.version
-                    : options.objects.newest("status", name)?.version;
-                if (version !== undefined) {
-                    await put(name, undefined, version);
+            for (let attempt = 1; attempt <= removalAttempts; attempt += 1) {
+                try {
+                    await removeOnce(name);
+                    return;
+                }
+                catch (error) {
+                    log.warn("announcement-not-removed", { removed: name, attempt, error: messageOf(error) });
                 }
-            }
-            catch (error) {
-                log.warn("announcement-not-removed", { removed: name, error: messageOf(error) });
             }
         },
     };
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -111,3 +111,14 @@
         await rm(folder, { recursive: true });
     });
 }
+
+test("the example for trying by hand is without findings", async t => {
+    const file = "quickstart/settings.yaml";
+    t.deepEqual(checkYaml(file, await example(file), settingsSchema).findings, []);
+    const objects = {
+        plans: await documentsOf<Plan>("plans", "quickstart/plan.yaml"),
+        allowances: await documentsOf<Allowance>("allowances", "quickstart/allowance.yaml"),
+        pools: await documentsOf<Pool>("pools", "quickstart/pool.yaml"),
+    };
+    t.deepEqual(referenceFindings(objects), []);
+});
