Replace a lost host as keeper and renewer as soon as most hosts miss it

Change: a host that had been heard and that most hosts miss is out at once. Ownership tests: 32 pass.

--- a/src/machines/ownership.ts
+++ b/src/machines/ownership.ts
@@ -74,11 +74,17 @@
     const slotOf = (pool: string, key: string): number =>
         options.slotHash(key, objects.get("pools", pool)?.value.slotCount ?? 1);
     const lastLiveAt = new Map<string, number>();
+    const everHeard = new Set<string>();
 
-    /** Live hosts. One that is no longer heard stays for a while, since hosts come back. */
+    /**
+     * Live hosts. One that most others do not hear either is out at once, since requests wait for its successor as claim
+     * keeper; one that only this host does not hear stays for a while, since links come back.
+     */
     const candidates = (): Candidate[] => {
         const now = clock.now();
         const heard = heartbeat.heard();
+        heard.forEach(name => everHeard.add(name));
+        const isOut = (name: string): boolean => everHeard.has(name) && heartbeat.isLost(name);
         const live = objects.list("status").filter(({ value }) => value.state === "live");
         for (const { name } of live) {
             if (name === host || heard.has(name) || !lastLiveAt.has(name)) {
@@ -86,7 +92,7 @@
             }
         }
         return live
-            .filter(({ name }) => now - (lastLiveAt.get(name) ?? now) < goneMilliseconds)
+            .filter(({ name }) => !isOut(name) && now - (lastLiveAt.get(name) ?? now) < goneMilliseconds)
             .map(({ name, value }) => ({ name, zone: value.zone }));
     };
 
