Hear a host only over an open link

Change: a host counts as heard only while a link to it is open. Most hosts still have to agree before it is out, and a lease is still taken over only by a conditional write.

--- a/src/machines/heartbeat.ts
+++ b/src/machines/heartbeat.ts
@@ -9,7 +9,7 @@
 export type HeartbeatOptions = { host: string; peers: Peers; clock: Clock; signal: AbortSignal };
 
 export type Heartbeat = {
-    /** Hosts heard lately, without this one. */
+    /** Hosts heard lately over a link that is open, without this one. */
     heard: () => ReadonlySet<string>;
     /** Whether this host and most of those that it hears do not hear the host. */
     isLost: (host: string) => boolean;
@@ -29,8 +29,9 @@
     const heard = (): ReadonlySet<string> => {
         const now = clock.now();
         const names = new Set<string>();
+        const linked = new Set(peers.connected());
         for (const [name, beat] of beats) {
-            if (now - beat.at < silenceMilliseconds) {
+            if (linked.has(name) && now - beat.at < silenceMilliseconds) {
                 names.add(name);
             }
         }
