Take a draining target's refusal for more than its lagging health

Change: a request refused since the target drains marks it so; health that says otherwise counts again after 5 s, its longest lag. Renewers report the state at once, as before.

--- a/src/machines/prober.ts
+++ b/src/machines/prober.ts
@@ -8,6 +8,7 @@
 import { findingOf, type ProbeOptions } from "../decisions/detect.ts";
 import type { Peers } from "./peers.ts";
 import type { ProbedTarget } from "./renewer.ts";
+import { noteHealth } from "./target.ts";
 
 export type ProberOptions = {
     probed: () => ProbedTarget[];
@@ -63,7 +64,7 @@
     const readHealth = async ({ target, view }: ProbedTarget): Promise<void> => {
         const health = await view.link.health(healthTimeoutMilliseconds);
         if (health !== undefined) {
-            view.state = health.state;
+            noteHealth(view, health.state, clock.now());
         }
         const load = await view.link.load(healthTimeoutMilliseconds);
         view.queue = load === undefined ? undefined : load.queued / target.concurrency;
--- a/src/machines/renewer.ts
+++ b/src/machines/renewer.ts
@@ -11,7 +11,7 @@
 import { entitlementOf, isWithheld, validUntilOf } from "../decisions/grant.ts";
 import type { ObjectView } from "./objects.ts";
 import type { Peers } from "./peers.ts";
-import { noteProbeAnswer, noteReading, type TargetView, type TargetViews } from "./target.ts";
+import { noteHealth, noteProbeAnswer, noteReading, type TargetView, type TargetViews } from "./target.ts";
 
 export type RenewerOptions = {
     host: string;
@@ -70,7 +70,7 @@
             return;
         }
         noteProbeAnswer(view, askedAt, clock.now());
-        view.state = health.state;
+        noteHealth(view, health.state, clock.now());
         noteReading(view, health.incarnation, health.clock);
     };
 
--- a/src/machines/router.ts
+++ b/src/machines/router.ts
@@ -20,6 +20,7 @@
 import { isRefusal, type Places } from "./places.ts";
 import type { Quarantines } from "./quarantines.ts";
 import type { Attempt, FailedAttempt, Sender } from "./send.ts";
+import { noteDraining } from "./target.ts";
 
 export type RouterOptions = {
     objects: ObjectView;
@@ -123,6 +124,9 @@
         if (failed.reason === "target-shed") {
             lanes.shed(place.view, failed.backOffMilliseconds);
         }
+        if (failed.reason === "target-draining") {
+            noteDraining(place.view, clock.now());
+        }
         if (!byKey && (failed.reason === "connect-failed" || failed.reason === "connection-lost")) {
             lanes.block(place.view, failurePauseMilliseconds);
         }
--- a/src/machines/target.ts
+++ b/src/machines/target.ts
@@ -24,6 +24,8 @@
     failures: number;
     /** Monotonic time of the first failure since the last answer. */
     failingSince: number | undefined;
+    /** Monotonic time at which the target last refused a request since it drains. */
+    refusedDrainingAt: number | undefined;
     /** The target's own word on its state. */
     state: TargetHealth["state"];
     /** How the target answers the questions of the renewer. */
@@ -39,6 +41,7 @@
 };
 
 const connectMilliseconds = 500;
+const healthLagMilliseconds = 5_000;
 
 /** Notes what an answer of the target tells of its clock and incarnation. */
 export const noteReading = (view: TargetView, incarnation: string, clockReading: number): void => {
@@ -75,6 +78,20 @@
     noteAnswer(view, now);
 };
 
+/** Notes that the target refused a request since it drains, which it knows better than its health endpoint. */
+export const noteDraining = (view: TargetView, now: number): void => {
+    view.refusedDrainingAt = now;
+    view.state = targetStates.draining;
+};
+
+/** Notes the state that the health endpoint gives. It lags, so that a refusal of late counts for more. */
+export const noteHealth = (view: TargetView, state: TargetHealth["state"], now: number): void => {
+    const isOld = view.refusedDrainingAt === undefined || now - view.refusedDrainingAt >= healthLagMilliseconds;
+    if (isOld || state === targetStates.draining) {
+        view.state = state;
+    }
+};
+
 /** Creates the views of one host. `connectionsOf` says how many connections this host may open to a target. */
 export const createTargetViews = (
     connectionsOf: (target: Target) => number,
@@ -105,6 +122,7 @@
                 lastAnswerAt: undefined,
                 failures: 0,
                 failingSince: undefined,
+                refusedDrainingAt: undefined,
                 state: targetStates.ready,
                 probe: { unansweredSince: undefined, failures: 0, answerMilliseconds: 0 },
                 queue: undefined,
--- a/test/machines/fakes/fleet.ts
+++ b/test/machines/fakes/fleet.ts
@@ -126,6 +126,7 @@
                     lastAnswerAt: undefined,
                     failures: 0,
                     failingSince: undefined,
+                    refusedDrainingAt: undefined,
                     state: "ready",
                     probe: { unansweredSince: undefined, failures: 0, answerMilliseconds: 0 },
                     queue: undefined,
