Send the list of heard hosts only when it changed

Cause: heartbeats to every host name every host heard, five times a second; they grow with the square of a cell. Change: the list goes when it changed, to a host that has just linked, and every second.

--- a/src/contracts/ownershipmessages.ts
+++ b/src/contracts/ownershipmessages.ts
@@ -25,7 +25,11 @@
 });
 
 /** A host tells another that it runs, and whom it hears itself. */
-export const heartbeatSchema = z.strictObject({ kind: z.literal("heartbeat"), heard: z.array(z.string()) });
+export const heartbeatSchema = z.strictObject({
+    kind: z.literal("heartbeat"),
+    /** Left out while it is the same as before; then the last one counts. */
+    heard: z.array(z.string()).optional(),
+});
 
 /** The coordinator hands out an assignment that it knows to be written. Answered by the revision that is held then. */
 export const assignmentOfferSchema = z.strictObject({
--- a/src/machines/heartbeat.ts
+++ b/src/machines/heartbeat.ts
@@ -20,6 +20,8 @@
 const beatMilliseconds = 200;
 const silenceMilliseconds = 700;
 const slowRoundFactor = 2;
+/** The list goes with every so many heartbeats even when nothing changed. */
+const beatsPerList = 5;
 
 /** Starts to beat until the signal aborts. */
 export const createHeartbeat = (options: HeartbeatOptions): Heartbeat => {
@@ -39,7 +41,8 @@
     };
 
     peers.handle("heartbeat", (from, message) => {
-        beats.set(from, { at: clock.now(), heard: new Set(message.heard) });
+        const heardThere = message.heard === undefined ? beats.get(from)?.heard : new Set(message.heard);
+        beats.set(from, { at: clock.now(), heard: heardThere ?? new Set() });
         return undefined;
     });
 
@@ -52,16 +55,25 @@
 
     const run = async (): Promise<void> => {
         let lastRoundAt = clock.now();
+        let lastNames = "";
+        let lastLinked: readonly string[] = [];
+        let round = 0;
         while (!signal.aborted) {
             const now = clock.now();
             if (now - lastRoundAt > beatMilliseconds * slowRoundFactor) {
                 forgiveSilence(now);
             }
             lastRoundAt = now;
-            const names = [host, ...heard()];
-            for (const peer of peers.connected()) {
-                peers.tell(peer, { kind: "heartbeat", heard: names });
+            const names = [host, ...heard()].sort();
+            const isDue = round % beatsPerList === 0 || names.join() !== lastNames;
+            const linked = peers.connected();
+            for (const peer of linked) {
+                const needsList = isDue || !lastLinked.includes(peer);
+                peers.tell(peer, needsList ? { kind: "heartbeat", heard: names } : { kind: "heartbeat" });
             }
+            lastLinked = linked;
+            lastNames = names.join();
+            round += 1;
             await clock.sleep(beatMilliseconds, signal);
         }
     };
