Give embedders moves, grants, claims, admission and budgets, each with an example

Cause: src/index.ts offered currency and hashing alone. Change: it re-exports the coordination parts by name; their doc comments have examples.

--- a/src/decisions/admit.ts
+++ b/src/decisions/admit.ts
@@ -44,7 +44,20 @@
 const goesBefore = (left: Entrant, right: Entrant): boolean =>
     left.priority !== right.priority ? left.priority < right.priority : left.deadlineAt < right.deadlineAt;
 
-/** Creates the lane to one target. */
+/**
+ * Creates the lane to one target. Times are monotonic milliseconds.
+ *
+ * @example
+ * const limit = createLimit({ concurrency: 1, rampMilliseconds: 1_000 }, { share: 1, connections: 1 });
+ * const lane = createLane(limit, 1);
+ * const decided: string[] = [];
+ * const entrant = { priority: priorities.interactive, deadlineAt: 500, decide: verdict => decided.push(verdict) };
+ * lane.enter({ ...entrant }, 0); // "admitted"
+ * lane.enter({ ...entrant }, 1); // "waiting"
+ * lane.enter({ ...entrant }, 2); // "queue-full"
+ * lane.leave(10);
+ * decided.slice(); // ["admitted"]
+ */
 export const createLane = (limit: Limit, queueLength: number): Lane => {
     let queue: Entrant[] = [];
     let running = 0;
--- a/src/decisions/claim.ts
+++ b/src/decisions/claim.ts
@@ -71,7 +71,16 @@
 const firstEpoch = "first";
 const defaultPageEntries = 2_000;
 
-/** Creates the memory of one group. Times are monotonic milliseconds. */
+/**
+ * Creates the memory of one group. Times are monotonic milliseconds.
+ *
+ * @example
+ * const memory = createClaimMemory({ host: "host-a", ageMilliseconds: 60_000, bound: { used: 0, max: 1_000 } });
+ * memory.observe({ hosts: ["host-a", "host-b"], since: 1, previous: [] }, keeperOrigins.born);
+ * const place = { kind: "claim", pool: "orders", group: 0, since: 1, firstAttempt: true, ageMilliseconds: 0 };
+ * memory.claim({ ...place, id: "order-1", token: "one" }, 0).verdict; // "granted"
+ * memory.claim({ ...place, id: "order-1", token: "two" }, 5).verdict; // "running"
+ */
 export const createClaimMemory = (options: ClaimMemoryOptions): ClaimMemory => {
     const { host, ageMilliseconds, bound } = options;
     const pageEntries = options.pageEntries ?? defaultPageEntries;
--- a/src/decisions/grant.ts
+++ b/src/decisions/grant.ts
@@ -79,6 +79,14 @@
 /**
  * What a target does with a grant. Under the revision that it holds already, a grant only adds: several renewers may
  * know of different releases, and each of them is right.
+ *
+ * @example
+ * const grant = { pool: "orders", revision: 2, incarnation: "i", validUntil: 400, slots: [7], keys: [], exceptKeys: [] };
+ * const { held } = takeGrant(undefined, grant, "i");
+ * requestRefusal(held, { revision: 2, slot: 7, key: "tray-7" }, 399); // undefined
+ * requestRefusal(held, { revision: 2, slot: 7, key: "tray-7" }, 400); // "no-grant"
+ * requestRefusal(held, { revision: 1, slot: 7, key: "tray-7" }, 399); // "fence"
+ * takeGrant(held, { ...grant, revision: 1 }, "i").refusal; // "stale-revision"
  */
 export const takeGrant = (held: HeldGrant | undefined, grant: Grant, incarnation: string): GrantDecision => {
     if (grant.incarnation !== incarnation) {
--- a/src/decisions/move.ts
+++ b/src/decisions/move.ts
@@ -110,6 +110,14 @@
  * The former owner's own word counts when it was asked after the last renewal below the move: else the target may have
  * restarted since, forgotten its fence, and been granted the slots again by a renewer that did not know of the move.
  * Without its word, a move by force is released when the last grant below the move has lapsed.
+ *
+ * @example
+ * const move = { since: 2, from: "a", to: "b", slots: [0], keys: [], forced: true };
+ * const hosts = { renewers: { a: ["host-a"], b: ["host-a"] }, witnesses: ["host-a"], keepers: [] };
+ * const assignment = { revision: 2, targets: ["a", "b"], owners: [1], hotKeys: [], moves: [move], ...hosts };
+ * const timing = { timeToLiveMilliseconds: 400, freshnessMilliseconds: 1_000, longestDeadlineMilliseconds: 30_000 };
+ * const evidence = { knownAt: 100, acknowledgedAt: () => 150, targetAnswer: undefined };
+ * releaseTime(move, assignment, evidence, timing); // 550
  */
 export const releaseTime = (
     move: Move,
--- a/src/decisions/retry.ts
+++ b/src/decisions/retry.ts
@@ -17,7 +17,12 @@
 const freeRetries = 3;
 
 /**
- * Creates a budget: in each window of ten seconds at most `ratio` of the requests are retried.
+ * Creates a budget: in each window of ten seconds at most `ratio` of the requests are retried, and three more.
+ *
+ * @example
+ * const budget = createRetryBudget(0.1);
+ * [1, 2, 3].map(() => budget.take(0)); // [true, true, true]
+ * budget.take(0); // false
  */
 export const createRetryBudget = (ratio: number): RetryBudget => {
     const requests = new Array<number>(bucketCount).fill(0);
--- a/src/index.ts
+++ b/src/index.ts
@@ -2,8 +2,24 @@
  * The public face of the library: the coordination parts that others may embed. Each is a pure function or a small
  * object with the time passed in; sockets, timers and processes stay with whoever embeds it.
  */
-export { type Assignment, noOwner } from "./contracts/assignment.ts";
+export { type Assignment, type Move, noOwner } from "./contracts/assignment.ts";
 export { type Grant, type GrantAnswer, grantRefusals } from "./contracts/grant.ts";
 export { type Outcome, outcomes, type Reason, reasons } from "./contracts/outcome.ts";
-export { createCurrency, type Currency } from "./decisions/currency.ts";
+export type { Pool, Target } from "./contracts/pool.ts";
+export { createLane, type Entrant, type Lane, priorities, type Priority, type Verdict } from "./decisions/admit.ts";
+export { type Candidate, countMoved, firstAssignment, nextAssignment } from "./decisions/assign.ts";
+export { type ClaimMemory, type ClaimMemoryOptions, createClaimMemory, keeperOrigins } from "./decisions/claim.ts";
+export { createCurrency, type Currency, mayRenew, mayRouteUnchecked } from "./decisions/currency.ts";
+export { entitlementOf, type HeldGrant, requestRefusal, takeGrant, validUntilOf } from "./decisions/grant.ts";
 export { createSlotHash, type SlotHash } from "./decisions/hash.ts";
+export { createKeySketch, type KeySketch } from "./decisions/hotkeys.ts";
+export { createLimit, type Limit, type LimitOptions, type LimitShare } from "./decisions/limit.ts";
+export {
+    type MoveEvidence,
+    movesAfter,
+    type MoveTiming,
+    releaseTime,
+    releaseTimeUnchecked,
+    type TargetEvidence,
+} from "./decisions/move.ts";
+export { createRetryBudget, type RetryBudget } from "./decisions/retry.ts";
