--- a/src/machines/lanes.ts
+++ b/src/machines/lanes.ts
@@ -5,6 +5,7 @@
 import { createLane, type Entrant, type Lane, type Verdict } from "../decisions/admit.ts";
 import { createLimit, type Limit } from "../decisions/limit.ts";
 import { connectionsFor } from "../decisions/share.ts";
+import type { LaneReading } from "./gauges.ts";
 import type { ExchangeSample } from "./send.ts";
 import type { TargetView } from "./target.ts";
 
@@ -20,6 +21,8 @@
     coldSince: number;
     /** Nothing is sent before this time. */
     blockedUntil: number;
+    /** Requests that have ended since the last reading. */
+    finished: number;
 };
 
 export type Lanes = {
@@ -35,6 +38,8 @@
     setShare: (share: number) => void;
     /** Sends all that wait for targets of the pool back to have their place decided again. */
     disperse: (pool: string) => void;
+    /** Reads all lanes and starts to count what finishes anew. */
+    read: () => LaneReading[];
     /** How far a target that started is warmed up, from 0 to 1. */
     warmth: (view: TargetView) => number;
 };
@@ -65,6 +70,7 @@
             incarnation: view.incarnation,
             coldSince: -Infinity,
             blockedUntil: 0,
+            finished: 0,
         };
         lanes.set(view, made);
         return made;
@@ -147,6 +153,7 @@
                 const full = entry.lane.running() >= entry.limit.value(now);
                 entry.limit.noteLatency(sample.latencyMilliseconds, full, now);
             }
+            entry.finished += 1;
             entry.lane.leave(now);
             schedule(entry.lane);
         },
@@ -168,6 +175,13 @@
                 }
             }
         },
+        read: () =>
+            [...lanes].map(([view, entry]) => {
+                const { finished, lane } = entry;
+                entry.finished = 0;
+                const { pool, target } = view;
+                return { pool, running: lane.running(), waiting: lane.waiting(), finished, speed: target.speed };
+            }),
         warmth: view => Math.min(1, (clock.now() - of(view).coldSince) / rampMilliseconds),
     };
 };
--- a/src/machines/requests.ts
+++ b/src/machines/requests.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from "../links/metrics.ts";
 import { type ClaimKeeper, createClaimKeeper } from "./claimkeeper.ts";
 import { createClaims } from "./claims.ts";
+import { createGauges } from "./gauges.ts";
 import { createLanes } from "./lanes.ts";
 import type { ObjectView } from "./objects.ts";
 import { createPlaces } from "./places.ts";
@@ -77,6 +78,7 @@
         clock,
         signal,
     });
+    createGauges({ read: lanes.read, metrics, clock, signal });
     const places = createPlaces({
         objects,
         views,
--- /dev/null
+++ b/test/machines/gauges.test.ts
@@ -0,0 +1,53 @@
+import test from "ava";
+import { type LaneReading, setGauges } from "../../src/machines/gauges.ts";
+
+const lane = (pool: string, finished: number, speed = 1): LaneReading => ({
+    pool,
+    running: 1,
+    waiting: 2,
+    finished,
+    speed,
+});
+
+const cases: Array<{ title: string; readings: LaneReading[]; gauges: Record<string, number> }> = [
+    { title: "no lanes", readings: [], gauges: {} },
+    {
+        title: "an idle pool has no imbalance",
+        readings: [lane("orders", 0), lane("orders", 0)],
+        gauges: { "running orders": 2, "queue orders": 4 },
+    },
+    {
+        title: "even load",
+        readings: [lane("orders", 5), lane("orders", 5)],
+        gauges: { "running orders": 2, "queue orders": 4, "imbalance orders": 1 },
+    },
+    {
+        title: "uneven load of two pools",
+        readings: [lane("orders", 30), lane("orders", 10), lane("stock", 4)],
+        gauges: {
+            "running orders": 2,
+            "queue orders": 4,
+            "imbalance orders": 1.5,
+            "running stock": 1,
+            "queue stock": 2,
+            "imbalance stock": 1,
+        },
+    },
+    {
+        title: "a target of twice the speed has twice the load",
+        readings: [lane("orders", 20, 2), lane("orders", 10)],
+        gauges: { "running orders": 2, "queue orders": 4, "imbalance orders": 1 },
+    },
+];
+
+for (const { title, readings, gauges } of cases) {
+    test(title, t => {
+        const found: Record<string, number> = {};
+        setGauges(readings, {
+            gauge: (name, value, tags) => {
+                found[`${name} ${tags?.["pool"]}`] = value;
+            },
+        });
+        t.deepEqual(found, gauges);
+    });
+}
