--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,7 +29,7 @@
 };
 
 export default tseslint.config(
-    { ignores: ["dist", "node_modules"] },
+    { ignores: ["dist", "target", "node_modules"] },
     js.configs.recommended,
     ...tseslint.configs.recommended,
     {
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -20,7 +20,7 @@
 const ordinaryRequire = "require = require(\"node:module\").createRequire(process.execPath);";
 
 /** Bundles the program that starts at `entry` into `file`. */
-export const bundleProgram = async (entry: string, file: string): Promise<void> => {
+export const bundleProgram = async (entry: string, file: string, { minify = false } = {}): Promise<void> => {
     await build({
         entryPoints: [entry],
         bundle: true,
@@ -28,6 +28,7 @@
         target: "node20",
         format: "cjs",
         outfile: file,
+        minify,
         plugins: [leaveOutOptionalModules],
         banner: { js: ordinaryRequire },
         logLevel: "warning",
--- /dev/null
+++ b/src/contracts/objectstore.ts
@@ -0,0 +1,45 @@
+/**
+ * The store of a platform that keeps objects by kind and name, each with the revision of its last change. Reads are
+ * linearizable unless they say otherwise; nothing that was acknowledged is lost.
+ */
+
+export type StoreObject = {
+    name: string;
+    /** Revision of the object's last change; a conditional write names it. */
+    revision: number;
+    value: unknown;
+};
+
+export type StoreList = { objects: StoreObject[]; position: number };
+
+export type StoreEvent = { object: StoreObject; removed: boolean };
+
+/** `history-lost` asks for a new list: the changes since the position are forgotten. */
+export type StoreChanges =
+    | { result: "changes"; events: StoreEvent[]; position: number }
+    | { result: "history-lost" };
+
+/** `conflict` carries the object as it is; undefined when there is none. */
+export type StoreWrite =
+    | { result: "written"; object: StoreObject }
+    | { result: "conflict"; current: StoreObject | undefined };
+
+/** Each call may throw a `PlatformError`; after one a write may have taken effect, or may do so later. */
+export type ObjectStore = {
+    list: (kind: string, signal?: AbortSignal) => Promise<StoreList>;
+    get: (kind: string, name: string, signal?: AbortSignal) => Promise<StoreObject | undefined>;
+    /** Waits for changes after the position, at most the given time. What it tells may be seconds old. */
+    watch: (kind: string, position: number, waitMilliseconds: number, signal?: AbortSignal) => Promise<StoreChanges>;
+    create: (kind: string, name: string, value: unknown, signal?: AbortSignal) => Promise<StoreWrite>;
+    /** Writes only while the object has the revision. */
+    replace: (
+        kind: string,
+        name: string,
+        value: unknown,
+        revision: number,
+        signal?: AbortSignal,
+    ) => Promise<StoreWrite>;
+    /** Calls made so far, by name. */
+    calls: () => Record<string, number>;
+    close: () => void;
+};
--- /dev/null
+++ b/src/decisions/placing.ts
@@ -0,0 +1,77 @@
+/**
+ * Placing a request: the target with the least expected time to an answer, or a refusal at once when no target can
+ * answer while the answer is worth having.
+ */
+
+export type PlacingCandidate = {
+    name: string;
+    /** Way there and back, and what a distant zone costs, as time. */
+    distanceMilliseconds: number;
+    slots: number;
+    /** Requests of all hosts that are expected to run or wait there. */
+    load: number;
+    serviceMilliseconds: number;
+};
+
+export type PlacingLimits = {
+    /** An answer after this time is worth less. */
+    objectiveMilliseconds: number;
+    /** The caller gets no answer after this time. */
+    remainingMilliseconds: number;
+};
+
+/** `retryAfterMilliseconds` is the expected time until a request would be answered within the objective. */
+export type Placement<Candidate> =
+    | { verdict: "placed"; candidate: Candidate; expectedMilliseconds: number }
+    | { verdict: "refused"; expectedMilliseconds: number; retryAfterMilliseconds: number };
+
+/** Hosts that see the same loads draw different targets within this part of the expected time. */
+const jitterShare = 0.2;
+/** A request is refused when its expected time exceeds this part of what is left: estimates are off by as much. */
+const usableShareOfRemaining = 0.9;
+/** Callers that were refused come back spread over this part of the wait. */
+const retrySpreadShare = 0.5;
+const minRetryAfterMilliseconds = 40;
+
+/** Expected time from sending to the answer: the work itself, and the rounds of work queued before it. */
+export const expectedMilliseconds = (candidate: PlacingCandidate): number => {
+    const queued = Math.max(0, candidate.load + 1 - candidate.slots);
+    return candidate.distanceMilliseconds + candidate.serviceMilliseconds * (1 + queued / candidate.slots);
+};
+
+/** The latest expected answer for which a request is sent. */
+export const latestUsefulMilliseconds = (limits: PlacingLimits): number =>
+    Math.min(limits.objectiveMilliseconds, limits.remainingMilliseconds * usableShareOfRemaining);
+
+/** When a refused caller should come back: after the excess has been worked off, spread out. */
+export const retryAfterMilliseconds = (excessMilliseconds: number, unit: () => number): number =>
+    Math.max(minRetryAfterMilliseconds, excessMilliseconds) * (1 + retrySpreadShare * unit());
+
+/**
+ * Places a request on one of the candidates; at least one must be given.
+ *
+ * @param unit gives a number from 0 up to, not including, 1.
+ */
+export const placeRequest = <Candidate extends PlacingCandidate>(
+    candidates: Candidate[],
+    limits: PlacingLimits,
+    unit: () => number,
+): Placement<Candidate> => {
+    let best = candidates[0];
+    let leastDrawn = Infinity;
+    for (const candidate of candidates) {
+        const drawn = expectedMilliseconds(candidate) * (1 + jitterShare * (unit() - 0.5));
+        if (drawn < leastDrawn) {
+            leastDrawn = drawn;
+            best = candidate;
+        }
+    }
+    const expected = expectedMilliseconds(best);
+    const idle = best.distanceMilliseconds + best.serviceMilliseconds;
+    const latest = Math.max(latestUsefulMilliseconds(limits), Math.min(idle, limits.remainingMilliseconds));
+    if (expected <= latest) {
+        return { verdict: "placed", candidate: best, expectedMilliseconds: expected };
+    }
+    const wait = retryAfterMilliseconds(expected - latest, unit);
+    return { verdict: "refused", expectedMilliseconds: expected, retryAfterMilliseconds: wait };
+};
--- /dev/null
+++ b/src/decisions/routetable.ts
@@ -0,0 +1,46 @@
+/**
+ * Finding the route of a request, and the pool that its share of the route's requests goes to.
+ */
+import type { RouteTable, TableRoute } from "../contracts/routing.ts";
+
+export type RouteIndex = {
+    version: number;
+    /** The host's route with the longest prefix of the path; undefined when none matches. */
+    match: (host: string, path: string) => TableRoute | undefined;
+};
+
+/**
+ * Creates the index of one table.
+ *
+ * @example
+ * const index = createRouteIndex(table);
+ * index.match("orders.example", "/place/7"); // the route with prefix "/place/"
+ */
+export const createRouteIndex = (table: RouteTable): RouteIndex => {
+    const byHost = new Map<string, TableRoute[]>();
+    for (const route of table.routes) {
+        const routes = byHost.get(route.host) ?? [];
+        routes.push(route);
+        byHost.set(route.host, routes);
+    }
+    for (const routes of byHost.values()) {
+        routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    }
+    return {
+        version: table.version,
+        match: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.pathPrefix)),
+    };
+};
+
+/** The pool for one request of the route, drawn by weight. `unit` gives a number from 0 up to, not including, 1. */
+export const drawPool = (route: TableRoute, unit: () => number): string => {
+    const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+    let left = unit() * total;
+    for (const share of route.shares) {
+        left -= share.weight;
+        if (left < 0) {
+            return share.pool;
+        }
+    }
+    return route.shares[route.shares.length - 1].pool;
+};
--- /dev/null
+++ b/src/decisions/standing.ts
@@ -0,0 +1,51 @@
+/**
+ * Whether a host may still renew grants as a pool's coordinator: only for a bounded time after the store last confirmed
+ * it. Time is taken as the longer of two clocks' readings, since the monotonic one stands still while a machine is
+ * suspended and the time of day may be set back.
+ */
+
+export type ClockReading = {
+    /** Monotonic milliseconds. */
+    steady: number;
+    /** Milliseconds of the time of day. */
+    wall: number;
+};
+
+export type Standing = {
+    /** The store confirmed the host; the reading was taken before the question was sent. */
+    confirm: (askedAt: ClockReading) => void;
+    /** Another host has taken over, or may have. */
+    lose: () => void;
+    isCurrent: (now: ClockReading) => boolean;
+};
+
+/** Creates the standing of a host that is no coordinator yet. */
+export const createStanding = (currencyMilliseconds: number): Standing => {
+    let confirmed: ClockReading | undefined;
+    return {
+        confirm: askedAt => {
+            confirmed = askedAt;
+        },
+        lose: () => {
+            confirmed = undefined;
+        },
+        isCurrent: now =>
+            confirmed !== undefined
+            && Math.max(now.steady - confirmed.steady, now.wall - confirmed.wall) < currencyMilliseconds,
+    };
+};
+
+/** A target's clock may run this much slow, so that its hold lasts longer than was granted. */
+const slowClockShare = 0.02;
+/** Allows for the way of a grant that was under way when it was given up. */
+const lapseSlackMilliseconds = 300;
+
+/**
+ * When a silent owner has certainly stopped serving: its hold counted from the last moment at which a grant may have
+ * arrived there.
+ *
+ * @param lastArrivalAt last moment at which a grant of this coordinator may have arrived.
+ * @param othersUntil moment up to which an earlier coordinator may have renewed.
+ */
+export const lapsedAt = (lastArrivalAt: number, othersUntil: number, holdMilliseconds: number): number =>
+    Math.max(lastArrivalAt, othersUntil) + holdMilliseconds * (1 + slowClockShare) + lapseSlackMilliseconds;
--- /dev/null
+++ b/src/decisions/targetload.ts
@@ -0,0 +1,65 @@
+/**
+ * What a host believes of one target's load: its own requests there, what the target told of all others, and how long
+ * a request takes there. Told load ages toward its long-term mean, since other hosts send too.
+ */
+
+/** What a target told in an answer. */
+export type ToldLoad = { running: number; waiting: number };
+
+export type TargetLoad = {
+    noteSent: () => void;
+    /** The exchange is over. `latencyMilliseconds` is given only for an answer of a request that ran. */
+    noteFinished: (latencyMilliseconds: number | undefined, sentAtLoad: number) => void;
+    noteTold: (now: number, told: ToldLoad) => void;
+    /** Requests of this host that run or wait there. */
+    own: () => number;
+    /** Requests of all hosts that are expected to run or wait there now. */
+    expected: (now: number) => number;
+    /** Time that the target takes for a request while a slot is free; undefined while nothing is known. */
+    serviceMilliseconds: () => number | undefined;
+    /** Milliseconds since the target told its load; Infinity before it first did. */
+    toldAge: (now: number) => number;
+};
+
+/** Time in which the excess of told load over its mean shrinks to a third: about one request's work. */
+const agingMilliseconds = 300;
+/** Weight of one new reading in the long-term mean of the others' load. */
+const meanWeight = 0.15;
+/** Weight of one new answer in the mean service time. */
+const serviceWeight = 0.12;
+
+/** Creates the belief about a target with so many slots. */
+export const createTargetLoad = (slots: number): TargetLoad => {
+    let own = 0;
+    let others = 0;
+    let othersMean = 0;
+    let toldAt = -Infinity;
+    let service: number | undefined;
+
+    return {
+        noteSent: () => {
+            own += 1;
+        },
+        noteFinished: (latencyMilliseconds, sentAtLoad) => {
+            own -= 1;
+            if (latencyMilliseconds === undefined) {
+                return;
+            }
+            const rounds = Math.max(1, (sentAtLoad + 1) / slots);
+            const sample = latencyMilliseconds / rounds;
+            service = service === undefined ? sample : service + (sample - service) * serviceWeight;
+        },
+        noteTold: (now, told) => {
+            others = Math.max(0, told.running + told.waiting - own);
+            othersMean += (others - othersMean) * meanWeight;
+            toldAt = now;
+        },
+        own: () => own,
+        expected: now => {
+            const weight = Math.exp(-(now - toldAt) / agingMilliseconds);
+            return own + othersMean + (others - othersMean) * weight;
+        },
+        serviceMilliseconds: () => service,
+        toldAge: now => now - toldAt,
+    };
+};
--- /dev/null
+++ b/src/links/callerprotocol.ts
@@ -0,0 +1,51 @@
+/**
+ * The product's own protocol towards callers: requests name their pool in the path, answers say their outcome, and
+ * refusals are problem details (RFC 9457).
+ */
+import { callerHeaders, outcomes, type Reason, reasons } from "../contracts/outcome.ts";
+import type { Settings } from "../contracts/settings.ts";
+import { type CallerRequest, readHead } from "./callerhead.ts";
+import type { CallerProtocol } from "./callers.ts";
+
+const healthPath = "/-/health";
+const unknownRequestId = "none";
+
+const problemOf = (requestId: string, reason: Reason, detail: string): string => {
+    const { title, statusCode, sendAgain } = reasons[reason];
+    return JSON.stringify({
+        type: `urn:carobpier:reason:${reason}`,
+        title,
+        status: statusCode,
+        detail,
+        requestId,
+        sendAgain,
+    });
+};
+
+/** Creates the protocol with the bounds of the settings. */
+export const createCallerProtocol = (settings: Settings["callers"]): CallerProtocol<CallerRequest> => ({
+    isHealthQuestion: incoming => incoming.url === healthPath,
+    read: (incoming, receivedAt) => {
+        const request = readHead(incoming, settings, receivedAt);
+        return typeof request === "string"
+            ? { kind: "refusal", reason: "malformed-request", detail: request }
+            : request;
+    },
+    labelAnswer: (headers, requestId) => {
+        headers[callerHeaders.outcome] = outcomes.answered;
+        headers[callerHeaders.requestId] = requestId;
+    },
+    writeRefusal: ({ reason, detail, retryAfterMilliseconds }, requestId = unknownRequestId) => {
+        const facts = reasons[reason];
+        const headers: Record<string, string | number> = {
+            "content-type": "application/problem+json",
+            [callerHeaders.outcome]: facts.outcome,
+            [callerHeaders.reason]: reason,
+            [callerHeaders.requestId]: requestId,
+        };
+        if (retryAfterMilliseconds !== undefined) {
+            headers["retry-after"] = Math.max(1, Math.ceil(retryAfterMilliseconds / 1_000));
+        }
+        return { statusCode: facts.statusCode, headers, body: problemOf(requestId, reason, detail) };
+    },
+});
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -5,10 +5,10 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Clock } from "../contracts/clock.ts";
-import { callerHeaders, type Outcome, outcomes, type Reason, reasons } from "../contracts/outcome.ts";
+import { type Outcome, type Reason, reasons } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
 import { announcesBody, createBodyReader } from "./callerbody.ts";
-import { type CallerRequest, readHead } from "./callerhead.ts";
+import type { HangUp } from "./callerhead.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
 
@@ -40,13 +40,36 @@
 
 export type CallerRefusal = CallerAnswer & { kind: "refusal" };
 
-export type CallerLinkOptions = {
+/** What the link itself needs of a request. */
+export type LinkedRequest = {
+    id: string;
+    body: Buffer | undefined;
+    /** Monotonic milliseconds on the host's clock. */
+    deadlineAt: number;
+    hangUp: HangUp;
+};
+
+/** How callers write requests and read answers. */
+export type CallerProtocol<Request extends LinkedRequest> = {
+    isHealthQuestion: (incoming: IncomingMessage) => boolean;
+    /** Reads a head, or tells why it is refused. */
+    read: (incoming: IncomingMessage, receivedAt: number) => Request | CallerRefusal;
+    /** Adds the headers that the host itself puts on a target's answer. */
+    labelAnswer: (headers: Record<string, string | string[]>, requestId: string) => void;
+    /** The refusal as it is written; its headers may still be added to. */
+    writeRefusal: (refusal: CallerRefusal, requestId: string | undefined) => WrittenRefusal;
+};
+
+export type WrittenRefusal = { statusCode: number; headers: Record<string, string | number>; body: string };
+
+export type CallerLinkOptions<Request extends LinkedRequest> = {
     host: string;
-    settings: Settings["callers"];
+    settings: Pick<Settings["callers"], "port" | "maxHeadBytes" | "maxBodyBytes" | "maxBufferedBodyBytes">;
+    protocol: CallerProtocol<Request>;
     clock: Clock;
-    serve: (request: CallerRequest) => Promise<CallerAnswer>;
+    serve: (request: Request) => Promise<CallerAnswer>;
     /** Called once for each request when its answer was written or its caller is gone. */
-    onDone: (request: CallerRequest, outcome: Outcome, reason: Reason | undefined) => void;
+    onDone: (request: Request, outcome: Outcome, reason: Reason | undefined) => void;
     /** Called for bytes that are not a request; such a refusal has no request. */
     onMalformed: (reason: Reason) => void;
     /** Whether the balancer may send requests here. */
@@ -57,55 +80,44 @@
     address: string;
     /** Requests that have not been answered yet. */
     inFlight: () => number;
+    /** Sets how long a connection may stay idle, and how long a head may take. */
+    setTimeouts: (idleMilliseconds: number, headMilliseconds: number) => void;
+    /** Ends each kept connection after its next answer, and still takes new ones. */
+    endKept: () => void;
     /** Takes no new connections, closes idle ones and ends kept ones after their answer. */
     stopAccepting: () => void;
     close: () => Promise<void>;
 };
 
-const healthPath = "/-/health";
-
-const problemOf = (requestId: string, reason: Reason, detail: string): string => {
-    const { title, statusCode, sendAgain } = reasons[reason];
-    return JSON.stringify({
-        type: `urn:carobpier:reason:${reason}`,
-        title,
-        status: statusCode,
-        detail,
-        requestId,
-        sendAgain,
-    });
-};
+const defaultIdleMilliseconds = 30_000;
 
 /** Opens the server. */
-export const createCallerLink = async (options: CallerLinkOptions): Promise<CallerLink> => {
-    const { settings, clock } = options;
+export const createCallerLink = async <Request extends LinkedRequest>(
+    options: CallerLinkOptions<Request>,
+): Promise<CallerLink> => {
+    const { settings, clock, protocol } = options;
     const sockets = new Set<Socket>();
     let inFlight = 0;
     let accepting = true;
 
-    const writeRefusal = (response: ServerResponse, id: string, answer: CallerRefusal, unread: boolean): void => {
-        const facts = reasons[answer.reason];
-        const body = problemOf(id, answer.reason, answer.detail);
-        const headers: Record<string, string | number> = {
-            "content-type": "application/problem+json",
-            "content-length": Buffer.byteLength(body),
-            [callerHeaders.outcome]: facts.outcome,
-            [callerHeaders.reason]: answer.reason,
-            [callerHeaders.requestId]: id,
-        };
-        if (answer.retryAfterMilliseconds !== undefined) {
-            headers["retry-after"] = Math.max(1, Math.ceil(answer.retryAfterMilliseconds / 1_000));
-        }
+    const writeRefusal = (
+        response: ServerResponse,
+        id: string | undefined,
+        answer: CallerRefusal,
+        unread: boolean,
+    ): void => {
+        const { statusCode, headers, body } = protocol.writeRefusal(answer, id);
+        headers["content-length"] = Buffer.byteLength(body);
         if (!accepting || unread) {
             headers["connection"] = "close";
         }
-        response.writeHead(facts.statusCode, headers);
+        response.writeHead(statusCode, headers);
         response.end(body);
     };
 
-    const refuseHead = (response: ServerResponse, detail: string): void => {
-        writeRefusal(response, "none", { kind: "refusal", reason: "malformed-request", detail }, true);
-        options.onMalformed("malformed-request");
+    const refuseHead = (response: ServerResponse, answer: CallerRefusal): void => {
+        writeRefusal(response, undefined, answer, true);
+        options.onMalformed(answer.reason);
     };
 
     /** Resolves to true when the whole body was passed on. A body cut short closes the caller's connection instead. */
@@ -129,8 +141,7 @@
         answer: CallerAnswer & { kind: "answer" },
     ): true | Promise<boolean> => {
         const { headers, body } = answer;
-        headers[callerHeaders.outcome] = outcomes.answered;
-        headers[callerHeaders.requestId] = id;
+        protocol.labelAnswer(headers, id);
         if (!accepting) {
             headers["connection"] = "close";
         }
@@ -148,7 +159,7 @@
         clock,
     });
 
-    const answerCaller = async (request: CallerRequest, response: ServerResponse): Promise<void> => {
+    const answerCaller = async (request: Request, response: ServerResponse): Promise<void> => {
         const answer = await options.serve(request);
         if (answer.kind === "refusal") {
             writeRefusal(response, request.id, answer, false);
@@ -160,8 +171,8 @@
     };
 
     const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
-        const request = readHead(incoming, settings, clock.now());
-        if (typeof request === "string") {
+        const request = protocol.read(incoming, clock.now());
+        if ("kind" in request) {
             refuseHead(response, request);
             return;
         }
@@ -184,9 +195,9 @@
     };
 
     const server = createServer(
-        { maxHeaderSize: settings.maxHeadBytes, keepAliveTimeout: 30_000 },
+        { maxHeaderSize: settings.maxHeadBytes, keepAliveTimeout: defaultIdleMilliseconds },
         (incoming, response) => {
-            if (incoming.url === healthPath) {
+            if (protocol.isHealthQuestion(incoming)) {
                 response.writeHead(options.healthy() ? 200 : 503).end();
                 return;
             }
@@ -204,7 +215,8 @@
     });
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
         incoming.pause();
-        refuseHead(response, "The only expectation that is met is 100-continue.");
+        const detail = "The only expectation that is met is 100-continue.";
+        refuseHead(response, { kind: "refusal", reason: "malformed-request", detail });
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         if (!socket.writable) {
@@ -212,12 +224,12 @@
             return;
         }
         const reason: Reason = error.code === "HPE_HEADER_OVERFLOW" ? "head-too-large" : "malformed-request";
-        const { statusCode } = reasons[reason];
         options.onMalformed(reason);
-        const body = problemOf("none", reason, "The bytes received are not an acceptable HTTP request.");
+        const detail = "The bytes received are not an acceptable HTTP request.";
+        const { statusCode, headers, body } = protocol.writeRefusal({ kind: "refusal", reason, detail }, undefined);
+        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
         socket.end(
-            `HTTP/1.1 ${statusCode} Refused\r\nconnection: close\r\ncontent-type: application/problem+json\r\n`
-                + `${callerHeaders.outcome}: not-run\r\n${callerHeaders.reason}: ${reason}\r\n`
+            `HTTP/1.1 ${statusCode} Refused\r\nconnection: close\r\n${lines}`
                 + `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
         );
     });
@@ -230,6 +242,13 @@
     return {
         address: `${options.host}:${port}`,
         inFlight: () => inFlight,
+        setTimeouts: (idleMilliseconds, headMilliseconds) => {
+            server.keepAliveTimeout = idleMilliseconds;
+            server.headersTimeout = headMilliseconds;
+        },
+        endKept: () => {
+            accepting = false;
+        },
         stopAccepting: () => {
             accepting = false;
             server.close();
--- a/src/links/headers.ts
+++ b/src/links/headers.ts
@@ -36,12 +36,12 @@
     name === "request-id" || name.startsWith("carobpier-") || name.startsWith("target-");
 
 /** A caller's headers for the target, names and values in turn. A plain loop, since every request passes here. */
-export const requestHeadersToPass = (headers: IncomingHttpHeaders): string[] => {
+export const requestHeadersToPass = (headers: IncomingHttpHeaders, isOwn = isOwnOfRequests): string[] => {
     const passed: string[] = [];
     const named = namedByConnection(headers);
     for (const name of Object.keys(headers)) {
         const value = headers[name];
-        if (typeof value === "string" && !hopHeaders.has(name) && !isOwnOfRequests(name) && named?.has(name) !== true) {
+        if (typeof value === "string" && !hopHeaders.has(name) && !isOwn(name) && named?.has(name) !== true) {
             passed.push(name, value);
         }
     }
@@ -49,12 +49,15 @@
 };
 
 /** A target's headers for the caller. A plain loop, since every answer passes here. */
-export const answerHeadersToPass = (headers: IncomingHttpHeaders): Record<string, string | string[]> => {
+export const answerHeadersToPass = (
+    headers: IncomingHttpHeaders,
+    isOwn = isOwnOfAnswers,
+): Record<string, string | string[]> => {
     const passed: Record<string, string | string[]> = {};
     const named = namedByConnection(headers);
     for (const name of Object.keys(headers)) {
         const value = headers[name];
-        if (value !== undefined && !hopHeaders.has(name) && !isOwnOfAnswers(name) && named?.has(name) !== true) {
+        if (value !== undefined && !hopHeaders.has(name) && !isOwn(name) && named?.has(name) !== true) {
             passed[name] = value;
         }
     }
--- /dev/null
+++ b/src/links/jsoncall.ts
@@ -0,0 +1,82 @@
+/**
+ * Small JSON calls over kept connections whose failure says whether the call can have arrived. A call that is given up
+ * resets its connection, so that bytes that a cut holds up are not delivered later.
+ */
+import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import { messageOf } from "../contracts/errors.ts";
+
+export type JsonCall = {
+    /** IP address and port. */
+    address: string;
+    path: string;
+    headers: Record<string, string>;
+    body: unknown;
+    timeoutMilliseconds: number;
+};
+
+/** `mayHaveArrived` is false only when no connection was made. */
+export type JsonCallResult =
+    | { answered: true; statusCode: number; headers: IncomingHttpHeaders }
+    | { answered: false; mayHaveArrived: boolean; error: string };
+
+export type JsonCaller = { post: (call: JsonCall) => Promise<JsonCallResult>; close: () => void };
+
+/** Kept connections are given up before targets close them. */
+const idleMilliseconds = 5_000;
+
+/** Creates a caller with connections of its own. */
+export const createJsonCaller = (): JsonCaller => {
+    const agent = new Agent({ keepAlive: true, timeout: idleMilliseconds });
+
+    const post = (call: JsonCall): Promise<JsonCallResult> =>
+        new Promise(resolve => {
+            const body = JSON.stringify(call.body);
+            const [host, port] = call.address.split(":");
+            const headers = {
+                ...call.headers,
+                "content-type": "application/json",
+                "content-length": String(Buffer.byteLength(body)),
+            };
+            let connected = false;
+            let over = false;
+            const outgoing = request({ agent, host, port: Number(port), method: "POST", path: call.path, headers });
+
+            const finish = (result: JsonCallResult): void => {
+                if (over) {
+                    return;
+                }
+                over = true;
+                clearTimeout(timer);
+                resolve(result);
+            };
+            const giveUp = (error: string): void => {
+                outgoing.socket?.resetAndDestroy();
+                outgoing.destroy();
+                finish({ answered: false, mayHaveArrived: connected, error });
+            };
+            const timer = setTimeout(
+                () => giveUp(`no answer within ${call.timeoutMilliseconds} ms`),
+                call.timeoutMilliseconds,
+            );
+            outgoing.on("socket", socket => {
+                if (!socket.connecting) {
+                    connected = true;
+                    return;
+                }
+                socket.once("connect", () => {
+                    connected = true;
+                });
+            });
+            outgoing.on("response", response => {
+                response.resume();
+                response.once("end", () =>
+                    finish({ answered: true, statusCode: response.statusCode ?? 0, headers: response.headers }));
+                response.once("error", error =>
+                    giveUp(messageOf(error)));
+            });
+            outgoing.on("error", error => giveUp(messageOf(error)));
+            outgoing.end(body);
+        });
+
+    return { post, close: () => agent.destroy() };
+};
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -11,6 +11,7 @@
 import { createCurrency } from "../decisions/currency.ts";
 import { createSlotHash } from "../decisions/hash.ts";
 import type { AdmissionBar } from "../decisions/isolation.ts";
+import { createCallerProtocol } from "../links/callerprotocol.ts";
 import { createCallerLink } from "../links/callers.ts";
 import { systemClock } from "../links/clock.ts";
 import { createHostLinks, type HostTraffic } from "../links/hosts.ts";
@@ -188,6 +189,7 @@
     const callers = await createCallerLink({
         host: address,
         settings: settings.callers,
+        protocol: createCallerProtocol(settings.callers),
         clock,
         serve: async request => {
             const bar = fleet.bar();
--- /dev/null
+++ b/src/machines/resident/attempt.ts
@@ -0,0 +1,169 @@
+/**
+ * One send of a request to one target. Says with certainty what became of it.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Clock } from "../../contracts/clock.ts";
+import type { Reason } from "../../contracts/outcome.ts";
+import type { ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
+import type { AnswerStream, CallerAnswer } from "../../links/callers.ts";
+import { type SendStage, sendStages, type TargetExchange } from "../../links/exchange.ts";
+import { createCollector } from "../collect.ts";
+import type { TargetView } from "./views.ts";
+
+/** `notRun` is certain: the target said so, or no byte of the request was written. */
+export type ResidentAttempt =
+    | { kind: "answered"; answer: CallerAnswer & { kind: "answer" }; latencyMilliseconds: number }
+    | { kind: "failed"; reason: Reason; detail: string; notRun: boolean; arrived: boolean };
+
+export type AttemptOptions = {
+    request: ResidentRequest;
+    view: TargetView;
+    protocol: TargetProtocol;
+    /** Monotonic time by which the answer must be complete. */
+    endAt: number;
+    /** Asked in the same turn as the write. */
+    mayStart: () => boolean;
+    /** Whether the target's work may be dropped when the caller hangs up. */
+    droppable: boolean;
+    clock: Clock;
+};
+
+/** Larger bodies are passed on while they arrive. */
+const maxHeldBytes = 1_048_576;
+
+const lostReasons: Record<SendStage, Reason> = {
+    [sendStages.unsent]: "connect-failed",
+    [sendStages.sent]: "connection-lost",
+    [sendStages.answering]: "answer-cut-short",
+};
+
+/** A body whose length is known is written with it. */
+const withLength = (
+    request: ResidentRequest,
+    statusCode: number,
+    headers: Record<string, string | string[]>,
+    body: Buffer | undefined | AnswerStream,
+): CallerAnswer & { kind: "answer" } => {
+    const isWhole = body === undefined || Buffer.isBuffer(body);
+    const hasBody = request.method !== "HEAD" && statusCode !== 204 && statusCode !== 304;
+    if (isWhole && hasBody) {
+        headers["content-length"] = String(body?.length ?? 0);
+    }
+    return { kind: "answer", statusCode, headers, body };
+};
+
+/** Sends the request. The promise never rejects. */
+export const sendOnce = (options: AttemptOptions): Promise<ResidentAttempt> =>
+    new Promise(resolve => {
+        const { request, view, protocol, clock } = options;
+        const { load } = view;
+        const sentAt = clock.now();
+        const loadAtSend = load.expected(sentAt);
+        let settled = false;
+        let over = false;
+        let stage: SendStage = sendStages.unsent;
+        let forced: { reason: Reason; detail: string; notRun: boolean } | undefined;
+        let head: { statusCode: number; headers: IncomingHttpHeaders } | undefined;
+        let exchange: TargetExchange | undefined;
+
+        const settle = (attempt: ResidentAttempt): void => {
+            if (!settled) {
+                settled = true;
+                resolve(attempt);
+            }
+        };
+
+        const finish = (latencyMilliseconds: number | undefined): void => {
+            if (!over) {
+                over = true;
+                cancelTimer();
+                request.hangUp.listener = undefined;
+                load.noteFinished(latencyMilliseconds, loadAtSend);
+            }
+        };
+
+        const stop = (reason: Reason, detail: string, notRun = stage === sendStages.unsent): void => {
+            forced ??= { reason, detail, notRun };
+            exchange?.abort();
+        };
+
+        const collector = createCollector({
+            maxHeldBytes,
+            resume: () => exchange?.resume(),
+            abort: () => exchange?.abort(),
+            onBody: body => {
+                const { statusCode, headers } = head!;
+                const answer = withLength(request, statusCode, protocol.answerHeaders(headers), body);
+                settle({ kind: "answered", answer, latencyMilliseconds: clock.now() - sentAt });
+            },
+        });
+
+        const onHead = (statusCode: number, headers: IncomingHttpHeaders): void => {
+            const said = protocol.readAnswer(statusCode, headers);
+            if (said.load !== undefined) {
+                load.noteTold(clock.now(), said.load);
+            }
+            const isOthers = said.requestId === undefined ? statusCode < 300 : said.requestId !== request.id;
+            if (isOthers) {
+                stop("answer-mismatched", `Target "${view.target.name}" answered "${said.requestId}".`, false);
+                return;
+            }
+            if (said.outcome === "not-run") {
+                forced = { reason: "target-shed", detail: `Target "${view.target.name}" is full.`, notRun: true };
+            }
+            if (said.outcome === "wrong-target") {
+                const detail = `Target "${view.target.name}" does not serve the key or is not there any more.`;
+                forced = { reason: "fence-refused", detail, notRun: true };
+            }
+            head = { statusCode, headers };
+        };
+
+        const failWith = (reason: Reason, detail: string, notRun: boolean, arrived: boolean): void => {
+            finish(undefined);
+            settle({ kind: "failed", reason, detail, notRun, arrived });
+        };
+
+        const cancelTimer = clock.after(Math.max(1, options.endAt - sentAt), () => {
+            stop("timed-out", `Target "${view.target.name}" did not answer within the time of the route.`);
+        });
+        if (options.droppable) {
+            request.hangUp.listener = () => stop("caller-gone", "The caller hung up.");
+        }
+        load.noteSent();
+        exchange = view.link.send({
+            method: request.method,
+            path: request.path,
+            headers: protocol.requestHeaders(request, view.target, options.endAt - sentAt),
+            body: request.body,
+        }, {
+            mayStart: () => {
+                const may = forced === undefined && options.mayStart();
+                stage = may ? sendStages.sent : stage;
+                return may;
+            },
+            onHead,
+            onBytes: bytes => forced !== undefined || collector.onBytes(bytes),
+            onEnd: () => {
+                if (forced !== undefined) {
+                    failWith(forced.reason, forced.detail, forced.notRun, true);
+                    return;
+                }
+                finish(clock.now() - sentAt);
+                collector.onEnd();
+            },
+            onFailure: (failedStage, error) => {
+                const streaming = collector.onCut();
+                if (streaming) {
+                    finish(undefined);
+                    return;
+                }
+                const unsent = failedStage === sendStages.unsent;
+                const reason = forced?.reason ?? lostReasons[failedStage];
+                const detail = forced?.detail ?? `Target "${view.target.name}": ${error.message}.`;
+                failWith(reason, detail, forced?.notRun ?? unsent, !unsent);
+            },
+        });
+        if (forced !== undefined) {
+            exchange.abort();
+        }
+    });
--- /dev/null
+++ b/src/machines/resident/follower.ts
@@ -0,0 +1,105 @@
+/**
+ * Follows the objects of one kind in the store: a list, then their changes; a list again when history is lost. Tells
+ * when the store is lost and regained.
+ */
+import type { Clock } from "../../contracts/clock.ts";
+import { messageOf } from "../../contracts/errors.ts";
+import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
+import type { Log } from "../../links/logs.ts";
+
+export type FollowerOptions = {
+    store: ObjectStore;
+    kind: string;
+    /** The longest wait of one watch: a link that went silent is found after about this time. */
+    waitMilliseconds: number;
+    /** All objects of the kind; what is not among them is gone. */
+    onList: (objects: StoreObject[]) => void;
+    onChange: (event: StoreEvent) => void;
+    clock: Clock;
+    log: Log;
+    signal: AbortSignal;
+};
+
+export type Follower = {
+    /** Resolves after the first list. */
+    started: Promise<void>;
+    /** Monotonic time since which the store has answered without a failure; undefined while it does not. */
+    inContactSince: () => number | undefined;
+};
+
+const firstPauseMilliseconds = 150;
+const maxPauseMilliseconds = 1_000;
+
+/** Starts to follow. Ends when the signal aborts. */
+export const createFollower = (options: FollowerOptions): Follower => {
+    const { store, kind, clock, log, signal } = options;
+    let contactSince: number | undefined;
+    let lostSince = clock.now();
+    let position: number | undefined;
+    let pause = firstPauseMilliseconds;
+
+    const noteContact = (): void => {
+        pause = firstPauseMilliseconds;
+        if (contactSince === undefined) {
+            contactSince = clock.now();
+            log.info("store-regained", { kind, position, afterMilliseconds: Math.round(contactSince - lostSince) });
+        }
+    };
+
+    const noteLoss = (error: unknown): void => {
+        if (contactSince !== undefined) {
+            contactSince = undefined;
+            lostSince = clock.now();
+            log.warn("store-lost", { kind, position, error: messageOf(error) });
+        }
+    };
+
+    const listOnce = async (): Promise<void> => {
+        const list = await store.list(kind, signal);
+        noteContact();
+        options.onList(list.objects);
+        position = list.position;
+    };
+
+    const watchOnce = async (from: number): Promise<void> => {
+        const changes = await store.watch(kind, from, options.waitMilliseconds, signal);
+        noteContact();
+        if (changes.result === "history-lost") {
+            log.info("store-history-lost", { kind, position: from });
+            position = undefined;
+            return;
+        }
+        changes.events.forEach(options.onChange);
+        position = Math.max(from, changes.position);
+    };
+
+    const step = async (): Promise<void> => {
+        try {
+            await (position === undefined ? listOnce() : watchOnce(position));
+        }
+        catch (error) {
+            if (signal.aborted) {
+                return;
+            }
+            noteLoss(error);
+            await clock.sleep(pause, signal);
+            pause = Math.min(maxPauseMilliseconds, pause * 2);
+        }
+    };
+
+    const started = (async () => {
+        while (position === undefined && !signal.aborted) {
+            await step();
+        }
+    })();
+
+    const run = async (): Promise<void> => {
+        await started;
+        while (!signal.aborted) {
+            await step();
+        }
+    };
+    run().catch((error: unknown) => log.error("follower-ended", { kind, error: messageOf(error) }));
+
+    return { started, inContactSince: () => contactSince };
+};
--- /dev/null
+++ b/src/machines/resident/host.ts
@@ -0,0 +1,252 @@
+/**
+ * A resident host: one process on the users' platform. It reads what there is from the platform's store, routes
+ * callers' requests, and stands by as keeper of key ranges.
+ */
+import { randomUUID } from "node:crypto";
+import type { Clock } from "../../contracts/clock.ts";
+import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
+import type { OwnershipLink, PlatformObjects, ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
+import type { ResidentSettings } from "../../contracts/residentsettings.ts";
+import type { RouteTable } from "../../contracts/routing.ts";
+import { type CallerProtocol, createCallerLink } from "../../links/callers.ts";
+import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
+import { openPlainServer } from "../../links/plainserver.ts";
+import { createFollower, type Follower } from "./follower.ts";
+import { createGateway } from "./gateway.ts";
+import { createKeyLoads } from "./keyload.ts";
+import { createOwnerships } from "./ownerships.ts";
+import { createRangeKeeper, type RangeKeeper, resourceKinds } from "./rangekeeper.ts";
+import { createRegistry } from "./registry.ts";
+import { createTables } from "./tables.ts";
+import { createViews } from "./views.ts";
+
+export type ResidentHostOptions = {
+    settings: ResidentSettings;
+    store: ObjectStore;
+    objects: PlatformObjects;
+    callerProtocol: CallerProtocol<ResidentRequest>;
+    targetProtocol: TargetProtocol;
+    ownershipLink: OwnershipLink;
+    clock: Clock;
+    wallClock: () => number;
+    /** A number from 0 up to, not including, 1. */
+    unit: () => number;
+    log: Log;
+    metrics: Metrics;
+    /** All metrics as text. */
+    metricsText: () => string;
+};
+
+export type ResidentHost = {
+    /** Finishes what is under way and ends; resolves when all is over or the grace is. */
+    stop: () => Promise<void>;
+};
+
+/** A watch on a link that went silent is given up after this and the time-out of a call. */
+const watchMilliseconds = 3_000;
+/** Largest body that the host reads, whatever the table allows. */
+const maxBodyBytes = 67_108_864;
+const maxHeadBytes = 16_384;
+/** The balancer takes a host out after two misses, a second apart. */
+const balancerMilliseconds = 2_400;
+/** Left of the grace when connections are closed whatever they do. */
+const lastMilliseconds = 300;
+const inFlightCheckMilliseconds = 50;
+/** Share of the slack of resends that one host takes: fleets have up to this many hosts. */
+const hostsPerSlack = 24;
+/** Hosts see different parts of the load, so that each stays below the shared ratio. */
+const retrySafety = 0.85;
+
+/** Starts the host; resolves when it serves. */
+export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
+    const { settings, store, objects, clock, metrics, unit } = options;
+    const { zone } = settings.host;
+    const log = options.log.child({ host: settings.host.name });
+    const lifetime = new AbortController();
+    const { signal } = lifetime;
+    const self = `${settings.host.name}/${randomUUID().slice(0, 8)}`;
+    let stopping = false;
+
+    log.info("host-starting", { process: self, zone, listen: settings.callers.listen, store: settings.store.address });
+
+    const follow = (
+        kind: string,
+        onList: (all: StoreObject[]) => void,
+        onChange: (event: StoreEvent) => void,
+    ): Follower =>
+        createFollower({ store, kind, waitMilliseconds: watchMilliseconds, onList, onChange, clock, log, signal });
+
+    const tables = createTables({ decode: objects.decodeTable, log });
+    const putTable = (object: StoreObject): void => {
+        if (object.name === objects.tableName) {
+            tables.put(object);
+        }
+    };
+    const poolOf = (name: string) => tables.current()?.table.pools.get(name);
+
+    const registry = createRegistry({
+        decode: objects.decodeTarget,
+        inContactSince: () => targetFollower?.inContactSince(),
+        clock,
+        log,
+        signal,
+    });
+    const views = createViews({ registry, pool: poolOf, clock, signal });
+    const ownerships = createOwnerships(clock, log, signal);
+    const keyLoads = createKeyLoads(clock);
+    const keepers = new Map<string, RangeKeeper>();
+    const lastCoordination = new Map<string, StoreObject>();
+
+    const startKeeper = (pool: string): void => {
+        const keeper = createRangeKeeper({
+            pool,
+            self,
+            store,
+            link: options.ownershipLink,
+            registry,
+            loadOf: () => keyLoads.of(pool),
+            serviceOf: target => views.get(target)?.load.serviceMilliseconds(),
+            incarnationOf: async (target, callSignal) => {
+                const object = await store.get(objects.targetKind, target, callSignal);
+                const decoded = object === undefined ? undefined : objects.decodeTarget(object);
+                return typeof decoded === "object" ? decoded.incarnation : undefined;
+            },
+            inContactSince: () => coordinationFollower.inContactSince(),
+            maxHoldMilliseconds: settings.ownership.maxHold,
+            clock,
+            wallClock: options.wallClock,
+            unit,
+            log,
+            metrics,
+            signal,
+        });
+        keepers.set(pool, keeper);
+        const known = lastCoordination.get(pool);
+        if (known !== undefined) {
+            keeper.put(known);
+        }
+    };
+
+    const putCoordination = (object: StoreObject, removed: boolean): void => {
+        lastCoordination.set(object.name, object);
+        keepers.get(object.name)?.put(removed ? undefined : object);
+    };
+
+    const applyTable = (table: RouteTable): void => {
+        const { idleTimeoutMilliseconds, headTimeoutMilliseconds } = table.limits;
+        callers.setTimeouts(idleTimeoutMilliseconds, headTimeoutMilliseconds);
+        for (const pool of table.pools.values()) {
+            if (pool.ownsKeys && !keepers.has(pool.name)) {
+                startKeeper(pool.name);
+            }
+        }
+    };
+
+    const gateway = createGateway({
+        tables,
+        views,
+        ownerships,
+        protocol: options.targetProtocol,
+        zone,
+        retryRatio: settings.retries.ratio * retrySafety,
+        retrySlack: settings.retries.slack / hostsPerSlack,
+        countKey: keyLoads.count,
+        unit,
+        clock,
+        log,
+        metrics,
+    });
+
+    const [callersHost, callersPort] = settings.callers.listen.split(":");
+    const callers = await createCallerLink<ResidentRequest>({
+        host: callersHost,
+        settings: {
+            port: Number(callersPort),
+            maxHeadBytes,
+            maxBodyBytes,
+            maxBufferedBodyBytes: settings.callers.maxBufferedBodyBytes,
+        },
+        protocol: options.callerProtocol,
+        clock,
+        serve: gateway.serve,
+        onDone: (request, outcome, reason) => {
+            metrics.count("requests", reason === undefined ? { outcome } : { outcome, reason });
+            if (reason !== undefined) {
+                log.info("request-ended", {
+                    request: request.id,
+                    outcome,
+                    reason,
+                    key: request.key,
+                    version: tables.current()?.table.version,
+                    afterMilliseconds: Math.round(clock.now() - request.receivedAt),
+                });
+            }
+        },
+        onMalformed: reason => metrics.count("requests", { outcome: "not-run", reason }),
+        healthy: () => true,
+    });
+
+    const targetFollower = follow(objects.targetKind, registry.list, registry.change);
+    const tableFollower = follow(objects.tableKind, all => all.forEach(putTable), event => {
+        if (!event.removed) {
+            putTable(event.object);
+        }
+    });
+    const ownershipFollower = follow(resourceKinds.ownership, all => all.forEach(ownerships.put), event => {
+        if (!event.removed) {
+            ownerships.put(event.object);
+        }
+    });
+    const coordinationFollower = follow(
+        resourceKinds.coordination,
+        all => all.forEach(object => putCoordination(object, false)),
+        event => putCoordination(event.object, event.removed),
+    );
+    tables.onChange(applyTable);
+
+    const isReady = (): boolean => !stopping && tables.current() !== undefined && started;
+    let started = false;
+    const health = await openPlainServer(settings.health.listen, () => ({
+        statusCode: isReady() ? 200 : 503,
+        contentType: "text/plain",
+        body: "",
+    }));
+    const metricsServer = settings.metrics === undefined ? undefined : await openPlainServer(
+        settings.metrics.listen,
+        () => ({ statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() }),
+    );
+
+    const all = [targetFollower, tableFollower, ownershipFollower, coordinationFollower];
+    void Promise.all(all.map(follower => follower.started)).then(() => {
+        started = !signal.aborted;
+        log.info("host-ready", { version: tables.current()?.table.version, calls: JSON.stringify(store.calls()) });
+    });
+
+    const untilIdle = async (until: number): Promise<void> => {
+        while (callers.inFlight() > 0 && clock.now() < until) {
+            await clock.sleep(inFlightCheckMilliseconds);
+        }
+    };
+
+    return {
+        stop: async () => {
+            const endAt = clock.now() + settings.stopping.grace - lastMilliseconds;
+            stopping = true;
+            log.info("host-stopping", { inFlight: callers.inFlight() });
+            callers.endKept();
+            await Promise.all([...keepers.values()].map(keeper => keeper.resign()));
+            await clock.sleep(balancerMilliseconds);
+            callers.stopAccepting();
+            await untilIdle(endAt);
+            log.info("host-stopped", { inFlight: callers.inFlight(), calls: JSON.stringify(store.calls()) });
+            lifetime.abort();
+            health.close();
+            metricsServer?.close();
+            options.ownershipLink.close();
+            await callers.close();
+            store.close();
+            await metrics.close();
+        },
+    };
+};
--- a/src/machines/send.ts
+++ b/src/machines/send.ts
@@ -7,8 +7,8 @@
 import { targetAnswerHeaders, targetRequestHeaders } from "../contracts/targetprotocol.ts";
 import { reasonOfFailure, reasonOfRefusal, type StopCause, stopCauses } from "../decisions/classify.ts";
 import type { AnswerStream, CallerAnswer, CallerRequest } from "../links/callers.ts";
+import { type SendStage, sendStages, type TargetExchange } from "../links/exchange.ts";
 import { answerHeadersToPass, hasKnownEnd, requestHeadersToPass } from "../links/headers.ts";
-import { type SendStage, sendStages, type TargetExchange } from "../links/targets.ts";
 import { createCollector } from "./collect.ts";
 import { noteAnswer, noteFailure, noteReading, type TargetView } from "./target.ts";
 
--- a/test/links/callerinput.test.ts
+++ b/test/links/callerinput.test.ts
@@ -8,6 +8,7 @@
 import type { Reason } from "../../src/contracts/outcome.ts";
 import { settingsSchema } from "../../src/contracts/settings.ts";
 import { splitUrl } from "../../src/links/callerhead.ts";
+import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
 import { type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
 import { systemClock } from "../../src/links/clock.ts";
 
@@ -44,6 +45,7 @@
     const link = await createCallerLink({
         host: "127.0.0.1",
         settings,
+        protocol: createCallerProtocol(settings),
         clock: systemClock,
         serve: request => {
             served.push(request);
