Never pass a reset answer off as whole, and find a returned store at once

Change: connections whose reset keeps its own error code; watches without a wait while the store is lost.

--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -3,7 +3,7 @@
  * it failed is told.
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { type Dispatcher, Pool as ConnectionPool } from "undici";
+import { buildConnector, type Dispatcher, Pool as ConnectionPool } from "undici";
 
 export type TargetRequest = {
     method: string;
@@ -107,6 +107,25 @@
     close: () => void;
 };
 
+/** Code of a connection that the target reset, in place of the system's. */
+const resetCode = "TARGET_RESET";
+
+/**
+ * Makes connections whose reset is an error whatever was read before. undici takes `ECONNRESET` for the end of an answer
+ * that the connection's close ends, which would pass a cut body off as whole.
+ */
+export const createStrictConnector = (timeoutMilliseconds: number, localAddress?: string): buildConnector.connector => {
+    const connect = buildConnector({ timeout: timeoutMilliseconds, localAddress });
+    return (target, callback) =>
+        connect(target, (...results) => {
+            const [, socket] = results;
+            socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
+                error.code = error.code === "ECONNRESET" ? resetCode : error.code;
+            });
+            callback(...results);
+        });
+};
+
 export type ExchangeLinkOptions = { address: string; connections: number; connectMilliseconds: number };
 
 /** Opens a link that carries only requests. Connections are made on first use, and are reused. */
@@ -116,7 +135,7 @@
     const pool = new ConnectionPool(`http://${address}`, {
         connections,
         pipelining: 1,
-        connect: { timeout: connectMilliseconds },
+        connect: createStrictConnector(connectMilliseconds),
     });
     return {
         send: (request, receiver) => startExchange(pool, request, receiver),
--- a/src/links/targets.ts
+++ b/src/links/targets.ts
@@ -11,7 +11,13 @@
     targetLoadSchema,
     targetPaths,
 } from "../contracts/targetprotocol.ts";
-import { type AnswerReceiver, startExchange, type TargetExchange, type TargetRequest } from "./exchange.ts";
+import {
+    type AnswerReceiver,
+    createStrictConnector,
+    startExchange,
+    type TargetExchange,
+    type TargetRequest,
+} from "./exchange.ts";
 
 export type TargetLink = {
     /** Sends a request once. Nothing is sent again by the link itself. */
@@ -38,8 +44,7 @@
     const origin = `http://${options.address}`;
     const shared = {
         pipelining: 1,
-        connect: { timeout: options.connectMilliseconds },
-        localAddress: options.sourceAddress,
+        connect: createStrictConnector(options.connectMilliseconds, options.sourceAddress),
     };
     const requests = new ConnectionPool(origin, { ...shared, connections: options.connections });
     const control = new ConnectionPool(origin, { ...shared, connections: 1 });
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -64,6 +64,7 @@
         let stage: SendStage = sendStages.unsent;
         let forced: { reason: Reason; detail: string; notRun: boolean } | undefined;
         let head: { statusCode: number; headers: IncomingHttpHeaders } | undefined;
+        // eslint-disable-next-line prefer-const -- callbacks of the send refer to it.
         let exchange: TargetExchange | undefined;
 
         const settle = (attempt: ResidentAttempt): void => {
--- a/src/machines/resident/follower.ts
+++ b/src/machines/resident/follower.ts
@@ -28,7 +28,8 @@
 };
 
 const firstPauseMilliseconds = 150;
-const maxPauseMilliseconds = 1_000;
+/** A store that is back is found within this time: changes made meanwhile must be in force soon after. */
+const maxPauseMilliseconds = 500;
 
 /** Starts to follow. Ends when the signal aborts. */
 export const createFollower = (options: FollowerOptions): Follower => {
@@ -62,7 +63,8 @@
     };
 
     const watchOnce = async (from: number): Promise<void> => {
-        const changes = await store.watch(kind, from, options.waitMilliseconds, signal);
+        const wait = contactSince === undefined ? 0 : options.waitMilliseconds;
+        const changes = await store.watch(kind, from, wait, signal);
         noteContact();
         if (changes.result === "history-lost") {
             log.info("store-history-lost", { kind, position: from });
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -3,6 +3,7 @@
  * callers' requests, and stands by as keeper of key ranges.
  */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { Clock } from "../../contracts/clock.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
 import type { OwnershipLink, PlatformObjects, ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
@@ -65,6 +66,7 @@
     const log = options.log.child({ host: settings.host.name });
     const lifetime = new AbortController();
     const { signal } = lifetime;
+    setMaxListeners(0, signal);
     const self = `${settings.host.name}/${randomUUID().slice(0, 8)}`;
     let stopping = false;
 
--- /dev/null
+++ b/test/machines/resident/fakestore.ts
@@ -0,0 +1,145 @@
+/**
+ * An object store in memory with faults that a test sets, on a clock that the test advances.
+ */
+import type { Clock } from "../../../src/contracts/clock.ts";
+import { PlatformError } from "../../../src/contracts/errors.ts";
+import type { ObjectStore, StoreEvent, StoreObject, StoreWrite } from "../../../src/contracts/objectstore.ts";
+
+export type StoreFault = "none" | "silent" | "refusing" | "answers-lost";
+
+export type FakeStore = {
+    store: ObjectStore;
+    /** Faults of the calls of this host; `answers-lost` does the writes and loses their answers. */
+    fault: StoreFault;
+    put: (kind: string, name: string, value: unknown) => void;
+    remove: (kind: string, name: string) => void;
+    read: (kind: string, name: string) => StoreObject | undefined;
+    forgetHistory: () => void;
+    /** Another host's access to the same objects. */
+    access: () => FakeStore;
+};
+
+type Shared = {
+    revision: number;
+    objects: Map<string, StoreObject>;
+    events: Array<{ kind: string; revision: number; event: StoreEvent }>;
+    oldest: number;
+    waiters: Set<() => void>;
+};
+
+/** A call on a silent store fails after this time. */
+const timeoutMilliseconds = 800;
+const answerMilliseconds = 4;
+
+const keyOf = (kind: string, name: string): string => `${kind}/${name}`;
+
+const access = (shared: Shared, clock: Clock): FakeStore => {
+    const change = (kind: string, name: string, value: unknown, removed: boolean): StoreObject => {
+        shared.revision += 1;
+        const object = { name, revision: shared.revision, value };
+        if (removed) {
+            shared.objects.delete(keyOf(kind, name));
+        }
+        else {
+            shared.objects.set(keyOf(kind, name), object);
+        }
+        shared.events.push({ kind, revision: shared.revision, event: { object, removed } });
+        [...shared.waiters].forEach(wake => wake());
+        return object;
+    };
+
+    const gate = async (): Promise<void> => {
+        if (fake.fault === "silent") {
+            await clock.sleep(timeoutMilliseconds);
+            throw new PlatformError("no answer in time");
+        }
+        await clock.sleep(answerMilliseconds);
+        if (fake.fault === "refusing") {
+            throw new PlatformError("answered 503");
+        }
+    };
+
+    const written = async (result: StoreWrite): Promise<StoreWrite> => {
+        if (fake.fault === "answers-lost") {
+            await clock.sleep(timeoutMilliseconds);
+            throw new PlatformError("no answer in time");
+        }
+        return result;
+    };
+
+    const changesAfter = (kind: string, position: number): StoreEvent[] =>
+        shared.events.filter(entry => entry.kind === kind && entry.revision > position).map(entry => entry.event);
+
+    const store: ObjectStore = {
+        list: async kind => {
+            await gate();
+            const objects = [...shared.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, object]) =>
+                object
+            );
+            return { objects, position: shared.revision };
+        },
+        get: async (kind, name) => {
+            await gate();
+            return shared.objects.get(keyOf(kind, name));
+        },
+        watch: async (kind, position, waitMilliseconds) => {
+            await gate();
+            if (position < shared.oldest) {
+                return { result: "history-lost" };
+            }
+            const endAt = clock.now() + waitMilliseconds;
+            while (changesAfter(kind, position).length === 0 && clock.now() < endAt) {
+                await new Promise<void>(resolve => {
+                    shared.waiters.add(resolve);
+                    clock.after(endAt - clock.now(), resolve);
+                });
+            }
+            if (fake.fault !== "none") {
+                await gate();
+            }
+            return { result: "changes", events: changesAfter(kind, position), position: shared.revision };
+        },
+        create: async (kind, name, value) => {
+            await gate();
+            const current = shared.objects.get(keyOf(kind, name));
+            return written(
+                current === undefined
+                    ? { result: "written", object: change(kind, name, value, false) }
+                    : { result: "conflict", current },
+            );
+        },
+        replace: async (kind, name, value, revision) => {
+            await gate();
+            const current = shared.objects.get(keyOf(kind, name));
+            return written(
+                current?.revision === revision
+                    ? { result: "written", object: change(kind, name, value, false) }
+                    : { result: "conflict", current },
+            );
+        },
+        calls: () => ({}),
+        close: () => undefined,
+    };
+
+    const fake: FakeStore = {
+        store,
+        fault: "none",
+        put: (kind, name, value) => {
+            change(kind, name, value, false);
+        },
+        remove: (kind, name) => {
+            change(kind, name, undefined, true);
+        },
+        read: (kind, name) => shared.objects.get(keyOf(kind, name)),
+        forgetHistory: () => {
+            shared.oldest = shared.revision;
+            shared.events = [];
+        },
+        access: () => access(shared, clock),
+    };
+    return fake;
+};
+
+/** Creates an empty store. */
+export const createFakeStore = (clock: Clock): FakeStore =>
+    access({ revision: 1, objects: new Map(), events: [], oldest: 0, waiters: new Set() }, clock);
--- /dev/null
+++ b/test/machines/resident/follower.test.ts
@@ -0,0 +1,66 @@
+/**
+ * Following the store through its outages.
+ */
+import test from "ava";
+import { silentLog } from "../../../src/links/logs.ts";
+import { createFollower } from "../../../src/machines/resident/follower.ts";
+import { createVirtualClock } from "../fakes/clock.ts";
+import { createFakeStore, type StoreFault } from "./fakestore.ts";
+
+const setUp = () => {
+    const clock = createVirtualClock();
+    const fake = createFakeStore(clock);
+    const seen = new Map<string, unknown>();
+    const lifetime = new AbortController();
+    const follower = createFollower({
+        store: fake.store,
+        kind: "config",
+        waitMilliseconds: 3_000,
+        onList: objects => {
+            seen.clear();
+            objects.forEach(object => seen.set(object.name, object.value));
+        },
+        onChange: event =>
+            event.removed ? seen.delete(event.object.name) : seen.set(event.object.name, event.object.value),
+        clock,
+        log: silentLog,
+        signal: lifetime.signal,
+    });
+    return { clock, fake, seen, follower, lifetime };
+};
+
+const faults: StoreFault[] = ["silent", "refusing"];
+
+for (const fault of faults) {
+    test(`a change made while the store is ${fault} is seen within 1.5 s of its return`, async t => {
+        const { clock, fake, seen, follower, lifetime } = setUp();
+        fake.put("config", "main", "first");
+        await clock.advance(1_000);
+        t.is(seen.get("main"), "first");
+        fake.fault = fault;
+        await clock.advance(7_900);
+        t.is(follower.inContactSince(), undefined);
+        fake.put("config", "main", "second");
+        fake.fault = "none";
+        await clock.advance(1_500);
+        t.is(seen.get("main"), "second");
+        t.not(follower.inContactSince(), undefined);
+        lifetime.abort();
+    });
+}
+
+test("forgotten history leads to a new list, and what is gone meanwhile is gone", async t => {
+    const { clock, fake, seen, lifetime } = setUp();
+    fake.put("config", "old", 1);
+    fake.put("config", "main", "first");
+    await clock.advance(100);
+    fake.fault = "refusing";
+    await clock.advance(4_000);
+    fake.remove("config", "old");
+    fake.put("config", "main", "second");
+    fake.forgetHistory();
+    fake.fault = "none";
+    await clock.advance(1_500);
+    t.deepEqual([...seen], [["main", "second"]]);
+    lifetime.abort();
+});
