--- a/src/contracts/ownership.ts
+++ b/src/contracts/ownership.ts
@@ -15,8 +15,8 @@
     to: z.int().min(0).max(maxKey),
     owner: ownerSchema,
     fence: z.int().min(1),
-    /** The owner before, until it is certain that it serves these keys no more. */
-    predecessor: ownerSchema.optional(),
+    /** Owners before, until it is certain that none of them serves these keys any more. */
+    predecessors: z.array(ownerSchema),
 });
 
 export const ownershipSchema = z.object({
@@ -34,7 +34,14 @@
 export type Ownership = z.infer<typeof ownershipSchema>;
 
 /** The sign of life that a pool's coordinator writes again and again. */
-export const coordinationSchema = z.object({ term: z.int().min(0), coordinator: z.string(), beat: z.int().min(0) });
+export const coordinationSchema = z.object({
+    term: z.int().min(0),
+    /** Empty while the duty is vacant. */
+    coordinator: z.string(),
+    /** Where the coordinator hears load reports, `address:port`. */
+    reports: z.string(),
+    beat: z.int().min(0),
+});
 export type Coordination = z.infer<typeof coordinationSchema>;
 
 export const sameOwner = (left: RangeOwner | undefined, right: RangeOwner | undefined): boolean =>
--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -10,6 +10,8 @@
     host: z.object({ name: z.string().min(1), zone: z.string().min(1) }),
     callers: z.object({ listen: address, maxBufferedBodyBytes: z.int().positive().default(67_108_864) }),
     health: z.object({ listen: address }),
+    /** Where other hosts send load reports while this one balances a pool. */
+    reports: z.object({ listen: address }),
     metrics: z.object({ listen: address }).optional(),
     store: z.object({ address, timeout: durationSchema.prefault("800ms") }),
     /** Time between the signal to stop and the end of the process. */
--- /dev/null
+++ b/src/decisions/keyload.ts
@@ -0,0 +1,102 @@
+/**
+ * The load of a pool's keys, in requests a second of recent time, and the work that its targets need for one. Old
+ * requests lose weight, so that the load follows the keys that are busy now.
+ */
+import { maxKey } from "../contracts/ownership.ts";
+
+/** Neighbouring keys that are moved together, with their load. */
+export type KeyAtom = { from: number; to: number; load: number };
+
+export type KeyLoads = {
+    note: (key: number, now: number) => void;
+    /** Requests a second, all keys together. */
+    rate: (now: number) => number;
+    /** Requests on which the figures rest, the older ones for less than one each. */
+    evidence: (now: number) => number;
+    /** All keys in order; a busy key is an atom of its own. */
+    atoms: (now: number) => KeyAtom[];
+};
+
+export const bucketCount = 1_024;
+export const keysPerBucket = (maxKey + 1) / bucketCount;
+
+/** Time in which a request loses half of its weight. */
+const halfLifeMilliseconds = 1_500;
+const meanLifeSeconds = halfLifeMilliseconds / 1_000 / Math.LN2;
+/** Weight at which a key is an atom of its own: that many requests within the mean life. */
+const busyKeyWeight = 6;
+const forgottenWeight = 0.05;
+/** Part of the load that counts as spread evenly: keys without recent requests are asked for too. */
+const evenShare = 0.2;
+
+type Aging = { weight: number; at: number };
+
+const agedWeight = (held: Aging, now: number): number => held.weight * 0.5 ** ((now - held.at) / halfLifeMilliseconds);
+
+/** Creates the figures of one pool, all zero. */
+export const createKeyLoads = (): KeyLoads => {
+    const keys = new Map<number, Aging>();
+    const total: Aging = { weight: 0, at: 0 };
+
+    const add = (held: Aging, now: number): void => {
+        held.weight = agedWeight(held, now) + 1;
+        held.at = now;
+    };
+
+    const bucketWeights = (now: number): { weights: number[]; busy: Array<{ key: number; weight: number }> } => {
+        const weights = new Array<number>(bucketCount).fill(0);
+        const busy: Array<{ key: number; weight: number }> = [];
+        for (const [key, held] of keys) {
+            const weight = agedWeight(held, now);
+            if (weight < forgottenWeight) {
+                keys.delete(key);
+            }
+            else if (weight >= busyKeyWeight) {
+                busy.push({ key, weight });
+            }
+            else {
+                weights[Math.floor(key / keysPerBucket)] += weight;
+            }
+        }
+        return { weights, busy: busy.sort((left, right) => left.key - right.key) };
+    };
+
+    return {
+        note: (key, now) => {
+            const held = keys.get(key) ?? { weight: 0, at: now };
+            keys.set(key, held);
+            add(held, now);
+            add(total, now);
+        },
+        rate: now => agedWeight(total, now) / meanLifeSeconds,
+        evidence: now => agedWeight(total, now),
+        atoms: now => {
+            const { weights, busy } = bucketWeights(now);
+            const spread = weights.reduce((sum, weight) => sum + weight, 0);
+            const even = Math.max(spread, 1) / bucketCount;
+            const atoms: KeyAtom[] = [];
+            const push = (from: number, to: number, weight: number): void => {
+                atoms.push({ from, to, load: weight / meanLifeSeconds });
+            };
+            let next = 0;
+            for (let bucket = 0; bucket < bucketCount; bucket += 1) {
+                const end = (bucket + 1) * keysPerBucket - 1;
+                const weight = (1 - evenShare) * weights[bucket] + evenShare * even;
+                let from = bucket * keysPerBucket;
+                while (next < busy.length && busy[next].key <= end) {
+                    const { key, weight: keyWeight } = busy[next];
+                    if (key > from) {
+                        push(from, key - 1, weight * (key - from) / keysPerBucket);
+                    }
+                    push(key, key, keyWeight);
+                    from = key + 1;
+                    next += 1;
+                }
+                if (from <= end) {
+                    push(from, end, weight * (end - from + 1) / keysPerBucket);
+                }
+            }
+            return atoms;
+        },
+    };
+};
--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -1,88 +1,110 @@
 /**
- * Planning who owns which keys: every key of a live target, loads in proportion to capacity, few moves. Pure: the same
- * inputs give the same plan.
+ * Planning who owns which keys: every key has a live owner, and the most loaded target is relieved as long as that
+ * gains more than the move costs. Pure: the same inputs give the same plan.
  */
 import { maxKey, type OwnedRange, type Ownership, type RangeOwner, sameOwner } from "../contracts/ownership.ts";
+import type { KeyAtom } from "./keyload.ts";
 
 export type RangeTarget = {
     owner: RangeOwner;
-    /** Requests that it can run at the same time, weighed by its speed. */
+    /** Requests a second that it can work off. */
     capacity: number;
 };
 
 /** Keys, both ends included, that go to a target. */
 export type RangeMove = { from: number; to: number; owner: RangeOwner };
 
-/** Load by bucket of neighbouring keys, in requests of recent seconds. */
-export type KeyLoad = { buckets: number[]; total: number };
-
-export const bucketCount = 1_024;
-export const keysPerBucket = (maxKey + 1) / bucketCount;
+export type PlanInput = {
+    ranges: OwnedRange[];
+    targets: RangeTarget[];
+    /** All keys in order, with their load in requests a second. */
+    atoms: KeyAtom[];
+    /** Requests on which the loads rest. */
+    evidence: number;
+    /** Whether the range may move now; one that has just moved stays for a while. */
+    isMovable: (range: OwnedRange) => boolean;
+};
 
-/** Part of all load that counts as spread evenly over the keys: keys without recent requests still cost a little. */
-const evenShare = 0.25;
-/** Load over the fair share from which a target gives keys away. */
-const overloadedAt = 1.3;
-/** Requests that must have been seen before loads are balanced: fewer say too little about each target. */
-const minBalancedRequests = 120;
-/** A target whose load is below this part of its fair share takes keys. */
-const takesBelow = 0.85;
+/** A target with less load than this part of its capacity needs no relief: its queue stays short. */
+const relievedBelow = 0.6;
+/** A move must lower the higher of the two loads by this part. */
+const minGain = 0.12;
+/** Requests that loads must rest on before they are balanced: fewer say too little about each target. */
+const minEvidence = 60;
 /** Ranges a target on average; more cost too many renewals. */
-const maxRangesPerTarget = 5;
+const maxRangesPerTarget = 6;
 
-type Share = { target: RangeTarget; load: number; fair: number };
+/** A target with its load, as a part of its capacity. */
+type Share = { target: RangeTarget; load: number };
 
-const bucketOf = (key: number): number => Math.floor(key / keysPerBucket);
-
-/** Load of a bucket, with its part of the load that counts as even. */
-const weightOf = (load: KeyLoad, bucket: number): number => {
-    const even = Math.max(load.total, 1) / bucketCount;
-    return (1 - evenShare) * load.buckets[bucket] + evenShare * even;
+/** Sums of load up to each atom, to find the load of any run of keys. */
+const createLoadSums = (atoms: KeyAtom[]) => {
+    const sums = [0];
+    for (const atom of atoms) {
+        sums.push(sums[sums.length - 1] + atom.load);
+    }
+    /** Load of all keys below the given one. */
+    const below = (key: number): number => {
+        let low = 0;
+        let high = atoms.length;
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if (atoms[middle].to < key) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        const atom = atoms[low];
+        if (atom === undefined || key <= atom.from) {
+            return sums[low];
+        }
+        return sums[low] + atom.load * (key - atom.from) / (atom.to - atom.from + 1);
+    };
+    return { between: (from: number, to: number): number => below(to + 1) - below(from) };
 };
 
-/** Load of the keys of a range, by the parts of the buckets that it covers. */
-const loadBetween = (load: KeyLoad, from: number, to: number): number => {
-    let sum = 0;
-    for (let bucket = bucketOf(from); bucket <= bucketOf(to); bucket += 1) {
-        const first = Math.max(from, bucket * keysPerBucket);
-        const last = Math.min(to, (bucket + 1) * keysPerBucket - 1);
-        sum += weightOf(load, bucket) * (last - first + 1) / keysPerBucket;
+type LoadSums = ReturnType<typeof createLoadSums>;
+
+const sharesOf = (ranges: OwnedRange[], targets: RangeTarget[], sums: LoadSums): Share[] => {
+    const shares = targets.map(target => ({ target, load: 0 }));
+    const byName = new Map(shares.map(share => [share.target.owner.target, share]));
+    for (const range of ranges) {
+        const share = byName.get(range.owner.target);
+        if (share !== undefined && sameOwner(share.target.owner, range.owner)) {
+            share.load += sums.between(range.from, range.to);
+        }
     }
-    return sum;
+    return shares;
 };
 
-const sharesOf = (ranges: OwnedRange[], targets: RangeTarget[], load: KeyLoad): Share[] => {
-    const capacity = targets.reduce((sum, target) => sum + target.capacity, 0);
-    const total = loadBetween(load, 0, maxKey);
-    return targets.map(target => ({
-        target,
-        load: ranges.filter(range => sameOwner(range.owner, target.owner))
-            .reduce((sum, range) => sum + loadBetween(load, range.from, range.to), 0),
-        fair: total * target.capacity / capacity,
-    }));
-};
+const utilization = ({ target, load }: Share): number => load / target.capacity;
 
-/** Gives the keys to the targets with the most room, in as few pieces as their room allows. */
-const spread = (from: number, to: number, shares: Share[], load: KeyLoad): RangeMove[] => {
+const atomsBetween = (atoms: KeyAtom[], from: number, to: number): KeyAtom[] =>
+    atoms.filter(atom => atom.to >= from && atom.from <= to)
+        .map(atom => ({ ...atom, from: Math.max(atom.from, from), to: Math.min(atom.to, to) }));
+
+/** Deals keys without a live owner to the targets with the most room, in runs as long as their room allows. */
+const deal = (from: number, to: number, shares: Share[], input: PlanInput, sums: LoadSums): RangeMove[] => {
     const moves: RangeMove[] = [];
-    let start = from;
-    while (start <= to) {
-        const receiver = shares.reduce((best, share) => share.fair - share.load > best.fair - best.load ? share : best);
-        const room = receiver.fair - receiver.load;
-        let end = start;
-        let taken = 0;
-        while (end <= to) {
-            const last = Math.min(to, (bucketOf(end) + 1) * keysPerBucket - 1);
-            const weight = loadBetween(load, end, last);
-            if (taken > 0 && taken + weight > room) {
-                break;
-            }
-            taken += weight;
-            end = last + 1;
+    const capacity = shares.reduce((sum, share) => sum + share.target.capacity, 0);
+    const total = sums.between(0, maxKey);
+    const room = (share: Share): number => total * share.target.capacity / capacity - share.load;
+    let receiver: Share | undefined;
+    for (const atom of atomsBetween(input.atoms, from, to)) {
+        const load = sums.between(atom.from, atom.to);
+        if (receiver === undefined || room(receiver) < load) {
+            receiver = shares.reduce((best, share) => room(share) > room(best) ? share : best);
+        }
+        receiver.load += load;
+        const last = moves[moves.length - 1];
+        if (last !== undefined && sameOwner(last.owner, receiver.target.owner)) {
+            last.to = atom.to;
+        }
+        else {
+            moves.push({ from: atom.from, to: atom.to, owner: receiver.target.owner });
         }
-        receiver.load += taken;
-        moves.push({ from: start, to: end - 1, owner: receiver.target.owner });
-        start = end;
     }
     return moves;
 };
@@ -102,86 +124,110 @@
     return gaps;
 };
 
-/** Keys without an owner, and keys whose owner is not among the targets, go to targets with room. */
-const planOrphans = (ranges: OwnedRange[], targets: RangeTarget[], load: KeyLoad): RangeMove[] => {
+const planOrphans = (input: PlanInput, sums: LoadSums): RangeMove[] => {
+    const { ranges, targets } = input;
     const isLive = (range: OwnedRange): boolean => targets.some(target => sameOwner(target.owner, range.owner));
     const orphans = [...gapsOf(ranges), ...ranges.filter(range => !isLive(range))];
     if (orphans.length === 0) {
         return [];
     }
-    const shares = sharesOf(ranges, targets, load);
-    return orphans.flatMap(orphan => spread(orphan.from, orphan.to, shares, load));
+    const shares = sharesOf(ranges, targets, sums);
+    return orphans.flatMap(orphan => deal(orphan.from, orphan.to, shares, input, sums));
 };
 
-/** The end of a range that holds about the wanted load; undefined when its buckets there are too heavy. */
-const cutEnd = (
-    range: OwnedRange,
-    wanted: number,
-    load: KeyLoad,
-    fromLow: boolean,
-): { from: number; to: number; load: number } | undefined => {
-    const low = bucketOf(range.from);
-    const high = bucketOf(range.to);
-    let taken = 0;
-    let count = 0;
-    while (count <= high - low) {
-        const bucket = fromLow ? low + count : high - count;
-        const from = Math.max(range.from, bucket * keysPerBucket);
-        const to = Math.min(range.to, (bucket + 1) * keysPerBucket - 1);
-        const weight = loadBetween(load, from, to);
-        if (taken + weight > wanted) {
-            break;
-        }
-        taken += weight;
-        count += 1;
+type Cut = { from: number; to: number; receiver: Share; peak: number };
+
+/** The ends of a range, and each of its atoms by itself: what can be cut off it without leaving many pieces. */
+const piecesOf = (range: OwnedRange, atoms: KeyAtom[]): Array<{ from: number; to: number; load: number }> => {
+    const own = atomsBetween(atoms, range.from, range.to);
+    const pieces: Array<{ from: number; to: number; load: number }> = [];
+    let load = 0;
+    for (const atom of own) {
+        load += atom.load;
+        pieces.push({ from: range.from, to: atom.to, load });
     }
-    if (count === 0) {
-        return undefined;
+    load = 0;
+    for (const atom of [...own].reverse()) {
+        load += atom.load;
+        pieces.push({ from: atom.from, to: range.to, load });
+    }
+    const heaviest = own.reduce<KeyAtom | undefined>(
+        (most, atom) => most === undefined || atom.load > most.load ? atom : most,
+        undefined,
+    );
+    if (heaviest !== undefined) {
+        pieces.push({ from: heaviest.from, to: heaviest.to, load: heaviest.load });
     }
-    return fromLow
-        ? { from: range.from, to: Math.min(range.to, (low + count) * keysPerBucket - 1), load: taken }
-        : { from: Math.max(range.from, (high - count + 1) * keysPerBucket), to: range.to, load: taken };
+    return pieces;
 };
 
-/** One cut from the most overloaded target to the one with the most room; undefined when that gains nothing. */
-const planCut = (ranges: OwnedRange[], shares: Share[], load: KeyLoad): RangeMove | undefined => {
-    const ratio = (share: Share): number => share.load / share.fair;
-    const receiver = shares.reduce((least, share) => ratio(share) < ratio(least) ? share : least);
-    const isNew = !ranges.some(range => sameOwner(range.owner, receiver.target.owner));
-    const donor = shares.reduce((most, share) => ratio(share) > ratio(most) ? share : most);
-    const isDue = isNew
-        || (load.total >= minBalancedRequests && ratio(donor) >= overloadedAt && ratio(receiver) <= takesBelow);
-    if (donor === receiver || !isDue) {
+/** The cut that leaves the lower peak of donor and receiver. */
+const bestCut = (donor: Share, shares: Share[], input: PlanInput): Cut | undefined => {
+    let best: Cut | undefined;
+    const owned = input.ranges.filter(range =>
+        sameOwner(range.owner, donor.target.owner) && range.predecessors.length === 0 && input.isMovable(range)
+    );
+    for (const piece of owned.flatMap(range => piecesOf(range, input.atoms))) {
+        const donorAfter = (donor.load - piece.load) / donor.target.capacity;
+        for (const receiver of shares) {
+            if (receiver === donor) {
+                continue;
+            }
+            const receiverAfter = (receiver.load + piece.load) / receiver.target.capacity;
+            const peak = Math.max(donorAfter, receiverAfter);
+            if (best === undefined || peak < best.peak) {
+                best = { from: piece.from, to: piece.to, receiver, peak };
+            }
+        }
+    }
+    return best;
+};
+
+/** A target that owns nothing takes part of the keys of the most loaded one, whatever the load. */
+const planNewcomer = (input: PlanInput, shares: Share[]): RangeMove | undefined => {
+    const newcomer = shares.find(share => !input.ranges.some(range => sameOwner(range.owner, share.target.owner)));
+    const movable = input.ranges.filter(range => range.predecessors.length === 0);
+    if (newcomer === undefined || movable.length === 0) {
         return undefined;
     }
-    const half = (donor.load - receiver.load * donor.fair / receiver.fair) / 2;
-    const wanted = Math.min(receiver.fair - receiver.load, isNew ? Math.max(half, donor.load / 2) : half);
-    const pieces = ranges
-        .filter(range => sameOwner(range.owner, donor.target.owner) && range.predecessor === undefined)
-        .flatMap(range => [cutEnd(range, wanted, load, true), cutEnd(range, wanted, load, false)])
-        .filter(piece => piece !== undefined)
-        .sort((left, right) => right.load - left.load);
-    const piece = pieces[0];
-    return piece === undefined ? undefined : { from: piece.from, to: piece.to, owner: receiver.target.owner };
+    const donors = shares.filter(share => movable.some(range => sameOwner(range.owner, share.target.owner)));
+    const donor = donors.reduce((most, share) => utilization(share) > utilization(most) ? share : most);
+    const cut = bestCut(donor, [donor, newcomer], { ...input, isMovable: () => true });
+    return cut === undefined ? undefined : { from: cut.from, to: cut.to, owner: newcomer.target.owner };
 };
 
 /**
- * The moves that are due now. Orphaned keys come first; otherwise at most one piece moves from the most loaded target
- * to the one with the most room, or to a target that owns nothing yet.
+ * The moves that are due now. Keys without a live owner come first; then a target that owns nothing gets its part; else
+ * at most one cut relieves the most loaded target.
  */
-export const planRanges = (ranges: OwnedRange[], targets: RangeTarget[], load: KeyLoad): RangeMove[] => {
+export const planRanges = (input: PlanInput): RangeMove[] => {
+    const { ranges, targets, atoms } = input;
     if (targets.length === 0) {
         return [];
     }
-    const orphans = planOrphans(ranges, targets, load);
+    const sums = createLoadSums(atoms);
+    const orphans = planOrphans(input, sums);
     if (orphans.length > 0) {
         return orphans;
     }
-    if (ranges.length >= targets.length * maxRangesPerTarget) {
+    const shares = sharesOf(ranges, targets, sums);
+    const newcomer = planNewcomer(input, shares);
+    if (newcomer !== undefined) {
+        return [newcomer];
+    }
+    if (input.evidence < minEvidence || ranges.length >= targets.length * maxRangesPerTarget) {
         return [];
     }
-    const cut = planCut(ranges, sharesOf(ranges, targets, load), load);
-    return cut === undefined ? [] : [cut];
+    for (const donor of [...shares].sort((left, right) => utilization(right) - utilization(left))) {
+        if (utilization(donor) < relievedBelow) {
+            return [];
+        }
+        const cut = bestCut(donor, shares, input);
+        if (cut !== undefined && cut.peak <= utilization(donor) * (1 - minGain)) {
+            return [{ from: cut.from, to: cut.to, owner: cut.receiver.target.owner }];
+        }
+    }
+    return [];
 };
 
 /** What is left of a range beside the keys of a move. */
@@ -201,26 +247,28 @@
 const applyMove = (ownership: Ownership, move: RangeMove): Ownership => {
     let fence = ownership.nextFence;
     const ranges: OwnedRange[] = [];
-    const covered: Array<{ from: number; to: number; predecessor: RangeOwner | undefined }> = [];
+    const covered: Array<{ from: number; to: number; owners: RangeOwner[] }> = [];
     for (const range of ownership.ranges) {
         if (!overlaps(range, move)) {
             ranges.push(range);
             continue;
         }
         ranges.push(...besides(range, move));
-        const predecessor = range.predecessor ?? range.owner;
-        covered.push({ from: Math.max(range.from, move.from), to: Math.min(range.to, move.to), predecessor });
+        const owners = [...range.predecessors, range.owner];
+        covered.push({ from: Math.max(range.from, move.from), to: Math.min(range.to, move.to), owners });
     }
     if (covered.length === 0) {
-        covered.push({ from: move.from, to: move.to, predecessor: undefined });
+        covered.push({ from: move.from, to: move.to, owners: [] });
     }
-    for (const { from, to, predecessor } of covered) {
-        const former = sameOwner(predecessor, move.owner) ? undefined : predecessor;
-        ranges.push({ from, to, owner: move.owner, fence, ...(former === undefined ? {} : { predecessor: former }) });
+    for (const { from, to, owners } of covered) {
+        const predecessors = owners.filter((owner, index) =>
+            !sameOwner(owner, move.owner) && owners.findIndex(other => sameOwner(other, owner)) === index
+        );
+        ranges.push({ from, to, owner: move.owner, fence, predecessors });
         fence += 1;
     }
     return { ...ownership, nextFence: fence, ranges: ranges.sort((left, right) => left.from - right.from) };
 };
 
-/** The ownership after the moves, each moved piece under a fence of its own and with its owner before. */
+/** The ownership after the moves, each moved piece under a fence of its own and with all its owners before. */
 export const applyMoves = (ownership: Ownership, moves: RangeMove[]): Ownership => moves.reduce(applyMove, ownership);
--- a/src/decisions/targetload.ts
+++ b/src/decisions/targetload.ts
@@ -8,8 +8,11 @@
 
 export type TargetLoad = {
     noteSent: () => void;
-    /** The exchange is over. `latencyMilliseconds` is given only for an answer of a request that ran. */
-    noteFinished: (latencyMilliseconds: number | undefined, sentAtLoad: number) => void;
+    /**
+     * The exchange is over. `latencyMilliseconds` is given only for an answer of a request that ran. Gives the time that
+     * the work itself took.
+     */
+    noteFinished: (latencyMilliseconds: number | undefined, sentAtLoad: number) => number | undefined;
     noteTold: (now: number, told: ToldLoad) => void;
     /** Requests of this host that run or wait there. */
     own: () => number;
@@ -43,11 +46,12 @@
         noteFinished: (latencyMilliseconds, sentAtLoad) => {
             own -= 1;
             if (latencyMilliseconds === undefined) {
-                return;
+                return undefined;
             }
             const rounds = Math.max(1, (sentAtLoad + 1) / slots);
             const sample = latencyMilliseconds / rounds;
             service = service === undefined ? sample : service + (sample - service) * serviceWeight;
+            return sample;
         },
         noteTold: (now, told) => {
             others = Math.max(0, told.running + told.waiting - own);
--- /dev/null
+++ b/src/decisions/targetwork.ts
@@ -0,0 +1,45 @@
+/**
+ * How long each target of a pool works on a request, from what all hosts measured: the capacity to plan with.
+ */
+
+export type TargetWork = {
+    note: (target: string, milliseconds: number) => void;
+    /** Requests a second that the target with so many slots works off. */
+    capacity: (target: string, slots: number) => number;
+    forget: (target: string) => void;
+};
+
+/** Weight of one measurement in a target's mean. */
+const sampleWeight = 0.06;
+/** Measurements that count for as much as the usual of the pool: a few slow requests do not make a slow target. */
+const priorSamples = 6;
+const assumedMilliseconds = 150;
+
+/** Creates the estimate without any measurement. */
+export const createTargetWork = (): TargetWork => {
+    const targets = new Map<string, { mean: number; count: number }>();
+
+    const usual = (): number => {
+        const means = [...targets.values()].map(held => held.mean).sort((left, right) => left - right);
+        return means[means.length >> 1] ?? assumedMilliseconds;
+    };
+
+    return {
+        note: (target, milliseconds) => {
+            const held = targets.get(target) ?? { mean: milliseconds, count: 0 };
+            held.count += 1;
+            held.mean += (milliseconds - held.mean) * Math.max(sampleWeight, 1 / held.count);
+            targets.set(target, held);
+        },
+        capacity: (target, slots) => {
+            const typical = usual();
+            const held = targets.get(target);
+            const weight = held === undefined ? 0 : held.count / (held.count + priorSamples);
+            const milliseconds = weight * (held?.mean ?? typical) + (1 - weight) * typical;
+            return slots * 1_000 / milliseconds;
+        },
+        forget: target => {
+            targets.delete(target);
+        },
+    };
+};
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -12,7 +12,7 @@
 
 /** `notRun` is certain: the target said so, or no byte of the request was written. */
 export type ResidentAttempt =
-    | { kind: "answered"; answer: CallerAnswer & { kind: "answer" }; latencyMilliseconds: number }
+    | { kind: "answered"; answer: CallerAnswer & { kind: "answer" }; workMilliseconds: number | undefined }
     | { kind: "failed"; reason: Reason; detail: string; notRun: boolean; arrived: boolean };
 
 export type AttemptOptions = {
@@ -59,6 +59,7 @@
         const { load } = view;
         const sentAt = clock.now();
         const loadAtSend = load.expected(sentAt);
+        let workMilliseconds: number | undefined;
         let settled = false;
         let over = false;
         let stage: SendStage = sendStages.unsent;
@@ -79,7 +80,7 @@
                 over = true;
                 cancelTimer();
                 request.hangUp.listener = undefined;
-                load.noteFinished(latencyMilliseconds, loadAtSend);
+                workMilliseconds = load.noteFinished(latencyMilliseconds, loadAtSend);
             }
         };
 
@@ -95,7 +96,7 @@
             onBody: body => {
                 const { statusCode, headers } = head!;
                 const answer = withLength(request, statusCode, protocol.answerHeaders(headers), body);
-                settle({ kind: "answered", answer, latencyMilliseconds: clock.now() - sentAt });
+                settle({ kind: "answered", answer, workMilliseconds });
             },
         });
 
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -33,8 +33,10 @@
     /** Resends in a window of ten seconds: a part of this host's requests, and some that need none. */
     retryRatio: number;
     retrySlack: number;
-    /** Tells the load of a key to whoever balances ownership. */
-    countKey: (pool: string, key: number) => void;
+    /** Told of each request for a key. */
+    noteKey: (pool: string, key: number) => void;
+    /** Told of the time that a target worked on a request for a key. */
+    noteWork: (pool: string, target: string, milliseconds: number) => void;
     /** A number from 0 up to, not including, 1. */
     unit: () => number;
     clock: Clock;
@@ -142,7 +144,7 @@
         if (range === undefined) {
             return "the key has no owner";
         }
-        if (range.predecessor !== undefined) {
+        if (range.predecessors.length > 0) {
             return `the key moves to "${range.owner.target}" at fence ${range.fence}`;
         }
         const view = views.get(range.owner.target);
@@ -258,8 +260,11 @@
             passage.runs += 1;
         }
         noteAttempt(passage, view, attempt);
-        if (attempt.kind === "answered") {
-            metrics.timing("answer", attempt.latencyMilliseconds, { pool: pool.name });
+        if (attempt.kind === "answered" && attempt.workMilliseconds !== undefined) {
+            metrics.timing("work", attempt.workMilliseconds, { pool: pool.name });
+            if (pool.ownsKeys && attempt.answer.statusCode < 300) {
+                options.noteWork(pool.name, view.target.name, attempt.workMilliseconds);
+            }
         }
         return attempt;
     };
@@ -329,7 +334,7 @@
                 return refusalOf("no-target", `Pool "${poolName}" is not in the table.`, startingRetryMilliseconds);
             }
             if (pool.ownsKeys && request.key !== undefined) {
-                options.countKey(pool.name, request.key);
+                options.noteKey(pool.name, request.key);
             }
             budgetOf(pool.name).noteRequest(clock.now());
             const { receivedAt, deadlineAt } = request;
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -15,10 +15,10 @@
 import { openPlainServer } from "../../links/plainserver.ts";
 import { createFollower, type Follower } from "./follower.ts";
 import { createGateway } from "./gateway.ts";
-import { createKeyLoads } from "./keyload.ts";
 import { createOwnerships } from "./ownerships.ts";
 import { createRangeKeeper, type RangeKeeper, resourceKinds } from "./rangekeeper.ts";
 import { createRegistry } from "./registry.ts";
+import { createReporter } from "./reporter.ts";
 import { createTables } from "./tables.ts";
 import { createViews } from "./views.ts";
 
@@ -94,10 +94,18 @@
         log,
         signal,
     });
+    const keepers = new Map<string, RangeKeeper>();
     const views = createViews({ registry, pool: poolOf, clock, signal });
     const ownerships = createOwnerships(clock, log, signal);
-    const keyLoads = createKeyLoads(clock);
-    const keepers = new Map<string, RangeKeeper>();
+    const reporter = await createReporter({
+        listen: settings.reports.listen,
+        coordinatorOf: pool => {
+            const keeper = keepers.get(pool);
+            return keeper?.isCoordinator() === true ? "self" : keeper?.reportsTo();
+        },
+        clock,
+        signal,
+    });
     const lastCoordination = new Map<string, StoreObject>();
 
     const startKeeper = (pool: string): void => {
@@ -107,8 +115,9 @@
             store,
             link: options.ownershipLink,
             registry,
-            loadOf: () => keyLoads.of(pool),
-            serviceOf: target => views.get(target)?.load.serviceMilliseconds(),
+            reports: settings.reports.listen,
+            loads: reporter.loadsOf(pool),
+            work: reporter.workOf(pool),
             incarnationOf: async (target, callSignal) => {
                 const object = await store.get(objects.targetKind, target, callSignal);
                 const decoded = object === undefined ? undefined : objects.decodeTarget(object);
@@ -153,7 +162,8 @@
         zone,
         retryRatio: settings.retries.ratio * retrySafety,
         retrySlack: settings.retries.slack / hostsPerSlack,
-        countKey: keyLoads.count,
+        noteKey: reporter.noteKey,
+        noteWork: reporter.noteWork,
         unit,
         clock,
         log,
--- a/src/machines/resident/ownerships.ts
+++ b/src/machines/resident/ownerships.ts
@@ -42,7 +42,7 @@
                 return;
             }
             byPool.set(name, { ownership: parsed.data, revision });
-            const moving = parsed.data.ranges.filter(range => range.predecessor !== undefined).length;
+            const moving = parsed.data.ranges.filter(range => range.predecessors.length > 0).length;
             log.info("ownership-read", { pool: name, revision, ranges: parsed.data.ranges.length, moving });
             wake(name);
         },
--- a/src/machines/resident/rangekeeper.ts
+++ b/src/machines/resident/rangekeeper.ts
@@ -19,8 +19,10 @@
 } from "../../contracts/ownership.ts";
 import type { OrderResult, OwnershipLink } from "../../contracts/resident.ts";
 import type { RegisteredTarget } from "../../contracts/routing.ts";
-import { applyMoves, type KeyLoad, planRanges, type RangeTarget } from "../../decisions/rangeplan.ts";
+import type { KeyLoads } from "../../decisions/keyload.ts";
+import { applyMoves, planRanges, type RangeTarget } from "../../decisions/rangeplan.ts";
 import { type ClockReading, createStanding, lapsedAt } from "../../decisions/standing.ts";
+import type { TargetWork } from "../../decisions/targetwork.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { Registry } from "./registry.ts";
@@ -32,9 +34,10 @@
     store: ObjectStore;
     link: OwnershipLink;
     registry: Registry;
-    loadOf: () => KeyLoad;
-    /** Time that the target takes for a request; undefined while unknown. */
-    serviceOf: (target: string) => number | undefined;
+    /** Where this host hears load reports. */
+    reports: string;
+    loads: KeyLoads;
+    work: TargetWork;
     /** The target's incarnation as the store has it now; undefined when it is not registered. */
     incarnationOf: (target: string, signal: AbortSignal) => Promise<string | undefined>;
     /** Since when the store has answered; undefined while it is lost. */
@@ -53,6 +56,8 @@
     /** The coordination object as it was read; undefined when it is gone. */
     put: (object: StoreObject | undefined) => void;
     isCoordinator: () => boolean;
+    /** Where the pool's coordinator hears load reports; undefined while there is none. */
+    reportsTo: () => string | undefined;
     /** Gives the duty back, so that another host takes it at once. */
     resign: () => Promise<void>;
 };
@@ -76,11 +81,15 @@
 /** A target that takes no grants for this time is taken for lost, and left alone as long. */
 const lostMilliseconds = 900;
 const lostPauseMilliseconds = 2_000;
-/** Capacity by speed stays within these bounds of the usual, since measured times mix speed with load. */
-const minSpeed = 0.5;
-const maxSpeed = 1.8;
+/** Keys that have moved stay for this time, in which their load at the new owner becomes known. */
+const settleMilliseconds = 1_500;
+/** Targets that registered within this time after the first may not be all yet. */
+const gatherMilliseconds = 1_200;
 
-const fallbackName = (owner: RangeOwner): string => `${owner.target}/${owner.incarnation}`;
+const nameOf = (owner: RangeOwner): string => `${owner.target}/${owner.incarnation}`;
+
+/** What is left of a range after a cut has the same fence, so that a range is known by its first key too. */
+const idOf = (range: OwnedRange): string => `${range.fence}:${range.from}:${range.to}`;
 
 /** Creates the keeper; it works until the signal aborts. */
 export const createRangeKeeper = (options: RangeKeeperOptions): RangeKeeper => {
@@ -96,11 +105,12 @@
     let othersUntil = -Infinity;
     /** Last moment at which a grant of this term may have arrived at an owner. */
     const lastArrivalAt = new Map<string, number>();
-    const renewedAt = new Map<number, number>();
+    const renewedAt = new Map<string, number>();
     const failingSince = new Map<string, number>();
     const lostUntil = new Map<string, number>();
     const handovers = new Map<number, string | undefined>();
-    const granting = new Set<number>();
+    const granting = new Set<string>();
+    const movedAt = new Map<number, number>();
 
     const reading = (): ClockReading => ({ steady: clock.now(), wall: options.wallClock() });
 
@@ -138,7 +148,7 @@
     const lastKnown = new Map<string, RegisteredTarget>();
     registry.onChange((target, gone) => {
         if (target.pool === pool && !gone) {
-            lastKnown.set(fallbackName({ target: target.name, incarnation: target.incarnation }), target);
+            lastKnown.set(nameOf({ target: target.name, incarnation: target.incarnation }), target);
         }
     });
 
@@ -151,7 +161,7 @@
     const takeOver = async (): Promise<void> => {
         const askedAt = reading();
         const before = seen?.coordination;
-        const coordination = { term: (before?.term ?? 0) + 1, coordinator: self, beat: 0 };
+        const coordination = { term: (before?.term ?? 0) + 1, coordinator: self, reports: options.reports, beat: 0 };
         const write = seen === undefined
             ? await store.create(resourceKinds.coordination, pool, coordination, signal)
             : await store.replace(resourceKinds.coordination, pool, coordination, seen.revision, signal);
@@ -170,6 +180,8 @@
         failingSince.clear();
         lostUntil.clear();
         handovers.clear();
+        movedAt.clear();
+        settled.clear();
         const wasHandedOver = before === undefined || before.coordinator === "";
         othersUntil = wasHandedOver ? clock.now() : clock.now() + currencyMilliseconds;
         standing.confirm(askedAt);
@@ -248,11 +260,11 @@
     };
 
     const noteTaken = (owner: RangeOwner): void => {
-        failingSince.delete(fallbackName(owner));
+        failingSince.delete(nameOf(owner));
     };
 
     const noteRefused = (owner: RangeOwner, reason: string): void => {
-        const name = fallbackName(owner);
+        const name = nameOf(owner);
         const now = clock.now();
         const since = failingSince.get(name) ?? now;
         failingSince.set(name, since);
@@ -268,7 +280,7 @@
 
     /** Whether the owner still is the process that was granted. Asks the store once after its connections broke. */
     const isSameProcess = async (target: RegisteredTarget): Promise<boolean> => {
-        const name = fallbackName({ target: target.name, incarnation: target.incarnation });
+        const name = nameOf({ target: target.name, incarnation: target.incarnation });
         if (!suspects.has(name)) {
             return true;
         }
@@ -279,14 +291,14 @@
         return incarnation === target.incarnation;
     };
 
-    const isLost = (owner: RangeOwner): boolean => (lostUntil.get(fallbackName(owner)) ?? 0) > clock.now();
+    const isLost = (owner: RangeOwner): boolean => (lostUntil.get(nameOf(owner)) ?? 0) > clock.now();
 
     const grant = async (range: OwnedRange): Promise<void> => {
-        const target = targetOf(range.owner) ?? lastKnown.get(fallbackName(range.owner));
-        if (target === undefined || granting.has(range.fence) || !standing.isCurrent(reading())) {
+        const target = targetOf(range.owner) ?? lastKnown.get(nameOf(range.owner));
+        if (target === undefined || granting.has(idOf(range)) || !standing.isCurrent(reading())) {
             return;
         }
-        granting.add(range.fence);
+        granting.add(idOf(range));
         try {
             if (await isSameProcess(target)) {
                 const answer = await link.grant(target, range, hold, handovers.get(range.fence));
@@ -300,7 +312,7 @@
             log.info("grant-withheld", { target: target.name, fence: range.fence, error: messageOf(error) });
         }
         finally {
-            granting.delete(range.fence);
+            granting.delete(idOf(range));
         }
     };
 
@@ -308,13 +320,13 @@
         const now = clock.now();
         metrics.count("grants", { result });
         if (result === "unreachable" || result === "unknown") {
-            suspects.add(fallbackName(range.owner));
+            suspects.add(nameOf(range.owner));
         }
         if (result !== "unreachable") {
-            lastArrivalAt.set(fallbackName(range.owner), now);
+            lastArrivalAt.set(nameOf(range.owner), now);
         }
         if (result === "done") {
-            renewedAt.set(range.fence, now);
+            renewedAt.set(idOf(range), now);
             noteTaken(range.owner);
             return;
         }
@@ -325,7 +337,7 @@
             fence: range.fence,
             result,
         });
-        renewedAt.set(range.fence, now - renewMilliseconds + retryMilliseconds);
+        renewedAt.set(idOf(range), now - renewMilliseconds + retryMilliseconds);
         if (result === "higher-fence" && held !== undefined) {
             await refence(range);
             return;
@@ -333,10 +345,14 @@
         noteRefused(range.owner, result);
     };
 
+    /** The range as it is planned now; undefined when it was cut or moved meanwhile. */
+    const findRange = (range: OwnedRange): OwnedRange | undefined =>
+        held?.ownership.ranges.find(other => idOf(other) === idOf(range));
+
     /** The owner has seen a newer fence on one of the keys: gives it the range again under a new one. */
     const refence = async (range: OwnedRange): Promise<void> => {
-        const current = held?.ownership.ranges.find(other => other.fence === range.fence);
-        if (current === undefined || changing) {
+        const current = findRange(range);
+        if (current === undefined) {
             return;
         }
         await changeOwnership(ownership => applyMoves(ownership, [{ ...current, owner: current.owner }]));
@@ -345,8 +361,8 @@
     const renewDue = (): void => {
         const now = clock.now();
         for (const range of held?.ownership.ranges ?? []) {
-            const due = (renewedAt.get(range.fence) ?? -Infinity) + renewMilliseconds <= now;
-            if (range.predecessor === undefined && due && !isLost(range.owner)) {
+            const due = (renewedAt.get(idOf(range)) ?? -Infinity) + renewMilliseconds <= now;
+            if (range.predecessors.length === 0 && due && !isLost(range.owner)) {
                 void grant(range);
             }
         }
@@ -358,12 +374,12 @@
             return true;
         }
         const now = clock.now();
-        const arrival = lastArrivalAt.get(fallbackName(predecessor)) ?? -Infinity;
+        const arrival = lastArrivalAt.get(nameOf(predecessor)) ?? -Infinity;
         if (now >= lapsedAt(Math.max(arrival, termStartedAt), othersUntil, hold)) {
             log.info("hold-lapsed", { target: predecessor.target, from: range.from, to: range.to, fence: range.fence });
             return true;
         }
-        const target = targetOf(predecessor) ?? lastKnown.get(fallbackName(predecessor));
+        const target = targetOf(predecessor) ?? lastKnown.get(nameOf(predecessor));
         if (target === undefined) {
             return false;
         }
@@ -375,30 +391,31 @@
         return answer.result === "done" || answer.result === "gone";
     };
 
-    const settling = new Set<number>();
-    const settled = new Set<number>();
+    const settling = new Set<string>();
+    const settled = new Set<string>();
     let termStartedAt = clock.now();
     let changing = false;
 
-    /** Brings one move to its end: the former owner stops, the new one is granted. */
-    const settle = async (range: OwnedRange, predecessor: RangeOwner): Promise<void> => {
-        settling.add(range.fence);
+    const areFree = async (range: OwnedRange): Promise<boolean> => {
+        const free = await Promise.all(range.predecessors.map(predecessor => isFree(range, predecessor)));
+        return free.every(Boolean);
+    };
+
+    /** Brings one move to its end: the former owners stop, the new one is granted. */
+    const settle = async (range: OwnedRange): Promise<void> => {
+        settling.add(idOf(range));
         try {
-            while (held !== undefined && !signal.aborted) {
-                if (await isFree(range, predecessor)) {
+            while (findRange(range) !== undefined && !signal.aborted) {
+                if (await areFree(range)) {
                     await grant(range);
-                    settled.add(range.fence);
+                    settled.add(idOf(range));
                     return;
                 }
                 await clock.sleep(retryMilliseconds, signal);
-                const current = held?.ownership.ranges.find(other => other.fence === range.fence);
-                if (current === undefined) {
-                    return;
-                }
             }
         }
         finally {
-            settling.delete(range.fence);
+            settling.delete(idOf(range));
         }
     };
 
@@ -416,81 +433,68 @@
         }
     };
 
-    const withoutPredecessor = (range: OwnedRange): OwnedRange => {
-        const { from, to, owner, fence } = range;
-        return { from, to, owner, fence };
-    };
-
     const noteSettled = async (): Promise<void> => {
         if (settled.size === 0) {
             return;
         }
-        const fences = new Set(settled);
+        const ids = new Set(settled);
         const written = await changeOwnership(ownership => ({
             ...ownership,
-            ranges: ownership.ranges.map(range => fences.has(range.fence) ? withoutPredecessor(range) : range),
+            ranges: ownership.ranges.map(range => ids.has(idOf(range)) ? { ...range, predecessors: [] } : range),
         }));
         if (written) {
-            fences.forEach(fence => settled.delete(fence));
-            log.info("moves-finished", { fences: [...fences].join(",") });
+            ids.forEach(id => settled.delete(id));
+            log.info("moves-finished", { ranges: [...ids].join(",") });
         }
     };
 
-    const speedOf = (target: RegisteredTarget, typical: number | undefined): number => {
-        const service = options.serviceOf(target.name);
-        if (service === undefined || typical === undefined) {
-            return 1;
-        }
-        return Math.min(maxSpeed, Math.max(minSpeed, typical / service));
-    };
+    const availableTargets = (): RangeTarget[] =>
+        registry.ofPool(pool)
+            .map(target => ({ target, owner: { target: target.name, incarnation: target.incarnation } }))
+            .filter(({ target, owner }) => !target.leaving && !isLost(owner))
+            .map(({ target, owner }) => ({ owner, capacity: options.work.capacity(target.name, target.slots) }));
 
-    const availableTargets = (): RangeTarget[] => {
-        const targets = registry.ofPool(pool).filter(target =>
-            !target.leaving && !isLost({ target: target.name, incarnation: target.incarnation })
-        );
-        const services = targets.map(target => options.serviceOf(target.name))
-            .filter(service => service !== undefined)
-            .sort((left, right) => left - right);
-        const typical = services[services.length >> 1];
-        return targets.map(target => ({
-            owner: { target: target.name, incarnation: target.incarnation },
-            capacity: target.slots * speedOf(target, typical),
-        }));
-    };
+    /** The first plan waits for the targets that start together with the hosts. */
+    const isGathering = (): boolean =>
+        held?.ownership.ranges.length === 0 && clock.now() - gatheringSince < gatherMilliseconds;
+    let gatheringSince = clock.now();
 
     const plan = async (): Promise<void> => {
-        if (held === undefined || changing || settling.size > 0) {
-            return;
-        }
-        const load = options.loadOf();
-        const moves = planRanges(held.ownership.ranges, availableTargets(), load);
-        if (moves.length === 0) {
+        if (held === undefined || isGathering()) {
             return;
         }
+        const now = clock.now();
         const before = held.ownership;
-        const written = await changeOwnership(ownership => applyMoves(ownership, moves));
-        if (!written) {
+        const moves = planRanges({
+            ranges: before.ranges,
+            targets: availableTargets(),
+            atoms: options.loads.atoms(now),
+            evidence: options.loads.evidence(now),
+            isMovable: range => now - (movedAt.get(range.fence) ?? -Infinity) >= settleMilliseconds,
+        });
+        if (moves.length === 0 || !await changeOwnership(ownership => applyMoves(ownership, moves))) {
             return;
         }
         metrics.count("moved-keys", { pool }, moves.reduce((sum, move) => sum + move.to - move.from + 1, 0));
         for (const move of moves) {
             const former = before.ranges.find(range => range.from <= move.from && range.to >= move.from);
+            const moved = held?.ownership.ranges.find(range => range.from === move.from);
+            movedAt.set(moved?.fence ?? 0, now);
             log.info("keys-moved", {
                 from: move.from,
                 to: move.to,
                 target: move.owner.target,
                 before: former?.owner.target,
-                loadSeen: Math.round(load.total),
-                fence: held?.ownership.ranges.find(range => range.from === move.from)?.fence,
+                requestsPerSecond: Math.round(options.loads.rate(now)),
+                fence: moved?.fence,
             });
         }
     };
 
     const settleDue = (): void => {
         for (const range of held?.ownership.ranges ?? []) {
-            const { predecessor, fence } = range;
-            if (predecessor !== undefined && !settling.has(fence) && !settled.has(fence)) {
-                void settle(range, predecessor);
+            if (range.predecessors.length > 0 && !settling.has(idOf(range)) && !settled.has(idOf(range))) {
+                void settle(range);
             }
         }
     };
@@ -517,6 +521,7 @@
         ) {
             await takeOver();
             termStartedAt = clock.now();
+            gatheringSince = termStartedAt;
         }
     };
 
@@ -550,6 +555,7 @@
     return {
         put,
         isCoordinator: () => held !== undefined,
+        reportsTo: () => seen?.coordination.coordinator === "" ? undefined : seen?.coordination.reports,
         resign: async () => {
             if (held === undefined || seen === undefined) {
                 return;
