--- a/src/contracts/ownership.ts
+++ b/src/contracts/ownership.ts
@@ -40,6 +40,8 @@
     coordinator: z.string(),
     /** Where the coordinator hears load reports, `address:port`. */
     reports: z.string(),
+    /** Coordinators before that may still send grants. */
+    former: z.array(z.string()),
     beat: z.int().min(0),
 });
 export type Coordination = z.infer<typeof coordinationSchema>;
@@ -47,6 +49,9 @@
 export const sameOwner = (left: RangeOwner | undefined, right: RangeOwner | undefined): boolean =>
     left?.target === right?.target && left?.incarnation === right?.incarnation;
 
+/** What is left of a range after a cut keeps its fence, so that a range is known by its keys too. */
+export const rangeId = (range: OwnedRange): string => `${range.fence}:${range.from}-${range.to}`;
+
 /** The range that holds the key, by binary search; undefined when the key has no owner. */
 export const rangeOf = (ranges: OwnedRange[], key: number): OwnedRange | undefined => {
     let low = 0;
--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -33,6 +33,10 @@
 const minEvidence = 60;
 /** Ranges a target on average; more cost too many renewals. */
 const maxRangesPerTarget = 6;
+/** From here on small ranges are given to the owner of a neighbour, so that there is room for cuts. */
+const crowdedRangesPerTarget = 4;
+/** What a cut beside a range of the receiver is worth, as a part of the peak: it leaves no more ranges than before. */
+const neighbourGain = 0.04;
 
 /** A target with its load, as a part of its capacity. */
 type Share = { target: RangeTarget; load: number };
@@ -161,9 +165,18 @@
     return pieces;
 };
 
+/** Tells whether a target owns the keys just before or after a piece. */
+const createNeighbours = (ranges: OwnedRange[]) => {
+    const byFrom = new Map(ranges.map(range => [range.from, range]));
+    const byTo = new Map(ranges.map(range => [range.to, range]));
+    return ({ from, to }: { from: number; to: number }, owner: RangeOwner): boolean =>
+        sameOwner(byFrom.get(to + 1)?.owner, owner) || sameOwner(byTo.get(from - 1)?.owner, owner);
+};
+
 /** The cut that leaves the lower peak of donor and receiver. */
 const bestCut = (donor: Share, shares: Share[], input: PlanInput): Cut | undefined => {
     let best: Cut | undefined;
+    const isBeside = createNeighbours(input.ranges);
     const owned = input.ranges.filter(range =>
         sameOwner(range.owner, donor.target.owner) && range.predecessors.length === 0 && input.isMovable(range)
     );
@@ -174,7 +187,8 @@
                 continue;
             }
             const receiverAfter = (receiver.load + piece.load) / receiver.target.capacity;
-            const peak = Math.max(donorAfter, receiverAfter);
+            const gain = isBeside(piece, receiver.target.owner) ? 1 - neighbourGain : 1;
+            const peak = Math.max(donorAfter, receiverAfter) * gain;
             if (best === undefined || peak < best.peak) {
                 best = { from: piece.from, to: piece.to, receiver, peak };
             }
@@ -196,6 +210,26 @@
     return cut === undefined ? undefined : { from: cut.from, to: cut.to, owner: newcomer.target.owner };
 };
 
+/** The least loaded range that fits at the owner of a neighbour, when there are many ranges. */
+const planJoin = (input: PlanInput, shares: Share[], sums: LoadSums): RangeMove | undefined => {
+    const { ranges, targets } = input;
+    if (ranges.length < targets.length * crowdedRangesPerTarget) {
+        return undefined;
+    }
+    const candidates = ranges.flatMap((range, index) => {
+        const load = sums.between(range.from, range.to);
+        return [ranges[index - 1], ranges[index + 1]].map(neighbour => {
+            const share = shares.find(other => sameOwner(other.target.owner, neighbour?.owner));
+            const isFitting = share !== undefined && !sameOwner(share.target.owner, range.owner)
+                && range.predecessors.length === 0 && input.isMovable(range)
+                && (share.load + load) / share.target.capacity < relievedBelow;
+            return isFitting ? { from: range.from, to: range.to, owner: share.target.owner, load } : undefined;
+        });
+    }).filter(candidate => candidate !== undefined);
+    const least = candidates.sort((left, right) => left.load - right.load)[0];
+    return least === undefined ? undefined : { from: least.from, to: least.to, owner: least.owner };
+};
+
 /**
  * The moves that are due now. Keys without a live owner come first; then a target that owns nothing gets its part; else
  * at most one cut relieves the most loaded target.
@@ -215,6 +249,10 @@
     if (newcomer !== undefined) {
         return [newcomer];
     }
+    const joined = planJoin(input, shares, sums);
+    if (joined !== undefined) {
+        return [joined];
+    }
     if (input.evidence < minEvidence || ranges.length >= targets.length * maxRangesPerTarget) {
         return [];
     }
@@ -272,3 +310,27 @@
 
 /** The ownership after the moves, each moved piece under a fence of its own and with all its owners before. */
 export const applyMoves = (ownership: Ownership, moves: RangeMove[]): Ownership => moves.reduce(applyMove, ownership);
+
+const canMerge = (left: OwnedRange, right: OwnedRange): boolean =>
+    left.to + 1 === right.from && sameOwner(left.owner, right.owner)
+    && left.predecessors.length === 0 && right.predecessors.length === 0;
+
+/** Joins neighbouring ranges of one owner under a new fence; the same ownership when there are none. */
+export const mergeRanges = (ownership: Ownership): Ownership => {
+    let { nextFence } = ownership;
+    const ranges: OwnedRange[] = [];
+    const grown = new Set<OwnedRange>();
+    for (const range of ownership.ranges) {
+        const last = ranges[ranges.length - 1];
+        if (last === undefined || !canMerge(last, range)) {
+            ranges.push(range);
+            continue;
+        }
+        const merged = grown.has(last) ? last : { ...last, fence: nextFence };
+        nextFence = grown.has(last) ? nextFence : nextFence + 1;
+        merged.to = range.to;
+        grown.add(merged);
+        ranges[ranges.length - 1] = merged;
+    }
+    return grown.size === 0 ? ownership : { ...ownership, nextFence, ranges };
+};
--- /dev/null
+++ b/src/machines/resident/grants.ts
@@ -0,0 +1,165 @@
+/**
+ * Grants of a coordinator: renews those of all ranges in time, and knows which owners take none.
+ */
+import type { Clock } from "../../contracts/clock.ts";
+import { messageOf } from "../../contracts/errors.ts";
+import { type OwnedRange, rangeId, type RangeOwner } from "../../contracts/ownership.ts";
+import type { OrderResult, OwnershipLink } from "../../contracts/resident.ts";
+import type { RegisteredTarget } from "../../contracts/routing.ts";
+import { lapsedAt } from "../../decisions/standing.ts";
+import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
+
+export type GrantsOptions = {
+    link: OwnershipLink;
+    /** Where the owner is, also after its entry is gone; undefined when it was never known. */
+    findTarget: (owner: RangeOwner) => RegisteredTarget | undefined;
+    /** The target's incarnation as the store has it now; undefined when it is not registered. */
+    incarnationOf: (target: string, signal: AbortSignal) => Promise<string | undefined>;
+    mayGrant: () => boolean;
+    /** The owner has seen a newer fence on one of the keys. */
+    onHigherFence: (range: OwnedRange) => void;
+    holdMilliseconds: number;
+    clock: Clock;
+    log: Log;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
+
+export type Grants = {
+    /** Forgets all: a new term begins. */
+    reset: () => void;
+    /** Grants the range once. */
+    grant: (range: OwnedRange) => Promise<void>;
+    /** Renews what is due; does not wait. */
+    renew: (ranges: OwnedRange[]) => void;
+    /** Keeps the token of the former owner's state for the next grants of the range. */
+    noteHandover: (range: OwnedRange, handover: string | undefined) => void;
+    /** Whether the owner has taken no grants for a while. */
+    isLost: (owner: RangeOwner) => boolean;
+    /** When a silent owner has certainly stopped serving, if earlier coordinators granted until the time given. */
+    lapsesAt: (owner: RangeOwner, othersUntil: number) => number;
+};
+
+const renewMilliseconds = 1_200;
+const retryMilliseconds = 250;
+/** A target that takes no grants for this time is taken for lost, and left alone for a while. */
+const lostMilliseconds = 900;
+const lostPauseMilliseconds = 2_000;
+
+const nameOf = (owner: RangeOwner): string => `${owner.target}/${owner.incarnation}`;
+
+/** Creates the grants of one pool. */
+export const createGrants = (options: GrantsOptions): Grants => {
+    const { link, clock, log, metrics, signal } = options;
+    const lastArrivalAt = new Map<string, number>();
+    const renewedAt = new Map<string, number>();
+    const failingSince = new Map<string, number>();
+    const lostUntil = new Map<string, number>();
+    const handovers = new Map<string, string | undefined>();
+    const granting = new Set<string>();
+    /** Owners whose connections broke: they may have started again under the same name, without their keys. */
+    const suspects = new Set<string>();
+
+    const isLost = (owner: RangeOwner): boolean => (lostUntil.get(nameOf(owner)) ?? 0) > clock.now();
+
+    const noteRefused = (owner: RangeOwner, reason: string): void => {
+        const name = nameOf(owner);
+        const now = clock.now();
+        const since = failingSince.get(name) ?? now;
+        failingSince.set(name, since);
+        if (now - since >= lostMilliseconds && !isLost(owner)) {
+            lostUntil.set(name, now + lostPauseMilliseconds);
+            failingSince.delete(name);
+            log.warn("target-lost", { target: owner.target, reason, forMilliseconds: Math.round(now - since) });
+        }
+    };
+
+    /** Whether the owner still is the process that was granted. Asks the store once after its connections broke. */
+    const isSameProcess = async ({ target, incarnation }: RangeOwner): Promise<boolean> => {
+        const name = nameOf({ target, incarnation });
+        if (!suspects.has(name)) {
+            return true;
+        }
+        const isSame = await options.incarnationOf(target, signal) === incarnation;
+        if (isSame) {
+            suspects.delete(name);
+        }
+        return isSame;
+    };
+
+    const noteResult = (range: OwnedRange, result: OrderResult["result"]): void => {
+        const { owner, from, to, fence } = range;
+        const now = clock.now();
+        metrics.count("grants", { result });
+        if (result === "unreachable" || result === "unknown") {
+            suspects.add(nameOf(owner));
+        }
+        if (result !== "unreachable") {
+            lastArrivalAt.set(nameOf(owner), now);
+        }
+        if (result === "done") {
+            renewedAt.set(rangeId(range), now);
+            failingSince.delete(nameOf(owner));
+            return;
+        }
+        log.info("grant-failed", { target: owner.target, from, to, fence, result });
+        renewedAt.set(rangeId(range), now - renewMilliseconds + retryMilliseconds);
+        if (result === "higher-fence") {
+            options.onHigherFence(range);
+            return;
+        }
+        noteRefused(owner, result);
+    };
+
+    const grant = async (range: OwnedRange): Promise<void> => {
+        const { owner, fence } = range;
+        const target = options.findTarget(owner);
+        const id = rangeId(range);
+        if (target === undefined || granting.has(id) || !options.mayGrant()) {
+            return;
+        }
+        granting.add(id);
+        try {
+            if (!await isSameProcess(owner)) {
+                noteRefused(owner, "another process may run there");
+            }
+            else if (options.mayGrant()) {
+                const answer = await link.grant(target, range, options.holdMilliseconds, handovers.get(id));
+                noteResult(range, answer.result);
+            }
+        }
+        catch (error) {
+            log.info("grant-withheld", { target: owner.target, fence, error: messageOf(error) });
+        }
+        finally {
+            granting.delete(id);
+        }
+    };
+
+    return {
+        reset: () => {
+            lastArrivalAt.clear();
+            renewedAt.clear();
+            failingSince.clear();
+            lostUntil.clear();
+            handovers.clear();
+        },
+        grant,
+        renew: ranges => {
+            const now = clock.now();
+            for (const range of ranges) {
+                const isDue = (renewedAt.get(rangeId(range)) ?? -Infinity) + renewMilliseconds <= now;
+                if (isDue && !isLost(range.owner)) {
+                    void grant(range);
+                }
+            }
+        },
+        noteHandover: (range, handover) => {
+            handovers.set(rangeId(range), handover);
+        },
+        isLost,
+        lapsesAt: (owner, othersUntil) =>
+            lapsedAt(lastArrivalAt.get(nameOf(owner)) ?? -Infinity, othersUntil, options.holdMilliseconds),
+    };
+};
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -13,10 +13,12 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { openPlainServer } from "../../links/plainserver.ts";
+import { resourceKinds } from "./coordination.ts";
 import { createFollower, type Follower } from "./follower.ts";
 import { createGateway } from "./gateway.ts";
 import { createOwnerships } from "./ownerships.ts";
-import { createRangeKeeper, type RangeKeeper, resourceKinds } from "./rangekeeper.ts";
+import { registerProcess } from "./processes.ts";
+import { createRangeKeeper, type RangeKeeper } from "./rangekeeper.ts";
 import { createRegistry } from "./registry.ts";
 import { createReporter } from "./reporter.ts";
 import { createTables } from "./tables.ts";
@@ -79,6 +81,7 @@
     ): Follower =>
         createFollower({ store, kind, waitMilliseconds: watchMilliseconds, onList, onChange, clock, log, signal });
 
+    const processes = registerProcess({ store, self, clock, log, signal });
     const tables = createTables({ decode: objects.decodeTable, log });
     const putTable = (object: StoreObject): void => {
         if (object.name === objects.tableName) {
@@ -114,6 +117,7 @@
             self,
             store,
             link: options.ownershipLink,
+            processes,
             registry,
             reports: settings.reports.listen,
             loads: reporter.loadsOf(pool),
--- /dev/null
+++ b/src/machines/resident/processes.ts
@@ -0,0 +1,70 @@
+/**
+ * The processes that run on the hosts, as they registered at their start. A host runs one process at a time, so that a
+ * newer one there shows that an older one has ended.
+ */
+import { z } from "zod";
+import type { Clock } from "../../contracts/clock.ts";
+import { messageOf } from "../../contracts/errors.ts";
+import type { ObjectStore } from "../../contracts/objectstore.ts";
+import type { Log } from "../../links/logs.ts";
+
+export type Processes = {
+    /** Whether the process has certainly ended; false also while the store does not answer. */
+    hasEnded: (process: string) => Promise<boolean>;
+};
+
+export type ProcessesOptions = {
+    store: ObjectStore;
+    /** Name of this process: its host, a slash, and what no other process has. */
+    self: string;
+    clock: Clock;
+    log: Log;
+    signal: AbortSignal;
+};
+
+const kind = "hosts";
+const retryMilliseconds = 500;
+const recordSchema = z.object({ process: z.string() });
+
+/** The host of a process. */
+const hostOf = (process: string): string => process.slice(0, process.lastIndexOf("/"));
+
+/** Registers this process, again and again until the store has it. */
+export const registerProcess = ({ store, self, clock, log, signal }: ProcessesOptions): Processes => {
+    const register = async (): Promise<void> => {
+        const name = hostOf(self);
+        const value = { process: self };
+        const created = await store.create(kind, name, value, signal);
+        if (created.result === "conflict" && created.current !== undefined) {
+            await store.replace(kind, name, value, created.current.revision, signal);
+        }
+    };
+
+    const run = async (): Promise<void> => {
+        while (!signal.aborted) {
+            try {
+                await register();
+                return;
+            }
+            catch (error) {
+                log.warn("registration-failed", { process: self, error: messageOf(error) });
+                await clock.sleep(retryMilliseconds, signal);
+            }
+        }
+    };
+    void run();
+
+    return {
+        hasEnded: async process => {
+            try {
+                const object = await store.get(kind, hostOf(process), signal);
+                const parsed = recordSchema.safeParse(object?.value);
+                return parsed.success && parsed.data.process !== process;
+            }
+            catch (error) {
+                log.info("process-unknown", { process, error: messageOf(error) });
+                return false;
+            }
+        },
+    };
+};
