Let a target that is missing alone be gone at once

Change: entries are kept only when a large part of them is missing; a regained link wakes the other watches.

--- a/src/decisions/keyload.ts
+++ b/src/decisions/keyload.ts
@@ -8,7 +8,8 @@
 export type KeyAtom = { from: number; to: number; load: number };
 
 export type KeyLoads = {
-    note: (key: number, now: number) => void;
+    /** Notes a request, or a part of one. */
+    note: (key: number, now: number, weight?: number) => void;
     /** Requests a second, all keys together. */
     rate: (now: number) => number;
     /** Requests on which the figures rest, the older ones for less than one each. */
@@ -21,10 +22,10 @@
 export const keysPerBucket = (maxKey + 1) / bucketCount;
 
 /** Time in which a request loses half of its weight. */
-const halfLifeMilliseconds = 1_500;
+const halfLifeMilliseconds = 2_500;
 const meanLifeSeconds = halfLifeMilliseconds / 1_000 / Math.LN2;
 /** Weight at which a key is an atom of its own: that many requests within the mean life. */
-const busyKeyWeight = 6;
+const busyKeyWeight = 8;
 const forgottenWeight = 0.05;
 /** Part of the load that counts as spread evenly: keys without recent requests are asked for too. */
 const evenShare = 0.2;
@@ -38,8 +39,8 @@
     const keys = new Map<number, Aging>();
     const total: Aging = { weight: 0, at: 0 };
 
-    const add = (held: Aging, now: number): void => {
-        held.weight = agedWeight(held, now) + 1;
+    const add = (held: Aging, now: number, weight: number): void => {
+        held.weight = agedWeight(held, now) + weight;
         held.at = now;
     };
 
@@ -62,11 +63,11 @@
     };
 
     return {
-        note: (key, now) => {
+        note: (key, now, weight = 1) => {
             const held = keys.get(key) ?? { weight: 0, at: now };
             keys.set(key, held);
-            add(held, now);
-            add(total, now);
+            add(held, now, weight);
+            add(total, now, weight);
         },
         rate: now => agedWeight(total, now) / meanLifeSeconds,
         evidence: now => agedWeight(total, now),
--- a/src/decisions/placing.ts
+++ b/src/decisions/placing.ts
@@ -5,8 +5,8 @@
 
 export type PlacingCandidate = {
     name: string;
-    /** Way there and back, and what a distant zone costs, as time. */
-    distanceMilliseconds: number;
+    /** What speaks against the target beside its load, as time: another zone, failures of late. */
+    aversionMilliseconds: number;
     slots: number;
     /** Requests of all hosts that are expected to run or wait there. */
     load: number;
@@ -36,7 +36,7 @@
 /** Expected time from sending to the answer: the work itself, and the rounds of work queued before it. */
 export const expectedMilliseconds = (candidate: PlacingCandidate): number => {
     const queued = Math.max(0, candidate.load + 1 - candidate.slots);
-    return candidate.distanceMilliseconds + candidate.serviceMilliseconds * (1 + queued / candidate.slots);
+    return candidate.serviceMilliseconds * (1 + queued / candidate.slots);
 };
 
 /** The latest expected answer for which a request is sent. */
@@ -60,15 +60,18 @@
     let best = candidates[0];
     let leastDrawn = Infinity;
     for (const candidate of candidates) {
-        const drawn = expectedMilliseconds(candidate) * (1 + jitterShare * (unit() - 0.5));
+        const cost = expectedMilliseconds(candidate) + candidate.aversionMilliseconds;
+        const drawn = cost * (1 + jitterShare * (unit() - 0.5));
         if (drawn < leastDrawn) {
             leastDrawn = drawn;
             best = candidate;
         }
     }
     const expected = expectedMilliseconds(best);
-    const idle = best.distanceMilliseconds + best.serviceMilliseconds;
-    const latest = Math.max(latestUsefulMilliseconds(limits), Math.min(idle, limits.remainingMilliseconds));
+    const latest = Math.max(
+        latestUsefulMilliseconds(limits),
+        Math.min(best.serviceMilliseconds, limits.remainingMilliseconds),
+    );
     if (expected <= latest) {
         return { verdict: "placed", candidate: best, expectedMilliseconds: expected };
     }
--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -26,9 +26,9 @@
 };
 
 /** A target with less load than this part of its capacity needs no relief: its queue stays short. */
-const relievedBelow = 0.6;
+const relievedBelow = 0.65;
 /** A move must lower the higher of the two loads by this part. */
-const minGain = 0.12;
+const minGain = 0.15;
 /** Requests that loads must rest on before they are balanced: fewer say too little about each target. */
 const minEvidence = 60;
 /** Ranges a target on average; more cost too many renewals. */
--- a/src/links/loadreports.ts
+++ b/src/links/loadreports.ts
@@ -5,11 +5,14 @@
 import { pack, unpack } from "msgpackr";
 import { WebSocket, WebSocketServer } from "ws";
 import { z } from "zod";
+import { maxKey } from "../contracts/ownership.ts";
 
 const reportSchema = z.object({
     pool: z.string(),
-    /** Keys of the requests since the last report. */
-    keys: z.array(z.int().min(0).max(65_535)),
+    /** Keys of the requests since the last report that were sent to their owner. */
+    keys: z.array(z.int().min(0).max(maxKey)),
+    /** Keys of those that were refused. */
+    refusedKeys: z.array(z.int().min(0).max(maxKey)),
     /** Target and milliseconds of work, one entry an answer. */
     work: z.array(z.tuple([z.string(), z.number().min(0)])),
 });
--- a/src/machines/resident/follower.ts
+++ b/src/machines/resident/follower.ts
@@ -14,7 +14,9 @@
     waitMilliseconds: number;
     /** All objects of the kind; what is not among them is gone. */
     onList: (objects: StoreObject[]) => void;
-    onChange: (event: StoreEvent) => void;
+    onChanges: (events: StoreEvent[]) => void;
+    /** The store answered again after a loss. */
+    onRegained: () => void;
     clock: Clock;
     log: Log;
     signal: AbortSignal;
@@ -25,6 +27,8 @@
     started: Promise<void>;
     /** Monotonic time since which the store has answered without a failure; undefined while it does not. */
     inContactSince: () => number | undefined;
+    /** Asks the store again at once when it was lost. */
+    retryNow: () => void;
 };
 
 const firstPauseMilliseconds = 150;
@@ -38,12 +42,14 @@
     let lostSince = clock.now();
     let position: number | undefined;
     let pause = firstPauseMilliseconds;
+    let wake: () => void = () => undefined;
 
     const noteContact = (): void => {
         pause = firstPauseMilliseconds;
         if (contactSince === undefined) {
             contactSince = clock.now();
             log.info("store-regained", { kind, position, afterMilliseconds: Math.round(contactSince - lostSince) });
+            options.onRegained();
         }
     };
 
@@ -71,10 +77,19 @@
             position = undefined;
             return;
         }
-        changes.events.forEach(options.onChange);
+        options.onChanges(changes.events);
         position = Math.max(from, changes.position);
     };
 
+    const pauseOrWake = (): Promise<void> =>
+        new Promise(resolve => {
+            const cancel = clock.after(pause, resolve);
+            wake = () => {
+                cancel();
+                resolve();
+            };
+        });
+
     const step = async (): Promise<void> => {
         try {
             await (position === undefined ? listOnce() : watchOnce(position));
@@ -84,7 +99,7 @@
                 return;
             }
             noteLoss(error);
-            await clock.sleep(pause, signal);
+            await pauseOrWake();
             pause = Math.min(maxPauseMilliseconds, pause * 2);
         }
     };
@@ -103,5 +118,5 @@
     };
     run().catch((error: unknown) => log.error("follower-ended", { kind, error: messageOf(error) }));
 
-    return { started, inContactSince: () => contactSince };
+    return { started, inContactSince: () => contactSince, retryNow: () => wake() };
 };
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -33,8 +33,8 @@
     /** Resends in a window of ten seconds: a part of this host's requests, and some that need none. */
     retryRatio: number;
     retrySlack: number;
-    /** Told of each request for a key. */
-    noteKey: (pool: string, key: number) => void;
+    /** Told of each request for a key when it ends, and whether it was sent to the owner. */
+    noteKey: (pool: string, key: number, wasSent: boolean) => void;
     /** Told of the time that a target worked on a request for a key. */
     noteWork: (pool: string, target: string, milliseconds: number) => void;
     /** A number from 0 up to, not including, 1. */
@@ -113,15 +113,15 @@
         const now = clock.now();
         const service = view.load.serviceMilliseconds() ?? typical;
         const isCold = now < view.warmAt;
-        const penalty = 1 + failurePenalty * view.failureShare;
         const isNear = view.target.zone === options.zone;
         return {
             view,
             name: view.target.name,
-            distanceMilliseconds: isNear ? 0 : route.objectiveMilliseconds * otherZoneShareOfObjective,
+            aversionMilliseconds: (isNear ? 0 : route.objectiveMilliseconds * otherZoneShareOfObjective)
+                + service * failurePenalty * view.failureShare,
             slots: view.target.slots,
             load: view.load.expected(now),
-            serviceMilliseconds: service * penalty * (isCold ? coldFactor : 1),
+            serviceMilliseconds: service * (isCold ? coldFactor : 1),
         };
     };
 
@@ -333,12 +333,9 @@
             if (pool === undefined) {
                 return refusalOf("no-target", `Pool "${poolName}" is not in the table.`, startingRetryMilliseconds);
             }
-            if (pool.ownsKeys && request.key !== undefined) {
-                options.noteKey(pool.name, request.key);
-            }
             budgetOf(pool.name).noteRequest(clock.now());
             const { receivedAt, deadlineAt } = request;
-            return travel({
+            const passage: Passage = {
                 request,
                 route,
                 pool,
@@ -348,7 +345,12 @@
                 sends: 0,
                 runs: 0,
                 uncertain: undefined,
-            });
+            };
+            const answer = await travel(passage);
+            if (pool.ownsKeys && request.key !== undefined) {
+                options.noteKey(pool.name, request.key, passage.sends > 0);
+            }
+            return answer;
         },
     };
 };
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -74,12 +74,31 @@
 
     log.info("host-starting", { process: self, zone, listen: settings.callers.listen, store: settings.store.address });
 
+    const followers: Follower[] = [];
     const follow = (
         kind: string,
         onList: (all: StoreObject[]) => void,
-        onChange: (event: StoreEvent) => void,
-    ): Follower =>
-        createFollower({ store, kind, waitMilliseconds: watchMilliseconds, onList, onChange, clock, log, signal });
+        onChanges: (events: StoreEvent[]) => void,
+    ): Follower => {
+        const follower = createFollower({
+            store,
+            kind,
+            waitMilliseconds: watchMilliseconds,
+            onList,
+            onChanges,
+            onRegained: () => followers.forEach(other => other.retryNow()),
+            clock,
+            log,
+            signal,
+        });
+        followers.push(follower);
+        return follower;
+    };
+    /** Follows a kind of which only what exists matters. */
+    const followExisting = (kind: string, onObject: (object: StoreObject) => void): Follower =>
+        follow(kind, all => all.forEach(onObject), events => {
+            events.filter(event => !event.removed).forEach(event => onObject(event.object));
+        });
 
     const processes = registerProcess({ store, self, clock, log, signal });
     const tables = createTables({ decode: objects.decodeTable, log });
@@ -203,21 +222,13 @@
         healthy: () => true,
     });
 
-    const targetFollower = follow(objects.targetKind, registry.list, registry.change);
-    const tableFollower = follow(objects.tableKind, all => all.forEach(putTable), event => {
-        if (!event.removed) {
-            putTable(event.object);
-        }
-    });
-    const ownershipFollower = follow(resourceKinds.ownership, all => all.forEach(ownerships.put), event => {
-        if (!event.removed) {
-            ownerships.put(event.object);
-        }
-    });
+    const targetFollower = follow(objects.targetKind, registry.list, registry.changes);
+    followExisting(objects.tableKind, putTable);
+    followExisting(resourceKinds.ownership, ownerships.put);
     const coordinationFollower = follow(
         resourceKinds.coordination,
         all => all.forEach(object => putCoordination(object, false)),
-        event => putCoordination(event.object, event.removed),
+        events => events.forEach(event => putCoordination(event.object, event.removed)),
     );
     tables.onChange(applyTable);
 
@@ -233,8 +244,7 @@
         () => ({ statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() }),
     );
 
-    const all = [targetFollower, tableFollower, ownershipFollower, coordinationFollower];
-    void Promise.all(all.map(follower => follower.started)).then(() => {
+    void Promise.all(followers.map(follower => follower.started)).then(() => {
         started = !signal.aborted;
         log.info("host-ready", { version: tables.current()?.table.version, calls: JSON.stringify(store.calls()) });
     });
--- a/src/machines/resident/registry.ts
+++ b/src/machines/resident/registry.ts
@@ -13,7 +13,7 @@
     /** Called with each entry that came, changed or went, after the registry has it. */
     onChange: (listener: (target: RegisteredTarget, gone: boolean) => void) => void;
     list: (objects: StoreObject[]) => void;
-    change: (event: StoreEvent) => void;
+    changes: (events: StoreEvent[]) => void;
 };
 
 export type RegistryOptions = {
@@ -28,13 +28,15 @@
 /** Live targets are registered again about two seconds after the store's return. */
 const lapseGraceMilliseconds = 1_800;
 
+/** An outage of the store lapses all entries; when fewer than this part are missing, their targets have left. */
+const lapsedShare = 0.4;
+
 /** Creates an empty registry. */
 export const createRegistry = (options: RegistryOptions): Registry => {
     const { clock, log, signal } = options;
     const targets = new Map<string, RegisteredTarget>();
     const lapsing = new Map<string, () => void>();
     const listeners: Array<(target: RegisteredTarget, gone: boolean) => void> = [];
-    let firstListDone = false;
 
     const tell = (target: RegisteredTarget, gone: boolean): void => {
         listeners.forEach(listener => listener(target, gone));
@@ -63,12 +65,12 @@
             : Math.max(0, since + lapseGraceMilliseconds - clock.now());
     };
 
-    const remove = (name: string): void => {
+    const remove = (name: string, isLapse: boolean): void => {
         const target = targets.get(name);
         if (target === undefined || lapsing.has(name)) {
             return;
         }
-        const grace = firstListDone && !target.leaving ? graceLeft() : 0;
+        const grace = isLapse && !target.leaving ? graceLeft() : 0;
         if (grace === 0) {
             drop(name, "removed");
             return;
@@ -77,6 +79,12 @@
         lapsing.set(name, clock.after(grace, () => drop(name, "lapsed"), signal));
     };
 
+    const removeAll = (names: string[]): void => {
+        const missing = new Set([...names, ...lapsing.keys()]).size;
+        const isLapse = missing >= targets.size * lapsedShare;
+        names.forEach(name => remove(name, isLapse));
+    };
+
     const put = (object: StoreObject): void => {
         const target = options.decode(object);
         if (typeof target === "string") {
@@ -102,9 +110,11 @@
         list: objects => {
             const names = new Set(objects.map(object => object.name));
             objects.forEach(put);
-            [...targets.keys()].filter(name => !names.has(name)).forEach(remove);
-            firstListDone = true;
+            removeAll([...targets.keys()].filter(name => !names.has(name)));
+        },
+        changes: events => {
+            events.filter(event => !event.removed).forEach(event => put(event.object));
+            removeAll(events.filter(event => event.removed).map(event => event.object.name));
         },
-        change: event => event.removed ? remove(event.object.name) : put(event.object),
     };
 };
--- a/src/machines/resident/reporter.ts
+++ b/src/machines/resident/reporter.ts
@@ -8,7 +8,7 @@
 import { type LoadReport, openLoadReports } from "../../links/loadreports.ts";
 
 export type Reporter = {
-    noteKey: (pool: string, key: number) => void;
+    noteKey: (pool: string, key: number, wasSent: boolean) => void;
     noteWork: (pool: string, target: string, milliseconds: number) => void;
     loadsOf: (pool: string) => KeyLoads;
     workOf: (pool: string) => TargetWork;
@@ -28,9 +28,12 @@
 /** Requests that one report carries; more are left out. */
 const maxReported = 1_000;
 
+/** A refused caller comes back about twice, so that each refusal stands for less than one request. */
+const refusedWeight = 0.35;
+
 type Pool = { loads: KeyLoads; work: TargetWork; pending: LoadReport };
 
-const emptyReport = (pool: string): LoadReport => ({ pool, keys: [], work: [] });
+const emptyReport = (pool: string): LoadReport => ({ pool, keys: [], refusedKeys: [], work: [] });
 
 /** Starts to gather and report. */
 export const createReporter = async (options: ReporterOptions): Promise<Reporter> => {
@@ -48,6 +51,7 @@
         const { loads, work } = poolOf(report.pool);
         const now = clock.now();
         report.keys.forEach(key => loads.note(key, now));
+        report.refusedKeys.forEach(key => loads.note(key, now, refusedWeight));
         report.work.forEach(([target, milliseconds]) => work.note(target, milliseconds));
     };
 
@@ -55,7 +59,7 @@
 
     const report = (name: string, pool: Pool): void => {
         const { pending } = pool;
-        if (pending.keys.length === 0 && pending.work.length === 0) {
+        if (pending.keys.length === 0 && pending.refusedKeys.length === 0 && pending.work.length === 0) {
             return;
         }
         pool.pending = emptyReport(name);
@@ -77,10 +81,11 @@
     void run();
 
     return {
-        noteKey: (pool, key) => {
+        noteKey: (pool, key, wasSent) => {
             const { pending } = poolOf(pool);
-            if (pending.keys.length < maxReported) {
-                pending.keys.push(key);
+            const keys = wasSent ? pending.keys : pending.refusedKeys;
+            if (keys.length < maxReported) {
+                keys.push(key);
             }
         },
         noteWork: (pool, target, milliseconds) => {
--- a/test/machines/resident/follower.test.ts
+++ b/test/machines/resident/follower.test.ts
@@ -20,8 +20,11 @@
             seen.clear();
             objects.forEach(object => seen.set(object.name, object.value));
         },
-        onChange: event =>
-            event.removed ? seen.delete(event.object.name) : seen.set(event.object.name, event.object.value),
+        onChanges: events =>
+            events.forEach(({ object, removed }) =>
+                removed ? seen.delete(object.name) : seen.set(object.name, object.value)
+            ),
+        onRegained: () => undefined,
         clock,
         log: silentLog,
         signal: lifetime.signal,
