Forget what a target told long ago

Cause: a target that was overloaded once kept its mean of told load for ever; with every request for its keys refused nothing was told anew (placement-refused lines with toldAgeMilliseconds of 23,000). Change: the mean is forgotten within seconds, measured work counts within a factor of two of the pool's usual, and refused placements log the inputs that decided.

--- a/src/decisions/placing.ts
+++ b/src/decisions/placing.ts
@@ -20,10 +20,18 @@
     remainingMilliseconds: number;
 };
 
-/** `retryAfterMilliseconds` is the expected time until a request would be answered within the objective. */
+export type RefusedPlacement<Candidate> = {
+    verdict: "refused";
+    /** The best of the candidates. */
+    candidate: Candidate;
+    expectedMilliseconds: number;
+    /** Expected time until a request would be answered within the objective. */
+    retryAfterMilliseconds: number;
+};
+
 export type Placement<Candidate> =
     | { verdict: "placed"; candidate: Candidate; expectedMilliseconds: number }
-    | { verdict: "refused"; expectedMilliseconds: number; retryAfterMilliseconds: number };
+    | RefusedPlacement<Candidate>;
 
 /** Hosts that see the same loads draw different targets within this part of the expected time. */
 const jitterShare = 0.2;
@@ -76,5 +84,5 @@
         return { verdict: "placed", candidate: best, expectedMilliseconds: expected };
     }
     const wait = retryAfterMilliseconds(expected - latest, unit);
-    return { verdict: "refused", expectedMilliseconds: expected, retryAfterMilliseconds: wait };
+    return { verdict: "refused", candidate: best, expectedMilliseconds: expected, retryAfterMilliseconds: wait };
 };
--- a/src/decisions/targetload.ts
+++ b/src/decisions/targetload.ts
@@ -26,6 +26,8 @@
 
 /** Time in which the excess of told load over its mean shrinks to a third: about one request's work. */
 const agingMilliseconds = 300;
+/** The mean itself is forgotten as fast as this: a target that nobody asks must be asked again. */
+const forgettingMilliseconds = 1_500;
 /** Weight of one new reading in the long-term mean of the others' load. */
 const meanWeight = 0.15;
 /** Weight of one new answer in the mean service time. */
@@ -36,7 +38,7 @@
     let own = 0;
     let others = 0;
     let othersMean = 0;
-    let toldAt = -Infinity;
+    let toldAt = Number.MIN_SAFE_INTEGER;
     let service: number | undefined;
 
     return {
@@ -48,7 +50,7 @@
             if (latencyMilliseconds === undefined) {
                 return undefined;
             }
-            const rounds = Math.max(1, (sentAtLoad + 1) / slots);
+            const rounds = Math.max(1, (Math.max(sentAtLoad, others + own) + 1) / slots);
             const sample = latencyMilliseconds / rounds;
             service = service === undefined ? sample : service + (sample - service) * serviceWeight;
             return sample;
@@ -60,8 +62,9 @@
         },
         own: () => own,
         expected: now => {
-            const weight = Math.exp(-(now - toldAt) / agingMilliseconds);
-            return own + othersMean + (others - othersMean) * weight;
+            const age = now - toldAt;
+            const mean = othersMean * Math.exp(-age / forgettingMilliseconds);
+            return own + mean + (others - mean) * Math.exp(-age / agingMilliseconds);
         },
         serviceMilliseconds: () => service,
         toldAge: now => now - toldAt,
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -11,6 +11,7 @@
     latestUsefulMilliseconds,
     placeRequest,
     type PlacingCandidate,
+    type RefusedPlacement,
     retryAfterMilliseconds,
 } from "../../decisions/placing.ts";
 import { decideResend } from "../../decisions/resend.ts";
@@ -70,6 +71,8 @@
 const otherZoneShareOfObjective = 0.35;
 /** Work at a target that has just started takes about this many times as long. */
 const coldFactor = 2;
+/** Measured work counts within this factor of the pool's usual: beyond it, it was waiting that was measured. */
+const maxSlowness = 2;
 /** Refusing targets get nothing for this time: about the time in which one of their slots comes free. */
 const shedBlockMilliseconds = 60;
 /** A request waits this part of its objective for the owner of its key to change hands. */
@@ -111,7 +114,8 @@
 
     const candidateOf = (view: TargetView, route: TableRoute, typical: number): Candidate => {
         const now = clock.now();
-        const service = view.load.serviceMilliseconds() ?? typical;
+        const measured = view.load.serviceMilliseconds() ?? typical;
+        const service = Math.min(typical * maxSlowness, Math.max(typical / maxSlowness, measured));
         const isCold = now < view.warmAt;
         const isNear = view.target.zone === options.zone;
         return {
@@ -275,6 +279,22 @@
         && passage.route.kind === routeKinds.idempotent
         && mayResend(passage, "answer-malformed", false, true);
 
+    const logRefusedPlacement = (passage: Passage, placement: RefusedPlacement<Candidate>): void => {
+        const { view, serviceMilliseconds, load } = placement.candidate;
+        log.info("placement-refused", {
+            request: passage.request.id,
+            pool: passage.pool.name,
+            target: view.target.name,
+            expectedMilliseconds: Math.round(placement.expectedMilliseconds),
+            remainingMilliseconds: Math.round(remaining(passage)),
+            serviceMilliseconds: Math.round(serviceMilliseconds),
+            load: Math.round(load * 10) / 10,
+            own: view.load.own(),
+            toldAgeMilliseconds: Math.round(view.load.toldAge(clock.now())),
+            retryAfterMilliseconds: Math.round(placement.retryAfterMilliseconds),
+        });
+    };
+
     const travel = async (passage: Passage): Promise<CallerAnswer> => {
         const { request, route } = passage;
         for (;;) {
@@ -288,6 +308,7 @@
             };
             const placement = placeRequest(candidates, limits, unit);
             if (placement.verdict === "refused") {
+                logRefusedPlacement(passage, placement);
                 const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, `
                     + `useful ${Math.round(latestUsefulMilliseconds(limits))} ms.`;
                 return refuse(passage, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
