--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -35,6 +35,11 @@
         statusCode: number;
         headers: Record<string, string | string[]>;
         body: Buffer | undefined | AnswerStream;
+        /**
+         * The target's answer had no length: only the close of the connection ends it, and it is written in the same
+         * way, since nobody can tell whether it is whole.
+         */
+        endsWithConnection?: boolean;
     }
     | { kind: "refusal"; reason: Reason; detail: string; retryAfterMilliseconds?: number };
 
@@ -145,6 +150,10 @@
         if (!accepting) {
             headers["connection"] = "close";
         }
+        if (answer.endsWithConnection === true) {
+            headers["connection"] = "close";
+            response.removeHeader("transfer-encoding");
+        }
         response.writeHead(answer.statusCode, headers);
         if (body === undefined || Buffer.isBuffer(body)) {
             response.end(body);
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -7,6 +7,7 @@
 import type { ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
 import type { AnswerStream, CallerAnswer } from "../../links/callers.ts";
 import { type SendStage, sendStages, type TargetExchange } from "../../links/exchange.ts";
+import { hasKnownEnd } from "../../links/headers.ts";
 import { createCollector } from "../collect.ts";
 import type { TargetView } from "./views.ts";
 
@@ -37,15 +38,19 @@
     [sendStages.answering]: "answer-cut-short",
 };
 
-/** A body whose length is known is written with it. */
-const withLength = (
+/** The answer as it goes to the caller: with its length where the target's end of it was certain. */
+const answerOf = (
     request: ResidentRequest,
-    statusCode: number,
+    head: { statusCode: number; headers: IncomingHttpHeaders },
     headers: Record<string, string | string[]>,
     body: Buffer | undefined | AnswerStream,
 ): CallerAnswer & { kind: "answer" } => {
+    const { statusCode } = head;
     const isWhole = body === undefined || Buffer.isBuffer(body);
     const hasBody = request.method !== "HEAD" && statusCode !== 204 && statusCode !== 304;
+    if (!hasKnownEnd(request.method, statusCode, head.headers)) {
+        return { kind: "answer", statusCode, headers, body, endsWithConnection: true };
+    }
     if (isWhole && hasBody) {
         headers["content-length"] = String(body?.length ?? 0);
     }
@@ -94,8 +99,10 @@
             resume: () => exchange?.resume(),
             abort: () => exchange?.abort(),
             onBody: body => {
-                const { statusCode, headers } = head!;
-                const answer = withLength(request, statusCode, protocol.answerHeaders(headers), body);
+                if (head === undefined) {
+                    throw new Error("A body came before its head.");
+                }
+                const answer = answerOf(request, head, protocol.answerHeaders(head.headers), body);
                 settle({ kind: "answered", answer, workMilliseconds });
             },
         });
--- a/test/links/exchange.test.ts
+++ b/test/links/exchange.test.ts
@@ -26,6 +26,24 @@
         then: reset,
         expected: "failed",
     },
+    {
+        title: "chunks with connection close, ended midway",
+        bytes: `${head}connection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n`,
+        then: end,
+        expected: "failed",
+    },
+    {
+        title: "chunks with connection close, whole",
+        bytes: `${head}connection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n`,
+        then: end,
+        expected: "whole",
+    },
+    {
+        title: "a length with connection close, ended midway",
+        bytes: `${head}connection: close\r\ncontent-length: 9\r\n\r\nbody`,
+        then: end,
+        expected: "failed",
+    },
     {
         title: "a length with connection close, reset midway",
         bytes: `${head}connection: close\r\ncontent-length: 9\r\n\r\nbody`,
