Refuse before a queue makes answers late; leave silent targets alone for longer

With the coordinator killed while a target was silent, keys were given to that target again and again, which put off the end of its hold (found by the new test). Change: requests are admitted up to half of the objective; a lost target's pause doubles; a hold lapses by the grants of its own keys.

--- a/src/decisions/placing.ts
+++ b/src/decisions/placing.ts
@@ -37,6 +37,8 @@
 const jitterShare = 0.2;
 /** A request is refused when its expected time exceeds this part of what is left: estimates are off by as much. */
 const usableShareOfRemaining = 0.9;
+/** Longer queues would make most answers late, since half of them take longer than expected. */
+const usableShareOfObjective = 0.5;
 /** Callers that were refused come back spread over this part of the wait. */
 const retrySpreadShare = 0.5;
 const minRetryAfterMilliseconds = 40;
@@ -49,7 +51,10 @@
 
 /** The latest expected answer for which a request is sent. */
 export const latestUsefulMilliseconds = (limits: PlacingLimits): number =>
-    Math.min(limits.objectiveMilliseconds, limits.remainingMilliseconds * usableShareOfRemaining);
+    Math.min(
+        limits.objectiveMilliseconds * usableShareOfObjective,
+        limits.remainingMilliseconds * usableShareOfRemaining,
+    );
 
 /** When a refused caller should come back: after the excess has been worked off, spread out. */
 export const retryAfterMilliseconds = (excessMilliseconds: number, unit: () => number): number =>
--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -35,6 +35,8 @@
 const maxRangesPerTarget = 6;
 /** From here on small ranges are given to the owner of a neighbour, so that there is room for cuts. */
 const crowdedRangesPerTarget = 4;
+/** A bucket of keys goes where the room is at least this part of its load, so that runs do not break at rounding. */
+const fittingShare = 0.5;
 /** What a cut beside a range of the receiver is worth, as a part of the peak: it leaves no more ranges than before. */
 const neighbourGain = 0.04;
 
@@ -98,7 +100,7 @@
     let receiver: Share | undefined;
     for (const atom of atomsBetween(input.atoms, from, to)) {
         const load = sums.between(atom.from, atom.to);
-        if (receiver === undefined || room(receiver) < load) {
+        if (receiver === undefined || room(receiver) < load * fittingShare) {
             receiver = shares.reduce((best, share) => room(share) > room(best) ? share : best);
         }
         receiver.load += load;
--- a/src/machines/resident/grants.ts
+++ b/src/machines/resident/grants.ts
@@ -37,22 +37,32 @@
     noteHandover: (range: OwnedRange, handover: string | undefined) => void;
     /** Whether the owner has taken no grants for a while. */
     isLost: (owner: RangeOwner) => boolean;
-    /** When a silent owner has certainly stopped serving, if earlier coordinators granted until the time given. */
-    lapsesAt: (owner: RangeOwner, othersUntil: number) => number;
+    /** When a silent owner has certainly stopped serving the keys, if earlier coordinators granted until the time given. */
+    lapsesAt: (owner: RangeOwner, keys: KeySpan, othersUntil: number) => number;
 };
 
+type KeySpan = Pick<OwnedRange, "from" | "to">;
+
+/** The last moment at which a grant of the keys may have arrived. */
+type Arrival = KeySpan & { at: number };
+
 const renewMilliseconds = 1_200;
 const retryMilliseconds = 250;
-/** A target that takes no grants for this time is taken for lost, and left alone for a while. */
+/** A target that takes no grants for this time is taken for lost, and left alone for a while, each time longer. */
 const lostMilliseconds = 900;
-const lostPauseMilliseconds = 2_000;
+const firstLostPauseMilliseconds = 2_000;
+const maxLostPauseMilliseconds = 16_000;
+
+/** Arrivals are remembered for this many holds, by when they have long lapsed. */
+const forgottenHolds = 3;
 
 const nameOf = (owner: RangeOwner): string => `${owner.target}/${owner.incarnation}`;
 
 /** Creates the grants of one pool. */
 export const createGrants = (options: GrantsOptions): Grants => {
     const { link, clock, log, metrics, signal } = options;
-    const lastArrivalAt = new Map<string, number>();
+    const arrivals = new Map<string, Map<string, Arrival>>();
+    const timesLost = new Map<string, number>();
     const renewedAt = new Map<string, number>();
     const failingSince = new Map<string, number>();
     const lostUntil = new Map<string, number>();
@@ -69,7 +79,9 @@
         const since = failingSince.get(name) ?? now;
         failingSince.set(name, since);
         if (now - since >= lostMilliseconds && !isLost(owner)) {
-            lostUntil.set(name, now + lostPauseMilliseconds);
+            const times = timesLost.get(name) ?? 0;
+            timesLost.set(name, times + 1);
+            lostUntil.set(name, now + Math.min(maxLostPauseMilliseconds, firstLostPauseMilliseconds * 2 ** times));
             failingSince.delete(name);
             log.warn("target-lost", { target: owner.target, reason, forMilliseconds: Math.round(now - since) });
         }
@@ -88,6 +100,15 @@
         return isSame;
     };
 
+    const noteArrival = (range: OwnedRange, at: number): void => {
+        const { from, to, owner } = range;
+        const held = arrivals.get(nameOf(owner)) ?? new Map<string, Arrival>();
+        arrivals.set(nameOf(owner), held);
+        held.set(rangeId(range), { from, to, at });
+        const oldest = at - forgottenHolds * options.holdMilliseconds;
+        held.forEach((arrival, id) => arrival.at < oldest && held.delete(id));
+    };
+
     const noteResult = (range: OwnedRange, result: OrderResult["result"]): void => {
         const { owner, from, to, fence } = range;
         const now = clock.now();
@@ -96,11 +117,12 @@
             suspects.add(nameOf(owner));
         }
         if (result !== "unreachable") {
-            lastArrivalAt.set(nameOf(owner), now);
+            noteArrival(range, now);
         }
         if (result === "done") {
             renewedAt.set(rangeId(range), now);
             failingSince.delete(nameOf(owner));
+            timesLost.delete(nameOf(owner));
             return;
         }
         log.info("grant-failed", { target: owner.target, from, to, fence, result });
@@ -139,7 +161,8 @@
 
     return {
         reset: () => {
-            lastArrivalAt.clear();
+            arrivals.clear();
+            timesLost.clear();
             renewedAt.clear();
             failingSince.clear();
             lostUntil.clear();
@@ -159,7 +182,11 @@
             handovers.set(rangeId(range), handover);
         },
         isLost,
-        lapsesAt: (owner, othersUntil) =>
-            lapsedAt(lastArrivalAt.get(nameOf(owner)) ?? -Infinity, othersUntil, options.holdMilliseconds),
+        lapsesAt: (owner, { from, to }, othersUntil) => {
+            const overlapping = [...arrivals.get(nameOf(owner))?.values() ?? []]
+                .filter(arrival => arrival.from <= to && arrival.to >= from);
+            const last = Math.max(-Infinity, ...overlapping.map(arrival => arrival.at));
+            return lapsedAt(last, othersUntil, options.holdMilliseconds);
+        },
     };
 };
--- a/src/machines/resident/moves.ts
+++ b/src/machines/resident/moves.ts
@@ -52,7 +52,7 @@
         if (options.hasEnded(predecessor)) {
             return true;
         }
-        const lapsesAt = grants.lapsesAt(predecessor, options.othersUntil());
+        const lapsesAt = grants.lapsesAt(predecessor, range, options.othersUntil());
         if (clock.now() >= lapsesAt) {
             log.info("hold-lapsed", { target: predecessor.target, from, to, fence });
             return true;
