--- a/src/decisions/placing.ts
+++ b/src/decisions/placing.ts
@@ -37,8 +37,11 @@
 const jitterShare = 0.2;
 /** A request is refused when its expected time exceeds this part of what is left: estimates are off by as much. */
 const usableShareOfRemaining = 0.9;
-/** Longer queues would make most answers late, since half of them take longer than expected. */
-const usableShareOfObjective = 0.5;
+/**
+ * Part of the time between the work and the objective that a request may wait: a longer queue would make most answers
+ * late, since work varies and loads are known late.
+ */
+const usableShareOfSpare = 0.4;
 /** Callers that were refused come back spread over this part of the wait. */
 const retrySpreadShare = 0.5;
 const minRetryAfterMilliseconds = 40;
@@ -49,12 +52,12 @@
     return candidate.serviceMilliseconds * (1 + queued / candidate.slots);
 };
 
-/** The latest expected answer for which a request is sent. */
-export const latestUsefulMilliseconds = (limits: PlacingLimits): number =>
-    Math.min(
-        limits.objectiveMilliseconds * usableShareOfObjective,
-        limits.remainingMilliseconds * usableShareOfRemaining,
-    );
+/** The latest expected answer for which a request is sent to a target with such a service time. */
+export const latestUsefulMilliseconds = (limits: PlacingLimits, serviceMilliseconds: number): number => {
+    const spare = Math.max(0, limits.objectiveMilliseconds - serviceMilliseconds);
+    const useful = serviceMilliseconds + spare * usableShareOfSpare;
+    return Math.min(useful, limits.remainingMilliseconds * usableShareOfRemaining);
+};
 
 /** When a refused caller should come back: after the excess has been worked off, spread out. */
 export const retryAfterMilliseconds = (excessMilliseconds: number, unit: () => number): number =>
@@ -81,10 +84,7 @@
         }
     }
     const expected = expectedMilliseconds(best);
-    const latest = Math.max(
-        latestUsefulMilliseconds(limits),
-        Math.min(best.serviceMilliseconds, limits.remainingMilliseconds),
-    );
+    const latest = latestUsefulMilliseconds(limits, best.serviceMilliseconds);
     if (expected <= latest) {
         return { verdict: "placed", candidate: best, expectedMilliseconds: expected };
     }
--- a/src/links/logoutput.ts
+++ b/src/links/logoutput.ts
@@ -3,6 +3,8 @@
  * counted, and the count is written once there is room.
  */
 import { pino } from "pino";
+import type { Clock } from "../contracts/clock.ts";
+import { createLineLimit } from "../decisions/linelimit.ts";
 
 export type LogOutput = { write: (line: string) => void; flush: () => void };
 
@@ -12,8 +14,11 @@
 /** Text that waits for a slow reader; more is left out. */
 const maxWaitingBytes = 1_048_576;
 
+/** A host in an overload refuses some hundred requests a second; each line costs about 20 microseconds. */
+const linesPerSecond = 400;
+
 /** Opens standard output. */
-export const openLogOutput = (): LogOutput => {
+export const openLogOutput = (clock: Clock): LogOutput => {
     const destination = pino.destination({
         fd: 1,
         sync: false,
@@ -21,19 +26,17 @@
         maxLength: maxWaitingBytes,
         periodicFlush: flushMilliseconds,
     });
-    let leftOut = 0;
-    destination.on("drop", () => {
-        leftOut += 1;
-    });
-    destination.on("error", () => {
-        leftOut += 1;
-    });
+    const limit = createLineLimit(linesPerSecond);
+    destination.on("drop", limit.noteLost);
+    destination.on("error", limit.noteLost);
     return {
         write: line => {
+            const { write, leftOut } = limit.take(clock.now());
+            if (!write) {
+                return;
+            }
             if (leftOut > 0) {
-                const count = leftOut;
-                leftOut = 0;
-                destination.write(`level=warn event=log-lines-left-out count=${count}\n`);
+                destination.write(`level=warn event=log-lines-left-out count=${leftOut}\n`);
             }
             destination.write(line);
         },
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -8,7 +8,6 @@
 import type { TablePool, TableRoute } from "../../contracts/routing.ts";
 import {
     expectedMilliseconds,
-    latestUsefulMilliseconds,
     placeRequest,
     type PlacingCandidate,
     type RefusedPlacement,
@@ -310,7 +309,7 @@
             if (placement.verdict === "refused") {
                 logRefusedPlacement(passage, placement);
                 const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, `
-                    + `useful ${Math.round(latestUsefulMilliseconds(limits))} ms.`;
+                    + `of ${Math.round(limits.remainingMilliseconds)} ms left.`;
                 return refuse(passage, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
             }
             const { view } = placement.candidate;
--- /dev/null
+++ b/test/decisions/linelimit.test.ts
@@ -0,0 +1,15 @@
+/**
+ * The bound on log lines.
+ */
+import test from "ava";
+import { createLineLimit } from "../../src/decisions/linelimit.ts";
+
+test("a burst is bounded, room comes back with time, and what was left out is told once", t => {
+    const limit = createLineLimit(10);
+    const written = [...new Array(30).keys()].filter(() => limit.take(0).write).length;
+    t.is(written, 10);
+    t.deepEqual(limit.take(500), { write: true, leftOut: 20 });
+    t.deepEqual(limit.take(500), { write: true, leftOut: 0 });
+    limit.noteLost();
+    t.deepEqual(limit.take(500), { write: true, leftOut: 1 });
+});
--- /dev/null
+++ b/test/links/residentsettings.test.ts
@@ -0,0 +1,66 @@
+/**
+ * Settings of a resident host: findings with their place, and files that change while the host runs.
+ */
+import test from "ava";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { Log } from "../../src/links/logs.ts";
+import { silentLog } from "../../src/links/logs.ts";
+import { readResidentSettings, watchSettings } from "../../src/links/residentsettings.ts";
+import { createVirtualClock } from "../machines/fakes/clock.ts";
+
+const valid = `
+host: { name: "h1", zone: "z1" }
+callers: { listen: "127.0.0.1:1" }
+health: { listen: "127.0.0.1:2" }
+reports: { listen: "127.0.0.1:3" }
+store: { address: "127.0.0.1:4" }
+stopping: { grace: "2.5s" }
+`;
+
+const fileWith = (text: string): string => {
+    const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
+    writeFileSync(file, text);
+    return file;
+};
+
+test("durations have units, what is left out has its default, and unknown names do no harm", t => {
+    const settings = readResidentSettings(fileWith(`${valid}later: { field: 1 }\n`));
+    t.is(settings.stopping.grace, 2_500);
+    t.is(settings.ownership.maxHold, 10_000);
+});
+
+const faults: Array<{ title: string; text: string; finding: RegExp }> = [
+    { title: "a missing address", text: valid.replace(/^store.*$/m, ""), finding: /store: expected object/ },
+    { title: "no unit", text: valid.replace("2.5s", "2.5"), finding: /:7:20 stopping.grace: .*duration/ },
+    {
+        title: "a host name in place of an address",
+        text: valid.replace("127.0.0.1:4", "store:4"),
+        finding: /store.address/,
+    },
+    { title: "no YAML", text: "host: [", finding: /valid YAML/ },
+];
+
+for (const { title, text, finding } of faults) {
+    test(`${title} is found`, t => {
+        const error = t.throws(() => readResidentSettings(fileWith(text)));
+        t.regex(error.message, finding);
+    });
+}
+
+test("a file that changes without a signal is read; one that is not valid changes nothing", async t => {
+    const file = fileWith(valid);
+    const clock = createVirtualClock();
+    const lifetime = new AbortController();
+    const events: string[] = [];
+    const note: Log["info"] = (event, fields) => events.push(`${event} ${fields?.changed ?? ""}`.trim());
+    const log: Log = { ...silentLog, info: note, warn: note };
+    watchSettings({ file, settings: readResidentSettings(file), clock, log, signal: lifetime.signal });
+    writeFileSync(file, "host: [");
+    await clock.advance(11_000);
+    writeFileSync(file, valid.replace("2.5s", "3s"));
+    await clock.advance(11_000);
+    t.deepEqual(events, ["settings-refused", "settings-read stopping"]);
+    lifetime.abort();
+});
