--- /dev/null
+++ b/test/platform/process.test.ts
@@ -0,0 +1,278 @@
+/**
+ * The program that runs on the platform, as a process against stand-ins of the store and of backends: start, requests,
+ * grants, a move, reload, loss of the store, stop. The failed requests of docs/OPERATIONS.md are followed on its log.
+ */
+import test from "ava";
+import { type ChildProcess, execFileSync, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { request as httpRequest } from "node:http";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type BackendStandIn, startBackendStandIn } from "../../stand-ins/resident/backend.ts";
+import { startStoreStandIn, type StoreStandIn } from "../../stand-ins/resident/store.ts";
+
+type Answer = { statusCode: number; headers: Record<string, unknown>; body: string };
+type Program = {
+    child: ChildProcess;
+    log: () => string;
+    front: number;
+    health: number;
+    file: string;
+    settings: string;
+};
+
+const freePort = async (): Promise<number> => {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { port: number };
+    await new Promise(resolve => server.close(resolve));
+    return port;
+};
+
+const ask = (port: number, path: string, headers: Record<string, string> = {}, method = "GET"): Promise<Answer> =>
+    new Promise((resolve, reject) => {
+        const outgoing = httpRequest({ host: "127.0.0.1", port, path, method, headers, agent: false }, response => {
+            const parts: Buffer[] = [];
+            response.on("data", (part: Buffer) => parts.push(part));
+            response.on("end", () => {
+                const body = Buffer.concat(parts).toString("utf8");
+                resolve({ statusCode: response.statusCode ?? 0, headers: response.headers, body });
+            });
+            response.on("error", reject);
+        });
+        outgoing.on("error", reject);
+        outgoing.end();
+    });
+
+const until = async (what: string, condition: () => Promise<boolean> | boolean): Promise<void> => {
+    const endAt = performance.now() + 15_000;
+    while (!await condition()) {
+        if (performance.now() > endAt) {
+            throw new Error(`Did not happen within 15 s: ${what}.`);
+        }
+        await sleep(50);
+    }
+};
+
+const route = (host: string, service: string, kind: string) => ({
+    host,
+    pathPrefix: "/a/",
+    kind,
+    timeout: "1500ms",
+    targetLatency: "500ms",
+    priority: 1,
+    service,
+    maxAttempts: 2,
+});
+const services = {
+    stock: { healthPath: "/health", maxConnections: 100, sharded: true, warm: "2s" },
+    orders: { healthPath: "/health", maxConnections: 100 },
+};
+const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3000ms", idleTimeout: "15000ms" };
+const firstRoutes = { r1: route("stock.example", "stock", "safe"), r2: route("orders.example", "orders", "unsafe") };
+
+const entry = (service: string, backend: BackendStandIn, state = "ready") => ({
+    service,
+    address: backend.address,
+    zone: "z1",
+    version: "v1",
+    slots: 2,
+    state,
+    warmupLeft: "0ms",
+    seq: 1,
+    born: 1_000,
+});
+
+const startProgram = async (store: StoreStandIn): Promise<Program> => {
+    const [front, health, reports] = [await freePort(), await freePort(), await freePort()];
+    const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
+    const settings = [
+        "host: { name: h1, zone: z1 }",
+        `callers: { listen: "127.0.0.1:${front}" }`,
+        `health: { listen: "127.0.0.1:${health}" }`,
+        `reports: { listen: "127.0.0.1:${reports}" }`,
+        `store: { address: "${store.address}" }`,
+        "stopping: { grace: 6s }",
+    ].join("\n");
+    writeFileSync(file, settings);
+    const child = spawn(process.execPath, ["--max-old-space-size=128", "target/carobpier.cjs"], {
+        env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    let log = "";
+    child.stdout?.on("data", part => {
+        log += String(part);
+    });
+    return { child, log: () => log, front, health, file, settings };
+};
+
+const stock = (program: Program, id: string, key: number): Promise<Answer> =>
+    ask(program.front, "/a/x", {
+        host: "stock.example",
+        "request-id": id,
+        "shard-key": String(key),
+        "request-deadline": "1200",
+    });
+
+const order = (program: Program, id: string): Promise<Answer> =>
+    ask(program.front, "/a/y", { host: "orders.example", "request-id": id, "request-deadline": "1200" }, "POST");
+
+const linesOf = (program: Program, id: string): string[] =>
+    program.log().split("\n").filter(line => line.includes(`request=${id}`));
+
+test.before(() => {
+    execFileSync(process.execPath, ["--import=tsx", "scripts/buildresident.ts"], { stdio: "inherit" });
+});
+
+test("a host's life on the platform", async t => {
+    const store = await startStoreStandIn();
+    const backend = (id: string, ownsKeys: boolean) =>
+        startBackendStandIn({ id, slots: 2, queue: 2, workMilliseconds: 60, ownsKeys });
+    const [left, right, orders] = await Promise.all([
+        backend("i-left", true),
+        backend("i-right", true),
+        backend("i-orders", false),
+    ]);
+    const program = await startProgram(store);
+    t.teardown(() => {
+        program.child.kill("SIGKILL");
+        [store, left, right, orders].forEach(part => part.close());
+    });
+
+    await until("the health address answers", () => ask(program.health, "/").then(() => true, () => false));
+    t.is((await ask(program.health, "/")).statusCode, 503, "not ready without a route table");
+
+    store.put("servers", "i-left", entry("stock", left));
+    store.put("servers", "i-right", entry("stock", right));
+    store.put("servers", "i-orders", entry("orders", orders));
+    store.put("servers", "i-odd", { service: 7, address: "nowhere" });
+    store.put("config", "main", { version: "r3", routes: firstRoutes, services, limits });
+    await until("ready", async () => (await ask(program.health, "/")).statusCode === 200);
+    await until("all keys are held", () => [0, 65_535].every(key => left.holds(key) || right.holds(key)));
+    t.regex(program.log(), /event=target-entry-unreadable target=i-odd/);
+
+    await until("keys are served", async () => (await stock(program, "warm", 100)).statusCode === 200);
+    const served = await stock(program, "s1", 60_000);
+    t.is(served.statusCode, 200);
+    t.regex(String(served.headers["response-signature"]), /signature$/);
+    t.is(served.headers["request-id"], "s1");
+    t.is((await ask(program.front, "/a/", { host: "nobody.example", "request-id": "n1" })).statusCode, 404);
+
+    store.put("config", "main", { version: "r4", routes: "broken", services, limits });
+    store.put("config", "main", {
+        version: "r5",
+        routes: { ...firstRoutes, r3: { ...route("stock.example", "stock", "safe"), pathPrefix: "/new/" } },
+        services,
+        limits,
+    });
+    await until("the added route is in force", async () => {
+        const answer = await ask(program.front, "/new/", {
+            host: "stock.example",
+            "request-id": "n2",
+            "shard-key": "5",
+        });
+        return answer.statusCode === 200;
+    });
+    store.put("config", "main", { version: "r4", routes: firstRoutes, services, limits });
+    await sleep(300);
+    t.is(
+        (await ask(program.front, "/new/", { host: "stock.example", "request-id": "n3", "shard-key": "5" })).statusCode,
+        200,
+    );
+
+    store.put("servers", "i-left", entry("stock", left, "draining"));
+    await until(
+        "all keys have moved",
+        () => right.holds(0) && right.holds(65_535) && !left.holds(0) && !left.holds(65_535),
+    );
+    await until("moved keys are served", async () => (await stock(program, "moved", 100)).body === "served by i-right");
+
+    writeFileSync(program.file, "host: [");
+    program.child.kill("SIGHUP");
+    await until("the broken settings are refused", () => program.log().includes("event=settings-refused"));
+    writeFileSync(program.file, program.settings);
+    t.is((await stock(program, "s2", 100)).statusCode, 200);
+
+    store.faults.silent = true;
+    await sleep(5_000);
+    t.is((await stock(program, "s3", 100)).statusCode, 200, "keys are served while the store is silent");
+    store.faults.silent = false;
+
+    const inFlight = order(program, "last");
+    await sleep(20);
+    program.child.kill("SIGTERM");
+    t.is((await inFlight).statusCode, 200, "a stop cuts nothing off");
+    t.is((await ask(program.health, "/")).statusCode, 503, "not ready at once");
+    t.is((await order(program, "after")).statusCode, 200, "served while the balancer still sends");
+    const [code] = await once(program.child, "exit");
+    t.is(code, 0);
+    t.regex(program.log(), /event=host-stopped/);
+    [left, right, orders].forEach(part => t.true([...part.runs.values()].every(count => count === 1)));
+});
+
+test("three kinds of failed request, from the id to the cause by docs/OPERATIONS.md", async t => {
+    const store = await startStoreStandIn();
+    const lone = await startBackendStandIn({
+        id: "i-lone",
+        slots: 1,
+        queue: 30,
+        workMilliseconds: 250,
+        ownsKeys: true,
+    });
+    const orders = await startBackendStandIn({
+        id: "i-orders",
+        slots: 2,
+        queue: 2,
+        workMilliseconds: 60,
+        ownsKeys: false,
+    });
+    const program = await startProgram(store);
+    t.teardown(() => {
+        program.child.kill("SIGKILL");
+        [store, lone, orders].forEach(part => part.close());
+    });
+    store.put("servers", "i-lone", entry("stock", lone));
+    store.put("servers", "i-orders", entry("orders", orders));
+    store.put("config", "main", { version: "r3", routes: firstRoutes, services, limits });
+    await until("ready", () => ask(program.health, "/").then(answer => answer.statusCode === 200, () => false));
+    await until("keys are served", async () => (await stock(program, "warm", 1)).statusCode === 200);
+
+    const burst = await Promise.all([...new Array(30).keys()].map(index => stock(program, `burst-${index}`, 1)));
+    const refusedAt = burst.findIndex(answer => answer.headers["carobpier-reason"] === "deadline-unreachable");
+    t.true(refusedAt >= 0);
+    t.is(burst[refusedAt].statusCode, 503);
+    t.true(Number(burst[refusedAt].headers["retry-after"]) > 0);
+    await sleep(700);
+    const refusedLines = linesOf(program, `burst-${refusedAt}`).join("\n");
+    t.regex(
+        refusedLines,
+        /event=placement-refused .*target=i-lone .*expectedMilliseconds=\d+.*load=.*toldAgeMilliseconds=/,
+    );
+    t.regex(refusedLines, /event=request-ended .*outcome=not-run reason=deadline-unreachable key=1 version=3/);
+
+    orders.faults.loseAnswers = true;
+    const lost = await order(program, "lost-1");
+    t.is(lost.statusCode, 502);
+    t.is(orders.runs.get("lost-1"), 1, "what may have run is not sent again");
+    await sleep(700);
+    const lostLines = linesOf(program, "lost-1").join("\n");
+    t.regex(lostLines, /event=send-failed .*target=i-orders reason=connection-lost notRun=false send=1/);
+    t.regex(lostLines, /event=request-ended .*outcome=unknown reason=connection-lost/);
+
+    store.faults.silent = true;
+    lone.faults.silent = true;
+    await sleep(4_500);
+    store.remove("servers", "i-lone");
+    store.faults.silent = false;
+    await until("the key has no owner", async () => {
+        const answer = await stock(program, "ownerless", 1);
+        return answer.headers["carobpier-reason"] === "no-owner";
+    });
+    await sleep(700);
+    t.regex(linesOf(program, "ownerless").join("\n"), /event=request-ended .*reason=no-owner key=1/);
+    t.regex(program.log(), /event=store-lost .*event=store-regained/s);
+    t.regex(program.log(), /event=grant-failed .*target=i-lone/);
+});
