--- a/model/main.ts
+++ b/model/main.ts
@@ -2,6 +2,7 @@
  * The model check: explores every specification, prints the states reached, and fails when a property is violated.
  */
 import { runClaims } from "./claims/model.ts";
+import { runHolds } from "./holds/model.ts";
 import { runOwnership } from "./ownership/run.ts";
 import { describeReport, hasFailed, type Report } from "./report.ts";
 import { runVersions } from "./versions/model.ts";
@@ -10,6 +11,7 @@
     yield* runOwnership();
     yield runClaims();
     yield runVersions();
+    yield runHolds();
 };
 
 let states = 0;
--- /dev/null
+++ b/test/model/holds.test.ts
@@ -0,0 +1,18 @@
+/**
+ * The specification of holds: each rule is needed.
+ */
+import test from "ava";
+import { exploreAll } from "../../model/explore.ts";
+import { createHoldModel, holdBreaks } from "../../model/holds/model.ts";
+import { holdRules } from "../../model/holds/world.ts";
+
+/** States in which every break is found. */
+const maxStates = 60_000;
+
+for (const { title, rules, prefix } of holdBreaks) {
+    test(`a break of holds is found: ${title}`, t => {
+        const { violation, trace } = exploreAll(createHoldModel({ ...holdRules, ...rules }, prefix), maxStates);
+        t.truthy(violation);
+        t.log(trace?.map(event => Object.values(event).join(" ")).join(", "));
+    });
+}
