--- a/src/decisions/routetable.ts
+++ b/src/decisions/routetable.ts
@@ -13,8 +13,13 @@
  * Creates the index of one table.
  *
  * @example
- * const index = createRouteIndex(table);
- * index.match("orders.example", "/place/7"); // the route with prefix "/place/"
+ * const routes = [
+ *     { name: "all", host: "orders.example", pathPrefix: "/", shares: [{ pool: "orders", weight: 1 }] },
+ *     { name: "place", host: "orders.example", pathPrefix: "/place/", shares: [{ pool: "orders", weight: 1 }] },
+ * ];
+ * const index = createRouteIndex({ version: 3, routes });
+ * index.match("orders.example", "/place/7")?.name; // "place"
+ * index.match("stock.example", "/place/7"); // undefined
  */
 export const createRouteIndex = (table: RouteTable): RouteIndex => {
     const byHost = new Map<string, TableRoute[]>();
--- a/src/index.ts
+++ b/src/index.ts
@@ -14,6 +14,7 @@
 export { createSlotHash, type SlotHash } from "./decisions/hash.ts";
 export { createKeySketch, type KeySketch } from "./decisions/hotkeys.ts";
 export { createLimit, type Limit, type LimitOptions, type LimitShare } from "./decisions/limit.ts";
+export { createLineLimit, type LineLimit } from "./decisions/linelimit.ts";
 export {
     type MoveEvidence,
     movesAfter,
@@ -23,3 +24,4 @@
     type TargetEvidence,
 } from "./decisions/move.ts";
 export { createRetryBudget, type RetryBudget } from "./decisions/retry.ts";
+export { createRouteIndex, drawPool, type RouteIndex } from "./decisions/routetable.ts";
