--- a/src/contracts/routing.ts
+++ b/src/contracts/routing.ts
@@ -12,7 +12,7 @@
     /** Host name that the caller asks for, in lower case and without a port. */
     host: string;
     /** Begins and ends with a slash. */
-    pathPrefix: string;
+    prefix: string;
     kind: RouteKind;
     /** The longest time that a caller is kept waiting. */
     timeoutMilliseconds: number;
--- a/src/decisions/routetable.ts
+++ b/src/decisions/routetable.ts
@@ -14,8 +14,8 @@
  *
  * @example
  * const routes = [
- *     { name: "all", host: "orders.example", pathPrefix: "/", shares: [{ pool: "orders", weight: 1 }] },
- *     { name: "place", host: "orders.example", pathPrefix: "/place/", shares: [{ pool: "orders", weight: 1 }] },
+ *     { name: "all", host: "orders.example", prefix: "/", shares: [{ pool: "orders", weight: 1 }] },
+ *     { name: "place", host: "orders.example", prefix: "/place/", shares: [{ pool: "orders", weight: 1 }] },
  * ];
  * const index = createRouteIndex({ version: 3, routes });
  * index.match("orders.example", "/place/7")?.name; // "place"
@@ -29,11 +29,11 @@
         byHost.set(route.host, routes);
     }
     for (const routes of byHost.values()) {
-        routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+        routes.sort((left, right) => right.prefix.length - left.prefix.length);
     }
     return {
         version: table.version,
-        match: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.pathPrefix)),
+        match: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
     };
 };
 
--- a/test/platform/names.test.ts
+++ b/test/platform/names.test.ts
@@ -14,6 +14,7 @@
     "Request-Deadline",
     "Instance-Id",
     "warmupLeft",
+    "pathPrefix",
     "hold_time",
     "currentRev",
     "waitMs",
--- a/test/platform/objects.test.ts
+++ b/test/platform/objects.test.ts
@@ -72,7 +72,7 @@
         t.deepEqual(table.routes, [{
             name: "one",
             host: "orders.example",
-            pathPrefix: "/place/",
+            prefix: "/place/",
             kind: "once",
             timeoutMilliseconds: 1_500,
             objectiveMilliseconds: 500,
