Grant a range only while it is planned, and count grants under way as holds

A move releases the former owner, which answers only when its work has ended. Meanwhile the plan may give the keys to a third target, because the second leaves. The second had never been granted the keys, so its hold counted as lapsed and no release told it of the newer fence; then the first move ended and granted it under the older one. The same could happen to a grant that waited for the store's word on the owner's process.

Change: a grant is checked against the plan when it is sent; a grant under way counts as a hold that has not lapsed, so that its owner is asked to stop; a process that took the place of an owner under its name is told the newer fence too, since a renewal may have reached it before the registry told of it.

--- a/src/machines/resident/grants.ts
+++ b/src/machines/resident/grants.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
-import { type OwnedRange, rangeId, type RangeOwner } from "../../contracts/ownership.ts";
+import { type OwnedRange, rangeId, type RangeOwner, sameOwner } from "../../contracts/ownership.ts";
 import type { OrderResult, OwnershipLink } from "../../contracts/resident.ts";
 import type { RegisteredTarget } from "../../contracts/routing.ts";
 import { lapsedAt } from "../../decisions/standing.ts";
@@ -17,6 +17,8 @@
     /** The target's incarnation as the store has it now; undefined when it is not registered. */
     incarnationOf: (target: string, signal: AbortSignal) => Promise<string | undefined>;
     mayGrant: () => boolean;
+    /** Whether the range is still owned as it is: it may move on while its grant is prepared. */
+    isPlanned: (range: OwnedRange) => boolean;
     /** The owner has seen a newer fence on one of the keys. */
     onHigherFence: (range: OwnedRange) => void;
     holdMilliseconds: number;
@@ -37,7 +39,10 @@
     noteHandover: (range: OwnedRange, handover: string | undefined) => void;
     /** Whether the owner has taken no grants for a while. */
     isLost: (owner: RangeOwner) => boolean;
-    /** When a silent owner has certainly stopped serving the keys, if earlier coordinators granted until the time given. */
+    /**
+     * When a silent owner has certainly stopped serving the keys, if earlier coordinators granted until the time given;
+     * Infinity while a grant is under way.
+     */
     lapsesAt: (owner: RangeOwner, keys: KeySpan, othersUntil: number) => number;
 };
 
@@ -56,6 +61,8 @@
 /** Arrivals are remembered for this many holds, by when they have long lapsed. */
 const forgottenHolds = 3;
 
+const overlap = (left: KeySpan, right: KeySpan): boolean => left.from <= right.to && left.to >= right.from;
+
 const nameOf = (owner: RangeOwner): string => `${owner.target}/${owner.incarnation}`;
 
 /** Creates the grants of one pool. */
@@ -67,7 +74,7 @@
     const failingSince = new Map<string, number>();
     const lostUntil = new Map<string, number>();
     const handovers = new Map<string, string | undefined>();
-    const granting = new Set<string>();
+    const underWay = new Map<string, OwnedRange>();
     /** Owners whose connections broke: they may have started again under the same name, without their keys. */
     const suspects = new Set<string>();
 
@@ -138,15 +145,15 @@
         const { owner, fence } = range;
         const target = options.findTarget(owner);
         const id = rangeId(range);
-        if (target === undefined || granting.has(id) || !options.mayGrant()) {
+        if (target === undefined || underWay.has(id) || !options.mayGrant() || !options.isPlanned(range)) {
             return;
         }
-        granting.add(id);
+        underWay.set(id, range);
         try {
             if (!await isSameProcess(owner)) {
                 noteRefused(owner, "another process may run there");
             }
-            else if (options.mayGrant()) {
+            else if (options.mayGrant() && options.isPlanned(range)) {
                 const answer = await link.grant(target, range, options.holdMilliseconds, handovers.get(id));
                 noteResult(range, answer.result);
             }
@@ -155,7 +162,7 @@
             log.info("grant-withheld", { target: owner.target, fence, error: messageOf(error) });
         }
         finally {
-            granting.delete(id);
+            underWay.delete(id);
         }
     };
 
@@ -182,9 +189,14 @@
             handovers.set(rangeId(range), handover);
         },
         isLost,
-        lapsesAt: (owner, { from, to }, othersUntil) => {
+        lapsesAt: (owner, keys, othersUntil) => {
+            const mayStillArrive = [...underWay.values()]
+                .some(range => sameOwner(range.owner, owner) && overlap(range, keys));
+            if (mayStillArrive) {
+                return Infinity;
+            }
             const overlapping = [...arrivals.get(nameOf(owner))?.values() ?? []]
-                .filter(arrival => arrival.from <= to && arrival.to >= from);
+                .filter(arrival => overlap(arrival, keys));
             const last = Math.max(-Infinity, ...overlapping.map(arrival => arrival.at));
             return lapsedAt(last, othersUntil, options.holdMilliseconds);
         },
--- a/src/machines/resident/moves.ts
+++ b/src/machines/resident/moves.ts
@@ -13,8 +13,8 @@
     link: OwnershipLink;
     grants: Grants;
     findTarget: (owner: RangeOwner) => RegisteredTarget | undefined;
-    /** Whether another process has taken the place of the owner. */
-    hasEnded: (owner: RangeOwner) => boolean;
+    /** The process that runs under the owner's name in its place; undefined while none is known. */
+    successorOf: (owner: RangeOwner) => RegisteredTarget | undefined;
     othersUntil: () => number;
     /** Whether the range is still planned as it is. */
     isPlanned: (range: OwnedRange) => boolean;
@@ -49,24 +49,23 @@
     /** Asks a former owner to stop. True when it certainly serves the keys no more. */
     const hasStopped = async (range: OwnedRange, predecessor: RangeOwner): Promise<boolean> => {
         const { from, to, fence } = range;
-        if (options.hasEnded(predecessor)) {
-            return true;
-        }
         const lapsesAt = grants.lapsesAt(predecessor, range, options.othersUntil());
         if (clock.now() >= lapsesAt) {
             log.info("hold-lapsed", { target: predecessor.target, from, to, fence });
             return true;
         }
-        const target = options.findTarget(predecessor);
+        // A renewal may have reached the successor before the registry told of it.
+        const successor = options.successorOf(predecessor);
+        const target = successor ?? options.findTarget(predecessor);
         if (target === undefined) {
             return false;
         }
         const answer = await link.release(target, range, releaseMilliseconds);
         metrics.count("releases", { result: answer.result });
-        if (answer.result === "done") {
+        if (answer.result === "done" && successor === undefined) {
             grants.noteHandover(range, answer.handover);
         }
-        else {
+        else if (answer.result !== "done") {
             const { result } = answer;
             const lapseMilliseconds = Math.round(lapsesAt - clock.now());
             log.info("release-failed", { target: predecessor.target, from, to, fence, result, lapseMilliseconds });
@@ -83,7 +82,8 @@
         underWay.add(rangeId(range));
         try {
             while (options.isPlanned(range) && !signal.aborted) {
-                if (await haveStopped(range)) {
+                const stopped = await haveStopped(range);
+                if (stopped && options.isPlanned(range)) {
                     await grants.grant(range);
                     ended.add(rangeId(range));
                     return;
--- a/src/machines/resident/rangekeeper.ts
+++ b/src/machines/resident/rangekeeper.ts
@@ -92,9 +92,9 @@
     const findTarget = ({ target, incarnation }: RangeOwner): RegisteredTarget | undefined =>
         lastKnown.get(`${target}/${incarnation}`);
 
-    const hasEnded = ({ target, incarnation }: RangeOwner): boolean => {
+    const successorOf = ({ target, incarnation }: RangeOwner): RegisteredTarget | undefined => {
         const current = registry.get(target);
-        return current !== undefined && current.incarnation !== incarnation;
+        return current?.incarnation === incarnation ? undefined : current;
     };
 
     const coordinator = createCoordinator({
@@ -137,6 +137,7 @@
         findTarget,
         incarnationOf: options.incarnationOf,
         mayGrant: coordinator.mayGrant,
+        isPlanned,
         onHigherFence: range => void guard("renew-fence", () => renewFence(range)),
         holdMilliseconds: Math.min(holdMilliseconds, options.maxHoldMilliseconds),
         clock,
@@ -149,7 +150,7 @@
         link,
         grants,
         findTarget,
-        hasEnded,
+        successorOf,
         othersUntil,
         isPlanned,
         clock,
--- a/test/machines/resident/faketargets.ts
+++ b/test/machines/resident/faketargets.ts
@@ -7,7 +7,8 @@
 import type { OrderResult, OwnershipLink } from "../../../src/contracts/resident.ts";
 import type { RegisteredTarget } from "../../../src/contracts/routing.ts";
 
-export type TargetFault = "none" | "silent" | "late";
+/** `working`: releases are answered only when long work has ended. */
+export type TargetFault = "none" | "silent" | "late" | "working";
 
 export type FakeTarget = {
     name: string;
@@ -25,7 +26,7 @@
     linkOf: (isCut: () => boolean) => OwnershipLink;
     /** Sampled keys that no target holds. */
     unheld: () => number[];
-    /** Keys that two targets held at once, with the time. */
+    /** Keys that two targets held at once or took under a fence that was not new, with the time. */
     violations: string[];
 };
 
@@ -36,6 +37,8 @@
 const timeoutMilliseconds = 500;
 /** A late target carries a call out after this time, without an answer. */
 const lateMilliseconds = 3_000;
+/** Work on released keys that a working target ends before it answers. */
+const workMilliseconds = 1_500;
 const checkMilliseconds = 20;
 
 type Held = { fence: number; until: number };
@@ -43,6 +46,18 @@
 /** Creates targets that hold nothing. */
 export const createFakeTargets = (names: string[], clock: Clock): FakeTargets => {
     const violations: string[] = [];
+    const taken = new Map<number, { by: string; fence: number }>();
+
+    /** A key changes hands only with a fence above all before. */
+    const noteTaken = (key: number, by: string, fence: number): void => {
+        const last = taken.get(key);
+        if (last !== undefined && last.by !== by && fence <= last.fence) {
+            violations.push(`key ${key} went to ${by} with ${fence}, ${last.by} had it with ${last.fence}`);
+        }
+        if (last === undefined || fence >= last.fence) {
+            taken.set(key, { by, fence });
+        }
+    };
 
     const create = (name: string) => {
         const seen = new Map<number, number>();
@@ -72,6 +87,7 @@
             keys.forEach(key => {
                 seen.set(key, fence);
                 held.set(key, { fence, until });
+                noteTaken(key, `${name}/${target.incarnation}`, fence);
             });
             return { result: "done", handover: undefined };
         };
@@ -94,6 +110,7 @@
         }
         await clock.sleep(callMilliseconds);
         const { fault, incarnation } = fake.target;
+        // As on the platform, a call names the target but not its start.
         if (isCut || fault === "silent") {
             await clock.sleep(timeoutMilliseconds);
             return { result: "unknown" };
@@ -101,9 +118,6 @@
         if (!fake.isUp()) {
             return { result: "unreachable" };
         }
-        if (incarnation !== target.incarnation) {
-            return { result: "gone" };
-        }
         if (fault === "late") {
             clock.after(lateMilliseconds, () => fake.target.incarnation === incarnation && run());
             await clock.sleep(timeoutMilliseconds);
@@ -136,8 +150,14 @@
                 const until = clock.now() + holdMilliseconds * slowClock;
                 return call(target, isCut(), () => targets.get(target.name)!.grant(from, to, fence, until));
             },
-            release: (target, { from, to, fence }) =>
-                call(target, isCut(), () => targets.get(target.name)!.release(from, to, fence)),
+            release: async (target, { from, to, fence }) => {
+                const fake = targets.get(target.name);
+                const answer = await call(target, isCut(), () => targets.get(target.name)!.release(from, to, fence));
+                if (fake?.target.fault === "working") {
+                    await clock.sleep(workMilliseconds);
+                }
+                return answer;
+            },
             close: () => undefined,
         }),
         unheld: () => sampledKeys.filter(key => !names.some(name => targets.get(name)?.target.holds(key))),
--- /dev/null
+++ b/test/machines/resident/grants.test.ts
@@ -0,0 +1,97 @@
+/**
+ * Grants of a coordinator whose ranges move on while a grant is prepared or under way.
+ */
+import test from "ava";
+import type { OwnedRange } from "../../../src/contracts/ownership.ts";
+import type { OrderResult } from "../../../src/contracts/resident.ts";
+import type { RegisteredTarget } from "../../../src/contracts/routing.ts";
+import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
+import { createGrants } from "../../../src/machines/resident/grants.ts";
+import { createVirtualClock } from "../fakes/clock.ts";
+
+const owner = { target: "a", incarnation: "1" };
+const range: OwnedRange = { from: 100, to: 199, owner, fence: 86, predecessors: [] };
+const target: RegisteredTarget = {
+    name: owner.target,
+    incarnation: owner.incarnation,
+    pool: "stock",
+    address: "10.0.0.1:1",
+    zone: "z",
+    slots: 3,
+    leaving: false,
+    warmupMilliseconds: 0,
+};
+const holdMilliseconds = 4_000;
+
+const setUp = () => {
+    const clock = createVirtualClock();
+    const state = { planned: true, sent: 0 };
+    const answers: Array<(result: OrderResult) => void> = [];
+    const questions: Array<(incarnation: string | undefined) => void> = [];
+    const grants = createGrants({
+        link: {
+            grant: () => {
+                state.sent += 1;
+                return new Promise(resolve => answers.push(resolve));
+            },
+            release: () => Promise.resolve({ result: "done", handover: undefined }),
+            close: () => undefined,
+        },
+        findTarget: () => target,
+        incarnationOf: () => new Promise(resolve => questions.push(resolve)),
+        mayGrant: () => true,
+        isPlanned: () => state.planned,
+        onHigherFence: () => undefined,
+        holdMilliseconds,
+        clock,
+        log: silentLog,
+        metrics: createMetrics(),
+        signal: new AbortController().signal,
+    });
+    const answer = async (result: OrderResult): Promise<void> => {
+        answers.shift()?.(result);
+        await clock.advance(1);
+    };
+    return { clock, state, grants, answer, questions };
+};
+
+test("a hold does not lapse while its grant is under way", async t => {
+    const { clock, grants, answer } = setUp();
+    void grants.grant(range);
+    await clock.advance(1);
+    t.is(grants.lapsesAt(owner, range, -Infinity), Infinity);
+    t.is(grants.lapsesAt(owner, { from: 200, to: 300 }, -Infinity), -Infinity);
+    await answer({ result: "unknown" });
+    const lapsesAt = grants.lapsesAt(owner, range, -Infinity);
+    t.true(lapsesAt >= clock.now() + holdMilliseconds && lapsesAt < Infinity);
+});
+
+test("a grant that certainly did not arrive holds nothing", async t => {
+    const { clock, grants, answer } = setUp();
+    void grants.grant(range);
+    await clock.advance(1);
+    await answer({ result: "unreachable" });
+    t.is(grants.lapsesAt(owner, range, -Infinity), -Infinity);
+});
+
+test("a range that is not planned any more is not granted", async t => {
+    const { clock, grants, state } = setUp();
+    state.planned = false;
+    void grants.grant(range);
+    await clock.advance(1);
+    t.is(state.sent, 0);
+});
+
+test("a range that moved on while the store was asked for the owner's process is not granted", async t => {
+    const { clock, grants, state, answer, questions } = setUp();
+    void grants.grant(range);
+    await clock.advance(1);
+    await answer({ result: "unreachable" });
+    void grants.grant(range);
+    await clock.advance(1);
+    state.planned = false;
+    questions.shift()?.(owner.incarnation);
+    await clock.advance(1);
+    t.is(state.sent, 1);
+});
--- a/test/machines/resident/rangekeeper.test.ts
+++ b/test/machines/resident/rangekeeper.test.ts
@@ -205,6 +205,18 @@
         faultMilliseconds: 4_000,
         unservedMilliseconds: 1_500,
     },
+    {
+        title: "a target that was down for 1 s starts again under its name, empty",
+        fault: ({ world, targets, register }) => {
+            targets.get("b").crash();
+            world.after(1_000, () => {
+                targets.get("b").restart("2");
+                register("b");
+            });
+        },
+        faultMilliseconds: 6_000,
+        unservedMilliseconds: 2_500,
+    },
     {
         title: "a target falls silent and comes back after its keys have moved",
         fault: ({ targets }) => targets.get("b").fault = "silent",
@@ -219,6 +231,16 @@
         faultMilliseconds: 6_000,
         unservedMilliseconds: afterHold,
     },
+    {
+        title: "a target leaves before it has the keys of another that leaves and still works on them",
+        fault: ({ world, targets, register }) => {
+            targets.get("b").fault = "working";
+            register("b", true);
+            world.after(400, () => register("a", true));
+        },
+        faultMilliseconds: 5_000,
+        unservedMilliseconds: 4_000,
+    },
     {
         title: "the coordinator is killed while a target is silent",
         fault: ({ coordinator, targets, startHost }) => {
