Refuse requests before a host is too busy to renew, and make renewals cheaper

Once the process runs late, callers give up, connect again (up to 1,100 connects a second) and renewals fall from 1,050 to 200-400 a second.

Change: grants and health questions go through the exchange that requests use, without streams and timeout signals of their own. A host whose turns come late refuses a growing share of new requests as host-overloaded with a Retry-After (decisions/pressure.ts); deferrable ones first.

--- a/bench/verdict.ts
+++ b/bench/verdict.ts
@@ -20,6 +20,8 @@
     outcome: Outcome;
     /** Reason of a refusal; empty for an answer. */
     reason: string;
+    /** When the refusal asks the caller to come back; 0 when it does not say. */
+    retryAfterMilliseconds?: number;
     /** The answer was another request's. */
     wrong: boolean;
     /** The answer was passed off as whole and was not. */
--- a/src/contracts/outcome.ts
+++ b/src/contracts/outcome.ts
@@ -64,6 +64,7 @@
         sendAgain: true,
         title: "It can not finish in time.",
     },
+    "host-overloaded": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The host runs late." },
     "no-owner": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "No target owns the key now." },
     "no-target": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "No target of the pool can serve." },
     "not-current": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The assignment is not confirmed." },
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -55,6 +55,8 @@
         heldLength: z.int().min(0).default(1_024),
         /** Time in which a target that started is brought up to its full share. */
         rampMilliseconds: milliseconds.default(2_000),
+        /** Lateness of the host's own turns from which it refuses requests. */
+        latenessMilliseconds: milliseconds.default(40),
         retryBudgetRatio: z.number().min(0).max(1).default(0.1),
         claimEntries: z.int().min(1).default(200_000),
         claimAgeMilliseconds: milliseconds.default(300_000),
--- a/src/links/targets.ts
+++ b/src/links/targets.ts
@@ -39,6 +39,16 @@
     sourceAddress?: string;
 };
 
+/** Undefined when the text is not what was agreed. */
+const readAnswer = <Shape>(schema: z.ZodType<Shape>, text: string): Shape | undefined => {
+    try {
+        return schema.safeParse(JSON.parse(text)).data;
+    }
+    catch {
+        return undefined;
+    }
+};
+
 /** Opens the link. Connections are made on first use, never more than `connections` besides one for control. */
 export const createTargetLink = (options: TargetLinkOptions): TargetLink => {
     const origin = `http://${options.address}`;
@@ -49,33 +59,38 @@
     const requests = new ConnectionPool(origin, { ...shared, connections: options.connections });
     const control = new ConnectionPool(origin, { ...shared, connections: 1 });
 
-    const ask = async <Shape>(
+    const ask = <Shape>(
         schema: z.ZodType<Shape>,
         method: "GET" | "POST" | "DELETE",
         path: string,
         body: unknown,
         timeoutMilliseconds: number,
-    ): Promise<Shape | undefined> => {
-        // A timer that is cleared costs far less than a timeout signal, which fires and makes an error for each answer.
-        const limit = new AbortController();
-        const timer = setTimeout(() => limit.abort(), timeoutMilliseconds);
-        try {
-            const response = await control.request({
+    ): Promise<Shape | undefined> =>
+        new Promise(resolve => {
+            const request = {
                 method,
                 path,
-                headers: { "content-type": "application/json" },
-                body: body === undefined ? undefined : JSON.stringify(body),
-                signal: limit.signal,
+                headers: ["content-type", "application/json"],
+                body: body === undefined ? undefined : Buffer.from(JSON.stringify(body)),
+            };
+            const chunks: Buffer[] = [];
+            const finish = (answer: Shape | undefined): void => {
+                clearTimeout(timer);
+                resolve(answer);
+            };
+            // A timer that is cleared costs far less than a timeout signal, which makes an error for each answer.
+            const timer = setTimeout(() => exchange?.abort(), timeoutMilliseconds);
+            const exchange: TargetExchange | undefined = startExchange(control, request, {
+                mayStart: () => true,
+                onHead: () => undefined,
+                onBytes: bytes => {
+                    chunks.push(bytes);
+                    return true;
+                },
+                onEnd: () => finish(readAnswer(schema, Buffer.concat(chunks).toString())),
+                onFailure: () => finish(undefined),
             });
-            return schema.safeParse(await response.body.json()).data;
-        }
-        catch {
-            return undefined;
-        }
-        finally {
-            clearTimeout(timer);
-        }
-    };
+        });
 
     return {
         send: (request, receiver) => startExchange(requests, request, receiver),
--- a/src/machines/requests.ts
+++ b/src/machines/requests.ts
@@ -22,6 +22,7 @@
 import { createRouter, type Router } from "./router.ts";
 import { createSender } from "./send.ts";
 import type { TargetViews } from "./target.ts";
+import { createTurns } from "./turns.ts";
 
 export type RequestPathOptions = {
     settings: Settings;
@@ -122,6 +123,14 @@
         claims,
         quarantines,
         share: () => share,
+        pressure: createTurns({
+            latenessMilliseconds: requests.latenessMilliseconds,
+            unit: Math.random,
+            clock,
+            metrics,
+            signal,
+        }),
+        unit: Math.random,
         settings: requests,
         metrics,
         clock,
--- a/src/machines/router.ts
+++ b/src/machines/router.ts
@@ -8,6 +8,8 @@
 import type { Settings } from "../contracts/settings.ts";
 import { stopCauses } from "../decisions/classify.ts";
 import { createTokenIndex, type GateView, isGateRefusal, type Passage, passGate } from "../decisions/gate.ts";
+import { retryAfterMilliseconds } from "../decisions/placing.ts";
+import type { Pressure } from "../decisions/pressure.ts";
 import { concurrencyShare, createRates } from "../decisions/rate.ts";
 import { createRetryBudget, retryReasonOf, waitsForOwner } from "../decisions/retry.ts";
 import type { CallerAnswer, CallerRefusal, CallerRequest } from "../links/callers.ts";
@@ -31,6 +33,9 @@
     quarantines: Quarantines;
     /** This host's part of rates and concurrency, from 0 to 1. */
     share: () => number;
+    /** Whether the host can take one more request. */
+    pressure: Pick<Pressure, "refuses">;
+    unit: () => number;
     settings: Settings["requests"];
     metrics: Metrics;
     clock: Clock;
@@ -47,6 +52,8 @@
 const failurePauseMilliseconds = 100;
 /** An owner that has said nothing for this time is given up once its key has another owner. */
 const silentMilliseconds = 200;
+/** A host that runs late has worked off its queue after about this time. */
+const overloadMilliseconds = 500;
 
 const didNotRun = (failed: FailedAttempt): boolean => reasons[failed.reason].outcome === outcomes.notRun;
 
@@ -270,6 +277,10 @@
             if (isGateRefusal(passed)) {
                 return refusal(passed.reason, passed.detail);
             }
+            if (options.pressure.refuses(passed.route.deferrable)) {
+                const wait = retryAfterMilliseconds(overloadMilliseconds, options.unit);
+                return refusal("host-overloaded", "The host has more to do than it can.", wait);
+            }
             if (quarantines.refuses(request)) {
                 return refusal("quarantined", "The request crashed targets and is refused until that has aged.");
             }
--- /dev/null
+++ b/src/machines/turns.ts
@@ -0,0 +1,41 @@
+/**
+ * The regular turn by which a host notices that it runs late, and so that it has more to do than it can.
+ */
+import type { Clock } from "../contracts/clock.ts";
+import { createPressure, type Pressure } from "../decisions/pressure.ts";
+import type { Metrics } from "../links/metrics.ts";
+
+export type TurnsOptions = {
+    /** Standing lateness from which requests are refused. */
+    latenessMilliseconds: number;
+    /** A number from 0 up to, not including, 1. */
+    unit: () => number;
+    clock: Clock;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
+
+const turnMilliseconds = 50;
+
+/** Judges by its own turns, until the signal aborts, how many requests the host can take. */
+export const createTurns = (options: TurnsOptions): Pick<Pressure, "refuses"> => {
+    const { clock, metrics, signal } = options;
+    const pressure = createPressure({ unit: options.unit, boundMilliseconds: options.latenessMilliseconds });
+
+    const run = async (): Promise<void> => {
+        let lastAt = clock.now();
+        while (!signal.aborted) {
+            await clock.sleep(turnMilliseconds, signal);
+            const passed = clock.now() - lastAt;
+            lastAt += passed;
+            const before = pressure.refusedShare();
+            pressure.noteTurn(Math.max(0, passed - turnMilliseconds), passed);
+            if (before > 0 || pressure.refusedShare() > 0) {
+                metrics.gauge("refused-share", pressure.refusedShare());
+            }
+        }
+    };
+
+    void run();
+    return pressure;
+};
--- a/test/system.ts
+++ b/test/system.ts
@@ -45,6 +45,9 @@
 };
 
 export const testToken = "test-token";
+/** The machine of the tests may be busy with others; `test/decisions/pressure.test.ts` plays lateness. */
+const neverLate = 1_000_000;
+
 export const testPool = "orders";
 
 const pollMilliseconds = 20;
@@ -120,6 +123,7 @@
                 operators: { port: 0 },
                 ...options.settings,
                 callers: { port: 0, ...options.settings?.["callers"] as object | undefined },
+                requests: { latenessMilliseconds: neverLate, ...options.settings?.["requests"] as object | undefined },
             }),
             peerKeys: [Buffer.from("test-key")],
             log: options.log ?? silentLog,
