Plan key ranges by the requests that run and wait at all targets

Played without a network (12 targets of speeds 0.6, 1, 1.6, busy keys close together): planning by utilization leaves targets under 0.65 of their capacity alone, so that slow targets keep as much as fast ones; a fifth of the load counted as spread evenly, so that dense ranges looked lighter than they were; a bucket was too coarse next to the busiest keys; and the estimate of a target's capacity swung by a third, which moved keys for noise.

Change: decisions/queueing.ts gives the expected requests at a target (M/M/c); a cut is made where it lowers their sum, less a price for its keys. Even share 0.2 to 0.05, keys of their own from 3 requests in a mean life of 5.8 s (8 in 3.6 s), work weighed 0.02 a sample (0.06).

The bound of the new test, 0.95 of what is in time when nothing waits, holds at all three.

--- a/src/decisions/keyload.ts
+++ b/src/decisions/keyload.ts
@@ -22,16 +22,16 @@
 export const keysPerBucket = (maxKey + 1) / bucketCount;
 
 /** Time in which a request loses half of its weight. */
-const halfLifeMilliseconds = 2_500;
+const halfLifeMilliseconds = 4_000;
 const meanLifeSeconds = halfLifeMilliseconds / 1_000 / Math.LN2;
 /** The same for keys that have just become busy: their load is known sooner, and less exactly. */
 const quickHalfLifeMilliseconds = 600;
 const quickMeanLifeSeconds = quickHalfLifeMilliseconds / 1_000 / Math.LN2;
 /** Weight at which a key is an atom of its own: that many requests within the mean life. */
-const busyKeyWeight = 8;
+const busyKeyWeight = 3;
 const forgottenWeight = 0.05;
 /** Part of the load that counts as spread evenly: keys without recent requests are asked for too. */
-const evenShare = 0.2;
+const evenShare = 0.05;
 
 type Aging = { weight: number; quickWeight: number; at: number };
 
--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -1,14 +1,17 @@
 /**
- * Planning who owns which keys: every key has a live owner, and the most loaded target is relieved as long as that
- * gains more than the move costs. Pure: the same inputs give the same plan.
+ * Planning who owns which keys: every key has a live owner, and keys move where fewer requests will run and wait in all,
+ * as long as that gains more than the move costs. Fast targets get more than their part of a light load, since a request
+ * ends sooner there. Pure: the same inputs give the same plan.
  */
 import { maxKey, type OwnedRange, type Ownership, type RangeOwner, sameOwner } from "../contracts/ownership.ts";
 import type { KeyAtom } from "./keyload.ts";
+import { requestsAtTarget } from "./queueing.ts";
 
 export type RangeTarget = {
     owner: RangeOwner;
     /** Requests a second that it can work off. */
     capacity: number;
+    slots: number;
 };
 
 /** Keys, both ends included, that go to a target. */
@@ -25,10 +28,17 @@
     isMovable: (range: OwnedRange) => boolean;
 };
 
-/** A target with less load than this part of its capacity needs no relief: its queue stays short. */
-const relievedBelow = 0.65;
-/** A move must lower the higher of the two loads by this part. */
-const minGain = 0.15;
+/** A target takes the keys beside its own only up to this part of its capacity: its queue stays short. */
+const joinedBelow = 0.65;
+/** A move must lower the expected requests at all targets by so many: less is lost in the noise of the loads. */
+const minGain = 0.2;
+/** What it costs to move all keys, in requests: a move stops its keys for a moment. */
+const allKeysCost = 5;
+/** Targets that are tried as givers, those where one request more costs most, and as takers, where it costs least. */
+const triedGivers = 3;
+const triedTakers = 4;
+/** Load, in requests a second, by which the cost of one request more is found. */
+const marginalLoad = 1;
 /** Requests that loads must rest on before they are balanced: fewer say too little about each target. */
 const minEvidence = 60;
 /** Ranges a target on average; more cost too many renewals. */
@@ -37,8 +47,8 @@
 const crowdedRangesPerTarget = 4;
 /** A bucket of keys goes where the room is at least this part of its load, so that runs do not break at rounding. */
 const fittingShare = 0.5;
-/** What a cut beside a range of the receiver is worth, as a part of the peak: it leaves no more ranges than before. */
-const neighbourGain = 0.04;
+/** What a cut beside a range of the receiver is worth, in requests: it leaves no more ranges than before. */
+const neighbourGain = 0.05;
 
 /** A target with its load, as a part of its capacity. */
 type Share = { target: RangeTarget; load: number };
@@ -85,7 +95,11 @@
     return shares;
 };
 
-const utilization = ({ target, load }: Share): number => load / target.capacity;
+const requestsAt = ({ target, load }: Share, change = 0): number =>
+    requestsAtTarget(Math.max(0, load + change), target.capacity, target.slots);
+
+/** By how many the expected requests at the target rise when a little more load comes. */
+const marginalCost = (share: Share): number => requestsAt(share, marginalLoad) - requestsAt(share);
 
 const atomsBetween = (atoms: KeyAtom[], from: number, to: number): KeyAtom[] =>
     atoms.filter(atom => atom.to >= from && atom.from <= to)
@@ -141,7 +155,8 @@
     return orphans.flatMap(orphan => deal(orphan.from, orphan.to, shares, input, sums));
 };
 
-type Cut = { from: number; to: number; receiver: Share; peak: number };
+/** Gain: by how many the expected requests at both targets go down. */
+type Cut = { from: number; to: number; receiver: Share; gain: number };
 
 /** The ends of a range, and each of its atoms by itself: what can be cut off it without leaving many pieces. */
 const piecesOf = (range: OwnedRange, atoms: KeyAtom[]): Array<{ from: number; to: number; load: number }> => {
@@ -175,24 +190,27 @@
         sameOwner(byFrom.get(to + 1)?.owner, owner) || sameOwner(byTo.get(from - 1)?.owner, owner);
 };
 
-/** The cut that leaves the lower peak of donor and receiver. */
-const bestCut = (donor: Share, shares: Share[], input: PlanInput): Cut | undefined => {
+/** The cut off the donor that gains most. It keeps some keys, since a target without any is given some again. */
+const bestCut = (donor: Share, receivers: Share[], input: PlanInput, costOfAllKeys: number): Cut | undefined => {
     let best: Cut | undefined;
     const isBeside = createNeighbours(input.ranges);
-    const owned = input.ranges.filter(range =>
-        sameOwner(range.owner, donor.target.owner) && range.predecessors.length === 0 && input.isMovable(range)
-    );
-    for (const piece of owned.flatMap(range => piecesOf(range, input.atoms))) {
-        const donorAfter = (donor.load - piece.load) / donor.target.capacity;
-        for (const receiver of shares) {
+    const all = input.ranges.filter(range => sameOwner(range.owner, donor.target.owner));
+    const owned = all.filter(range => range.predecessors.length === 0 && input.isMovable(range));
+    const isAllOfIt = ({ from, to }: { from: number; to: number }): boolean =>
+        all.length === 1 && all[0].from === from && all[0].to === to;
+    const donorBefore = requestsAt(donor);
+    const pieces = owned.flatMap(range => piecesOf(range, input.atoms));
+    for (const piece of pieces.filter(candidate => !isAllOfIt(candidate))) {
+        const relief = donorBefore - requestsAt(donor, -piece.load);
+        for (const receiver of receivers) {
             if (receiver === donor) {
                 continue;
             }
-            const receiverAfter = (receiver.load + piece.load) / receiver.target.capacity;
-            const gain = isBeside(piece, receiver.target.owner) ? 1 - neighbourGain : 1;
-            const peak = Math.max(donorAfter, receiverAfter) * gain;
-            if (best === undefined || peak < best.peak) {
-                best = { from: piece.from, to: piece.to, receiver, peak };
+            const burden = requestsAt(receiver, piece.load) - requestsAt(receiver);
+            const cost = costOfAllKeys * (piece.to - piece.from + 1) / (maxKey + 1);
+            const gain = relief - burden - cost + (isBeside(piece, receiver.target.owner) ? neighbourGain : 0);
+            if (best === undefined || gain > best.gain) {
+                best = { from: piece.from, to: piece.to, receiver, gain };
             }
         }
     }
@@ -207,8 +225,8 @@
         return undefined;
     }
     const donors = shares.filter(share => movable.some(range => sameOwner(range.owner, share.target.owner)));
-    const donor = donors.reduce((most, share) => utilization(share) > utilization(most) ? share : most);
-    const cut = bestCut(donor, [donor, newcomer], { ...input, isMovable: () => true });
+    const donor = donors.reduce((most, share) => requestsAt(share) > requestsAt(most) ? share : most);
+    const cut = bestCut(donor, [newcomer], { ...input, isMovable: () => true }, 0);
     return cut === undefined ? undefined : { from: cut.from, to: cut.to, owner: newcomer.target.owner };
 };
 
@@ -224,7 +242,7 @@
             const share = shares.find(other => sameOwner(other.target.owner, neighbour?.owner));
             const isFitting = share !== undefined && !sameOwner(share.target.owner, range.owner)
                 && range.predecessors.length === 0 && input.isMovable(range)
-                && (share.load + load) / share.target.capacity < relievedBelow;
+                && (share.load + load) / share.target.capacity < joinedBelow;
             return isFitting ? { from: range.from, to: range.to, owner: share.target.owner, load } : undefined;
         });
     }).filter(candidate => candidate !== undefined);
@@ -234,7 +252,7 @@
 
 /**
  * The moves that are due now. Keys without a live owner come first; then a target that owns nothing gets its part; else
- * at most one cut relieves the most loaded target.
+ * at most one cut relieves a target where requests wait or work takes long.
  */
 export const planRanges = (input: PlanInput): RangeMove[] => {
     const { ranges, targets, atoms } = input;
@@ -258,12 +276,13 @@
     if (input.evidence < minEvidence || ranges.length >= targets.length * maxRangesPerTarget) {
         return [];
     }
-    for (const donor of [...shares].sort((left, right) => utilization(right) - utilization(left))) {
-        if (utilization(donor) < relievedBelow) {
-            return [];
-        }
-        const cut = bestCut(donor, shares, input);
-        if (cut !== undefined && cut.peak <= utilization(donor) * (1 - minGain)) {
+    const byCost = shares.map(share => ({ share, cost: marginalCost(share) }))
+        .sort((left, right) => right.cost - left.cost)
+        .map(({ share }) => share);
+    const takers = byCost.slice(-triedTakers);
+    for (const donor of byCost.slice(0, triedGivers)) {
+        const cut = bestCut(donor, takers, input, allKeysCost);
+        if (cut !== undefined && cut.gain >= minGain) {
             return [{ from: cut.from, to: cut.to, owner: cut.receiver.target.owner }];
         }
     }
--- a/src/decisions/targetwork.ts
+++ b/src/decisions/targetwork.ts
@@ -10,7 +10,7 @@
 };
 
 /** Weight of one measurement in a target's mean. */
-const sampleWeight = 0.06;
+const sampleWeight = 0.02;
 /** Measurements that count for as much as the usual of the pool: a few slow requests do not make a slow target. */
 const priorSamples = 6;
 const assumedMilliseconds = 150;
--- a/src/machines/resident/rangekeeper.ts
+++ b/src/machines/resident/rangekeeper.ts
@@ -179,7 +179,11 @@
     const targetsToPlan = (): RangeTarget[] =>
         registry.ofPool(pool)
             .filter(target => !target.leaving && !grants.isLost(ownerOf(target)))
-            .map(target => ({ owner: ownerOf(target), capacity: options.work.capacity(target.name, target.slots) }));
+            .map(target => ({
+                owner: ownerOf(target),
+                capacity: options.work.capacity(target.name, target.slots),
+                slots: target.slots,
+            }));
 
     const logMove = (move: RangeMove, before: OwnedRange[]): void => {
         const moved = rangesNow().find(range => range.from === move.from);
--- /dev/null
+++ b/test/decisions/rangeload.test.ts
@@ -0,0 +1,134 @@
+/**
+ * Plays the load of a pool whose keys belong to targets of uneven speed, and checks what callers get: answers in time,
+ * with keys dealt evenly and after planning has settled.
+ */
+import test from "ava";
+import { createRandom, type Random } from "../../bench/random.ts";
+import { maxKey, type Ownership, rangeOf } from "../../src/contracts/ownership.ts";
+import { createKeyLoads, type KeyLoads } from "../../src/decisions/keyload.ts";
+import { applyMoves, mergeRanges, planRanges, type RangeTarget } from "../../src/decisions/rangeplan.ts";
+import { createTargetWork, type TargetWork } from "../../src/decisions/targetwork.ts";
+
+const slots = 3;
+const meanWorkMilliseconds = 120;
+const objectiveMilliseconds = 400;
+const speeds = [0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6, 0.6, 1, 1.6];
+const targetNames = speeds.map((...[, index]) => `target-${index}`);
+const planMilliseconds = 150;
+const settleMilliseconds = 1_500;
+const warmUpMilliseconds = 20_000;
+const measuredMilliseconds = 30_000;
+
+const normal = (random: Random): number => Math.sqrt(2 * random.exponential(1)) * Math.cos(2 * Math.PI * random.unit());
+
+const things = 60_000;
+/** Exponent of the power law by which things are asked for. */
+const skew = 0.727;
+const busiestKey = 30_000;
+
+/** Keys by a power law, the busy ones close to one another. */
+const drawKey = (random: Random): number =>
+    (busiestKey + Math.floor(things * random.unit() ** (1 / (1 - skew)))) % (maxKey + 1);
+
+const spread = 0.7;
+const drawWork = (random: Random, speed: number): number =>
+    meanWorkMilliseconds / speed * Math.exp(spread * normal(random) - spread * spread / 2);
+
+type Figures = { inTime: number; movedKeys: number };
+
+type Played = { ownership: Ownership; loads: KeyLoads; work: TargetWork };
+
+const planOnce = (played: Played, now: number, movedAt: Map<number, number>): number => {
+    const { ownership, loads, work } = played;
+    const targets: RangeTarget[] = targetNames.map(name => ({
+        owner: { target: name, incarnation: "1" },
+        capacity: work.capacity(name, slots),
+        slots,
+    }));
+    const moves = planRanges({
+        ranges: ownership.ranges,
+        targets,
+        atoms: loads.atoms(now),
+        evidence: loads.evidence(now),
+        isMovable: range => now - (movedAt.get(range.fence) ?? -Infinity) >= settleMilliseconds,
+    });
+    const next = applyMoves(ownership, moves);
+    moves.forEach(move => movedAt.set(rangeOf(next.ranges, move.from)?.fence ?? 0, now));
+    played.ownership = mergeRanges({
+        ...next,
+        ranges: next.ranges.map(range => ({ ...range, predecessors: [] })),
+    });
+    return moves.reduce((sum, move) => sum + move.to - move.from + 1, 0);
+};
+
+/** Plays requests that come at random; only those after the warm-up count. */
+const play = (requestsPerSecond: number, planned: boolean, seed: number): Figures => {
+    const random = createRandom(seed);
+    const freeAt = new Map(targetNames.map(name => [name, new Array<number>(slots).fill(0)]));
+    const movedAt = new Map<number, number>();
+    const played: Played = {
+        ownership: { term: 1, coordinator: "host/1", nextFence: 1, ranges: [] },
+        loads: createKeyLoads(),
+        work: createTargetWork(),
+    };
+    planOnce(played, 0, movedAt);
+    let nextPlanAt = planMilliseconds;
+    let answered = 0;
+    let inTime = 0;
+    let movedKeys = 0;
+    for (let now = 0; now < warmUpMilliseconds + measuredMilliseconds;) {
+        now += random.exponential(1_000 / requestsPerSecond);
+        for (; planned && nextPlanAt <= now; nextPlanAt += planMilliseconds) {
+            movedKeys += planOnce(played, nextPlanAt, movedAt);
+        }
+        const key = drawKey(random);
+        const name = rangeOf(played.ownership.ranges, key)?.owner.target ?? "";
+        const slotsFree = freeAt.get(name) ?? [];
+        const slot = slotsFree.indexOf(Math.min(...slotsFree));
+        const work = drawWork(random, speeds[targetNames.indexOf(name)]);
+        const endsAt = Math.max(now, slotsFree[slot]) + work;
+        slotsFree[slot] = endsAt;
+        played.loads.note(key, now);
+        played.work.note(name, work);
+        if (now >= warmUpMilliseconds) {
+            answered += 1;
+            inTime += endsAt - now <= objectiveMilliseconds ? 1 : 0;
+        }
+    }
+    return { inTime: inTime / answered, movedKeys };
+};
+
+/** The part of the work that ends in time when nothing waits and each target gets work by its speed. */
+const inTimeWithoutWaiting = (seed: number): number => {
+    const random = createRandom(seed);
+    const draws = 2_000;
+    const total = speeds.reduce((sum, speed) => sum + speed, 0);
+    const parts = speeds.map(speed => {
+        const inTime = [...new Array(draws).keys()].filter(() => drawWork(random, speed) <= objectiveMilliseconds);
+        return speed / total * inTime.length / draws;
+    });
+    return parts.reduce((sum, part) => sum + part, 0);
+};
+
+/** Part of what would be in time without any waiting: the goodput that is asked for under every load. */
+const leastGoodput = 0.95;
+/** Load as a part of what all targets together can work off. */
+const cases = [
+    { title: "a light load", utilization: 0.31 },
+    { title: "a usual load", utilization: 0.5 },
+    { title: "a heavy load", utilization: 0.69 },
+];
+
+for (const { title, utilization } of cases) {
+    test(`${title}: answered in time though busy keys lie close together and targets are uneven`, t => {
+        const capacity = speeds.reduce((sum, speed) => sum + speed, 0) * slots * 1_000 / meanWorkMilliseconds;
+        for (const seed of [1, 2, 3, 4]) {
+            const even = play(capacity * utilization, false, seed);
+            const planned = play(capacity * utilization, true, seed);
+            const least = inTimeWithoutWaiting(seed) * leastGoodput;
+            t.log(`in time: even ${even.inTime.toFixed(3)}, planned ${planned.inTime.toFixed(3)}`);
+            t.true(planned.inTime >= least, `${planned.inTime}, and ${least} are asked for`);
+            t.true(planned.movedKeys <= maxKey, `${planned.movedKeys} keys moved`);
+        }
+    });
+}
--- a/test/decisions/rangeplan.test.ts
+++ b/test/decisions/rangeplan.test.ts
@@ -8,7 +8,7 @@
 
 const owner = (target: string): RangeOwner => ({ target, incarnation: "1" });
 const targetsOf = (names: string[], capacity = 30): RangeTarget[] =>
-    names.map(name => ({ owner: owner(name), capacity }));
+    names.map(name => ({ owner: owner(name), capacity, slots: 3 }));
 const empty: Ownership = { term: 1, coordinator: "host/1", nextFence: 1, ranges: [] };
 const names = ["a", "b", "c", "d"];
 const now = 10_000;
@@ -102,7 +102,7 @@
 
 test("a busy key goes to the target that can serve it", t => {
     const hot = { key: 20_000, perSecond: 24 };
-    const targets = [...targetsOf(["a", "b", "c"], 16), { owner: owner("fast"), capacity: 40 }];
+    const targets = [...targetsOf(["a", "b", "c"], 16), { owner: owner("fast"), capacity: 40, slots: 3 }];
     const { ranges } = settle(finished(step(empty, targets, createKeyLoads())), targets, loadsOf(20, hot));
     t.is(rangeOf(ranges, hot.key)?.owner.target, "fast");
 });
