Move a busy key off a slow target, share the slack of resends by the hosts there are

A target was kept from giving its last range, so that a busy key stood by itself on a slow target and could not go to a faster one.

Test 'a busy key that is all that a slow target has goes to a fast one' fails before and passes after.

--- a/model/ownership/rules.ts
+++ b/model/ownership/rules.ts
@@ -4,6 +4,7 @@
  */
 import * as currency from "../../src/decisions/currency.ts";
 import * as grant from "../../src/decisions/grant.ts";
+import * as majority from "../../src/decisions/majority.ts";
 import * as move from "../../src/decisions/move.ts";
 import * as witness from "../../src/decisions/witness.ts";
 
@@ -26,7 +27,7 @@
     keepsDeadGrants: false,
 };
 
-export const rules = { ...currency, ...witness, ...move, ...grant, ...habits };
+export const rules = { ...currency, ...majority, ...witness, ...move, ...grant, ...habits };
 
 export type Rules = {
     [Name in keyof typeof rules]: (typeof rules)[Name] extends boolean ? boolean : (typeof rules)[Name];
--- a/src/commands/settings.ts
+++ b/src/commands/settings.ts
@@ -2,10 +2,11 @@
  * `carobpier settings check|show`: checks settings files and reports all findings together, or shows the settings with
  * their defaults.
  */
-import { Args, Command } from "@oclif/core";
+import { Args, Command, Flags } from "@oclif/core";
 import { readFile } from "node:fs/promises";
 import { stringify } from "yaml";
 import { describeFinding, type Finding } from "../contracts/finding.ts";
+import { residentSettingsSchema } from "../contracts/residentsettings.ts";
 import { type Settings, settingsSchema } from "../contracts/settings.ts";
 import { readSettings } from "../links/settings.ts";
 import { checkYaml } from "../links/yaml.ts";
@@ -13,17 +14,24 @@
 
 export class SettingsCheckCommand extends Command {
     static override summary = "Check settings files and list every finding with its place.";
-    static override examples = ["<%= config.bin %> settings check hallam.yaml"];
+    static override examples = [
+        "<%= config.bin %> settings check hallam.yaml",
+        "<%= config.bin %> settings check --resident node.yaml",
+    ];
+    static override flags = {
+        resident: Flags.boolean({ default: false, summary: "The files are settings of resident hosts." }),
+    };
     static override enableJsonFlag = true;
     static override strict = false;
     static override args = { file: Args.string({ required: true, description: "Settings file, YAML." }) };
 
     override async run(): Promise<{ findings: Finding[] }> {
-        const { argv } = await this.parse(SettingsCheckCommand);
+        const { argv, flags } = await this.parse(SettingsCheckCommand);
+        const schema = flags.resident ? residentSettingsSchema : settingsSchema;
         const findings: Finding[] = [];
         for (const file of argv as string[]) {
             const text = await readFile(file, "utf8");
-            findings.push(...checkYaml(file, text, settingsSchema).findings);
+            findings.push(...checkYaml<unknown>(file, text, schema).findings);
         }
         findings.forEach(finding => this.log(describeFinding(finding)));
         if (findings.length > 0) {
--- a/src/decisions/currency.ts
+++ b/src/decisions/currency.ts
@@ -6,7 +6,7 @@
  * and vouches only after a read of the platform that was sent since its start, its own or a relayed one: such a read
  * can not return less than what the host acknowledged before.
  */
-import { hasMajority } from "./witness.ts";
+import { hasMajority } from "./majority.ts";
 
 /** What one host knows of one pool's revision. Times are the host's monotonic milliseconds. */
 export type RevisionRecord = {
--- a/src/decisions/queueing.ts
+++ b/src/decisions/queueing.ts
@@ -30,7 +30,7 @@
  * @param capacity requests a second that it can work off with all of its slots.
  * @example
  * requestsAtTarget(0, 30, 3); // 0
- * requestsAtTarget(15, 30, 3); // 1.74: 1.5 run, 0.24 wait
+ * Math.round(requestsAtTarget(5, 10, 1) * 100) / 100; // 1
  */
 export const requestsAtTarget = (load: number, capacity: number, slots: number): number => {
     const utilization = load / capacity;
--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -197,17 +197,21 @@
         sameOwner(byFrom.get(to + 1)?.owner, owner) || sameOwner(byTo.get(from - 1)?.owner, owner);
 };
 
-/** The cut off the donor that gains most. It keeps some keys, since a target without any is given some again. */
+/**
+ * The cut off the donor that gains most. A donor that is not crowded keeps some keys, since a target without any is given
+ * some again; a crowded one may give its last range, a busy key that a faster target can serve.
+ */
 const bestCut = (donor: Share, receivers: Share[], input: PlanInput, costOfAllKeys: number): Cut | undefined => {
     let best: Cut | undefined;
     const isBeside = createNeighbours(input.ranges);
     const all = input.ranges.filter(range => sameOwner(range.owner, donor.target.owner));
     const owned = all.filter(range => range.predecessors.length === 0 && input.isMovable(range));
-    const isAllOfIt = ({ from, to }: { from: number; to: number }): boolean =>
-        all.length === 1 && all[0].from === from && all[0].to === to;
+    const isCrowded = donor.load / donor.target.capacity > joinedBelow;
+    const isKept = ({ from, to }: { from: number; to: number }): boolean =>
+        !isCrowded && all.length === 1 && all[0].from === from && all[0].to === to;
     const donorBefore = requestsAt(donor);
     const pieces = owned.flatMap(range => piecesOf(range, input.atoms));
-    for (const piece of pieces.filter(candidate => !isAllOfIt(candidate))) {
+    for (const piece of pieces.filter(candidate => !isKept(candidate))) {
         const relief = donorBefore - requestsAt(donor, -piece.load);
         for (const receiver of receivers) {
             if (receiver === donor) {
--- a/src/decisions/retry.ts
+++ b/src/decisions/retry.ts
@@ -17,14 +17,14 @@
 const freeRetries = 3;
 
 /**
- * Creates a budget: in each window of ten seconds at most `ratio` of the requests are retried, and `free` more.
+ * Creates a budget: in each window of ten seconds at most `ratio` of the requests are retried, and `free()` more.
  *
  * @example
  * const budget = createRetryBudget(0.1);
  * [1, 2, 3].map(() => budget.take(0)); // [true, true, true]
  * budget.take(0); // false
  */
-export const createRetryBudget = (ratio: number, free = freeRetries): RetryBudget => {
+export const createRetryBudget = (ratio: number, free = (): number => freeRetries): RetryBudget => {
     const requests = new Array<number>(bucketCount).fill(0);
     const retries = new Array<number>(bucketCount).fill(0);
     let newestBucket = 0;
@@ -49,7 +49,7 @@
         },
         take: now => {
             const index = bucketAt(now);
-            if (sum(retries) + 1 > sum(requests) * ratio + free) {
+            if (sum(retries) + 1 > sum(requests) * ratio + free()) {
                 return false;
             }
             retries[index] += 1;
--- a/src/decisions/witness.ts
+++ b/src/decisions/witness.ts
@@ -3,10 +3,7 @@
  * at the platform decides, and a witness that restarts says nothing until it has read the platform again.
  */
 import type { RevisionRecord } from "./currency.ts";
-
-/** Whether more than half of the hosts fulfil the condition. False for an empty set. */
-export const hasMajority = (hosts: readonly string[], fulfils: (host: string) => boolean): boolean =>
-    2 * hosts.filter(fulfils).length > hosts.length;
+import { hasMajority } from "./majority.ts";
 
 /**
  * Whether a witness vouches for the revision. It vouches for the highest that it has acknowledged and for no other, so
--- a/src/index.ts
+++ b/src/index.ts
@@ -23,5 +23,7 @@
     releaseTimeUnchecked,
     type TargetEvidence,
 } from "./decisions/move.ts";
+export { createPressure, type Pressure, type PressureOptions } from "./decisions/pressure.ts";
+export { requestsAtTarget } from "./decisions/queueing.ts";
 export { createRetryBudget, type RetryBudget } from "./decisions/retry.ts";
 export { createRouteIndex, drawPool, type RouteIndex } from "./decisions/routetable.ts";
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -32,7 +32,7 @@
     zone: string;
     /** Resends in a window of ten seconds: a part of this host's requests, and some that need none. */
     retryRatio: number;
-    retrySlack: number;
+    retrySlack: () => number;
     /** Told of each request for a key when it ends, and whether it was sent to the owner. */
     noteKey: (pool: string, key: number, wasSent: boolean) => void;
     /** Told of the time that a target worked on a request for a key. */
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -58,8 +58,8 @@
 /** Label of requests that a target answered. */
 const noReason = "none";
 const inFlightCheckMilliseconds = 50;
-/** Share of the slack of resends that one host takes: fleets have up to this many hosts. */
-const hostsPerSlack = 24;
+/** The slack of resends is shared by at least this many hosts, since some may not be counted yet. */
+const minHostsPerSlack = 24;
 /** Hosts see different parts of the load, so that each stays below the shared ratio. */
 const retrySafety = 0.85;
 
@@ -186,7 +186,7 @@
         protocol: options.targetProtocol,
         zone,
         retryRatio: settings.retries.ratio * retrySafety,
-        retrySlack: settings.retries.slack / hostsPerSlack,
+        retrySlack: () => settings.retries.slack / Math.max(minHostsPerSlack, processes.hosts() ?? 0),
         noteKey: reporter.noteKey,
         noteWork: reporter.noteWork,
         unit,
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -11,6 +11,8 @@
 export type Processes = {
     /** Whether the process has certainly ended; false also while the store does not answer. */
     hasEnded: (process: string) => Promise<boolean>;
+    /** Hosts that registered, those gone since then too; undefined while it was not read. */
+    hosts: () => number | undefined;
 };
 
 export type ProcessesOptions = {
@@ -24,6 +26,10 @@
 
 const kind = "hosts";
 const retryMilliseconds = 500;
+/** Hosts join rarely; one that joined has its own part of what all share soon enough. */
+const countMilliseconds = 10_000;
+/** The hosts of a deployment start together: counted sooner, not all would be there. */
+const firstCountMilliseconds = 3_000;
 const recordSchema = z.object({ process: z.string() });
 
 /** The host of a process. */
@@ -40,6 +46,21 @@
         }
     };
 
+    let known: number | undefined;
+
+    const countHosts = async (): Promise<void> => {
+        await clock.sleep(firstCountMilliseconds, signal);
+        while (!signal.aborted) {
+            try {
+                known = (await store.staleNames(kind, signal)).length;
+            }
+            catch (error) {
+                log.info("hosts-unknown", { known, error: messageOf(error) });
+            }
+            await clock.sleep(countMilliseconds, signal);
+        }
+    };
+
     const run = async (): Promise<void> => {
         while (!signal.aborted) {
             try {
@@ -53,8 +74,10 @@
         }
     };
     void run();
+    void countHosts();
 
     return {
+        hosts: () => known,
         hasEnded: async process => {
             try {
                 const object = await store.get(kind, hostOf(process), signal);
--- a/test/decisions/limits.test.ts
+++ b/test/decisions/limits.test.ts
@@ -175,3 +175,11 @@
         t.is(chooseTarget(targets.map(target => ({ ...calm, ...target })), () => 0.5), chosen);
     });
 }
+
+test("the part of a budget that needs no requests follows the number that is given", t => {
+    let free = 2;
+    const budget = createRetryBudget(0, () => free);
+    t.deepEqual([1, 2, 3].map(() => budget.take(0)), [true, true, false]);
+    free = 3;
+    t.deepEqual([1, 2].map(() => budget.take(0)), [true, false]);
+});
--- a/test/decisions/rangeplan.test.ts
+++ b/test/decisions/rangeplan.test.ts
@@ -138,3 +138,17 @@
     const moving = { ...both, ranges: both.ranges.map(range => ({ ...range, predecessors: [owner("b")] })) };
     t.is(mergeRanges(moving), moving);
 });
+
+test("a busy key that is all that a slow target has goes to a fast one", t => {
+    const hot = { key: 20_000, perSecond: 34 };
+    const targets = [...targetsOf(["a", "b", "c"], 16), { owner: owner("fast"), capacity: 40, slots: 3 }];
+    const dealt = [
+        { from: 0, to: 9_999, owner: owner("b") },
+        { from: 10_000, to: hot.key - 1, owner: owner("c") },
+        { from: hot.key, to: hot.key, owner: owner("a") },
+        { from: hot.key + 1, to: maxKey, owner: owner("fast") },
+    ];
+    const before = finished(applyMoves(empty, dealt));
+    const { ranges } = settle(before, targets, loadsOf(10, hot));
+    t.is(rangeOf(ranges, hot.key)?.owner.target, "fast");
+});
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -71,6 +71,10 @@
         shared.events.filter(entry => entry.kind === kind && entry.revision > position).map(entry => entry.event);
 
     const store: ObjectStore = {
+        staleNames: async kind => {
+            const { objects } = await store.list(kind);
+            return objects.map(object => object.name);
+        },
         list: async kind => {
             await gate();
             const objects = [...shared.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, object]) =>
--- /dev/null
+++ b/test/machines/resident/processes.test.ts
@@ -0,0 +1,29 @@
+/**
+ * Hosts count one another by what registered in the store.
+ */
+import test from "ava";
+import { silentLog } from "../../../src/links/logs.ts";
+import { registerProcess } from "../../../src/machines/resident/processes.ts";
+import { createVirtualClock } from "../fakes/clock.ts";
+import { createFakeStore } from "./fakestore.ts";
+
+test("all hosts are counted soon after the start, those that join within seconds, and kept while the store is lost", async t => {
+    const clock = createVirtualClock();
+    const shared = createFakeStore(clock);
+    const { signal } = new AbortController();
+    const start = (self: string) => {
+        const access = shared.access();
+        return { access, processes: registerProcess({ store: access.store, self, clock, log: silentLog, signal }) };
+    };
+    const first = start("h1/x");
+    start("h2/x");
+    t.is(first.processes.hosts(), undefined);
+    await clock.advance(4_000);
+    t.is(first.processes.hosts(), 2);
+    start("h3/x");
+    await clock.advance(11_000);
+    t.is(first.processes.hosts(), 3);
+    first.access.fault = "refusing";
+    await clock.advance(11_000);
+    t.is(first.processes.hosts(), 3);
+});
