--- a/test/commands/program.test.ts
+++ b/test/commands/program.test.ts
@@ -1,22 +1,9 @@
 import test from "ava";
-import { execFile } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { createPlatformStandIn, type PlatformStandIn } from "../../stand-ins/platform.ts";
-
-const main = fileURLToPath(new URL("../../src/main.ts", import.meta.url));
-
-type Ended = { exitCode: number; output: string };
-
-/** Runs the program as a process of its own. */
-const run = (commandLine: string[]): Promise<Ended> =>
-    new Promise(resolve => {
-        const child = execFile(process.execPath, ["--import=tsx", main, ...commandLine], (...[, output]) => {
-            resolve({ exitCode: child.exitCode ?? -1, output });
-        });
-    });
+import { runProgram } from "./program.ts";
 
 const files = {
     "new.yaml": "name: new\ncustomer: hallam\ntokenHashes: []\n",
@@ -119,7 +106,7 @@
         await Promise.all(Object.entries(files).map(([name, text]) => writeFile(join(folder, name), text)));
         prepare?.(platform);
         const words = commandLine.split(" ").map(word => word.endsWith(".yaml") ? join(folder, word) : word);
-        const ended = await run([...words, "--platform", platform.url]);
+        const ended = await runProgram([...words, "--platform", platform.url]);
         t.is(ended.exitCode, exitCode);
         if (json !== undefined) {
             t.deepEqual(json(JSON.parse(ended.output) as Record<string, unknown>), expected as never);
--- /dev/null
+++ b/test/commands/program.ts
@@ -0,0 +1,17 @@
+/**
+ * Runs the program as a process of its own.
+ */
+import { execFile } from "node:child_process";
+import { fileURLToPath } from "node:url";
+
+const main = fileURLToPath(new URL("../../src/main.ts", import.meta.url));
+
+export type Ended = { exitCode: number; output: string };
+
+/** Resolves when the program has ended, with what it wrote to standard output. */
+export const runProgram = (commandLine: string[]): Promise<Ended> =>
+    new Promise(resolve => {
+        const child = execFile(process.execPath, ["--import=tsx", main, ...commandLine], (...[, output]) => {
+            resolve({ exitCode: child.exitCode ?? -1, output });
+        });
+    });
