Say when a host runs late, and what took its time

A regular turn tells its lateness (metric lateness, line host-late with processor time and the time of each task), failed sends their age, a table its revision. No decision is changed.

Test: test/machines/resident/lateness.test.ts.

--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -122,6 +122,7 @@
             reason,
             notRun: attempt.notRun,
             send: passage.sends,
+            afterMilliseconds: Math.round(clock.now() - passage.request.receivedAt),
             own: view.load.own(),
             toldAgeMilliseconds: Math.round(view.load.toldAge(clock.now())),
         });
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -16,6 +16,7 @@
 import { resourceKinds } from "./coordination.ts";
 import { createFollower, type Follower } from "./follower.ts";
 import { createGateway } from "./gateway.ts";
+import { createLateness } from "./lateness.ts";
 import { createOwnerships } from "./ownerships.ts";
 import { registerProcess } from "./processes.ts";
 import { createRangeKeeper, type RangeKeeper } from "./rangekeeper.ts";
@@ -33,6 +34,8 @@
     ownershipLink: OwnershipLink;
     clock: Clock;
     wallClock: () => number;
+    /** Processor time of this process so far, in milliseconds. */
+    processorMilliseconds: () => number;
     /** A number from 0 up to, not including, 1. */
     unit: () => number;
     log: Log;
@@ -76,6 +79,9 @@
 
     log.info("host-starting", { process: self, zone, listen: settings.callers.listen, store: settings.store.address });
 
+    const { processorMilliseconds } = options;
+    const { measure } = createLateness({ processorMilliseconds, clock, log, metrics, signal });
+
     const followers: Follower[] = [];
     const follow = (
         kind: string,
@@ -106,7 +112,7 @@
     const tables = createTables({ decode: objects.decodeTable, log });
     const putTable = (object: StoreObject): void => {
         if (object.name === objects.tableName) {
-            tables.put(object);
+            measure("table", () => tables.put(object));
         }
     };
     const poolOf = (name: string) => tables.current()?.table.pools.get(name);
@@ -127,6 +133,7 @@
             const keeper = keepers.get(pool);
             return keeper?.isCoordinator() === true ? "self" : keeper?.reportsTo();
         },
+        measure,
         clock,
         signal,
     });
@@ -152,6 +159,7 @@
             maxHoldMilliseconds: settings.ownership.maxHold,
             clock,
             wallClock: options.wallClock,
+            measure,
             unit,
             log,
             metrics,
@@ -224,9 +232,13 @@
         healthy: () => true,
     });
 
-    const targetFollower = follow(objects.targetKind, registry.list, registry.changes);
+    const targetFollower = follow(
+        objects.targetKind,
+        all => measure("targets", () => registry.list(all)),
+        events => measure("targets", () => registry.changes(events)),
+    );
     followExisting(objects.tableKind, putTable);
-    followExisting(resourceKinds.ownership, ownerships.put);
+    followExisting(resourceKinds.ownership, object => measure("ownership", () => ownerships.put(object)));
     const coordinationFollower = follow(
         resourceKinds.coordination,
         all => all.forEach(object => putCoordination(object, false)),
--- a/src/machines/resident/rangekeeper.ts
+++ b/src/machines/resident/rangekeeper.ts
@@ -19,6 +19,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import { createCoordinator } from "./coordination.ts";
 import { createGrants } from "./grants.ts";
+import type { Lateness } from "./lateness.ts";
 import { createMoves } from "./moves.ts";
 import type { Processes } from "./processes.ts";
 import type { Registry } from "./registry.ts";
@@ -43,6 +44,7 @@
     clock: Clock;
     /** Milliseconds of the time of day. */
     wallClock: () => number;
+    measure: Lateness["measure"];
     /** A number from 0 up to, not including, 1. */
     unit: () => number;
     log: Log;
@@ -84,7 +86,7 @@
 
 /** Creates the keeper; it works until the signal aborts. */
 export const createRangeKeeper = (options: RangeKeeperOptions): RangeKeeper => {
-    const { pool, registry, clock, metrics, signal, link } = options;
+    const { pool, registry, clock, measure, metrics, signal, link } = options;
     const log = options.log.child({ pool });
     const movedAt = new Map<number, number>();
     const lastKnown = new Map<string, RegisteredTarget>();
@@ -215,10 +217,12 @@
     /** Writes what has finished and what moves now in one change, and joins neighbouring ranges of one owner. */
     const plan = async (ownership: Ownership): Promise<void> => {
         const finished = new Set(moves.finished());
-        const settled = finished.size === 0 ? ownership : withoutPredecessors(ownership, finished);
-        const planned = coordinator.mayPlan() ? movesDue(settled.ranges) : [];
-        const moved = applyMoves(settled, planned);
-        const next = coordinator.mayPlan() ? mergeRanges(moved) : moved;
+        const { next, planned } = measure("plan", () => {
+            const settled = finished.size === 0 ? ownership : withoutPredecessors(ownership, finished);
+            const due = coordinator.mayPlan() ? movesDue(settled.ranges) : [];
+            const moved = applyMoves(settled, due);
+            return { next: coordinator.mayPlan() ? mergeRanges(moved) : moved, planned: due };
+        });
         if (next === ownership || !await coordinator.change(() => next)) {
             return;
         }
@@ -252,7 +256,8 @@
         () => guard("step", () => coordinator.ownership() === undefined ? coordinator.standBy() : coordinate()),
     );
     void repeat(() => beatMilliseconds, () => guard("beat", coordinator.beat));
-    void repeat(() => stepMilliseconds, () => Promise.resolve(grants.renew(rangesNow().filter(moves.isFree))));
+    const renew = (): void => measure("renew", () => grants.renew(rangesNow().filter(moves.isFree)));
+    void repeat(() => stepMilliseconds, () => Promise.resolve(renew()));
 
     return {
         put: coordinator.put,
--- a/src/machines/resident/reporter.ts
+++ b/src/machines/resident/reporter.ts
@@ -6,6 +6,7 @@
 import { createKeyLoads, type KeyLoads } from "../../decisions/keyload.ts";
 import { createTargetWork, type TargetWork } from "../../decisions/targetwork.ts";
 import { type LoadReport, openLoadReports } from "../../links/loadreports.ts";
+import type { Lateness } from "./lateness.ts";
 
 export type Reporter = {
     noteKey: (pool: string, key: number, wasSent: boolean) => void;
@@ -19,6 +20,7 @@
     listen: string;
     /** `self`, or the coordinator's address for reports; undefined while there is none. */
     coordinatorOf: (pool: string) => "self" | string | undefined;
+    measure: Lateness["measure"];
     clock: Clock;
     signal: AbortSignal;
 };
@@ -55,7 +57,11 @@
         report.work.forEach(([target, milliseconds]) => work.note(target, milliseconds));
     };
 
-    const link = await openLoadReports({ listen: options.listen, onReport: take, signal });
+    const link = await openLoadReports({
+        listen: options.listen,
+        onReport: report => options.measure("report", () => take(report)),
+        signal,
+    });
 
     const report = (name: string, pool: Pool): void => {
         const { pending } = pool;
--- a/src/machines/resident/tables.ts
+++ b/src/machines/resident/tables.ts
@@ -36,7 +36,13 @@
                 return;
             }
             current = { table, index: createRouteIndex(table) };
-            log.info("table-in-force", { version: table.version, before: version, routes: table.routes.length });
+            const { revision } = object;
+            log.info("table-in-force", {
+                version: table.version,
+                before: version,
+                revision,
+                routes: table.routes.length,
+            });
             listeners.forEach(listener => listener(table));
         },
     };
--- a/src/machines/turns.ts
+++ b/src/machines/turns.ts
@@ -15,27 +15,39 @@
     signal: AbortSignal;
 };
 
+export type WatchTurnsOptions = {
+    /** Called with the lateness of each turn and the time since the one before, in milliseconds. */
+    onTurn: (lateMilliseconds: number, passedMilliseconds: number) => void;
+    clock: Clock;
+    signal: AbortSignal;
+};
+
 const turnMilliseconds = 50;
 
+/** Takes a turn at a regular time until the signal aborts, and tells how late it came. */
+export const watchTurns = async ({ onTurn, clock, signal }: WatchTurnsOptions): Promise<void> => {
+    let lastAt = clock.now();
+    while (!signal.aborted) {
+        await clock.sleep(turnMilliseconds, signal);
+        const passed = clock.now() - lastAt;
+        lastAt += passed;
+        onTurn(Math.max(0, passed - turnMilliseconds), passed);
+    }
+};
+
 /** Judges by its own turns, until the signal aborts, how many requests the host can take. */
 export const createTurns = (options: TurnsOptions): Pick<Pressure, "refuses"> => {
     const { clock, metrics, signal } = options;
     const pressure = createPressure({ unit: options.unit, boundMilliseconds: options.latenessMilliseconds });
 
-    const run = async (): Promise<void> => {
-        let lastAt = clock.now();
-        while (!signal.aborted) {
-            await clock.sleep(turnMilliseconds, signal);
-            const passed = clock.now() - lastAt;
-            lastAt += passed;
-            const before = pressure.refusedShare();
-            pressure.noteTurn(Math.max(0, passed - turnMilliseconds), passed);
-            if (before > 0 || pressure.refusedShare() > 0) {
-                metrics.gauge("refused-share", pressure.refusedShare());
-            }
+    const onTurn = (lateMilliseconds: number, passedMilliseconds: number): void => {
+        const before = pressure.refusedShare();
+        pressure.noteTurn(lateMilliseconds, passedMilliseconds);
+        if (before > 0 || pressure.refusedShare() > 0) {
+            metrics.gauge("refused-share", pressure.refusedShare());
         }
     };
 
-    void run();
+    void watchTurns({ onTurn, clock, signal });
     return pressure;
 };
--- /dev/null
+++ b/test/machines/resident/lateness.test.ts
@@ -0,0 +1,59 @@
+/**
+ * A host that runs late says so, and what took the time.
+ */
+import test from "ava";
+import type { Log, LogFields } from "../../../src/links/logs.ts";
+import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
+import { createLateness } from "../../../src/machines/resident/lateness.ts";
+
+type Line = { event: string; fields: LogFields };
+
+/** A host whose turns come late by the given times, and whose planning takes all of it. */
+const run = async (lateness: number[]): Promise<Line[]> => {
+    const lines: Line[] = [];
+    const lifetime = new AbortController();
+    let now = 0;
+    let turn = 0;
+    const log: Log = { ...silentLog, warn: (event, fields = {}) => lines.push({ event, fields }) };
+    const { measure } = createLateness({
+        processorMilliseconds: () => now,
+        clock: {
+            now: () => now,
+            after: () => () => undefined,
+            sleep: async milliseconds => {
+                await Promise.resolve();
+                const late = lateness[turn];
+                turn += 1;
+                if (late === undefined) {
+                    lifetime.abort();
+                    return;
+                }
+                now += milliseconds;
+                measure("plan", () => now += late);
+            },
+        },
+        log,
+        metrics: createMetrics(),
+        signal: lifetime.signal,
+    });
+    await new Promise(resolve => setImmediate(resolve));
+    return lines;
+};
+
+const turns = (count: number, late: number): number[] => Array.from({ length: count }, () => late);
+
+const cases = [
+    { title: "a host in time says nothing", lateness: turns(60, 5), expected: [] },
+    { title: "one late turn is told", lateness: [...turns(10, 0), 700, ...turns(30, 0)], expected: [700] },
+    { title: "a host that stays late says so each second", lateness: turns(10, 950), expected: turns(10, 950) },
+];
+
+for (const { title, lateness, expected } of cases) {
+    test(title, async t => {
+        const lines = await run(lateness);
+        t.deepEqual(lines.map(({ event }) => event), expected.map(() => "host-late"));
+        t.deepEqual(lines.map(({ fields }) => fields["lateMilliseconds"]), expected);
+        t.true(lines.every(({ fields }) => String(fields["taskMilliseconds"]).startsWith("plan:")));
+    });
+}
--- a/test/machines/resident/rangekeeper.test.ts
+++ b/test/machines/resident/rangekeeper.test.ts
@@ -83,6 +83,7 @@
             inContactSince: () => beats.inContactSince(),
             maxHoldMilliseconds: 10_000,
             wallClock: world.now,
+            measure: (...[, run]) => run(),
             unit: () => 0.1,
             metrics,
             ...common,
