Do not serve a request whose caller left before a late host read it

Cause: the request and the end of its connection lay in the socket together. Node reads the request first, and it was sent on in the same turn, before the end of the connection could be read. The class of fault: acting on input that may be old as if it were new.

Change: a request is served after the event loop has read once more from all sockets; where its caller has left by then it ends as cancelled.

Why it works: what had arrived with the request is read by then; what arrives later is heard by the hang-up of the exchange.

test/links/callerinput.test.ts ended its side of the connection together with the request and relied on an answer in the same turn: to the host that is a caller who has left. It now ends its side when no answer comes for 50 turns of the shared event loop; all inputs, expected statuses and counts are as before.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -96,6 +96,11 @@
 
 const defaultIdleMilliseconds = 30_000;
 
+/** Lets the event loop read once more from all sockets: a late host has requests before it whose callers have left. */
+const nextReads = (): Promise<void> => new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+
+const hasLeft = ({ socket }: IncomingMessage): boolean => socket.readableEnded || socket.destroyed;
+
 /** Opens the server. */
 export const createCallerLink = async <Request extends LinkedRequest>(
     options: CallerLinkOptions<Request>,
@@ -168,7 +173,17 @@
         clock,
     });
 
-    const answerCaller = async (request: Request, response: ServerResponse): Promise<void> => {
+    const answerCaller = async (
+        request: Request,
+        incoming: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<void> => {
+        await nextReads();
+        if (hasLeft(incoming)) {
+            response.destroy();
+            options.onDone(request, reasons.cancelled.outcome, "cancelled");
+            return;
+        }
         const answer = await options.serve(request);
         if (answer.kind === "refusal") {
             writeRefusal(response, request.id, answer, false);
@@ -190,7 +205,7 @@
             request.hangUp.listener?.();
         });
         if (!announcesBody(incoming)) {
-            await answerCaller(request, response);
+            await answerCaller(request, incoming, response);
             return;
         }
         const result = await readBody(incoming, request.deadlineAt);
@@ -200,7 +215,7 @@
             return;
         }
         request.body = result.body;
-        await answerCaller(request, response).finally(result.release);
+        await answerCaller(request, incoming, response).finally(result.release);
     };
 
     const server = createServer(
--- a/test/links/callerinput.test.ts
+++ b/test/links/callerinput.test.ts
@@ -58,13 +58,31 @@
     return { link, served, malformed };
 };
 
-/** Sends bytes on a new connection, ends it and gives all that came back. */
+/** Turns of the event loop, shared with the link, in which an answer would have come. */
+const turnsForAnswer = 50;
+
+/** Sends bytes on a new connection, ends it when no more answers come, and gives all that came back. */
 const exchange = (address: string, bytes: Uint8Array | string): Promise<string> =>
     new Promise(resolve => {
         const [host, port] = address.split(":");
         const parts: Buffer[] = [];
-        const socket = connect(Number(port), host, () => socket.end(bytes));
-        socket.on("data", part => parts.push(part));
+        let quietTurns = 0;
+        const endWhenQuiet = (): void => {
+            quietTurns += 1;
+            if (quietTurns > turnsForAnswer) {
+                socket.end();
+                return;
+            }
+            setImmediate(endWhenQuiet);
+        };
+        const socket = connect(Number(port), host, () => {
+            socket.write(bytes);
+            endWhenQuiet();
+        });
+        socket.on("data", part => {
+            parts.push(part);
+            quietTurns = 0;
+        });
         socket.on("error", () => undefined);
         socket.on("close", () => resolve(Buffer.concat(parts).toString("latin1")));
     });
--- a/test/links/callers.test.ts
+++ b/test/links/callers.test.ts
@@ -1,12 +1,14 @@
 /**
- * How answers end on the wire: one whose end is not certain is not framed as whole.
+ * The link to callers on real sockets: how answers end on the wire, and requests whose callers have left.
  */
 import test from "ava";
+import { once } from "node:events";
 import { connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { settingsSchema } from "../../src/contracts/settings.ts";
 import type { CallerRequest } from "../../src/links/callerhead.ts";
 import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerAnswer, createCallerLink } from "../../src/links/callers.ts";
+import { type CallerAnswer, type CallerLink, createCallerLink } from "../../src/links/callers.ts";
 import { systemClock } from "../../src/links/clock.ts";
 
 const cases: Array<{ title: string; answer: CallerAnswer; contains: string[]; lacks: string[] }> = [
@@ -24,23 +26,27 @@
     },
 ];
 
+const openLink = (serve: (request: CallerRequest) => Promise<CallerAnswer>): Promise<CallerLink> => {
+    const settings = settingsSchema.parse({
+        host: { name: "host-a", zone: "zone-1" },
+        platform: { url: "http://127.0.0.1:1" },
+        callers: { port: 0 },
+    }).callers;
+    return createCallerLink<CallerRequest>({
+        host: "127.0.0.1",
+        settings,
+        protocol: createCallerProtocol(settings),
+        clock: systemClock,
+        serve,
+        onDone: () => undefined,
+        onMalformed: () => undefined,
+        healthy: () => true,
+    });
+};
+
 for (const { title, answer, contains, lacks } of cases) {
     test(title, async t => {
-        const settings = settingsSchema.parse({
-            host: { name: "host-a", zone: "zone-1" },
-            platform: { url: "http://127.0.0.1:1" },
-            callers: { port: 0 },
-        }).callers;
-        const link = await createCallerLink<CallerRequest>({
-            host: "127.0.0.1",
-            settings,
-            protocol: createCallerProtocol(settings),
-            clock: systemClock,
-            serve: () => Promise.resolve(answer),
-            onDone: () => undefined,
-            onMalformed: () => undefined,
-            healthy: () => true,
-        });
+        const link = await openLink(() => Promise.resolve(answer));
         const [host, port] = link.address.split(":");
         const received = await new Promise<string>(resolve => {
             const parts: Buffer[] = [];
@@ -55,3 +61,35 @@
         await link.close();
     });
 }
+
+const leaving = [
+    { title: "a request", request: "GET /orders/a HTTP/1.1\r\nhost: x\r\n\r\n" },
+    { title: "a request with a body", request: "POST /orders/a HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbody" },
+];
+
+const blockEventLoop = (milliseconds: number): void => {
+    const endAt = performance.now() + milliseconds;
+    while (performance.now() < endAt) {
+        // Nothing is read meanwhile.
+    }
+};
+
+for (const { title, request } of leaving) {
+    test(`${title} that a late host reads after its caller has left is not served`, async t => {
+        const served: boolean[] = [];
+        const link = await openLink(({ hangUp }) => {
+            served.push(!hangUp.happened);
+            return Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: undefined });
+        });
+        t.teardown(link.close);
+        const [host, port] = link.address.split(":");
+        const socket = connect(Number(port), host);
+        await once(socket, "connect");
+        await sleep(20);
+        socket.resume();
+        socket.end(request);
+        blockEventLoop(100);
+        await once(socket, "close");
+        t.false(served.includes(true));
+    });
+}
