Do not send a request whose caller left while it waited in the host

Found while looking for the same cause elsewhere: a request that was held for the owner of its key went to the new owner although its caller had left, and one that may run only once was written when its connection came up, since only requests that may be repeated heard the hang-up at all. A hang-up before the write was taken for a failure to connect only by chance not: its reason was one that says nothing about the target.

Change: the hang-up is looked at after each wait; before the write it ends every kind of request as cancelled, which promises that it did not run; after the write only those that may be repeated, as before.

Tests, before: test/machines/resident/gateway.test.ts, 3 of 4 failed (a send after the hang-up; a promise never kept; an unknown outcome where nothing was sent). After: 4 pass, 138 tests of test/links and test/machines/resident pass.

--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -135,9 +135,14 @@
         const cancelTimer = clock.after(Math.max(1, options.endAt - sentAt), () => {
             stop("timed-out", `Target "${view.target.name}" did not answer within the time of the route.`);
         });
-        if (options.droppable) {
-            request.hangUp.listener = () => stop("caller-gone", "The caller hung up.");
-        }
+        request.hangUp.listener = () => {
+            if (stage === sendStages.unsent) {
+                stop("cancelled", "The caller hung up before the request was sent.");
+            }
+            else if (options.droppable) {
+                stop("caller-gone", "The caller hung up.");
+            }
+        };
         load.noteSent();
         exchange = view.link.send({
             method: request.method,
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -50,6 +50,8 @@
 const shedBlockMilliseconds = 60;
 /** A request waits this part of its objective for the owner of its key to change hands. */
 const holdShareOfObjective = 0.4;
+/** Ends of a send that say nothing about its target. */
+const endsWithCaller = new Set<Reason>(["caller-gone", "cancelled"]);
 const noOwnerRetryMilliseconds = 300;
 const startingRetryMilliseconds = 300;
 
@@ -113,7 +115,7 @@
         if (reason === "target-shed") {
             views.block(view, shedBlockMilliseconds);
         }
-        if (reason !== "caller-gone" && reason !== "fence-refused") {
+        if (!endsWithCaller.has(reason) && reason !== "fence-refused") {
             views.noteFailure(view);
         }
         log.info("send-failed", {
@@ -202,6 +204,9 @@
         const { request, route } = passage;
         for (;;) {
             const found = await candidatesOf(passage);
+            if (request.hangUp.happened) {
+                return refuse(passage, "cancelled", "The caller hung up before the request was sent.");
+            }
             if (!Array.isArray(found)) {
                 return found;
             }
--- /dev/null
+++ b/test/machines/resident/gateway.test.ts
@@ -0,0 +1,163 @@
+/**
+ * The way of a request through a resident host whose caller leaves where the request waits.
+ */
+import test from "ava";
+import type { ResidentRequest, TargetProtocol } from "../../../src/contracts/resident.ts";
+import type { RouteTable } from "../../../src/contracts/routing.ts";
+import { createRouteIndex } from "../../../src/decisions/routetable.ts";
+import { createTargetLoad } from "../../../src/decisions/targetload.ts";
+import type { CallerAnswer } from "../../../src/links/callers.ts";
+import type { AnswerReceiver } from "../../../src/links/exchange.ts";
+import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
+import { createGateway } from "../../../src/machines/resident/gateway.ts";
+import { createOwnerships } from "../../../src/machines/resident/ownerships.ts";
+import type { TargetView, Views } from "../../../src/machines/resident/views.ts";
+import { createVirtualClock } from "../fakes/clock.ts";
+
+const target = {
+    name: "a",
+    incarnation: "1",
+    pool: "stock",
+    address: "10.0.0.1:1",
+    zone: "z",
+    slots: 2,
+    leaving: false,
+    warmupMilliseconds: 0,
+};
+
+const tableOf = (kind: "idempotent" | "once", ownsKeys: boolean): RouteTable => ({
+    version: 1,
+    routes: [{
+        name: "r",
+        host: "stock.example",
+        prefix: "/",
+        kind,
+        timeoutMilliseconds: 2_000,
+        objectiveMilliseconds: 600,
+        priority: 1,
+        maxAttempts: 2,
+        shares: [{ pool: "stock", weight: 1 }],
+    }],
+    pools: new Map([["stock", { name: "stock", maxConnections: 100, ownsKeys, coldKeysMilliseconds: 0 }]]),
+    limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+});
+
+const protocol: TargetProtocol = {
+    requestHeaders: () => [],
+    readAnswer: () => ({ outcome: "answered", requestId: "r1", load: undefined }),
+    answerHeaders: () => ({}),
+};
+
+const setUp = (kind: "idempotent" | "once", ownsKeys: boolean) => {
+    const clock = createVirtualClock();
+    const { signal } = new AbortController();
+    const waiting: AnswerReceiver[] = [];
+    const unreachable: string[] = [];
+    const view: TargetView = {
+        target,
+        load: createTargetLoad(target.slots),
+        link: {
+            connections: 4,
+            close: () => undefined,
+            send: (...[, receiver]) => {
+                waiting.push(receiver);
+                return {
+                    resume: () => undefined,
+                    abort: () => receiver.onFailure("unsent", new Error("aborted")),
+                };
+            },
+        },
+        failureShare: 0,
+        blockedUntil: 0,
+        connectFailures: 0,
+        warmAt: 0,
+        gone: false,
+    };
+    const views: Views = {
+        ofPool: () => [view],
+        get: () => view,
+        noteFailure: () => undefined,
+        noteSuccess: () => undefined,
+        noteUnreachable: ({ target: { name } }) => unreachable.push(name),
+        block: () => undefined,
+    };
+    const ownerships = createOwnerships(clock, silentLog, signal);
+    const table = tableOf(kind, ownsKeys);
+    const gateway = createGateway({
+        tables: {
+            current: () => ({ table, index: createRouteIndex(table) }),
+            onChange: () => undefined,
+            put: () => undefined,
+        },
+        views,
+        ownerships,
+        protocol,
+        zone: "z",
+        retryRatio: 0.2,
+        retrySlack: () => 10,
+        noteKey: () => undefined,
+        noteWork: () => undefined,
+        unit: () => 0.5,
+        clock,
+        log: silentLog,
+        metrics: createMetrics(),
+    });
+    const request: ResidentRequest = {
+        id: "r1",
+        method: "GET",
+        host: "stock.example",
+        path: "/x",
+        headers: {},
+        body: undefined,
+        key: 7,
+        receivedAt: clock.now(),
+        deadlineAt: clock.now() + 2_000,
+        hangUp: { happened: false, listener: undefined },
+    };
+    const hangUp = (): void => {
+        request.hangUp.happened = true;
+        request.hangUp.listener?.();
+    };
+    const grantKeys = (): void => {
+        const owner = { target: "a", incarnation: "1" };
+        const ranges = [{ from: 0, to: 65_535, owner, fence: 1, predecessors: [] }];
+        ownerships.put({ name: "stock", revision: 1, value: { term: 1, coordinator: "h/1", nextFence: 2, ranges } });
+    };
+    return { gateway, request, waiting, unreachable, hangUp, grantKeys };
+};
+
+const reasonOf = (answer: CallerAnswer): string => answer.kind === "refusal" ? answer.reason : answer.kind;
+
+test("a request held for the owner of its key is not sent once its caller has left", async t => {
+    const { gateway, request, waiting, hangUp, grantKeys } = setUp("idempotent", true);
+    const answer = gateway.serve(request);
+    hangUp();
+    grantKeys();
+    t.is(reasonOf(await answer), "cancelled");
+    t.is(waiting.length, 0);
+});
+
+for (const kind of ["idempotent", "once"] as const) {
+    test(`a request that may run ${kind} and waits for a connection is not sent once its caller has left`, async t => {
+        const { gateway, request, waiting, unreachable, hangUp } = setUp(kind, false);
+        const answer = gateway.serve(request);
+        await new Promise(resolve => setImmediate(resolve));
+        t.is(waiting.length, 1);
+        hangUp();
+        t.false(waiting[0].mayStart());
+        t.is(reasonOf(await answer), "cancelled");
+        t.deepEqual(unreachable, []);
+    });
+}
+
+test("a request that may run once goes on at its target when its caller leaves", async t => {
+    const { gateway, request, waiting, hangUp } = setUp("once", false);
+    const answer = gateway.serve(request);
+    await new Promise(resolve => setImmediate(resolve));
+    t.true(waiting[0].mayStart());
+    hangUp();
+    waiting[0].onHead(200, {});
+    waiting[0].onEnd();
+    t.is(reasonOf(await answer), "answer");
+});
