Work out loads no more often than keys are balanced

The duty went from small host to small host, each for about 3 s.

Cause: while moves are under way a coordinator steps every 40 ms, and each step worked out the loads of all keys and the capacity of all targets. With 111 targets, 360 ranges and 900 requests a second a step took 11.5 ms of a whole core (loads 5.1, capacities 3.6, plan 2.4): 0.29 of a core, where the smallest hosts have 0.2. Each capacity sorted the work of all targets, each grant built the ids of all ranges twice.

Change: loads are worked out every 400 ms, as cuts always were; at other steps only keys without a live owner lead to a plan, which is cheap to find. Several new targets get their part in one plan in place of one a step. The usual work and the ids of the planned ranges are kept until they change.

Test, before: test/machines/resident/rangekeeper.test.ts, 'a coordinator whose moves are under way works out loads no more often than it balances': 37 plans in 4 s, bound 11; after: passes.

--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -24,7 +24,7 @@
     atoms: KeyAtom[];
     /** Requests on which the loads rest. */
     evidence: number;
-    /** Cuts that may be made now to relieve targets; keys without a live owner move in any case. */
+    /** Cuts that may be made now, to relieve targets or for new ones; keys without a live owner move in any case. */
     cuts: number;
     /** Whether the range may move now; one that has just moved stays for a while. */
     isMovable: (range: OwnedRange) => boolean;
@@ -151,10 +151,19 @@
     return gaps;
 };
 
+const orphansOf = (ranges: OwnedRange[], owners: RangeOwner[]): Array<{ from: number; to: number }> => {
+    const live = new Map(owners.map(owner => [owner.target, owner]));
+    const isLive = ({ owner }: OwnedRange): boolean => sameOwner(live.get(owner.target), owner);
+    return [...gapsOf(ranges), ...ranges.filter(range => !isLive(range))];
+};
+
+/** Whether there are keys without a live owner. Far cheaper than a plan. */
+export const hasOrphans = (ranges: OwnedRange[], owners: RangeOwner[]): boolean =>
+    owners.length > 0 && orphansOf(ranges, owners).length > 0;
+
 const planOrphans = (input: PlanInput, sums: LoadSums): RangeMove[] => {
     const { ranges, targets } = input;
-    const isLive = (range: OwnedRange): boolean => targets.some(target => sameOwner(target.owner, range.owner));
-    const orphans = [...gapsOf(ranges), ...ranges.filter(range => !isLive(range))];
+    const orphans = orphansOf(ranges, targets.map(target => target.owner));
     if (orphans.length === 0) {
         return [];
     }
@@ -228,17 +237,19 @@
     return best;
 };
 
-/** A target that owns nothing takes part of the keys of the most loaded one, whatever the load. */
-const planNewcomer = (input: PlanInput, shares: Share[]): RangeMove | undefined => {
-    const newcomer = shares.find(share => !input.ranges.some(range => sameOwner(range.owner, share.target.owner)));
+/** Targets that own nothing take part of the keys of the most loaded ones, whatever the load. */
+const planNewcomers = (input: PlanInput, shares: Share[]): RangeMove[] => {
+    const owns = (ranges: OwnedRange[], share: Share): boolean =>
+        ranges.some(range => sameOwner(range.owner, share.target.owner));
     const movable = input.ranges.filter(range => range.predecessors.length === 0);
-    if (newcomer === undefined || movable.length === 0) {
-        return undefined;
-    }
-    const donors = shares.filter(share => movable.some(range => sameOwner(range.owner, share.target.owner)));
-    const donor = donors.reduce((most, share) => requestsAt(share) > requestsAt(most) ? share : most);
-    const cut = bestCut(donor, [newcomer], { ...input, isMovable: () => true }, 0);
-    return cut === undefined ? undefined : { from: cut.from, to: cut.to, owner: newcomer.target.owner };
+    const donors = shares.filter(share => owns(movable, share))
+        .sort((left, right) => requestsAt(right) - requestsAt(left));
+    return shares.filter(share => !owns(input.ranges, share))
+        .slice(0, Math.min(input.cuts, donors.length))
+        .flatMap((newcomer, index) => {
+            const cut = bestCut(donors[index], [newcomer], { ...input, isMovable: () => true }, 0);
+            return cut === undefined ? [] : [{ from: cut.from, to: cut.to, owner: newcomer.target.owner }];
+        });
 };
 
 /** The range that is cheapest to give to the owner of a neighbour where it fits, when there are many ranges. */
@@ -285,7 +296,7 @@
 };
 
 /**
- * The moves that are due now. Keys without a live owner come first; then a target that owns nothing gets its part; else
+ * The moves that are due now. Keys without a live owner come first; then targets that own nothing get their part; else
  * cuts relieve targets where requests wait or work takes long.
  */
 export const planRanges = (input: PlanInput): RangeMove[] => {
@@ -299,13 +310,13 @@
         return orphans;
     }
     const shares = sharesOf(ranges, targets, sums);
-    const newcomer = planNewcomer(input, shares);
-    if (newcomer !== undefined) {
-        return [newcomer];
-    }
     if (input.cuts === 0) {
         return [];
     }
+    const newcomers = planNewcomers(input, shares);
+    if (newcomers.length > 0) {
+        return newcomers;
+    }
     const joined = planJoin(input, shares, sums);
     if (joined !== undefined) {
         return [joined];
--- a/src/decisions/targetwork.ts
+++ b/src/decisions/targetwork.ts
@@ -22,13 +22,19 @@
 export const createTargetWork = (): TargetWork => {
     const targets = new Map<string, { mean: number; quickMean: number; count: number }>();
 
+    let knownUsual: number | undefined;
+
     const usual = (): number => {
-        const means = [...targets.values()].map(held => held.mean).sort((left, right) => left - right);
-        return means[means.length >> 1] ?? assumedMilliseconds;
+        if (knownUsual === undefined) {
+            const means = [...targets.values()].map(held => held.mean).sort((left, right) => left - right);
+            knownUsual = means[means.length >> 1] ?? assumedMilliseconds;
+        }
+        return knownUsual;
     };
 
     return {
         note: (target, milliseconds) => {
+            knownUsual = undefined;
             const held = targets.get(target) ?? { mean: milliseconds, quickMean: milliseconds, count: 0 };
             held.count += 1;
             held.mean += (milliseconds - held.mean) * Math.max(sampleWeight, 1 / held.count);
@@ -44,6 +50,7 @@
             return slots * 1_000 / milliseconds;
         },
         forget: target => {
+            knownUsual = undefined;
             targets.delete(target);
         },
     };
--- a/src/machines/resident/rangekeeper.ts
+++ b/src/machines/resident/rangekeeper.ts
@@ -13,7 +13,14 @@
 import type { OwnershipLink } from "../../contracts/resident.ts";
 import type { RegisteredTarget } from "../../contracts/routing.ts";
 import type { KeyLoads } from "../../decisions/keyload.ts";
-import { applyMoves, mergeRanges, planRanges, type RangeMove, type RangeTarget } from "../../decisions/rangeplan.ts";
+import {
+    applyMoves,
+    hasOrphans,
+    mergeRanges,
+    planRanges,
+    type RangeMove,
+    type RangeTarget,
+} from "../../decisions/rangeplan.ts";
 import type { TargetWork } from "../../decisions/targetwork.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -67,7 +74,7 @@
 const stepMilliseconds = 150;
 /** While keys are on their way, their owners are asked to serve them soon after the former ones have stopped. */
 const movingStepMilliseconds = 40;
-/** Cuts are planned this far apart and several at once: every host reads every change of the ownership. */
+/** Loads are worked out and cuts planned this far apart, several at once: every host reads every change. */
 const balancingMilliseconds = 400;
 const targetsPerCut = 6;
 const beatMilliseconds = 800;
@@ -125,7 +132,15 @@
 
     const rangesNow = (): OwnedRange[] => coordinator.ownership()?.ranges ?? [];
 
-    const isPlanned = (range: OwnedRange): boolean => rangesNow().some(other => rangeId(other) === rangeId(range));
+    let planned: { ranges: OwnedRange[]; ids: Set<string> } = { ranges: [], ids: new Set() };
+
+    const isPlanned = (range: OwnedRange): boolean => {
+        const ranges = rangesNow();
+        if (planned.ranges !== ranges) {
+            planned = { ranges, ids: new Set(ranges.map(rangeId)) };
+        }
+        return planned.ids.has(rangeId(range));
+    };
 
     const guard = async (step: string, work: () => Promise<unknown>): Promise<void> => {
         try {
@@ -173,14 +188,14 @@
         signal,
     });
 
-    const targetsToPlan = (): RangeTarget[] =>
-        registry.ofPool(pool)
-            .filter(target => !target.leaving && !grants.isLost(ownerOf(target)))
-            .map(target => ({
-                owner: ownerOf(target),
-                capacity: options.work.capacity(target.name, target.slots),
-                slots: target.slots,
-            }));
+    const targetsToPlan = (): RegisteredTarget[] =>
+        registry.ofPool(pool).filter(target => !target.leaving && !grants.isLost(ownerOf(target)));
+
+    const planTargetOf = (target: RegisteredTarget): RangeTarget => ({
+        owner: ownerOf(target),
+        capacity: options.work.capacity(target.name, target.slots),
+        slots: target.slots,
+    });
 
     const logMove = (move: RangeMove, before: OwnedRange[]): void => {
         const moved = rangesNow().find(range => range.from === move.from);
@@ -204,9 +219,13 @@
         }
         const targets = targetsToPlan();
         const mayBalance = now - balancedAt >= balancingMilliseconds;
+        if (!mayBalance && !hasOrphans(ranges, targets.map(ownerOf))) {
+            return [];
+        }
+        balancedAt = mayBalance ? now : balancedAt;
         return planRanges({
             ranges,
-            targets,
+            targets: targets.map(planTargetOf),
             atoms: options.loads.atoms(now),
             evidence: options.loads.evidence(now),
             cuts: mayBalance ? Math.ceil(targets.length / targetsPerCut) : 0,
@@ -217,20 +236,17 @@
     /** Writes what has finished and what moves now in one change, and joins neighbouring ranges of one owner. */
     const plan = async (ownership: Ownership): Promise<void> => {
         const finished = new Set(moves.finished());
-        const { next, planned } = measure("plan", () => {
+        const { next, due } = measure("plan", () => {
             const settled = finished.size === 0 ? ownership : withoutPredecessors(ownership, finished);
-            const due = coordinator.mayPlan() ? movesDue(settled.ranges) : [];
-            const moved = applyMoves(settled, due);
-            return { next: coordinator.mayPlan() ? mergeRanges(moved) : moved, planned: due };
+            const movesNow = coordinator.mayPlan() ? movesDue(settled.ranges) : [];
+            const moved = applyMoves(settled, movesNow);
+            return { next: coordinator.mayPlan() ? mergeRanges(moved) : moved, due: movesNow };
         });
         if (next === ownership || !await coordinator.change(() => next)) {
             return;
         }
         moves.forget([...finished]);
-        if (planned.length > 0) {
-            balancedAt = clock.now();
-        }
-        planned.forEach(move => logMove(move, ownership.ranges));
+        due.forEach(move => logMove(move, ownership.ranges));
         if (finished.size > 0) {
             log.info("moves-finished", { ranges: [...finished].join(",") });
         }
--- a/test/machines/resident/rangekeeper.test.ts
+++ b/test/machines/resident/rangekeeper.test.ts
@@ -46,7 +46,8 @@
         const { signal } = lifetime;
         const clock = createPausableClock(world);
         const access = shared.access();
-        const state = { cut: false };
+        const state = { cut: false, plans: 0 };
+        const loads = createKeyLoads();
         const common = { clock, log: silentLog, signal };
         const follow = { store: access.store, waitMilliseconds: 3_000, onRegained: () => undefined, ...common };
         const registry = createRegistry({
@@ -74,7 +75,13 @@
             registry,
             processes: registerProcess({ store: access.store, self: process, ...common }),
             reports: "10.0.0.9:1",
-            loads: createKeyLoads(),
+            loads: {
+                ...loads,
+                atoms: now => {
+                    state.plans += 1;
+                    return loads.atoms(now);
+                },
+            },
             work: createTargetWork(),
             incarnationOf: async target => {
                 const object = await access.store.get("servers", target);
@@ -269,3 +276,17 @@
         set.hosts.forEach(host => host.kill());
     });
 }
+
+const planMilliseconds = 400;
+
+test("a coordinator whose moves are under way works out loads no more often than it balances", async t => {
+    const set = await setUp();
+    const { state } = set.coordinator;
+    set.targets.get("b").fault = "working";
+    set.register("b", true);
+    await set.world.advance(1_000);
+    state.plans = 0;
+    await set.world.advance(planMilliseconds * 10);
+    t.true(state.plans <= 10 + 1, `${state.plans} plans`);
+    set.hosts.forEach(host => host.kill());
+});
