Let hosts with the most processor coordinate

Cause: every host was as ready to take a vacant duty as any other. A coordinator renews about 260 grants a second at that size, at 0.16 to 0.4 ms each (measured on loopback), beside planning and 300 load reports: more than 0.2 of a core. It runs late, its sign of life is late, and the next host takes over with the same outcome.

Change: each host registers its processor in the store beside its process, and leaves a vacant or silent duty alone for longer, up to 1.5 s, the less it has than the most that is registered. No host is excluded, so that the duty is taken when the large ones are gone.

Test, before (with the reluctance at 0, as it was): test/machines/resident/rangekeeper.test.ts, 'the host with the most processor coordinates, and the next one after its end' failed: h1, the smallest, had the duty. After: passes, keys unserved for 0 ms at both changes; all 55 tests of the folder pass.

--- a/src/contracts/objectstore.ts
+++ b/src/contracts/objectstore.ts
@@ -27,8 +27,8 @@
 /** Each call may throw a `PlatformError`; after one a write may have taken effect, or may do so later. */
 export type ObjectStore = {
     list: (kind: string, signal?: AbortSignal) => Promise<StoreList>;
-    /** Names of all objects of the kind, maybe seconds old: a far cheaper call. */
-    staleNames: (kind: string, signal?: AbortSignal) => Promise<string[]>;
+    /** All objects of the kind, maybe seconds old: a far cheaper call. */
+    staleList: (kind: string, signal?: AbortSignal) => Promise<StoreObject[]>;
     get: (kind: string, name: string, signal?: AbortSignal) => Promise<StoreObject | undefined>;
     /** Waits for changes after the position, at most the given time. What it tells may be seconds old. */
     watch: (kind: string, position: number, waitMilliseconds: number, signal?: AbortSignal) => Promise<StoreChanges>;
--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -7,7 +7,13 @@
 const address = z.string().regex(/^[0-9.]+:\d{1,5}$/, "an IP address with a port");
 
 export const residentSettingsSchema = z.object({
-    host: z.object({ name: z.string().min(1), zone: z.string().min(1) }),
+    host: z.object({
+        name: z.string().min(1),
+        zone: z.string().min(1),
+        /** Processor of the machine: the part of a core that the process has, and how fast a core is. */
+        processor: z.object({ share: z.number().positive().default(1), speed: z.number().positive().default(1) })
+            .prefault({}),
+    }),
     callers: z.object({ listen: address, maxBufferedBodyBytes: z.int().positive().default(67_108_864) }),
     health: z.object({ listen: address }),
     /** Where other hosts send load reports while this one balances a pool. */
--- a/src/decisions/standing.ts
+++ b/src/decisions/standing.ts
@@ -35,6 +35,24 @@
     };
 };
 
+/** Longer than the hosts with the most processor take to notice that the duty is vacant and to take it. */
+const maxReluctanceMilliseconds = 1_500;
+
+/**
+ * How much longer than others a host leaves a vacant duty alone: coordinating a pool of a hundred targets takes more
+ * processor than the smallest hosts have, and a coordinator that runs late loses the duty again.
+ *
+ * @param processor that of the host, in cores.
+ * @param mostProcessor the most that any host has; undefined while it is not known.
+ * @example
+ * reluctanceMilliseconds(1.2, 1.2); // 0
+ * reluctanceMilliseconds(0.3, 1.2); // 1125
+ */
+export const reluctanceMilliseconds = (processor: number, mostProcessor: number | undefined): number =>
+    mostProcessor === undefined
+        ? maxReluctanceMilliseconds
+        : maxReluctanceMilliseconds * (1 - Math.min(1, processor / mostProcessor));
+
 /** A target's clock may run this much slow, so that its hold lasts longer than was granted. */
 const slowClockShare = 0.02;
 /** Allows for the way of a grant that was under way when it was given up. */
--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -7,7 +7,7 @@
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreObject, StoreWrite } from "../../contracts/objectstore.ts";
 import { type Coordination, coordinationSchema, type Ownership, ownershipSchema } from "../../contracts/ownership.ts";
-import { type ClockReading, createStanding } from "../../decisions/standing.ts";
+import { type ClockReading, createStanding, reluctanceMilliseconds } from "../../decisions/standing.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { Processes } from "./processes.ts";
@@ -24,6 +24,8 @@
     processes: Processes;
     /** Since when the store has answered; undefined while it is lost. */
     inContactSince: () => number | undefined;
+    /** Processor of this host, in cores. */
+    processor: number;
     /** Whether there is anything to coordinate. */
     isNeeded: () => boolean;
     /** Called when this process has become coordinator, before anything else is done in the term. */
@@ -265,9 +267,11 @@
             }
             const isVacant = seen === undefined || seen.coordination.coordinator === vacant;
             const isOwnLateWrite = seen?.coordination.coordinator === self;
-            const silentFor = clock.now() - Math.max(seenChangeAt, contact);
+            const silentFor = clock.now() - Math.max(seenChangeAt, contact)
+                - reluctanceMilliseconds(options.processor, processes.mostProcessor());
             const isSilent = silentFor >= silenceMilliseconds * (1 + silenceSpread * unit());
-            if (!isOwnLateWrite && !isSilent && !(isVacant && unit() < vacancyShare)) {
+            const isWilling = isVacant && silentFor >= 0 && unit() < vacancyShare;
+            if (!isOwnLateWrite && !isSilent && !isWilling) {
                 return;
             }
             try {
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -69,7 +69,7 @@
 /** Starts the host; resolves when it serves. */
 export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
     const { settings, store, objects, clock, metrics, unit } = options;
-    const { zone } = settings.host;
+    const { zone, processor: { share, speed } } = settings.host;
     const log = options.log.child({ host: settings.host.name });
     const lifetime = new AbortController();
     const { signal } = lifetime;
@@ -108,7 +108,7 @@
             events.filter(event => !event.removed).forEach(event => onObject(event.object));
         });
 
-    const processes = registerProcess({ store, self, clock, log, signal });
+    const processes = registerProcess({ store, self, processor: share * speed, clock, log, signal });
     const tables = createTables({ decode: objects.decodeTable, log });
     const putTable = (object: StoreObject): void => {
         if (object.name === objects.tableName) {
@@ -148,6 +148,7 @@
             processes,
             registry,
             reports: settings.reports.listen,
+            processor: share * speed,
             loads: reporter.loadsOf(pool),
             work: reporter.workOf(pool),
             incarnationOf: async (target, callSignal) => {
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -13,12 +13,16 @@
     hasEnded: (process: string) => Promise<boolean>;
     /** Hosts that registered, those gone since then too; undefined while it was not read. */
     hosts: () => number | undefined;
+    /** The most processor that any of them has, in cores. */
+    mostProcessor: () => number | undefined;
 };
 
 export type ProcessesOptions = {
     store: ObjectStore;
     /** Name of this process: its host, a slash, and what no other process has. */
     self: string;
+    /** Processor of this host, in cores. */
+    processor: number;
     clock: Clock;
     log: Log;
     signal: AbortSignal;
@@ -28,36 +32,45 @@
 const retryMilliseconds = 500;
 /** Hosts join rarely; one that joined has its own part of what all share soon enough. */
 const countMilliseconds = 10_000;
-/** The hosts of a deployment start together: counted sooner, not all would be there. */
-const firstCountMilliseconds = 3_000;
-const recordSchema = z.object({ process: z.string() });
+/** The hosts of a deployment start together: the first count may miss some of them. */
+const firstCountsMilliseconds = [700, 2_300];
+const recordSchema = z.object({ process: z.string(), processor: z.number().default(0) });
 
 /** The host of a process. */
 const hostOf = (process: string): string => process.slice(0, process.lastIndexOf("/"));
 
 /** Registers this process, again and again until the store has it. */
-export const registerProcess = ({ store, self, clock, log, signal }: ProcessesOptions): Processes => {
+export const registerProcess = ({ store, self, processor, clock, log, signal }: ProcessesOptions): Processes => {
     const register = async (): Promise<void> => {
         const name = hostOf(self);
-        const value = { process: self };
+        const value = { process: self, processor };
         const created = await store.create(kind, name, value, signal);
         if (created.result === "conflict" && created.current !== undefined) {
             await store.replace(kind, name, value, created.current.revision, signal);
         }
     };
 
-    let known: number | undefined;
+    let known: { hosts: number; mostProcessor: number } | undefined;
+
+    const count = async (): Promise<void> => {
+        try {
+            const objects = await store.staleList(kind, signal);
+            const records = objects.map(object => recordSchema.safeParse(object.value).data?.processor ?? 0);
+            known = { hosts: objects.length, mostProcessor: Math.max(processor, ...records) };
+        }
+        catch (error) {
+            log.info("hosts-unknown", { known: known?.hosts, error: messageOf(error) });
+        }
+    };
 
     const countHosts = async (): Promise<void> => {
-        await clock.sleep(firstCountMilliseconds, signal);
+        for (const pause of firstCountsMilliseconds) {
+            await clock.sleep(pause, signal);
+            await count();
+        }
         while (!signal.aborted) {
-            try {
-                known = (await store.staleNames(kind, signal)).length;
-            }
-            catch (error) {
-                log.info("hosts-unknown", { known, error: messageOf(error) });
-            }
             await clock.sleep(countMilliseconds, signal);
+            await count();
         }
     };
 
@@ -77,7 +90,8 @@
     void countHosts();
 
     return {
-        hosts: () => known,
+        hosts: () => known?.hosts,
+        mostProcessor: () => known?.mostProcessor,
         hasEnded: async process => {
             try {
                 const object = await store.get(kind, hostOf(process), signal);
--- a/src/machines/resident/rangekeeper.ts
+++ b/src/machines/resident/rangekeeper.ts
@@ -41,6 +41,8 @@
     processes: Processes;
     /** Where this host hears load reports. */
     reports: string;
+    /** Processor of this host, in cores. */
+    processor: number;
     loads: KeyLoads;
     work: TargetWork;
     /** The target's incarnation as the store has it now; undefined when it is not registered. */
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -71,9 +71,9 @@
         shared.events.filter(entry => entry.kind === kind && entry.revision > position).map(entry => entry.event);
 
     const store: ObjectStore = {
-        staleNames: async kind => {
+        staleList: async kind => {
             const { objects } = await store.list(kind);
-            return objects.map(object => object.name);
+            return objects;
         },
         list: async kind => {
             await gate();
--- a/test/machines/resident/processes.test.ts
+++ b/test/machines/resident/processes.test.ts
@@ -11,18 +11,23 @@
     const clock = createVirtualClock();
     const shared = createFakeStore(clock);
     const { signal } = new AbortController();
-    const start = (self: string) => {
+    const start = (self: string, processor = 1) => {
         const access = shared.access();
-        return { access, processes: registerProcess({ store: access.store, self, clock, log: silentLog, signal }) };
+        return {
+            access,
+            processes: registerProcess({ store: access.store, self, processor, clock, log: silentLog, signal }),
+        };
     };
     const first = start("h1/x");
     start("h2/x");
     t.is(first.processes.hosts(), undefined);
     await clock.advance(4_000);
     t.is(first.processes.hosts(), 2);
-    start("h3/x");
+    t.is(first.processes.mostProcessor(), 1);
+    start("h3/x", 2);
     await clock.advance(11_000);
     t.is(first.processes.hosts(), 3);
+    t.is(first.processes.mostProcessor(), 2);
     first.access.fault = "refusing";
     await clock.advance(11_000);
     t.is(first.processes.hosts(), 3);
--- a/test/machines/resident/rangekeeper.test.ts
+++ b/test/machines/resident/rangekeeper.test.ts
@@ -19,7 +19,7 @@
 const pool = "stock";
 const targetNames = ["a", "b", "c"];
 
-const setUp = async () => {
+const setUp = async (processors = [1, 1, 1]) => {
     const world = createVirtualClock();
     const shared = createFakeStore(world);
     const targets = createFakeTargets(targetNames, world);
@@ -41,7 +41,7 @@
         shared.put("servers", name, entry);
     };
 
-    const startHost = (process: string) => {
+    const startHost = (process: string, processor = 1) => {
         const lifetime = new AbortController();
         const { signal } = lifetime;
         const clock = createPausableClock(world);
@@ -73,8 +73,9 @@
             store: access.store,
             link: targets.linkOf(() => state.cut),
             registry,
-            processes: registerProcess({ store: access.store, self: process, ...common }),
+            processes: registerProcess({ store: access.store, self: process, processor, ...common }),
             reports: "10.0.0.9:1",
+            processor,
             loads: {
                 ...loads,
                 atoms: now => {
@@ -99,7 +100,7 @@
     };
 
     targetNames.forEach(name => register(name));
-    const hosts = [startHost("h1/x"), startHost("h2/x"), startHost("h3/x")];
+    const hosts = processors.map((processor, index) => startHost(`h${index + 1}/x`, processor));
     await world.advance(6_000);
     const coordinator = hosts.find(host => host.keeper.isCoordinator()) ?? hosts[0];
     return { world, shared, targets, hosts, coordinator, register, startHost };
@@ -290,3 +291,18 @@
     t.true(state.plans <= 10 + 1, `${state.plans} plans`);
     set.hosts.forEach(host => host.kill());
 });
+
+test("the host with the most processor coordinates, and the next one after its end", async t => {
+    const set = await setUp([0.2, 0.5, 1.3]);
+    const [small, middle, large] = set.hosts;
+    t.is(set.coordinator, large);
+    large.kill();
+    const unserved = await unservedDuring(set, 6_000);
+    t.true(middle.keeper.isCoordinator());
+    middle.kill();
+    const unservedAgain = await unservedDuring(set, 6_000);
+    t.true(small.keeper.isCoordinator());
+    t.deepEqual([unserved, unservedAgain], [0, 0]);
+    t.deepEqual(set.targets.violations, []);
+    small.kill();
+});
