--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,82 @@
+/**
+ * The client of the platform's store on links that are thin or fall silent.
+ */
+import test from "ava";
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createStore } from "../../platform/store.ts";
+
+const timeoutMilliseconds = 200;
+const chunkMilliseconds = 50;
+
+/** Writes the body in equal parts, one each 50 ms, and never ends it when asked to stop before the last. */
+const drip = (response: ServerResponse, body: string, parts: number, stopBefore = Infinity): void => {
+    response.writeHead(200, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
+    response.flushHeaders();
+    const size = Math.ceil(body.length / parts);
+    let part = 0;
+    const timer = setInterval(() => {
+        if (part >= stopBefore) {
+            clearInterval(timer);
+            return;
+        }
+        response.write(body.slice(part * size, (part + 1) * size));
+        part += 1;
+        if (part === parts) {
+            clearInterval(timer);
+            response.end();
+        }
+    }, chunkMilliseconds);
+};
+
+const items = Array.from({ length: 40 }, (...[, index]) => ({
+    metadata: { name: `i-${index}`, rev: index + 1 },
+    spec: "x".repeat(100),
+}));
+const list = JSON.stringify({ items, more: false, currentRev: 99 });
+const changes = JSON.stringify({ events: items.map(object => ({ removed: false, object })), currentRev: 99 });
+
+const setUp = async (answer: (response: ServerResponse, isWatch: boolean) => void) => {
+    const server = createServer((incoming, response) => answer(response, incoming.url?.includes("watch=") === true));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const store = createStore({ address: `127.0.0.1:${port}`, timeoutMilliseconds });
+    const close = (): void => {
+        store.close();
+        server.close();
+        server.closeAllConnections();
+    };
+    return { store, close };
+};
+
+test("a list and changes that take longer than the time-out to arrive are read as long as bytes come", async t => {
+    const { store, close } = await setUp((response, isWatch) => drip(response, isWatch ? changes : list, 12));
+    t.teardown(close);
+    t.is((await store.list("config")).objects.length, items.length);
+    const read = await store.watch("config", 1, 0);
+    t.is(read.result === "changes" ? read.events.length : 0, items.length);
+});
+
+test("an answer that falls silent midway fails within about the time-out", async t => {
+    const { store, close } = await setUp(response => drip(response, list, 12, 3));
+    t.teardown(close);
+    const startedAt = performance.now();
+    await t.throwsAsync(store.list("config"), { message: /no answer in time/ });
+    t.true(performance.now() - startedAt < 3 * chunkMilliseconds + 3 * timeoutMilliseconds);
+});
+
+test("an answer without end is given up", async t => {
+    const { store, close } = await setUp(response => {
+        response.writeHead(200, { "content-type": "application/json" });
+        const part = Buffer.alloc(262_144, " ");
+        const pump = (): void => {
+            while (!response.destroyed && response.write(part)) {
+                // Goes on until the socket is full.
+            }
+        };
+        response.on("drain", pump);
+        pump();
+    });
+    t.teardown(close);
+    await t.throwsAsync(store.list("config"), { message: /larger than/ });
+});
