Read only the newest version where changes come faster than they are read

The last version was then in force later than 2.5 s after its acknowledgement.

Change: of the changes of one object in an answer only the newest is told, so that only it is decoded; after an answer with more than 64 KB of overtaken versions the follower lists the kind, which brings the present version, and watches from there.

Tests, before: test/machines/resident/follower.test.ts, 'the last of many versions of a large table is read in time on a thin link': version 21 of 25 after 2.5 s; 'of several versions in one answer only the newest is told': 25 told. After: 5 of 5 pass.

--- a/src/contracts/objectstore.ts
+++ b/src/contracts/objectstore.ts
@@ -14,9 +14,12 @@
 
 export type StoreEvent = { object: StoreObject; removed: boolean };
 
-/** `history-lost` asks for a new list: the changes since the position are forgotten. */
+/**
+ * `history-lost` asks for a new list: the changes since the position are forgotten. An object that changed several times
+ * has an event for each; `bytes` is the size of all of them.
+ */
 export type StoreChanges =
-    | { result: "changes"; events: StoreEvent[]; position: number }
+    | { result: "changes"; events: StoreEvent[]; position: number; bytes: number }
     | { result: "history-lost" };
 
 /** `conflict` carries the object as it is; undefined when there is none. */
--- a/src/machines/resident/follower.ts
+++ b/src/machines/resident/follower.ts
@@ -1,6 +1,6 @@
 /**
- * Follows the objects of one kind in the store: a list, then their changes; a list again when history is lost. Tells
- * when the store is lost and regained.
+ * Follows the objects of one kind in the store: a list, then their changes; a list again when history is lost or changes
+ * come faster than they can be read. Tells when the store is lost and regained.
  */
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
@@ -14,6 +14,7 @@
     waitMilliseconds: number;
     /** All objects of the kind; what is not among them is gone. */
     onList: (objects: StoreObject[]) => void;
+    /** The newest change of each object that changed. */
     onChanges: (events: StoreEvent[]) => void;
     /** The store answered again after a loss. */
     onRegained: () => void;
@@ -34,6 +35,14 @@
 const firstPauseMilliseconds = 150;
 /** A store that is back is found within this time: changes made meanwhile must be in force soon after. */
 const maxPauseMilliseconds = 500;
+/** Beyond this a list is cheaper to read than changes that were overtaken: a thin link takes 100 ms for as much. */
+const maxSupersededBytes = 65_536;
+
+/** The last event of each object, in their order. */
+const newestOf = (events: StoreEvent[]): StoreEvent[] => {
+    const last = new Map(events.map((event, index) => [event.object.name, index]));
+    return events.filter((event, index) => last.get(event.object.name) === index);
+};
 
 /** Starts to follow. Ends when the signal aborts. */
 export const createFollower = (options: FollowerOptions): Follower => {
@@ -77,8 +86,14 @@
             position = undefined;
             return;
         }
-        options.onChanges(changes.events);
+        const newest = newestOf(changes.events);
+        options.onChanges(newest);
         position = Math.max(from, changes.position);
+        const supersededBytes = changes.bytes * (1 - newest.length / Math.max(1, changes.events.length));
+        if (supersededBytes > maxSupersededBytes) {
+            log.info("store-overtaken", { kind, position, supersededBytes: Math.round(supersededBytes) });
+            position = undefined;
+        }
     };
 
     const pauseOrWake = (): Promise<void> =>
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -11,6 +11,8 @@
     store: ObjectStore;
     /** Faults of the calls of this host; `answers-lost` does the writes and loses their answers. */
     fault: StoreFault;
+    /** Speed of the link on which lists and changes come. */
+    bytesPerMillisecond: number;
     put: (kind: string, name: string, value: unknown) => void;
     remove: (kind: string, name: string) => void;
     read: (kind: string, name: string) => StoreObject | undefined;
@@ -80,7 +82,9 @@
             const objects = [...shared.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, object]) =>
                 object
             );
-            return { objects, position: shared.revision };
+            const position = shared.revision;
+            await clock.sleep(JSON.stringify(objects).length / fake.bytesPerMillisecond);
+            return { objects, position };
         },
         get: async (kind, name) => {
             await gate();
@@ -101,7 +105,11 @@
             if (fake.fault !== "none") {
                 await gate();
             }
-            return { result: "changes", events: changesAfter(kind, position), position: shared.revision };
+            const events = changesAfter(kind, position);
+            const bytes = JSON.stringify(events).length;
+            const readTo = shared.revision;
+            await clock.sleep(bytes / fake.bytesPerMillisecond);
+            return { result: "changes", events, position: readTo, bytes };
         },
         create: async (kind, name, value) => {
             await gate();
@@ -128,6 +136,7 @@
     const fake: FakeStore = {
         store,
         fault: "none",
+        bytesPerMillisecond: Infinity,
         put: (kind, name, value) => {
             change(kind, name, value, false);
         },
--- a/test/machines/resident/follower.test.ts
+++ b/test/machines/resident/follower.test.ts
@@ -11,6 +11,7 @@
     const clock = createVirtualClock();
     const fake = createFakeStore(clock);
     const seen = new Map<string, unknown>();
+    const told: unknown[] = [];
     const lifetime = new AbortController();
     const follower = createFollower({
         store: fake.store,
@@ -21,15 +22,16 @@
             objects.forEach(object => seen.set(object.name, object.value));
         },
         onChanges: events =>
-            events.forEach(({ object, removed }) =>
-                removed ? seen.delete(object.name) : seen.set(object.name, object.value)
-            ),
+            events.forEach(({ object, removed }) => {
+                told.push(object.value);
+                return removed ? seen.delete(object.name) : seen.set(object.name, object.value);
+            }),
         onRegained: () => undefined,
         clock,
         log: silentLog,
         signal: lifetime.signal,
     });
-    return { clock, fake, seen, follower, lifetime };
+    return { clock, fake, seen, told, follower, lifetime };
 };
 
 const faults: StoreFault[] = ["silent", "refusing"];
@@ -67,3 +69,34 @@
     t.deepEqual([...seen], [["main", "second"]]);
     lifetime.abort();
 });
+
+test("of several versions in one answer only the newest is told", async t => {
+    const { clock, fake, told, lifetime } = setUp();
+    fake.put("config", "main", 0);
+    await clock.advance(1_000);
+    fake.fault = "refusing";
+    await clock.advance(4_000);
+    Array.from({ length: 25 }, (...[, index]) => fake.put("config", "main", index + 1));
+    fake.fault = "none";
+    await clock.advance(1_500);
+    t.deepEqual(told, [25]);
+    lifetime.abort();
+});
+
+const largeTable = "x".repeat(180_000);
+const thinLinkBytesPerMillisecond = 875;
+const inForceMilliseconds = 2_500;
+
+test("the last of many versions of a large table is read in time on a thin link", async t => {
+    const { clock, fake, seen, lifetime } = setUp();
+    fake.put("config", "main", 0);
+    await clock.advance(1_000);
+    fake.bytesPerMillisecond = thinLinkBytesPerMillisecond;
+    for (let version = 1; version <= 25; version += 1) {
+        fake.put("config", "main", `${version}${largeTable}`);
+        await clock.advance(80);
+    }
+    await clock.advance(inForceMilliseconds - 80);
+    t.is(String(seen.get("main")).slice(0, 3), "25x");
+    lifetime.abort();
+});
