--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -19,6 +19,7 @@
     /** Where other hosts send load reports while this one balances a pool. */
     reports: z.object({ listen: address }),
     metrics: z.object({ listen: address }).optional(),
+    /** `timeout` is the longest silence of the store in a call. */
     store: z.object({ address, timeout: durationSchema.prefault("500ms") }),
     /** Time between the signal to stop and the end of the process. */
     stopping: z.object({ grace: durationSchema.prefault("6s") }).prefault({}),
