--- a/src/decisions/standing.ts
+++ b/src/decisions/standing.ts
@@ -44,9 +44,6 @@
  *
  * @param processor that of the host, in cores.
  * @param mostProcessor the most that any host has; undefined while it is not known.
- * @example
- * reluctanceMilliseconds(1.2, 1.2); // 0
- * reluctanceMilliseconds(0.3, 1.2); // 1125
  */
 export const reluctanceMilliseconds = (processor: number, mostProcessor: number | undefined): number =>
     mostProcessor === undefined
