--- a/stand-ins/resident/backend.ts
+++ b/stand-ins/resident/backend.ts
@@ -1,9 +1,9 @@
 /**
  * A small stand-in of a backend on the users' platform, which speaks the platform's protocol. It has slots, a queue and
- * an instance id, reports its load, and serves keys under grants. It can become silent, shed requests, lose answers and
- * apply grants late.
+ * an instance id, reports its load, and serves keys under grants. It can become silent, shed requests, lose answers,
+ * apply grants late, and crash under a request.
  */
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 
@@ -16,6 +16,10 @@
     loseAnswers: boolean;
     /** When above 0: grants get no answer and are applied after this time. Their hold counts from their arrival. */
     lateGrantMilliseconds: number;
+    /** The backend crashes when it begins to run a request with this path. */
+    crashPath: string | undefined;
+    /** Time for which a crashed backend is down. */
+    downMilliseconds: number;
 };
 
 export type BackendOptions = {
@@ -29,6 +33,8 @@
     workMilliseconds: number;
     /** Whether a request runs only while a grant covers its key. */
     isSharded: boolean;
+    /** Called when the backend is back after a crash. */
+    onRestart?: () => void;
 };
 
 export type BackendStandIn = {
@@ -38,6 +44,8 @@
     runCounts: Map<string, number>;
     /** Whether a grant covers the key now. */
     ownsKey: (key: number) => boolean;
+    /** Number of crashes so far. */
+    crashes: () => number;
     close: () => void;
 };
 
@@ -62,9 +70,18 @@
 /** Starts a backend on a free port of the loopback address and resolves once it listens. */
 export const startBackendStandIn = async (options: BackendOptions): Promise<BackendStandIn> => {
     const { id, slots, queue, workMilliseconds, isSharded } = options;
-    const faults: BackendFaults = { silent: false, shed: false, loseAnswers: false, lateGrantMilliseconds: 0 };
+    const faults: BackendFaults = {
+        silent: false,
+        shed: false,
+        loseAnswers: false,
+        lateGrantMilliseconds: 0,
+        crashPath: undefined,
+        downMilliseconds: 1_000,
+    };
     const runCounts = new Map<string, number>();
-    const waiting: Array<() => void> = [];
+    let waiting: Array<() => void> = [];
+    let crashCount = 0;
+    let isClosed = false;
     let heldRanges: HeldRange[] = [];
     let fences: GrantBody[] = [];
     let running = 0;
@@ -142,9 +159,17 @@
             sendAnswer(response, 503, { "not-executed": "1" });
             return;
         }
+        const life = crashCount;
         await takeSlot();
         runCounts.set(requestId, (runCounts.get(requestId) ?? 0) + 1);
+        if (faults.crashPath !== undefined && request.url === faults.crashPath) {
+            await crash();
+            return;
+        }
         await sleep(workMilliseconds);
+        if (life !== crashCount) {
+            return;
+        }
         running -= 1;
         waiting.shift()?.();
         if (faults.loseAnswers) {
@@ -184,20 +209,46 @@
         await run(request, response);
     };
 
-    const server = createServer((request, response) => {
-        serve(request, response).catch(() => response.destroy());
-    });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    /** Listens on the port, or on a free one if it is 0. */
+    const listen = async (port: number): Promise<Server> => {
+        const listening = createServer((request, response) => {
+            serve(request, response).catch(() => response.destroy());
+        });
+        await new Promise<void>(resolve => listening.listen(port, "127.0.0.1", resolve));
+        return listening;
+    };
+    let server = await listen(0);
     const { port } = server.address() as AddressInfo;
 
+    const stopListening = (): void => {
+        server.close();
+        server.closeAllConnections();
+    };
+
+    /** Drops all connections, queued requests and grants, and is back after a while. */
+    const crash = async (): Promise<void> => {
+        crashCount += 1;
+        running = 0;
+        waiting = [];
+        heldRanges = [];
+        fences = [];
+        stopListening();
+        await sleep(faults.downMilliseconds);
+        if (!isClosed) {
+            server = await listen(port);
+            options.onRestart?.();
+        }
+    };
+
     return {
         address: `127.0.0.1:${port}`,
         faults,
         runCounts,
         ownsKey,
+        crashes: () => crashCount,
         close: () => {
-            server.close();
-            server.closeAllConnections();
+            isClosed = true;
+            stopListening();
         },
     };
 };
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -4,139 +4,27 @@
  * docs/OPERATIONS.md describes.
  */
 import test from "ava";
-import { type ChildProcess, execFileSync, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, writeFileSync } from "node:fs";
-import { request as httpRequest } from "node:http";
-import { createServer } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { writeFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type BackendStandIn, startBackendStandIn } from "../../stand-ins/resident/backend.ts";
-import { startStoreStandIn, type StoreStandIn } from "../../stand-ins/resident/store.ts";
-
-type Answer = { statusCode: number; headers: Record<string, unknown>; body: string };
-type Program = {
-    child: ChildProcess;
-    log: () => string;
-    callersPort: number;
-    healthPort: number;
-    file: string;
-    settings: string;
-};
-
-const freePort = async (): Promise<number> => {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as { port: number };
-    await new Promise(resolve => server.close(resolve));
-    return port;
-};
-
-const sendRequest = (
-    port: number,
-    path: string,
-    headers: Record<string, string> = {},
-    method = "GET",
-): Promise<Answer> =>
-    new Promise((resolve, reject) => {
-        const outgoing = httpRequest({ host: "127.0.0.1", port, path, method, headers, agent: false }, response => {
-            const parts: Buffer[] = [];
-            response.on("data", (part: Buffer) => parts.push(part));
-            response.on("end", () => {
-                const body = Buffer.concat(parts).toString("utf8");
-                resolve({ statusCode: response.statusCode ?? 0, headers: response.headers, body });
-            });
-            response.on("error", reject);
-        });
-        outgoing.on("error", reject);
-        outgoing.end();
-    });
-
-const waitUntil = async (description: string, condition: () => Promise<boolean> | boolean): Promise<void> => {
-    const endAt = performance.now() + 15_000;
-    while (!await condition()) {
-        if (performance.now() > endAt) {
-            throw new Error(`Did not happen within 15 s: ${description}.`);
-        }
-        await sleep(50);
-    }
-};
-
-const route = (host: string, service: string, kind: string) => ({
-    host,
-    pathPrefix: "/a/",
-    kind,
-    timeout: "1500ms",
-    targetLatency: "500ms",
-    priority: 1,
-    service,
-    maxAttempts: 2,
-});
-const services = {
-    stock: { healthPath: "/health", maxConnections: 100, sharded: true, warm: "2s" },
-    orders: { healthPath: "/health", maxConnections: 100 },
-};
-const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3000ms", idleTimeout: "15000ms" };
-const firstRoutes = { r1: route("stock.example", "stock", "safe"), r2: route("orders.example", "orders", "unsafe") };
-
-const entry = (service: string, backend: BackendStandIn, state = "ready") => ({
-    service,
-    address: backend.address,
-    zone: "z1",
-    version: "v1",
-    slots: 2,
-    state,
-    warmupLeft: "0ms",
-    seq: 1,
-    born: 1_000,
-});
-
-const startProgram = async (store: StoreStandIn): Promise<Program> => {
-    const [callersPort, healthPort, linksPort] = [await freePort(), await freePort(), await freePort()];
-    const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
-    const settings = [
-        "host: { name: h1, zone: z1 }",
-        `callers: { listen: "127.0.0.1:${callersPort}" }`,
-        `health: { listen: "127.0.0.1:${healthPort}" }`,
-        `links: { listen: "127.0.0.1:${linksPort}" }`,
-        `store: { address: "${store.address}" }`,
-        "stopping: { grace: 6s }",
-    ].join("\n");
-    writeFileSync(file, settings);
-    const child = spawn(process.execPath, ["--max-old-space-size=128", "target/carobpier.cjs"], {
-        env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
-        stdio: ["ignore", "pipe", "inherit"],
-    });
-    let log = "";
-    child.stdout?.on("data", part => {
-        log += String(part);
-    });
-    return { child, log: () => log, callersPort, healthPort, file, settings };
-};
-
-const requestStock = (program: Program, id: string, key: number): Promise<Answer> =>
-    sendRequest(program.callersPort, "/a/x", {
-        host: "stock.example",
-        "request-id": id,
-        "shard-key": String(key),
-        "request-deadline": "1200",
-    });
-
-const requestOrder = (program: Program, id: string): Promise<Answer> =>
-    sendRequest(
-        program.callersPort,
-        "/a/y",
-        { host: "orders.example", "request-id": id, "request-deadline": "1200" },
-        "POST",
-    );
-
-const linesOf = (program: Program, id: string): string[] =>
-    program.log().split("\n").filter(line => line.includes(`request=${id}`));
-
-test.before(() => {
-    execFileSync(process.execPath, ["--import=tsx", "scripts/buildresident.ts"], { stdio: "inherit" });
-});
+import { startBackendStandIn } from "../../stand-ins/resident/backend.ts";
+import { startStoreStandIn } from "../../stand-ins/resident/store.ts";
+import {
+    buildProgram,
+    entry,
+    firstRoutes,
+    limits,
+    linesOf,
+    requestOrder,
+    requestStock,
+    route,
+    sendRequest,
+    services,
+    startProgram,
+    waitUntil,
+} from "./program.ts";
+
+test.before(buildProgram);
 
 test("a host starts, serves, follows changes of the platform and stops", async t => {
     const store = await startStoreStandIn();
--- /dev/null
+++ b/test/platform/program.ts
@@ -0,0 +1,139 @@
+/**
+ * Starts the built program as a process against stand-ins of the store and of backends, and sends requests to it.
+ */
+import { type ChildProcess, execFileSync, spawn } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { request as httpRequest } from "node:http";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { BackendStandIn } from "../../stand-ins/resident/backend.ts";
+import type { StoreStandIn } from "../../stand-ins/resident/store.ts";
+
+export type Answer = { statusCode: number; headers: Record<string, unknown>; body: string };
+export type Program = {
+    child: ChildProcess;
+    log: () => string;
+    callersPort: number;
+    healthPort: number;
+    file: string;
+    settings: string;
+};
+
+const freePort = async (): Promise<number> => {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { port: number };
+    await new Promise(resolve => server.close(resolve));
+    return port;
+};
+
+export const sendRequest = (
+    port: number,
+    path: string,
+    headers: Record<string, string> = {},
+    method = "GET",
+): Promise<Answer> =>
+    new Promise((resolve, reject) => {
+        const outgoing = httpRequest({ host: "127.0.0.1", port, path, method, headers, agent: false }, response => {
+            const parts: Buffer[] = [];
+            response.on("data", (part: Buffer) => parts.push(part));
+            response.on("end", () => {
+                const body = Buffer.concat(parts).toString("utf8");
+                resolve({ statusCode: response.statusCode ?? 0, headers: response.headers, body });
+            });
+            response.on("error", reject);
+        });
+        outgoing.on("error", reject);
+        outgoing.end();
+    });
+
+export const waitUntil = async (description: string, condition: () => Promise<boolean> | boolean): Promise<void> => {
+    const endAt = performance.now() + 15_000;
+    while (!await condition()) {
+        if (performance.now() > endAt) {
+            throw new Error(`Did not happen within 15 s: ${description}.`);
+        }
+        await sleep(50);
+    }
+};
+
+export const route = (host: string, service: string, kind: string) => ({
+    host,
+    pathPrefix: "/a/",
+    kind,
+    timeout: "1500ms",
+    targetLatency: "500ms",
+    priority: 1,
+    service,
+    maxAttempts: 2,
+});
+export const services = {
+    stock: { healthPath: "/health", maxConnections: 100, sharded: true, warm: "2s" },
+    orders: { healthPath: "/health", maxConnections: 100 },
+};
+export const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3000ms", idleTimeout: "15000ms" };
+export const firstRoutes = {
+    r1: route("stock.example", "stock", "safe"),
+    r2: route("orders.example", "orders", "unsafe"),
+};
+
+export const entry = (service: string, backend: BackendStandIn, state = "ready", born = 1_000) => ({
+    service,
+    address: backend.address,
+    zone: "z1",
+    version: "v1",
+    slots: 2,
+    state,
+    warmupLeft: "0ms",
+    seq: 1,
+    born,
+});
+
+export const startProgram = async (store: StoreStandIn, name = "h1"): Promise<Program> => {
+    const [callersPort, healthPort, linksPort] = [await freePort(), await freePort(), await freePort()];
+    const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
+    const settings = [
+        `host: { name: ${name}, zone: z1 }`,
+        `callers: { listen: "127.0.0.1:${callersPort}" }`,
+        `health: { listen: "127.0.0.1:${healthPort}" }`,
+        `links: { listen: "127.0.0.1:${linksPort}" }`,
+        `store: { address: "${store.address}" }`,
+        "stopping: { grace: 6s }",
+    ].join("\n");
+    writeFileSync(file, settings);
+    const child = spawn(process.execPath, ["--max-old-space-size=128", "target/carobpier.cjs"], {
+        env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    let log = "";
+    child.stdout?.on("data", part => {
+        log += String(part);
+    });
+    return { child, log: () => log, callersPort, healthPort, file, settings };
+};
+
+export const requestStock = (program: Program, id: string, key: number): Promise<Answer> =>
+    sendRequest(program.callersPort, "/a/x", {
+        host: "stock.example",
+        "request-id": id,
+        "shard-key": String(key),
+        "request-deadline": "1200",
+    });
+
+export const requestOrder = (program: Program, id: string): Promise<Answer> =>
+    sendRequest(
+        program.callersPort,
+        "/a/y",
+        { host: "orders.example", "request-id": id, "request-deadline": "1200" },
+        "POST",
+    );
+
+export const linesOf = (program: Program, id: string): string[] =>
+    program.log().split("\n").filter(line => line.includes(`request=${id}`));
+
+/** Builds the program that `startProgram` runs. */
+export const buildProgram = (): void => {
+    execFileSync(process.execPath, ["--import=tsx", "scripts/buildresident.ts"], { stdio: "inherit" });
+};
