Read what targets say of how they want to be used, and log each change

The logs of the incident could not tell whether hosts had heard of a limit at all. The adapter now reads Server-Limit, Server-Leaving and the Retry-After of a 503, and the host logs target-notice when what a target says changes; nothing acts on it yet.

--- a/src/contracts/resident.ts
+++ b/src/contracts/resident.ts
@@ -23,6 +23,19 @@
     receivedAt: number;
 };
 
+/** How a target wants to be used. */
+export type TargetNotice = {
+    /** Whether the target is about to end. */
+    leaving: boolean;
+    /**
+     * Requests per second that the target takes from all hosts together; `unreadable` when it names a limit that is not
+     * a number.
+     */
+    limitPerSecond: number | "none" | "unreadable";
+    /** Time for which the target wants no requests from this host; undefined when it says nothing of that. */
+    pauseMilliseconds: number | undefined;
+};
+
 /** What the status and headers of a target's answer tell. */
 export type TargetAnswer = {
     /** `wrong-target`: the request did not run, because the address or the key belongs to another target. */
@@ -31,6 +44,8 @@
     requestId: string | undefined;
     /** Load of the target; undefined when the answer does not report it. */
     load: ReportedLoad | undefined;
+    /** Undefined when another target may have answered. */
+    notice: TargetNotice | undefined;
 };
 
 /** How requests to targets are written and their answers read. */
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Clock } from "../../contracts/clock.ts";
 import type { Reason } from "../../contracts/outcome.ts";
-import type { ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
+import type { ResidentRequest, TargetNotice, TargetProtocol } from "../../contracts/resident.ts";
 import type { AnswerStream, CallerAnswer } from "../../links/callers.ts";
 import { type SendStage, sendStages, type TargetExchange } from "../../links/exchange.ts";
 import { hasKnownEnd } from "../../links/headers.ts";
@@ -30,6 +30,8 @@
     mayStart: () => boolean;
     /** Whether to abort a request that was already written when its caller hangs up. */
     abortOnHangUp: boolean;
+    /** Called with what the target's answer says of how it wants to be used. */
+    onNotice: (notice: TargetNotice) => void;
     clock: Clock;
 };
 
@@ -120,6 +122,10 @@
             if (targetAnswer.load !== undefined) {
                 load.recordReport(clock.now(), targetAnswer.load);
             }
+            // The answer to another request may be an old one.
+            if (targetAnswer.notice !== undefined && (targetAnswer.requestId ?? request.id) === request.id) {
+                options.onNotice(targetAnswer.notice);
+            }
             // A refusal without an id may be a repetition of an earlier one, so it does not tell that this request did
             // not run.
             const isMismatched = targetAnswer.requestId === undefined
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { Reason } from "../../contracts/outcome.ts";
 import { routeKinds } from "../../contracts/pool.ts";
-import type { ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
+import type { ResidentRequest, TargetNotice, TargetProtocol } from "../../contracts/resident.ts";
 import {
     expectedMilliseconds,
     placeRequest,
@@ -33,6 +33,8 @@
     ownerships: OwnershipCache;
     protocol: TargetProtocol;
     suspicions: Suspicions;
+    /** Takes in what the answer of a target says of how it wants to be used. */
+    recordNotice: (state: TargetState, notice: TargetNotice) => void;
     zone: string;
     /**
      * Resends allowed within ten seconds, as a share of this host's requests to the pool in that time. Each pool has
@@ -207,6 +209,7 @@
             endAt: context.endAt,
             mayStart: () => !targetState.gone && !targetState.target.leaving,
             abortOnHangUp: route.kind === routeKinds.idempotent,
+            onNotice: notice => options.recordNotice(targetState, notice),
             clock,
         });
         if (attempt.kind === "answered" || !attempt.notRun) {
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -35,6 +35,7 @@
 import { createStateSource, type ReadPace } from "./statesource.ts";
 import { createStoreWatcher, type StoreWatcher } from "./storewatcher.ts";
 import { crashGossipKind, crashGossipSchema, createSuspicions } from "./suspicions.ts";
+import { createTargetNotices } from "./targetnotices.ts";
 import { createTargetRegistry } from "./targetregistry.ts";
 import { createTargetStates } from "./targetstates.ts";
 
@@ -288,6 +289,7 @@
         metrics,
         signal,
     });
+    const notices = createTargetNotices({ log, metrics });
     const suspicions = createSuspicions({ gossip, targetStates, random, clock, log, metrics });
 
     const gateway = createGateway({
@@ -296,6 +298,7 @@
         ownerships,
         protocol: options.targetProtocol,
         suspicions,
+        recordNotice: notices.record,
         zone,
         retryRatio: settings.retries.ratio * retryRatioFactor,
         retrySlack: () => settings.retries.slack / Math.max(minHostsSharingSlack, processes.hostCount() ?? 0),
--- a/stand-ins/resident/backend.ts
+++ b/stand-ins/resident/backend.ts
@@ -1,7 +1,8 @@
 /**
  * A small stand-in of a backend on the users' platform, which speaks the platform's protocol. It has slots, a queue and
  * an instance id, reports its load, and serves keys under grants. It can become silent, shed requests, lose answers,
- * apply grants late, and crash under a request.
+ * apply grants late, and crash under a request. Its answers can say that it leaves, name a limit on the requests of all
+ * machines, and ask a machine to stay away for a while.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -20,6 +21,14 @@
     crashPath: string | undefined;
     /** Time for which a crashed backend is down. */
     downMilliseconds: number;
+    /** Whether answers say that the backend leaves. */
+    leaving: boolean;
+    /** The limit that answers name, as it stands in their header; undefined to name none. */
+    limit: string | undefined;
+    /** The seconds for which a machine that is turned away shall send nothing, as they stand in the header. */
+    retryAfter: string | undefined;
+    /** Each answer of this many says what the three fields above hold; the others leave it out. */
+    noticeEvery: number;
 };
 
 export type BackendOptions = {
@@ -42,6 +51,8 @@
     faults: BackendFaults;
     /** Number of runs of each request, by request id. */
     runCounts: Map<string, number>;
+    /** When each request arrived, in milliseconds of this process, without calls for grants. */
+    arrivals: number[];
     /** Whether a grant covers the key now. */
     ownsKey: (key: number) => boolean;
     /** Number of crashes so far. */
@@ -77,7 +88,13 @@
         lateGrantMilliseconds: 0,
         crashPath: undefined,
         downMilliseconds: 1_000,
+        leaving: false,
+        limit: undefined,
+        retryAfter: undefined,
+        noticeEvery: 1,
     };
+    const arrivals: number[] = [];
+    let answerCount = 0;
     const runCounts = new Map<string, number>();
     let waiting: Array<() => void> = [];
     let crashCount = 0;
@@ -114,7 +131,19 @@
         return 200;
     };
 
-    /** Sends an answer with the load and the instance id. */
+    const noticeHeaders = (statusCode: number): Record<string, string> => {
+        answerCount += 1;
+        if (answerCount % faults.noticeEvery !== 0) {
+            return {};
+        }
+        return {
+            ...(faults.leaving ? { "server-leaving": "1" } : {}),
+            ...(faults.limit === undefined ? {} : { "server-limit": faults.limit }),
+            ...(statusCode === 503 && faults.retryAfter !== undefined ? { "retry-after": faults.retryAfter } : {}),
+        };
+    };
+
+    /** Sends an answer with the load, the instance id, and what the backend wants. */
     const sendAnswer = (
         response: ServerResponse,
         statusCode: number,
@@ -126,6 +155,7 @@
             "server-load": load,
             "instance-id": id,
             "content-length": Buffer.byteLength(body),
+            ...noticeHeaders(statusCode),
             ...headers,
         });
         response.end(body);
@@ -141,6 +171,7 @@
 
     /** Runs a request, or answers that it did not run. */
     const run = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+        arrivals.push(performance.now());
         const requestId = headerOf(request, "request-id");
         const target = headerOf(request, "target-instance");
         if (requestId === undefined) {
@@ -156,7 +187,7 @@
             return;
         }
         if (faults.shed || waiting.length >= queue) {
-            sendAnswer(response, 503, { "not-executed": "1" });
+            sendAnswer(response, 503, { "not-executed": "1", "request-id": requestId });
             return;
         }
         const life = crashCount;
@@ -244,6 +275,7 @@
         address: `127.0.0.1:${port}`,
         faults,
         runCounts,
+        arrivals,
         ownsKey,
         crashes: () => crashCount,
         close: () => {
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -69,6 +69,7 @@
         endAt: clock.now() + 1_000,
         mayStart: () => true,
         abortOnHangUp: false,
+        onNotice: () => undefined,
         clock,
     });
     const settled = await result;
--- a/test/machines/resident/endless.test.ts
+++ b/test/machines/resident/endless.test.ts
@@ -85,6 +85,7 @@
     registry.applyList([{ name: "i-1", revision: 2, value: entry }]);
     const gateway = createGateway({
         suspicions: noSuspicions,
+        recordNotice: () => undefined,
         routeTable: tables,
         targetStates: views,
         ownerships: createOwnershipCache(systemClock, silentLog, lifetime.signal),
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -51,6 +51,7 @@
         outcome: statusCode === 503 ? "not-run" : "answered",
         requestId: "r1",
         load: undefined,
+        notice: undefined,
     }),
     buildAnswerHeaders: () => ({}),
 };
@@ -102,6 +103,7 @@
         ownerships,
         protocol,
         suspicions: noSuspicions,
+        recordNotice: () => undefined,
         zone: "z",
         retryRatio: 0.2,
         retrySlack: () => 10,
