Move keys away from a target that names a limit

Callers whose keys a limited target owns were refused as long as the limit lasted, while other targets had room. A limit is now remembered for a minute, so that keys do not go back and forth.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -249,6 +249,7 @@
             processor: share * speed,
             loads: loadReporter.loadsOf(pool),
             work: loadReporter.workOf(pool),
+            limitOf: notices.limitOf,
             reachableSince: () => coordinationWatcher.reachableSince(),
             maxHoldMilliseconds: settings.ownership.maxHold,
             clock,
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -24,6 +24,7 @@
     type RangeTarget,
 } from "../../decisions/rangeplan.ts";
 import type { ServiceTimes } from "../../decisions/servicetimes.ts";
+import { effectiveLimit } from "../../decisions/sharedlimit.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { createCoordinator } from "./coordination.ts";
@@ -47,6 +48,8 @@
     processor: number;
     loads: KeyLoads;
     work: ServiceTimes;
+    /** Returns the requests per second that the target takes from all hosts; undefined while it names no limit. */
+    limitOf: (target: RegisteredTarget) => number | undefined;
     /** Returns the monotonic time since which the store has answered without a failure; undefined while it does not. */
     reachableSince: () => number | undefined;
     /** Longest hold that the settings allow. */
@@ -207,7 +210,10 @@
 
     const planTargetOf = (target: RegisteredTarget): RangeTarget => ({
         owner: ownerOf(target),
-        capacity: options.work.capacity(target.name, target.slots),
+        capacity: Math.min(
+            options.work.capacity(target.name, target.slots),
+            effectiveLimit(options.limitOf(target) ?? Infinity),
+        ),
         slots: target.slots,
     });
 
--- a/src/machines/resident/targetnotices.ts
+++ b/src/machines/resident/targetnotices.ts
@@ -43,7 +43,7 @@
 /** Hosts tell again of a limit that they hear, so that all know how long ago the target last named it. */
 const repeatMilliseconds = 1_000;
 /** A limit that no host has heard for this time is forgotten. */
-const lifetimeMilliseconds = 30_000;
+const lifetimeMilliseconds = 60_000;
 /**
  * An answer without a limit lifts it when no host has heard it for this time, and not in the time in which the limit
  * allows this many answers: a target may leave it out of single ones.
--- a/test/machines/resident/rangecontroller.test.ts
+++ b/test/machines/resident/rangecontroller.test.ts
@@ -99,6 +99,7 @@
                 },
             },
             work: createServiceTimes(),
+            limitOf: () => undefined,
             reachableSince: () => coordinationWatcher.reachableSince(),
             maxHoldMilliseconds: 10_000,
             wallClock: world.now,
