Send nothing to a target for the time that it named when it turned a host away

A target that answered 503 with Retry-After got up to 47 (with keys) and 99 (without) more requests from two hosts in the 2.5 s looked at: nobody read the header, and a refusal kept a host away for 60 ms. Now the host sends nothing until the time is over, looks again when a request gets its connection, and refuses what only that target may serve at once, with the time that is left. test/platform/notices.test.ts failed before with these figures and passes.

--- a/src/contracts/outcome.ts
+++ b/src/contracts/outcome.ts
@@ -79,6 +79,12 @@
         sendAgain: true,
         title: "The target takes no more requests now.",
     },
+    "target-paused": {
+        outcome: "not-run",
+        statusCode: 503,
+        sendAgain: true,
+        title: "The target wants no requests for a while.",
+    },
     "target-refused": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The target did not run it." },
     "target-draining": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The target is draining." },
     "fence-refused": {
--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -23,19 +23,22 @@
     clock: Clock;
 };
 
+/** Why a key's owner is not used: it may be usable soon, or it wants no requests from this host for a time. */
+export type UnusableOwner = string | { pausedMilliseconds: number };
+
 export type CandidateSelector = {
     /**
      * Returns usable targets of a pool without key owners: in a large pool some drawn at random, of this zone and of the
      * others. Targets that failed the request are included only when no other is left.
      */
     usableTargets: (context: RequestContext) => Candidate[];
-    /** Returns the owner of the request's key, or the reason why the request cannot be sent to it now. */
-    keyOwner: (context: RequestContext) => Candidate | string;
+    /** Returns the owner of the request's key, or why the request cannot be sent to it now. */
+    keyOwner: (context: RequestContext) => Candidate | UnusableOwner;
     /**
-     * Returns the time until one of the pool's targets that take no more requests now takes some again; undefined when
-     * there is none of them.
+     * Returns the time until the first of the pool's targets that said that they take no requests now takes some again,
+     * and why it takes none; undefined when no target said so.
      */
-    millisecondsUntilUsable: (pool: string) => number | undefined;
+    untilUsable: (pool: string) => { milliseconds: number; reason: "target-limited" | "target-paused" } | undefined;
     /** Returns the median service time of the pool's targets. */
     typicalServiceMilliseconds: (pool: string) => number;
 };
@@ -120,10 +123,13 @@
         !targetState.gone && !targetState.target.leaving && targetState.blockedUntil <= clock.now()
         && targetState.load.ownRequests() < targetStates.maxConnections(targetState);
 
+    /** Time before which the target takes no request without a key, by its own word. */
+    const notBefore = ({ pausedUntil, limitedUntil }: TargetState): number => Math.max(pausedUntil, limitedUntil);
+
     const usableTargets = (context: RequestContext): Candidate[] => {
         const { route, pool, failedTargets } = context;
         const usable = targetStates.ofPool(pool.name).filter(targetState =>
-            isUsable(targetState) && targetState.limitedUntil <= clock.now() && !context.refusedBy.has(targetState)
+            isUsable(targetState) && notBefore(targetState) <= clock.now() && !context.refusedBy.has(targetState)
         );
         const untried = usable.filter(targetState => !failedTargets.has(targetState));
         const typicalMilliseconds = typicalServiceMilliseconds(pool.name);
@@ -138,7 +144,7 @@
         return compared.map(targetState => candidateOf(targetState, route, typicalMilliseconds));
     };
 
-    const keyOwner = (context: RequestContext): Candidate | string => {
+    const keyOwner = (context: RequestContext): Candidate | UnusableOwner => {
         const { request, route, pool } = context;
         const range = ownerships.findRange(pool.name, request.key ?? 0);
         if (range === undefined) {
@@ -159,18 +165,24 @@
         if (context.refusedBy.has(targetState)) {
             return `the owner "${range.owner.target}" has refused the request`;
         }
+        if (targetState.pausedUntil > clock.now()) {
+            return { pausedMilliseconds: targetState.pausedUntil - clock.now() };
+        }
         return isUsable(targetState)
             ? candidateOf(targetState, route, typicalServiceMilliseconds(pool.name))
             : "the owner is not reachable";
     };
 
-    const millisecondsUntilUsable = (pool: string): number | undefined => {
+    const untilUsable: CandidateSelector["untilUsable"] = pool => {
         const now = clock.now();
-        const waits = targetStates.ofPool(pool)
-            .filter(state => !state.gone && !state.target.leaving && state.limitedUntil > now)
-            .map(state => state.limitedUntil - now);
-        return waits.length === 0 ? undefined : Math.min(...waits);
+        const [first] = targetStates.ofPool(pool)
+            .filter(state => !state.gone && !state.target.leaving && notBefore(state) > now)
+            .sort((left, right) => notBefore(left) - notBefore(right));
+        return first === undefined ? undefined : {
+            milliseconds: notBefore(first) - now,
+            reason: first.pausedUntil > now ? "target-paused" : "target-limited",
+        };
     };
 
-    return { usableTargets, keyOwner, millisecondsUntilUsable, typicalServiceMilliseconds };
+    return { usableTargets, keyOwner, untilUsable, typicalServiceMilliseconds };
 };
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -119,16 +119,25 @@
             if (usable.length > 0) {
                 return usable;
             }
-            const room = candidateSelector.millisecondsUntilUsable(pool.name);
+            const wait = candidateSelector.untilUsable(pool.name);
             const detail = `No target of pool "${pool.name}" takes new work.`;
-            const retryAfter = retryAfterMilliseconds(Math.max(shedBlockMilliseconds, room ?? 0), random);
-            return refuse(context, room === undefined ? "no-target" : "target-limited", detail, retryAfter);
+            const retryAfter = retryAfterMilliseconds(Math.max(shedBlockMilliseconds, wait?.milliseconds ?? 0), random);
+            return refuse(context, wait?.reason ?? "no-target", detail, retryAfter);
         }
         if (request.key === undefined) {
             return refuse(context, "missing-key", `Pool "${pool.name}" needs a key.`);
         }
         for (;;) {
             const owner = candidateSelector.keyOwner(context);
+            if (typeof owner !== "string" && "pausedMilliseconds" in owner) {
+                const detail = `The owner of key ${request.key} of pool "${pool.name}" wants no requests for a while.`;
+                return refuse(
+                    context,
+                    "target-paused",
+                    detail,
+                    retryAfterMilliseconds(owner.pausedMilliseconds, random),
+                );
+            }
             if (typeof owner !== "string") {
                 return [owner];
             }
@@ -215,7 +224,7 @@
             targetState,
             protocol: options.protocol,
             endAt: context.endAt,
-            mayStart: () => !targetState.gone && !targetState.target.leaving,
+            mayStart: () => !targetState.gone && !targetState.target.leaving && targetState.pausedUntil <= clock.now(),
             abortOnHangUp: route.kind === routeKinds.idempotent,
             onNotice: (notice, sentAt) => options.notices.record(targetState, notice, sentAt),
             clock,
--- a/src/machines/resident/targetnotices.ts
+++ b/src/machines/resident/targetnotices.ts
@@ -117,6 +117,7 @@
             const { leaving, limitPerSecond, pauseMilliseconds } = notice;
             const { name, pool, incarnation } = state.target;
             recordLimit(state.target, limitPerSecond, sentAt);
+            state.pausedUntil = Math.max(state.pausedUntil, clock.now() + (pauseMilliseconds ?? 0));
             const summary = `${leaving} ${limitPerSecond} ${pauseMilliseconds !== undefined}`;
             if (summary !== (summaries.get(state) ?? "false none false")) {
                 summaries.set(state, summary);
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -16,6 +16,8 @@
     failureShare: number;
     /** Monotonic time before which nothing is sent to the target. */
     blockedUntil: number;
+    /** Monotonic time before which the target, by its own word, wants no request from this host. */
+    pausedUntil: number;
     /** Monotonic time before which the target's limit on all hosts leaves no room for a request without a key. */
     limitedUntil: number;
     /** Monotonic time at which the request was sent that the target answered last; of several, the latest. */
@@ -82,6 +84,7 @@
             link: createExchangeLink({ address: target.address, connections, connectMilliseconds }),
             failureShare: 0,
             blockedUntil: 0,
+            pausedUntil: 0,
             limitedUntil: 0,
             answeredSentAt: -Infinity,
             connectFailures: 0,
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -39,6 +39,7 @@
         },
         failureShare: 0,
         blockedUntil: 0,
+        pausedUntil: 0,
         limitedUntil: 0,
         answeredSentAt: -Infinity,
         connectFailures: 0,
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -78,6 +78,7 @@
         },
         failureShare: 0,
         blockedUntil: 0,
+        pausedUntil: 0,
         limitedUntil: 0,
         answeredSentAt: -Infinity,
         connectFailures: 0,
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -49,6 +49,7 @@
     link: { connections: 1, send: () => ({ resume: () => undefined, abort: () => undefined }), close: () => undefined },
     failureShare: 0,
     blockedUntil: 0,
+    pausedUntil: 0,
     limitedUntil: 0,
     answeredSentAt: -Infinity,
     connectFailures: 0,
--- /dev/null
+++ b/test/platform/notices.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Targets that leave, or that want no requests for a while, and say so in their answers only: real processes against
+ * stand-ins that count what arrives.
+ */
+import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type BackendStandIn, startBackendStandIn } from "../../stand-ins/resident/backend.ts";
+import { startStoreStandIn, type StoreStandIn } from "../../stand-ins/resident/store.ts";
+import {
+    type Answer,
+    buildProgram,
+    entry,
+    limits,
+    type Program,
+    route,
+    sendRequest,
+    services,
+    startProgram,
+    waitUntil,
+} from "./program.ts";
+
+const isReady = (program: Program): Promise<boolean> =>
+    sendRequest(program.healthPort, "/").then(answer => answer.statusCode === 200, () => false);
+
+type Setup = { store: StoreStandIn; backends: BackendStandIn[]; programs: Program[] };
+
+/** Starts hosts with targets of one pool and waits until requests can be served. */
+const setUp = async (backendCount: number, hostCount: number, sharded: boolean): Promise<Setup> => {
+    const store = await startStoreStandIn();
+    const service = sharded ? "stock" : "orders";
+    const backends: BackendStandIn[] = [];
+    for (let index = 0; index < backendCount; index += 1) {
+        const id = `i-${index}`;
+        const backend = await startBackendStandIn({ id, slots: 4, queue: 4, workMilliseconds: 20, isSharded: sharded });
+        backends.push(backend);
+        store.put("servers", id, entry(service, backend));
+    }
+    const routes = { r1: route("a.example", service, "safe") };
+    store.put("config", "main", { version: "r3", routes, services, limits });
+    const programs: Program[] = [];
+    for (let index = 0; index < hostCount; index += 1) {
+        programs.push(await startProgram(store, `h${index}`));
+    }
+    await waitUntil("all hosts are ready", async () => (await Promise.all(programs.map(isReady))).every(Boolean));
+    if (sharded) {
+        await waitUntil(
+            "all keys are owned",
+            () => [0, 30_000, 65_535].every(key => backends.some(backend => backend.ownsKey(key))),
+        );
+    }
+    return { store, backends, programs };
+};
+
+const close = ({ store, backends, programs }: Setup): void => {
+    programs.forEach(({ child }) => child.kill("SIGKILL"));
+    [store, ...backends].forEach(part => part.close());
+};
+
+let sent = 0;
+
+/** Sends requests at all hosts in turn for a while and returns the answers. */
+const load = async (programs: Program[], milliseconds: number): Promise<Answer[]> => {
+    const pending: Array<Promise<Answer>> = [];
+    const end = performance.now() + milliseconds;
+    while (performance.now() < end) {
+        sent += 1;
+        const headers = {
+            host: "a.example",
+            "request-id": `n-${sent}`,
+            "request-deadline": "1200",
+            "shard-key": String(sent * 977 % 65_536),
+        };
+        pending.push(sendRequest(programs[sent % programs.length].callersPort, "/a/x", headers));
+        await sleep(25);
+    }
+    return Promise.all(pending);
+};
+
+const countBetween = (arrivals: number[], from: number, to: number): number =>
+    arrivals.filter(at => at >= from && at < to).length;
+
+const pauseSeconds = 4;
+/** What may still arrive from each host, from half a second after it was turned away to the end of the pause. */
+const maxDuringPause = 2;
+
+for (const sharded of [false, true]) {
+    test(`a target ${sharded ? "that owns keys" : "without keys"} that asked for a pause gets no request from the hosts that it turned away`, async t => {
+        const setup = await setUp(sharded ? 2 : 1, 2, sharded);
+        t.teardown(() => close(setup));
+        const { backends: [pausing], programs } = setup;
+        await load(programs, 1_000);
+        pausing.faults.shed = true;
+        pausing.faults.retryAfter = String(pauseSeconds);
+        const startedAt = performance.now();
+        const answers = await load(programs, 500);
+        pausing.faults.shed = false;
+        answers.push(...await load(programs, pauseSeconds * 1_000 - 1_000));
+        const during = countBetween(pausing.arrivals, startedAt + 1_000, startedAt + pauseSeconds * 1_000 - 500);
+        t.true(during <= maxDuringPause * programs.length, `${during} requests during the pause`);
+        const refused = answers.filter(answer => answer.statusCode === 503);
+        t.true(refused.every(answer => Number(answer.headers["retry-after"]) > 0));
+        await load(programs, 3_000);
+        t.true(countBetween(pausing.arrivals, startedAt + pauseSeconds * 1_000 + 500, Infinity) > 0, "used again");
+    });
+}
+
+test.before(buildProgram);
