Send nothing to a target that says in its answers that it leaves

A target whose entry stayed ready while its answers said that it leaves got 40 requests (35 with keys) in 1.5 s, from 2.5 s after the first such answer on: nobody read the header. Now its host, and by gossip all others and the coordinator, treat it as one whose entry says that it drains, for that start of the target. test/platform/notices.test.ts failed before with these figures and passes, for a host that starts later and for the target's next start too; 2 and 195 hosts with silent ones in virtual time: targetlimits.test.ts.

--- a/src/contracts/routing.ts
+++ b/src/contracts/routing.ts
@@ -53,6 +53,9 @@
     limits: CallerLimits;
 };
 
+/** Incarnation of a target that does not tell when it started. */
+export const unknownIncarnation = "unknown";
+
 /** A target as the platform's registry announces it. */
 export type RegisteredTarget = {
     name: string;
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -36,7 +36,13 @@
 import { createStoreWatcher, type StoreWatcher } from "./storewatcher.ts";
 import { crashGossipKind, crashGossipSchema, createSuspicions } from "./suspicions.ts";
 import { createTargetLimits, limitsPath } from "./targetlimits.ts";
-import { createTargetNotices, limitGossipKind, limitGossipSchema } from "./targetnotices.ts";
+import {
+    createTargetNotices,
+    leavingGossipKind,
+    leavingGossipSchema,
+    limitGossipKind,
+    limitGossipSchema,
+} from "./targetnotices.ts";
 import { createTargetRegistry } from "./targetregistry.ts";
 import { createTargetStates } from "./targetstates.ts";
 
@@ -284,7 +290,11 @@
 
     const gossip = createGossip({
         self: settings.host.name,
-        kinds: { [crashGossipKind]: crashGossipSchema, [limitGossipKind]: limitGossipSchema },
+        kinds: {
+            [crashGossipKind]: crashGossipSchema,
+            [leavingGossipKind]: leavingGossipSchema,
+            [limitGossipKind]: limitGossipSchema,
+        },
         peers: () => rankGossipPeers(digestHash, self, processes.hosts()),
         dial,
         clock,
@@ -298,7 +308,14 @@
         metrics,
         signal,
     });
-    const notices = createTargetNotices({ gossip, onLimit: limits.prepare, clock, log, metrics });
+    const notices = createTargetNotices({
+        gossip,
+        onLeaving: registry.markLeaving,
+        onLimit: limits.prepare,
+        clock,
+        log,
+        metrics,
+    });
     const suspicions = createSuspicions({ gossip, targetStates, random, clock, log, metrics });
 
     const gateway = createGateway({
--- a/src/machines/resident/targetnotices.ts
+++ b/src/machines/resident/targetnotices.ts
@@ -1,6 +1,6 @@
 /**
- * How targets want to be used, as they say in their answers. A limit concerns all hosts, so they tell one another of it by
- * gossip.
+ * How targets want to be used, as they say in their answers. That a target leaves, and its limit, concern all hosts, so
+ * they tell one another by gossip.
  */
 import { z } from "zod";
 import type { Clock } from "../../contracts/clock.ts";
@@ -25,6 +25,8 @@
 
 export type TargetNoticesOptions = {
     gossip: Gossip;
+    /** Called when an incarnation of a target has said that it leaves. */
+    onLeaving: (name: string, incarnation: string) => void;
     /** Called when a target of the pool has named a limit. */
     onLimit: (pool: string) => void;
     clock: Clock;
@@ -40,6 +42,12 @@
     perSecond: z.number().min(0).optional(),
 });
 
+/** Kind of the gossip about targets that leave. The name is that of the target and its incarnation. */
+export const leavingGossipKind = "leaving";
+export const leavingGossipSchema = z.object({ target: z.string(), incarnation: z.string() });
+
+/** Time for which hosts tell those that start of a target that leaves: longer than it takes to end. */
+const leavingMilliseconds = 120_000;
 /** Hosts tell again of a limit that they hear, so that all know how long ago the target last named it. */
 const repeatMilliseconds = 1_000;
 /** A limit that no host has heard for this time is forgotten. */
@@ -107,6 +115,10 @@
         }
     };
 
+    gossip.onChange(leavingGossipKind, (...[, value]) => {
+        const { target, incarnation } = leavingGossipSchema.parse(value);
+        options.onLeaving(target, incarnation);
+    });
     gossip.onChange(limitGossipKind, (name, value, ageMilliseconds) => {
         const { pool, perSecond } = limitGossipSchema.parse(value);
         hold(name, pool, perSecond, clock.now() - ageMilliseconds);
@@ -116,6 +128,11 @@
         record: (state, notice, sentAt) => {
             const { leaving, limitPerSecond, pauseMilliseconds } = notice;
             const { name, pool, incarnation } = state.target;
+            if (leaving && !state.target.leaving) {
+                options.onLeaving(name, incarnation);
+                const value: z.infer<typeof leavingGossipSchema> = { target: name, incarnation };
+                gossip.put(leavingGossipKind, nameOf(state.target), value, leavingMilliseconds);
+            }
             recordLimit(state.target, limitPerSecond, sentAt);
             state.pausedUntil = Math.max(state.pausedUntil, clock.now() + (pauseMilliseconds ?? 0));
             const summary = `${leaving} ${limitPerSecond} ${pauseMilliseconds !== undefined}`;
--- a/src/machines/resident/targetregistry.ts
+++ b/src/machines/resident/targetregistry.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from "../../contracts/clock.ts";
 import type { StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
-import type { RegisteredTarget } from "../../contracts/routing.ts";
+import { type RegisteredTarget, unknownIncarnation } from "../../contracts/routing.ts";
 import type { Log } from "../../links/logs.ts";
 
 export type TargetRegistry = {
@@ -16,6 +16,11 @@
     applyList: (objects: StoreObject[]) => void;
     /** Takes in changes of entries. */
     applyChanges: (events: StoreEvent[]) => void;
+    /**
+     * Records that an incarnation of a target leaves, whatever its entry tells now or later. The target need not be known
+     * yet.
+     */
+    markLeaving: (name: string, incarnation: string) => void;
 };
 
 export type TargetRegistryOptions = {
@@ -31,6 +36,8 @@
 /** How long expired entries are kept: live targets are registered again about two seconds after the store is back. */
 const expiryGraceMilliseconds = 1_800;
 
+const maxLeavers = 2_000;
+
 /** An outage of the store expires all entries. When a smaller share than this is missing, those targets have left. */
 const massExpiryShare = 0.4;
 
@@ -39,6 +46,8 @@
     const { clock, log, signal } = options;
     const targets = new Map<string, RegisteredTarget>();
     const pendingRemovals = new Map<string, () => void>();
+    /** Incarnations of targets that leave, by name; the oldest are dropped. */
+    const leavers = new Map<string, string>();
     const listeners: Array<(target: RegisteredTarget, gone: boolean) => void> = [];
 
     const notify = (target: RegisteredTarget, gone: boolean): void => {
@@ -55,6 +64,9 @@
         const target = targets.get(name);
         if (target !== undefined) {
             targets.delete(name);
+            if (target.incarnation === unknownIncarnation) {
+                leavers.delete(name);
+            }
             log.info("target-gone", { target: name, pool: target.pool, incarnation: target.incarnation, reason });
             notify(target, true);
         }
@@ -90,12 +102,13 @@
 
     /** Takes in an entry. A change is logged; the many entries of the first list are not, but for their number. */
     const put = (object: StoreObject, logsChange = true): void => {
-        const target = options.decode(object);
-        if (typeof target === "string") {
-            log.warn("target-entry-unreadable", { target: object.name, revision: object.revision, finding: target });
+        const decoded = options.decode(object);
+        if (typeof decoded === "string") {
+            log.warn("target-entry-unreadable", { target: object.name, revision: object.revision, finding: decoded });
             deleteTarget(object.name, "unreadable");
             return;
         }
+        const target = { ...decoded, leaving: decoded.leaving || leavers.get(object.name) === decoded.incarnation };
         cancelRemoval(object.name);
         const before = targets.get(object.name);
         targets.set(object.name, target);
@@ -109,6 +122,24 @@
         notify(target, false);
     };
 
+    const markLeaving = (name: string, incarnation: string): void => {
+        leavers.delete(name);
+        leavers.set(name, incarnation);
+        for (const oldest of leavers.keys()) {
+            if (leavers.size <= maxLeavers) {
+                break;
+            }
+            leavers.delete(oldest);
+        }
+        const target = targets.get(name);
+        if (target?.incarnation === incarnation && !target.leaving) {
+            const leaving = { ...target, leaving: true };
+            targets.set(name, leaving);
+            log.info("target-leaving", { target: name, pool: target.pool, incarnation });
+            notify(leaving, false);
+        }
+    };
+
     return {
         get: name => targets.get(name),
         ofPool: pool => [...targets.values()].filter(target => target.pool === pool),
@@ -124,5 +155,6 @@
             events.filter(event => !event.removed).forEach(event => put(event.object));
             removeMissing(events.filter(event => event.removed).map(event => event.object.name));
         },
+        markLeaving,
     };
 };
--- a/test/machines/resident/targetlimits.test.ts
+++ b/test/machines/resident/targetlimits.test.ts
@@ -1,7 +1,7 @@
 /**
  * A target that names a limit on the requests of all hosts, with callers that ask for far more at every host. The target
  * counts what arrives. It must get no more than the platform allows, and the limit must be used, whatever happens to the
- * hosts and the links between them.
+ * hosts and the links between them. All hosts must also learn that a target leaves.
  */
 import test from "ava";
 import { createRandom } from "../../../bench/random.ts";
@@ -12,6 +12,8 @@
 import { createTargetLimits, limitsPath } from "../../../src/machines/resident/targetlimits.ts";
 import {
     createTargetNotices,
+    leavingGossipKind,
+    leavingGossipSchema,
     limitGossipKind,
     limitGossipSchema,
 } from "../../../src/machines/resident/targetnotices.ts";
@@ -64,16 +66,18 @@
         const common = { dial: network.dialerOf(host.address), clock: hostClock, metrics, signal: lifetime.signal };
         const gossip = createGossip({
             self: host.name,
-            kinds: { [limitGossipKind]: limitGossipSchema },
+            kinds: { [leavingGossipKind]: leavingGossipSchema, [limitGossipKind]: limitGossipSchema },
             peers: () => rankGossipPeers(digestHash, host, candidates),
             ...common,
         });
+        const left = new Set<string>();
         const limits = createTargetLimits({
             rankedBefore: name => rankedBefore(digestHash, `limits/${name}`, host, candidates),
             ...common,
         });
         const notices = createTargetNotices({
             gossip,
+            onLeaving: (...[, incarnation]) => left.add(incarnation),
             onLimit: limits.prepare,
             clock: hostClock,
             log: silentLog,
@@ -84,6 +88,8 @@
             host,
             clock: hostClock,
             notices,
+            /** Incarnations of the target that leave, as the host knows. */
+            left,
             /** Sends a request if the limit allows it. */
             send: async (urgency = priority): Promise<void> => {
                 const perSecond = notices.limitOf(target);
@@ -247,6 +253,29 @@
     t.true(hosts.every(host => host.notices.limitOf(target) === 2));
 });
 
+for (const [hostCount, zoneCount] of [[2, 1], [195, 3]]) {
+    test(`all of ${hostCount} hosts know within 100 ms that a target leaves, hosts that start later too`, async t => {
+        const { clock, hosts, start, network } = setUp(hostCount, zoneCount);
+        await clock.advance(2_000);
+        const silenced = hosts.filter((...[, index]) => index % 7 === 6);
+        silenced.forEach(({ host }) => network.silence(host.address));
+        const notice = { leaving: true, limitPerSecond: "none", pauseMilliseconds: undefined } as const;
+        hosts[0].notices.record(state, notice, clock.now());
+        const knows = ({ left }: TestHost): boolean => left.has("1");
+        await clock.advance(100);
+        const known = hosts.filter(host => !silenced.includes(host) && knows(host)).length;
+        t.true(known >= (hostCount - silenced.length) * 0.9, `${known} know at once, beside silent hosts`);
+        await clock.advance(3_000);
+        t.true(hosts.every(host => silenced.includes(host) || knows(host)));
+        silenced.forEach(({ host }) => network.heal(host.address));
+        hosts[1].end();
+        const again = start(hosts[1].host);
+        await clock.advance(5_000);
+        t.true(hosts.slice(2).every(knows));
+        t.true(knows(again));
+    });
+}
+
 test("the more urgent requests come first", async t => {
     const setup = setUp(10, 3);
     const { clock, hosts, says, arrivals } = setup;
--- a/test/machines/resident/targetregistry.test.ts
+++ b/test/machines/resident/targetregistry.test.ts
@@ -9,12 +9,12 @@
 import { createTargetRegistry } from "../../../src/machines/resident/targetregistry.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
 
-const entry = (name: string, revision = 1): StoreObject => ({
+const entry = (name: string, revision = 1, incarnation = "1"): StoreObject => ({
     name,
     revision,
     value: {
         name,
-        incarnation: "1",
+        incarnation,
         pool: "stock",
         address: "127.0.0.1:1",
         zone: "z",
@@ -104,3 +104,59 @@
     await clock.advance(2_000);
     t.deepEqual(registry.ofPool("stock").map(target => target.name), ["a"]);
 });
+
+type LeavingCase = {
+    title: string;
+    /** What happens to the registry, in order: `leaves` tells that incarnation 1 of the target leaves. */
+    events: Array<"leaves" | "removed" | { incarnation: string }>;
+    /** Whether the target leaves afterwards. */
+    leaving: boolean;
+};
+
+const leavingCases: LeavingCase[] = [
+    { title: "its entry is known", events: [{ incarnation: "1" }, "leaves"], leaving: true },
+    { title: "its entry comes later", events: ["leaves", { incarnation: "1" }], leaving: true },
+    {
+        title: "its entry is written again as ready",
+        events: [{ incarnation: "1" }, "leaves", { incarnation: "1" }],
+        leaving: true,
+    },
+    {
+        title: "its entry lapses and comes back",
+        events: [{ incarnation: "1" }, "leaves", "removed", { incarnation: "1" }],
+        leaving: true,
+    },
+    {
+        title: "it starts again under its name",
+        events: [{ incarnation: "1" }, "leaves", { incarnation: "2" }],
+        leaving: false,
+    },
+    {
+        title: "another start of it left before",
+        events: ["leaves", "removed", { incarnation: "2" }],
+        leaving: false,
+    },
+];
+
+for (const { title, events, leaving } of leavingCases) {
+    test(`a target says that it leaves, and ${title}: ${leaving ? "it gets nothing more" : "it is used"}`, t => {
+        const registry = createTargetRegistry({
+            decode: object => object.value as RegisteredTarget,
+            reachableSince: () => 0,
+            clock: createVirtualClock(),
+            log: silentLog,
+            signal: new AbortController().signal,
+        });
+        for (const [index, event] of events.entries()) {
+            if (event === "leaves") {
+                registry.markLeaving("a", "1");
+            }
+            else {
+                const removed = event === "removed";
+                const object = entry("a", index + 1, removed ? "1" : event.incarnation);
+                registry.applyChanges([{ object, removed }]);
+            }
+        }
+        t.is(registry.get("a")?.leaving, leaving);
+    });
+}
--- a/test/platform/notices.test.ts
+++ b/test/platform/notices.test.ts
@@ -104,4 +104,37 @@
     });
 }
 
+/** Time from the first answer that says that a target leaves to when no new request may reach it. */
+const drainMilliseconds = 2_000;
+
+for (const sharded of [false, true]) {
+    test(`a target ${sharded ? "that owns keys" : "without keys"} that says in its answers that it leaves gets no request after the drain time, also from a host that starts later`, async t => {
+        const setup = await setUp(2, 2, sharded);
+        t.teardown(() => close(setup));
+        const { store, backends: [leaver], programs } = setup;
+        await load(programs, 1_500);
+        leaver.faults.leaving = true;
+        const startedAt = performance.now();
+        const answers = await load(programs, drainMilliseconds + 1_000);
+        const since = startedAt + drainMilliseconds + 500;
+        const drained = await load(programs, 1_500);
+        t.is(countBetween(leaver.arrivals, since, Infinity), 0, "requests after the drain time");
+        t.true(drained.every(answer => answer.statusCode === 200), "others serve what it served");
+        const servedShare = answers.filter(answer => answer.statusCode === 200).length / answers.length;
+        t.true(servedShare >= 0.9, `${servedShare} served while it leaves`);
+
+        const late = await startProgram(store, "h9");
+        programs.push(late);
+        await waitUntil("the late host is ready", () => isReady(late));
+        await sleep(1_500);
+        await load([late], 1_500);
+        t.is(countBetween(leaver.arrivals, since, Infinity), 0, "requests of a host that started later");
+
+        leaver.faults.leaving = false;
+        store.put("servers", "i-0", entry(sharded ? "stock" : "orders", leaver, "ready", 2_000));
+        await load(programs, 4_000);
+        t.true(countBetween(leaver.arrivals, since, Infinity) > 0, "used again once it has started again");
+    });
+}
+
 test.before(buildProgram);
