--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -129,6 +129,19 @@
     [left, right, orders].forEach(part => t.true([...part.runCounts.values()].every(count => count === 1)));
 });
 
+test("a host that cannot listen on one of its addresses ends with an error", async t => {
+    const store = await startStoreStandIn();
+    t.teardown(store.close);
+    const program = await startProgram(store, "h1", Number(store.address.split(":")[1]));
+    t.teardown(() => program.child.kill("SIGKILL"));
+    const code = await Promise.race([
+        once(program.child, "exit").then(([exitCode]) => exitCode as number),
+        sleep(5_000, "running", { ref: false }),
+    ]);
+    t.is(code, 1);
+    t.regex(program.log(), /event=program-failed .*EADDRINUSE/);
+});
+
 test("three kinds of failed requests are traced from the id to the cause, as docs/OPERATIONS.md says", async t => {
     const store = await startStoreStandIn();
     const loneBackend = await startBackendStandIn({
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -21,12 +21,22 @@
     settings: string;
 };
 
+/** Below the ports that systems give to outgoing connections, which may take a free one before the program does. */
+const portRange = { first: 20_000, count: 12_000 };
+
 const freePort = async (): Promise<number> => {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as { port: number };
-    await new Promise(resolve => server.close(resolve));
-    return port;
+    for (;;) {
+        const port = portRange.first + Math.floor(Math.random() * portRange.count);
+        const server = createServer();
+        const isFree = await new Promise<boolean>(resolve => {
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => resolve(true));
+        });
+        if (isFree) {
+            await new Promise(resolve => server.close(resolve));
+            return port;
+        }
+    }
 };
 
 export const sendRequest = (
@@ -91,8 +101,13 @@
     born,
 });
 
-export const startProgram = async (store: StoreStandIn, name = "h1"): Promise<Program> => {
-    const [callersPort, healthPort, linksPort] = [await freePort(), await freePort(), await freePort()];
+/** Ends the program with the test that started it, also when its set-up fails. */
+const endWithProcess = (child: ChildProcess): void => {
+    process.once("exit", () => child.kill("SIGKILL"));
+};
+
+export const startProgram = async (store: StoreStandIn, name = "h1", takenPort?: number): Promise<Program> => {
+    const [callersPort, healthPort, linksPort] = [await freePort(), await freePort(), takenPort ?? await freePort()];
     const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
     const settings = [
         `host: { name: ${name}, zone: z1 }`,
@@ -107,6 +122,7 @@
         env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
         stdio: ["ignore", "pipe", "inherit"],
     });
+    endWithProcess(child);
     let log = "";
     child.stdout?.on("data", part => {
         log += String(part);
