Let an odd entry among those of the targets cost that entry alone

An entry nested 10,000 deep kept hosts from following the list of targets for good: describing the value threw, and the watcher took the exception for a lost store. A port out of range threw at each send, with its load counted for ever.

--- a/src/contracts/finding.ts
+++ b/src/contracts/finding.ts
@@ -3,6 +3,7 @@
  * collected and reported together.
  */
 import type { z } from "zod";
+import { isTooDeep } from "./nesting.ts";
 
 /** One validation error. */
 export type Finding = {
@@ -46,6 +47,9 @@
     if (value === undefined) {
         return "nothing";
     }
+    if (isTooDeep(value)) {
+        return "a value that is nested too deep";
+    }
     const text = JSON.stringify(value) ?? String(value);
     return text.length > 60 ? `${text.slice(0, 57)}...` : text;
 };
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -82,6 +82,8 @@
     onDone: (request: Request, outcome: Outcome, reason: Reason | undefined) => void;
     /** Called when received bytes are refused before a request could be read from them. */
     onMalformed: (reason: Reason) => void;
+    /** Called when serving a request threw an exception. Its connection is closed. */
+    onException?: (error: unknown) => void;
     /** Whether the load balancer may send requests to this host; answers the health check. */
     healthy: () => boolean;
 };
@@ -257,7 +259,10 @@
             }
             inFlight += 1;
             serve(incoming, response)
-                .catch(() => response.destroy())
+                .catch((error: unknown) => {
+                    response.destroy();
+                    options.onException?.(error);
+                })
                 .finally(() => {
                     inFlight -= 1;
                 });
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -4,10 +4,11 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Clock } from "../../contracts/clock.ts";
+import { messageOf } from "../../contracts/errors.ts";
 import type { Reason } from "../../contracts/outcome.ts";
 import type { ResidentRequest, TargetNotice, TargetProtocol } from "../../contracts/resident.ts";
 import type { AnswerStream, CallerAnswer } from "../../links/callers.ts";
-import { type SendStage, sendStages, type TargetExchange } from "../../links/exchange.ts";
+import { type AnswerReceiver, type SendStage, sendStages, type TargetExchange } from "../../links/exchange.ts";
 import { hasKnownEnd } from "../../links/headers.ts";
 import { createBodyCollector } from "../bodycollector.ts";
 import type { TargetState } from "./targetstates.ts";
@@ -79,7 +80,7 @@
         let stage: SendStage = sendStages.unsent;
         let forcedFailure: { reason: Reason; detail: string; notRun: boolean } | undefined;
         let head: { statusCode: number; headers: IncomingHttpHeaders } | undefined;
-        // eslint-disable-next-line prefer-const -- callbacks of the send refer to it.
+
         let exchange: TargetExchange | undefined;
 
         const settle = (attempt: AttemptResult): void => {
@@ -170,12 +171,7 @@
             }
         };
         load.recordSent();
-        exchange = targetState.link.send({
-            method: request.method,
-            path: request.path,
-            headers: protocol.buildRequestHeaders(request, targetState.target, options.endAt - sentAt),
-            body: request.body,
-        }, {
+        const receiver: AnswerReceiver = {
             mayStart: () => {
                 const may = forcedFailure === undefined && options.mayStart();
                 stage = may ? sendStages.sent : stage;
@@ -202,7 +198,21 @@
                 const detail = forcedFailure?.detail ?? `Target "${targetState.target.name}": ${error.message}.`;
                 failWith(reason, detail, forcedFailure?.notRun ?? unsent, !unsent);
             },
-        });
+        };
+        try {
+            exchange = targetState.link.send({
+                method: request.method,
+                path: request.path,
+                headers: protocol.buildRequestHeaders(request, targetState.target, options.endAt - sentAt),
+                body: request.body,
+            }, receiver);
+        }
+        catch (error) {
+            const unsent = stage === sendStages.unsent;
+            const detail = `Target "${targetState.target.name}": ${messageOf(error)}.`;
+            failWith(unsent ? "connect-failed" : "connection-lost", detail, unsent, !unsent);
+            return;
+        }
         if (forcedFailure !== undefined) {
             exchange.abort();
         }
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import type { Clock } from "../../contracts/clock.ts";
+import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
 import type { OwnershipLink, PlatformObjects, ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
 import type { ResidentSettings } from "../../contracts/residentsettings.ts";
@@ -200,11 +201,23 @@
         watchers.push(watcher);
         return watcher;
     };
+    /** Takes in an object so that an exception costs this object alone. */
+    const applyAlone = (kind: string, object: StoreObject, apply: () => void): void => {
+        try {
+            apply();
+        }
+        catch (error) {
+            const { name, revision } = object;
+            log.error("object-failed", { kind, name, revision, error: messageOf(error) });
+        }
+    };
     /** Watches a kind of which removals are ignored. */
-    const watchIgnoringRemovals = (kind: string, onObject: (object: StoreObject) => void): StoreWatcher =>
-        watch(kind, all => all.forEach(onObject), events => {
-            events.filter(event => !event.removed).forEach(event => onObject(event.object));
+    const watchIgnoringRemovals = (kind: string, onObject: (object: StoreObject) => void): StoreWatcher => {
+        const takeIn = (object: StoreObject): void => applyAlone(kind, object, () => onObject(object));
+        return watch(kind, all => all.forEach(takeIn), events => {
+            events.filter(event => !event.removed).forEach(event => takeIn(event.object));
         });
+    };
 
     const routeTable = createRouteTableHolder({ decode: objects.decodeTable, log });
     const acceptTableObject = (object: StoreObject): void => {
@@ -275,7 +288,9 @@
 
     const applyCoordination = (object: StoreObject, removed: boolean): void => {
         lastCoordination.set(object.name, object);
-        controllers.get(object.name)?.applyCoordination(removed ? undefined : object);
+        applyAlone(storeKinds.coordination, object, () => {
+            controllers.get(object.name)?.applyCoordination(removed ? undefined : object);
+        });
     };
 
     const applyTable = (table: RouteTable): void => {
@@ -364,6 +379,7 @@
             }
         },
         onMalformed: reason => metrics.count("requests", { outcome: "not-run", reason }),
+        onException: error => log.error("request-exception", { error: messageOf(error) }),
         healthy: () => true,
     });
 
--- a/src/machines/resident/storewatcher.ts
+++ b/src/machines/resident/storewatcher.ts
@@ -81,10 +81,20 @@
         }
     };
 
+    /** An exception of a listener is its own fault, not that of the store. */
+    const notify = (listener: () => void): void => {
+        try {
+            listener();
+        }
+        catch (error) {
+            log.error("store-listener-failed", { kind, position, error: messageOf(error) });
+        }
+    };
+
     const listOnce = async (): Promise<void> => {
         const list = await store.list(kind, signal);
         recordSuccess();
-        options.onList(list.objects);
+        notify(() => options.onList(list.objects));
         position = list.position;
     };
 
@@ -98,7 +108,7 @@
             return;
         }
         const latest = latestOf(changes.events);
-        options.onChanges(latest);
+        notify(() => options.onChanges(latest));
         position = Math.max(from, changes.position);
         const supersededBytes = changes.bytes * (1 - latest.length / Math.max(1, changes.events.length));
         if (supersededBytes > maxSupersededBytes) {
--- a/src/machines/resident/targetregistry.ts
+++ b/src/machines/resident/targetregistry.ts
@@ -3,6 +3,7 @@
  * kept for a short time after the store is back, in which a live target registers again.
  */
 import type { Clock } from "../../contracts/clock.ts";
+import { messageOf } from "../../contracts/errors.ts";
 import type { StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
 import { type RegisteredTarget, unknownIncarnation } from "../../contracts/routing.ts";
 import type { Log } from "../../links/logs.ts";
@@ -100,9 +101,19 @@
         names.forEach(name => remove(name, isExpiry));
     };
 
+    /** Decodes an entry. A failure to do so is a finding like any other. */
+    const decode = (object: StoreObject): RegisteredTarget | string => {
+        try {
+            return options.decode(object);
+        }
+        catch (error) {
+            return messageOf(error);
+        }
+    };
+
     /** Takes in an entry. A change is logged; the many entries of the first list are not, but for their number. */
     const put = (object: StoreObject, logsChange = true): void => {
-        const decoded = options.decode(object);
+        const decoded = decode(object);
         if (typeof decoded === "string") {
             log.warn("target-entry-unreadable", { target: object.name, revision: object.revision, finding: decoded });
             deleteTarget(object.name, "unreadable");
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -23,7 +23,11 @@
 };
 
 /** Sends request r2 and lets the target answer with this head and no body. */
-const answerWith = async (statusCode: number, headers: IncomingHttpHeaders): Promise<AttemptResult> => {
+const answerWith = async (
+    statusCode: number,
+    headers: IncomingHttpHeaders,
+    failToSend = false,
+): Promise<AttemptResult> => {
     const clock = createVirtualClock();
     const targetState: TargetState = {
         target,
@@ -32,6 +36,9 @@
             connections: 4,
             close: () => undefined,
             send: (...[, receiver]) => {
+                if (failToSend) {
+                    throw new TypeError("Invalid URL");
+                }
                 receiver.mayStart();
                 void Promise.resolve().then(() => reply(receiver));
                 return { resume: () => undefined, abort: () => receiver.onFailure("answering", new Error("aborted")) };
@@ -101,3 +108,9 @@
         t.is(result.kind === "failed" && result.notRun, notRun);
     });
 }
+
+test("a target to which nothing can be sent, as its address is no address: the request did not run, and no load stays", async t => {
+    const result = await answerWith(200, {}, true);
+    t.is(result.kind, "failed");
+    t.true(result.kind === "failed" && result.notRun && result.reason === "connect-failed");
+});
--- a/test/machines/resident/storewatcher.test.ts
+++ b/test/machines/resident/storewatcher.test.ts
@@ -101,3 +101,38 @@
     t.is(String(current.get("main")).slice(0, 3), "25x");
     lifetime.abort();
 });
+
+test("an exception of a listener is no failure of the store: the watch goes on with the next change", async t => {
+    const clock = createVirtualClock();
+    const fake = createFakeStore(clock);
+    const seen: unknown[] = [];
+    const listen = (value: unknown): void => {
+        seen.push(value);
+        if (value === "odd") {
+            throw new Error("odd");
+        }
+    };
+    const { signal } = new AbortController();
+    const watcher = createStoreWatcher({
+        store: fake.store,
+        kind: "config",
+        waitMilliseconds: 3_000,
+        maxPauseMilliseconds: 500,
+        onList: objects => objects.forEach(object => listen(object.value)),
+        onChanges: events => events.forEach(({ object }) => listen(object.value)),
+        onRecovered: () => undefined,
+        clock,
+        log: silentLog,
+        signal,
+    });
+    fake.put("config", "a", "odd");
+    await clock.advance(100);
+    await watcher.synced;
+    const since = watcher.reachableSince();
+    fake.put("config", "a", "odd");
+    await clock.advance(100);
+    fake.put("config", "a", "sound");
+    await clock.advance(100);
+    t.deepEqual(seen, ["odd", "odd", "sound"]);
+    t.is(watcher.reachableSince(), since);
+});
--- a/test/machines/resident/targetregistry.test.ts
+++ b/test/machines/resident/targetregistry.test.ts
@@ -160,3 +160,21 @@
         t.is(registry.get("a")?.leaving, leaving);
     });
 }
+
+test("an entry that cannot be taken in costs that entry alone", t => {
+    const registry = createTargetRegistry({
+        decode: object => {
+            if (object.name === "b") {
+                throw new Error("odd");
+            }
+            return object.value as RegisteredTarget;
+        },
+        reachableSince: () => 0,
+        clock: createVirtualClock(),
+        log: silentLog,
+        signal: new AbortController().signal,
+    });
+    registry.applyList(["a", "b", "c"].map(name => entry(name)));
+    registry.applyChanges(["b", "d"].map(name => ({ object: entry(name, 2), removed: false })));
+    t.deepEqual(registry.ofPool("stock").map(({ name }) => name), ["a", "c", "d"]);
+});
--- a/test/platform/objects.test.ts
+++ b/test/platform/objects.test.ts
@@ -7,6 +7,15 @@
 
 const { decodeTable, decodeTarget } = platformObjects;
 
+/** A list within a list, and so on. */
+const nested = (depth: number): unknown => {
+    let value: unknown = [];
+    for (let level = 0; level < depth; level += 1) {
+        value = [value];
+    }
+    return value;
+};
+
 const entry = {
     service: "stock",
     address: "10.128.0.9:8080",
@@ -38,6 +47,14 @@
     { title: "an unknown state", value: { ...entry, state: "asleep" }, finding: /state/ },
     { title: "slots of another type", value: { ...entry, slots: "3" }, finding: /slots/ },
     { title: "an address with a host name", value: { ...entry, address: "evil.example:80" }, finding: /address/ },
+    { title: "a field nested 100,000 deep", value: { ...entry, zone: nested(100_000) }, finding: /zone/ },
+    { title: "an address nested 100,000 deep", value: { ...entry, address: nested(100_000) }, finding: /address/ },
+    { title: "a port out of range", value: { ...entry, address: "10.128.0.9:99999" }, finding: /address/ },
+    { title: "port 0", value: { ...entry, address: "10.128.0.9:0" }, finding: /address/ },
+    { title: "an IP address out of range", value: { ...entry, address: "999.0.0.1:80" }, finding: /address/ },
+    { title: "more slots than any target has", value: { ...entry, slots: Number.MAX_SAFE_INTEGER }, finding: /slots/ },
+    { title: "a number beyond all numbers", value: { ...entry, slots: Infinity }, finding: /slots/ },
+    { title: "a warm-up without end", value: { ...entry, warmupLeft: `${"9".repeat(20)}ms` }, finding: /warmupLeft/ },
     { title: "a start time that is not a whole number", value: { ...entry, born: 1.5 }, finding: /born/ },
 ];
 
@@ -45,6 +62,7 @@
     test(`a server entry with ${title} is rejected`, t => {
         const decoded = decodeTarget({ name: "i-1", revision: 7, value });
         t.regex(typeof decoded === "string" ? decoded : "", finding);
+        t.true(typeof decoded === "string" && decoded.length < 500, "a log line");
     });
 }
 
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -80,3 +80,23 @@
     t.teardown(close);
     await t.throwsAsync(store.list("config"), { message: /larger than/ });
 });
+
+test("an object nested beyond any use costs that object alone, in lists and in changes", async t => {
+    const deep = `${"[".repeat(100_000)}${"]".repeat(100_000)}`;
+    const object = (index: number, spec: string): string =>
+        `{"metadata":{"name":"i-${index}","rev":${index}},"spec":${spec}}`;
+    const objects = [object(1, "\"a\""), object(2, deep), object(3, "\"c\"")];
+    const { store, close } = await setUp((response, isWatch) => {
+        const events = objects.map(text => `{"removed":false,"object":${text}}`);
+        response.end(
+            isWatch
+                ? `{"events":[${events.join()}],"currentRev":9}`
+                : `{"items":[${objects.join()}],"more":false,"currentRev":9}`,
+        );
+    });
+    t.teardown(close);
+    const values = ["a", undefined, "c"];
+    t.deepEqual((await store.list("servers")).objects.map(({ value }) => value), values);
+    const read = await store.watch("servers", 1, 0);
+    t.deepEqual(read.result === "changes" ? read.events.map(event => event.object.value) : [], values);
+});
