Answer every request before a stopping host ends, and refuse what comes too late

In a planned stop a request that was passed on kept its own deadline; 300 ms before the end of the grace its connection was cut without an answer, also of requests that had come late in the grace and may not be repeated. Now sends that are still under way half a second before the end are answered as unknown, no target is told a longer deadline, and after the balancer has removed the host a request that may last longer than the process is refused at once, truly as not run, with a short time to come back, at another host.

--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -33,6 +33,8 @@
     abortOnHangUp: boolean;
     /** Called with what the target's answer says of how it wants to be used. */
     onNotice: (notice: TargetNotice, sentAt: number) => void;
+    /** Called with a function that ends the send as timed out, since the host stops. Returns how to forget it. */
+    registerStop: (stopSend: () => void) => () => void;
     clock: Clock;
 };
 
@@ -94,6 +96,7 @@
             if (!finished) {
                 finished = true;
                 cancelTimer();
+                forgetStop();
                 request.hangUp.listener = undefined;
                 workMilliseconds = load.recordFinished(latencyMilliseconds, loadAtSend);
             }
@@ -162,6 +165,9 @@
         const cancelTimer = clock.after(Math.max(1, options.endAt - sentAt), () => {
             stop("timed-out", `Target "${targetState.target.name}" did not answer within the time of the route.`);
         });
+        const forgetStop = options.registerStop(() =>
+            stop("timed-out", `Target "${targetState.target.name}" did not answer before this host stopped.`)
+        );
         request.hangUp.listener = () => {
             if (stage === sendStages.unsent) {
                 stop("cancelled", "The caller hung up before the request was sent.");
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -58,7 +58,16 @@
     metrics: Metrics;
 };
 
+export type GatewayStop = {
+    /** Monotonic time at which every request must have its answer. */
+    endsAt: number;
+    /** Monotonic time from which on requests are refused that may last longer. */
+    refusesFrom: number;
+};
+
 export type Gateway = {
+    /** Ends all requests in time for a planned stop. */
+    stop: (stop: GatewayStop) => void;
     /** Routes the request and returns the answer for its caller. */
     serve: (request: ResidentRequest) => Promise<CallerAnswer>;
 };
@@ -82,6 +91,8 @@
  * table.
  */
 const startingRetryMilliseconds = 300;
+/** Delay after which a caller is told to retry when this host stops: other hosts can serve it at once. */
+const stoppingRetryMilliseconds = 40;
 
 /** Creates the gateway of one host. */
 export const createGateway = (options: GatewayOptions): Gateway => {
@@ -106,7 +117,13 @@
         return budget;
     };
 
-    const remaining = (context: RequestContext): number => context.endAt - clock.now();
+    let stopping: GatewayStop | undefined;
+    /** Ends the sends that are under way. */
+    const runningSends = new Set<() => void>();
+
+    const endOf = (context: RequestContext): number => Math.min(context.endAt, stopping?.endsAt ?? Infinity);
+
+    const remaining = (context: RequestContext): number => endOf(context) - clock.now();
 
     /**
      * Returns the targets to which the request may go. In a pool that owns keys, waits for the key to get a usable
@@ -223,7 +240,11 @@
             request,
             targetState,
             protocol: options.protocol,
-            endAt: context.endAt,
+            endAt: endOf(context),
+            registerStop: stopSend => {
+                runningSends.add(stopSend);
+                return () => runningSends.delete(stopSend);
+            },
             mayStart: () => !targetState.gone && !targetState.target.leaving && targetState.pausedUntil <= clock.now(),
             abortOnHangUp: route.kind === routeKinds.idempotent,
             onNotice: (notice, sentAt) => options.notices.record(targetState, notice, sentAt),
@@ -363,6 +384,10 @@
     };
 
     return {
+        stop: stop => {
+            stopping = stop;
+            clock.after(stop.endsAt - clock.now(), () => runningSends.forEach(stopSend => stopSend()));
+        },
         serve: async request => {
             const active = routeTable.current();
             if (active === undefined) {
@@ -378,13 +403,18 @@
             if (pool === undefined) {
                 return createRefusal("no-target", `Pool "${poolName}" is not in the table.`, startingRetryMilliseconds);
             }
-            budgetOf(pool.name).recordRequest(clock.now());
             const { receivedAt, deadlineAt } = request;
+            const endAt = Math.min(deadlineAt, receivedAt + route.timeoutMilliseconds);
+            if (stopping !== undefined && clock.now() >= stopping.refusesFrom && endAt > stopping.endsAt) {
+                const detail = "The host stops before the request is sure to end.";
+                return createRefusal("host-stopping", detail, stoppingRetryMilliseconds);
+            }
+            budgetOf(pool.name).recordRequest(clock.now());
             const context: RequestContext = {
                 request,
                 route,
                 pool,
-                endAt: Math.min(deadlineAt, receivedAt + route.timeoutMilliseconds),
+                endAt,
                 holdUntil: receivedAt + route.objectiveMilliseconds * holdShareOfObjective,
                 failedTargets: new Set(),
                 refusedBy: new Set(),
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -85,6 +85,8 @@
 const maxHeadBytes = 16_384;
 /** Time until the load balancer sends nothing more: it removes a host after two failed checks, a second apart. */
 const balancerRemovalMilliseconds = 2_400;
+/** Time before that in which the last answers are written. */
+const lastAnswerMilliseconds = 200;
 /** Part of the grace period that remains when all connections are closed, even those with requests in flight. */
 const forcedCloseMilliseconds = 300;
 /** Value of the metric's label `reason` for requests that a target answered. */
@@ -443,6 +445,10 @@
             const endAt = clock.now() + settings.stopping.grace - forcedCloseMilliseconds;
             stopping = true;
             log.info("host-stopping", { inFlight: callers.inFlight() });
+            gateway.stop({
+                endsAt: endAt - lastAnswerMilliseconds,
+                refusesFrom: clock.now() + balancerRemovalMilliseconds,
+            });
             server.announce();
             callers.disableKeepAlive();
             await Promise.all([...controllers.values()].map(controller => controller.resign()));
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -79,6 +79,7 @@
         mayStart: () => true,
         abortOnHangUp: false,
         onNotice: () => undefined,
+        registerStop: () => () => undefined,
         clock,
     });
     const settled = await result;
