--- a/test/machines/resident/endless.test.ts
+++ b/test/machines/resident/endless.test.ts
@@ -6,19 +6,9 @@
 import { once } from "node:events";
 import { connect, createServer, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { platformObjects } from "../../../platform/objects.ts";
-import { callerProtocol, createOwnershipLink, targetProtocol } from "../../../platform/protocols.ts";
-import { createCallerLink } from "../../../src/links/callers.ts";
+import { createOwnershipLink } from "../../../platform/protocols.ts";
 import { systemClock } from "../../../src/links/clock.ts";
-import { silentLog } from "../../../src/links/logs.ts";
-import { createMetrics } from "../../../src/links/metrics.ts";
-import { createGateway } from "../../../src/machines/resident/gateway.ts";
-import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
-import { createRouteTableHolder } from "../../../src/machines/resident/routetableholder.ts";
-import { createTargetRegistry } from "../../../src/machines/resident/targetregistry.ts";
-import { createTargetStates } from "../../../src/machines/resident/targetstates.ts";
-import { noLimits, noNotices } from "./nonotices.ts";
-import { noSuspicions } from "./nosuspicions.ts";
+import { startHost } from "./lonehost.ts";
 
 const timeoutMilliseconds = 600;
 const closeMilliseconds = 1_000;
@@ -58,68 +48,6 @@
     return { address: `127.0.0.1:${port}`, sockets, close };
 };
 
-const startHost = async (address: string) => {
-    const lifetime = new AbortController();
-    const common = { clock: systemClock, log: silentLog, signal: lifetime.signal };
-    const tables = createRouteTableHolder({ decode: platformObjects.decodeTable, log: silentLog });
-    const route = {
-        host: "orders.example",
-        pathPrefix: "/",
-        kind: "safe",
-        timeout: `${timeoutMilliseconds}ms`,
-        targetLatency: "400ms",
-        service: "orders",
-        maxAttempts: 1,
-    };
-    const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3s", idleTimeout: "15s" };
-    const spec = { version: "r1", routes: { r: route }, services: { orders: { maxConnections: 100 } }, limits };
-    tables.put({ name: "main", revision: 1, value: spec });
-    const registry = createTargetRegistry({ decode: platformObjects.decodeTarget, reachableSince: () => 0, ...common });
-    const views = createTargetStates({
-        registry,
-        findPool: name => tables.current()?.table.pools.get(name),
-        hostCount: () => 1,
-        recordOwnRequests: () => undefined,
-        ...common,
-    });
-    const entry = { service: "orders", address, zone: "z", slots: 2, state: "ready", born: 1 };
-    registry.applyList([{ name: "i-1", revision: 2, value: entry }]);
-    const gateway = createGateway({
-        suspicions: noSuspicions,
-        notices: noNotices,
-        limits: noLimits,
-        routeTable: tables,
-        targetStates: views,
-        ownerships: createOwnershipCache(systemClock, silentLog, lifetime.signal),
-        protocol: targetProtocol,
-        zone: "z",
-        retryRatio: 0.2,
-        retrySlack: () => 10,
-        recordKey: () => undefined,
-        recordWork: () => undefined,
-        requestsOfOthers: () => undefined,
-        random: () => 0.5,
-        clock: systemClock,
-        log: silentLog,
-        metrics: createMetrics(),
-    });
-    const link = await createCallerLink({
-        bindAddress: "127.0.0.1",
-        settings: { port: 0, maxHeadBytes: 16_384, maxBodyBytes: 65_536, maxBufferedBodyBytes: 1_048_576 },
-        protocol: callerProtocol,
-        clock: systemClock,
-        serve: gateway.serve,
-        onDone: () => undefined,
-        onMalformed: () => undefined,
-        healthy: () => true,
-    });
-    const close = async (): Promise<void> => {
-        lifetime.abort();
-        await link.close();
-    };
-    return { link, close };
-};
-
 type Received = { text: string; bytes: number; wasReset: boolean; milliseconds: number };
 
 const ask = async (address: string): Promise<Received> => {
@@ -163,7 +91,7 @@
 for (const { title, first, endless, isStreamed } of cases) {
     test.serial(`${title} without end`, async t => {
         const target = await startTarget(first, endless);
-        const host = await startHost(target.address);
+        const host = await startHost({ addresses: [target.address], timeoutMilliseconds });
         t.teardown(target.close);
         t.teardown(host.close);
         const heapBefore = process.memoryUsage().rss;
--- /dev/null
+++ b/test/machines/resident/lonehost.ts
@@ -0,0 +1,92 @@
+/**
+ * A resident host without a store, for tests of what it makes of the bytes that targets send.
+ */
+import { platformObjects } from "../../../platform/objects.ts";
+import { callerProtocol, targetProtocol } from "../../../platform/protocols.ts";
+import { createCallerLink } from "../../../src/links/callers.ts";
+import { systemClock } from "../../../src/links/clock.ts";
+import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
+import { createGateway } from "../../../src/machines/resident/gateway.ts";
+import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
+import { createRouteTableHolder } from "../../../src/machines/resident/routetableholder.ts";
+import { createTargetRegistry } from "../../../src/machines/resident/targetregistry.ts";
+import { createTargetStates } from "../../../src/machines/resident/targetstates.ts";
+import { noLimits, noNotices } from "./nonotices.ts";
+import { noSuspicions } from "./nosuspicions.ts";
+
+export type HostOptions = {
+    /** Addresses of the targets. */
+    addresses: string[];
+    kind?: "safe" | "unsafe";
+    timeoutMilliseconds: number;
+    maxAttempts?: number;
+};
+
+/** Starts a host without a store, whose only pool has these targets. */
+export const startHost = async (
+    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1 }: HostOptions,
+) => {
+    const lifetime = new AbortController();
+    const common = { clock: systemClock, log: silentLog, signal: lifetime.signal };
+    const tables = createRouteTableHolder({ decode: platformObjects.decodeTable, log: silentLog });
+    const route = {
+        host: "orders.example",
+        pathPrefix: "/",
+        kind,
+        timeout: `${timeoutMilliseconds}ms`,
+        targetLatency: "400ms",
+        service: "orders",
+        maxAttempts,
+    };
+    const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3s", idleTimeout: "15s" };
+    const spec = { version: "r1", routes: { r: route }, services: { orders: { maxConnections: 100 } }, limits };
+    tables.put({ name: "main", revision: 1, value: spec });
+    const registry = createTargetRegistry({ decode: platformObjects.decodeTarget, reachableSince: () => 0, ...common });
+    const views = createTargetStates({
+        registry,
+        findPool: name => tables.current()?.table.pools.get(name),
+        hostCount: () => 1,
+        recordOwnRequests: () => undefined,
+        ...common,
+    });
+    registry.applyList(addresses.map((address, index) => ({
+        name: `i-${index + 1}`,
+        revision: index + 1,
+        value: { service: "orders", address, zone: "z", slots: 2, state: "ready", born: 1 },
+    })));
+    const gateway = createGateway({
+        suspicions: noSuspicions,
+        notices: noNotices,
+        limits: noLimits,
+        routeTable: tables,
+        targetStates: views,
+        ownerships: createOwnershipCache(systemClock, silentLog, lifetime.signal),
+        protocol: targetProtocol,
+        zone: "z",
+        retryRatio: 0.2,
+        retrySlack: () => 10,
+        recordKey: () => undefined,
+        recordWork: () => undefined,
+        requestsOfOthers: () => undefined,
+        random: () => 0.5,
+        clock: systemClock,
+        log: silentLog,
+        metrics: createMetrics(),
+    });
+    const link = await createCallerLink({
+        bindAddress: "127.0.0.1",
+        settings: { port: 0, maxHeadBytes: 16_384, maxBodyBytes: 65_536, maxBufferedBodyBytes: 1_048_576 },
+        protocol: callerProtocol,
+        clock: systemClock,
+        serve: gateway.serve,
+        onDone: () => undefined,
+        onMalformed: () => undefined,
+        healthy: () => true,
+    });
+    const close = async (): Promise<void> => {
+        lifetime.abort();
+        await link.close();
+    };
+    return { link, close };
+};
