Take gossip entries of one frame in one after the other

A frame with two versions of one key, the older one last, left the older one: all entries were compared with what was held before the frame. No host sends such a frame today. Found by the new property test, which failed before: entries in any order give the same values and digests on every host.

--- a/src/decisions/gossip.ts
+++ b/src/decisions/gossip.ts
@@ -94,14 +94,15 @@
             hold(entry, now);
             return entry;
         },
-        merge: (received, now) => {
-            const news = received.filter(entry =>
-                entry.version < maxGossipVersion && entry.ageMilliseconds < entry.lifetimeMilliseconds
-                && isNewer(entry, entries.get(entry.key))
-            );
-            news.forEach(entry => hold(entry, now));
-            return news;
-        },
+        merge: (received, now) =>
+            received.filter(entry => {
+                const isNews = entry.version < maxGossipVersion && entry.ageMilliseconds < entry.lifetimeMilliseconds
+                    && isNewer(entry, entries.get(entry.key));
+                if (isNews) {
+                    hold(entry, now);
+                }
+                return isNews;
+            }),
         list: now =>
             living(now).map(({ key, version, origin: by, value, lifetimeMilliseconds, changedAt }) => ({
                 key,
