Tell a caller refused by a target's limit the time at which there is room

It was told to come back one request's time later than needed: 3.25 s for the last of 12 requests at 4 a second, 3.0 s now.

--- a/src/decisions/sharedlimit.ts
+++ b/src/decisions/sharedlimit.ts
@@ -34,7 +34,8 @@
 const burstSeconds = 0.5;
 /** While a request was refused within this time, less urgent ones are refused too. */
 const urgencyMilliseconds = 1_000;
-/** A request is not told to come back later than this. */
+/** A request is not told to come back sooner or later than this. */
+const minRetryAfterMilliseconds = 20;
 const maxRetryAfterMilliseconds = 5_000;
 
 /** Creates a limit whose bucket is empty, since others may have counted before. */
@@ -61,11 +62,13 @@
             }
             refusedAt.set(priority, at);
             const roomMilliseconds = Math.max(0, 1 - tokens) / perMillisecond;
-            backlogEndsAt = Math.min(
-                at + maxRetryAfterMilliseconds,
-                Math.max(backlogEndsAt, at + roomMilliseconds) + 1 / perMillisecond,
-            );
-            return { allowed: false, roomMilliseconds, retryAfterMilliseconds: backlogEndsAt - at };
+            const roomAt = Math.min(at + maxRetryAfterMilliseconds, Math.max(backlogEndsAt, at + roomMilliseconds));
+            backlogEndsAt = roomAt + 1 / perMillisecond;
+            return {
+                allowed: false,
+                roomMilliseconds,
+                retryAfterMilliseconds: Math.max(minRetryAfterMilliseconds, roomAt - at),
+            };
         },
     };
 };
