Look for a hang-up after the wait for a place within a target's limit

A caller that hung up while its host asked whether the target takes one more request had its request sent all the same. Found by reading; the new case of gateway.test.ts failed before and passes.

--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -355,6 +355,9 @@
             if (limited !== undefined) {
                 return limited;
             }
+            if (request.hangUp.happened) {
+                return refuse(context, "cancelled", "The caller hung up before the request was sent.");
+            }
             const attempt = await send(context, targetState);
             if (attempt.kind === "answered") {
                 if (shouldResendAnswer(context, attempt)) {
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -57,7 +57,7 @@
     buildAnswerHeaders: () => ({}),
 };
 
-const setUp = (kind: "idempotent" | "once", ownsKeys: boolean) => {
+const setUp = (kind: "idempotent" | "once", ownsKeys: boolean, limits = noLimits, limit?: number) => {
     const clock = createVirtualClock();
     const { signal } = new AbortController();
     const receivers: AnswerReceiver[] = [];
@@ -106,8 +106,8 @@
         ownerships,
         protocol,
         suspicions: noSuspicions,
-        notices: noNotices,
-        limits: noLimits,
+        notices: { ...noNotices, limitOf: () => limit },
+        limits,
         zone: "z",
         retryRatio: 0.2,
         retrySlack: () => 10,
@@ -154,6 +154,24 @@
     t.is(receivers.length, 0);
 });
 
+test("a request that waits for a place within its target's limit is not sent once its caller has hung up", async t => {
+    let allow: () => void = () => undefined;
+    const limits = {
+        take: () =>
+            new Promise<{ allowed: true }>(resolve => {
+                allow = () => resolve({ allowed: true });
+            }),
+    };
+    const { gateway, request, receivers, hangUp } = setUp("idempotent", false, limits, 2);
+    const answer = gateway.serve(request);
+    await new Promise(resolve => setImmediate(resolve));
+    hangUp();
+    allow();
+    await new Promise(resolve => setImmediate(resolve));
+    t.is(receivers.length, 0);
+    t.is(reasonOf(await answer), "cancelled");
+});
+
 for (const kind of ["idempotent", "once"] as const) {
     test(`a request of route kind ${kind} that waits for a connection is not sent once its caller has hung up`, async t => {
         const { gateway, request, receivers, unreachable, hangUp } = setUp(kind, false);
