Put together what hosts tell one another in a module of its own

host.ts had grown by the wiring of gossip, suspicions, notices and limits; they are one thing and need nothing else of it. No behaviour changes. A function of the peer links that only closed a connection is gone.

--- /dev/null
+++ b/src/machines/resident/fleetfacts.ts
@@ -0,0 +1,85 @@
+/**
+ * What resident hosts tell one another without the store: requests that crash targets, targets that leave, and limits of
+ * targets.
+ */
+import type { Clock } from "../../contracts/clock.ts";
+import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
+import type { PeerDialer, PeerService } from "../../links/peers.ts";
+import { digestHash } from "../../zones/digesthash.ts";
+import { rankedBefore, rankGossipPeers } from "../../zones/gossippeers.ts";
+import type { ReaderCandidate } from "../../zones/readers.ts";
+import { createGossip, gossipPath } from "./gossip.ts";
+import { crashGossipKind, crashGossipSchema, createSuspicions, type Suspicions } from "./suspicions.ts";
+import { createTargetLimits, limitsPath, type TargetLimits } from "./targetlimits.ts";
+import {
+    createTargetNotices,
+    leavingGossipKind,
+    leavingGossipSchema,
+    limitGossipKind,
+    limitGossipSchema,
+    type TargetNotices,
+} from "./targetnotices.ts";
+import type { TargetRegistry } from "./targetregistry.ts";
+import type { TargetStates } from "./targetstates.ts";
+
+export type FleetFacts = {
+    suspicions: Suspicions;
+    notices: TargetNotices;
+    limits: TargetLimits;
+    /** Services that other hosts connect to, by path. */
+    services: Record<string, PeerService>;
+};
+
+export type FleetFactsOptions = {
+    self: ReaderCandidate;
+    /** Returns the known hosts, with or without this one. */
+    hosts: () => ReaderCandidate[];
+    registry: Pick<TargetRegistry, "markLeaving">;
+    targetStates: Pick<TargetStates, "get">;
+    dial: PeerDialer;
+    /** Returns a number from 0 (inclusive) to 1 (exclusive). */
+    random: () => number;
+    clock: Clock;
+    log: Log;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
+
+/** Starts to tell other hosts, and to learn from them. */
+export const createFleetFacts = (options: FleetFactsOptions): FleetFacts => {
+    const { self, hosts, registry, targetStates, dial, random, clock, log, metrics, signal } = options;
+    const gossip = createGossip({
+        self: self.name,
+        kinds: {
+            [crashGossipKind]: crashGossipSchema,
+            [leavingGossipKind]: leavingGossipSchema,
+            [limitGossipKind]: limitGossipSchema,
+        },
+        peers: () => rankGossipPeers(digestHash, self, hosts()),
+        dial,
+        clock,
+        metrics,
+        signal,
+    });
+    const limits = createTargetLimits({
+        rankedBefore: pool => rankedBefore(digestHash, `limits/${pool}`, self, hosts()),
+        dial,
+        clock,
+        metrics,
+        signal,
+    });
+    return {
+        suspicions: createSuspicions({ gossip, targetStates, random, clock, log, metrics }),
+        notices: createTargetNotices({
+            gossip,
+            onLeaving: registry.markLeaving,
+            onLimit: limits.prepare,
+            clock,
+            log,
+            metrics,
+        }),
+        limits,
+        services: { [gossipPath]: gossip.service, [limitsPath]: limits.service },
+    };
+};
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -19,12 +19,11 @@
 import type { Metrics } from "../../links/metrics.ts";
 import { createPeerDialer, openPeerEndpoint } from "../../links/peers.ts";
 import { digestHash } from "../../zones/digesthash.ts";
-import { rankedBefore, rankGossipPeers } from "../../zones/gossippeers.ts";
 import { chooseReaders, type ReaderCandidate, readersToTell } from "../../zones/readers.ts";
 import { storeKinds } from "./coordination.ts";
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
+import { createFleetFacts } from "./fleetfacts.ts";
 import { createGateway } from "./gateway.ts";
-import { createGossip, gossipPath } from "./gossip.ts";
 import { createLoadReporter } from "./loadreporter.ts";
 import { createOwnershipCache } from "./ownershipcache.ts";
 import { processKind, registerProcess } from "./processes.ts";
@@ -35,15 +34,6 @@
 import { createStateServer } from "./stateserver.ts";
 import { createStateSource, type ReadPace } from "./statesource.ts";
 import { createStoreWatcher, type StoreWatcher } from "./storewatcher.ts";
-import { crashGossipKind, crashGossipSchema, createSuspicions } from "./suspicions.ts";
-import { createTargetLimits, limitsPath } from "./targetlimits.ts";
-import {
-    createTargetNotices,
-    leavingGossipKind,
-    leavingGossipSchema,
-    limitGossipKind,
-    limitGossipSchema,
-} from "./targetnotices.ts";
 import { createTargetRegistry } from "./targetregistry.ts";
 import { createTargetStates } from "./targetstates.ts";
 
@@ -270,7 +260,7 @@
             processor: share * speed,
             loads: loadReporter.loadsOf(pool),
             work: loadReporter.workOf(pool),
-            limitOf: notices.limitOf,
+            limitOf: facts.notices.limitOf,
             reachableSince: () => coordinationWatcher.reachableSince(),
             maxHoldMilliseconds: settings.ownership.maxHold,
             clock,
@@ -305,44 +295,27 @@
         }
     };
 
-    const gossip = createGossip({
-        self: settings.host.name,
-        kinds: {
-            [crashGossipKind]: crashGossipSchema,
-            [leavingGossipKind]: leavingGossipSchema,
-            [limitGossipKind]: limitGossipSchema,
-        },
-        peers: () => rankGossipPeers(digestHash, self, processes.hosts()),
-        dial,
-        clock,
-        metrics,
-        signal,
-    });
-    const limits = createTargetLimits({
-        rankedBefore: pool => rankedBefore(digestHash, `limits/${pool}`, self, processes.hosts()),
+    const facts = createFleetFacts({
+        self,
+        hosts: processes.hosts,
+        registry,
+        targetStates,
         dial,
-        clock,
-        metrics,
-        signal,
-    });
-    const notices = createTargetNotices({
-        gossip,
-        onLeaving: registry.markLeaving,
-        onLimit: limits.prepare,
+        random,
         clock,
         log,
         metrics,
+        signal,
     });
-    const suspicions = createSuspicions({ gossip, targetStates, random, clock, log, metrics });
 
     const gateway = createGateway({
         routeTable,
         targetStates,
         ownerships,
         protocol: options.targetProtocol,
-        suspicions,
-        notices,
-        limits,
+        suspicions: facts.suspicions,
+        notices: facts.notices,
+        limits: facts.limits,
         zone,
         retryRatio: settings.retries.ratio * retryRatioFactor,
         retrySlack: () => settings.retries.slack / Math.max(minHostsSharingSlack, processes.hostCount() ?? 0),
@@ -389,8 +362,7 @@
         [loadReportPath]: loadReporter.service,
         [statePath]: server.service,
         [loadsPath]: sharedLoads.service,
-        [gossipPath]: gossip.service,
-        [limitsPath]: limits.service,
+        ...facts.services,
     };
     await openPeerEndpoint(settings.links.listen, services, peerOptions);
     const targetWatcher = watch(
--- a/src/machines/resident/peerlinks.ts
+++ b/src/machines/resident/peerlinks.ts
@@ -36,8 +36,6 @@
     first: (group: string) => PeerConnection | "opening" | undefined;
     /** Whether the host is linked, or has not failed to be for a while. */
     isReachable: (host: ReaderCandidate) => boolean;
-    /** Closes the link to a host that does not answer, and tries others first for a while. */
-    giveUp: (connection: PeerConnection) => void;
     /** Looks at the groups now. */
     update: () => void;
 };
@@ -160,7 +158,6 @@
             return undefined;
         },
         isReachable: mayTry,
-        giveUp: connection => connection.close(),
         update,
     };
 };
--- a/src/machines/resident/targetlimits.ts
+++ b/src/machines/resident/targetlimits.ts
@@ -186,7 +186,7 @@
                 metrics.count("limit-questions", { result: "unanswered" });
                 answer(undefined);
                 if (missing >= maxUnanswered) {
-                    links.giveUp(connection);
+                    connection.close();
                 }
             });
             openQuestions.set(id, { connection, answer });
