Choose the target of a request in a module of its own

No behaviour changes; 97 tests of the gateway and of real processes pass. The tests of processes share what tells that a host is ready.

--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -7,24 +7,19 @@
 import type { Reason } from "../../contracts/outcome.ts";
 import { routeKinds } from "../../contracts/pool.ts";
 import type { ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
-import {
-    expectedMilliseconds,
-    placeRequest,
-    type RefusedPlacement,
-    retryAfterMilliseconds,
-} from "../../decisions/placement.ts";
+import { expectedMilliseconds, retryAfterMilliseconds } from "../../decisions/placement.ts";
 import { decideResend } from "../../decisions/resend.ts";
 import { createRetryBudget, type RetryBudget } from "../../decisions/retry.ts";
 import { choosePool } from "../../decisions/routetable.ts";
-import type { CallerAnswer, CallerRefusal } from "../../links/callers.ts";
+import type { CallerAnswer } from "../../links/callers.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { type AttemptResult, sendOnce } from "./attempt.ts";
-import { type Candidate, createCandidateSelector } from "./candidateselector.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
 import { createRefusal, refuse, type RequestContext } from "./requestcontext.ts";
 import type { RouteTableHolder } from "./routetableholder.ts";
 import type { Suspicions } from "./suspicions.ts";
+import { createTargetChooser, shedBlockMilliseconds } from "./targetchooser.ts";
 import type { TargetLimits } from "./targetlimits.ts";
 import type { TargetNotices } from "./targetnotices.ts";
 import type { TargetState, TargetStates } from "./targetstates.ts";
@@ -72,20 +67,10 @@
     serve: (request: ResidentRequest) => Promise<CallerAnswer>;
 };
 
-/**
- * Nothing is sent to a target for this time after it shed a request. The time until one of its slots is free is about
- * as long, but depends on the pool. This is also the delay, before a random spread, after which a caller is told to
- * retry when no target of a pool without key owners is usable.
- */
-const shedBlockMilliseconds = 60;
-/** A target whose limit left no room is not asked for again for at least this time. */
-const minLimitedMilliseconds = 20;
 /** A request waits at most this share of its latency objective for its key to get a usable owner. */
 const holdShareOfObjective = 0.4;
 /** Failures that the caller causes; they are not recorded as failures of the target. */
 const callerSideReasons = new Set<Reason>(["caller-gone", "cancelled"]);
-/** Delay, before a random spread, after which a caller is told to retry when its key has no usable owner. */
-const noOwnerRetryMilliseconds = 300;
 /**
  * Delay after which a caller is told to retry when no route table was read yet, or when the route's pool is not in the
  * table.
@@ -96,15 +81,7 @@
 
 /** Creates the gateway of one host. */
 export const createGateway = (options: GatewayOptions): Gateway => {
-    const { routeTable, targetStates, ownerships, clock, log, metrics, random } = options;
-    const candidateSelector = createCandidateSelector({
-        targetStates,
-        ownerships,
-        requestsOfOthers: options.requestsOfOthers,
-        zone: options.zone,
-        random,
-        clock,
-    });
+    const { routeTable, targetStates, clock, log, metrics, random } = options;
     const budgets = new Map<string, RetryBudget>();
 
     const budgetOf = (pool: string): RetryBudget => {
@@ -125,50 +102,7 @@
 
     const remaining = (context: RequestContext): number => endOf(context) - clock.now();
 
-    /**
-     * Returns the targets to which the request may go. In a pool that owns keys, waits for the key to get a usable
-     * owner; returns a refusal when there is none in time.
-     */
-    const findCandidates = async (context: RequestContext): Promise<Candidate[] | CallerRefusal> => {
-        const { pool, request } = context;
-        if (!pool.isSharded) {
-            const usable = candidateSelector.usableTargets(context);
-            if (usable.length > 0) {
-                return usable;
-            }
-            const wait = candidateSelector.untilUsable(pool.name);
-            const detail = `No target of pool "${pool.name}" takes new work.`;
-            const retryAfter = retryAfterMilliseconds(Math.max(shedBlockMilliseconds, wait?.milliseconds ?? 0), random);
-            return refuse(context, wait?.reason ?? "no-target", detail, retryAfter);
-        }
-        if (request.key === undefined) {
-            return refuse(context, "missing-key", `Pool "${pool.name}" needs a key.`);
-        }
-        for (;;) {
-            const owner = candidateSelector.keyOwner(context);
-            if (typeof owner !== "string" && "pausedMilliseconds" in owner) {
-                const detail = `The owner of key ${request.key} of pool "${pool.name}" wants no requests for a while.`;
-                return refuse(
-                    context,
-                    "target-paused",
-                    detail,
-                    retryAfterMilliseconds(owner.pausedMilliseconds, random),
-                );
-            }
-            if (typeof owner !== "string") {
-                return [owner];
-            }
-            const left = context.holdUntil - clock.now();
-            if (left <= 0 || request.hangUp.happened) {
-                const detail = `Key ${request.key} of pool "${pool.name}": ${owner}.`;
-                return refuse(context, "no-owner", detail, retryAfterMilliseconds(noOwnerRetryMilliseconds, random));
-            }
-            // Counts each wait: a request may wait several times.
-            metrics.count("holds", { pool: pool.name });
-            await ownerships.waitForChange(pool.name, left);
-            context.failedTargets.clear();
-        }
-    };
+    const chooser = createTargetChooser({ ...options, remaining });
 
     const recordAttempt = (context: RequestContext, targetState: TargetState, attempt: AttemptResult): void => {
         if (attempt.kind === "answered") {
@@ -221,7 +155,7 @@
             sends: context.sends,
             maxAttempts: route.maxAttempts,
             remainingMilliseconds: remaining(context),
-            expectedMilliseconds: candidateSelector.typicalServiceMilliseconds(pool.name),
+            expectedMilliseconds: chooser.typicalServiceMilliseconds(pool.name),
         });
         if (verdict === "counted" && !budgetOf(pool.name).take(clock.now())) {
             metrics.count("resends-refused", { reason: "budget-spent" });
@@ -272,92 +206,17 @@
         && context.route.kind === routeKinds.idempotent
         && mayResend(context, "answer-malformed", false, true);
 
-    /**
-     * Asks for a place within the limit that the target has named. Returns a refusal for a request whose key nobody else
-     * may serve; `elsewhere` for one that may go to another target.
-     */
-    const takeFromLimit = async (
-        context: RequestContext,
-        state: TargetState,
-    ): Promise<CallerRefusal | "elsewhere" | undefined> => {
-        const perSecond = options.notices.limitOf(state.target);
-        if (perSecond === undefined) {
-            return undefined;
-        }
-        const { request, route, pool } = context;
-        const { name, incarnation } = state.target;
-        const target = `${name}#${incarnation}`;
-        const verdict = await options.limits.take({ pool: pool.name, target, perSecond, priority: route.priority });
-        if (verdict.allowed) {
-            return undefined;
-        }
-        const { roomMilliseconds, retryAfterMilliseconds } = verdict;
-        log.info("limit-refused", {
-            request: request.id,
-            target,
-            perSecond,
-            roomMilliseconds: Math.round(roomMilliseconds),
-            retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-        });
-        if (pool.isSharded) {
-            const detail = `Target "${name}" takes ${perSecond} requests a second.`;
-            return refuse(context, "target-limited", detail, retryAfterMilliseconds);
-        }
-        state.limitedUntil = clock.now() + Math.max(minLimitedMilliseconds, roomMilliseconds);
-        return "elsewhere";
-    };
-
-    const logRefusedPlacement = (context: RequestContext, placement: RefusedPlacement<Candidate>): void => {
-        const { targetState, serviceMilliseconds, load } = placement.candidate;
-        log.info("placement-refused", {
-            request: context.request.id,
-            pool: context.pool.name,
-            target: targetState.target.name,
-            expectedMilliseconds: Math.round(placement.expectedMilliseconds),
-            remainingMilliseconds: Math.round(remaining(context)),
-            serviceMilliseconds: Math.round(serviceMilliseconds),
-            load: Math.round(load * 10) / 10,
-            own: targetState.load.ownRequests(),
-            toldAgeMilliseconds: Math.round(targetState.load.reportAge(clock.now())),
-            retryAfterMilliseconds: Math.round(placement.retryAfterMilliseconds),
-        });
-    };
-
     const forward = async (context: RequestContext): Promise<CallerAnswer> => {
         const { request, route } = context;
         for (;;) {
             if (options.suspicions.isQuarantined(request)) {
                 return refuse(context, "quarantined", "The request crashed targets and is refused for a while.");
             }
-            const candidates = await findCandidates(context);
-            if (request.hangUp.happened) {
-                return refuse(context, "cancelled", "The caller hung up before the request was sent.");
-            }
-            if (!Array.isArray(candidates)) {
-                return candidates;
-            }
-            const limits = {
-                objectiveMilliseconds: route.objectiveMilliseconds,
-                remainingMilliseconds: remaining(context),
-            };
-            const placement = placeRequest(candidates, limits, random);
-            if (placement.verdict === "refused") {
-                logRefusedPlacement(context, placement);
-                const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, `
-                    + `of ${Math.round(limits.remainingMilliseconds)} ms left.`;
-                return refuse(context, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
-            }
-            const { targetState } = placement.candidate;
-            const limited = await takeFromLimit(context, targetState);
-            if (limited === "elsewhere") {
-                continue;
-            }
-            if (limited !== undefined) {
-                return limited;
-            }
-            if (request.hangUp.happened) {
-                return refuse(context, "cancelled", "The caller hung up before the request was sent.");
+            const chosen = await chooser.choose(context);
+            if ("kind" in chosen) {
+                return chosen;
             }
+            const { targetState } = chosen;
             const attempt = await send(context, targetState);
             if (attempt.kind === "answered") {
                 if (shouldResendAnswer(context, attempt)) {
@@ -375,7 +234,7 @@
             if (!resend) {
                 // The delay, before its random spread, is half the expected time to an answer from this target.
                 const wait = attempt.notRun
-                    ? retryAfterMilliseconds(expectedMilliseconds(placement.candidate) / 2, random)
+                    ? retryAfterMilliseconds(expectedMilliseconds(chosen) / 2, random)
                     : undefined;
                 return refuse(context, attempt.reason, attempt.detail, wait);
             }
--- /dev/null
+++ b/src/machines/resident/targetchooser.ts
@@ -0,0 +1,175 @@
+/**
+ * Chooses the target to which a request is sent next: waits for the owner of its key, compares the usable targets, and
+ * asks for a place within a limit that the target has named.
+ */
+import { placeRequest, type RefusedPlacement, retryAfterMilliseconds } from "../../decisions/placement.ts";
+import type { CallerRefusal } from "../../links/callers.ts";
+import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
+import { type Candidate, type CandidateSelectorOptions, createCandidateSelector } from "./candidateselector.ts";
+import { refuse, type RequestContext } from "./requestcontext.ts";
+import type { TargetLimits } from "./targetlimits.ts";
+import type { TargetNotices } from "./targetnotices.ts";
+import type { TargetState } from "./targetstates.ts";
+
+export type TargetChooserOptions = CandidateSelectorOptions & {
+    notices: Pick<TargetNotices, "limitOf">;
+    limits: Pick<TargetLimits, "take">;
+    /** Returns the milliseconds until the request must have its answer. */
+    remaining: (context: RequestContext) => number;
+    log: Log;
+    metrics: Metrics;
+};
+
+export type TargetChooser = {
+    /** Resolves to the target that is chosen, or to a refusal. Asked again after each send that failed. */
+    choose: (context: RequestContext) => Promise<Candidate | CallerRefusal>;
+    /** Returns the median service time of the pool's targets. */
+    typicalServiceMilliseconds: (pool: string) => number;
+};
+
+/**
+ * Nothing is sent to a target for this time after it shed a request. The time until one of its slots is free is about
+ * as long, but depends on the pool. This is also the delay, before a random spread, after which a caller is told to
+ * retry when no target of a pool without key owners is usable.
+ */
+export const shedBlockMilliseconds = 60;
+/** A target whose limit left no room is not asked for again for at least this time. */
+const minLimitedMilliseconds = 20;
+/** Delay, before a random spread, after which a caller is told to retry when its key has no usable owner. */
+const noOwnerRetryMilliseconds = 300;
+
+/** Creates the chooser of one host. */
+export const createTargetChooser = (options: TargetChooserOptions): TargetChooser => {
+    const { ownerships, remaining, clock, log, metrics, random } = options;
+    const candidateSelector = createCandidateSelector(options);
+
+    /**
+     * Returns the targets to which the request may go. In a pool that owns keys, waits for the key to get a usable
+     * owner; returns a refusal when there is none in time.
+     */
+    const findCandidates = async (context: RequestContext): Promise<Candidate[] | CallerRefusal> => {
+        const { pool, request } = context;
+        if (!pool.isSharded) {
+            const usable = candidateSelector.usableTargets(context);
+            if (usable.length > 0) {
+                return usable;
+            }
+            const wait = candidateSelector.untilUsable(pool.name);
+            const detail = `No target of pool "${pool.name}" takes new work.`;
+            const retryAfter = retryAfterMilliseconds(Math.max(shedBlockMilliseconds, wait?.milliseconds ?? 0), random);
+            return refuse(context, wait?.reason ?? "no-target", detail, retryAfter);
+        }
+        if (request.key === undefined) {
+            return refuse(context, "missing-key", `Pool "${pool.name}" needs a key.`);
+        }
+        for (;;) {
+            const owner = candidateSelector.keyOwner(context);
+            if (typeof owner !== "string" && "pausedMilliseconds" in owner) {
+                const detail = `The owner of key ${request.key} of pool "${pool.name}" wants no requests for a while.`;
+                return refuse(
+                    context,
+                    "target-paused",
+                    detail,
+                    retryAfterMilliseconds(owner.pausedMilliseconds, random),
+                );
+            }
+            if (typeof owner !== "string") {
+                return [owner];
+            }
+            const left = context.holdUntil - clock.now();
+            if (left <= 0 || request.hangUp.happened) {
+                const detail = `Key ${request.key} of pool "${pool.name}": ${owner}.`;
+                return refuse(context, "no-owner", detail, retryAfterMilliseconds(noOwnerRetryMilliseconds, random));
+            }
+            // Counts each wait: a request may wait several times.
+            metrics.count("holds", { pool: pool.name });
+            await ownerships.waitForChange(pool.name, left);
+            context.failedTargets.clear();
+        }
+    };
+
+    /**
+     * Asks for a place within the limit that the target has named. Returns a refusal for a request whose key nobody else
+     * may serve; `elsewhere` for one that may go to another target.
+     */
+    const takeFromLimit = async (
+        context: RequestContext,
+        state: TargetState,
+    ): Promise<CallerRefusal | "elsewhere" | undefined> => {
+        const perSecond = options.notices.limitOf(state.target);
+        if (perSecond === undefined) {
+            return undefined;
+        }
+        const { request, route, pool } = context;
+        const { name, incarnation } = state.target;
+        const target = `${name}#${incarnation}`;
+        const verdict = await options.limits.take({ pool: pool.name, target, perSecond, priority: route.priority });
+        if (verdict.allowed) {
+            return undefined;
+        }
+        const { roomMilliseconds, retryAfterMilliseconds } = verdict;
+        log.info("limit-refused", {
+            request: request.id,
+            target,
+            perSecond,
+            roomMilliseconds: Math.round(roomMilliseconds),
+            retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+        });
+        if (pool.isSharded) {
+            const detail = `Target "${name}" takes ${perSecond} requests a second.`;
+            return refuse(context, "target-limited", detail, retryAfterMilliseconds);
+        }
+        state.limitedUntil = clock.now() + Math.max(minLimitedMilliseconds, roomMilliseconds);
+        return "elsewhere";
+    };
+
+    const logRefusedPlacement = (context: RequestContext, placement: RefusedPlacement<Candidate>): void => {
+        const { targetState, serviceMilliseconds, load } = placement.candidate;
+        log.info("placement-refused", {
+            request: context.request.id,
+            pool: context.pool.name,
+            target: targetState.target.name,
+            expectedMilliseconds: Math.round(placement.expectedMilliseconds),
+            remainingMilliseconds: Math.round(remaining(context)),
+            serviceMilliseconds: Math.round(serviceMilliseconds),
+            load: Math.round(load * 10) / 10,
+            own: targetState.load.ownRequests(),
+            toldAgeMilliseconds: Math.round(targetState.load.reportAge(clock.now())),
+            retryAfterMilliseconds: Math.round(placement.retryAfterMilliseconds),
+        });
+    };
+
+    const choose = async (context: RequestContext): Promise<Candidate | CallerRefusal> => {
+        const { request, route } = context;
+        for (;;) {
+            const candidates = await findCandidates(context);
+            if (request.hangUp.happened) {
+                return refuse(context, "cancelled", "The caller hung up before the request was sent.");
+            }
+            if (!Array.isArray(candidates)) {
+                return candidates;
+            }
+            const limits = {
+                objectiveMilliseconds: route.objectiveMilliseconds,
+                remainingMilliseconds: remaining(context),
+            };
+            const placement = placeRequest(candidates, limits, random);
+            if (placement.verdict === "refused") {
+                logRefusedPlacement(context, placement);
+                const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, `
+                    + `of ${Math.round(limits.remainingMilliseconds)} ms left.`;
+                return refuse(context, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
+            }
+            const limited = await takeFromLimit(context, placement.candidate.targetState);
+            if (request.hangUp.happened) {
+                return refuse(context, "cancelled", "The caller hung up before the request was sent.");
+            }
+            if (limited !== "elsewhere") {
+                return limited ?? placement.candidate;
+            }
+        }
+    };
+
+    return { choose, typicalServiceMilliseconds: candidateSelector.typicalServiceMilliseconds };
+};
--- a/test/platform/limits.test.ts
+++ b/test/platform/limits.test.ts
@@ -9,8 +9,8 @@
 import {
     buildProgram,
     entry,
+    isReady,
     limits,
-    type Program,
     route,
     sendRequest,
     services,
@@ -29,9 +29,6 @@
 const lateMilliseconds = 4_000;
 const minServedLate = 0.85;
 
-const isReady = (program: Program): Promise<boolean> =>
-    sendRequest(program.healthPort, "/").then(answer => answer.statusCode === 200, () => false);
-
 /** Most arrivals in a window that begins after the time. */
 const mostInWindow = (arrivals: number[], since: number): number => {
     const counted = arrivals.filter(at => at >= since);
--- a/test/platform/notices.test.ts
+++ b/test/platform/notices.test.ts
@@ -10,6 +10,7 @@
     type Answer,
     buildProgram,
     entry,
+    isReady,
     limits,
     type Program,
     route,
@@ -19,9 +20,6 @@
     waitUntil,
 } from "./program.ts";
 
-const isReady = (program: Program): Promise<boolean> =>
-    sendRequest(program.healthPort, "/").then(answer => answer.statusCode === 200, () => false);
-
 type Setup = { store: StoreStandIn; backends: BackendStandIn[]; programs: Program[] };
 
 /** Starts hosts with targets of one pool and waits until requests can be served. */
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -69,6 +69,9 @@
     }
 };
 
+export const isReady = (program: Program): Promise<boolean> =>
+    sendRequest(program.healthPort, "/").then(answer => answer.statusCode === 200, () => false);
+
 export const route = (host: string, service: string, kind: string) => ({
     host,
     pathPrefix: "/a/",
--- a/test/platform/quarantine.test.ts
+++ b/test/platform/quarantine.test.ts
@@ -9,8 +9,8 @@
     type Answer,
     buildProgram,
     entry,
+    isReady,
     limits,
-    type Program,
     route,
     sendRequest,
     services,
@@ -24,9 +24,6 @@
 const maxLateSends = 3;
 const spreadMilliseconds = 3_000;
 
-const isReady = (program: Program): Promise<boolean> =>
-    sendRequest(program.healthPort, "/").then(answer => answer.statusCode === 200, () => false);
-
 for (const kind of ["safe", "unsafe"]) {
     test(`a ${kind} request that crashed three targets reaches at most three more through any host`, async t => {
         const store = await startStoreStandIn();
