--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -216,11 +216,13 @@
 
 /**
  * A link from one machine to an address. Cut, it is silent, or it resets what is open and what is opened ("reset"); then
- * bytes on their way are lost.
+ * bytes on their way are lost. `stall` makes the open connections silent for good, while new ones work. `onBytes` is
+ * called with what the machine sends.
  */
-export const openLink = async ({ onEnd }, address) => {
+export const openLink = async ({ onEnd }, address, onBytes = () => undefined) => {
     const [host, port] = address.split(":");
     const sockets = new Set();
+    const stalled = new WeakSet();
     let state = "open";
     const server = createTcpServer({ pauseOnConnect: true }, near => {
         near.on("error", () => undefined);
@@ -230,13 +232,21 @@
         }
         const far = connect({ host, port: Number(port) });
         far.on("error", () => undefined);
+        const isOpen = () => state === "open" && !stalled.has(near);
         for (const [one, other] of [[near, far], [far, near]]) {
             sockets.add(one);
-            one.on("data", bytes => state === "open" && other.write(bytes));
-            one.on("end", () => state === "open" && other.end());
+            one.on("data", bytes => {
+                if (isOpen()) {
+                    other.write(bytes);
+                }
+                if (one === near) {
+                    onBytes(bytes);
+                }
+            });
+            one.on("end", () => isOpen() && other.end());
             one.on("close", () => {
                 sockets.delete(one);
-                if (state === "open") {
+                if (isOpen()) {
                     other.destroy();
                 }
             });
@@ -256,6 +266,7 @@
                 sockets.forEach(socket => socket.resetAndDestroy());
             }
         },
+        stall: () => sockets.forEach(socket => stalled.add(socket)),
         /** What was under way is lost: those that waited have given up and reset their connections. */
         heal: () => {
             sockets.forEach(socket => socket.resetAndDestroy());
