--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -12,7 +12,7 @@
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
-import { setTimeout as after } from "node:timers";
+import { clearTimeout, setTimeout as after } from "node:timers";
 import { setTimeout as sleep } from "node:timers/promises";
 import { URL } from "node:url";
 
@@ -76,8 +76,6 @@
     }
 };
 
-const clearTimeout = timer => timer.close();
-
 const readBody = async stream => {
     const parts = [];
     for await (const part of stream) {
