Wait at the start for addresses and descriptors that come later

A host whose address the machine did not have yet ended by itself within 20 ms (EADDRNOTAVAIL, code 1), as it did when the system had no descriptors for a moment: the start waited for EADDRINUSE only. Class: what a machine gets a moment after its processes start.

A table now says which errors are waited for and how long (src/decisions/startwait.ts, docs/operations/start.md). What a new process would find the same is waited for until a stop; an address in use still ends the process after the grace, counted from when it was first in use; all other errors end it at once. Settings that cannot be opened for want of descriptors are waited for too, and a wait for settings has a line on standard error.

--- a/src/links/listening.ts
+++ b/src/links/listening.ts
@@ -1,9 +1,10 @@
 /**
  * Opens an address on which a host listens. Another process may hold it for a moment: the former process of the host
- * while it stops, or one whose outgoing connection was given the port.
+ * while it stops, or one whose outgoing connection was given the port. A machine may also get the address later.
  */
 import type { Clock } from "../contracts/clock.ts";
 import { messageOf } from "../contracts/errors.ts";
+import { codeOf, startWaitOf } from "../decisions/startwait.ts";
 import type { Log } from "./logs.ts";
 
 export type ListeningOptions = {
@@ -17,29 +18,42 @@
 
 const retryMilliseconds = 100;
 
-const isAddressInUse = (error: unknown): boolean => (error as NodeJS.ErrnoException).code === "EADDRINUSE";
+/** A wait that goes on is logged again after this time. */
+const noticeMilliseconds = 30_000;
 
 /**
- * Calls `open` until it succeeds. Rejects with its error when that is another one than `EADDRINUSE`, when the address
- * is still in use after `waitMilliseconds`, or when the signal aborts.
+ * Calls `open` until it succeeds. Rejects with its error when that is one to end at (`decisions/startwait.ts`), when the
+ * address was in use for `waitMilliseconds`, or when the signal aborts.
  */
 export const listenWithRetries = async <Endpoint>(
     address: string,
     open: () => Promise<Endpoint>,
     { waitMilliseconds, clock, log, signal }: ListeningOptions,
 ): Promise<Endpoint> => {
-    const startedAt = clock.now();
-    for (let attempt = 1;; attempt += 1) {
+    let cause: string | undefined;
+    let since = clock.now();
+    let noticedAt = -Infinity;
+    for (;;) {
         try {
             return await open();
         }
         catch (error) {
-            const afterMilliseconds = Math.round(clock.now() - startedAt);
-            if (!isAddressInUse(error) || afterMilliseconds >= waitMilliseconds || signal.aborted) {
+            const wait = startWaitOf(error);
+            const now = clock.now();
+            if (codeOf(error) !== cause) {
+                cause = codeOf(error);
+                since = now;
+                noticedAt = -Infinity;
+            }
+            const isOver = wait?.lasts === "grace" && now - since >= waitMilliseconds;
+            if (wait === undefined || isOver || signal.aborted) {
                 throw error;
             }
-            if (attempt === 1) {
-                log.warn("address-in-use", { address, waitMilliseconds, error: messageOf(error) });
+            if (now - noticedAt >= noticeMilliseconds) {
+                noticedAt = now;
+                const afterMilliseconds = Math.round(now - since);
+                const until = wait.lasts === "grace" ? { waitMilliseconds } : {};
+                log.warn(wait.event, { address, afterMilliseconds, ...until, error: messageOf(error) });
             }
             await clock.sleep(retryMilliseconds, signal);
         }
--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -7,6 +7,7 @@
 import { InputError, messageOf } from "../contracts/errors.ts";
 import { describeFinding } from "../contracts/finding.ts";
 import { type ResidentSettings, residentSettingsSchema } from "../contracts/residentsettings.ts";
+import { startWaitOf } from "../decisions/startwait.ts";
 import type { Log } from "./logs.ts";
 import { checkYaml } from "./yaml.ts";
 
@@ -15,11 +16,17 @@
         return readFileSync(file, "utf8");
     }
     catch (error) {
+        if (startWaitOf(error) !== undefined) {
+            throw error;
+        }
         throw new InputError(`The settings file "${file}" is not readable: ${messageOf(error)}.`);
     }
 };
 
-/** Reads a settings file, or throws an `InputError` that lists every finding. */
+/**
+ * Reads a settings file, or throws an `InputError` that lists every finding. Throws the system's own error when there
+ * are no descriptors to open it.
+ */
 export const readResidentSettings = (file: string): ResidentSettings => {
     const { value, findings } = checkYaml(file, readText(file), residentSettingsSchema);
     if (value === undefined) {
@@ -32,23 +39,34 @@
 
 /**
  * Reads the settings at the start of a process. The file may be missing, empty or half written while it is replaced, so
- * an error counts only when it lasts for `waitMilliseconds`. Resolves to undefined when the signal aborts before.
+ * an error counts only when it lasts for `waitMilliseconds`, and one for want of descriptors never. Resolves to undefined
+ * when the signal aborts before. `onWait` gets each new finding.
  */
 export const awaitResidentSettings = async (
     file: string,
     waitMilliseconds: number,
     clock: Clock,
     signal: AbortSignal,
+    onWait: (finding: string) => void = () => undefined,
+    read: (file: string) => ResidentSettings = readResidentSettings,
 ): Promise<ResidentSettings | undefined> => {
-    const startedAt = clock.now();
+    let endsAt = clock.now() + waitMilliseconds;
+    let lastFinding: string | undefined;
     while (!signal.aborted) {
         try {
-            return readResidentSettings(file);
+            return read(file);
         }
         catch (error) {
-            if (clock.now() - startedAt >= waitMilliseconds) {
+            if (startWaitOf(error)?.lasts === "until-stopped") {
+                endsAt = clock.now() + waitMilliseconds;
+            }
+            else if (clock.now() >= endsAt) {
                 throw error;
             }
+            if (messageOf(error) !== lastFinding) {
+                lastFinding = messageOf(error);
+                onWait(lastFinding);
+            }
             await clock.sleep(startRetryMilliseconds, signal);
         }
     }
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -122,6 +122,7 @@
     name?: string;
     /** Port for the links to other hosts. */
     linksPort?: number;
+    linksHost?: string;
     grace?: string;
     /** Prepares the settings file in place of writing it. */
     prepareFile?: (file: string, settings: string) => void;
@@ -132,7 +133,7 @@
 
 export const startProgram = async (
     store: StoreStandIn,
-    { name = "h1", linksPort, grace = "6s", prepareFile = writeFileSync }: ProgramOptions = {},
+    { name = "h1", linksPort, linksHost = "127.0.0.1", grace = "6s", prepareFile = writeFileSync }: ProgramOptions = {},
 ): Promise<Program> => {
     const [callersPort, healthPort, linksAt] = [await freePort(), await freePort(), linksPort ?? await freePort()];
     const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
@@ -140,7 +141,7 @@
         `host: { name: ${name}, zone: z1 }`,
         `callers: { listen: "127.0.0.1:${callersPort}" }`,
         `health: { listen: "127.0.0.1:${healthPort}" }`,
-        `links: { listen: "127.0.0.1:${linksAt}" }`,
+        `links: { listen: "${linksHost}:${linksAt}" }`,
         `store: { address: "${store.address}" }`,
         `stopping: { grace: ${grace} }`,
     ].join("\n");
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -104,6 +104,15 @@
     t.regex(program.log(), /event=address-in-use/);
 });
 
+test.serial("an address that the machine does not have yet is waited for beyond the grace, until a stop", async t => {
+    const program = await start(t, { linksHost: "192.0.2.1", grace: "1s" });
+    await sleep(2_500);
+    t.false(hasEnded(program));
+    t.regex(program.log(), /event=address-not-there-yet .*EADDRNOTAVAIL/);
+    program.child.kill("SIGTERM");
+    await assertStopsWell(t, program);
+});
+
 const unwritten: Array<{ title: string; first: string | undefined }> = [
     { title: "missing", first: undefined },
     { title: "empty", first: "" },
