Start long tasks again after an exception

A loop that ended by an exception never started again: the host went on and did nothing of it.

Each long task of a resident host now has an owner (machines/longtasks.ts): it is started again after a pause that grows with failures, with a line that names it and a counter.

--- a/src/machines/resident/eventloopmonitor.ts
+++ b/src/machines/resident/eventloopmonitor.ts
@@ -6,6 +6,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { sampleLateness } from "../loadshedding.ts";
+import { keepRunning } from "../longtasks.ts";
 
 /** Tasks that can block the event loop on a small machine. */
 export type HostTask = "plan" | "renew" | "ownership" | "table" | "targets" | "report";
@@ -67,7 +68,7 @@
         longestDelay = 0;
         reportedAt = now;
     };
-    void sampleLateness({ onSample: onTurn, clock, signal });
+    void keepRunning("lateness", () => sampleLateness({ onSample: onTurn, clock, signal }), options);
 
     return {
         measure: (task, run) => {
--- a/src/machines/resident/fleetfacts.ts
+++ b/src/machines/resident/fleetfacts.ts
@@ -59,6 +59,7 @@
         peers: () => rankGossipPeers(digestHash, self, hosts()),
         dial,
         clock,
+        log,
         metrics,
         signal,
     });
@@ -66,6 +67,7 @@
         rankedBefore: pool => rankedBefore(digestHash, `limits/${pool}`, self, hosts()),
         dial,
         clock,
+        log,
         metrics,
         signal,
     });
--- a/src/machines/resident/gossip.ts
+++ b/src/machines/resident/gossip.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import type { Clock } from "../../contracts/clock.ts";
 import { createGossipState, type GossipEntry, maxGossipVersion } from "../../decisions/gossip.ts";
+import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerService } from "../../links/peers.ts";
 import { gossipLinks, type GossipPeers } from "../../zones/gossippeers.ts";
@@ -31,6 +32,7 @@
     peers: () => GossipPeers;
     dial: PeerDialer;
     clock: Clock;
+    log: Log;
     metrics: Metrics;
     signal: AbortSignal;
 };
@@ -83,7 +85,7 @@
 
 /** Starts to gossip. */
 export const createGossip = (options: GossipOptions): Gossip => {
-    const { kinds, clock, metrics, signal } = options;
+    const { kinds, clock, log, metrics, signal } = options;
     const state = createGossipState(options.self, maxEntries);
     const listeners = new Map<string, GossipListener[]>();
     /** Entries that wait to be sent, each with the link that it came from. */
@@ -191,6 +193,8 @@
         },
         onClose: () => undefined,
         clock,
+        log,
+        metrics,
         signal,
     });
 
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -157,6 +157,8 @@
         sendToReader: source.sendLoads,
         sendToFollowers: message => server.sendLoads(message),
         clock,
+        log,
+        metrics,
         signal,
     });
     const server = createStateServer({
@@ -191,6 +193,7 @@
             onRecovered: () => watchers.forEach(other => other.retryNow()),
             clock,
             log,
+            metrics,
             signal,
         });
         watchers.push(watcher);
@@ -247,6 +250,8 @@
         },
         measure,
         clock,
+        log,
+        metrics,
         signal,
     });
     const lastCoordination = new Map<string, StoreObject>();
--- a/src/machines/resident/loadreporter.ts
+++ b/src/machines/resident/loadreporter.ts
@@ -6,7 +6,10 @@
 import { createKeyLoads, type KeyLoads } from "../../decisions/keyload.ts";
 import { createServiceTimes, type ServiceTimes } from "../../decisions/servicetimes.ts";
 import { createLoadReportSender, createLoadReportService, type LoadReport } from "../../links/loadreports.ts";
+import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer, PeerService } from "../../links/peers.ts";
+import { keepRunning } from "../longtasks.ts";
 import type { EventLoopMonitor } from "./eventloopmonitor.ts";
 
 export type LoadReporter = {
@@ -28,6 +31,8 @@
     coordinatorAddress: (pool: string) => "self" | string | undefined;
     measure: EventLoopMonitor["measure"];
     clock: Clock;
+    log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -86,7 +91,7 @@
             pools.forEach((pool, name) => sendReport(name, pool));
         }
     };
-    void reportRepeatedly();
+    void keepRunning("load-reports", reportRepeatedly, options);
 
     return {
         service: createLoadReportService(report => options.measure("report", () => addReport(report))),
--- a/src/machines/resident/peerlinks.ts
+++ b/src/machines/resident/peerlinks.ts
@@ -3,8 +3,11 @@
  * a beat at regular intervals: a link on which nothing is heard is closed, since a connection may go silent for good.
  */
 import type { Clock } from "../../contracts/clock.ts";
+import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerListener, PeerService } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
+import { repeatTask } from "../longtasks.ts";
 
 /** Hosts of which the first `count` that can be reached are linked. */
 export type PeerGroup = { candidates: readonly ReaderCandidate[]; count: number };
@@ -24,6 +27,8 @@
     onFrame: (connection: PeerConnection, value: unknown) => boolean;
     onClose: (connection: PeerConnection) => void;
     clock: Clock;
+    log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -123,14 +128,10 @@
         }
     };
 
-    const repeat = async (milliseconds: number, task: () => void): Promise<void> => {
-        while (!signal.aborted) {
-            await clock.sleep(milliseconds, signal);
-            task();
-        }
-    };
-    void repeat(updateMilliseconds, update);
-    void repeat(options.beatMilliseconds, () => {
+    const repeat = (name: string, milliseconds: number, task: () => void): void =>
+        void repeatTask(`${name} ${options.path}`, () => milliseconds, task, options);
+    repeat("links", updateMilliseconds, update);
+    repeat("beats", options.beatMilliseconds, () => {
         closeSilent();
         const beat = options.beat();
         heardAt.forEach((...[, connection]) => connection.send(beat));
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -27,6 +27,7 @@
 import { effectiveLimit } from "../../decisions/sharedlimit.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
+import { keepRunning } from "../longtasks.ts";
 import { createCoordinator } from "./coordination.ts";
 import type { EventLoopMonitor } from "./eventloopmonitor.ts";
 import { createGrants } from "./grants.ts";
@@ -281,19 +282,24 @@
         moves.start(currentRanges());
     };
 
-    const repeat = async (pause: () => number, work: () => Promise<unknown>): Promise<void> => {
-        while (!signal.aborted) {
-            await work();
-            await clock.sleep(pause(), signal);
-        }
+    /** Each run starts from the ownership and the holds as they are then, so that a failure leaves nothing to repeat. */
+    const repeat = (name: string, pause: () => number, work: () => unknown): void => {
+        const run = async (): Promise<void> => {
+            while (!signal.aborted) {
+                await work();
+                await clock.sleep(pause(), signal);
+            }
+        };
+        void keepRunning(`${name} ${pool}`, run, { clock, log, metrics, signal });
     };
-    void repeat(
+    repeat(
+        "coordination",
         () => moves.arePending() ? movingStepMilliseconds : stepMilliseconds,
         () => runStep("step", () => coordinator.ownership() === undefined ? coordinator.tryTakeOver() : coordinate()),
     );
-    void repeat(() => heartbeatMilliseconds, () => runStep("beat", coordinator.heartbeat));
+    repeat("coordination-beat", () => heartbeatMilliseconds, () => runStep("beat", coordinator.heartbeat));
     const renew = (): void => measure("renew", () => grants.renew(currentRanges().filter(moves.isGrantable)));
-    void repeat(() => stepMilliseconds, () => Promise.resolve(renew()));
+    repeat("grant-renewal", () => stepMilliseconds, renew);
 
     return {
         applyCoordination: coordinator.applyCoordination,
--- a/src/machines/resident/sharedloads.ts
+++ b/src/machines/resident/sharedloads.ts
@@ -5,8 +5,11 @@
  */
 import type { Clock } from "../../contracts/clock.ts";
 import { type LoadsMessage, loadsPath, loadsSchema } from "../../contracts/statemessages.ts";
+import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerService } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
+import { keepRunning } from "../longtasks.ts";
 
 export type SharedLoads = {
     /** Records how many requests this host has at the target. */
@@ -37,6 +40,8 @@
     sendToReader: (message: LoadsMessage) => boolean;
     sendToFollowers: (message: LoadsMessage) => void;
     clock: Clock;
+    log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -159,7 +164,7 @@
             (options.isReader() ? shareAsReader : shareAsFollower)();
         }
     };
-    void shareRepeatedly();
+    void keepRunning("shared-loads", shareRepeatedly, options);
 
     return {
         record: (target, requests) => {
--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -12,9 +12,11 @@
     statePath,
     type ValuePatch,
 } from "../../contracts/statemessages.ts";
+import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
+import { keepRunning } from "../longtasks.ts";
 import type { StateCache } from "./statecache.ts";
 import { statusMilliseconds } from "./stateserver.ts";
 
@@ -49,6 +51,7 @@
     /** Called with loads that the reader passed on. */
     onLoads: (message: LoadsMessage) => void;
     clock: Clock;
+    log: Log;
     metrics: Metrics;
     signal: AbortSignal;
 };
@@ -57,7 +60,7 @@
 
 /** Starts to follow the reader. Ends when it is closed, when the reader is silent, or when the signal aborts. */
 export const createStateFollow = (options: StateFollowOptions): StateFollow => {
-    const { cache, kinds, patches, clock, reader, metrics } = options;
+    const { cache, kinds, patches, clock, reader, log, metrics } = options;
     const lifetime = new AbortController();
     const signal = AbortSignal.any([options.signal, lifetime.signal]);
     let state: FollowState = "waiting";
@@ -155,7 +158,7 @@
             }
         }
     };
-    void closeWhenSilent();
+    void keepRunning("reader-silence", closeWhenSilent, { clock, log, metrics, signal });
 
     return {
         reader,
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -15,6 +15,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerService } from "../../links/peers.ts";
+import { keepRunning } from "../longtasks.ts";
 import type { StateCache } from "./statecache.ts";
 
 export type StateServerOptions = {
@@ -182,7 +183,7 @@
             followers.forEach(dropIfStuck);
         }
     };
-    void announceRepeatedly();
+    void keepRunning("reader-status", announceRepeatedly, { clock, log, metrics, signal });
 
     cache.onAdvance(kind => {
         if (options.isCurrent()) {
--- a/src/machines/resident/statesource.ts
+++ b/src/machines/resident/statesource.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer } from "../../links/peers.ts";
 import type { ReaderCandidate, ReaderChoice } from "../../zones/readers.ts";
+import { keepRunning } from "../longtasks.ts";
 import type { StateCache } from "./statecache.ts";
 import { createStateFollow, type StateFollow } from "./statefollow.ts";
 
@@ -403,15 +404,19 @@
 
     const sendLoads = (message: LoadsMessage): boolean => source.kind === "reader" && source.follow.sendLoads(message);
 
+    let isSearching = false;
     const searchRepeatedly = async (): Promise<void> => {
         await options.hostsKnown;
-        awaitReaderUntil = clock.now() + startingReaderMilliseconds;
+        if (!isSearching) {
+            isSearching = true;
+            awaitReaderUntil = clock.now() + startingReaderMilliseconds;
+        }
         while (!signal.aborted) {
             const pause = await search();
             await waitForSearch(pause * (1 + searchSpread * (random() - 0.5)));
         }
     };
-    searchRepeatedly().catch((error: unknown) => log.error("reader-search-ended", { error: messageOf(error) }));
+    void keepRunning("reader-search", searchRepeatedly, { clock, log, metrics, signal });
 
     return { list, watch, isCurrent, name: () => nameOf(source), reconsider: wakeSearch, sendLoads };
 };
--- a/src/machines/resident/storewatcher.ts
+++ b/src/machines/resident/storewatcher.ts
@@ -7,6 +7,8 @@
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
 import type { Log } from "../../links/logs.ts";
+import type { Metrics } from "../../links/metrics.ts";
+import { keepRunning } from "../longtasks.ts";
 
 export type StoreWatcherOptions = {
     store: Pick<ObjectStore, "list" | "watch">;
@@ -26,6 +28,7 @@
     onRecovered: () => void;
     clock: Clock;
     log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -140,19 +143,20 @@
         }
     };
 
-    const synced = (async () => {
-        while (position === undefined && !signal.aborted) {
-            await step();
-        }
-    })();
+    let endSync: () => void = () => undefined;
+    const synced = new Promise<void>(resolve => {
+        endSync = resolve;
+    });
 
     const run = async (): Promise<void> => {
-        await synced;
         while (!signal.aborted) {
             await step();
+            if (position !== undefined) {
+                endSync();
+            }
         }
     };
-    run().catch((error: unknown) => log.error("store-watch-ended", { kind, error: messageOf(error) }));
+    void keepRunning(`store-watch ${kind}`, run, options).then(endSync);
 
     return { synced, reachableSince: () => reachableSince, retryNow: () => wake() };
 };
--- a/src/machines/resident/targetlimits.ts
+++ b/src/machines/resident/targetlimits.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import type { Clock } from "../../contracts/clock.ts";
 import { createSharedLimit, type LimitVerdict, type SharedLimit } from "../../decisions/sharedlimit.ts";
+import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerService } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
@@ -34,6 +35,7 @@
     rankedBefore: (pool: string) => ReaderCandidate[];
     dial: PeerDialer;
     clock: Clock;
+    log: Log;
     metrics: Metrics;
     signal: AbortSignal;
 };
@@ -86,7 +88,7 @@
 
 /** Starts to keep limits. */
 export const createTargetLimits = (options: TargetLimitsOptions): TargetLimits => {
-    const { clock, metrics, signal } = options;
+    const { clock, log, metrics, signal } = options;
     /** Pools in which a target has a limit, with the time of the last question and the hosts that rank before this one. */
     const pools = new Map<string, { usedAt: number; rankedAt: number; candidates: ReaderCandidate[] }>();
     /** What this host counts, by target. */
@@ -130,6 +132,8 @@
             );
         },
         clock,
+        log,
+        metrics,
         signal,
     });
 
--- a/test/machines/resident/controllers.ts
+++ b/test/machines/resident/controllers.ts
@@ -49,9 +49,9 @@
         const { signal } = lifetime;
         const clock = createPausableClock(world);
         const access = shared.access();
-        const state = { cut: false, cutFrom: new Set<string>(), plans: 0 };
+        const state = { cut: false, cutFrom: new Set<string>(), plans: 0, failing: "" };
         const loads = createKeyLoads();
-        const common = { clock, log: silentLog, signal };
+        const common = { clock, log: silentLog, metrics, signal };
         const watcherOptions = {
             store: access.store,
             waitMilliseconds: 3_000,
@@ -106,9 +106,15 @@
             reachableSince: () => coordinationWatcher.reachableSince(),
             maxHoldMilliseconds: 10_000,
             wallClock: world.now,
-            measure: (...[, run]) => run(),
+            /** Throws once for the task that is to fail. */
+            measure: (task, run) => {
+                if (state.failing === task) {
+                    state.failing = "";
+                    throw new Error(`${task} failed`);
+                }
+                return run();
+            },
             random: () => 0.1,
-            metrics,
             ...common,
         });
         return { process, clock, access, state, controller, kill: () => lifetime.abort() };
--- a/test/machines/resident/oddframes.test.ts
+++ b/test/machines/resident/oddframes.test.ts
@@ -3,6 +3,7 @@
  * none may change what the host holds.
  */
 import test from "ava";
+import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import type { PeerConnection, PeerService } from "../../../src/links/peers.ts";
 import { createGossip } from "../../../src/machines/resident/gossip.ts";
@@ -69,6 +70,7 @@
         const common = {
             dial: () => connection,
             clock,
+            log: silentLog,
             metrics: createMetrics(),
             signal: new AbortController().signal,
         };
--- a/test/machines/resident/rangecontroller.test.ts
+++ b/test/machines/resident/rangecontroller.test.ts
@@ -60,6 +60,12 @@
         faultMilliseconds: 5_000,
         unservedMilliseconds: 0,
     },
+    ...["renew", "plan"].map((task): Case => ({
+        title: `the coordinator's task "${task}" ends once by an exception`,
+        fault: ({ coordinator }) => coordinator.state.failing = task,
+        faultMilliseconds: 9_000,
+        unservedMilliseconds: 0,
+    })),
     {
         title: "the coordinator is paused for 6 s and then resumes",
         fault: ({ coordinator }) => coordinator.clock.pause(),
--- a/test/machines/resident/sharedloads.test.ts
+++ b/test/machines/resident/sharedloads.test.ts
@@ -7,6 +7,8 @@
 import { loadsPath } from "../../../src/contracts/statemessages.ts";
 import { placeRequest } from "../../../src/decisions/placement.ts";
 import { createTargetLoad, type TargetLoad } from "../../../src/decisions/targetload.ts";
+import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
 import { createSharedLoads, type SharedLoads } from "../../../src/machines/resident/sharedloads.ts";
 import type { ReaderCandidate } from "../../../src/zones/readers.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
@@ -161,6 +163,8 @@
                         all.get(other)?.receiveTotals(message)
                     ),
                 clock,
+                log: silentLog,
+                metrics: createMetrics(),
                 signal,
             });
             if (isReader) {
--- a/test/machines/resident/storewatcher.test.ts
+++ b/test/machines/resident/storewatcher.test.ts
@@ -3,6 +3,7 @@
  */
 import test from "ava";
 import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
 import { createStoreWatcher } from "../../../src/machines/resident/storewatcher.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
 import { createFakeStore, type StoreFault } from "./fakestore.ts";
@@ -30,6 +31,7 @@
         onRecovered: () => undefined,
         clock,
         log: silentLog,
+        metrics: createMetrics(),
         signal: lifetime.signal,
     });
     return { clock, fake, current, reported, watcher, lifetime };
@@ -123,6 +125,7 @@
         onRecovered: () => undefined,
         clock,
         log: silentLog,
+        metrics: createMetrics(),
         signal,
     });
     fake.put("config", "a", "odd");
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -78,6 +78,7 @@
             peers: () => rankGossipPeers(digestHash, host, candidates),
             dial: network.dialerOf(host.address),
             clock: hostClock,
+            log: silentLog,
             metrics,
             signal: lifetime.signal,
         });
--- a/test/machines/resident/targetlimits.test.ts
+++ b/test/machines/resident/targetlimits.test.ts
@@ -63,7 +63,13 @@
         const lifetime = new AbortController();
         const hostClock = createPausableClock(clock);
         const metrics = createMetrics();
-        const common = { dial: network.dialerOf(host.address), clock: hostClock, metrics, signal: lifetime.signal };
+        const common = {
+            dial: network.dialerOf(host.address),
+            clock: hostClock,
+            log: silentLog,
+            metrics,
+            signal: lifetime.signal,
+        };
         const gossip = createGossip({
             self: host.name,
             kinds: { [leavingGossipKind]: leavingGossipSchema, [limitGossipKind]: limitGossipSchema },
