Show the descriptors in use by part of the program

Of the connections of a resident host nothing told how many there are and whose. The metrics now have a gauge for each part (callers, targets, hosts, store, endpoints), also for connections that are still being opened, and the limit of the process. test/platform/descriptors.test.ts reads them from the built program.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -76,6 +76,8 @@
     settings: Pick<Settings["callers"], "port" | "maxHeadBytes" | "maxBodyBytes" | "maxBufferedBodyBytes">;
     protocol: CallerProtocol<Request>;
     clock: Clock;
+    /** Called with each connection that is accepted. */
+    onConnection?: (socket: Socket) => void;
     /** Routes a request whose body is complete. */
     serve: (request: Request) => Promise<CallerAnswer>;
     /** Called once for each request, after its answer was written or its caller has hung up. */
@@ -288,6 +290,7 @@
     );
     server.on("connection", socket => {
         sockets.add(socket);
+        options.onConnection?.(socket);
         socket.once("close", () => sockets.delete(socket));
     });
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool as ConnectionPool } from "undici";
+import { countConnections, descriptorParts, type Descriptors } from "./descriptors.ts";
 
 export type TargetRequest = {
     method: string;
@@ -172,6 +173,8 @@
     connections: number;
     /** Limit on the time in which a connection is opened. */
     connectMilliseconds: number;
+    /** Counts the connections. */
+    descriptors?: Descriptors;
 };
 
 /**
@@ -179,8 +182,9 @@
  * targets.ts, it has no connection for grants, health, load and cancellations.
  */
 export const createExchangeLink = (
-    { address, connections, connectMilliseconds }: ExchangeLinkOptions,
+    { address, connections, connectMilliseconds, descriptors }: ExchangeLinkOptions,
 ): ExchangeLink => {
+    const connect = createResetDetectingConnector(connectMilliseconds);
     // Created on first use: a host knows hundreds of targets and sends to some of them only.
     let pool: ConnectionPool | undefined;
     let isClosed = false;
@@ -188,7 +192,9 @@
         pool ??= new ConnectionPool(`http://${address}`, {
             connections,
             pipelining: 1,
-            connect: createResetDetectingConnector(connectMilliseconds),
+            connect: descriptors === undefined
+                ? connect
+                : countConnections(connect, descriptorParts.targets, descriptors),
         });
         return pool;
     };
--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -3,6 +3,7 @@
  * that is abandoned resets its connection, so that bytes that a network partition holds back are not delivered later.
  */
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import type { Socket } from "node:net";
 import { messageOf } from "../contracts/errors.ts";
 
 export type JsonCall = {
@@ -29,9 +30,14 @@
 /** Idle connections are closed after this time, before targets close them. */
 const idleTimeoutMilliseconds = 5_000;
 
-/** Creates a caller with its own connections. */
-export const createJsonCaller = (): JsonCaller => {
+/**
+ * Creates a caller with its own connections.
+ *
+ * @param onConnection called with each connection once, when it begins to be opened.
+ */
+export const createJsonCaller = (onConnection?: (socket: Socket) => void): JsonCaller => {
     const agent = new Agent({ keepAlive: true, timeout: idleTimeoutMilliseconds });
+    const known = new WeakSet<Socket>();
 
     const post = (call: JsonCall): Promise<JsonCallResult> =>
         new Promise(resolve => {
@@ -71,6 +77,10 @@
                 call.timeoutMilliseconds,
             );
             outgoing.on("socket", socket => {
+                if (!known.has(socket)) {
+                    known.add(socket);
+                    onConnection?.(socket);
+                }
                 if (!socket.connecting) {
                     connected = true;
                     return;
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -4,6 +4,7 @@
  * the process.
  */
 import { WebSocket, WebSocketServer } from "ws";
+import { descriptorParts, type Descriptors } from "./descriptors.ts";
 import { decodeFrame, encodeFrame } from "./frames.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
@@ -33,7 +34,13 @@
 /** Accepts a connection of another host. */
 export type PeerService = (connection: PeerConnection) => PeerListener;
 
-export type PeerOptions = { log: Log; metrics: Metrics; signal: AbortSignal };
+export type PeerOptions = {
+    /** Counts the connections. */
+    descriptors?: Descriptors;
+    log: Log;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
 
 const maxFrameBytes = 8_388_608;
 
@@ -95,6 +102,7 @@
             maxPayload: maxFrameBytes,
         });
         server.on("connection", (socket, request) => {
+            options.descriptors?.track(descriptorParts.hosts, request.socket);
             const path = request.url ?? "";
             const service = Object.hasOwn(services, path) ? services[path] : undefined;
             if (service === undefined) {
@@ -133,8 +141,10 @@
             maxPayload: maxFrameBytes,
         });
         open.add(socket);
+        const release = options.descriptors?.open(descriptorParts.hosts);
         const onClose = (): void => {
             open.delete(socket);
+            release?.();
             listener.onClose();
         };
         listenTo(socket, path, { ...listener, onClose }, options);
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import type { Socket } from "node:net";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
@@ -13,6 +14,7 @@
 import { loadsPath, statePath } from "../../contracts/statemessages.ts";
 import { ownershipPatch } from "../../decisions/ownershipchanges.ts";
 import { type CallerProtocol, createCallerLink } from "../../links/callers.ts";
+import { descriptorParts, type Descriptors } from "../../links/descriptors.ts";
 import { type HttpEndpoint, type HttpEndpointAnswer, openHttpEndpoint } from "../../links/httpendpoint.ts";
 import { listenWithRetries } from "../../links/listening.ts";
 import { loadReportPath } from "../../links/loadreports.ts";
@@ -51,6 +53,8 @@
     processorMilliseconds: () => number;
     /** Returns a number from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
+    /** Counts the connections of this host. */
+    descriptors: Descriptors;
     log: Log;
     metrics: Metrics;
     /** Returns all metrics as text. */
@@ -92,7 +96,7 @@
 
 /** Starts the host. Resolves when it accepts requests. Rejects when one of its addresses cannot be opened. */
 export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
-    const { settings, store, objects, clock, metrics, random } = options;
+    const { settings, store, objects, descriptors, clock, metrics, random } = options;
     const { zone, processor: { share, speed } } = settings.host;
     const log = options.log.child({ host: settings.host.name });
     const lifetime = new AbortController();
@@ -111,7 +115,7 @@
     const { processorMilliseconds } = options;
     const { measure } = createEventLoopMonitor({ processorMilliseconds, clock, log, metrics, signal });
 
-    const peerOptions = { log, metrics, signal };
+    const peerOptions = { descriptors, log, metrics, signal };
     const dial = createPeerDialer(peerHandshakeMilliseconds, peerOptions);
     const self: ReaderCandidate = {
         name: settings.host.name,
@@ -235,6 +239,7 @@
         findPool: poolOf,
         hostCount: () => processes.hostCount() ?? 0,
         recordOwnRequests: sharedLoads.record,
+        descriptors,
         clock,
         signal,
     });
@@ -337,6 +342,7 @@
     const openCallers = () =>
         createCallerLink<ResidentRequest>({
             bindAddress: callersHost,
+            onConnection: socket => descriptors.track(descriptorParts.callers, socket),
             settings: {
                 port: Number(callersPort),
                 maxHeadBytes,
@@ -400,8 +406,9 @@
 
     const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
     let started = false;
+    const countEndpoint = (socket: Socket): void => descriptors.track(descriptorParts.endpoints, socket);
     const openEndpoint = (listen: string, answer: () => HttpEndpointAnswer): Promise<HttpEndpoint> =>
-        listenWithRetries(listen, () => openHttpEndpoint(listen, answer), listening);
+        listenWithRetries(listen, () => openHttpEndpoint(listen, answer, countEndpoint), listening);
     const health = await openEndpoint(settings.health.listen, () => ({
         statusCode: isReady() ? 200 : 503,
         contentType: "text/plain",
@@ -409,7 +416,10 @@
     }));
     const metricsServer = settings.metrics === undefined ? undefined : await openEndpoint(
         settings.metrics.listen,
-        () => ({ statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() }),
+        () => {
+            descriptors.report();
+            return { statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() };
+        },
     );
 
     void Promise.all(watchers.map(watcher => watcher.synced)).then(() => {
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
+import type { Descriptors } from "../../links/descriptors.ts";
 import { createExchangeLink, type ExchangeLink } from "../../links/exchange.ts";
 import type { TargetRegistry } from "./targetregistry.ts";
 
@@ -50,6 +51,8 @@
     hostCount: () => number;
     /** Called with the number of this host's requests at a target when it changes. */
     recordOwnRequests: (target: string, requests: number) => void;
+    /** Counts the connections to targets. */
+    descriptors?: Descriptors;
     clock: Clock;
     signal: AbortSignal;
 };
@@ -67,7 +70,7 @@
 
 /** Creates the states and updates them when the registry changes. */
 export const createTargetStates = (
-    { registry, findPool, hostCount, recordOwnRequests, clock, signal }: TargetStatesOptions,
+    { registry, findPool, hostCount, recordOwnRequests, descriptors, clock, signal }: TargetStatesOptions,
 ): TargetStates => {
     const states = new Map<string, TargetState>();
 
@@ -81,7 +84,7 @@
         return {
             target,
             load: createTargetLoad(target.slots, own => recordOwnRequests(target.name, own)),
-            link: createExchangeLink({ address: target.address, connections, connectMilliseconds }),
+            link: createExchangeLink({ address: target.address, connections, connectMilliseconds, descriptors }),
             failureShare: 0,
             blockedUntil: 0,
             pausedUntil: 0,
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -24,7 +24,7 @@
 /** Below the ports that systems give to outgoing connections, which may take a free one before the program does. */
 const portRange = { first: 20_000, count: 12_000 };
 
-const freePort = async (): Promise<number> => {
+export const freePort = async (): Promise<number> => {
     for (;;) {
         const port = portRange.first + Math.floor(Math.random() * portRange.count);
         const server = createServer();
@@ -123,6 +123,10 @@
     /** Port for the links to other hosts. */
     linksPort?: number;
     grace?: string;
+    /** Port of the metrics; none by default. */
+    metricsPort?: number;
+    /** Limit on the open files of the process; that of this process by default. */
+    openFiles?: number;
     /** Prepares the settings file in place of writing it. */
     prepareFile?: (file: string, settings: string) => void;
 };
@@ -132,7 +136,7 @@
 
 export const startProgram = async (
     store: StoreStandIn,
-    { name = "h1", linksPort, grace = "6s", prepareFile = writeFileSync }: ProgramOptions = {},
+    { name = "h1", linksPort, grace = "6s", metricsPort, openFiles, prepareFile = writeFileSync }: ProgramOptions = {},
 ): Promise<Program> => {
     const [callersPort, healthPort, linksAt] = [await freePort(), await freePort(), linksPort ?? await freePort()];
     const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
@@ -143,9 +147,12 @@
         `links: { listen: "127.0.0.1:${linksAt}" }`,
         `store: { address: "${store.address}" }`,
         `stopping: { grace: ${grace} }`,
+        metricsPort === undefined ? "" : `metrics: { listen: "127.0.0.1:${metricsPort}" }`,
     ].join("\n");
     prepareFile(file, settings);
-    const child = spawn(process.execPath, programArguments, {
+    const limited = ["-c", `ulimit -n ${openFiles} && exec "$0" "$@"`, process.execPath, ...programArguments];
+    const [command, args] = openFiles === undefined ? [process.execPath, programArguments] : ["sh", limited];
+    const child = spawn(command, args, {
         env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
         stdio: ["ignore", "pipe", "inherit"],
     });
