Keep callers from taking the descriptors that the host needs

Idle callers could take all descriptors of a host. Then new callers were closed without an answer, a reload failed (EMFILE, settings-refused), and no connection to a target, the store or another host could be opened until callers left. Nothing divided the process's limit among the parts of a host.

The servers of callers, other hosts, health and metrics admit connections within their part (links/connectionlimit.ts): a new one closes the one that has been idle longest, or is closed itself while none is idle. A connection on which an answer is due or a request was received in part is never closed for another, nor one that was idle for less than 250 ms, as a request may be on its way.

test/platform/descriptors.test.ts starts the built program with 256 open files and 300 idle callers.

--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -31,6 +31,14 @@
         /** Resends that all hosts together may make in that window regardless of the number of requests. */
         slack: z.number().min(0).default(10),
     }).prefault({}),
+    /**
+     * Descriptors that the deployment allows the process, none or 0 where it does not tell; the process's own limit
+     * holds too. `files` of them are kept for files.
+     */
+    descriptors: z.object({
+        limit: z.int().nonnegative().nullish().transform(limit => (limit ?? 0) === 0 ? undefined : limit ?? undefined),
+        files: z.int().nonnegative().default(48),
+    }).prefault({}),
     logs: z.object({ level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info") }).prefault({}),
 });
 
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -2,7 +2,7 @@
  * The link to callers: an HTTP server that reads requests within limits, passes them to the router, and writes back the
  * answers of targets or refusals. A `CallerProtocol` reads the requests and formats the refusals.
  */
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Clock } from "../contracts/clock.ts";
 import { type Outcome, type Reason, reasons } from "../contracts/outcome.ts";
@@ -76,8 +76,8 @@
     settings: Pick<Settings["callers"], "port" | "maxHeadBytes" | "maxBodyBytes" | "maxBufferedBodyBytes">;
     protocol: CallerProtocol<Request>;
     clock: Clock;
-    /** Called with each connection that is accepted. */
-    onConnection?: (socket: Socket) => void;
+    /** Limits the connections of the server. */
+    limitConnections?: (server: Server) => void;
     /** Routes a request whose body is complete. */
     serve: (request: Request) => Promise<CallerAnswer>;
     /** Called once for each request, after its answer was written or its caller has hung up. */
@@ -288,9 +288,9 @@
             });
         },
     );
+    options.limitConnections?.(server);
     server.on("connection", socket => {
         sockets.add(socket);
-        options.onConnection?.(socket);
         socket.once("close", () => sockets.delete(socket));
     });
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
--- /dev/null
+++ b/src/links/connectionlimit.ts
@@ -0,0 +1,109 @@
+/**
+ * Admits connections to a server within a number of descriptors. When they are used up, the connection that has been
+ * idle longest is closed in favour of a new one; while none is idle, the new one is closed.
+ */
+import type { Server } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../contracts/clock.ts";
+import type { DescriptorPart } from "../decisions/descriptors.ts";
+import type { Descriptors } from "./descriptors.ts";
+
+export type ConnectionLimitOptions = {
+    /** The part to which the connections belong. */
+    part: DescriptorPart;
+    descriptors: Descriptors;
+    clock: Pick<Clock, "now">;
+};
+
+export type ConnectionLimit = {
+    /** Keeps or closes a new connection. */
+    admit: (socket: Socket) => void;
+    /** Tells that a connection is in use now. */
+    touch: (socket: Socket) => void;
+};
+
+/** A request may be on its way on a connection that has been idle for less. */
+const minIdleMilliseconds = 250;
+/** Connections that are looked at for one that is idle. Those in use are then looked at last. */
+const maxLookedAt = 64;
+
+/**
+ * Creates the limit of one server.
+ *
+ * @param isIdle whether no answer is due on a connection and no request was received in part.
+ */
+export const createConnectionLimit = (
+    { part, descriptors, clock }: ConnectionLimitOptions,
+    isIdle: (socket: Socket) => boolean,
+): ConnectionLimit => {
+    /** When each connection was last in use, from the one that was not for longest. */
+    const usedAt = new Map<Socket, number>();
+
+    const touch = (socket: Socket): void => {
+        if (usedAt.delete(socket)) {
+            usedAt.set(socket, clock.now());
+        }
+    };
+
+    const findIdle = (): Socket | undefined => {
+        const idleSince = clock.now() - minIdleMilliseconds;
+        let lookedAt = 0;
+        for (const [socket, since] of usedAt) {
+            lookedAt += 1;
+            if (since > idleSince || lookedAt > maxLookedAt) {
+                return undefined;
+            }
+            if (isIdle(socket)) {
+                return socket;
+            }
+            touch(socket);
+        }
+        return undefined;
+    };
+
+    const admit = (socket: Socket): void => {
+        if (descriptors.isFull(part)) {
+            const idle = findIdle();
+            descriptors.recordFull(part, idle === undefined ? "new" : "idle");
+            if (idle === undefined) {
+                socket.destroy();
+                return;
+            }
+            usedAt.delete(idle);
+            idle.destroy();
+        }
+        descriptors.track(part, socket);
+        usedAt.set(socket, clock.now());
+        socket.once("close", () => usedAt.delete(socket));
+    };
+
+    return { admit, touch };
+};
+
+/**
+ * Follows the requests of a server's connections. Returns whether a connection is idle: no answer is due on it, and
+ * nothing was received since the last one.
+ *
+ * @param onUse called when a request begins or its answer is written.
+ */
+export const trackRequests = (server: Server, onUse: (socket: Socket) => void): (socket: Socket) => boolean => {
+    const due = new WeakMap<Socket, number>();
+    const bytesAtLastAnswer = new WeakMap<Socket, number>();
+    server.on("request", ({ socket }, response) => {
+        due.set(socket, (due.get(socket) ?? 0) + 1);
+        onUse(socket);
+        response.once("close", () => {
+            due.set(socket, (due.get(socket) ?? 0) - 1);
+            bytesAtLastAnswer.set(socket, socket.bytesRead);
+            onUse(socket);
+        });
+    });
+    return socket => (due.get(socket) ?? 0) === 0 && socket.bytesRead === (bytesAtLastAnswer.get(socket) ?? 0);
+};
+
+/** Limits the connections of an HTTP server. */
+export const limitConnections = (server: Server, options: ConnectionLimitOptions): void => {
+    const isIdle = trackRequests(server, socket => limit.touch(socket));
+    const limit = createConnectionLimit(options, isIdle);
+    server.on("connection", limit.admit);
+};
--- a/src/links/descriptors.ts
+++ b/src/links/descriptors.ts
@@ -1,37 +1,46 @@
 /**
- * The process's descriptors that are connections, counted by the part of the program that uses them.
+ * The process's descriptors that are connections: counted by the part of the host that uses them, each of which has a
+ * limit.
  */
 import { readFileSync } from "node:fs";
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
+import type { Clock } from "../contracts/clock.ts";
+import {
+    type DescriptorLimits,
+    type DescriptorPart,
+    descriptorParts,
+    divideDescriptors,
+    effectiveLimit,
+} from "../decisions/descriptors.ts";
+import { createLogRateLimit } from "../decisions/lograte.ts";
+import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
 
-/** `endpoints` are the connections of health checks and of those who fetch the metrics. */
-export const descriptorParts = {
-    callers: "callers",
-    targets: "targets",
-    hosts: "hosts",
-    store: "store",
-    endpoints: "endpoints",
-} as const;
-export type DescriptorPart = (typeof descriptorParts)[keyof typeof descriptorParts];
-
 export type Descriptors = {
     /** Counts one descriptor in the part until the returned function is called. */
     open: (part: DescriptorPart) => () => void;
     /** Counts a connection in the part until it closes. */
     track: (part: DescriptorPart, socket: Socket) => void;
     inUse: (part: DescriptorPart) => number;
+    /** Whether the part has no descriptor left. */
+    isFull: (part: DescriptorPart) => boolean;
+    /** Counts and logs that the part is used up, and which connection was closed or not opened for it. */
+    recordFull: (part: DescriptorPart, closed: "idle" | "new") => void;
     /** Sets the gauges. */
     report: () => void;
 };
 
 export type DescriptorsOptions = {
-    /** Descriptors that the process may have open; undefined when it is not known. */
-    limit: number | undefined;
-    metrics: Pick<Metrics, "gauge">;
+    limits: DescriptorLimits;
+    clock: Pick<Clock, "now">;
+    log: Log;
+    metrics: Pick<Metrics, "count" | "gauge">;
 };
 
+/** Lines a second, for each part, that tell that it is used up. */
+const linesPerSecond = 1;
+
 /** Returns the process's own limit on its open files; undefined when the system does not tell or has no limit. */
 export const readOpenFilesLimit = (file = "/proc/self/limits"): number | undefined => {
     try {
@@ -43,9 +52,15 @@
     }
 };
 
-/** Creates the counts of one process. */
-export const createDescriptors = ({ limit, metrics }: DescriptorsOptions): Descriptors => {
+/** Divides the descriptors of one process and counts those in use. */
+export const createDescriptors = ({ limits, clock, log, metrics }: DescriptorsOptions): Descriptors => {
+    const limit = effectiveLimit(limits);
+    const parts = divideDescriptors(limits);
+    const names = Object.values(descriptorParts);
     const counts = new Map<DescriptorPart, number>();
+    const lineLimits = new Map(names.map(part => [part, createLogRateLimit(linesPerSecond)]));
+    log.info("descriptors-divided", { limit, files: limits.files, ...parts });
+
     const inUse = (part: DescriptorPart): number => counts.get(part) ?? 0;
     const open = (part: DescriptorPart): () => void => {
         let isOpen = true;
@@ -61,10 +76,19 @@
             socket.once("close", open(part));
         },
         inUse,
+        isFull: part => inUse(part) >= parts[part],
+        recordFull: (part, closed) => {
+            metrics.count("descriptors-used-up", { part, closed });
+            const line = lineLimits.get(part)?.take(clock.now());
+            if (line?.write === true) {
+                log.warn("descriptors-used-up", { part, closed, limit: parts[part], leftOut: line.leftOut });
+            }
+        },
         report: () => {
-            Object.values(descriptorParts).forEach(part => metrics.gauge("descriptors", inUse(part), { part }));
-            if (limit !== undefined) {
-                metrics.gauge("descriptor-limit", limit);
+            metrics.gauge("descriptor-limit", limit);
+            for (const part of names) {
+                metrics.gauge("descriptors", inUse(part), { part });
+                metrics.gauge("descriptor-part", parts[part], { part });
             }
         },
     };
--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -4,7 +4,8 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool as ConnectionPool } from "undici";
-import { countConnections, descriptorParts, type Descriptors } from "./descriptors.ts";
+import { descriptorParts } from "../decisions/descriptors.ts";
+import { countConnections, type Descriptors } from "./descriptors.ts";
 
 export type TargetRequest = {
     method: string;
--- a/src/links/httpendpoint.ts
+++ b/src/links/httpendpoint.ts
@@ -1,8 +1,7 @@
 /**
  * A small HTTP server that answers every request with the result of one function; serves health checks and metrics.
  */
-import { createServer } from "node:http";
-import type { Socket } from "node:net";
+import { createServer, type Server } from "node:http";
 
 export type HttpEndpointAnswer = { statusCode: number; contentType: string; body: string };
 
@@ -11,12 +10,12 @@
 /**
  * Listens on `address:port` and answers every request, whatever its method and path, with the result of `answer`.
  *
- * @param onConnection called with each connection that is accepted.
+ * @param limitConnections limits the connections of the server.
  */
 export const openHttpEndpoint = (
     listen: string,
     answer: () => HttpEndpointAnswer,
-    onConnection?: (socket: Socket) => void,
+    limitConnections?: (server: Server) => void,
 ): Promise<HttpEndpoint> =>
     new Promise((resolve, reject) => {
         const [host, port] = listen.split(":");
@@ -26,7 +25,7 @@
             response.writeHead(statusCode, { "content-type": contentType, "content-length": Buffer.byteLength(body) });
             response.end(body);
         });
-        server.on("connection", socket => onConnection?.(socket));
+        limitConnections?.(server);
         server.once("error", reject);
         server.listen(Number(port), host, () => {
             resolve({
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -3,8 +3,10 @@
  * same address. A frame that a service does not accept is counted and logged, and closes its connection; it never ends
  * the process.
  */
+import { createServer, type Server } from "node:http";
 import { WebSocket, WebSocketServer } from "ws";
-import { descriptorParts, type Descriptors } from "./descriptors.ts";
+import { descriptorParts } from "../decisions/descriptors.ts";
+import type { Descriptors } from "./descriptors.ts";
 import { decodeFrame, encodeFrame } from "./frames.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
@@ -87,22 +89,24 @@
  * Listens for connections of other hosts. Resolves when it listens; rejects when the address is in use.
  *
  * @param services by path, such as `/state`.
+ * @param limitConnections limits the connections of the server.
  */
 export const openPeerEndpoint = (
     listen: string,
     services: Record<string, PeerService>,
     options: PeerOptions,
+    limitConnections?: (server: Server) => void,
 ): Promise<void> =>
     new Promise((resolve, reject) => {
         const [host, port] = listen.split(":");
-        const server = new WebSocketServer({
-            host,
-            port: Number(port),
-            perMessageDeflate: false,
-            maxPayload: maxFrameBytes,
+        // What is no WebSocket is refused.
+        const listener = createServer((request, response) => {
+            request.resume();
+            response.writeHead(426).end();
         });
+        limitConnections?.(listener);
+        const server = new WebSocketServer({ server: listener, perMessageDeflate: false, maxPayload: maxFrameBytes });
         server.on("connection", (socket, request) => {
-            options.descriptors?.track(descriptorParts.hosts, request.socket);
             const path = request.url ?? "";
             const service = Object.hasOwn(services, path) ? services[path] : undefined;
             if (service === undefined) {
@@ -115,12 +119,15 @@
         options.signal.addEventListener("abort", () => {
             server.clients.forEach(client => client.terminate());
             server.close();
+            listener.close();
+            listener.closeAllConnections();
         }, { once: true });
         server.once("listening", () => {
             server.on("error", error => options.log.warn("peer-endpoint-failed", { listen, error: error.message }));
             resolve();
         });
         server.once("error", reject);
+        listener.listen(Number(port), host);
     });
 
 /** Opens connections to other hosts. */
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import type { Socket } from "node:net";
+import type { Server } from "node:http";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
@@ -12,9 +12,11 @@
 import type { ResidentSettings } from "../../contracts/residentsettings.ts";
 import type { RouteTable } from "../../contracts/routing.ts";
 import { loadsPath, statePath } from "../../contracts/statemessages.ts";
+import { type DescriptorPart, descriptorParts } from "../../decisions/descriptors.ts";
 import { ownershipPatch } from "../../decisions/ownershipchanges.ts";
 import { type CallerProtocol, createCallerLink } from "../../links/callers.ts";
-import { descriptorParts, type Descriptors } from "../../links/descriptors.ts";
+import { limitConnections } from "../../links/connectionlimit.ts";
+import type { Descriptors } from "../../links/descriptors.ts";
 import { type HttpEndpoint, type HttpEndpointAnswer, openHttpEndpoint } from "../../links/httpendpoint.ts";
 import { listenWithRetries } from "../../links/listening.ts";
 import { loadReportPath } from "../../links/loadreports.ts";
@@ -336,13 +338,15 @@
         metrics,
     });
 
+    const limitOf = (part: DescriptorPart) => (server: Server): void =>
+        limitConnections(server, { part, descriptors, clock });
     /** The former process of this host ends within its grace. */
     const listening = { waitMilliseconds: settings.stopping.grace, clock, log, signal: options.startSignal };
     const [callersHost, callersPort] = settings.callers.listen.split(":");
     const openCallers = () =>
         createCallerLink<ResidentRequest>({
             bindAddress: callersHost,
-            onConnection: socket => descriptors.track(descriptorParts.callers, socket),
+            limitConnections: limitOf(descriptorParts.callers),
             settings: {
                 port: Number(callersPort),
                 maxHeadBytes,
@@ -381,7 +385,8 @@
         [loadsPath]: sharedLoads.service,
         ...facts.services,
     };
-    const openLinks = (): Promise<void> => openPeerEndpoint(settings.links.listen, services, peerOptions);
+    const openLinks = (): Promise<void> =>
+        openPeerEndpoint(settings.links.listen, services, peerOptions, limitOf(descriptorParts.hosts));
     await listenWithRetries(settings.links.listen, openLinks, listening);
     const targetWatcher = watch(
         objects.targetKind,
@@ -406,16 +411,20 @@
 
     const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
     let started = false;
-    const countEndpoint = (socket: Socket): void => descriptors.track(descriptorParts.endpoints, socket);
-    const openEndpoint = (listen: string, answer: () => HttpEndpointAnswer): Promise<HttpEndpoint> =>
-        listenWithRetries(listen, () => openHttpEndpoint(listen, answer, countEndpoint), listening);
-    const health = await openEndpoint(settings.health.listen, () => ({
+    const openEndpoint = (
+        listen: string,
+        part: DescriptorPart,
+        answer: () => HttpEndpointAnswer,
+    ): Promise<HttpEndpoint> =>
+        listenWithRetries(listen, () => openHttpEndpoint(listen, answer, limitOf(part)), listening);
+    const health = await openEndpoint(settings.health.listen, descriptorParts.health, () => ({
         statusCode: isReady() ? 200 : 503,
         contentType: "text/plain",
         body: "",
     }));
     const metricsServer = settings.metrics === undefined ? undefined : await openEndpoint(
         settings.metrics.listen,
+        descriptorParts.metrics,
         () => {
             descriptors.report();
             return { statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() };
--- a/stand-ins/resident/store.ts
+++ b/stand-ins/resident/store.ts
@@ -37,6 +37,8 @@
     read: (kind: string, name: string) => unknown;
     /** Drops all past events, so that a watch from an earlier revision is answered with 410. */
     forgetHistory: () => void;
+    /** Closes all connections; new ones are accepted. */
+    cutConnections: () => void;
     close: () => void;
 };
 
@@ -199,6 +201,7 @@
             events = [];
             oldestRevision = revision;
         },
+        cutConnections: () => server.closeAllConnections(),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/test/links/descriptors.test.ts
+++ b/test/links/descriptors.test.ts
@@ -6,7 +6,9 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createDescriptors, readOpenFilesLimit } from "../../src/links/descriptors.ts";
+import { silentLog } from "../../src/links/logs.ts";
 import { createMetrics } from "../../src/links/metrics.ts";
+import { createVirtualClock } from "../machines/fakes/clock.ts";
 
 const limitFiles: Array<[string, string, number | undefined]> = [
     [
@@ -28,13 +30,16 @@
 
 test("a descriptor counts in its part until it is closed, once", t => {
     const metrics = createMetrics();
-    const descriptors = createDescriptors({ limit: 100, metrics });
+    const limits = { process: 100, stated: undefined, files: 20 };
+    const descriptors = createDescriptors({ limits, clock: createVirtualClock(), log: silentLog, metrics });
     const close = descriptors.open("targets");
     descriptors.open("hosts");
     close();
     close();
     descriptors.report();
-    const parts = ["callers", "endpoints", "hosts", "store", "targets"].map(part => `descriptors{part=${part}}`);
-    t.deepEqual(parts.map(name => metrics.snapshot()[name]), [0, 0, 1, 0, 0]);
+    const parts = ["callers", "health", "hosts", "metrics", "store", "targets"].map(part =>
+        `descriptors{part=${part}}`
+    );
+    t.deepEqual(parts.map(name => metrics.snapshot()[name]), [0, 0, 1, 0, 0, 0]);
     t.is(metrics.snapshot()["descriptor-limit"], 100);
 });
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -31,6 +31,15 @@
     t.is(settings.ownership.maxHold, 10_000);
 });
 
+const statedLimits: Array<[string, number | undefined]> = [["3075", 3_075], ["0", undefined], ["", undefined]];
+
+for (const [text, expected] of statedLimits) {
+    test(`a limit of descriptors that is filled in as "${text}" is ${expected}`, t => {
+        const settings = readResidentSettings(fileWith(`${valid}descriptors: { limit: ${text} }\n`));
+        t.is(settings.descriptors.limit, expected);
+    });
+}
+
 const invalidSettings: Array<{ title: string; text: string; finding: RegExp }> = [
     { title: "a missing address", text: valid.replace(/^store.*$/m, ""), finding: /store: expected object/ },
     {
--- a/test/platform/descriptors.test.ts
+++ b/test/platform/descriptors.test.ts
@@ -2,8 +2,12 @@
  * Descriptors of the resident host: the built program with a small limit on its open files, and more callers than that.
  */
 import test from "ava";
+import { once } from "node:events";
+import { writeFileSync } from "node:fs";
+import { connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { startBackendStandIn } from "../../stand-ins/resident/backend.ts";
-import { startStoreStandIn } from "../../stand-ins/resident/store.ts";
+import { startStoreStandIn, type StoreStandIn } from "../../stand-ins/resident/store.ts";
 import {
     buildProgram,
     entry,
@@ -21,7 +25,16 @@
 
 const openFiles = 256;
 
-type Fleet = { program: Program; readMetric: (name: string) => Promise<number | undefined>; close: () => void };
+/** More than the process may open. */
+const callerCount = 300;
+const closeMilliseconds = 1_000;
+
+type Fleet = {
+    store: StoreStandIn;
+    program: Program;
+    readMetric: (name: string) => Promise<number | undefined>;
+    close: () => void;
+};
 
 const startFleet = async (): Promise<Fleet> => {
     const store = await startStoreStandIn();
@@ -32,6 +45,7 @@
     const program = await startProgram(store, { openFiles, metricsPort });
     await waitUntil("the host is ready", () => isReady(program));
     return {
+        store,
         program,
         readMetric: async name => {
             await sendRequest(metricsPort, "/");
@@ -51,11 +65,93 @@
     t.is((await requestOrder(program, "o-1")).statusCode, 200);
     t.is(await readMetric("carobpier_descriptor_limit "), openFiles);
     for (
-        const [part, least] of [["callers", 0], ["targets", 1], ["hosts", 0], ["store", 1], ["endpoints", 1]] as const
+        const [part, least] of [["callers", 0], ["targets", 1], ["hosts", 0], ["store", 1], ["health", 0], [
+            "metrics",
+            1,
+        ]] as const
     ) {
         const count = await readMetric(`carobpier_descriptors{part="${part}"} `);
         t.true(count !== undefined && count >= least && count < 20, `${part}: ${count}`);
     }
 });
 
+const orderText = (id: string): string =>
+    `POST /a/y HTTP/1.1\r\nhost: orders.example\r\nrequest-id: ${id}\r\nrequest-deadline: 1200\r\ncontent-length: 0\r\n\r\n`;
+
+/** Opens a connection, and tells what became of its first request after a while: `answered`, `closed` or `silent`. */
+const askOnNewConnection = (port: number, id: string): Promise<string> =>
+    new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1", () => socket.write(orderText(id)));
+        const finish = (result: string): void => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(result);
+        };
+        const timer = setTimeout(() => finish("silent"), closeMilliseconds);
+        socket.on("data", bytes => finish(String(bytes).startsWith("HTTP/1.1 200") ? "answered" : String(bytes)));
+        socket.on("error", () => finish("closed"));
+        socket.on("close", () => finish("closed"));
+    });
+
+const openIdleCaller = async (port: number, text: string): Promise<Socket> => {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    socket.resume();
+    await once(socket, "connect");
+    socket.write(text);
+    return socket;
+};
+
+const idleKinds: Array<[string, (id: string) => string]> = [
+    ["sent nothing", () => ""],
+    ["were answered once", orderText],
+];
+
+for (const [title, textOf] of idleKinds) {
+    test(`with more callers than descriptors that ${title}, the host goes on in all its duties`, async t => {
+        const { store, program, readMetric, close } = await startFleet();
+        const callers: Socket[] = [];
+        const second = await startBackendStandIn({
+            id: "i-2",
+            slots: 4,
+            queue: 8,
+            workMilliseconds: 5,
+            isSharded: false,
+        });
+        t.teardown(() => {
+            close();
+            second.close();
+            callers.forEach(socket => socket.destroy());
+        });
+        for (let number = 0; number < callerCount; number += 1) {
+            callers.push(await openIdleCaller(program.callersPort, textOf(`c-${number}`)));
+        }
+        await sleep(500);
+        const results = new Set<string>();
+        for (let number = 0; number < 10; number += 1) {
+            results.add(await askOnNewConnection(program.callersPort, `n-${number}`));
+        }
+        t.deepEqual([...results], ["answered"], "new callers");
+
+        store.cutConnections();
+        store.put("servers", "i-2", entry("orders", second));
+        store.remove("servers", "i-1");
+        await waitUntil("the target is used that the store tells of only then", async () => {
+            await askOnNewConnection(program.callersPort, `t-${performance.now()}`);
+            return second.arrivals.length > 0;
+        });
+        writeFileSync(program.file, `${program.settings}\nlogs: { level: debug }`);
+        program.child.kill("SIGHUP");
+        await waitUntil("the settings are read", () => program.log().includes("event=settings-read"));
+        t.notRegex(program.log(), /settings-refused/);
+        t.true(await isReady(program));
+        const openCallers = Number(await readMetric(`carobpier_descriptors{part="callers"} `));
+        t.true(openCallers < openFiles / 2, `${openCallers} connections of callers`);
+
+        program.child.kill("SIGTERM");
+        const [exitCode] = await once(program.child, "exit") as [number];
+        t.is(exitCode, 0);
+    });
+}
+
 test.before(buildProgram);
