Try a reload again that finds no free descriptor

A reload that met EMFILE was logged as settings-refused, as if the file were wrong, and only the regular check read the file, up to 5 s later. Such an error tells nothing of the file: it is now logged as settings-read-delayed, once, and the file is read again after 50 ms, then with pauses that double up to 2 s. Reloads that are asked for meanwhile are part of it.

test/links/residentsettings.test.ts plays four reads without a descriptor.

--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -10,18 +10,33 @@
 import type { Log } from "./logs.ts";
 import { checkYaml } from "./yaml.ts";
 
-const readText = (file: string): string => {
+/** Returns the text of a file, or throws. */
+export type ReadFile = (file: string) => string;
+
+const readFileText: ReadFile = file => readFileSync(file, "utf8");
+
+/** Whether a file could not be opened for want of a descriptor, which tells nothing of the file. */
+const isDescriptorShortage = (error: unknown): boolean =>
+    ["EMFILE", "ENFILE"].includes((error as NodeJS.ErrnoException | undefined)?.code ?? "");
+
+const readText = (file: string, readFile: ReadFile): string => {
     try {
-        return readFileSync(file, "utf8");
+        return readFile(file);
     }
     catch (error) {
+        if (isDescriptorShortage(error)) {
+            throw error;
+        }
         throw new InputError(`The settings file "${file}" is not readable: ${messageOf(error)}.`);
     }
 };
 
-/** Reads a settings file, or throws an `InputError` that lists every finding. */
-export const readResidentSettings = (file: string): ResidentSettings => {
-    const { value, findings } = checkYaml(file, readText(file), residentSettingsSchema);
+/**
+ * Reads a settings file, or throws an `InputError` that lists every finding. Throws the system's error when there is no
+ * free descriptor.
+ */
+export const readResidentSettings = (file: string, readFile = readFileText): ResidentSettings => {
+    const { value, findings } = checkYaml(file, readText(file, readFile), residentSettingsSchema);
     if (value === undefined) {
         throw new InputError(findings.map(describeFinding).join("\n"));
     }
@@ -64,6 +79,7 @@
     file: string;
     /** The settings that are in force. */
     settings: ResidentSettings;
+    readFile?: ReadFile;
     clock: Clock;
     log: Log;
     /** Ends the watch. */
@@ -72,6 +88,9 @@
 
 /** The file may change without a signal to the process or any other notice, so it is read at this interval. */
 const checkIntervalMilliseconds = 5_000;
+/** Pause before a read is tried again that found no free descriptor; doubled each time. */
+const firstShortagePauseMilliseconds = 50;
+const maxShortagePauseMilliseconds = 2_000;
 
 const changedNames = (before: ResidentSettings, after: ResidentSettings): string[] => {
     const names = Object.keys(after) as Array<keyof ResidentSettings>;
@@ -79,17 +98,30 @@
 };
 
 /**
- * Reads the settings file again when asked and every few seconds. A file that is not valid changes nothing. The log
- * names the settings that changed; they are in force from the next start on.
+ * Reads the settings file again when asked and every few seconds. A file that is not valid changes nothing; a read that
+ * finds no free descriptor is tried again soon. The log names the settings that changed; they are in force from the next
+ * start on.
  */
 export const watchSettings = (options: SettingsWatchOptions): SettingsWatch => {
-    const { file, clock, log, signal } = options;
+    const { file, readFile, clock, log, signal } = options;
     let current = options.settings;
     let lastFinding = "";
+    let isReadDue = false;
+
+    const readAgain = (pauseMilliseconds: number): void => {
+        isReadDue = true;
+        clock.after(pauseMilliseconds, () => {
+            isReadDue = false;
+            check(Math.min(maxShortagePauseMilliseconds, 2 * pauseMilliseconds));
+        }, signal);
+    };
 
-    const check = (): void => {
+    const check = (shortagePauseMilliseconds = firstShortagePauseMilliseconds): void => {
+        if (isReadDue) {
+            return;
+        }
         try {
-            const next = readResidentSettings(file);
+            const next = readResidentSettings(file, readFile);
             const changed = changedNames(current, next);
             current = next;
             lastFinding = "";
@@ -99,9 +131,13 @@
         }
         catch (error) {
             const finding = messageOf(error);
+            const isShortage = isDescriptorShortage(error);
             if (finding !== lastFinding) {
                 lastFinding = finding;
-                log.warn("settings-refused", { file, finding });
+                log.warn(isShortage ? "settings-read-delayed" : "settings-refused", { file, finding });
+            }
+            if (isShortage) {
+                readAgain(shortagePauseMilliseconds);
             }
         }
     };
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -2,7 +2,7 @@
  * Settings of a resident host: findings with their places, and changes of the file while the host runs.
  */
 import test from "ava";
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { Log } from "../../src/links/logs.ts";
@@ -62,6 +62,39 @@
     });
 }
 
+for (const code of ["EMFILE", "ENFILE"]) {
+    test(`a reload that finds no free descriptor (${code}) is tried again until it succeeds`, async t => {
+        const file = fileWith(valid);
+        const clock = createVirtualClock();
+        const lifetime = new AbortController();
+        const lines: string[] = [];
+        let failures = 0;
+        const readFile = (path: string): string => {
+            if (failures > 0) {
+                failures -= 1;
+                throw Object.assign(new Error(`${code}: too many open files`), { code });
+            }
+            return readFileSync(path, "utf8");
+        };
+        const recordEvent: Log["info"] = event => lines.push(event);
+        const log: Log = { ...silentLog, info: recordEvent, warn: recordEvent };
+        const settings = readResidentSettings(file);
+        const watch = watchSettings({ file, settings, readFile, clock, log, signal: lifetime.signal });
+        writeFileSync(file, valid.replace("2.5s", "3s"));
+        failures = 4;
+        watch.check();
+        watch.check();
+        await clock.advance(1_000);
+        t.deepEqual(lines, [
+            "settings-check-requested",
+            "settings-read-delayed",
+            "settings-check-requested",
+            "settings-read",
+        ]);
+        lifetime.abort();
+    });
+}
+
 test("a file that changes without a signal is read, and an invalid one changes nothing", async t => {
     const file = fileWith(valid);
     const clock = createVirtualClock();
