--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -3,7 +3,10 @@
  * same address. A frame that a service does not accept is counted and logged, and closes its connection; it never ends
  * the process.
  */
+import { createServer, type Server } from "node:http";
 import { WebSocket, WebSocketServer } from "ws";
+import { descriptorParts } from "../decisions/descriptors.ts";
+import type { Descriptors } from "./descriptors.ts";
 import { decodeFrame, encodeFrame } from "./frames.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
@@ -33,7 +36,13 @@
 /** Accepts a connection of another host. */
 export type PeerService = (connection: PeerConnection) => PeerListener;
 
-export type PeerOptions = { log: Log; metrics: Metrics; signal: AbortSignal };
+export type PeerOptions = {
+    /** Counts the connections. */
+    descriptors?: Descriptors;
+    log: Log;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
 
 const maxFrameBytes = 8_388_608;
 
@@ -80,20 +89,23 @@
  * Listens for connections of other hosts. Resolves when it listens; rejects when the address is in use.
  *
  * @param services by path, such as `/state`.
+ * @param limitConnections limits the connections of the server.
  */
 export const openPeerEndpoint = (
     listen: string,
     services: Record<string, PeerService>,
     options: PeerOptions,
+    limitConnections?: (server: Server) => void,
 ): Promise<void> =>
     new Promise((resolve, reject) => {
         const [host, port] = listen.split(":");
-        const server = new WebSocketServer({
-            host,
-            port: Number(port),
-            perMessageDeflate: false,
-            maxPayload: maxFrameBytes,
+        // What is no WebSocket is refused.
+        const listener = createServer((request, response) => {
+            request.resume();
+            response.writeHead(426).end();
         });
+        limitConnections?.(listener);
+        const server = new WebSocketServer({ server: listener, perMessageDeflate: false, maxPayload: maxFrameBytes });
         server.on("connection", (socket, request) => {
             const path = request.url ?? "";
             const service = Object.hasOwn(services, path) ? services[path] : undefined;
@@ -107,12 +119,15 @@
         options.signal.addEventListener("abort", () => {
             server.clients.forEach(client => client.terminate());
             server.close();
+            listener.close();
+            listener.closeAllConnections();
         }, { once: true });
         server.once("listening", () => {
             server.on("error", error => options.log.warn("peer-endpoint-failed", { listen, error: error.message }));
             resolve();
         });
         server.once("error", reject);
+        listener.listen(Number(port), host);
     });
 
 /** Opens connections to other hosts. */
@@ -133,8 +148,10 @@
             maxPayload: maxFrameBytes,
         });
         open.add(socket);
+        const release = options.descriptors?.open(descriptorParts.hosts);
         const onClose = (): void => {
             open.delete(socket);
+            release?.();
             listener.onClose();
         };
         listenTo(socket, path, { ...listener, onClose }, options);
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import type { Server } from "node:http";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
@@ -11,8 +12,11 @@
 import type { ResidentSettings } from "../../contracts/residentsettings.ts";
 import type { RouteTable } from "../../contracts/routing.ts";
 import { loadsPath, statePath } from "../../contracts/statemessages.ts";
+import { type DescriptorPart, descriptorParts } from "../../decisions/descriptors.ts";
 import { ownershipPatch } from "../../decisions/ownershipchanges.ts";
 import { type CallerProtocol, createCallerLink } from "../../links/callers.ts";
+import { limitConnections } from "../../links/connectionlimit.ts";
+import type { Descriptors } from "../../links/descriptors.ts";
 import { type HttpEndpoint, type HttpEndpointAnswer, openHttpEndpoint } from "../../links/httpendpoint.ts";
 import { listenWithRetries } from "../../links/listening.ts";
 import { loadReportPath } from "../../links/loadreports.ts";
@@ -51,6 +55,8 @@
     processorMilliseconds: () => number;
     /** Returns a number from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
+    /** Counts the connections of this host. */
+    descriptors: Descriptors;
     log: Log;
     metrics: Metrics;
     /** Returns all metrics as text. */
@@ -92,7 +98,7 @@
 
 /** Starts the host. Resolves when it accepts requests. Rejects when one of its addresses cannot be opened. */
 export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
-    const { settings, store, objects, clock, metrics, random } = options;
+    const { settings, store, objects, descriptors, clock, metrics, random } = options;
     const { zone, processor: { share, speed } } = settings.host;
     const log = options.log.child({ host: settings.host.name });
     const lifetime = new AbortController();
@@ -111,7 +117,7 @@
     const { processorMilliseconds } = options;
     const { measure } = createEventLoopMonitor({ processorMilliseconds, clock, log, metrics, signal });
 
-    const peerOptions = { log, metrics, signal };
+    const peerOptions = { descriptors, log, metrics, signal };
     const dial = createPeerDialer(peerHandshakeMilliseconds, peerOptions);
     const self: ReaderCandidate = {
         name: settings.host.name,
@@ -238,6 +244,7 @@
         findPool: poolOf,
         hostCount: () => processes.hostCount() ?? 0,
         recordOwnRequests: sharedLoads.record,
+        descriptors,
         clock,
         signal,
     });
@@ -336,12 +343,15 @@
         metrics,
     });
 
+    const limitOf = (part: DescriptorPart) => (server: Server): void =>
+        limitConnections(server, { part, descriptors, clock });
     /** The former process of this host ends within its grace. */
     const listening = { waitMilliseconds: settings.stopping.grace, clock, log, signal: options.startSignal };
     const [callersHost, callersPort] = settings.callers.listen.split(":");
     const openCallers = () =>
         createCallerLink<ResidentRequest>({
             bindAddress: callersHost,
+            limitConnections: limitOf(descriptorParts.callers),
             settings: {
                 port: Number(callersPort),
                 maxHeadBytes,
@@ -380,7 +390,8 @@
         [loadsPath]: sharedLoads.service,
         ...facts.services,
     };
-    const openLinks = (): Promise<void> => openPeerEndpoint(settings.links.listen, services, peerOptions);
+    const openLinks = (): Promise<void> =>
+        openPeerEndpoint(settings.links.listen, services, peerOptions, limitOf(descriptorParts.hosts));
     await listenWithRetries(settings.links.listen, openLinks, listening);
     const targetWatcher = watch(
         objects.targetKind,
@@ -405,16 +416,24 @@
 
     const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
     let started = false;
-    const openEndpoint = (listen: string, answer: () => HttpEndpointAnswer): Promise<HttpEndpoint> =>
-        listenWithRetries(listen, () => openHttpEndpoint(listen, answer), listening);
-    const health = await openEndpoint(settings.health.listen, () => ({
+    const openEndpoint = (
+        listen: string,
+        part: DescriptorPart,
+        answer: () => HttpEndpointAnswer,
+    ): Promise<HttpEndpoint> =>
+        listenWithRetries(listen, () => openHttpEndpoint(listen, answer, limitOf(part)), listening);
+    const health = await openEndpoint(settings.health.listen, descriptorParts.health, () => ({
         statusCode: isReady() ? 200 : 503,
         contentType: "text/plain",
         body: "",
     }));
     const metricsServer = settings.metrics === undefined ? undefined : await openEndpoint(
         settings.metrics.listen,
-        () => ({ statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() }),
+        descriptorParts.metrics,
+        () => {
+            descriptors.report();
+            return { statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() };
+        },
     );
 
     void Promise.all(watchers.map(watcher => watcher.synced)).then(() => {
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -2,7 +2,7 @@
  * Settings of a resident host: findings with their places, and changes of the file while the host runs.
  */
 import test from "ava";
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { Log } from "../../src/links/logs.ts";
@@ -31,6 +31,15 @@
     t.is(settings.ownership.maxHold, 10_000);
 });
 
+const statedLimits: Array<[string, number | undefined]> = [["3075", 3_075], ["0", undefined], ["", undefined]];
+
+for (const [text, expected] of statedLimits) {
+    test(`a limit of descriptors that is filled in as "${text}" is ${expected}`, t => {
+        const settings = readResidentSettings(fileWith(`${valid}descriptors: { limit: ${text} }\n`));
+        t.is(settings.descriptors.limit, expected);
+    });
+}
+
 const invalidSettings: Array<{ title: string; text: string; finding: RegExp }> = [
     { title: "a missing address", text: valid.replace(/^store.*$/m, ""), finding: /store: expected object/ },
     {
@@ -53,6 +62,39 @@
     });
 }
 
+for (const code of ["EMFILE", "ENFILE"]) {
+    test(`a reload that finds no free descriptor (${code}) is tried again until it succeeds`, async t => {
+        const file = fileWith(valid);
+        const clock = createVirtualClock();
+        const lifetime = new AbortController();
+        const lines: string[] = [];
+        let failures = 0;
+        const readFile = (path: string): string => {
+            if (failures > 0) {
+                failures -= 1;
+                throw Object.assign(new Error(`${code}: too many open files`), { code });
+            }
+            return readFileSync(path, "utf8");
+        };
+        const recordEvent: Log["info"] = event => lines.push(event);
+        const log: Log = { ...silentLog, info: recordEvent, warn: recordEvent };
+        const settings = readResidentSettings(file);
+        const watch = watchSettings({ file, settings, readFile, clock, log, signal: lifetime.signal });
+        writeFileSync(file, valid.replace("2.5s", "3s"));
+        failures = 4;
+        watch.check();
+        watch.check();
+        await clock.advance(1_000);
+        t.deepEqual(lines, [
+            "settings-check-requested",
+            "settings-read-delayed",
+            "settings-check-requested",
+            "settings-read",
+        ]);
+        lifetime.abort();
+    });
+}
+
 test("a file that changes without a signal is read, and an invalid one changes nothing", async t => {
     const file = fileWith(valid);
     const clock = createVirtualClock();
