--- a/stand-ins/resident/backend.ts
+++ b/stand-ins/resident/backend.ts
@@ -5,7 +5,7 @@
  * machines, and ask a machine to stay away for a while.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 
 export type BackendFaults = {
@@ -50,6 +50,10 @@
     workMilliseconds: number;
     /** Whether a request runs only while a grant covers its key. */
     isSharded: boolean;
+    /** Port to listen on, of an address that had another backend before; a free one if it is left out. */
+    port?: number;
+    /** The body of the answer to a request; the default names only the backend. */
+    bodyOf?: (requestId: string, id: string) => string;
     /** Called when the backend is back after a crash. */
     onRestart?: () => void;
     /** Called at a crash with the id of the life that it ends. */
@@ -63,12 +67,16 @@
     faults: BackendFaults;
     /** Number of runs of each request, by request id. */
     runCounts: Map<string, number>;
+    /** Ids of the requests that arrived, whether they ran or not. */
+    arrivedIds: Set<string>;
     /** When each request arrived, in milliseconds of this process, without calls for grants. */
     arrivals: number[];
     /** Whether a grant covers the key now. */
     ownsKey: (key: number) => boolean;
     /** Number of crashes so far. */
     crashes: () => number;
+    /** Resets all connections. What runs goes on. */
+    resetConnections: () => void;
     close: () => void;
 };
 
@@ -109,6 +117,8 @@
         noticeEvery: 1,
     };
     const arrivals: number[] = [];
+    const arrivedIds = new Set<string>();
+    const sockets = new Set<Socket>();
     let answerCount = 0;
     const runCounts = new Map<string, number>();
     let waiting: Array<() => void> = [];
@@ -195,6 +205,7 @@
             sendAnswer(response, 400, { "not-executed": "1" });
             return;
         }
+        arrivedIds.add(requestId);
         if (target !== undefined && target !== id()) {
             sendAnswer(response, 421, {});
             return;
@@ -234,7 +245,7 @@
             response,
             200,
             { "request-id": requestId, "response-signature": `${id()}.signature` },
-            `served by ${id()}`,
+            options.bodyOf?.(requestId, id()) ?? `served by ${id()}`,
         );
     };
 
@@ -268,10 +279,14 @@
         const listening = createServer((request, response) => {
             serve(request, response).catch(() => response.destroy());
         });
+        listening.on("connection", socket => {
+            sockets.add(socket);
+            socket.once("close", () => sockets.delete(socket));
+        });
         await new Promise<void>(resolve => listening.listen(port, "127.0.0.1", resolve));
         return listening;
     };
-    let server = await listen(0);
+    let server = await listen(options.port ?? 0);
     const { port } = server.address() as AddressInfo;
 
     const stopListening = (): void => {
@@ -300,9 +315,11 @@
         id,
         faults,
         runCounts,
+        arrivedIds,
         arrivals,
         ownsKey,
         crashes: () => crashCount,
+        resetConnections: () => sockets.forEach(socket => socket.resetAndDestroy()),
         close: () => {
             isClosed = true;
             stopListening();
--- a/stand-ins/resident/store.ts
+++ b/stand-ins/resident/store.ts
@@ -4,7 +4,7 @@
  * become silent, lose the answers to writes, apply writes late, and drop its history.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 
 export type StoreFaults = {
@@ -12,6 +12,8 @@
     refuse: 503 | 429 | undefined;
     /** Whether calls get no answer and have no effect. */
     silent: boolean;
+    /** Time by which each answer is late. */
+    slowMilliseconds: number;
     /** Whether writes are applied and get no answer. */
     loseWrites: boolean;
     /** When above 0: writes are applied after this time, if their condition still holds, and get no answer. */
@@ -37,6 +39,8 @@
     read: (kind: string, name: string) => unknown;
     /** Drops all past events, so that a watch from an earlier revision is answered with 410. */
     forgetHistory: () => void;
+    /** Resets all connections. */
+    resetConnections: () => void;
     close: () => void;
 };
 
@@ -53,9 +57,18 @@
 };
 
 /** Starts the store on a free port of the loopback address and resolves once it listens. */
-export const startStoreStandIn = async (): Promise<StoreStandIn> => {
+export const startStoreStandIn = async (
+    /** Replaces addresses in the text of answers, so that a relay can stand before them. */
+    publicAddresses: (text: string) => string = text => text,
+): Promise<StoreStandIn> => {
     const objects = new Map<string, WireObject>();
-    const faults: StoreFaults = { refuse: undefined, silent: false, loseWrites: false, lateMilliseconds: 0 };
+    const faults: StoreFaults = {
+        refuse: undefined,
+        silent: false,
+        slowMilliseconds: 0,
+        loseWrites: false,
+        lateMilliseconds: 0,
+    };
     let events: WireEvent[] = [];
     /** Lowest revision from which a watch can be served. */
     let oldestRevision = 0;
@@ -86,7 +99,7 @@
     };
 
     const sendJson = (response: ServerResponse, statusCode: number, body: unknown): void => {
-        const text = JSON.stringify(body);
+        const text = publicAddresses(JSON.stringify(body));
         response.writeHead(statusCode, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(text),
@@ -163,6 +176,9 @@
         if (faults.silent) {
             return;
         }
+        if (faults.slowMilliseconds > 0) {
+            await sleep(faults.slowMilliseconds);
+        }
         if (faults.refuse !== undefined) {
             sendJson(response, faults.refuse, {});
             return;
@@ -186,6 +202,11 @@
     const server = createServer((request, response) => {
         serve(request, response).catch(() => response.destroy());
     });
+    const sockets = new Set<Socket>();
+    server.on("connection", socket => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
 
@@ -199,6 +220,7 @@
             events = [];
             oldestRevision = revision;
         },
+        resetConnections: () => sockets.forEach(socket => socket.resetAndDestroy()),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -24,7 +24,7 @@
 /** Below the ports that systems give to outgoing connections, which may take a free one before the program does. */
 const portRange = { first: 20_000, count: 12_000 };
 
-const freePort = async (): Promise<number> => {
+export const freePort = async (): Promise<number> => {
     for (;;) {
         const port = portRange.first + Math.floor(Math.random() * portRange.count);
         const server = createServer();
@@ -125,27 +125,48 @@
     grace?: string;
     /** Prepares the settings file in place of writing it. */
     prepareFile?: (file: string, settings: string) => void;
+    zone?: string;
+    /** Share of a core that the settings name. */
+    processorShare?: number;
+    /** Ports of an earlier process, to start again at its addresses. */
+    ports?: { callersPort: number; healthPort: number };
+    /** The built program; that of this tree if left out. */
+    path?: string;
+    /** Lines that are added to the settings. */
+    moreSettings?: string[];
 };
 
 /** As in deploy/system.toml. */
-const programArguments = ["--max-old-space-size=128", "--max-semi-space-size=2", "target/carobpier.cjs"];
+const programArguments = ["--max-old-space-size=128", "--max-semi-space-size=2"];
 
 export const startProgram = async (
     store: StoreStandIn,
-    { name = "h1", linksPort, grace = "6s", prepareFile = writeFileSync }: ProgramOptions = {},
+    {
+        name = "h1",
+        linksPort,
+        grace = "6s",
+        prepareFile = writeFileSync,
+        zone = "z1",
+        processorShare = 1,
+        ports,
+        path = "target/carobpier.cjs",
+        moreSettings = [],
+    }: ProgramOptions = {},
 ): Promise<Program> => {
-    const [callersPort, healthPort, linksAt] = [await freePort(), await freePort(), linksPort ?? await freePort()];
+    const { callersPort, healthPort } = ports ?? { callersPort: await freePort(), healthPort: await freePort() };
+    const linksAt = linksPort ?? await freePort();
     const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
     const settings = [
-        `host: { name: ${name}, zone: z1 }`,
+        `host: { name: ${name}, zone: ${zone}, processor: { share: ${processorShare} } }`,
         `callers: { listen: "127.0.0.1:${callersPort}" }`,
         `health: { listen: "127.0.0.1:${healthPort}" }`,
         `links: { listen: "127.0.0.1:${linksAt}" }`,
         `store: { address: "${store.address}" }`,
         `stopping: { grace: ${grace} }`,
+        ...moreSettings,
     ].join("\n");
     prepareFile(file, settings);
-    const child = spawn(process.execPath, programArguments, {
+    const child = spawn(process.execPath, [...programArguments, path], {
         env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
         stdio: ["ignore", "pipe", "inherit"],
     });
--- /dev/null
+++ b/test/soak/plan.ts
@@ -0,0 +1,155 @@
+/**
+ * The plan of a soak: which disturbances come when, drawn from a seed. Pure; the same seed gives the same plan.
+ */
+
+/** A service of a deployment: its backends, their slots, the time of its work, and what its requests may do. */
+export type SoakService = {
+    name: string;
+    backends: number;
+    slots: number;
+    workMilliseconds: number;
+    deadlineMilliseconds: number;
+    isSafe: boolean;
+    isSharded: boolean;
+    perSecond: number;
+};
+export type Site = { name: string; hosts: number; zones: string[]; processorShare: number; services: SoakService[] };
+
+const service = (
+    name: string,
+    [backends, slots, workMilliseconds, deadlineMilliseconds, perSecond]: [number, number, number, number, number],
+    { isSafe = true, isSharded = false } = {},
+): SoakService => ({ name, backends, slots, workMilliseconds, deadlineMilliseconds, perSecond, isSafe, isSharded });
+
+/** The two deployments, with the sizes and figures of their descriptions. */
+export const sites: Record<string, Site> = {
+    hallam: {
+        name: "hallam",
+        hosts: 10,
+        zones: ["leicester", "nuneaton", "burton"],
+        processorShare: 0.405,
+        services: [
+            service("traystock", [12, 3, 120, 2_500, 159], { isSharded: true }),
+            service("orderbook", [6, 3, 160, 3_000, 61], { isSafe: false }),
+            service("archive", [11, 3, 300, 5_000, 58]),
+        ],
+    },
+    verhaeghe: {
+        name: "verhaeghe",
+        hosts: 9,
+        zones: ["depanne", "koksijde", "nieuwpoort", "oostduinkerke"],
+        processorShare: 0.54,
+        services: [
+            service("saldo", [10, 4, 220, 4_000, 98], { isSharded: true }),
+            service("inwissel", [8, 4, 290, 5_000, 46], { isSafe: false }),
+            service("stalrooster", [10, 4, 550, 10_000, 37]),
+        ],
+    },
+};
+
+export type Signal = "SIGTERM" | "SIGINT" | "SIGHUP" | "SIGKILL";
+export type Place = "callers" | "hosts" | "store" | "targets";
+/** `at` is in milliseconds from the start of the traffic. */
+export type Step =
+    & { at: number }
+    & (
+        /** With `afterStart`, the signal comes so many milliseconds after the host's next start. */
+        | { kind: "signal"; host: number; signal: Signal; afterStart?: number }
+        | { kind: "reuse"; service: number; to: number; how: "drained" | "removed" | "abrupt" }
+        | { kind: "reset"; place: Place; share: number }
+        | { kind: "manifest"; how: "drop" | "move" | "restore"; service: number }
+        | { kind: "store"; fault: "silent" | "refusing" | "slow" | "none" }
+    );
+
+/** Names of the plays. Each brings together the disturbances that it is named for; `mixed` draws from all. */
+export const plays = ["reuse", "resets", "manifest", "thin", "starts", "mixed"] as const;
+export type Play = typeof plays[number];
+
+export type Random = { below: (limit: number) => number; chance: (share: number) => boolean };
+
+export const createRandom = (seed: number): Random => {
+    let state = (seed * 2_654_435_769) >>> 0;
+    const next = (): number => {
+        state = (state + 0x6d2b79f5) >>> 0;
+        let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+        mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+        return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+    };
+    return { below: limit => Math.floor(next() * limit), chance: share => next() < share };
+};
+
+export type PlanOptions = { seed: number; play: Play; hosts: number; seconds: number; services: number };
+
+/** Steps in order of their time. The last seconds are free of them, so that what runs can end. */
+export const createPlan = ({ seed, play, hosts, seconds, services }: PlanOptions): Step[] => {
+    const random = createRandom(seed);
+    const steps: Step[] = [];
+    const pick = <T>(choices: readonly T[]): T => choices[random.below(choices.length)] as T;
+
+    /** Hosts are stopped one after the other, some twice, some with a reload, while others are still stopping. */
+    const stops = (at: number): void => {
+        const first = random.below(hosts);
+        const gap = pick([200, 1_000, 1_300, 3_000]);
+        for (let index = 0; index < Math.max(1, Math.ceil(hosts * 0.45)); index += 1) {
+            const host = (first + index) % hosts;
+            const time = at + index * gap;
+            if (random.chance(0.3)) {
+                steps.push({ at: time - random.below(1_500), kind: "signal", host, signal: "SIGHUP" });
+            }
+            steps.push({ at: time, kind: "signal", host, signal: random.chance(0.85) ? "SIGTERM" : "SIGINT" });
+            if (random.chance(0.4)) {
+                const signal = pick(["SIGTERM", "SIGHUP", "SIGINT"] as const);
+                steps.push({ at: time + random.below(4_000), kind: "signal", host, signal });
+            }
+        }
+    };
+    const reuse = (at: number): void => {
+        for (let count = 1 + random.below(3); count > 0; count -= 1) {
+            const from = random.below(services);
+            const to = (from + 1 + random.below(services - 1)) % services;
+            const how = pick(["drained", "drained", "removed", "abrupt"] as const);
+            steps.push({ at: at + random.below(1_500), kind: "reuse", service: from, to, how });
+        }
+    };
+    const resets = (at: number): void => {
+        for (let count = 1 + random.below(4); count > 0; count -= 1) {
+            const place = pick(["targets", "targets", "hosts", "store", "callers"] as const);
+            steps.push({ at: at + random.below(4_000), kind: "reset", place, share: pick([0.3, 0.55, 1]) });
+        }
+    };
+    const manifest = (at: number): void => {
+        const chosen = random.below(services);
+        steps.push({ at, kind: "manifest", how: pick(["drop", "move"] as const), service: chosen });
+        steps.push({ at: at + 300 + random.below(4_000), kind: "manifest", how: "restore", service: chosen });
+    };
+    const starts = (at: number): void => {
+        for (let count = 1 + random.below(hosts); count > 0; count -= 1) {
+            const host = random.below(hosts);
+            const signal = pick(["SIGTERM", "SIGHUP", "SIGINT", "SIGHUP"] as const);
+            steps.push({ at, kind: "signal", host, signal, afterStart: random.below(pick([60, 300, 1_500])) });
+            steps.push({ at, kind: "signal", host, signal: pick(["SIGKILL", "SIGTERM"] as const) });
+        }
+    };
+    const store = (at: number): void => {
+        steps.push({ at, kind: "store", fault: pick(["silent", "refusing", "slow"] as const) });
+        steps.push({ at: at + 1_000 + random.below(5_000), kind: "store", fault: "none" });
+    };
+    const kills = (at: number): void => {
+        steps.push({ at, kind: "signal", host: random.below(hosts), signal: "SIGKILL" });
+    };
+
+    const parts: Record<Play, Array<(at: number) => void>> = {
+        reuse: [stops, reuse],
+        resets: [stops, resets],
+        manifest: [stops, manifest],
+        thin: [stops],
+        starts: [starts, store],
+        mixed: [stops, reuse, resets, manifest, starts, store, kills],
+    };
+    for (let at = 1_000; at < seconds * 1_000 - 6_000; at += 5_000 + random.below(3_000)) {
+        const all = parts[play];
+        const chosen = play === "mixed" ? all.filter(() => random.chance(0.45)) : all;
+        chosen.forEach(part => part(at + random.below(1_000)));
+    }
+    return steps.filter(step => step.at < seconds * 1_000 - 1_000).sort((left, right) => left.at - right.at);
+};
--- /dev/null
+++ b/test/soak/verdict.ts
@@ -0,0 +1,139 @@
+/**
+ * The verdict on a soak, from what callers, targets and the operator of the processes saw. Pure.
+ */
+
+/** What a caller saw of a request. Times are in milliseconds of the soak; `life` numbers the process it was sent to. */
+export type RequestRecord = {
+    id: string;
+    life: number;
+    isSafe: boolean;
+    sentAt: number;
+    endedAt: number;
+    /** `unconnected`: never sent; `cut`: the connection ended without a complete answer; `left`: ended by the soak. */
+    outcome: "answer" | "cut" | "unconnected" | "left";
+    status: number;
+    /** Id, signature and body of the answer. */
+    answerId: string;
+    signature: string;
+    body: string;
+};
+/** A process from its start to its end. */
+export type LifeRecord = {
+    host: string;
+    startedAt: number;
+    readyAt: number | undefined;
+    signals: Array<{ signal: string; at: number }>;
+    endedAt: number;
+    code: number | undefined;
+    endSignal: string | undefined;
+    log: string;
+};
+/** What one target saw: the requests that reached it, and how often each ran. */
+export type TargetRecord = { id: string; arrivedIds: Set<string>; runCounts: Map<string, number> };
+export type SoakRecords = {
+    requests: RequestRecord[];
+    lives: LifeRecord[];
+    targets: TargetRecord[];
+    /** Spans in which the store was impaired, and moments of resets. */
+    storeFaults: Array<{ from: number; until: number }>;
+    resets: number[];
+    /** The longest time for which the soak itself did not run; its times are late by as much. */
+    stallMilliseconds: number;
+};
+export type Finding = {
+    rule: "FAULT" | "EARLY" | "LOST" | "CUT" | "REFUSED" | "TWICE" | "MIXED";
+    at: number;
+    host: string;
+    request: string;
+    text: string;
+    lines: string[];
+};
+
+/** The body of the answer of a target: it names the request and the target, and has a length that follows from the id. */
+export const bodyOf = (requestId: string, targetId: string): string =>
+    `${requestId} served by ${targetId} `.padEnd(400 + (Number(requestId.split("-")[1]) % 40) * 200, "x");
+
+const graceMilliseconds = 6_000;
+const readyMilliseconds = 15_000;
+const lossSlackMilliseconds = 1_000;
+const calmMilliseconds = 3_000;
+const stopSignals = ["SIGTERM", "SIGINT", "SIGKILL"];
+/** Statuses that promise that the request has not run. */
+const promises = [408, 421, 429, 503];
+
+const wasSent = (life: LifeRecord, signals: string[], until = Infinity): boolean =>
+    life.signals.some(({ signal, at }) => signals.includes(signal) && at <= until);
+
+/** Why the end of a process or its start is a fault; undefined if it is none. */
+const faultOf = (life: LifeRecord, storeFaults: SoakRecords["storeFaults"], stall: number): string | undefined => {
+    if (!wasSent(life, stopSignals, life.endedAt)) {
+        return "ended without having been asked to";
+    }
+    if (!wasSent(life, ["SIGKILL"], life.endedAt) && life.code !== 0) {
+        return "a planned stop ended with another code than 0";
+    }
+    const stop = Math.min(...life.signals.filter(({ signal }) => signal !== "SIGHUP").map(({ at }) => at));
+    if (life.endedAt - stop > graceMilliseconds + 2_000 + stall) {
+        return "still ran after the grace of its stop";
+    }
+    const calm = storeFaults.filter(({ until }) => until > life.startedAt).map(({ until }) => until);
+    const dueAt = Math.max(life.startedAt, ...calm) + readyMilliseconds + stall;
+    return life.readyAt === undefined && stop > dueAt ? "not ready within 15 s" : undefined;
+};
+
+const isBefore = (resets: number[], { sentAt, endedAt }: RequestRecord): boolean =>
+    resets.some(at => at > sentAt - calmMilliseconds && at <= endedAt);
+
+export const judge = (records: SoakRecords): Finding[] => {
+    const { requests, lives, targets, storeFaults, resets, stallMilliseconds } = records;
+    const findings: Finding[] = [];
+    const add = (rule: Finding["rule"], at: number, life: LifeRecord, request: string, text: string): void => {
+        const lines = life.log.split("\n").filter(line => request !== "" && line.includes(`request=${request}`));
+        const last = life.log.trimEnd().split("\n").slice(-3);
+        findings.push({ rule, at, host: life.host, request, text, lines: request === "" ? last : lines });
+    };
+
+    for (const life of lives) {
+        const fault = faultOf(life, storeFaults, stallMilliseconds);
+        if (fault !== undefined) {
+            const signals = life.signals.map(({ signal, at }) => `${signal} at ${Math.round(at - life.startedAt)} ms`);
+            const end = `code ${life.code ?? "none"}, signal ${life.endSignal ?? "none"}`;
+            const isEarly = life.log === "" && life.endSignal !== undefined;
+            const text = `${fault}; ${end}; after ${Math.round(life.endedAt - life.startedAt)} ms; ${
+                signals.join(", ")
+            }`;
+            add(isEarly ? "EARLY" : "FAULT", life.endedAt, life, "", text);
+        }
+    }
+    for (const request of requests) {
+        const life = lives[request.life] as LifeRecord;
+        const reached = targets.filter(target => target.arrivedIds.has(request.id));
+        const runs = targets.reduce((sum, target) => sum + (target.runCounts.get(request.id) ?? 0), 0);
+        const report = (rule: Finding["rule"], text: string): void =>
+            add(rule, request.endedAt, life, request.id, text);
+        const isLate = request.endedAt - request.sentAt > lossSlackMilliseconds + stallMilliseconds;
+        if (
+            request.outcome === "cut" && !wasSent(life, ["SIGKILL"], request.endedAt) && (reached.length > 0 || isLate)
+        ) {
+            const text = `cut ${
+                Math.round(request.endedAt - request.sentAt)
+            } ms after it was sent, ${reached.length} targets`;
+            report(isBefore(resets, request) ? "CUT" : "LOST", text);
+        }
+        if (!request.isSafe && runs > 1) {
+            report("TWICE", `ran ${runs} times`);
+        }
+        if (request.outcome === "answer" && !request.isSafe && promises.includes(request.status) && runs > 0) {
+            report("REFUSED", `answered ${request.status} and ran`);
+        }
+        if (request.outcome === "answer" && request.status >= 200 && request.status < 300) {
+            const server = targets.find(({ id }) => request.signature === `${id}.signature`);
+            const isWhole = request.answerId === request.id && server?.runCounts.has(request.id) === true
+                && request.body === bodyOf(request.id, server.id);
+            if (!isWhole) {
+                report("MIXED", `success with id ${request.answerId} and body ${request.body.slice(0, 80)}`);
+            }
+        }
+    }
+    return findings.sort((left, right) => left.at - right.at);
+};
