--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -32,7 +32,7 @@
     for await (const part of response) {
         body += String(part);
         if (isSlow) {
-            await sleep(150);
+            await sleep(20);
         }
     }
     return body;
--- a/test/soak/relay.ts
+++ b/test/soak/relay.ts
@@ -24,11 +24,11 @@
     }
 };
 
-/** Bytes that a slow relay passes on at once; it pauses after each. */
-const sliceBytes = 512;
+/** What a slow relay passes on at once in each direction, in bytes; it pauses after each. */
+const slices = { up: 4_096, down: 65_536 };
 
-/** Passes on what comes, also an end and a reset. `pauseMilliseconds` above 0 makes it slow in this direction. */
-const pass = (from: Socket, to: Socket, pauseMilliseconds: number): void => {
+/** Passes on what comes, also an end and a reset. `pauseMilliseconds` above 0 makes it slow. */
+const pass = (from: Socket, to: Socket, sliceBytes: number, pauseMilliseconds: number): void => {
     let passed = Promise.resolve();
     from.on("data", (part: Buffer) => {
         from.pause();
@@ -57,8 +57,8 @@
         const far = connect({ port: toPort(), host: "127.0.0.1", allowHalfOpen: true });
         const pair: [Socket, Socket] = [near, far];
         pairs.add(pair);
-        pass(near, far, 0);
-        pass(far, near, pauseMilliseconds);
+        pass(near, far, slices.up, pauseMilliseconds);
+        pass(far, near, slices.down, pauseMilliseconds);
         near.once("close", () => pairs.delete(pair));
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
--- a/test/soak/verdict.ts
+++ b/test/soak/verdict.ts
@@ -49,9 +49,15 @@
     lines: string[];
 };
 
-/** The body of the answer of a target: it names the request and the target, and has a length that follows from the id. */
-export const bodyOf = (requestId: string, targetId: string): string =>
-    `${requestId} served by ${targetId} `.padEnd(400 + (Number(requestId.split("-")[1]) % 40) * 200, "x");
+/**
+ * The body of the answer of a target: it names the request and the target. Its length follows from the id; some are longer
+ * than the buffers of a connection, so that a caller that reads slowly holds up its host.
+ */
+export const bodyOf = (requestId: string, targetId: string): string => {
+    const number = Number(requestId.split("-")[1]);
+    const length = number % 50 === 0 ? 4_000_000 : 400 + (number % 40) * 200;
+    return `${requestId} served by ${targetId} `.padEnd(length, "x");
+};
 
 /** Until then a process may not yet have come to its first line. */
 const earlyMilliseconds = 150;
