--- a/test/platform/descriptors.test.ts
+++ b/test/platform/descriptors.test.ts
@@ -133,7 +133,7 @@
         }
         t.deepEqual([...results], ["answered"], "new callers");
 
-        store.cutConnections();
+        store.resetConnections();
         store.put("servers", "i-2", entry("orders", second));
         store.remove("servers", "i-1");
         await waitUntil("the target is used that the store tells of only then", async () => {
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -130,10 +130,19 @@
     openFiles?: number;
     /** Prepares the settings file in place of writing it. */
     prepareFile?: (file: string, settings: string) => void;
+    zone?: string;
+    /** Share of a core that the settings name. */
+    processorShare?: number;
+    /** Ports of an earlier process, to start again at its addresses. */
+    ports?: { callersPort: number; healthPort: number };
+    /** The built program; that of this tree if left out. */
+    path?: string;
+    /** Lines that are added to the settings. */
+    moreSettings?: string[];
 };
 
 /** As in deploy/system.toml. */
-const programArguments = ["--max-old-space-size=128", "--max-semi-space-size=2", "target/carobpier.cjs"];
+const programArguments = ["--max-old-space-size=128", "--max-semi-space-size=2"];
 
 export const startProgram = async (
     store: StoreStandIn,
@@ -145,22 +154,30 @@
         metricsPort,
         openFiles,
         prepareFile = writeFileSync,
+        zone = "z1",
+        processorShare = 1,
+        ports,
+        path = "target/carobpier.cjs",
+        moreSettings = [],
     }: ProgramOptions = {},
 ): Promise<Program> => {
-    const [callersPort, healthPort, linksAt] = [await freePort(), await freePort(), linksPort ?? await freePort()];
+    const { callersPort, healthPort } = ports ?? { callersPort: await freePort(), healthPort: await freePort() };
+    const linksAt = linksPort ?? await freePort();
     const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
     const settings = [
-        `host: { name: ${name}, zone: z1 }`,
+        `host: { name: ${name}, zone: ${zone}, processor: { share: ${processorShare} } }`,
         `callers: { listen: "127.0.0.1:${callersPort}" }`,
         `health: { listen: "127.0.0.1:${healthPort}" }`,
         `links: { listen: "${linksHost}:${linksAt}" }`,
         `store: { address: "${store.address}" }`,
         `stopping: { grace: ${grace} }`,
         metricsPort === undefined ? "" : `metrics: { listen: "127.0.0.1:${metricsPort}" }`,
+        ...moreSettings,
     ].join("\n");
     prepareFile(file, settings);
-    const limited = ["-c", `ulimit -n ${openFiles} && exec "$0" "$@"`, process.execPath, ...programArguments];
-    const [command, args] = openFiles === undefined ? [process.execPath, programArguments] : ["sh", limited];
+    const words = [...programArguments, path];
+    const limited = ["-c", `ulimit -n ${openFiles} && exec "$0" "$@"`, process.execPath, ...words];
+    const [command, args] = openFiles === undefined ? [process.execPath, words] : ["sh", limited];
     const child = spawn(command, args, {
         env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
         stdio: ["ignore", "pipe", "inherit"],
