Tell who ended a caller's connection while answers were due on it

When a caller got no answer, nothing in the log or the metrics said whether the caller, the host or a target had ended the connection, and refused bytes left no line at all. The connections of callers now have a module of their own that knows which answers are due; a line and the counter answers-lost name the reason, who ended it, how many answers were due and their ids.

No test failed before: nothing was told. test/links/callerends.test.ts has four ends.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -7,68 +7,21 @@
 import type { Clock } from "../contracts/clock.ts";
 import { type Outcome, type Reason, reasons } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
+import type { AnswerStream, BaseCallerRequest, CallerAnswer, CallerProtocol, CallerRefusal } from "./calleranswers.ts";
 import { announcesBody, createBodyReader } from "./callerbody.ts";
-import type { HangUp } from "./callerhead.ts";
+import { type ConnectionEnd, createCallerConnections, type DueAnswer } from "./callerconnections.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
 
-/** Receives a streamed body. After `onEnd` or `onFailure` no method is called again. */
-export type StreamReceiver = {
-    /** Returns false to pause the stream until `resume` is called. */
-    onBytes: (bytes: Buffer) => boolean;
-    onEnd: () => void;
-    /** Called when the rest of the body is lost. */
-    onFailure: () => void;
-};
-
-/** The body of an answer that is passed on while it still arrives. */
-export type AnswerStream = {
-    /** Begins to deliver the body. */
-    start: (receiver: StreamReceiver) => void;
-    resume: () => void;
-    /** Drops the rest of the body. */
-    abort: () => void;
-};
-
-/** The answer of a target, or a refusal. */
-export type CallerAnswer =
-    | {
-        kind: "answer";
-        statusCode: number;
-        headers: Record<string, string | string[]>;
-        body: Buffer | undefined | AnswerStream;
-        /**
-         * Whether only the close of the connection ends the answer, since the target sent no length. It is written to
-         * the caller in the same way, since nobody can tell whether it is whole.
-         */
-        endsWithConnection?: boolean;
-    }
-    | { kind: "refusal"; reason: Reason; detail: string; retryAfterMilliseconds?: number };
-
-export type CallerRefusal = CallerAnswer & { kind: "refusal" };
-
-/** The properties of a request that the link itself uses. */
-export type BaseCallerRequest = {
-    id: string;
-    body: Buffer | undefined;
-    /** Monotonic milliseconds on the host's clock. */
-    deadlineAt: number;
-    hangUp: HangUp;
-};
-
-/** How requests of callers are read, and how refusals are written to them. */
-export type CallerProtocol<Request extends BaseCallerRequest> = {
-    isHealthCheck: (incoming: IncomingMessage) => boolean;
-    /** Reads the head of a request, or returns why it is refused. */
-    read: (incoming: IncomingMessage, receivedAt: number) => Request | CallerRefusal;
-    /** Adds the headers that the host itself puts on a target's answer. */
-    addAnswerHeaders: (headers: Record<string, string | string[]>, requestId: string) => void;
-    /** Formats a refusal. The link adds further headers to the result. */
-    formatRefusal: (refusal: CallerRefusal, requestId: string | undefined) => RefusalResponse;
-};
-
-/** A refusal as an HTTP response. */
-export type RefusalResponse = { statusCode: number; headers: Record<string, string | number>; body: string };
+export type {
+    AnswerStream,
+    BaseCallerRequest,
+    CallerAnswer,
+    CallerProtocol,
+    CallerRefusal,
+    RefusalResponse,
+    StreamReceiver,
+} from "./calleranswers.ts";
 
 export type CallerLinkOptions<Request extends BaseCallerRequest> = {
     /** IP address on which the server listens. */
@@ -80,8 +33,13 @@
     serve: (request: Request) => Promise<CallerAnswer>;
     /** Called once for each request, after its answer was written or its caller has hung up. */
     onDone: (request: Request, outcome: Outcome, reason: Reason | undefined) => void;
-    /** Called when received bytes are refused before a request could be read from them. */
-    onMalformed: (reason: Reason) => void;
+    /**
+     * Called when received bytes are refused before a request could be read from them, with the number of answers that
+     * were due on their connection.
+     */
+    onMalformed: (reason: Reason, due: number) => void;
+    /** Called when a connection has ended while answers were due on it. */
+    onConnectionEnd?: (end: ConnectionEnd) => void;
     /**
      * Called when serving a request threw an exception. The request is answered as `host-failed`, or its connection is
      * closed if an answer has begun. `requestId` is undefined while the request was not read yet.
@@ -128,7 +86,7 @@
     options: CallerLinkOptions<Request>,
 ): Promise<CallerLink> => {
     const { settings, clock, protocol } = options;
-    const sockets = new Set<Socket>();
+    const connections = createCallerConnections({ onEnd: end => options.onConnectionEnd?.(end) });
     let inFlight = 0;
     let keepsAlive = true;
 
@@ -149,8 +107,10 @@
     };
 
     const refuseHead = (response: ServerResponse, answer: CallerRefusal): void => {
+        // The refusal itself is due as well.
+        const due = (connections.of(response.req.socket)?.due() ?? 1) - 1;
         writeRefusal(response, undefined, answer, true);
-        options.onMalformed(answer.reason);
+        options.onMalformed(answer.reason, due);
     };
 
     /**
@@ -184,17 +144,24 @@
         if (answer.endsWithConnection === true) {
             headers["connection"] = "close";
             response.removeHeader("transfer-encoding");
+            connections.of(response.req.socket)?.nameEnd("answer-without-length");
         }
         response.writeHead(answer.statusCode, headers);
         if (body === undefined || Buffer.isBuffer(body)) {
             response.end(body);
             return true;
         }
-        // Only a reset tells the caller that an answer without a length is not whole.
-        const abortResponse = answer.endsWithConnection === true
-            ? () => response.socket?.resetAndDestroy()
-            : () => response.destroy();
-        return streamBody(response, body, abortResponse);
+        const { socket } = response.req;
+        return streamBody(response, body, () => {
+            connections.of(socket)?.nameEnd("answer-cut-short");
+            // Only a reset tells the caller that an answer without a length is not whole.
+            if (answer.endsWithConnection === true) {
+                response.socket?.resetAndDestroy();
+            }
+            else {
+                response.destroy();
+            }
+        });
     };
 
     const readBody = createBodyReader({
@@ -230,13 +197,14 @@
         const reason: Reason = "host-failed";
         options.onDone(request, reasons[reason].outcome, reason);
         if (response.headersSent) {
+            connections.of(response.req.socket)?.nameEnd("exception");
             response.destroy();
             return;
         }
         writeRefusal(response, request.id, { kind: "refusal", reason, detail: reasons[reason].title }, true);
     };
 
-    const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const serve = async (incoming: IncomingMessage, response: ServerResponse, due?: DueAnswer): Promise<void> => {
         if (hasSpaceInName(incoming.rawHeaders)) {
             const detail = "The name of a header contains a space.";
             refuseHead(response, { kind: "refusal", reason: "malformed-request", detail });
@@ -247,6 +215,9 @@
             refuseHead(response, request);
             return;
         }
+        if (due !== undefined) {
+            due.requestId = request.id;
+        }
         response.once("close", () => {
             request.hangUp.happened = !response.writableFinished;
             request.hangUp.listener?.();
@@ -271,12 +242,15 @@
     const server = createServer(
         { maxHeaderSize: settings.maxHeadBytes, keepAliveTimeout: defaultIdleTimeoutMilliseconds },
         (incoming, response) => {
+            const connection = connections.of(incoming.socket);
+            const due = connection?.begin(response);
             if (protocol.isHealthCheck(incoming)) {
                 response.writeHead(options.healthy() ? 200 : 503).end();
                 return;
             }
             inFlight += 1;
-            const served = serve(incoming, response).catch((error: unknown) => {
+            const served = serve(incoming, response, due).catch((error: unknown) => {
+                connection?.nameEnd("exception");
                 response.destroy();
                 options.onException?.(error, undefined);
             });
@@ -286,11 +260,9 @@
             });
         },
     );
-    server.on("connection", socket => {
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
-    });
+    server.on("connection", connections.accept);
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
+        connections.of(incoming.socket)?.begin(response);
         incoming.pause();
         const detail = "The only expectation that is met is 100-continue.";
         refuseHead(response, { kind: "refusal", reason: "malformed-request", detail });
@@ -301,7 +273,9 @@
             return;
         }
         const reason: Reason = error.code === "HPE_HEADER_OVERFLOW" ? "head-too-large" : "malformed-request";
-        options.onMalformed(reason);
+        const connection = connections.of(socket as Socket);
+        options.onMalformed(reason, connection?.due() ?? 0);
+        connection?.nameEnd("bytes-refused");
         const detail = "The bytes received are not an acceptable HTTP request.";
         const { statusCode, headers, body } = protocol.formatRefusal({ kind: "refusal", reason, detail }, undefined);
         const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
@@ -334,9 +308,7 @@
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
-                for (const socket of sockets) {
-                    socket.destroy();
-                }
+                connections.destroyAll("host-stopped");
             }),
     };
 };
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -21,6 +21,7 @@
 import { createPeerDialer, openPeerEndpoint } from "../../links/peers.ts";
 import { digestHash } from "../../zones/digesthash.ts";
 import { chooseReaders, type ReaderCandidate, readersToTell } from "../../zones/readers.ts";
+import { createCallerLog } from "./callerlog.ts";
 import { storeKinds } from "./coordination.ts";
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
 import { createFleetFacts } from "./fleetfacts.ts";
@@ -359,12 +360,7 @@
                     });
                 }
             },
-            onMalformed: reason => metrics.count("requests", { outcome: "not-run", reason }),
-            onException: (error, requestId) =>
-                log.error("request-exception", {
-                    request: requestId,
-                    error: error instanceof Error ? error.stack : String(error),
-                }),
+            ...createCallerLog({ log, metrics, clock }),
             healthy: () => true,
         });
     const callers = await listenWithRetries(settings.callers.listen, openCallers, listening);
--- /dev/null
+++ b/test/links/callerends.test.ts
@@ -0,0 +1,72 @@
+/**
+ * What the link to callers tells of connections that end while answers are due: who ended them, and how many answers.
+ */
+import test from "ava";
+import { connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { settingsSchema } from "../../src/contracts/settings.ts";
+import type { ConnectionEnd, ConnectionEndReason } from "../../src/links/callerconnections.ts";
+import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
+import { type CallerAnswer, type CallerLink, createCallerLink } from "../../src/links/callers.ts";
+import { systemClock } from "../../src/links/clock.ts";
+
+type Case = {
+    title: string;
+    answer?: CallerAnswer;
+    act: (socket: Socket, link: CallerLink) => unknown;
+    reason: ConnectionEndReason;
+};
+
+const brokenStream: CallerAnswer = {
+    kind: "answer",
+    statusCode: 200,
+    headers: { "content-length": "9" },
+    body: {
+        start: ({ onBytes, onFailure }) => {
+            onBytes(Buffer.from("part"));
+            setTimeout(onFailure, 50);
+        },
+        resume: () => undefined,
+        abort: () => undefined,
+    },
+};
+const cases: Case[] = [
+    { title: "a caller that closes its connection", act: socket => socket.destroy(), reason: "caller-closed" },
+    { title: "a caller that resets its connection", act: socket => socket.resetAndDestroy(), reason: "caller-reset" },
+    { title: "a host that stops", act: (...[, link]) => link.close(), reason: "host-stopped" },
+    { title: "a target that breaks off", answer: brokenStream, act: () => undefined, reason: "answer-cut-short" },
+];
+
+for (const { title, answer, act, reason } of cases) {
+    test(`the end of a connection with an answer due names ${title}`, async t => {
+        const settings = settingsSchema.parse({
+            host: { name: "host-a", zone: "zone-1" },
+            platform: { url: "http://127.0.0.1:1" },
+            callers: { port: 0 },
+        }).callers;
+        const ends: ConnectionEnd[] = [];
+        const ids: string[] = [];
+        const link = await createCallerLink({
+            bindAddress: "127.0.0.1",
+            settings,
+            protocol: createCallerProtocol(settings),
+            clock: systemClock,
+            serve: async ({ id }) => {
+                ids.push(id);
+                return answer ?? sleep(300, { kind: "answer", statusCode: 200, headers: {}, body: undefined });
+            },
+            onDone: () => undefined,
+            onMalformed: () => undefined,
+            onConnectionEnd: end => ends.push(end),
+            healthy: () => true,
+        });
+        t.teardown(link.close);
+        const [host, port] = link.address.split(":");
+        const socket = connect(Number(port), host).on("error", () => undefined).resume();
+        socket.write("GET /orders/a HTTP/1.1\r\nhost: x\r\n\r\n");
+        await sleep(30);
+        act(socket, link);
+        await sleep(100);
+        t.deepEqual(ends, [{ reason, due: 1, requestIds: ids }]);
+    });
+}
