Write the answers that are due before the refusal of what follows

Callers got a 400 or 431 without an id at once when bytes that are no request followed a running one on its connection, and the running request's answer never came, though it ran. A pipelined answer with "connection: close" likewise ended the connection before answers behind it, as in a planned stop, and a request behind a refused one was run without an answer. CONNECT closed the connection with no answer at all.

Cause: the refusal was written to the socket without asking what was due, and each answer decided by itself whether it was the last one. A connection now has four phases (open, closing, refused, ended); only the last answer due announces the end, a refusal of bytes waits for the answers before it, and what arrives after that is dropped and beyond 16 KB not read. A body that cannot be completed is refused as the answer to its own request. After the last bytes the host waits up to a second for the caller's close, as a close with unread bytes resets.

--- a/src/links/callerbody.ts
+++ b/src/links/callerbody.ts
@@ -9,8 +9,18 @@
 /** A whole body (`undefined` when it is empty) with its memory, or the reason why it is refused. */
 export type BodyResult = { body: Buffer | undefined; release: () => void } | { reason: Reason; detail: string };
 
-/** Reads a body until `deadlineAt`, in milliseconds of the reader's clock. */
-export type BodyReader = (incoming: IncomingMessage, deadlineAt: number) => Promise<BodyResult>;
+/** Ends the reading of a body with the reason why it is refused. */
+export type BodyBreaker = (reason: Reason, detail: string) => void;
+
+/**
+ * Reads a body until `deadlineAt`, in milliseconds of the reader's clock. `onStart` is called with a function that ends
+ * the reading when the bytes on the connection can not complete the body.
+ */
+export type BodyReader = (
+    incoming: IncomingMessage,
+    deadlineAt: number,
+    onStart?: (breakOff: BodyBreaker) => void,
+) => Promise<BodyResult>;
 
 export type BodyReaderOptions = {
     /** Limit on one body. */
@@ -31,7 +41,7 @@
     const { maxBodyBytes, maxBufferedBytes, clock } = options;
     let bufferedBytes = 0;
 
-    return (incoming, deadlineAt) =>
+    return (incoming, deadlineAt, onStart) =>
         new Promise(resolve => {
             const chunks: Buffer[] = [];
             let size = 0;
@@ -56,6 +66,7 @@
                 }
                 finish({ reason, detail });
             };
+            onStart?.(refuse);
             const cancelTimer = clock.after(Math.max(0, deadlineAt - clock.now()), () => {
                 refuse("deadline-unreachable", "The body did not arrive before the deadline.");
             });
--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -1,9 +1,16 @@
 /**
- * The connections of callers: which answers are due on each, in the order of their requests, and why a connection ended
- * while some still were.
+ * The connections of callers. Answers that are due on a connection are written whole and in the order of their requests,
+ * then the refusal of bytes that followed them, then the connection ends.
+ *
+ * A connection is `open` while it takes requests; `closing` once an answer that announces its end was begun; `refused`
+ * while the refusal of bytes waits for the answers before it; `ended` when the last bytes were written. In all but the
+ * first, what arrives is dropped, and beyond a limit it is not read.
  */
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Clock } from "../contracts/clock.ts";
+import type { Reason } from "../contracts/outcome.ts";
+import type { BodyBreaker } from "./callerbody.ts";
 
 /** Why a connection ended while answers were due on it, and who ended it. */
 export const connectionEnds = {
@@ -11,15 +18,15 @@
     "caller-closed": "caller",
     /** The connection was reset, or broke. */
     "caller-reset": "caller",
-    /** The bytes that followed were refused. */
-    "bytes-refused": "caller",
+    /** The caller took no bytes of an answer for the idle time. */
+    "caller-stalled": "caller",
     "answer-cut-short": "target",
     /** Only the end of the connection ended an answer, and others were due behind it. */
     "answer-without-length": "target",
     exception: "host",
     /** The host closed all connections, since it stopped. */
     "host-stopped": "host",
-    /** The host closed the connection for another reason, such as a time limit. */
+    /** The host closed the connection for another reason. */
     "host-closed": "host",
 } as const;
 
@@ -29,13 +36,38 @@
 export type ConnectionEnd = { reason: ConnectionEndReason; due: number; requestIds: string[] };
 
 /** An answer that is due. The id is set when it has been read. */
-export type DueAnswer = { response: ServerResponse; requestId: string | undefined };
+export type DueAnswer = { connection: CallerConnection; response: ServerResponse; requestId: string | undefined };
 
 export type CallerConnection = {
-    /** Records that a request has begun, so that its answer is due until it is written whole. */
-    begin: (response: ServerResponse) => DueAnswer;
+    /**
+     * Records that a request has begun, so that its answer is due until it is written whole. Returns undefined when the
+     * connection takes no more requests; the request must be dropped.
+     */
+    begin: (response: ServerResponse) => DueAnswer | undefined;
     /** Number of answers that are due. */
     due: () => number;
+    /** Whether the connection may end after the answer: neither another answer nor a refusal is due behind it. */
+    isLast: (answer: DueAnswer) => boolean;
+    /** Takes no more requests, since an answer that announces the end of the connection is about to be written. */
+    announceEnd: () => void;
+    /** Whether the connection takes requests. */
+    isOpen: () => boolean;
+    /** Ends the connection with these bytes, after the answers that are due. */
+    refuse: (bytes: string) => void;
+    /** Notes that bytes arrived which are dropped. */
+    drop: () => void;
+    /** Sets the function that ends the reading of the latest request's body. */
+    onBrokenBody: (listener: BodyBreaker) => void;
+    /** Ends the reading of a body that can not be completed. Returns false when none is being read. */
+    breakBody: (reason: Reason, detail: string) => boolean;
+    /** Notes that the body of the latest request has arrived whole. */
+    recordBodyRead: () => void;
+    /** Whether nothing is due on the connection and no part of a request has arrived. */
+    isIdle: () => boolean;
+    /** Ends the connection if it is idle after a request, or else when no more answers are due. */
+    endWhenIdle: () => void;
+    /** Called when nothing was read or written for the socket's time-out. */
+    onTimeout: () => void;
     /** Names the reason if the connection ends now. The first reason named counts. */
     nameEnd: (reason: ConnectionEndReason) => void;
     /** Closes the connection at once, whatever is due. */
@@ -43,65 +75,176 @@
 };
 
 export type CallerConnections = {
-    /** Takes in a new connection. */
-    accept: (socket: Socket) => void;
-    /** Returns the connection of a socket that was accepted and is not closed. */
-    of: (socket: Socket) => CallerConnection | undefined;
+    /** Returns the connection of a socket; it is created with the first call. */
+    of: (socket: Socket) => CallerConnection;
+    /** Calls `endWhenIdle` of all connections. */
+    endIdle: () => void;
     destroyAll: (reason: ConnectionEndReason) => void;
 };
 
 export type CallerConnectionsOptions = {
+    clock: Clock;
+    /** Time after which a caller that takes no bytes of the last answers is given up. */
+    idleMilliseconds: () => number;
     /** Called when a connection has ended while answers were due on it. */
     onEnd: (end: ConnectionEnd) => void;
 };
 
-const maxIdsTold = 5;
+type Phase = "open" | "closing" | "refused" | "ended";
 
-/** Creates the set of a link's connections, which is empty at first. */
-export const createCallerConnections = ({ onEnd }: CallerConnectionsOptions): CallerConnections => {
-    const connections = new Map<Socket, CallerConnection>();
+const maxIdsTold = 5;
+/** Bytes that are read and dropped, so that the close of a caller's connection is noticed behind them. */
+const maxDroppedBytes = 16_384;
+/**
+ * How long the host waits for the caller to close its half. A connection that is closed with unread bytes is reset, and
+ * the caller may lose the answers that were written last.
+ */
+const lingerMilliseconds = 1_000;
 
-    const openConnection = (socket: Socket): CallerConnection => {
-        const dueAnswers = new Set<DueAnswer>();
-        let namedEnd: ConnectionEndReason | undefined;
-        let failed = false;
+const openConnection = (
+    socket: Socket,
+    { clock, idleMilliseconds, onEnd }: CallerConnectionsOptions,
+): CallerConnection => {
+    const dueAnswers = new Set<DueAnswer>();
+    let phase: Phase = "open";
+    let refusal: string | undefined;
+    let endsWhenIdle = false;
+    let hasBegun = false;
+    /** Bytes that were read up to the end of the latest request, and up to the last one that was taken. */
+    let requestBytes = 0;
+    let takenBytes = 0;
+    let namedEnd: ConnectionEndReason | undefined;
+    let failed = false;
+    let bodyBreaker: BodyBreaker | undefined;
+    let cancelLinger = (): void => undefined;
 
-        socket.once("error", () => {
-            failed = true;
+    const nameEnd = (reason: ConnectionEndReason): void => {
+        namedEnd ??= reason;
+    };
+    const destroy = (reason: ConnectionEndReason): void => {
+        nameEnd(reason);
+        socket.destroy();
+    };
+    const leave = (next: Phase): void => {
+        if (phase === "open") {
+            takenBytes = socket.bytesRead;
+        }
+        phase = next;
+        socket.setTimeout(idleMilliseconds());
+    };
+    const end = (lastBytes: string): void => {
+        leave("ended");
+        socket.end(lastBytes, () => {
+            cancelLinger = clock.after(lingerMilliseconds, () => socket.destroy());
         });
-        socket.once("close", () => {
-            connections.delete(socket);
-            const due = [...dueAnswers].filter(({ response }) => !response.writableFinished);
-            if (due.length === 0) {
+    };
+    const isIdle = (): boolean => phase === "open" && dueAnswers.size === 0 && socket.bytesRead === requestBytes;
+    const endIfNothingIsDue = (): void => {
+        if (dueAnswers.size > 0 || !socket.writable) {
+            return;
+        }
+        if (refusal !== undefined) {
+            end(refusal);
+        }
+        else if (endsWhenIdle && hasBegun && isIdle()) {
+            end("");
+        }
+    };
+
+    socket.once("error", () => {
+        failed = true;
+    });
+    socket.once("close", () => {
+        cancelLinger();
+        if (dueAnswers.size > 0) {
+            const byCaller = failed ? "caller-reset" : socket.readableEnded ? "caller-closed" : undefined;
+            const requestIds = [...dueAnswers].flatMap(({ requestId }) => requestId ?? []).slice(0, maxIdsTold);
+            onEnd({ reason: namedEnd ?? byCaller ?? "host-closed", due: dueAnswers.size, requestIds });
+        }
+    });
+
+    const connection: CallerConnection = {
+        begin: response => {
+            if (phase !== "open") {
+                return undefined;
+            }
+            const answer: DueAnswer = { connection, response, requestId: undefined };
+            dueAnswers.add(answer);
+            hasBegun = true;
+            requestBytes = socket.bytesRead;
+            response.once("finish", () => {
+                // Node also emits this for an answer of which a part was dropped with the connection.
+                if (!socket.destroyed) {
+                    dueAnswers.delete(answer);
+                    endIfNothingIsDue();
+                }
+            });
+            return answer;
+        },
+        due: () => dueAnswers.size,
+        isLast: answer => refusal === undefined && [...dueAnswers].at(-1) === answer,
+        announceEnd: () => {
+            if (phase === "open") {
+                leave("closing");
+            }
+        },
+        isOpen: () => phase === "open",
+        refuse: bytes => {
+            if (phase === "open") {
+                refusal = bytes;
+                leave("refused");
+                endIfNothingIsDue();
+            }
+        },
+        drop: () => {
+            if (socket.bytesRead - takenBytes > maxDroppedBytes) {
+                socket.pause();
+            }
+        },
+        onBrokenBody: listener => {
+            bodyBreaker = listener;
+        },
+        breakBody: (reason, detail) => {
+            const breaker = bodyBreaker;
+            bodyBreaker = undefined;
+            breaker?.(reason, detail);
+            return breaker !== undefined;
+        },
+        recordBodyRead: () => {
+            bodyBreaker = undefined;
+            requestBytes = socket.bytesRead;
+        },
+        isIdle,
+        endWhenIdle: () => {
+            endsWhenIdle = true;
+            endIfNothingIsDue();
+        },
+        onTimeout: () => {
+            if ([...dueAnswers].some(({ response }) => !response.writableEnded)) {
+                socket.setTimeout(idleMilliseconds());
                 return;
             }
-            const byCaller = failed ? "caller-reset" : socket.readableEnded ? "caller-closed" : undefined;
-            const requestIds = due.flatMap(({ requestId }) => requestId ?? []).slice(0, maxIdsTold);
-            onEnd({ reason: namedEnd ?? byCaller ?? "host-closed", due: due.length, requestIds });
-        });
-        const nameEnd = (reason: ConnectionEndReason): void => {
-            namedEnd ??= reason;
-        };
-        return {
-            begin: response => {
-                const answer: DueAnswer = { response, requestId: undefined };
-                dueAnswers.add(answer);
-                // The close of the connection itself is handled above, with all answers that are due at that time.
-                response.once("finish", () => dueAnswers.delete(answer));
-                return answer;
-            },
-            due: () => dueAnswers.size,
-            nameEnd,
-            destroy: reason => {
-                nameEnd(reason);
-                socket.destroy();
-            },
-        };
+            destroy("caller-stalled");
+        },
+        nameEnd,
+        destroy,
     };
+    return connection;
+};
 
+/** Creates the set of a link's connections, which is empty at first. */
+export const createCallerConnections = (options: CallerConnectionsOptions): CallerConnections => {
+    const connections = new Map<Socket, CallerConnection>();
     return {
-        accept: socket => void connections.set(socket, openConnection(socket)),
-        of: socket => connections.get(socket),
+        of: socket => {
+            const connection = connections.get(socket) ?? openConnection(socket, options);
+            if (!connections.has(socket) && !socket.destroyed) {
+                connections.set(socket, connection);
+                socket.once("close", () => connections.delete(socket));
+            }
+            return connection;
+        },
+        endIdle: () => connections.forEach(connection => connection.endWhenIdle()),
         destroyAll: reason => connections.forEach(connection => connection.destroy(reason)),
     };
 };
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -7,9 +7,15 @@
 import type { Clock } from "../contracts/clock.ts";
 import { type Outcome, type Reason, reasons } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
-import type { AnswerStream, BaseCallerRequest, CallerAnswer, CallerProtocol, CallerRefusal } from "./calleranswers.ts";
+import { createAnswerWriter } from "./answerwriter.ts";
+import type { BaseCallerRequest, CallerAnswer, CallerProtocol, CallerRefusal } from "./calleranswers.ts";
 import { announcesBody, createBodyReader } from "./callerbody.ts";
-import { type ConnectionEnd, createCallerConnections, type DueAnswer } from "./callerconnections.ts";
+import {
+    type CallerConnection,
+    type ConnectionEnd,
+    createCallerConnections,
+    type DueAnswer,
+} from "./callerconnections.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
 
@@ -86,82 +92,19 @@
     options: CallerLinkOptions<Request>,
 ): Promise<CallerLink> => {
     const { settings, clock, protocol } = options;
-    const connections = createCallerConnections({ onEnd: end => options.onConnectionEnd?.(end) });
     let inFlight = 0;
     let keepsAlive = true;
+    const connections = createCallerConnections({
+        clock,
+        idleMilliseconds: () => server.keepAliveTimeout,
+        onEnd: end => options.onConnectionEnd?.(end),
+    });
+    const { writeRefusal, writeAnswer, formatBytes } = createAnswerWriter({ protocol, keepsAlive: () => keepsAlive });
 
-    /** Writes a refusal. With `unread`, parts of the request were not read, so the connection can not be used again. */
-    const writeRefusal = (
-        response: ServerResponse,
-        id: string | undefined,
-        answer: CallerRefusal,
-        unread: boolean,
-    ): void => {
-        const { statusCode, headers, body } = protocol.formatRefusal(answer, id);
-        headers["content-length"] = Buffer.byteLength(body);
-        if (!keepsAlive || unread) {
-            headers["connection"] = "close";
-        }
-        response.writeHead(statusCode, headers);
-        response.end(body);
-    };
-
-    const refuseHead = (response: ServerResponse, answer: CallerRefusal): void => {
+    const refuseHead = (due: DueAnswer, refusal: CallerRefusal): void => {
+        writeRefusal(due, refusal, true);
         // The refusal itself is due as well.
-        const due = (connections.of(response.req.socket)?.due() ?? 1) - 1;
-        writeRefusal(response, undefined, answer, true);
-        options.onMalformed(answer.reason, due);
-    };
-
-    /**
-     * Resolves to true when the whole body was passed on. When it breaks off, `onFailure` closes the caller's
-     * connection.
-     */
-    const streamBody = (response: ServerResponse, stream: AnswerStream, onFailure: () => void): Promise<boolean> =>
-        new Promise(resolve => {
-            response.on("drain", stream.resume);
-            response.once("close", () => {
-                stream.abort();
-                resolve(false);
-            });
-            stream.start({
-                onBytes: bytes => response.write(bytes),
-                onEnd: () => response.end(() => resolve(true)),
-                onFailure,
-            });
-        });
-
-    const writeAnswer = (
-        response: ServerResponse,
-        id: string,
-        answer: CallerAnswer & { kind: "answer" },
-    ): true | Promise<boolean> => {
-        const { headers, body } = answer;
-        protocol.addAnswerHeaders(headers, id);
-        if (!keepsAlive) {
-            headers["connection"] = "close";
-        }
-        if (answer.endsWithConnection === true) {
-            headers["connection"] = "close";
-            response.removeHeader("transfer-encoding");
-            connections.of(response.req.socket)?.nameEnd("answer-without-length");
-        }
-        response.writeHead(answer.statusCode, headers);
-        if (body === undefined || Buffer.isBuffer(body)) {
-            response.end(body);
-            return true;
-        }
-        const { socket } = response.req;
-        return streamBody(response, body, () => {
-            connections.of(socket)?.nameEnd("answer-cut-short");
-            // Only a reset tells the caller that an answer without a length is not whole.
-            if (answer.endsWithConnection === true) {
-                response.socket?.resetAndDestroy();
-            }
-            else {
-                response.destroy();
-            }
-        });
+        options.onMalformed(refusal.reason, due.connection.due() - 1);
     };
 
     const readBody = createBodyReader({
@@ -170,87 +113,89 @@
         clock,
     });
 
-    const answerCaller = async (
-        request: Request,
-        incoming: IncomingMessage,
-        response: ServerResponse,
-    ): Promise<void> => {
+    const answerCaller = async (request: Request, incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
         await waitForNextReads();
         if (hasHungUp(incoming)) {
-            response.destroy();
+            due.response.destroy();
             options.onDone(request, reasons.cancelled.outcome, "cancelled");
             return;
         }
         const answer = await options.serve(request);
         if (answer.kind === "refusal") {
-            writeRefusal(response, request.id, answer, false);
+            writeRefusal(due, answer, false);
             options.onDone(request, reasons[answer.reason].outcome, answer.reason);
             return;
         }
-        const whole = await writeAnswer(response, request.id, answer);
+        const whole = await writeAnswer(due, request.id, answer);
         options.onDone(request, whole ? "answered" : "unknown", whole ? undefined : "answer-cut-short");
     };
 
     /** Ends a request whose handling threw an exception. Whether it has run is not known. */
-    const answerFailed = (request: Request, response: ServerResponse, error: unknown): void => {
+    const answerFailed = (request: Request, due: DueAnswer, error: unknown): void => {
         options.onException?.(error, request.id);
         const reason: Reason = "host-failed";
         options.onDone(request, reasons[reason].outcome, reason);
-        if (response.headersSent) {
-            connections.of(response.req.socket)?.nameEnd("exception");
-            response.destroy();
+        if (due.response.headersSent) {
+            due.connection.nameEnd("exception");
+            due.response.destroy();
             return;
         }
-        writeRefusal(response, request.id, { kind: "refusal", reason, detail: reasons[reason].title }, true);
+        writeRefusal(due, { kind: "refusal", reason, detail: reasons[reason].title }, true);
     };
 
-    const serve = async (incoming: IncomingMessage, response: ServerResponse, due?: DueAnswer): Promise<void> => {
+    const serve = async (incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
+        const { response, connection } = due;
         if (hasSpaceInName(incoming.rawHeaders)) {
             const detail = "The name of a header contains a space.";
-            refuseHead(response, { kind: "refusal", reason: "malformed-request", detail });
+            refuseHead(due, { kind: "refusal", reason: "malformed-request", detail });
             return;
         }
         const request = protocol.read(incoming, clock.now());
         if ("kind" in request) {
-            refuseHead(response, request);
+            refuseHead(due, request);
             return;
         }
-        if (due !== undefined) {
-            due.requestId = request.id;
-        }
+        due.requestId = request.id;
         response.once("close", () => {
             request.hangUp.happened = !response.writableFinished;
             request.hangUp.listener?.();
         });
         const answer = (): Promise<void> =>
-            answerCaller(request, incoming, response)
-                .catch((error: unknown) => answerFailed(request, response, error));
+            answerCaller(request, incoming, due).catch((error: unknown) => answerFailed(request, due, error));
         if (!announcesBody(incoming)) {
             await answer();
             return;
         }
-        const result = await readBody(incoming, request.deadlineAt);
+        const result = await readBody(incoming, request.deadlineAt, connection.onBrokenBody);
         if ("reason" in result) {
-            writeRefusal(response, request.id, { kind: "refusal", ...result }, true);
+            writeRefusal(due, { kind: "refusal", ...result }, true);
             options.onDone(request, reasons[result.reason].outcome, result.reason);
             return;
         }
+        connection.recordBodyRead();
         request.body = result.body;
         await answer().finally(result.release);
     };
 
     const server = createServer(
-        { maxHeaderSize: settings.maxHeadBytes, keepAliveTimeout: defaultIdleTimeoutMilliseconds },
+        {
+            maxHeaderSize: settings.maxHeadBytes,
+            keepAliveTimeout: defaultIdleTimeoutMilliseconds,
+        },
         (incoming, response) => {
             const connection = connections.of(incoming.socket);
-            const due = connection?.begin(response);
+            const due = connection.begin(response);
+            if (due === undefined) {
+                connection.drop();
+                return;
+            }
             if (protocol.isHealthCheck(incoming)) {
                 response.writeHead(options.healthy() ? 200 : 503).end();
                 return;
             }
             inFlight += 1;
-            const served = serve(incoming, response, due).catch((error: unknown) => {
-                connection?.nameEnd("exception");
+            const served = serve(incoming, due).catch((error: unknown) => {
+                connection.nameEnd("exception");
                 response.destroy();
                 options.onException?.(error, undefined);
             });
@@ -260,29 +205,39 @@
             });
         },
     );
-    server.on("connection", connections.accept);
+    /** Refuses bytes that are no request, after the answers that are due. */
+    const refuseBytes = (connection: CallerConnection, reason: Reason): void => {
+        if (!connection.isOpen()) {
+            connection.drop();
+            return;
+        }
+        const detail = "The bytes received are not an acceptable HTTP request.";
+        options.onMalformed(reason, connection.due());
+        if (!connection.breakBody(reason, detail)) {
+            connection.refuse(formatBytes({ kind: "refusal", reason, detail }));
+        }
+    };
+    server.on("connection", socket => void connections.of(socket));
+    server.on("timeout", socket => connections.of(socket).onTimeout());
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
-        connections.of(incoming.socket)?.begin(response);
         incoming.pause();
+        const due = connections.of(incoming.socket).begin(response);
         const detail = "The only expectation that is met is 100-continue.";
-        refuseHead(response, { kind: "refusal", reason: "malformed-request", detail });
+        if (due !== undefined) {
+            refuseHead(due, { kind: "refusal", reason: "malformed-request", detail });
+        }
     });
-    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-        if (!socket.writable) {
-            socket.destroy();
+    server.on("connect", (...[, stream]) => {
+        const connection = connections.of(stream as Socket);
+        refuseBytes(connection, "malformed-request");
+        stream.on("data", connection.drop);
+    });
+    server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
+        if (stream.destroyed) {
             return;
         }
-        const reason: Reason = error.code === "HPE_HEADER_OVERFLOW" ? "head-too-large" : "malformed-request";
-        const connection = connections.of(socket as Socket);
-        options.onMalformed(reason, connection?.due() ?? 0);
-        connection?.nameEnd("bytes-refused");
-        const detail = "The bytes received are not an acceptable HTTP request.";
-        const { statusCode, headers, body } = protocol.formatRefusal({ kind: "refusal", reason, detail }, undefined);
-        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-        socket.end(
-            `HTTP/1.1 ${statusCode} Refused\r\nconnection: close\r\n${lines}`
-                + `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-        );
+        const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
+        refuseBytes(connections.of(stream as Socket), isTooLarge ? "head-too-large" : "malformed-request");
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
@@ -303,7 +258,7 @@
         stopAccepting: () => {
             keepsAlive = false;
             server.close();
-            server.closeIdleConnections();
+            connections.endIdle();
         },
         close: () =>
             new Promise(resolve => {
--- /dev/null
+++ b/test/links/callerconnections.test.ts
@@ -0,0 +1,218 @@
+/**
+ * What follows a request on a caller's connection, on real sockets: answers that are due are written whole and in order,
+ * then the refusal of what follows, then the connection ends.
+ */
+import test, { type ExecutionContext } from "ava";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { settingsSchema } from "../../src/contracts/settings.ts";
+import type { ConnectionEnd } from "../../src/links/callerconnections.ts";
+import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
+import {
+    type CallerAnswer,
+    type CallerLink,
+    type CallerRequest,
+    createCallerLink,
+    type StreamReceiver,
+} from "../../src/links/callers.ts";
+import { systemClock } from "../../src/links/clock.ts";
+
+const workMilliseconds = 200;
+const pauseMilliseconds = 60;
+const headMilliseconds = 100;
+const largeBytes = 33_554_432;
+const firstPart = "first part, ";
+const wholeBody = "first part, second part.";
+
+/** An answer that comes after some work, or one whose first part comes at once and the rest after the work. */
+const answerOf = async ({ path }: CallerRequest): Promise<CallerAnswer> => {
+    const answer = { kind: "answer" as const, statusCode: 200, headers: { "content-length": `${wholeBody.length}` } };
+    if (path === "/running") {
+        await sleep(workMilliseconds);
+        return { ...answer, body: Buffer.from(wholeBody) };
+    }
+    if (path === "/half") {
+        const start = ({ onBytes, onEnd }: StreamReceiver): void => {
+            onBytes(Buffer.from(firstPart));
+            setTimeout(() => {
+                onBytes(Buffer.from(wholeBody.slice(firstPart.length)));
+                onEnd();
+            }, workMilliseconds);
+        };
+        return { ...answer, body: { start, resume: () => undefined, abort: () => undefined } };
+    }
+    if (path === "/large") {
+        const body = Buffer.alloc(largeBytes, "x");
+        return { ...answer, headers: { "content-length": String(largeBytes) }, body };
+    }
+    if (path === "/broken") {
+        const start = ({ onFailure }: StreamReceiver): void => onFailure();
+        const body = { start, resume: () => undefined, abort: () => undefined };
+        return { ...answer, headers: {}, body, endsWithConnection: true };
+    }
+    return { ...answer, body: Buffer.from(wholeBody) };
+};
+
+type Opened = { link: CallerLink; served: string[]; ends: ConnectionEnd[] };
+
+const openLink = async (): Promise<Opened> => {
+    const settings = settingsSchema.parse({
+        host: { name: "host-a", zone: "zone-1" },
+        platform: { url: "http://127.0.0.1:1" },
+        callers: { port: 0, maxBodyBytes: 64, maxHeadBytes: 2_048 },
+    }).callers;
+    const served: string[] = [];
+    const ends: ConnectionEnd[] = [];
+    const link = await createCallerLink<CallerRequest>({
+        bindAddress: "127.0.0.1",
+        settings,
+        protocol: createCallerProtocol(settings),
+        clock: systemClock,
+        serve: request => {
+            served.push(request.path);
+            return answerOf(request);
+        },
+        onDone: () => undefined,
+        onMalformed: () => undefined,
+        onConnectionEnd: end => ends.push(end),
+        healthy: () => true,
+    });
+    link.setTimeouts(5_000, headMilliseconds);
+    return { link, served, ends };
+};
+
+const get = (path: string, ...lines: string[]): string =>
+    [`GET /orders/${path} HTTP/1.1`, "host: x", ...lines, "", ""].join("\r\n");
+const post = (path: string, ...lines: string[]): string => get(path, ...lines).replace("GET", "POST");
+
+type Follower = {
+    title: string;
+    bytes?: string;
+    act?: (opened: Opened, socket: Socket) => void;
+    /** Statuses after the answer of the first request, if there is one. */
+    statuses: number[];
+    /** Whether the connection stays open. */
+    staysOpen?: boolean;
+    /** Whether a connection without a request stays open. */
+    staysUnused?: boolean;
+};
+
+const stop = ({ link }: Opened): void => {
+    link.disableKeepAlive();
+    link.stopAccepting();
+};
+
+const followers: Follower[] = [
+    { title: "garbage", bytes: "\0\0 no request\r\n\r\n", statuses: [400] },
+    { title: "a head that is too long", bytes: get("b", `a: ${"b".repeat(4_096)}`), statuses: [431] },
+    { title: "garbage without end", bytes: "no request\r\n\r\n".repeat(300_000), statuses: [400] },
+    { title: "two lengths", bytes: post("b", "content-length: 5", "content-length: 6"), statuses: [400] },
+    { title: "an expectation", bytes: get("b", "expect: miracles"), statuses: [400] },
+    { title: "a method that opens a tunnel", bytes: "CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n", statuses: [400] },
+    {
+        title: "a refused request, and one more",
+        bytes: get("b", "carobpier-key: a", "carobpier-key: b") + get("c"),
+        statuses: [400],
+    },
+    {
+        title: "a body that is never sent",
+        bytes: post("b", "content-length: 5", "carobpier-deadline: 100"),
+        statuses: [503],
+    },
+    {
+        title: "a body that is no chunk",
+        bytes: post("b", "transfer-encoding: chunked") + "no chunk\r\n",
+        statuses: [400],
+    },
+    { title: "one more request and garbage", bytes: get("b") + "no request\r\n\r\n", statuses: [200, 400] },
+    { title: "one more request and a planned stop", bytes: get("running"), act: stop, statuses: [200] },
+    { title: "a planned stop", act: stop, statuses: [], staysUnused: true },
+    {
+        title: "a reload with shorter time-outs",
+        act: ({ link }) => link.setTimeouts(10_000, 50),
+        statuses: [],
+        staysOpen: true,
+    },
+];
+
+type Before = { title: string; path: string | undefined };
+const befores: Before[] = [
+    { title: "nothing", path: undefined },
+    { title: "a running request", path: "running" },
+    { title: "an answer half written", path: "half" },
+];
+
+for (const { title: before, path } of befores) {
+    for (const { title, bytes, act, statuses, staysOpen = false, staysUnused = false } of followers) {
+        test(`answers that are due go first: ${title} after ${before}`, async t => {
+            const opened = await openLink();
+            t.teardown(opened.link.close);
+            const [host, port] = opened.link.address.split(":");
+            const socket = connect({ host, port: Number(port), allowHalfOpen: true });
+            let received = "";
+            let ended = false;
+            socket.on("data", chunk => {
+                received += String(chunk);
+            });
+            socket.on("end", () => {
+                ended = true;
+                socket.end();
+            });
+            socket.on("error", () => undefined);
+            t.teardown(() => socket.destroy());
+            if (path !== undefined) {
+                socket.write(get(path));
+            }
+            await sleep(pauseMilliseconds);
+            if (bytes !== undefined) {
+                socket.write(bytes);
+                await sleep(10);
+            }
+            act?.(opened, socket);
+            const stays = staysOpen || (staysUnused && path === undefined);
+            const endAt = performance.now() + (stays ? 800 : 2_000);
+            while (performance.now() < endAt && !ended) {
+                await sleep(10);
+            }
+            const found = received.split("HTTP/1.1 ").slice(1);
+            const wanted = path === undefined ? statuses : [200, ...statuses];
+            t.deepEqual(found.map(answer => Number(answer.slice(0, 3))), wanted, received);
+            t.true(found.filter(answer => answer.startsWith("200")).every(answer => answer.endsWith(wholeBody)));
+            t.is(opened.served.length, wanted.filter(status => status === 200).length);
+            t.is(ended, !stays);
+        });
+    }
+}
+
+const openSocket = (t: ExecutionContext, { link }: Opened): Socket => {
+    const [host, port] = link.address.split(":");
+    const socket = connect(Number(port), host).on("error", () => undefined);
+    t.teardown(() => socket.destroy());
+    return socket;
+};
+
+test("a caller that never reads does not hold the host once its bytes are refused", async t => {
+    const opened = await openLink();
+    t.teardown(opened.link.close);
+    opened.link.setTimeouts(200, headMilliseconds);
+    openSocket(t, opened).pause().write(`${get("large")}no request\r\n\r\n`);
+    await sleep(1_500);
+    t.is(opened.link.inFlight(), 0);
+    t.deepEqual(opened.ends.map(({ reason, due }) => ({ reason, due })), [{ reason: "caller-stalled", due: 1 }]);
+});
+
+test("an answer without a length that breaks off does not end the connection before the answer ahead of it", async t => {
+    const opened = await openLink();
+    t.teardown(opened.link.close);
+    const socket = openSocket(t, opened);
+    let received = "";
+    socket.on("data", chunk => {
+        received += String(chunk);
+    });
+    socket.write(get("running") + get("broken"));
+    await once(socket, "close");
+    t.regex(received, new RegExp(wholeBody));
+    await sleep(20);
+    t.is(opened.link.inFlight(), 0);
+});
