Keep answers that a slow caller still reads when a planned stop closes idle connections

2.4 s after SIGTERM the host closed connections whose answer was made but not yet handed to the operating system: a caller behind a slow link got a part of it. Node's closeIdleConnections, which server.close() calls too, takes a connection for idle once response.end() was called. The host now ends connections by its own record of what is due.

Seen on the link alone, not in a play of the whole program.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -239,6 +239,8 @@
         const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
         refuseBytes(connections.of(stream as Socket), isTooLarge ? "head-too-large" : "malformed-request");
     });
+    // Node's own function ends connections whose last answer was not handed to the operating system yet.
+    server.closeIdleConnections = connections.endIdle;
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(settings.port, options.bindAddress, resolve);
@@ -258,7 +260,6 @@
         stopAccepting: () => {
             keepsAlive = false;
             server.close();
-            connections.endIdle();
         },
         close: () =>
             new Promise(resolve => {
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -192,6 +192,22 @@
     return socket;
 };
 
+test("a planned stop does not cut off an answer that a slow caller still reads", async t => {
+    const opened = await openLink();
+    t.teardown(opened.link.close);
+    const socket = openSocket(t, opened).pause();
+    socket.write(get("large"));
+    await sleep(150);
+    stop(opened);
+    let bytes = 0;
+    socket.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+    });
+    socket.resume();
+    await once(socket, "close");
+    t.true(bytes > largeBytes);
+});
+
 test("a caller that never reads does not hold the host once its bytes are refused", async t => {
     const opened = await openLink();
     t.teardown(opened.link.close);
