Answer a head that takes too long with 408, and no longer write to connections without bytes

A head that was begun and never ended held its connection for up to 30 s beyond its limit, as Node looks for such heads every 30 s only. It was then answered 400, as if the request were wrong. And a connection on which nothing had been sent yet got the same 400 unasked, which its caller would take for the answer to the request that it sends next.

Heads are now checked every 500 ms and refused with 408 (read-timed-out), after the answers that are due. A connection without a byte has the idle time as its limit and is closed without an answer.

--- a/src/contracts/outcome.ts
+++ b/src/contracts/outcome.ts
@@ -31,6 +31,7 @@
 export const reasons = {
     "malformed-request": { outcome: "not-run", statusCode: 400, sendAgain: false, title: "The request is not valid." },
     "head-too-large": { outcome: "not-run", statusCode: 431, sendAgain: false, title: "The head is over its limit." },
+    "read-timed-out": { outcome: "not-run", statusCode: 408, sendAgain: true, title: "It did not arrive in time." },
     "body-too-large": { outcome: "not-run", statusCode: 413, sendAgain: false, title: "The body is over its limit." },
     "memory-full": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The memory for bodies is full." },
     "unknown-pool": { outcome: "not-run", statusCode: 404, sendAgain: false, title: "The pool does not exist." },
--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -151,6 +151,7 @@
         }
     };
 
+    socket.setTimeout(idleMilliseconds());
     socket.once("error", () => {
         failed = true;
     });
@@ -170,7 +171,10 @@
             }
             const answer: DueAnswer = { connection, response, requestId: undefined };
             dueAnswers.add(answer);
-            hasBegun = true;
+            if (!hasBegun) {
+                hasBegun = true;
+                socket.setTimeout(0);
+            }
             requestBytes = socket.bytesRead;
             response.once("finish", () => {
                 // Node also emits this for an answer of which a part was dropped with the connection.
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -71,6 +71,8 @@
 };
 
 const defaultIdleTimeoutMilliseconds = 30_000;
+/** Pause between checks for heads that take too long to arrive. */
+const headCheckMilliseconds = 500;
 
 /**
  * Waits until the event loop has read from all sockets once more. A host whose event loop runs late receives requests
@@ -87,6 +89,12 @@
 const hasSpaceInName = (rawHeaders: string[]): boolean =>
     rawHeaders.some((text, index) => index % 2 === 0 && text.includes(" "));
 
+/** Reasons of refusals by the code of the parser's error; `malformed-request` for all others. */
+const reasonsOfErrors: Partial<Record<string, Reason>> = {
+    HPE_HEADER_OVERFLOW: "head-too-large",
+    ERR_HTTP_REQUEST_TIMEOUT: "read-timed-out",
+};
+
 /** Opens the server; resolves once it listens. */
 export const createCallerLink = async <Request extends BaseCallerRequest>(
     options: CallerLinkOptions<Request>,
@@ -181,6 +189,7 @@
         {
             maxHeaderSize: settings.maxHeadBytes,
             keepAliveTimeout: defaultIdleTimeoutMilliseconds,
+            connectionsCheckingInterval: headCheckMilliseconds,
         },
         (incoming, response) => {
             const connection = connections.of(incoming.socket);
@@ -236,8 +245,11 @@
         if (stream.destroyed) {
             return;
         }
-        const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
-        refuseBytes(connections.of(stream as Socket), isTooLarge ? "head-too-large" : "malformed-request");
+        const connection = connections.of(stream as Socket);
+        // Node also counts the time before the first byte, of which the idle time is the limit.
+        if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT" || !connection.isIdle()) {
+            refuseBytes(connection, reasonsOfErrors[error.code ?? ""] ?? "malformed-request");
+        }
     });
     // Node's own function ends connections whose last answer was not handed to the operating system yet.
     server.closeIdleConnections = connections.endIdle;
--- a/test/links/callerends.test.ts
+++ b/test/links/callerends.test.ts
@@ -53,7 +53,7 @@
             clock: systemClock,
             serve: async ({ id }) => {
                 ids.push(id);
-                return answer ?? sleep(300, { kind: "answer", statusCode: 200, headers: {}, body: undefined });
+                return answer ?? sleep(2_000, { kind: "answer", statusCode: 200, headers: {}, body: undefined });
             },
             onDone: () => undefined,
             onMalformed: () => undefined,
@@ -64,9 +64,14 @@
         const [host, port] = link.address.split(":");
         const socket = connect(Number(port), host).on("error", () => undefined).resume();
         socket.write("GET /orders/a HTTP/1.1\r\nhost: x\r\n\r\n");
-        await sleep(30);
+        while (ids.length === 0) {
+            await sleep(5);
+        }
         act(socket, link);
-        await sleep(100);
+        const endAt = performance.now() + 1_000;
+        while (ends.length === 0 && performance.now() < endAt) {
+            await sleep(5);
+        }
         t.deepEqual(ends, [{ reason, due: 1, requestIds: ids }]);
     });
 }
