--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -7,68 +7,27 @@
 import type { Clock } from "../contracts/clock.ts";
 import { type Outcome, type Reason, reasons } from "../contracts/outcome.ts";
 import type { Settings } from "../contracts/settings.ts";
+import { createAnswerWriter } from "./answerwriter.ts";
+import type { BaseCallerRequest, CallerAnswer, CallerProtocol, CallerRefusal } from "./calleranswers.ts";
 import { announcesBody, createBodyReader } from "./callerbody.ts";
-import type { HangUp } from "./callerhead.ts";
+import {
+    type CallerConnection,
+    type ConnectionEnd,
+    createCallerConnections,
+    type DueAnswer,
+} from "./callerconnections.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
 
-/** Receives a streamed body. After `onEnd` or `onFailure` no method is called again. */
-export type StreamReceiver = {
-    /** Returns false to pause the stream until `resume` is called. */
-    onBytes: (bytes: Buffer) => boolean;
-    onEnd: () => void;
-    /** Called when the rest of the body is lost. */
-    onFailure: () => void;
-};
-
-/** The body of an answer that is passed on while it still arrives. */
-export type AnswerStream = {
-    /** Begins to deliver the body. */
-    start: (receiver: StreamReceiver) => void;
-    resume: () => void;
-    /** Drops the rest of the body. */
-    abort: () => void;
-};
-
-/** The answer of a target, or a refusal. */
-export type CallerAnswer =
-    | {
-        kind: "answer";
-        statusCode: number;
-        headers: Record<string, string | string[]>;
-        body: Buffer | undefined | AnswerStream;
-        /**
-         * Whether only the close of the connection ends the answer, since the target sent no length. It is written to
-         * the caller in the same way, since nobody can tell whether it is whole.
-         */
-        endsWithConnection?: boolean;
-    }
-    | { kind: "refusal"; reason: Reason; detail: string; retryAfterMilliseconds?: number };
-
-export type CallerRefusal = CallerAnswer & { kind: "refusal" };
-
-/** The properties of a request that the link itself uses. */
-export type BaseCallerRequest = {
-    id: string;
-    body: Buffer | undefined;
-    /** Monotonic milliseconds on the host's clock. */
-    deadlineAt: number;
-    hangUp: HangUp;
-};
-
-/** How requests of callers are read, and how refusals are written to them. */
-export type CallerProtocol<Request extends BaseCallerRequest> = {
-    isHealthCheck: (incoming: IncomingMessage) => boolean;
-    /** Reads the head of a request, or returns why it is refused. */
-    read: (incoming: IncomingMessage, receivedAt: number) => Request | CallerRefusal;
-    /** Adds the headers that the host itself puts on a target's answer. */
-    addAnswerHeaders: (headers: Record<string, string | string[]>, requestId: string) => void;
-    /** Formats a refusal. The link adds further headers to the result. */
-    formatRefusal: (refusal: CallerRefusal, requestId: string | undefined) => RefusalResponse;
-};
-
-/** A refusal as an HTTP response. */
-export type RefusalResponse = { statusCode: number; headers: Record<string, string | number>; body: string };
+export type {
+    AnswerStream,
+    BaseCallerRequest,
+    CallerAnswer,
+    CallerProtocol,
+    CallerRefusal,
+    RefusalResponse,
+    StreamReceiver,
+} from "./calleranswers.ts";
 
 export type CallerLinkOptions<Request extends BaseCallerRequest> = {
     /** IP address on which the server listens. */
@@ -76,14 +35,19 @@
     settings: Pick<Settings["callers"], "port" | "maxHeadBytes" | "maxBodyBytes" | "maxBufferedBodyBytes">;
     protocol: CallerProtocol<Request>;
     clock: Clock;
-    /** Limits the connections of the server. */
-    limitConnections?: (server: Server) => void;
+    /** Limits the connections of the server, of which `isIdle` tells whether one may be closed without harm. */
+    limitConnections?: (server: Server, isIdle: (socket: Socket) => boolean) => void;
     /** Routes a request whose body is complete. */
     serve: (request: Request) => Promise<CallerAnswer>;
     /** Called once for each request, after its answer was written or its caller has hung up. */
     onDone: (request: Request, outcome: Outcome, reason: Reason | undefined) => void;
-    /** Called when received bytes are refused before a request could be read from them. */
-    onMalformed: (reason: Reason) => void;
+    /**
+     * Called when received bytes are refused before a request could be read from them, with the number of answers that
+     * were due on their connection.
+     */
+    onMalformed: (reason: Reason, due: number) => void;
+    /** Called when a connection has ended while answers were due on it. */
+    onConnectionEnd?: (end: ConnectionEnd) => void;
     /**
      * Called when serving a request threw an exception. The request is answered as `host-failed`, or its connection is
      * closed if an answer has begun. `requestId` is undefined while the request was not read yet.
@@ -109,6 +73,8 @@
 };
 
 const defaultIdleTimeoutMilliseconds = 30_000;
+/** Pause between checks for heads that take too long to arrive. */
+const headCheckMilliseconds = 500;
 
 /**
  * Waits until the event loop has read from all sockets once more. A host whose event loop runs late receives requests
@@ -125,78 +91,30 @@
 const hasSpaceInName = (rawHeaders: string[]): boolean =>
     rawHeaders.some((text, index) => index % 2 === 0 && text.includes(" "));
 
+/** Reasons of refusals by the code of the parser's error; `malformed-request` for all others. */
+const reasonsOfErrors: Partial<Record<string, Reason>> = {
+    HPE_HEADER_OVERFLOW: "head-too-large",
+    ERR_HTTP_REQUEST_TIMEOUT: "read-timed-out",
+};
+
 /** Opens the server; resolves once it listens. */
 export const createCallerLink = async <Request extends BaseCallerRequest>(
     options: CallerLinkOptions<Request>,
 ): Promise<CallerLink> => {
     const { settings, clock, protocol } = options;
-    const sockets = new Set<Socket>();
     let inFlight = 0;
     let keepsAlive = true;
+    const connections = createCallerConnections({
+        clock,
+        idleMilliseconds: () => server.keepAliveTimeout,
+        onEnd: end => options.onConnectionEnd?.(end),
+    });
+    const { writeRefusal, writeAnswer, formatBytes } = createAnswerWriter({ protocol, keepsAlive: () => keepsAlive });
 
-    /** Writes a refusal. With `unread`, parts of the request were not read, so the connection can not be used again. */
-    const writeRefusal = (
-        response: ServerResponse,
-        id: string | undefined,
-        answer: CallerRefusal,
-        unread: boolean,
-    ): void => {
-        const { statusCode, headers, body } = protocol.formatRefusal(answer, id);
-        headers["content-length"] = Buffer.byteLength(body);
-        if (!keepsAlive || unread) {
-            headers["connection"] = "close";
-        }
-        response.writeHead(statusCode, headers);
-        response.end(body);
-    };
-
-    const refuseHead = (response: ServerResponse, answer: CallerRefusal): void => {
-        writeRefusal(response, undefined, answer, true);
-        options.onMalformed(answer.reason);
-    };
-
-    /**
-     * Resolves to true when the whole body was passed on. When it breaks off, `onFailure` closes the caller's
-     * connection.
-     */
-    const streamBody = (response: ServerResponse, stream: AnswerStream, onFailure: () => void): Promise<boolean> =>
-        new Promise(resolve => {
-            response.on("drain", stream.resume);
-            response.once("close", () => {
-                stream.abort();
-                resolve(false);
-            });
-            stream.start({
-                onBytes: bytes => response.write(bytes),
-                onEnd: () => response.end(() => resolve(true)),
-                onFailure,
-            });
-        });
-
-    const writeAnswer = (
-        response: ServerResponse,
-        id: string,
-        answer: CallerAnswer & { kind: "answer" },
-    ): true | Promise<boolean> => {
-        const { headers, body } = answer;
-        protocol.addAnswerHeaders(headers, id);
-        if (!keepsAlive) {
-            headers["connection"] = "close";
-        }
-        if (answer.endsWithConnection === true) {
-            headers["connection"] = "close";
-            response.removeHeader("transfer-encoding");
-        }
-        response.writeHead(answer.statusCode, headers);
-        if (body === undefined || Buffer.isBuffer(body)) {
-            response.end(body);
-            return true;
-        }
-        // Only a reset tells the caller that an answer without a length is not whole.
-        const abortResponse = answer.endsWithConnection === true
-            ? () => response.socket?.resetAndDestroy()
-            : () => response.destroy();
-        return streamBody(response, body, abortResponse);
+    const refuseHead = (due: DueAnswer, refusal: CallerRefusal): void => {
+        writeRefusal(due, refusal, true);
+        // The refusal itself is due as well.
+        options.onMalformed(refusal.reason, due.connection.due() - 1);
     };
 
     const readBody = createBodyReader({
@@ -205,80 +123,90 @@
         clock,
     });
 
-    const answerCaller = async (
-        request: Request,
-        incoming: IncomingMessage,
-        response: ServerResponse,
-    ): Promise<void> => {
+    const answerCaller = async (request: Request, incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
         await waitForNextReads();
         if (hasHungUp(incoming)) {
-            response.destroy();
+            due.response.destroy();
             options.onDone(request, reasons.cancelled.outcome, "cancelled");
             return;
         }
         const answer = await options.serve(request);
         if (answer.kind === "refusal") {
-            writeRefusal(response, request.id, answer, false);
+            writeRefusal(due, answer, false);
             options.onDone(request, reasons[answer.reason].outcome, answer.reason);
             return;
         }
-        const whole = await writeAnswer(response, request.id, answer);
+        const whole = await writeAnswer(due, request.id, answer);
         options.onDone(request, whole ? "answered" : "unknown", whole ? undefined : "answer-cut-short");
     };
 
     /** Ends a request whose handling threw an exception. Whether it has run is not known. */
-    const answerFailed = (request: Request, response: ServerResponse, error: unknown): void => {
+    const answerFailed = (request: Request, due: DueAnswer, error: unknown): void => {
         options.onException?.(error, request.id);
         const reason: Reason = "host-failed";
         options.onDone(request, reasons[reason].outcome, reason);
-        if (response.headersSent) {
-            response.destroy();
+        if (due.response.headersSent) {
+            due.connection.nameEnd("exception");
+            due.response.destroy();
             return;
         }
-        writeRefusal(response, request.id, { kind: "refusal", reason, detail: reasons[reason].title }, true);
+        writeRefusal(due, { kind: "refusal", reason, detail: reasons[reason].title }, true);
     };
 
-    const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const serve = async (incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
+        const { response, connection } = due;
         if (hasSpaceInName(incoming.rawHeaders)) {
             const detail = "The name of a header contains a space.";
-            refuseHead(response, { kind: "refusal", reason: "malformed-request", detail });
+            refuseHead(due, { kind: "refusal", reason: "malformed-request", detail });
             return;
         }
         const request = protocol.read(incoming, clock.now());
         if ("kind" in request) {
-            refuseHead(response, request);
+            refuseHead(due, request);
             return;
         }
+        due.requestId = request.id;
         response.once("close", () => {
             request.hangUp.happened = !response.writableFinished;
             request.hangUp.listener?.();
         });
         const answer = (): Promise<void> =>
-            answerCaller(request, incoming, response)
-                .catch((error: unknown) => answerFailed(request, response, error));
+            answerCaller(request, incoming, due).catch((error: unknown) => answerFailed(request, due, error));
         if (!announcesBody(incoming)) {
             await answer();
             return;
         }
-        const result = await readBody(incoming, request.deadlineAt);
+        const result = await readBody(incoming, request.deadlineAt, connection.onBrokenBody);
         if ("reason" in result) {
-            writeRefusal(response, request.id, { kind: "refusal", ...result }, true);
+            writeRefusal(due, { kind: "refusal", ...result }, true);
             options.onDone(request, reasons[result.reason].outcome, result.reason);
             return;
         }
+        connection.recordBodyRead();
         request.body = result.body;
         await answer().finally(result.release);
     };
 
     const server = createServer(
-        { maxHeaderSize: settings.maxHeadBytes, keepAliveTimeout: defaultIdleTimeoutMilliseconds },
+        {
+            maxHeaderSize: settings.maxHeadBytes,
+            keepAliveTimeout: defaultIdleTimeoutMilliseconds,
+            connectionsCheckingInterval: headCheckMilliseconds,
+        },
         (incoming, response) => {
+            const connection = connections.of(incoming.socket);
+            const due = connection.begin(response);
+            if (due === undefined) {
+                connection.drop();
+                return;
+            }
             if (protocol.isHealthCheck(incoming)) {
                 response.writeHead(options.healthy() ? 200 : 503).end();
                 return;
             }
             inFlight += 1;
-            const served = serve(incoming, response).catch((error: unknown) => {
+            const served = serve(incoming, due).catch((error: unknown) => {
+                connection.nameEnd("exception");
                 response.destroy();
                 options.onException?.(error, undefined);
             });
@@ -288,31 +216,46 @@
             });
         },
     );
-    options.limitConnections?.(server);
-    server.on("connection", socket => {
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
-    });
+    options.limitConnections?.(server, socket => connections.of(socket).isIdle());
+    /** Refuses bytes that are no request, after the answers that are due. */
+    const refuseBytes = (connection: CallerConnection, reason: Reason): void => {
+        if (!connection.isOpen()) {
+            connection.drop();
+            return;
+        }
+        const detail = "The bytes received are not an acceptable HTTP request.";
+        options.onMalformed(reason, connection.due());
+        if (!connection.breakBody(reason, detail)) {
+            connection.refuse(formatBytes({ kind: "refusal", reason, detail }));
+        }
+    };
+    server.on("connection", socket => void connections.of(socket));
+    server.on("timeout", socket => connections.of(socket).onTimeout());
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
         incoming.pause();
+        const due = connections.of(incoming.socket).begin(response);
         const detail = "The only expectation that is met is 100-continue.";
-        refuseHead(response, { kind: "refusal", reason: "malformed-request", detail });
+        if (due !== undefined) {
+            refuseHead(due, { kind: "refusal", reason: "malformed-request", detail });
+        }
+    });
+    server.on("connect", (...[, stream]) => {
+        const connection = connections.of(stream as Socket);
+        refuseBytes(connection, "malformed-request");
+        stream.on("data", connection.drop);
     });
-    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-        if (!socket.writable) {
-            socket.destroy();
+    server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
+        if (stream.destroyed) {
             return;
         }
-        const reason: Reason = error.code === "HPE_HEADER_OVERFLOW" ? "head-too-large" : "malformed-request";
-        options.onMalformed(reason);
-        const detail = "The bytes received are not an acceptable HTTP request.";
-        const { statusCode, headers, body } = protocol.formatRefusal({ kind: "refusal", reason, detail }, undefined);
-        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-        socket.end(
-            `HTTP/1.1 ${statusCode} Refused\r\nconnection: close\r\n${lines}`
-                + `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-        );
+        const connection = connections.of(stream as Socket);
+        // Node also counts the time before the first byte, of which the idle time is the limit.
+        if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT" || !connection.isIdle()) {
+            refuseBytes(connection, reasonsOfErrors[error.code ?? ""] ?? "malformed-request");
+        }
     });
+    // Node's own function ends connections whose last answer was not handed to the operating system yet.
+    server.closeIdleConnections = connections.endIdle;
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(settings.port, options.bindAddress, resolve);
@@ -332,14 +275,11 @@
         stopAccepting: () => {
             keepsAlive = false;
             server.close();
-            server.closeIdleConnections();
         },
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
-                for (const socket of sockets) {
-                    socket.destroy();
-                }
+                connections.destroyAll("host-stopped");
             }),
     };
 };
--- a/src/links/connectionlimit.ts
+++ b/src/links/connectionlimit.ts
@@ -101,9 +101,17 @@
     return socket => (due.get(socket) ?? 0) === 0 && socket.bytesRead === (bytesAtLastAnswer.get(socket) ?? 0);
 };
 
-/** Limits the connections of an HTTP server. */
-export const limitConnections = (server: Server, options: ConnectionLimitOptions): void => {
-    const isIdle = trackRequests(server, socket => limit.touch(socket));
-    const limit = createConnectionLimit(options, isIdle);
+/**
+ * Limits the connections of an HTTP server.
+ *
+ * @param isIdle as in `createConnectionLimit`; told by the requests of the server if left out.
+ */
+export const limitConnections = (
+    server: Server,
+    options: ConnectionLimitOptions,
+    isIdle?: (socket: Socket) => boolean,
+): void => {
+    const isIdleByRequests = trackRequests(server, socket => limit.touch(socket));
+    const limit = createConnectionLimit(options, isIdle ?? isIdleByRequests);
     server.on("connection", limit.admit);
 };
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
+import type { Socket } from "node:net";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
@@ -25,6 +26,7 @@
 import { createPeerDialer, openPeerEndpoint } from "../../links/peers.ts";
 import { digestHash } from "../../zones/digesthash.ts";
 import { chooseReaders, type ReaderCandidate, readersToTell } from "../../zones/readers.ts";
+import { createCallerLog } from "./callerlog.ts";
 import { storeKinds } from "./coordination.ts";
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
 import { createFleetFacts } from "./fleetfacts.ts";
@@ -343,8 +345,8 @@
         metrics,
     });
 
-    const limitOf = (part: DescriptorPart) => (server: Server): void =>
-        limitConnections(server, { part, descriptors, clock });
+    const limitOf = (part: DescriptorPart) => (server: Server, isIdle?: (socket: Socket) => boolean): void =>
+        limitConnections(server, { part, descriptors, clock }, isIdle);
     /** The former process of this host ends within its grace. */
     const listening = { waitMilliseconds: settings.stopping.grace, clock, log, signal: options.startSignal };
     const [callersHost, callersPort] = settings.callers.listen.split(":");
@@ -374,12 +376,7 @@
                     });
                 }
             },
-            onMalformed: reason => metrics.count("requests", { outcome: "not-run", reason }),
-            onException: (error, requestId) =>
-                log.error("request-exception", {
-                    request: requestId,
-                    error: error instanceof Error ? error.stack : String(error),
-                }),
+            ...createCallerLog({ log, metrics, clock }),
             healthy: () => true,
         });
     const callers = await listenWithRetries(settings.callers.listen, openCallers, listening);
