Write the answer of a caller that closes its sending half, where it is made all the same

A caller that sent a whole request and closed its sending half got no answer, and a run that could not be repeated went on for nobody: its answer was thrown away with the connection. Node closes the connection at a FIN unless told otherwise.

A FIN still counts as a hang-up for all that may be cancelled, at once, so what is sent and stopped for callers that have left stays as it was; what is answered all the same is now written whole and in order. The choice is in docs/decisions/closed-callers.md. Its counter and line are told at the FIN.

That table now waits for the request to be served, as at a load of 10 some cases acted before.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -32,11 +32,19 @@
 
 export type ConnectionEndReason = keyof typeof connectionEnds;
 
-/** The end of a connection on which `due` answers were not written whole; `requestIds` names the first few. */
+/** The end of a connection on which `due` answers had not been written whole; `requestIds` names the first few. */
 export type ConnectionEnd = { reason: ConnectionEndReason; due: number; requestIds: string[] };
 
-/** An answer that is due. The id is set when it has been read. */
-export type DueAnswer = { connection: CallerConnection; response: ServerResponse; requestId: string | undefined };
+/**
+ * An answer that is due. The id is set when it has been read. `onCallerEnd` is called when the caller ends its sending
+ * half.
+ */
+export type DueAnswer = {
+    connection: CallerConnection;
+    response: ServerResponse;
+    requestId: string | undefined;
+    onCallerEnd: (() => void) | undefined;
+};
 
 export type CallerConnection = {
     /**
@@ -86,7 +94,7 @@
     clock: Clock;
     /** Time after which a caller that takes no bytes of the last answers is given up. */
     idleMilliseconds: () => number;
-    /** Called when a connection has ended while answers were due on it. */
+    /** Called once when a connection, or the caller's half of it, has ended while answers were due on it. */
     onEnd: (end: ConnectionEnd) => void;
 };
 
@@ -115,6 +123,7 @@
     let takenBytes = 0;
     let namedEnd: ConnectionEndReason | undefined;
     let failed = false;
+    let wasEndTold = false;
     let bodyBreaker: BodyBreaker | undefined;
     let cancelLinger = (): void => undefined;
 
@@ -155,13 +164,20 @@
     socket.once("error", () => {
         failed = true;
     });
-    socket.once("close", () => {
-        cancelLinger();
-        if (dueAnswers.size > 0) {
-            const byCaller = failed ? "caller-reset" : socket.readableEnded ? "caller-closed" : undefined;
+    const tellEnd = (reason: ConnectionEndReason): void => {
+        if (dueAnswers.size > 0 && !wasEndTold) {
+            wasEndTold = true;
             const requestIds = [...dueAnswers].flatMap(({ requestId }) => requestId ?? []).slice(0, maxIdsTold);
-            onEnd({ reason: namedEnd ?? byCaller ?? "host-closed", due: dueAnswers.size, requestIds });
+            onEnd({ reason, due: dueAnswers.size, requestIds });
         }
+    };
+    socket.once("end", () => {
+        tellEnd("caller-closed");
+        dueAnswers.forEach(({ onCallerEnd }) => onCallerEnd?.());
+    });
+    socket.once("close", () => {
+        cancelLinger();
+        tellEnd(namedEnd ?? (failed ? "caller-reset" : "host-closed"));
     });
 
     const connection: CallerConnection = {
@@ -169,7 +185,7 @@
             if (phase !== "open") {
                 return undefined;
             }
-            const answer: DueAnswer = { connection, response, requestId: undefined };
+            const answer: DueAnswer = { connection, response, requestId: undefined, onCallerEnd: undefined };
             dueAnswers.add(answer);
             if (!hasBegun) {
                 hasBegun = true;
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -124,8 +124,9 @@
     const answerCaller = async (request: Request, incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
         await waitForNextReads();
         if (hasHungUp(incoming)) {
-            due.response.destroy();
-            options.onDone(request, reasons.cancelled.outcome, "cancelled");
+            const reason: Reason = "cancelled";
+            writeRefusal(due, { kind: "refusal", reason, detail: reasons[reason].title }, false);
+            options.onDone(request, reasons[reason].outcome, reason);
             return;
         }
         const answer = await options.serve(request);
@@ -164,9 +165,15 @@
             return;
         }
         due.requestId = request.id;
-        response.once("close", () => {
-            request.hangUp.happened = !response.writableFinished;
+        const hangUp = (): void => {
+            request.hangUp.happened = true;
             request.hangUp.listener?.();
+        };
+        due.onCallerEnd = hangUp;
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                hangUp();
+            }
         });
         const answer = (): Promise<void> =>
             answerCaller(request, incoming, due).catch((error: unknown) => answerFailed(request, due, error));
@@ -251,6 +258,8 @@
             refuseBytes(connection, reasonsOfErrors[error.code ?? ""] ?? "malformed-request");
         }
     });
+    // A caller that closes its sending half may still read; see docs/decisions/closed-callers.md.
+    Object.assign(server, { httpAllowHalfOpen: true });
     // Node's own function ends connections whose last answer was not handed to the operating system yet.
     server.closeIdleConnections = connections.endIdle;
     await new Promise<void>((resolve, reject) => {
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -103,6 +103,8 @@
     link.stopAccepting();
 };
 
+const halfClose = (...[, socket]: [Opened, Socket]): void => void socket.end();
+
 const followers: Follower[] = [
     { title: "garbage", bytes: "\0\0 no request\r\n\r\n", statuses: [400] },
     { title: "a head that is too long", bytes: get("b", `a: ${"b".repeat(4_096)}`), statuses: [431] },
@@ -127,6 +129,14 @@
         statuses: [400],
     },
     { title: "one more request and garbage", bytes: get("b") + "no request\r\n\r\n", statuses: [200, 400] },
+    { title: "a half close", act: halfClose, statuses: [] },
+    { title: "a half close within a head", bytes: "GET /orders/b HTTP/1.1\r\n", act: halfClose, statuses: [400] },
+    {
+        title: "a half close within a body",
+        bytes: `${post("b", "content-length: 5")}12`,
+        act: halfClose,
+        statuses: [400],
+    },
     { title: "one more request and a planned stop", bytes: get("running"), act: stop, statuses: [200] },
     { title: "a planned stop", act: stop, statuses: [], staysUnused: true },
     {
@@ -147,6 +157,7 @@
 for (const { title: before, path } of befores) {
     for (const { title, bytes, act, statuses, staysOpen = false, staysUnused = false } of followers) {
         test(`answers that are due go first: ${title} after ${before}`, async t => {
+            const wanted = path === undefined ? statuses : [200, ...statuses];
             const opened = await openLink();
             t.teardown(opened.link.close);
             const [host, port] = opened.link.address.split(":");
@@ -165,10 +176,15 @@
             if (path !== undefined) {
                 socket.write(get(path));
             }
+            while (path !== undefined && opened.served.length === 0) {
+                await sleep(5);
+            }
             await sleep(pauseMilliseconds);
             if (bytes !== undefined) {
                 socket.write(bytes);
-                await sleep(10);
+            }
+            while (act !== undefined && opened.served.length < wanted.filter(status => status === 200).length) {
+                await sleep(5);
             }
             act?.(opened, socket);
             const stays = staysOpen || (staysUnused && path === undefined);
@@ -177,7 +193,6 @@
                 await sleep(10);
             }
             const found = received.split("HTTP/1.1 ").slice(1);
-            const wanted = path === undefined ? statuses : [200, ...statuses];
             t.deepEqual(found.map(answer => Number(answer.slice(0, 3))), wanted, received);
             t.true(found.filter(answer => answer.startsWith("200")).every(answer => answer.endsWith(wholeBody)));
             t.is(opened.served.length, wanted.filter(status => status === 200).length);
@@ -214,7 +229,10 @@
     t.teardown(opened.link.close);
     opened.link.setTimeouts(200, headMilliseconds);
     openSocket(t, opened).pause().write(`${get("large")}no request\r\n\r\n`);
-    await sleep(1_500);
+    const endAt = performance.now() + 5_000;
+    while ((opened.link.inFlight() > 0 || opened.ends.length === 0) && performance.now() < endAt) {
+        await sleep(20);
+    }
     t.is(opened.link.inFlight(), 0);
     t.deepEqual(opened.ends.map(({ reason, due }) => ({ reason, due })), [{ reason: "caller-stalled", due: 1 }]);
 });
