Let callers that still send a body read its refusal

A caller whose body was refused while it still sent it (413, or 503 for want of memory) often got a reset in place of the answer: the host closed the connection with unread bytes, on which the kernel resets it. The host now ends its own half, takes the rest for up to a second, and closes when the caller does. The same holds for every answer that announces the end of its connection, as in a planned stop.

--- a/src/links/answerwriter.ts
+++ b/src/links/answerwriter.ts
@@ -57,6 +57,8 @@
         if ((!keepsAlive() || unread) && connection.isLast(due)) {
             headers["connection"] = "close";
             connection.announceEnd();
+            // A caller that is still sending reads the refusal only if the rest is taken from it.
+            response.once("finish", () => response.req.resume());
         }
         response.writeHead(statusCode, headers);
         response.end(body);
--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -206,6 +206,8 @@
         announceEnd: () => {
             if (phase === "open") {
                 leave("closing");
+                // Node calls this after the last answer.
+                socket.destroySoon = () => end("");
             }
         },
         isOpen: () => phase === "open",
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -3,9 +3,11 @@
  * then the refusal of what follows, then the connection ends.
  */
 import test, { type ExecutionContext } from "ava";
+import { execFile } from "node:child_process";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { promisify } from "node:util";
 import { settingsSchema } from "../../src/contracts/settings.ts";
 import type { ConnectionEnd } from "../../src/links/callerconnections.ts";
 import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
@@ -213,7 +215,10 @@
     t.teardown(opened.link.close);
     const socket = openSocket(t, opened).pause();
     socket.write(get("large"));
-    await sleep(150);
+    while (opened.served.length === 0) {
+        await sleep(5);
+    }
+    await sleep(pauseMilliseconds);
     stop(opened);
     let bytes = 0;
     socket.on("data", (chunk: Buffer) => {
@@ -251,3 +256,24 @@
     await sleep(20);
     t.is(opened.link.inFlight(), 0);
 });
+
+/** The caller is a process of its own, which goes on sending while the host refuses. */
+const largeBodyProgram = (port: string, head: string): string => `
+    const socket = require("node:net").connect(${port}, "127.0.0.1");
+    let received = "";
+    socket.on("data", part => received += part);
+    socket.on("error", error => received += error.code);
+    socket.on("close", () => console.log(received));
+    socket.write(${JSON.stringify(head)} + "x".repeat(4_000_000));`;
+
+for (const [title, header] of [["a length", "content-length: 4000000"], ["chunks", "transfer-encoding: chunked"]]) {
+    test(`callers that still send a body with ${title} get its refusal, not a reset`, async t => {
+        const { link } = await openLink();
+        t.teardown(link.close);
+        const head = post("b", header) + (title === "chunks" ? "3D0900\r\n" : "");
+        const program = largeBodyProgram(link.address.split(":")[1], head);
+        const run = promisify(execFile);
+        const outputs = await Promise.all(Array.from({ length: 8 }, () => run(process.execPath, ["-e", program])));
+        t.deepEqual(outputs.map(({ stdout }) => stdout.slice(9, 12)), Array(8).fill("413"));
+    });
+}
