--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -3,9 +3,11 @@
  * then the refusal of what follows, then the connection ends.
  */
 import test, { type ExecutionContext } from "ava";
+import { execFile } from "node:child_process";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { promisify } from "node:util";
 import { settingsSchema } from "../../src/contracts/settings.ts";
 import type { ConnectionEnd } from "../../src/links/callerconnections.ts";
 import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
@@ -103,6 +105,8 @@
     link.stopAccepting();
 };
 
+const halfClose = (...[, socket]: [Opened, Socket]): void => void socket.end();
+
 const followers: Follower[] = [
     { title: "garbage", bytes: "\0\0 no request\r\n\r\n", statuses: [400] },
     { title: "a head that is too long", bytes: get("b", `a: ${"b".repeat(4_096)}`), statuses: [431] },
@@ -127,6 +131,14 @@
         statuses: [400],
     },
     { title: "one more request and garbage", bytes: get("b") + "no request\r\n\r\n", statuses: [200, 400] },
+    { title: "a half close", act: halfClose, statuses: [] },
+    { title: "a half close within a head", bytes: "GET /orders/b HTTP/1.1\r\n", act: halfClose, statuses: [400] },
+    {
+        title: "a half close within a body",
+        bytes: `${post("b", "content-length: 5")}12`,
+        act: halfClose,
+        statuses: [400],
+    },
     { title: "one more request and a planned stop", bytes: get("running"), act: stop, statuses: [200] },
     { title: "a planned stop", act: stop, statuses: [], staysUnused: true },
     {
@@ -147,6 +159,7 @@
 for (const { title: before, path } of befores) {
     for (const { title, bytes, act, statuses, staysOpen = false, staysUnused = false } of followers) {
         test(`answers that are due go first: ${title} after ${before}`, async t => {
+            const wanted = path === undefined ? statuses : [200, ...statuses];
             const opened = await openLink();
             t.teardown(opened.link.close);
             const [host, port] = opened.link.address.split(":");
@@ -165,10 +178,15 @@
             if (path !== undefined) {
                 socket.write(get(path));
             }
+            while (path !== undefined && opened.served.length === 0) {
+                await sleep(5);
+            }
             await sleep(pauseMilliseconds);
             if (bytes !== undefined) {
                 socket.write(bytes);
-                await sleep(10);
+            }
+            while (act !== undefined && opened.served.length < wanted.filter(status => status === 200).length) {
+                await sleep(5);
             }
             act?.(opened, socket);
             const stays = staysOpen || (staysUnused && path === undefined);
@@ -177,7 +195,6 @@
                 await sleep(10);
             }
             const found = received.split("HTTP/1.1 ").slice(1);
-            const wanted = path === undefined ? statuses : [200, ...statuses];
             t.deepEqual(found.map(answer => Number(answer.slice(0, 3))), wanted, received);
             t.true(found.filter(answer => answer.startsWith("200")).every(answer => answer.endsWith(wholeBody)));
             t.is(opened.served.length, wanted.filter(status => status === 200).length);
@@ -198,7 +215,10 @@
     t.teardown(opened.link.close);
     const socket = openSocket(t, opened).pause();
     socket.write(get("large"));
-    await sleep(150);
+    while (opened.served.length === 0) {
+        await sleep(5);
+    }
+    await sleep(pauseMilliseconds);
     stop(opened);
     let bytes = 0;
     socket.on("data", (chunk: Buffer) => {
@@ -214,7 +234,10 @@
     t.teardown(opened.link.close);
     opened.link.setTimeouts(200, headMilliseconds);
     openSocket(t, opened).pause().write(`${get("large")}no request\r\n\r\n`);
-    await sleep(1_500);
+    const endAt = performance.now() + 5_000;
+    while ((opened.link.inFlight() > 0 || opened.ends.length === 0) && performance.now() < endAt) {
+        await sleep(20);
+    }
     t.is(opened.link.inFlight(), 0);
     t.deepEqual(opened.ends.map(({ reason, due }) => ({ reason, due })), [{ reason: "caller-stalled", due: 1 }]);
 });
@@ -233,3 +256,24 @@
     await sleep(20);
     t.is(opened.link.inFlight(), 0);
 });
+
+/** The caller is a process of its own, which goes on sending while the host refuses. */
+const largeBodyProgram = (port: string, head: string): string => `
+    const socket = require("node:net").connect(${port}, "127.0.0.1");
+    let received = "";
+    socket.on("data", part => received += part);
+    socket.on("error", error => received += error.code);
+    socket.on("close", () => console.log(received));
+    socket.write(${JSON.stringify(head)} + "x".repeat(4_000_000));`;
+
+for (const [title, header] of [["a length", "content-length: 4000000"], ["chunks", "transfer-encoding: chunked"]]) {
+    test(`callers that still send a body with ${title} get its refusal, not a reset`, async t => {
+        const { link } = await openLink();
+        t.teardown(link.close);
+        const head = post("b", header) + (title === "chunks" ? "3D0900\r\n" : "");
+        const program = largeBodyProgram(link.address.split(":")[1], head);
+        const run = promisify(execFile);
+        const outputs = await Promise.all(Array.from({ length: 8 }, () => run(process.execPath, ["-e", program])));
+        t.deepEqual(outputs.map(({ stdout }) => stdout.slice(9, 12)), Array(8).fill("413"));
+    });
+}
