--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -15,6 +15,8 @@
 export type Program = {
     child: ChildProcess;
     log: () => string;
+    /** Standard error. */
+    errors: () => string;
     callersPort: number;
     healthPort: number;
     file: string;
@@ -113,6 +115,7 @@
 const endWithProcess = (child: ChildProcess): void => {
     child.unref();
     (child.stdout as Socket | null)?.unref();
+    (child.stderr as Socket | null)?.unref();
     const kill = (): void => void child.kill("SIGKILL");
     process.once("exit", kill);
     child.once("exit", () => process.off("exit", kill));
@@ -148,14 +151,19 @@
     prepareFile(file, settings);
     const child = spawn(process.execPath, programArguments, {
         env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
-        stdio: ["ignore", "pipe", "inherit"],
+        stdio: ["ignore", "pipe", "pipe"],
     });
     endWithProcess(child);
     let log = "";
+    let errors = "";
+    child.stderr?.on("data", part => {
+        errors += String(part);
+        process.stderr.write(String(part));
+    });
     child.stdout?.on("data", part => {
         log += String(part);
     });
-    return { child, log: () => log, callersPort, healthPort, file, settings };
+    return { child, log: () => log, errors: () => errors, callersPort, healthPort, file, settings };
 };
 
 export const requestStock = (program: Program, id: string, key: number): Promise<Answer> =>
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -135,6 +135,54 @@
     });
 }
 
+const heldPort = 19_871;
+
+test.before(async () => {
+    const holder = createServer();
+    await new Promise<void>(resolve => holder.listen(heldPort, "127.0.0.1", resolve));
+    holder.unref();
+});
+
+const invalid = (file: string): void => writeFileSync(file, "host: {}");
+
+/** Each ends the process in another way; the last line of the log or of standard error tells how. */
+const ends: Array<{ title: string; options: ProgramOptions; stopAfter?: number; end: RegExp }> = [
+    { title: "settings that stay invalid", options: { prepareFile: invalid }, end: /code=1 cause=".*callers.*/ },
+    {
+        title: "a stop while settings are waited for",
+        options: { prepareFile: () => undefined },
+        stopAfter: 700,
+        end: /code=0 cause="stopped before the settings were read"/,
+    },
+    {
+        title: "an address that stays in use",
+        options: { linksPort: heldPort, grace: "1s" },
+        end: /code=1 cause=".*EADDRINUSE.*"/,
+    },
+    {
+        title: "a stop while an address is waited for",
+        options: { linksHost: "192.0.2.1" },
+        stopAfter: 700,
+        end: /code=0 cause="stopped at the start"/,
+    },
+    { title: "a stop", options: {}, stopAfter: 1_500, end: /code=0 cause=stopped / },
+];
+
+for (const { title, options, stopAfter, end } of ends) {
+    test.serial(`${title} ends the process with one line that has the code and the cause`, async t => {
+        t.timeout(15_000);
+        const program = await start(t, options);
+        if (stopAfter !== undefined) {
+            await sleep(stopAfter);
+            program.child.kill("SIGTERM");
+        }
+        await once(program.child, "close");
+        const lines = `${program.log()}${program.errors()}`.split("\n").filter(line => line.includes("program-ended"));
+        t.is(lines.length, 1);
+        t.regex(lines[0], end);
+    });
+}
+
 test.serial("settings that stay invalid end the process with their findings", async t => {
     const program = await start(t, { prepareFile: file => writeFileSync(file, "host: {}") });
     await once(program.child, "exit");
