End and start beside readers of the output that stop or leave

A process whose standard output nobody read, or whose reader left within the last half second, never ended after SIGTERM. The final flush of pino's destination blocks in a write to a full pipe, and repeats a write that fails with EPIPE without end; a blocked write also holds a thread that Node joins at its end. And a line on standard error, as the wait for settings now writes one, ended the process (code 1) when the reader of standard error had left.

Lines on standard error never throw and never wait.

--- a/src/links/ends.ts
+++ b/src/links/ends.ts
@@ -14,19 +14,27 @@
 
 const standardError = 2;
 
-const writeToStandardError = (code: number, cause: string): void => {
+/**
+ * Writes a line to standard error, for what happens before the log is open. Never throws, and does not wait for a reader,
+ * since the stream of Node ends the process when its reader has left.
+ */
+export const writeToStandardError = (line: string): void => {
     try {
-        writeSync(standardError, `level=error event=program-ended code=${code} cause=${JSON.stringify(cause)}\n`);
+        void process.stderr;
+        writeSync(standardError, `${line}\n`);
     }
     catch {
         // Nobody reads standard error.
     }
 };
 
+const writeUnlogged = (code: number, cause: string): void =>
+    writeToStandardError(`level=error event=program-ended code=${code} cause=${JSON.stringify(cause)}`);
+
 /** Starts to wait for the end of the process. Called once, as early as possible. */
 export const watchEnd = (): Ends => {
     let cause = "unknown";
-    let write = writeToStandardError;
+    let write = writeUnlogged;
     process.once("exit", code => write(code, cause));
     process.prependOnceListener("uncaughtExceptionMonitor", error => {
         cause = error.message;
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -127,6 +127,10 @@
     linksPort?: number;
     linksHost?: string;
     grace?: string;
+    /** Descriptor of standard output; without it, the lines are kept for `log`. */
+    output?: number;
+    /** Descriptor of standard error. */
+    errorOutput?: number;
     /** Prepares the settings file in place of writing it. */
     prepareFile?: (file: string, settings: string) => void;
 };
@@ -136,7 +140,8 @@
 
 export const startProgram = async (
     store: StoreStandIn,
-    { name = "h1", linksPort, linksHost = "127.0.0.1", grace = "6s", prepareFile = writeFileSync }: ProgramOptions = {},
+    { name = "h1", linksPort, linksHost = "127.0.0.1", grace = "6s", output, errorOutput, prepareFile = writeFileSync }:
+        ProgramOptions = {},
 ): Promise<Program> => {
     const [callersPort, healthPort, linksAt] = [await freePort(), await freePort(), linksPort ?? await freePort()];
     const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
@@ -151,7 +156,7 @@
     prepareFile(file, settings);
     const child = spawn(process.execPath, programArguments, {
         env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
-        stdio: ["ignore", "pipe", "pipe"],
+        stdio: ["ignore", output ?? "pipe", errorOutput ?? "pipe"],
     });
     endWithProcess(child);
     let log = "";
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -5,10 +5,12 @@
 import test, { type ExecutionContext } from "ava";
 import { execFileSync } from "node:child_process";
 import { once } from "node:events";
-import { renameSync, writeFileSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, renameSync, writeFileSync, writeSync } from "node:fs";
 import { open } from "node:fs/promises";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { startStoreStandIn } from "../../stand-ins/resident/store.ts";
 import { buildProgram, type Program, type ProgramOptions, sendRequest, startProgram, waitUntil } from "./program.ts";
@@ -183,6 +185,57 @@
     });
 }
 
+/** Returns the descriptors of a pipe, of which nobody reads the other end. */
+const openPipe = (): { reader: number; writer: number } => {
+    const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "output");
+    execFileSync("mkfifo", [file]);
+    const reader = openSync(file, constants.O_RDONLY | constants.O_NONBLOCK);
+    return { reader, writer: openSync(file, "w") };
+};
+
+/** Writes until the pipe takes nothing more. */
+const fill = (writer: number): void => {
+    const filler = openSync(`/proc/self/fd/${writer}`, constants.O_WRONLY | constants.O_NONBLOCK);
+    try {
+        for (;;) {
+            writeSync(filler, "x".repeat(4_096));
+        }
+    }
+    catch {
+        closeSync(filler);
+    }
+};
+
+const readers = [
+    { title: "reads nothing", prepare: fill, leave: () => undefined },
+    { title: "leaves just before", prepare: () => undefined, leave: closeSync },
+];
+
+for (const { title, prepare, leave } of readers) {
+    test.serial(`a reader of standard output that ${title} does not keep the process from ending`, async t => {
+        t.timeout(15_000);
+        const { reader, writer } = openPipe();
+        prepare(writer);
+        const program = await start(t, { output: writer, linksHost: "192.0.2.1" });
+        closeSync(writer);
+        await sleep(1_200);
+        leave(reader);
+        program.child.kill("SIGTERM");
+        await sleep(2_500);
+        t.deepEqual(endOf(program), { code: 0, signal: undefined });
+    });
+}
+
+test.serial("a reader of standard error that has left does not end a start that waits for settings", async t => {
+    const { reader, writer } = openPipe();
+    closeSync(reader);
+    const program = await start(t, { errorOutput: writer, prepareFile: () => undefined });
+    closeSync(writer);
+    await sleep(700);
+    writeFileSync(program.file, program.settings);
+    await assertRuns(t, program);
+});
+
 test.serial("settings that stay invalid end the process with their findings", async t => {
     const program = await start(t, { prepareFile: file => writeFileSync(file, "host: {}") });
     await once(program.child, "exit");
