--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -15,6 +15,8 @@
 export type Program = {
     child: ChildProcess;
     log: () => string;
+    /** Standard error. */
+    errors: () => string;
     callersPort: number;
     healthPort: number;
     file: string;
@@ -113,6 +115,7 @@
 const endWithProcess = (child: ChildProcess): void => {
     child.unref();
     (child.stdout as Socket | null)?.unref();
+    (child.stderr as Socket | null)?.unref();
     const kill = (): void => void child.kill("SIGKILL");
     process.once("exit", kill);
     child.once("exit", () => process.off("exit", kill));
@@ -128,6 +131,10 @@
     metricsPort?: number;
     /** Limit on the open files of the process; that of this process by default. */
     openFiles?: number;
+    /** Descriptor of standard output; without it, the lines are kept for `log`. */
+    output?: number;
+    /** Descriptor of standard error. */
+    errorOutput?: number;
     /** Prepares the settings file in place of writing it. */
     prepareFile?: (file: string, settings: string) => void;
     zone?: string;
@@ -153,6 +160,8 @@
         grace = "6s",
         metricsPort,
         openFiles,
+        output,
+        errorOutput,
         prepareFile = writeFileSync,
         zone = "z1",
         processorShare = 1,
@@ -180,14 +189,19 @@
     const [command, args] = openFiles === undefined ? [process.execPath, words] : ["sh", limited];
     const child = spawn(command, args, {
         env: { PATH: process.env["PATH"], CAROBPIER_BOOT: file },
-        stdio: ["ignore", "pipe", "inherit"],
+        stdio: ["ignore", output ?? "pipe", errorOutput ?? "pipe"],
     });
     endWithProcess(child);
     let log = "";
+    let errors = "";
+    child.stderr?.on("data", part => {
+        errors += String(part);
+        process.stderr.write(String(part));
+    });
     child.stdout?.on("data", part => {
         log += String(part);
     });
-    return { child, log: () => log, callersPort, healthPort, file, settings };
+    return { child, log: () => log, errors: () => errors, callersPort, healthPort, file, settings };
 };
 
 export const requestStock = (program: Program, id: string, key: number): Promise<Answer> =>
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -5,10 +5,12 @@
 import test, { type ExecutionContext } from "ava";
 import { execFileSync } from "node:child_process";
 import { once } from "node:events";
-import { renameSync, writeFileSync } from "node:fs";
+import { closeSync, constants, mkdtempSync, openSync, renameSync, writeFileSync, writeSync } from "node:fs";
 import { open } from "node:fs/promises";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { startStoreStandIn } from "../../stand-ins/resident/store.ts";
 import { buildProgram, type Program, type ProgramOptions, sendRequest, startProgram, waitUntil } from "./program.ts";
@@ -135,6 +137,105 @@
     });
 }
 
+const heldPort = 19_871;
+
+test.before(async () => {
+    const holder = createServer();
+    await new Promise<void>(resolve => holder.listen(heldPort, "127.0.0.1", resolve));
+    holder.unref();
+});
+
+const invalid = (file: string): void => writeFileSync(file, "host: {}");
+
+/** Each ends the process in another way; the last line of the log or of standard error tells how. */
+const ends: Array<{ title: string; options: ProgramOptions; stopAfter?: number; end: RegExp }> = [
+    { title: "settings that stay invalid", options: { prepareFile: invalid }, end: /code=1 cause=".*callers.*/ },
+    {
+        title: "a stop while settings are waited for",
+        options: { prepareFile: () => undefined },
+        stopAfter: 700,
+        end: /code=0 cause="stopped before the settings were read"/,
+    },
+    {
+        title: "an address that stays in use",
+        options: { linksPort: heldPort, grace: "1s" },
+        end: /code=1 cause=".*EADDRINUSE.*"/,
+    },
+    {
+        title: "a stop while an address is waited for",
+        options: { linksHost: "192.0.2.1" },
+        stopAfter: 700,
+        end: /code=0 cause="stopped at the start"/,
+    },
+    { title: "a stop", options: {}, stopAfter: 1_500, end: /code=0 cause=stopped / },
+];
+
+for (const { title, options, stopAfter, end } of ends) {
+    test.serial(`${title} ends the process with one line that has the code and the cause`, async t => {
+        t.timeout(15_000);
+        const program = await start(t, options);
+        if (stopAfter !== undefined) {
+            await sleep(stopAfter);
+            program.child.kill("SIGTERM");
+        }
+        await once(program.child, "close");
+        const lines = `${program.log()}${program.errors()}`.split("\n").filter(line => line.includes("program-ended"));
+        t.is(lines.length, 1);
+        t.regex(lines[0], end);
+    });
+}
+
+/** Returns the descriptors of a pipe, of which nobody reads the other end. */
+const openPipe = (): { reader: number; writer: number } => {
+    const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "output");
+    execFileSync("mkfifo", [file]);
+    const reader = openSync(file, constants.O_RDONLY | constants.O_NONBLOCK);
+    return { reader, writer: openSync(file, "w") };
+};
+
+/** Writes until the pipe takes nothing more. */
+const fill = (writer: number): void => {
+    const filler = openSync(`/proc/self/fd/${writer}`, constants.O_WRONLY | constants.O_NONBLOCK);
+    try {
+        for (;;) {
+            writeSync(filler, "x".repeat(4_096));
+        }
+    }
+    catch {
+        closeSync(filler);
+    }
+};
+
+const readers = [
+    { title: "reads nothing", prepare: fill, leave: () => undefined },
+    { title: "leaves just before", prepare: () => undefined, leave: closeSync },
+];
+
+for (const { title, prepare, leave } of readers) {
+    test.serial(`a reader of standard output that ${title} does not keep the process from ending`, async t => {
+        t.timeout(15_000);
+        const { reader, writer } = openPipe();
+        prepare(writer);
+        const program = await start(t, { output: writer, linksHost: "192.0.2.1" });
+        closeSync(writer);
+        await sleep(1_200);
+        leave(reader);
+        program.child.kill("SIGTERM");
+        await sleep(2_500);
+        t.deepEqual(endOf(program), { code: 0, signal: undefined });
+    });
+}
+
+test.serial("a reader of standard error that has left does not end a start that waits for settings", async t => {
+    const { reader, writer } = openPipe();
+    closeSync(reader);
+    const program = await start(t, { errorOutput: writer, prepareFile: () => undefined });
+    closeSync(writer);
+    await sleep(700);
+    writeFileSync(program.file, program.settings);
+    await assertRuns(t, program);
+});
+
 test.serial("settings that stay invalid end the process with their findings", async t => {
     const program = await start(t, { prepareFile: file => writeFileSync(file, "host: {}") });
     await once(program.child, "exit");
