Limit the connections to targets to their part of the descriptors

Connections to targets were counted but not limited: enough requests at once could take the descriptors of the store, other hosts and files. A pool now opens no connection while the part is used up. Such a request fails as connect-failed, as does one that meets EMFILE, and neither is held against the target: it was blocked for up to 2 s, so that a shortage of the host closed all its targets, also those with free connections. Grants stay unlimited.

--- a/src/links/descriptors.ts
+++ b/src/links/descriptors.ts
@@ -94,6 +94,29 @@
     };
 };
 
+/** Error code of a connection that was not opened since its part is used up. */
+const usedUpCode = "DESCRIPTORS_USED_UP";
+
+/** Whether a file or connection could not be opened for want of a descriptor, which tells nothing of the other end. */
+export const isDescriptorShortage = (error: unknown): boolean =>
+    ["EMFILE", "ENFILE", usedUpCode].includes((error as NodeJS.ErrnoException | undefined)?.code ?? "");
+
+/** Wraps a connector of undici so that it opens no connection while the part is used up. */
+export const limitOpenedConnections = (
+    connect: buildConnector.connector,
+    part: DescriptorPart,
+    descriptors: Descriptors,
+): buildConnector.connector =>
+(target, callback) => {
+    if (!descriptors.isFull(part)) {
+        connect(target, callback);
+        return;
+    }
+    descriptors.recordFull(part, "new");
+    const error = Object.assign(new Error(`No descriptor is left for ${part}.`), { code: usedUpCode });
+    process.nextTick(callback, error);
+};
+
 /** Wraps a connector of undici so that its connections are counted in the part, also while they are opened. */
 export const countConnections = (
     connect: buildConnector.connector,
--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool as ConnectionPool } from "undici";
 import { descriptorParts } from "../decisions/descriptors.ts";
-import { countConnections, type Descriptors } from "./descriptors.ts";
+import { countConnections, type Descriptors, limitOpenedConnections } from "./descriptors.ts";
 
 export type TargetRequest = {
     method: string;
@@ -174,7 +174,7 @@
     connections: number;
     /** Limit on the time in which a connection is opened. */
     connectMilliseconds: number;
-    /** Counts the connections. */
+    /** Counts and limits the connections. */
     descriptors?: Descriptors;
 };
 
@@ -185,7 +185,11 @@
 export const createExchangeLink = (
     { address, connections, connectMilliseconds, descriptors }: ExchangeLinkOptions,
 ): ExchangeLink => {
-    const connect = createResetDetectingConnector(connectMilliseconds);
+    const direct = createResetDetectingConnector(connectMilliseconds);
+    const part = descriptorParts.targets;
+    const connect = descriptors === undefined
+        ? direct
+        : limitOpenedConnections(countConnections(direct, part, descriptors), part, descriptors);
     // Created on first use: a host knows hundreds of targets and sends to some of them only.
     let pool: ConnectionPool | undefined;
     let isClosed = false;
@@ -193,9 +197,7 @@
         pool ??= new ConnectionPool(`http://${address}`, {
             connections,
             pipelining: 1,
-            connect: descriptors === undefined
-                ? connect
-                : countConnections(connect, descriptorParts.targets, descriptors),
+            connect,
         });
         return pool;
     };
--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -7,6 +7,7 @@
 import { InputError, messageOf } from "../contracts/errors.ts";
 import { describeFinding } from "../contracts/finding.ts";
 import { type ResidentSettings, residentSettingsSchema } from "../contracts/residentsettings.ts";
+import { isDescriptorShortage } from "./descriptors.ts";
 import type { Log } from "./logs.ts";
 import { checkYaml } from "./yaml.ts";
 
@@ -15,10 +16,6 @@
 
 const readFileText: ReadFile = file => readFileSync(file, "utf8");
 
-/** Whether a file could not be opened for want of a descriptor, which tells nothing of the file. */
-const isDescriptorShortage = (error: unknown): boolean =>
-    ["EMFILE", "ENFILE"].includes((error as NodeJS.ErrnoException | undefined)?.code ?? "");
-
 const readText = (file: string, readFile: ReadFile): string => {
     try {
         return readFile(file);
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -8,6 +8,7 @@
 import type { Reason } from "../../contracts/outcome.ts";
 import type { ResidentRequest, TargetNotice, TargetProtocol } from "../../contracts/resident.ts";
 import type { AnswerStream, CallerAnswer } from "../../links/callers.ts";
+import { isDescriptorShortage } from "../../links/descriptors.ts";
 import {
     type AnswerReceiver,
     isMalformedAnswer,
@@ -21,11 +22,12 @@
 
 /**
  * The result of one send. `notRun` is set only when it is certain: the target said so, or no byte of the request
- * was written. `arrived` is set when bytes of the request were written.
+ * was written. `arrived` is set when bytes of the request were written, `ofHost` when this host had no descriptor for a
+ * connection, so that the failure tells nothing of the target.
  */
 export type AttemptResult =
     | { kind: "answered"; answer: CallerAnswer & { kind: "answer" }; workMilliseconds: number | undefined }
-    | { kind: "failed"; reason: Reason; detail: string; notRun: boolean; arrived: boolean };
+    | { kind: "failed"; reason: Reason; detail: string; notRun: boolean; arrived: boolean; ofHost: boolean };
 
 export type AttemptOptions = {
     request: ResidentRequest;
@@ -167,9 +169,15 @@
             head = { statusCode, headers };
         };
 
-        const failWith = (reason: Reason, detail: string, notRun: boolean, arrived: boolean): void => {
+        const failWith = (
+            reason: Reason,
+            detail: string,
+            notRun: boolean,
+            arrived: boolean,
+            ofHost = false,
+        ): void => {
             finish(undefined);
-            settle({ kind: "failed", reason, detail, notRun, arrived });
+            settle({ kind: "failed", reason, detail, notRun, arrived, ofHost });
         };
 
         const cancelTimer = clock.after(Math.max(1, options.endAt - sentAt), () => {
@@ -222,7 +230,8 @@
                 const reason = forcedFailure?.reason
                     ?? (isMalformedAnswer(error) ? "answer-malformed" : lostReasons[failedStage]);
                 const detail = forcedFailure?.detail ?? `Target "${targetState.target.name}": ${error.message}.`;
-                failWith(reason, detail, forcedFailure?.notRun ?? unsent, !unsent);
+                const ofHost = forcedFailure === undefined && unsent && isDescriptorShortage(error);
+                failWith(reason, detail, forcedFailure?.notRun ?? unsent, !unsent, ofHost);
             },
         };
         try {
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -119,7 +119,7 @@
         if (reason === "connection-lost" || (reason === "timed-out" && targetState.gone)) {
             options.suspicions.recordConnectionLost(context.request, targetState);
         }
-        if (reason === "connect-failed") {
+        if (reason === "connect-failed" && !attempt.ofHost) {
             targetStates.recordConnectFailure(targetState);
         }
         if (reason === "target-shed") {
@@ -127,7 +127,7 @@
         }
         // `fence-refused` is not recorded as a failure of the target either. `connect-failed` is recorded here too, in
         // addition to the failure to connect above.
-        if (!callerSideReasons.has(reason) && reason !== "fence-refused") {
+        if (!callerSideReasons.has(reason) && reason !== "fence-refused" && !attempt.ofHost) {
             targetStates.recordFailure(targetState);
         }
         log.info("send-failed", {
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -51,7 +51,7 @@
     hostCount: () => number;
     /** Called with the number of this host's requests at a target when it changes. */
     recordOwnRequests: (target: string, requests: number) => void;
-    /** Counts the connections to targets. */
+    /** Counts and limits the connections to targets. */
     descriptors?: Descriptors;
     clock: Clock;
     signal: AbortSignal;
--- a/test/machines/resident/lonehost.ts
+++ b/test/machines/resident/lonehost.ts
@@ -5,6 +5,7 @@
 import { callerProtocol, targetProtocol } from "../../../platform/protocols.ts";
 import { createCallerLink } from "../../../src/links/callers.ts";
 import { systemClock } from "../../../src/links/clock.ts";
+import type { Descriptors } from "../../../src/links/descriptors.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import { createGateway } from "../../../src/machines/resident/gateway.ts";
@@ -21,11 +22,12 @@
     kind?: "safe" | "unsafe";
     timeoutMilliseconds: number;
     maxAttempts?: number;
+    descriptors?: Descriptors;
 };
 
 /** Starts a host without a store, whose only pool has these targets. */
 export const startHost = async (
-    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1 }: HostOptions,
+    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1, descriptors }: HostOptions,
 ) => {
     const lifetime = new AbortController();
     const common = { clock: systemClock, log: silentLog, signal: lifetime.signal };
@@ -48,6 +50,7 @@
         findPool: name => tables.current()?.table.pools.get(name),
         hostCount: () => 1,
         recordOwnRequests: () => undefined,
+        descriptors,
         ...common,
     });
     registry.applyList(addresses.map((address, index) => ({
