--- a/src/decisions/descriptors.ts
+++ b/src/decisions/descriptors.ts
@@ -46,9 +46,6 @@
 /**
  * Returns the number of connections that each part may have open. Below a limit of about a hundred, the parts' minima
  * may sum up to more than the limit.
- *
- * @example
- * divideDescriptors({ process: 20_000, stated: 3_075, files: 200 }).callers; // 1268
  */
 export const divideDescriptors = (limits: DescriptorLimits): Record<DescriptorPart, number> => {
     const limit = effectiveLimit(limits);
