--- a/test/platform/descriptors.test.ts
+++ b/test/platform/descriptors.test.ts
@@ -6,6 +6,7 @@
 import { writeFileSync } from "node:fs";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { WebSocket } from "ws";
 import { startBackendStandIn } from "../../stand-ins/resident/backend.ts";
 import { startStoreStandIn, type StoreStandIn } from "../../stand-ins/resident/store.ts";
 import {
@@ -30,6 +31,7 @@
 const closeMilliseconds = 1_000;
 
 type Fleet = {
+    ports: Record<"links" | "health" | "metrics", number>;
     store: StoreStandIn;
     program: Program;
     readMetric: (name: string) => Promise<number | undefined>;
@@ -41,12 +43,13 @@
     const backend = await startBackendStandIn({ id: "i-1", slots: 4, queue: 8, workMilliseconds: 5, isSharded: false });
     store.put("servers", "i-1", entry("orders", backend));
     store.put("config", "main", { version: "r1", routes: firstRoutes, services, limits });
-    const metricsPort = await freePort();
-    const program = await startProgram(store, { openFiles, metricsPort });
+    const [metricsPort, linksPort] = [await freePort(), await freePort()];
+    const program = await startProgram(store, { openFiles, metricsPort, linksPort });
     await waitUntil("the host is ready", () => isReady(program));
     return {
         store,
         program,
+        ports: { links: linksPort, health: program.healthPort, metrics: metricsPort },
         readMetric: async name => {
             await sendRequest(metricsPort, "/");
             const line = (await sendRequest(metricsPort, "/")).body.split("\n").find(text => text.startsWith(name));
@@ -154,4 +157,25 @@
     });
 }
 
+for (const address of ["links", "health", "metrics"] as const) {
+    test(`more idle connections than descriptors at the address of ${address} keep nobody out`, async t => {
+        const { program, ports, readMetric, close } = await startFleet();
+        const idle: Socket[] = [];
+        t.teardown(() => {
+            close();
+            idle.forEach(socket => socket.destroy());
+        });
+        for (let number = 0; number < callerCount; number += 1) {
+            idle.push(await openIdleCaller(ports[address], ""));
+        }
+        await sleep(500);
+        t.is(await askOnNewConnection(program.callersPort, "n-1"), "answered");
+        t.true(await isReady(program));
+        t.is(await readMetric("carobpier_descriptor_limit "), openFiles);
+        const link = new WebSocket(`ws://127.0.0.1:${ports.links}/state`);
+        await once(link, "open");
+        link.terminate();
+    });
+}
+
 test.before(buildProgram);
