--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -59,6 +59,7 @@
                 id,
                 life: to.life,
                 isSafe: service.isSafe,
+                timeoutMilliseconds: service.deadlineMilliseconds / 2,
                 sentAt: now(),
                 endedAt: Infinity,
                 outcome: "unconnected",
@@ -73,7 +74,7 @@
                     host: `${service.name}.example`,
                     "request-id": id,
                     "request-deadline": String(service.deadlineMilliseconds),
-                    ...(service.isSharded ? { "shard-key": String(random.below(keyCount)) } : {}),
+                    "shard-key": String(random.below(keyCount)),
                 };
                 const outgoing = httpRequest({
                     host: "127.0.0.1",
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -7,7 +7,7 @@
 import { parseArgs } from "node:util";
 import { createPlan, plays, sites } from "./plan.ts";
 import { play } from "./play.ts";
-import { type Finding, judge, type SoakRecords } from "./verdict.ts";
+import { type Finding, judge, type Slack, type SoakRecords } from "./verdict.ts";
 
 export type SoakOptions = {
     seed: number;
@@ -17,6 +17,7 @@
     seconds: number;
     share: number;
     path?: string | undefined;
+    slack?: Slack;
     report: (line: string) => void;
 };
 
@@ -30,9 +31,12 @@
     const steps = createPlan({ seed, play: name, hosts, seconds, services: site.services.length });
     const isThin = name === "thin" || (name === "mixed" && seed % 3 === 0);
     const records = await play({ seed, site, hosts, seconds, share, isThin, steps, path, report });
-    return { records, findings: judge(records) };
+    return { records, findings: judge(records, options.slack) };
 };
 
+/** Whether a finding breaks a rule. */
+export const isBreach = ({ rule }: Finding): boolean => !["EARLY", "CUT", "FAILED"].includes(rule);
+
 export const describe = (finding: Finding): string =>
     [
         `${finding.rule} at ${Math.round(finding.at)} ms, ${finding.host} ${finding.request}: ${finding.text}`,
@@ -77,7 +81,7 @@
         `${records.requests.length} requests (${text(statuses)}), stall ${Math.round(records.stallMilliseconds)} ms,`,
         `findings: ${text(counts) || "none"}`,
     );
-    process.exit(findings.some(({ rule }) => rule !== "EARLY" && rule !== "CUT") ? 1 : 0);
+    process.exit(findings.some(isBreach) ? 1 : 0);
 };
 
 if (process.argv[1]?.endsWith("soak/main.ts")) {
--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -120,7 +120,7 @@
             seq: 1,
         };
         const { arrivedIds, runCounts } = backend;
-        const target = { name: id, service, backend, record: { id, arrivedIds, runCounts }, entry };
+        const target = { name: id, service, backend, record: { id, arrivedIds, runCounts, endedAt: Infinity }, entry };
         targets.push(target);
         store.put("servers", id, { ...entry, state: "ready", born: Date.now() });
     };
@@ -234,6 +234,7 @@
             store.remove("servers", name);
         }
         await sleep(how === "abrupt" ? 0 : drainMilliseconds + random.below(1_500));
+        target.record.endedAt = now();
         backend.close();
         await sleep(random.below(reuseAfterMilliseconds));
         store.remove("servers", name);
--- /dev/null
+++ b/test/soak/soak.test.ts
@@ -0,0 +1,134 @@
+/**
+ * The verdict on a soak, as tables, and one short soak on each deployment.
+ */
+import test from "ava";
+import { buildProgram } from "../platform/program.ts";
+import { describe, isBreach, soak } from "./main.ts";
+import { createPlan, plays } from "./plan.ts";
+import { bodyOf, judge, type LifeRecord, type RequestRecord, type SoakRecords } from "./verdict.ts";
+
+const life: LifeRecord = {
+    host: "h1",
+    startedAt: 0,
+    readyAt: 900,
+    signals: [{ signal: "SIGTERM", at: 20_000 }],
+    endedAt: 21_000,
+    code: 0,
+    endSignal: undefined,
+    log: "event=program-started",
+};
+const request: RequestRecord = {
+    id: "q-1",
+    life: 0,
+    isSafe: false,
+    timeoutMilliseconds: 1_000,
+    sentAt: 20_000,
+    endedAt: 20_100,
+    outcome: "answer",
+    status: 200,
+    answerId: "q-1",
+    signature: "t1.signature",
+    body: bodyOf("q-1", "t1"),
+};
+const ran = { id: "t1", arrivedIds: new Set(["q-1"]), runCounts: new Map([["q-1", 1]]), endedAt: Infinity };
+const alsoRan = { ...ran, id: "t2" };
+const idle = { id: "t1", arrivedIds: new Set<string>(), runCounts: new Map<string, number>(), endedAt: Infinity };
+const unasked = { signals: [], code: 1, endedAt: 5_000 };
+const killed = { signals: [{ signal: "SIGKILL", at: 20_050 }], code: undefined, endSignal: "SIGKILL", endedAt: 20_060 };
+const early = { endedAt: 60, code: undefined, endSignal: "SIGHUP", signals: [{ signal: "SIGHUP", at: 40 }] };
+const cut = { outcome: "cut", status: 0 } as const;
+
+const own = { status: 502, signature: "" };
+
+type Case = {
+    name: string;
+    life?: Partial<LifeRecord>;
+    request?: Partial<RequestRecord>;
+    records?: Partial<SoakRecords>;
+    expected: string[];
+};
+const cases: Case[] = [
+    { name: "a planned stop that answers", expected: [] },
+    { name: "an end that nobody asked for", life: unasked, expected: ["FAULT"] },
+    { name: "an end by a reload", life: { ...early, endedAt: 500, log: "event=host-ready" }, expected: ["FAULT"] },
+    { name: "an end by a signal before the first line", life: { ...early, log: "" }, expected: ["EARLY"] },
+    { name: "a stop that ends with a code", life: { code: 1 }, expected: ["FAULT"] },
+    { name: "a stop that takes longer than the grace", life: { endedAt: 29_000 }, expected: ["FAULT"] },
+    { name: "a kill", life: killed, expected: [] },
+    { name: "never ready", life: { readyAt: undefined }, expected: ["FAULT"] },
+    {
+        name: "never ready, the store was out until 10 s",
+        life: { readyAt: undefined },
+        records: { storeFaults: [{ from: 0, until: 10_000 }] },
+        expected: [],
+    },
+    { name: "a cut after it was passed on", request: cut, expected: ["LOST"] },
+    { name: "a cut that crossed the close", request: cut, records: { targets: [idle] }, expected: [] },
+    { name: "a late cut", request: { ...cut, sentAt: 15_000 }, records: { targets: [idle] }, expected: ["LOST"] },
+    { name: "a cut by a kill", life: killed, request: cut, expected: [] },
+    { name: "a cut after a reset", request: cut, records: { resets: [18_000] }, expected: ["CUT"] },
+    { name: "a cut before a reset", request: cut, records: { resets: [20_500] }, expected: ["LOST"] },
+    {
+        name: "a cut by the target",
+        request: cut,
+        records: { targets: [{ ...ran, endedAt: 20_050 }] },
+        expected: ["CUT"],
+    },
+    { name: "a failure of its own after SIGTERM", request: own, expected: ["LOST"] },
+    { name: "a failure of its own", request: { ...own, sentAt: 19_000, endedAt: 19_100 }, expected: ["FAILED"] },
+    { name: "a failure of its own at the timeout", request: { ...own, sentAt: 19_100 }, expected: [] },
+    { name: "two runs of an unsafe request", records: { targets: [ran, alsoRan] }, expected: ["TWICE"] },
+    {
+        name: "two runs of a safe request",
+        request: { isSafe: true },
+        records: { targets: [ran, alsoRan] },
+        expected: [],
+    },
+    { name: "a promise after a run", request: { status: 503 }, expected: ["REFUSED"] },
+    { name: "a promise without a run", request: { status: 503 }, records: { targets: [idle] }, expected: [] },
+    { name: "the answer of another request", request: { answerId: "q-2" }, expected: ["MIXED"] },
+    { name: "a body that is cut short", request: { body: "q-1 served" }, expected: ["MIXED"] },
+    { name: "a success that no target gave", records: { targets: [idle] }, expected: ["MIXED"] },
+];
+for (const { name, life: lifeFields, request: requestFields, records, expected } of cases) {
+    test(`verdict: ${name} gives ${expected.join(", ") || "no finding"}`, t => {
+        const findings = judge({
+            requests: [{ ...request, ...requestFields }],
+            lives: [{ ...life, ...lifeFields }],
+            targets: [ran],
+            storeFaults: [],
+            resets: [],
+            stallMilliseconds: 0,
+            ...records,
+        });
+        t.deepEqual(findings.map(({ rule }) => rule), expected);
+    });
+}
+
+test("a seed gives the same plan again, and another seed another", t => {
+    for (const play of plays) {
+        const plan = (seed: number) => createPlan({ seed, play, hosts: 4, seconds: 20, services: 3 });
+        t.deepEqual(plan(1), plan(1));
+        t.notDeepEqual(plan(1), plan(2));
+    }
+});
+
+for (const [site, seed] of [["hallam", 1], ["verhaeghe", 2]] as const) {
+    test.serial(`processes of ${site} keep the rules through mixed disturbances, seed ${seed}`, async t => {
+        const { findings, records } = await soak({
+            seed,
+            site,
+            play: "mixed",
+            hosts: 4,
+            seconds: 15,
+            share: 0.2,
+            slack: { early: 1_000, unread: 4_000, grace: 4_000 },
+            report: line => t.log(line),
+        });
+        const breaches = findings.filter(isBreach);
+        t.deepEqual(breaches.map(describe), []);
+        t.true(records.requests.filter(({ status }) => status === 200).length > 100);
+    });
+}
+
+test.before(buildProgram);
--- a/test/soak/verdict.ts
+++ b/test/soak/verdict.ts
@@ -7,6 +7,8 @@
     id: string;
     life: number;
     isSafe: boolean;
+    /** Of the route. */
+    timeoutMilliseconds: number;
     sentAt: number;
     endedAt: number;
     /** `unconnected`: never sent; `cut`: the connection ended without a complete answer; `left`: ended by the soak. */
@@ -28,8 +30,22 @@
     endSignal: string | undefined;
     log: string;
 };
-/** What one target saw: the requests that reached it, and how often each ran. */
-export type TargetRecord = { id: string; arrivedIds: Set<string>; runCounts: Map<string, number> };
+/** What one target saw: the requests that reached it, how often each ran, and when it ended. */
+export type TargetRecord = {
+    id: string;
+    arrivedIds: Set<string>;
+    runCounts: Map<string, number>;
+    endedAt: number;
+};
+/** Slack for the load of the machine, in milliseconds. A loaded machine makes an unread request look like a lost one. */
+export type Slack = {
+    /** Until then after its start a process may not yet have come to its first line. */
+    early: number;
+    /** A request that reached no target counts as read so long after it was sent. */
+    unread: number;
+    /** Added to the grace of a stop. */
+    grace: number;
+};
 export type SoakRecords = {
     requests: RequestRecord[];
     lives: LifeRecord[];
@@ -41,7 +57,8 @@
     stallMilliseconds: number;
 };
 export type Finding = {
-    rule: "FAULT" | "EARLY" | "LOST" | "CUT" | "REFUSED" | "TWICE" | "MIXED";
+    /** The rules' names; EARLY, CUT (after a reset) and FAILED (an own failure in place of an answer) are excused by them. */
+    rule: "FAULT" | "EARLY" | "LOST" | "CUT" | "FAILED" | "REFUSED" | "TWICE" | "MIXED";
     at: number;
     host: string;
     request: string;
@@ -59,12 +76,12 @@
     return `${requestId} served by ${targetId} `.padEnd(length, "x");
 };
 
-/** Until then a process may not yet have come to its first line. */
-const earlyMilliseconds = 150;
 const graceMilliseconds = 6_000;
 const readyMilliseconds = 15_000;
-const lossSlackMilliseconds = 1_000;
 const calmMilliseconds = 3_000;
+/** Share of the route's timeout from which on its end counts as the reason of a failure. */
+const nearTimeout = 0.9;
+export const usualSlack: Slack = { early: 150, unread: 1_000, grace: 2_000 };
 const stopSignals = ["SIGTERM", "SIGINT", "SIGKILL"];
 /** Statuses that promise that the request has not run. */
 const promises = [408, 421, 429, 503];
@@ -72,16 +89,24 @@
 const wasSent = (life: LifeRecord, signals: string[], until = Infinity): boolean =>
     life.signals.some(({ signal, at }) => signals.includes(signal) && at <= until);
 
+const stopOf = (life: LifeRecord): number =>
+    Math.min(...life.signals.filter(({ signal }) => signal !== "SIGHUP").map(({ at }) => at));
+
 /** Why the end of a process or its start is a fault; undefined if it is none. */
-const faultOf = (life: LifeRecord, storeFaults: SoakRecords["storeFaults"], stall: number): string | undefined => {
+const faultOf = (
+    life: LifeRecord,
+    storeFaults: SoakRecords["storeFaults"],
+    stall: number,
+    slack: Slack,
+): string | undefined => {
     if (!wasSent(life, stopSignals, life.endedAt)) {
         return "ended without having been asked to";
     }
     if (!wasSent(life, ["SIGKILL"], life.endedAt) && life.code !== 0) {
         return "a planned stop ended with another code than 0";
     }
-    const stop = Math.min(...life.signals.filter(({ signal }) => signal !== "SIGHUP").map(({ at }) => at));
-    if (life.endedAt - stop > graceMilliseconds + 2_000 + stall) {
+    const stop = stopOf(life);
+    if (life.endedAt - stop > graceMilliseconds + slack.grace + stall) {
         return "still ran after the grace of its stop";
     }
     const calm = storeFaults.filter(({ until }) => until > life.startedAt).map(({ until }) => until);
@@ -89,10 +114,11 @@
     return life.readyAt === undefined && stop > dueAt ? "not ready within 15 s" : undefined;
 };
 
+/** Whether connections were reset in the request's time or shortly before, which the rules excuse. */
 const isBefore = (resets: number[], { sentAt, endedAt }: RequestRecord): boolean =>
     resets.some(at => at > sentAt - calmMilliseconds && at <= endedAt);
 
-export const judge = (records: SoakRecords): Finding[] => {
+export const judge = (records: SoakRecords, slack = usualSlack): Finding[] => {
     const { requests, lives, targets, storeFaults, resets, stallMilliseconds } = records;
     const findings: Finding[] = [];
     const add = (rule: Finding["rule"], at: number, life: LifeRecord, request: string, text: string): void => {
@@ -102,12 +128,12 @@
     };
 
     for (const life of lives) {
-        const fault = faultOf(life, storeFaults, stallMilliseconds);
+        const fault = faultOf(life, storeFaults, stallMilliseconds, slack);
         if (fault !== undefined) {
             const signals = life.signals.map(({ signal, at }) => `${signal} at ${Math.round(at - life.startedAt)} ms`);
             const end = `code ${life.code ?? "none"}, signal ${life.endSignal ?? "none"}`;
             const isEarly = life.log === "" && life.endSignal !== undefined
-                && life.signals.some(({ at }) => at - life.startedAt < earlyMilliseconds);
+                && life.signals.some(({ at }) => at - life.startedAt < slack.early);
             const text = `${fault}; ${end}; after ${Math.round(life.endedAt - life.startedAt)} ms; ${
                 signals.join(", ")
             }`;
@@ -120,14 +146,27 @@
         const runs = targets.reduce((sum, target) => sum + (target.runCounts.get(request.id) ?? 0), 0);
         const report = (rule: Finding["rule"], text: string): void =>
             add(rule, request.endedAt, life, request.id, text);
-        const isLate = request.endedAt - request.sentAt > lossSlackMilliseconds + stallMilliseconds;
+        const passed = request.endedAt - request.sentAt;
+        const isLate = passed > slack.unread + stallMilliseconds;
         if (
             request.outcome === "cut" && !wasSent(life, ["SIGKILL"], request.endedAt) && (reached.length > 0 || isLate)
         ) {
             const text = `cut ${
                 Math.round(request.endedAt - request.sentAt)
             } ms after it was sent, ${reached.length} targets`;
-            report(isBefore(resets, request) ? "CUT" : "LOST", text);
+            report(isExcused ? "CUT" : "LOST", text);
+        }
+        const isOwnFailure = request.outcome === "answer" && request.status >= 500 && request.signature === ""
+            && !promises.includes(request.status);
+        if (isOwnFailure && runs > 0 && !isExcused && passed < request.timeoutMilliseconds * nearTimeout) {
+            const stop = stopOf(life);
+            const isLastSixth = request.sentAt <= stop + calmMilliseconds
+                && request.endedAt >= stop + graceMilliseconds * 5 / 6;
+            const isStopping = request.endedAt > stop && !isLastSixth;
+            report(
+                isStopping ? "LOST" : "FAILED",
+                `answered ${request.status} in place of its target after ${Math.round(passed)} ms`,
+            );
         }
         if (!request.isSafe && runs > 1) {
             report("TWICE", `ran ${runs} times`);
