Let the stand-in of a backend echo the request's id when it answers 421

The protocol says that backends echo Request-Id. Without it hosts take the answer for that of another request (answer-mismatched) and give up with 502 in place of sending the request to its owner.

--- a/stand-ins/resident/backend.ts
+++ b/stand-ins/resident/backend.ts
@@ -207,11 +207,11 @@
         }
         arrivedIds.add(requestId);
         if (target !== undefined && target !== id()) {
-            sendAnswer(response, 421, {});
+            sendAnswer(response, 421, { "request-id": requestId });
             return;
         }
         if (isSharded && !ownsKey(Number(headerOf(request, "shard-key")))) {
-            sendAnswer(response, 421, { "not-executed": "1" });
+            sendAnswer(response, 421, { "not-executed": "1", "request-id": requestId });
             return;
         }
         if (faults.shed || waiting.length >= queue) {
