--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -65,6 +65,28 @@
     t.true(performance.now() - startedAt < 3 * chunkMilliseconds + 3 * timeoutMilliseconds);
 });
 
+test("a watch on a silent connection is asked again on a new one as soon as another call finds the silence", async t => {
+    const silentSockets = new Set<unknown>();
+    const openSockets = new Set<unknown>();
+    let watches = 0;
+    const { store, close } = await setUp((response, isWatch) => {
+        openSockets.add(response.socket);
+        watches += isWatch ? 1 : 0;
+        if (!silentSockets.has(response.socket) && !(isWatch && watches === 1)) {
+            response.end(isWatch ? changes : list);
+        }
+    });
+    t.teardown(close);
+    await store.list("config");
+    const startedAt = performance.now();
+    const watch = store.watch("config", 1, 20 * timeoutMilliseconds);
+    await store.list("servers");
+    openSockets.forEach(socket => silentSockets.add(socket));
+    await t.throwsAsync(store.list("servers"), { message: /no answer in time/ });
+    t.is((await watch).result, "changes");
+    t.true(performance.now() - startedAt < 10 * timeoutMilliseconds);
+});
+
 test("a call fails when the answer exceeds the size limit", async t => {
     const { store, close } = await setUp(response => {
         response.writeHead(200, { "content-type": "application/json" });
