Repeat a fence only while the same process is known to be at the target

No call had failed, so nothing told the coordinator; only an idle connection had closed. The caller of targets now counts sessions, which end when a kept connection closes without notice, and a grant repeats a fence only in the session in which its owner took it.

--- a/src/contracts/resident.ts
+++ b/src/contracts/resident.ts
@@ -91,6 +91,11 @@
         range: Pick<OwnedRange, "from" | "to" | "fence">,
         timeoutMilliseconds: number,
     ) => Promise<OwnershipCallResult>;
+    /**
+     * Returns a number that changes when another process than before may be at the target's address. Calls between which
+     * it has not changed reached the same process, if any.
+     */
+    session: (target: RegisteredTarget) => number;
     close: () => void;
 };
 
--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -3,6 +3,7 @@
  * that is abandoned resets its connection, so that bytes that a network partition holds back are not delivered later.
  */
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import type { Socket } from "node:net";
 import { messageOf } from "../contracts/errors.ts";
 
 export type JsonCall = {
@@ -24,7 +25,18 @@
     | { answered: true; statusCode: number; headers: IncomingHttpHeaders }
     | { answered: false; mayHaveArrived: boolean; error: string };
 
-export type JsonCaller = { post: (call: JsonCall) => Promise<JsonCallResult>; close: () => void };
+export type JsonCaller = {
+    post: (call: JsonCall) => Promise<JsonCallResult>;
+    /**
+     * Returns a number that stays the same as long as the kept connections show that one process is at the address. It
+     * changes when the other end closes one without notice, and when none is left open.
+     */
+    session: (address: string) => number;
+    close: () => void;
+};
+
+/** The kept connections to one address. */
+type KeptConnections = { open: number; session: number };
 
 /** Idle connections are closed after this time, before targets close them. */
 const idleTimeoutMilliseconds = 5_000;
@@ -32,6 +44,36 @@
 /** Creates a caller with its own connections. */
 export const createJsonCaller = (): JsonCaller => {
     const agent = new Agent({ keepAlive: true, timeout: idleTimeoutMilliseconds });
+    const kept = new Map<string, KeptConnections>();
+    const observed = new WeakSet<Socket>();
+    /** Connections whose close is no sign that their process has ended. */
+    const closingWell = new WeakSet<Socket>();
+
+    const keptTo = (address: string): KeptConnections => {
+        const known = kept.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const connections = { open: 0, session: 0 };
+        kept.set(address, connections);
+        return connections;
+    };
+
+    const observe = (socket: Socket, address: string): void => {
+        if (observed.has(socket)) {
+            return;
+        }
+        observed.add(socket);
+        const connections = keptTo(address);
+        connections.open += 1;
+        socket.once("timeout", () => closingWell.add(socket));
+        socket.once("close", () => {
+            connections.open -= 1;
+            if (connections.open === 0 || !closingWell.has(socket)) {
+                connections.session += 1;
+            }
+        });
+    };
 
     const post = (call: JsonCall): Promise<JsonCallResult> =>
         new Promise(resolve => {
@@ -71,6 +113,9 @@
                 call.timeoutMilliseconds,
             );
             outgoing.on("socket", socket => {
+                if (call.ownConnection !== true) {
+                    observe(socket, call.address);
+                }
                 if (!socket.connecting) {
                     connected = true;
                     return;
@@ -81,6 +126,9 @@
             });
             outgoing.on("response", response => {
                 response.resume();
+                if (response.headers.connection?.toLowerCase() === "close") {
+                    closingWell.add(response.socket);
+                }
                 response.once("end", () =>
                     finish({ answered: true, statusCode: response.statusCode ?? 0, headers: response.headers }));
                 response.once("error", error =>
@@ -90,5 +138,5 @@
             outgoing.end(body);
         });
 
-    return { post, close: () => agent.destroy() };
+    return { post, session: address => keptTo(address).session, close: () => agent.destroy() };
 };
--- a/src/machines/resident/grants.ts
+++ b/src/machines/resident/grants.ts
@@ -20,8 +20,8 @@
     /** Called when the owner has seen a newer fence for one of the keys. */
     onHigherFence: (range: OwnedRange) => void;
     /**
-     * Called when the owner's connections broke: it may have restarted under the same name, without its keys, and its
-     * ranges need new fences before they are granted again, since no two processes may get the same.
+     * Called when the owner may have restarted under the same name, without its keys: its connections broke, or closed
+     * without notice. Its ranges need new fences before they are granted again, since no two processes may get the same.
      */
     onSuspect: (owner: RangeOwner) => Promise<void>;
     /** How long a grant allows its owner to serve the keys. */
@@ -87,6 +87,8 @@
     const renewing = new Set<string>();
     /** Highest fence by owner with which a grant may have arrived. */
     const arrivedFences = new Map<string, number>();
+    /** Sessions of the link in which the owners took their grants, by fence. */
+    const grantedSessions = new Map<number, number>();
 
     const isLost = (owner: RangeOwner): boolean => (lostUntil.get(ownerName(owner)) ?? 0) > clock.now();
 
@@ -140,6 +142,13 @@
         recordRefusal(owner, result);
     };
 
+    /** Whether the process that took the grant with this fence may have been replaced since, under the same name. */
+    const mayBeReplaced = ({ owner, fence }: OwnedRange, target: RegisteredTarget): boolean => {
+        const grantedIn = grantedSessions.get(fence);
+        return suspects.has(ownerName(owner)) && fence <= (arrivedFences.get(ownerName(owner)) ?? 0)
+            || (grantedIn !== undefined && grantedIn !== link.session(target));
+    };
+
     const renewFences = async (owner: RangeOwner): Promise<void> => {
         const name = ownerName(owner);
         if (!renewing.has(name)) {
@@ -155,14 +164,18 @@
         if (target === undefined || inFlight.has(id) || !options.mayGrant() || !options.isCurrent(range)) {
             return;
         }
-        if (suspects.has(ownerName(owner)) && fence <= (arrivedFences.get(ownerName(owner)) ?? 0)) {
+        if (mayBeReplaced(range, target)) {
             await renewFences(owner);
             return;
         }
         inFlight.set(id, range);
+        const session = link.session(target);
         try {
             const answer = await link.grant(target, range, options.holdMilliseconds, handovers.get(id));
             recordResult(range, answer.result);
+            if (answer.result === "done") {
+                grantedSessions.set(fence, session);
+            }
         }
         catch (error) {
             log.info("grant-withheld", { target: owner.target, fence, error: messageOf(error) });
@@ -184,6 +197,8 @@
         grant,
         renew: ranges => {
             const now = clock.now();
+            const fences = new Set(ranges.map(({ fence }) => fence));
+            grantedSessions.forEach((...[, fence]) => fences.has(fence) || grantedSessions.delete(fence));
             for (const range of ranges) {
                 const isDue = (renewedAt.get(rangeId(range)) ?? -Infinity) + renewMilliseconds <= now;
                 if (isDue && !isLost(range.owner)) {
--- a/test/machines/resident/faketargets.ts
+++ b/test/machines/resident/faketargets.ts
@@ -13,6 +13,8 @@
 export type FakeTarget = {
     name: string;
     incarnation: string;
+    /** Changes when the process ends. */
+    session: number;
     fault: TargetFault;
     /** Ends the target's process: it refuses connections and holds no keys. */
     crash: () => void;
@@ -69,9 +71,11 @@
         const target: FakeTarget = {
             name,
             incarnation: "1",
+            session: 0,
             fault: "none",
             crash: () => {
                 isUp = false;
+                target.session += 1;
                 fences.clear();
                 activeHolds.clear();
             },
@@ -170,6 +174,7 @@
                 }
                 return answer;
             },
+            session: target => targets.get(target.name)?.target.session ?? 0,
             close: () => undefined,
         }),
         unheld: () => sampledKeys.filter(key => !names.some(name => targets.get(name)?.target.holds(key))),
--- a/test/machines/resident/grants.test.ts
+++ b/test/machines/resident/grants.test.ts
@@ -37,6 +37,7 @@
                 return new Promise(resolve => answers.push(resolve));
             },
             release: () => Promise.resolve({ result: "done", handover: undefined }),
+            session: () => 0,
             close: () => undefined,
         },
         findTarget: () => target,
--- a/test/machines/resident/rangecontroller.test.ts
+++ b/test/machines/resident/rangecontroller.test.ts
@@ -175,11 +175,7 @@
     });
 }
 
-/**
- * Known to fail, see KNOWN-RED.txt: no call to the target fails between the two renewals, so nothing tells the coordinator
- * that another process runs there, and the renewal repeats the fence of the process before.
- */
-test.failing("a target that restarts between two renewals, before its entry tells so, gets no fence of the process before", async t => {
+test("a target that restarts between two renewals, before its entry tells so, gets no fence of the process before", async t => {
     const setup = await setUp();
     setup.targets.get("b").crash();
     await setup.world.advance(50);
