--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -25,7 +25,18 @@
     | { answered: true; statusCode: number; headers: IncomingHttpHeaders }
     | { answered: false; mayHaveArrived: boolean; error: string };
 
-export type JsonCaller = { post: (call: JsonCall) => Promise<JsonCallResult>; close: () => void };
+export type JsonCaller = {
+    post: (call: JsonCall) => Promise<JsonCallResult>;
+    /**
+     * Returns a number that stays the same as long as the kept connections show that one process is at the address. It
+     * changes when the other end closes one without notice, and when none is left open.
+     */
+    session: (address: string) => number;
+    close: () => void;
+};
+
+/** The kept connections to one address. */
+type KeptConnections = { open: number; session: number };
 
 /** Idle connections are closed after this time, before targets close them. */
 const idleTimeoutMilliseconds = 5_000;
@@ -37,7 +48,33 @@
  */
 export const createJsonCaller = (onConnection?: (socket: Socket) => void): JsonCaller => {
     const agent = new Agent({ keepAlive: true, timeout: idleTimeoutMilliseconds });
+    const kept = new Map<string, KeptConnections>();
     const known = new WeakSet<Socket>();
+    /** Connections whose close is no sign that their process has ended. */
+    const closingWell = new WeakSet<Socket>();
+
+    const keptTo = (address: string): KeptConnections => {
+        const known = kept.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const connections = { open: 0, session: 0 };
+        kept.set(address, connections);
+        return connections;
+    };
+
+    /** Follows a connection that is kept after its call. */
+    const follow = (socket: Socket, address: string): void => {
+        const connections = keptTo(address);
+        connections.open += 1;
+        socket.once("timeout", () => closingWell.add(socket));
+        socket.once("close", () => {
+            connections.open -= 1;
+            if (connections.open === 0 || !closingWell.has(socket)) {
+                connections.session += 1;
+            }
+        });
+    };
 
     const post = (call: JsonCall): Promise<JsonCallResult> =>
         new Promise(resolve => {
@@ -80,6 +117,9 @@
                 if (!known.has(socket)) {
                     known.add(socket);
                     onConnection?.(socket);
+                    if (call.ownConnection !== true) {
+                        follow(socket, call.address);
+                    }
                 }
                 if (!socket.connecting) {
                     connected = true;
@@ -91,6 +131,9 @@
             });
             outgoing.on("response", response => {
                 response.resume();
+                if (response.headers.connection?.toLowerCase() === "close") {
+                    closingWell.add(response.socket);
+                }
                 response.once("end", () =>
                     finish({ answered: true, statusCode: response.statusCode ?? 0, headers: response.headers }));
                 response.once("error", error =>
@@ -100,5 +143,5 @@
             outgoing.end(body);
         });
 
-    return { post, close: () => agent.destroy() };
+    return { post, session: address => keptTo(address).session, close: () => agent.destroy() };
 };
