Keep the order of lines at the end of the process

The last flush wrote what waited before a batch that a thread had just taken in the same turn, so the last line of a process could come before earlier ones. A batch is now taken in a turn of its own, so what was logged in the last turn is still there for the flush.

--- a/src/links/logoutput.ts
+++ b/src/links/logoutput.ts
@@ -44,6 +44,7 @@
     /** Bytes that are being written; empty while there are none. */
     let batch = Buffer.alloc(0);
     let isWriting = false;
+    let isScheduled = false;
 
     const takeBatch = (): void => {
         if (batch.length === 0) {
@@ -53,6 +54,7 @@
     };
 
     const writeBatch = (): void => {
+        isScheduled = false;
         takeBatch();
         if (isWriting || batch.length === 0) {
             return;
@@ -81,8 +83,10 @@
             return;
         }
         waiting += line;
-        if (waiting.length >= minBatchLength && !isWriting) {
-            writeBatch();
+        if (waiting.length >= minBatchLength && !isWriting && !isScheduled) {
+            // Not at once, so that lines of the turn in which the process ends are still here for the last flush.
+            isScheduled = true;
+            setImmediate(writeBatch);
         }
     };
 
