Let the deployment's limit of descriptors hold where it states one

Its systems count connections apart from files: /proc/self/limits says 200 where the deployment states 10,250, and the smaller one held.

The deployment's statement holds now, and the process's own limit where there is none; descriptors-divided shows both.

--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -32,8 +32,8 @@
         slack: z.number().min(0).default(10),
     }).prefault({}),
     /**
-     * Descriptors that the deployment allows the process, none or 0 where it does not tell; the process's own limit
-     * holds too. `files` of them are kept for files.
+     * Descriptors that the deployment allows the process, none or 0 where it does not tell and the process's own limit
+     * holds. `files` of them are kept for files.
      */
     descriptors: z.object({
         limit: z.int().nonnegative().nullish().transform(limit => (limit ?? 0) === 0 ? undefined : limit ?? undefined),
--- a/src/decisions/descriptors.ts
+++ b/src/decisions/descriptors.ts
@@ -39,9 +39,11 @@
 
 const atLeastMin = (count: number): number => Math.max(minDescriptors, Math.floor(count));
 
-/** Returns the limit that holds: the smaller one. */
-export const effectiveLimit = ({ process, stated }: DescriptorLimits): number =>
-    Math.min(process ?? Infinity, stated ?? process ?? defaultLimit);
+/**
+ * Returns the limit that holds: the one that the deployment states, which knows whether its systems count connections
+ * and files apart, or else that of the process.
+ */
+export const effectiveLimit = ({ process, stated }: DescriptorLimits): number => stated ?? process ?? defaultLimit;
 
 /**
  * Returns the number of connections that each part may have open. Below a limit of about a hundred, the parts' minima
--- a/src/links/descriptors.ts
+++ b/src/links/descriptors.ts
@@ -59,7 +59,7 @@
     const names = Object.values(descriptorParts);
     const counts = new Map<DescriptorPart, number>();
     const lineLimits = new Map(names.map(part => [part, createLogRateLimit(linesPerSecond)]));
-    log.info("descriptors-divided", { limit, files: limits.files, ...parts });
+    log.info("descriptors-divided", { limit, ofProcess: limits.process, files: limits.files, ...parts });
 
     const inUse = (part: DescriptorPart): number => counts.get(part) ?? 0;
     const open = (part: DescriptorPart): () => void => {
