--- a/src/links/renewablepool.ts
+++ b/src/links/renewablepool.ts
@@ -18,16 +18,31 @@
     recordAnswer: (generation: ConnectionGeneration) => void;
     /**
      * Records that a call on these connections got no answer in time, and replaces them. Connections that have never
-     * answered are kept: the other end itself is silent then, and new ones would be no better.
+     * answered are kept: the other end itself is silent then, and new ones would be no better. So are those that were
+     * opened a short time ago: the other end is slow with some calls, and the pause grows while it is.
      */
     recordSilence: (generation: ConnectionGeneration) => void;
     /** Closes all connections at once. */
     close: () => void;
 };
 
-/** Creates the connections with `open`, and again at each replacement. Calls in flight on the former ones may end. */
-export const createRenewablePool = (open: () => ConnectionPool): RenewablePool => {
+/** Least time between two replacements. It doubles while calls stay without an answer, up to the second one. */
+const firstPauseMilliseconds = 4_000;
+const maxPauseMilliseconds = 64_000;
+
+/**
+ * Creates the connections with `open`, and again at each replacement. Calls in flight on the former ones may end.
+ *
+ * @param now returns monotonic milliseconds.
+ */
+export const createRenewablePool = (
+    open: () => ConnectionPool,
+    now: () => number = () => performance.now(),
+): RenewablePool => {
     const pools = new Set<ConnectionPool>();
+    let pauseMilliseconds = firstPauseMilliseconds;
+    let silentAt = -Infinity;
+    let replacedAt = -Infinity;
     let replacement = new AbortController();
     let hasAnswered = false;
 
@@ -46,9 +61,18 @@
             hasAnswered ||= answered === generation;
         },
         recordSilence: silent => {
-            if (silent !== generation || !hasAnswered) {
+            const time = now();
+            if (time - silentAt >= firstPauseMilliseconds) {
+                pauseMilliseconds = firstPauseMilliseconds;
+            }
+            silentAt = time;
+            if (silent !== generation || !hasAnswered || time - replacedAt < pauseMilliseconds) {
                 return;
             }
+            pauseMilliseconds = replacedAt === -Infinity
+                ? firstPauseMilliseconds
+                : Math.min(maxPauseMilliseconds, pauseMilliseconds * 2);
+            replacedAt = time;
             const { pool } = generation;
             const replaced = replacement;
             generation = openGeneration();
