--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -28,16 +28,13 @@
 export type JsonCaller = {
     post: (call: JsonCall) => Promise<JsonCallResult>;
     /**
-     * Returns a number that stays the same as long as the kept connections show that one process is at the address. It
-     * changes when the other end closes one without notice, and when none is left open.
+     * Returns a number that changes when the other end closes a kept connection without notice, as it does when its
+     * process ends.
      */
     session: (address: string) => number;
     close: () => void;
 };
 
-/** The kept connections to one address. */
-type KeptConnections = { open: number; session: number };
-
 /** Idle connections are closed after this time, before targets close them. */
 const idleTimeoutMilliseconds = 5_000;
 
@@ -48,30 +45,19 @@
  */
 export const createJsonCaller = (onConnection?: (socket: Socket) => void): JsonCaller => {
     const agent = new Agent({ keepAlive: true, timeout: idleTimeoutMilliseconds });
-    const kept = new Map<string, KeptConnections>();
+    const sessions = new Map<string, number>();
     const known = new WeakSet<Socket>();
     /** Connections whose close is no sign that their process has ended. */
     const closingWell = new WeakSet<Socket>();
 
-    const keptTo = (address: string): KeptConnections => {
-        const known = kept.get(address);
-        if (known !== undefined) {
-            return known;
-        }
-        const connections = { open: 0, session: 0 };
-        kept.set(address, connections);
-        return connections;
-    };
+    const session = (address: string): number => sessions.get(address) ?? 0;
 
     /** Follows a connection that is kept after its call. */
     const follow = (socket: Socket, address: string): void => {
-        const connections = keptTo(address);
-        connections.open += 1;
         socket.once("timeout", () => closingWell.add(socket));
         socket.once("close", () => {
-            connections.open -= 1;
-            if (connections.open === 0 || !closingWell.has(socket)) {
-                connections.session += 1;
+            if (!closingWell.has(socket)) {
+                sessions.set(address, session(address) + 1);
             }
         });
     };
@@ -143,5 +129,5 @@
             outgoing.end(body);
         });
 
-    return { post, session: address => keptTo(address).session, close: () => agent.destroy() };
+    return { post, session, close: () => agent.destroy() };
 };
--- a/src/machines/resident/grants.ts
+++ b/src/machines/resident/grants.ts
@@ -64,6 +64,10 @@
 const firstLostPauseMilliseconds = 2_000;
 const maxLostPauseMilliseconds = 16_000;
 
+/** Pauses between renewals of an owner's fences for new sessions. */
+const firstSessionPauseMilliseconds = 8_000;
+const maxSessionPauseMilliseconds = 256_000;
+
 /** Arrivals are kept for this many holds; their holds have expired long before. */
 const arrivalRetentionHolds = 3;
 
@@ -89,6 +93,8 @@
     const arrivedFences = new Map<string, number>();
     /** Sessions of the link in which the owners took their grants, by fence. */
     const grantedSessions = new Map<number, number>();
+    /** The session before which an owner's fences are not repeated, since when, and how long none takes its place. */
+    const requiredSessions = new Map<string, { session: number; at: number; pauseMilliseconds: number }>();
 
     const isLost = (owner: RangeOwner): boolean => (lostUntil.get(ownerName(owner)) ?? 0) > clock.now();
 
@@ -142,11 +148,33 @@
         recordRefusal(owner, result);
     };
 
+    /**
+     * Whether the session in which the owner took this fence has ended so that its process may have, too. Ends that
+     * follow one another count ever less often, as some targets close idle connections all the time.
+     */
+    const isSessionOver = (name: string, fence: number, session: number): boolean => {
+        const grantedIn = grantedSessions.get(fence);
+        const now = clock.now();
+        const last = requiredSessions.get(name);
+        if (grantedIn === undefined || grantedIn === session) {
+            return false;
+        }
+        if (last !== undefined && now - last.at < last.pauseMilliseconds) {
+            return grantedIn < last.session;
+        }
+        const isRare = last === undefined || now - last.at >= maxSessionPauseMilliseconds;
+        const pauseMilliseconds = isRare
+            ? firstSessionPauseMilliseconds
+            : Math.min(maxSessionPauseMilliseconds, last.pauseMilliseconds * 2);
+        requiredSessions.set(name, { session, at: now, pauseMilliseconds });
+        return true;
+    };
+
     /** Whether the process that took the grant with this fence may have been replaced since, under the same name. */
     const mayBeReplaced = ({ owner, fence }: OwnedRange, target: RegisteredTarget): boolean => {
-        const grantedIn = grantedSessions.get(fence);
-        return suspects.has(ownerName(owner)) && fence <= (arrivedFences.get(ownerName(owner)) ?? 0)
-            || (grantedIn !== undefined && grantedIn !== link.session(target));
+        const name = ownerName(owner);
+        return suspects.has(name) && fence <= (arrivedFences.get(name) ?? 0)
+            || isSessionOver(name, fence, link.session(target));
     };
 
     const renewFences = async (owner: RangeOwner): Promise<void> => {
@@ -193,6 +221,7 @@
             failingSince.clear();
             lostUntil.clear();
             handovers.clear();
+            requiredSessions.clear();
         },
         grant,
         renew: ranges => {
