Open the address of callers last

Links, health and metrics are opened first now, then the address of callers, and only then the store is read; a stop during a wait has no requests to complete. test/platform/start.test.ts has the case; on the order before, callers are accepted while the host waits.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -379,7 +379,6 @@
             ...createCallerLog({ log, metrics, clock }),
             healthy: () => true,
         });
-    const callers = await listenWithRetries(settings.callers.listen, openCallers, listening);
 
     const services = {
         [loadReportPath]: loadReporter.service,
@@ -390,29 +389,8 @@
     const openLinks = (): Promise<void> =>
         openPeerEndpoint(settings.links.listen, services, peerOptions, limitOf(descriptorParts.hosts));
     await listenWithRetries(settings.links.listen, openLinks, listening);
-    const targetWatcher = watch(
-        objects.targetKind,
-        all => measure("targets", () => registry.applyList(all)),
-        events => measure("targets", () => registry.applyChanges(events)),
-    );
-    watchIgnoringRemovals(objects.tableKind, acceptTableObject);
-    watchIgnoringRemovals(storeKinds.ownership, object => measure("ownership", () => ownerships.put(object)));
-    const coordinationWatcher = watch(
-        storeKinds.coordination,
-        all => all.forEach(object => applyCoordination(object, false)),
-        events => events.forEach(event => applyCoordination(event.object, event.removed)),
-    );
-    const applyHosts = (hosts: StoreObject[]): void => {
-        processes.applyObjects(hosts);
-        source.reconsider();
-    };
-    watch(processKind, applyHosts, events => {
-        applyHosts(events.filter(event => !event.removed).map(event => event.object));
-    });
-    routeTable.onChange(applyTable);
-
-    const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
     let started = false;
+    const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
     const openEndpoint = (
         listen: string,
         part: DescriptorPart,
@@ -432,6 +410,29 @@
             return { statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() };
         },
     );
+    // Last, since a host that is asked to stop while it waits for another address has no requests to complete.
+    const callers = await listenWithRetries(settings.callers.listen, openCallers, listening);
+
+    const targetWatcher = watch(
+        objects.targetKind,
+        all => measure("targets", () => registry.applyList(all)),
+        events => measure("targets", () => registry.applyChanges(events)),
+    );
+    watchIgnoringRemovals(objects.tableKind, acceptTableObject);
+    watchIgnoringRemovals(storeKinds.ownership, object => measure("ownership", () => ownerships.put(object)));
+    const coordinationWatcher = watch(
+        storeKinds.coordination,
+        all => all.forEach(object => applyCoordination(object, false)),
+        events => events.forEach(event => applyCoordination(event.object, event.removed)),
+    );
+    const applyHosts = (hosts: StoreObject[]): void => {
+        processes.applyObjects(hosts);
+        source.reconsider();
+    };
+    watch(processKind, applyHosts, events => {
+        applyHosts(events.filter(event => !event.removed).map(event => event.object));
+    });
+    routeTable.onChange(applyTable);
 
     void Promise.all(watchers.map(watcher => watcher.synced)).then(() => {
         started = !signal.aborted;
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -115,6 +115,14 @@
     await assertStopsWell(t, program);
 });
 
+test.serial("a host that waits for another of its addresses takes no requests that a stop would cut", async t => {
+    const program = await start(t, { moreSettings: ["metrics: { listen: \"192.0.2.1:9999\" }"] });
+    await waitUntil("the wait is logged", () => /event=address-not-there-yet/.test(program.log()));
+    await t.throwsAsync(sendRequest(program.callersPort, "/"), { code: "ECONNREFUSED" });
+    program.child.kill("SIGTERM");
+    await assertStopsWell(t, program);
+});
+
 const unwritten: Array<{ title: string; first: string | undefined }> = [
     { title: "missing", first: undefined },
     { title: "empty", first: "" },
