Let no half-sent requests keep health checks out

Connections to health and metrics may be closed for newer ones at any time, and heads at these and at the links have 2 s. test/platform/descriptors.test.ts, 'halves of requests ...'.

--- a/src/links/httpendpoint.ts
+++ b/src/links/httpendpoint.ts
@@ -7,6 +7,9 @@
 
 export type HttpEndpoint = { close: () => void };
 
+/** Requests between machines of a deployment are small, and those that do not arrive must not keep others out. */
+export const requestTimeouts = { headersTimeout: 2_000, requestTimeout: 4_000, connectionsCheckingInterval: 500 };
+
 /**
  * Listens on `address:port` and answers every request, whatever its method and path, with the result of `answer`.
  *
@@ -15,17 +18,18 @@
 export const openHttpEndpoint = (
     listen: string,
     answer: () => HttpEndpointAnswer,
-    limitConnections?: (server: Server) => void,
+    limitConnections?: (server: Server, isIdle: () => boolean) => void,
 ): Promise<HttpEndpoint> =>
     new Promise((resolve, reject) => {
         const [host, port] = listen.split(":");
-        const server = createServer((incoming, response) => {
+        const server = createServer(requestTimeouts, (incoming, response) => {
             incoming.resume();
             const { statusCode, contentType, body } = answer();
             response.writeHead(statusCode, { "content-type": contentType, "content-length": Buffer.byteLength(body) });
             response.end(body);
         });
-        limitConnections?.(server);
+        // Requests are answered as they arrive, so any connection may be closed for another.
+        limitConnections?.(server, () => true);
         server.once("error", reject);
         server.listen(Number(port), host, () => {
             resolve({
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -8,6 +8,7 @@
 import { descriptorParts } from "../decisions/descriptors.ts";
 import type { Descriptors } from "./descriptors.ts";
 import { decodeFrame, encodeFrame } from "./frames.ts";
+import { requestTimeouts } from "./httpendpoint.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
 
@@ -100,7 +101,7 @@
     new Promise((resolve, reject) => {
         const [host, port] = listen.split(":");
         // What is no WebSocket is refused.
-        const listener = createServer((request, response) => {
+        const listener = createServer(requestTimeouts, (request, response) => {
             request.resume();
             response.writeHead(426).end();
         });
--- a/test/platform/descriptors.test.ts
+++ b/test/platform/descriptors.test.ts
@@ -157,6 +157,22 @@
     });
 }
 
+test("halves of requests at the address of health keep no check out", async t => {
+    const { program, ports, close } = await startFleet();
+    const halves: Socket[] = [];
+    t.teardown(() => {
+        close();
+        halves.forEach(socket => socket.destroy());
+    });
+    for (let number = 0; number < 20; number += 1) {
+        halves.push(await openIdleCaller(ports.health, "GET / HTTP/1.1\r\nx"));
+    }
+    await sleep(500);
+    for (let check = 0; check < 3; check += 1) {
+        t.true(await isReady(program));
+    }
+});
+
 for (const address of ["links", "health", "metrics"] as const) {
     test(`more idle connections than descriptors at the address of ${address} keep nobody out`, async t => {
         const { program, ports, readMetric, close } = await startFleet();
