Let the start test hold a port that the system names

Two runs of test/platform/start.test.ts on one machine at the same time clashed: the second could not listen on the fixed port 19871 and failed before its first test. The held port is now one that the system names, and it is held from then on.

--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -137,18 +137,18 @@
     });
 }
 
-const heldPort = 19_871;
+/** Holds a port for as long as the process of the test runs. */
+const portHolder = createServer();
 
 test.before(async () => {
-    const holder = createServer();
-    await new Promise<void>(resolve => holder.listen(heldPort, "127.0.0.1", resolve));
-    holder.unref();
+    await new Promise<void>(resolve => portHolder.listen(0, "127.0.0.1", resolve));
+    portHolder.unref();
 });
 
 const invalid = (file: string): void => writeFileSync(file, "host: {}");
 
 /** Each ends the process in another way; the last line of the log or of standard error tells how. */
-const ends: Array<{ title: string; options: ProgramOptions; stopAfter?: number; end: RegExp }> = [
+const ends: Array<{ title: string; options: ProgramOptions; isPortHeld?: true; stopAfter?: number; end: RegExp }> = [
     { title: "settings that stay invalid", options: { prepareFile: invalid }, end: /code=1 cause=".*callers.*/ },
     {
         title: "a stop while settings are waited for",
@@ -158,7 +158,8 @@
     },
     {
         title: "an address that stays in use",
-        options: { linksPort: heldPort, grace: "1s" },
+        options: { grace: "1s" },
+        isPortHeld: true,
         end: /code=1 cause=".*EADDRINUSE.*"/,
     },
     {
@@ -170,10 +171,11 @@
     { title: "a stop", options: {}, stopAfter: 1_500, end: /code=0 cause=stopped / },
 ];
 
-for (const { title, options, stopAfter, end } of ends) {
+for (const { title, options, isPortHeld, stopAfter, end } of ends) {
     test.serial(`${title} ends the process with one line that has the code and the cause`, async t => {
         t.timeout(15_000);
-        const program = await start(t, options);
+        const held = isPortHeld && { linksPort: (portHolder.address() as AddressInfo).port };
+        const program = await start(t, { ...options, ...held });
         if (stopAfter !== undefined) {
             await sleep(stopAfter);
             program.child.kill("SIGTERM");
