Let the test of a planned stop count the requests that the balancer still sends

Once, at a load average of 26, it got 200 and 503. The host refuses from 2.4 s after the signal and accepts no connections soon after; the test looks at the time up to 2.3 s and then writes one more request, later if its process stands still. All requests that were written within 2.3 s must still get 200, and a failure now shows the answers, which name the reason. That the 503 seen then was this late request is likely, not shown.

--- a/test/platform/plannedstop.test.ts
+++ b/test/platform/plannedstop.test.ts
@@ -57,19 +57,24 @@
     const { program, close } = await setUp(40, "unsafe");
     t.teardown(close);
     const pending: Array<Promise<Answer | undefined>> = [];
+    let writtenInTime = 0;
     let stoppedAt = Infinity;
     const startedAt = performance.now();
     while (performance.now() < stoppedAt + balancerMilliseconds) {
         pending.push(send(program));
         await sleep(20);
+        if (performance.now() < stoppedAt + balancerMilliseconds) {
+            writtenInTime = pending.length;
+        }
         if (stoppedAt === Infinity && performance.now() > startedAt + 500) {
             stoppedAt = performance.now();
             program.child.kill("SIGTERM");
         }
     }
-    const statuses = (await Promise.all(pending)).map(answer => answer?.statusCode);
-    t.true(statuses.length > 100);
-    t.true(statuses.every(status => status === 200), String([...new Set(statuses)]));
+    // This process may stand still before it writes the last request, which the load balancer then sends no more.
+    const answers = (await Promise.all(pending)).slice(0, writtenInTime);
+    t.true(answers.length > 100);
+    t.deepEqual(answers.filter(answer => answer?.statusCode !== 200), []);
     const [code] = await once(program.child, "exit");
     t.is(code, 0);
 });
