Write the answer of a request that arrived whole when garbage follows its body at once

Callers that sent a POST of 3 bytes and garbage in one write got 400 with the POST's id: the POST was not run, and the garbage not refused. With a GET between the two, the POST got the 400, the GET its answer, and the connection stayed until its idle time; with a CONNECT behind them it stayed open.

Cause: a connection held one function to end the reading of a body, and cleared it at the body's end event, which comes after the parser has reported what follows. The read body of one request also cleared that of the next.

The function is now kept with its due answer, and is called only for the latest request and only while Node has not marked that as complete, which it does while parsing. Otherwise the bytes are refused behind the due answers.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -36,13 +36,14 @@
 export type ConnectionEnd = { reason: ConnectionEndReason; due: number; requestIds: string[] };
 
 /**
- * An answer that is due. The id is set when it has been read. `onCallerEnd` is called when the caller ends its sending
- * half.
+ * An answer that is due. The id is set when it has been read, `breakBody` when the reading of the request's body has
+ * begun. `onCallerEnd` is called when the caller ends its sending half.
  */
 export type DueAnswer = {
     connection: CallerConnection;
     response: ServerResponse;
     requestId: string | undefined;
+    breakBody: BodyBreaker | undefined;
     onCallerEnd: (() => void) | undefined;
 };
 
@@ -64,9 +65,7 @@
     refuse: (bytes: string) => void;
     /** Notes that bytes arrived which are dropped. */
     drop: () => void;
-    /** Sets the function that ends the reading of the latest request's body. */
-    onBrokenBody: (listener: BodyBreaker) => void;
-    /** Ends the reading of a body that can not be completed. Returns false when none is being read. */
+    /** Ends the reading of a body that can not be completed. Returns false when all requests have arrived whole. */
     breakBody: (reason: Reason, detail: string) => boolean;
     /** Notes that the body of the latest request has arrived whole. */
     recordBodyRead: () => void;
@@ -124,7 +123,6 @@
     let namedEnd: ConnectionEndReason | undefined;
     let failed = false;
     let wasEndTold = false;
-    let bodyBreaker: BodyBreaker | undefined;
     let cancelLinger = (): void => undefined;
 
     const nameEnd = (reason: ConnectionEndReason): void => {
@@ -185,7 +183,13 @@
             if (phase !== "open") {
                 return undefined;
             }
-            const answer: DueAnswer = { connection, response, requestId: undefined, onCallerEnd: undefined };
+            const answer: DueAnswer = {
+                connection,
+                response,
+                requestId: undefined,
+                breakBody: undefined,
+                onCallerEnd: undefined,
+            };
             dueAnswers.add(answer);
             if (!hasBegun) {
                 hasBegun = true;
@@ -223,17 +227,16 @@
                 socket.pause();
             }
         },
-        onBrokenBody: listener => {
-            bodyBreaker = listener;
-        },
         breakBody: (reason, detail) => {
-            const breaker = bodyBreaker;
-            bodyBreaker = undefined;
-            breaker?.(reason, detail);
-            return breaker !== undefined;
+            const latest = [...dueAnswers].at(-1);
+            // The body of a whole request may not have been passed on yet.
+            if (latest?.breakBody === undefined || latest.response.req.complete) {
+                return false;
+            }
+            latest.breakBody(reason, detail);
+            return true;
         },
         recordBodyRead: () => {
-            bodyBreaker = undefined;
             requestBytes = socket.bytesRead;
         },
         isIdle,
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -183,7 +183,9 @@
             await answer();
             return;
         }
-        const result = await readBody(incoming, request.deadlineAt, connection.onBrokenBody);
+        const result = await readBody(incoming, request.deadlineAt, breakBody => {
+            due.breakBody = breakBody;
+        });
         if ("reason" in result) {
             writeRefusal(due, { kind: "refusal", ...result }, true);
             options.onDone(request, reasons[result.reason].outcome, result.reason);
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -87,6 +87,7 @@
 const get = (path: string, ...lines: string[]): string =>
     [`GET /orders/${path} HTTP/1.1`, "host: x", ...lines, "", ""].join("\r\n");
 const post = (path: string, ...lines: string[]): string => get(path, ...lines).replace("GET", "POST");
+const wholePost = `${post("b", "content-length: 3")}abc`;
 
 type Follower = {
     title: string;
@@ -131,6 +132,22 @@
         statuses: [400],
     },
     { title: "one more request and garbage", bytes: get("b") + "no request\r\n\r\n", statuses: [200, 400] },
+    { title: "a whole body and garbage", bytes: wholePost + "no request\r\n\r\n", statuses: [200, 400] },
+    {
+        title: "a whole body, a request and garbage",
+        bytes: wholePost + get("c") + "no request\r\n\r\n",
+        statuses: [200, 200, 400],
+    },
+    {
+        title: "a whole body, a request and a tunnel",
+        bytes: wholePost + get("c") + "CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n",
+        statuses: [200, 200, 400],
+    },
+    {
+        title: "a whole body and one that is no chunk",
+        bytes: wholePost + post("c", "transfer-encoding: chunked") + "no chunk\r\n",
+        statuses: [200, 400],
+    },
     { title: "a half close", act: halfClose, statuses: [] },
     { title: "a half close within a head", bytes: "GET /orders/b HTTP/1.1\r\n", act: halfClose, statuses: [400] },
     {
