Answer a head that takes too long with 408 when it began in the packet of the request before

A connection whose caller sent a whole GET and the start of a second head in one packet looked idle: the bytes of both were counted as the first request's, so the expiry of the head was ignored. Node forgets an expired connection, and one more byte ends its keep-alive time, so that no timer was left.

Node counts the time of a connection that had a request only from the first byte of the next one. So an expiry there is refused like any other; only that of a connection without any request may stand for an idle one.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -59,6 +59,8 @@
     isLast: (answer: DueAnswer) => boolean;
     /** Takes no more requests, since an answer that announces the end of the connection is about to be written. */
     announceEnd: () => void;
+    /** Whether a request has ever begun on the connection. */
+    hasBegun: () => boolean;
     /** Whether the connection takes requests. */
     isOpen: () => boolean;
     /** Ends the connection with these bytes, after the answers that are due. */
@@ -214,6 +216,7 @@
                 socket.destroySoon = () => end("");
             }
         },
+        hasBegun: () => hasBegun,
         isOpen: () => phase === "open",
         refuse: bytes => {
             if (phase === "open") {
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -258,8 +258,9 @@
             return;
         }
         const connection = connections.of(stream as Socket);
-        // Node also counts the time before the first byte, of which the idle time is the limit.
-        if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT" || !connection.isIdle()) {
+        // Node also counts the time before the first byte, of which the idle time is the limit. Behind a request, it counts
+        // only from the first byte of the next one, which may have come with that request.
+        if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT" || connection.hasBegun() || !connection.isIdle()) {
             refuseBytes(connection, reasonsOfErrors[error.code ?? ""] ?? "malformed-request");
         }
     });
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -112,6 +112,11 @@
     { title: "garbage", bytes: "\0\0 no request\r\n\r\n", statuses: [400] },
     { title: "a head that is too long", bytes: get("b", `a: ${"b".repeat(4_096)}`), statuses: [431] },
     { title: "a head that is never ended", bytes: "GET /orders/b HTTP/1.1\r\nhost: x\r\n", statuses: [408] },
+    {
+        title: "one more request with a head that is never ended",
+        bytes: get("b") + "GET /orders/c HTTP/1.1\r\nhost: x\r\n",
+        statuses: [200, 408],
+    },
     { title: "garbage without end", bytes: "no request\r\n\r\n".repeat(300_000), statuses: [400] },
     { title: "two lengths", bytes: post("b", "content-length: 5", "content-length: 6"), statuses: [400] },
     { title: "an expectation", bytes: get("b", "expect: miracles"), statuses: [400] },
