--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -36,13 +36,14 @@
 export type ConnectionEnd = { reason: ConnectionEndReason; due: number; requestIds: string[] };
 
 /**
- * An answer that is due. The id is set when it has been read. `onCallerEnd` is called when the caller ends its sending
- * half.
+ * An answer that is due. The id is set when it has been read, `breakBody` when the reading of the request's body has
+ * begun. `onCallerEnd` is called when the caller ends its sending half.
  */
 export type DueAnswer = {
     connection: CallerConnection;
     response: ServerResponse;
     requestId: string | undefined;
+    breakBody: BodyBreaker | undefined;
     onCallerEnd: (() => void) | undefined;
 };
 
@@ -58,15 +59,15 @@
     isLast: (answer: DueAnswer) => boolean;
     /** Takes no more requests, since an answer that announces the end of the connection is about to be written. */
     announceEnd: () => void;
+    /** Whether a request has ever begun on the connection. */
+    hasBegun: () => boolean;
     /** Whether the connection takes requests. */
     isOpen: () => boolean;
     /** Ends the connection with these bytes, after the answers that are due. */
     refuse: (bytes: string) => void;
     /** Notes that bytes arrived which are dropped. */
     drop: () => void;
-    /** Sets the function that ends the reading of the latest request's body. */
-    onBrokenBody: (listener: BodyBreaker) => void;
-    /** Ends the reading of a body that can not be completed. Returns false when none is being read. */
+    /** Ends the reading of a body that can not be completed. Returns false when all requests have arrived whole. */
     breakBody: (reason: Reason, detail: string) => boolean;
     /** Notes that the body of the latest request has arrived whole. */
     recordBodyRead: () => void;
@@ -124,7 +125,6 @@
     let namedEnd: ConnectionEndReason | undefined;
     let failed = false;
     let wasEndTold = false;
-    let bodyBreaker: BodyBreaker | undefined;
     let cancelLinger = (): void => undefined;
 
     const nameEnd = (reason: ConnectionEndReason): void => {
@@ -185,7 +185,13 @@
             if (phase !== "open") {
                 return undefined;
             }
-            const answer: DueAnswer = { connection, response, requestId: undefined, onCallerEnd: undefined };
+            const answer: DueAnswer = {
+                connection,
+                response,
+                requestId: undefined,
+                breakBody: undefined,
+                onCallerEnd: undefined,
+            };
             dueAnswers.add(answer);
             if (!hasBegun) {
                 hasBegun = true;
@@ -210,6 +216,7 @@
                 socket.destroySoon = () => end("");
             }
         },
+        hasBegun: () => hasBegun,
         isOpen: () => phase === "open",
         refuse: bytes => {
             if (phase === "open") {
@@ -223,17 +230,16 @@
                 socket.pause();
             }
         },
-        onBrokenBody: listener => {
-            bodyBreaker = listener;
-        },
         breakBody: (reason, detail) => {
-            const breaker = bodyBreaker;
-            bodyBreaker = undefined;
-            breaker?.(reason, detail);
-            return breaker !== undefined;
+            const latest = [...dueAnswers].at(-1);
+            // The body of a whole request may not have been passed on yet.
+            if (latest?.breakBody === undefined || latest.response.req.complete) {
+                return false;
+            }
+            latest.breakBody(reason, detail);
+            return true;
         },
         recordBodyRead: () => {
-            bodyBreaker = undefined;
             requestBytes = socket.bytesRead;
         },
         isIdle,
