Notice callers that close behind dropped bytes, and cancel their requests

A caller sent over 16 KB of bytes that are dropped, a body that is too large or one with an unmet expectation, behind a running request, and closed. Its running request was not cancelled: the host had stopped reading, and the end of a connection shows only behind its bytes.

What is dropped is now read with a pause of 10 ms after each 16 KB or more. The body of a refused or dropped request is paused itself, as a body that flows resumes its socket. Once the refusal is written, its body is taken at full speed until the connection ends, as before.

--- a/src/links/answerwriter.ts
+++ b/src/links/answerwriter.ts
@@ -58,7 +58,10 @@
             headers["connection"] = "close";
             connection.announceEnd();
             // A caller that is still sending reads the refusal only if the rest is taken from it.
-            response.once("finish", () => response.req.resume());
+            const { req } = response;
+            const drop = (): void => connection.drop(req);
+            req.on("data", drop).resume();
+            response.once("finish", () => req.off("data", drop).resume());
         }
         response.writeHead(statusCode, headers);
         response.end(body);
--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -4,9 +4,9 @@
  *
  * A connection is `open` while it takes requests; `closing` once an answer that announces its end was begun; `refused`
  * while the refusal of bytes waits for the answers before it; `ended` when the last bytes were written. In all but the
- * first, what arrives is dropped, and beyond a limit it is not read.
+ * first, what arrives is dropped, and beyond a limit it is read with pauses.
  */
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clock.ts";
 import type { Reason } from "../contracts/outcome.ts";
@@ -65,8 +65,8 @@
     isOpen: () => boolean;
     /** Ends the connection with these bytes, after the answers that are due. */
     refuse: (bytes: string) => void;
-    /** Notes that bytes arrived which are dropped. */
-    drop: () => void;
+    /** Notes that bytes arrived which are dropped, on the socket or as the body of a request. */
+    drop: (incoming?: IncomingMessage) => void;
     /** Ends the reading of a body that can not be completed. Returns false when all requests have arrived whole. */
     breakBody: (reason: Reason, detail: string) => boolean;
     /** Notes that the body of the latest request has arrived whole. */
@@ -102,8 +102,9 @@
 type Phase = "open" | "closing" | "refused" | "ended";
 
 const maxIdsTold = 5;
-/** Bytes that are read and dropped, so that the close of a caller's connection is noticed behind them. */
+/** Bytes that are read and dropped before each pause. The close of a caller's connection is noticed behind them. */
 const maxDroppedBytes = 16_384;
+const dropPauseMilliseconds = 10;
 /**
  * How long the host waits for the caller to close its half. A connection that is closed with unread bytes is reset, and
  * the caller may lose the answers that were written last.
@@ -126,6 +127,7 @@
     let failed = false;
     let wasEndTold = false;
     let cancelLinger = (): void => undefined;
+    let cancelPause: (() => void) | undefined;
 
     const nameEnd = (reason: ConnectionEndReason): void => {
         namedEnd ??= reason;
@@ -177,6 +179,7 @@
     });
     socket.once("close", () => {
         cancelLinger();
+        cancelPause?.();
         tellEnd(namedEnd ?? (failed ? "caller-reset" : "host-closed"));
     });
 
@@ -225,9 +228,16 @@
                 endIfNothingIsDue();
             }
         },
-        drop: () => {
-            if (socket.bytesRead - takenBytes > maxDroppedBytes) {
-                socket.pause();
+        drop: incoming => {
+            // A body that flows resumes its socket, so that a pause of the socket would not hold.
+            const source = incoming ?? socket;
+            if (socket.bytesRead - takenBytes > maxDroppedBytes && cancelPause === undefined && !socket.destroyed) {
+                source.pause();
+                cancelPause = clock.after(dropPauseMilliseconds, () => {
+                    cancelPause = undefined;
+                    takenBytes = socket.bytesRead;
+                    source.resume();
+                });
             }
         },
         breakBody: (reason, detail) => {
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -196,6 +196,11 @@
         await answer().finally(result.release);
     };
 
+    const dropRequest = (connection: CallerConnection, incoming: IncomingMessage): void => {
+        connection.drop();
+        incoming.on("data", () => connection.drop(incoming));
+    };
+
     const server = createServer(
         {
             maxHeaderSize: settings.maxHeadBytes,
@@ -206,7 +211,7 @@
             const connection = connections.of(incoming.socket);
             const due = connection.begin(response);
             if (due === undefined) {
-                connection.drop();
+                dropRequest(connection, incoming);
                 return;
             }
             if (protocol.isHealthCheck(incoming)) {
@@ -241,17 +246,19 @@
     server.on("connection", socket => void connections.of(socket));
     server.on("timeout", socket => connections.of(socket).onTimeout());
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
-        incoming.pause();
-        const due = connections.of(incoming.socket).begin(response);
+        const connection = connections.of(incoming.socket);
+        const due = connection.begin(response);
         const detail = "The only expectation that is met is 100-continue.";
-        if (due !== undefined) {
-            refuseHead(due, { kind: "refusal", reason: "malformed-request", detail });
+        if (due === undefined) {
+            dropRequest(connection, incoming);
+            return;
         }
+        refuseHead(due, { kind: "refusal", reason: "malformed-request", detail });
     });
     server.on("connect", (...[, stream]) => {
         const connection = connections.of(stream as Socket);
         refuseBytes(connection, "malformed-request");
-        stream.on("data", connection.drop);
+        stream.on("data", () => connection.drop());
     });
     server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
         if (stream.destroyed) {
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -34,6 +34,10 @@
         await sleep(workMilliseconds);
         return { ...answer, body: Buffer.from(wholeBody) };
     }
+    if (path === "/long") {
+        await sleep(10 * workMilliseconds);
+        return { ...answer, body: Buffer.from(wholeBody) };
+    }
     if (path === "/half") {
         const start = ({ onBytes, onEnd }: StreamReceiver): void => {
             onBytes(Buffer.from(firstPart));
@@ -279,6 +283,38 @@
     t.is(opened.link.inFlight(), 0);
 });
 
+const droppedBytes = "x".repeat(100_000);
+const unreadFollowers: [string, string][] = [
+    ["garbage", `\0\0 no request\r\n\r\n${droppedBytes}`],
+    ["a body that is too large", post("b", "content-length: 200000") + droppedBytes],
+    ["an expectation with a body", post("b", "expect: miracles", "content-length: 200000") + droppedBytes],
+    [
+        "a dropped request with a body",
+        get("b", "carobpier-key: a", "carobpier-key: b") + post("c", "content-length: 200000") + droppedBytes,
+    ],
+    [
+        "a dropped expectation with a body",
+        get("b", "expect: miracles") + post("c", "expect: miracles", "content-length: 200000") + droppedBytes,
+    ],
+];
+
+for (const [title, bytes] of unreadFollowers) {
+    test(`callers that close behind dropped bytes are noticed: ${title}`, async t => {
+        const opened = await openLink();
+        t.teardown(opened.link.close);
+        const socket = openSocket(t, opened);
+        socket.write(get("long"));
+        while (opened.served.length === 0) {
+            await sleep(5);
+        }
+        socket.write(bytes);
+        await sleep(pauseMilliseconds);
+        socket.destroy();
+        await sleep(500);
+        t.is(opened.ends.length, 1);
+    });
+}
+
 /** The caller is a process of its own, which goes on sending while the host refuses. */
 const largeBodyProgram = (port: string, head: string): string => `
     const socket = require("node:net").connect(${port}, "127.0.0.1");
