Register a process only once its host accepts links

A host that starts wrote its record to the store before it listened for links. Another host that read the record first and could not connect left it out for 4 s. A new host whose links come from others only then heard no gossip: it sent a request to a target that had said long before that it leaves.

The new test of the order failed before.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -127,7 +127,19 @@
         address: settings.links.listen,
         processor: share * speed,
     };
-    const processes = registerProcess({ store, self: processName, host: self, clock, log, signal });
+    let acceptsLinks = (): void => undefined;
+    const acceptingLinks = new Promise<void>(resolve => {
+        acceptsLinks = resolve;
+    });
+    const processes = registerProcess({
+        store,
+        self: processName,
+        host: self,
+        clock,
+        log,
+        signal,
+        listening: acceptingLinks,
+    });
     const cache = createStateCache();
     const paces: Record<string, ReadPace> = {
         [objects.targetKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
@@ -390,6 +402,7 @@
     const openLinks = (): Promise<void> =>
         openPeerEndpoint(settings.links.listen, services, peerOptions, limitOf(descriptorParts.hosts));
     await listenWithRetries(settings.links.listen, openLinks, listening);
+    acceptsLinks();
     const targetWatcher = watch(
         objects.targetKind,
         all => measure("targets", () => registry.applyList(all)),
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -42,6 +42,8 @@
     host: ReaderCandidate;
     clock: Clock;
     log: Log;
+    /** Resolves when the host accepts links, at once by default. Others leave a host out for a while that they know and can not reach. */
+    listening?: Promise<void>;
     signal: AbortSignal;
 };
 
@@ -63,7 +65,7 @@
 const hostOf = (process: string): string => process.slice(0, process.lastIndexOf("/"));
 
 /** Registers this process in the store, retrying until it succeeds. */
-export const registerProcess = ({ store, self, host, clock, log, signal }: ProcessesOptions): Processes => {
+export const registerProcess = ({ store, self, host, clock, log, signal, listening }: ProcessesOptions): Processes => {
     const records = new Map<string, { record: ProcessRecord; revision: number }>();
     let registered = false;
     const value: ProcessRecord = {
@@ -130,6 +132,7 @@
 
     const join = async (): Promise<void> => {
         await readHosts();
+        await listening;
         const isNew = !records.has(host.name);
         void registerWithRetries();
         if (isNew) {
--- a/test/machines/resident/processes.test.ts
+++ b/test/machines/resident/processes.test.ts
@@ -108,3 +108,17 @@
         t.is(record?.process, "h1/x");
     });
 }
+
+/** Guards against hosts that leave a new one out of the gossip for 4 s, since it did not listen yet when they dialed. */
+test("a process registers only once its host accepts links", async t => {
+    const { clock, shared } = setUp();
+    const { store } = shared.access();
+    const { signal } = new AbortController();
+    const host = { name: "h1", zone: "z1", address: "10.0.0.1:1", processor: 1 };
+    const listening = clock.sleep(1_000);
+    const processes = registerProcess({ store, self: "h1/x", host, clock, log: silentLog, signal, listening });
+    await clock.advance(900);
+    t.is(shared.read("hosts", "h1"), undefined);
+    await clock.advance(1_000);
+    t.true(processes.isRegistered());
+});
