--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,17 @@
     ...tseslint.configs.recommended,
     {
         files: ["**/*.cjs"],
-        languageOptions: { globals: { require: "readonly", process: "readonly", __dirname: "readonly" } },
+        languageOptions: {
+            globals: {
+                require: "readonly",
+                process: "readonly",
+                __dirname: "readonly",
+                __filename: "readonly",
+                performance: "readonly",
+                setInterval: "readonly",
+                clearInterval: "readonly",
+            },
+        },
         rules: { "@typescript-eslint/no-require-imports": "off" },
     },
     {
