Lower the descriptors in force when the system has fewer than stated

Operators saw (4,100 descriptors stated, ulimit -n 1024, 4,000 idle callers): all 1,024 in use, the health check unanswered, the store lost (EMFILE), reloads late, until the callers left. Cause: the stated limit holds even where the process may open fewer, and connections that find no descriptor at accept are closed by the event loop without an error. The process's own limit can't simply hold: on systems that count connections and files apart it is that of files alone.

The limit now starts from the stated one and falls with a shortage to the number of connections that are open, 64 at least; the parts are divided again, and servers close idle connections over their part, the longest idle first. A shortage is an error EMFILE or ENFILE of a connection or of the settings file, or a check: while the limit is beyond the process's own and connections are half of that, an eighth of it (64 at most) is opened and closed once for each half of that number of further connections. After 20 s without a shortage the limit rises by a thirty-second of the stated one, later with each shortage.

Tests that failed before (health check not answered within 2 s), each with 4,100 stated: 500 idle callers at 256 open files; 1,500 at 1,024 that sent nothing, were answered once, or sent half a head.

It works as the check finds the shortage while 64 descriptors are still free, so that duties have theirs while idle callers are closed. Errors of connections are counted at the connectors; only their fall of the limit is tested, not a process without /proc/self/limits.

Changed tests: divideDescriptors takes the limit and the files, as the limit may now differ from the stated one; clock and watch of two tests got the members they now need.

--- a/src/decisions/descriptors.ts
+++ b/src/decisions/descriptors.ts
@@ -1,6 +1,6 @@
 /**
  * Divides the descriptors of a process among the parts of a host, so that callers never take those that the host needs
- * for its own duties.
+ * for its own duties. A shortage shows that there are fewer than was assumed.
  */
 
 /** `targets` are connections that carry requests or grants, `hosts` those to and of other hosts. */
@@ -49,9 +49,8 @@
  * Returns the number of connections that each part may have open. Below a limit of about a hundred, the parts' minima
  * may sum up to more than the limit.
  */
-export const divideDescriptors = (limits: DescriptorLimits): Record<DescriptorPart, number> => {
-    const limit = effectiveLimit(limits);
-    const connections = limit - ownDescriptors - Math.min(limits.files, limit / 4);
+export const divideDescriptors = (limit: number, files: number): Record<DescriptorPart, number> => {
+    const connections = limit - ownDescriptors - Math.min(files, limit / 4);
     const endpoint = atLeastMin(Math.min(maxEndpointDescriptors, connections / 16));
     const shared = connections - storeDescriptors - 2 * endpoint;
     const targets = atLeastMin(shared * targetsFraction);
@@ -65,3 +64,71 @@
         metrics: endpoint,
     };
 };
+
+/** The limit in force. It falls with a shortage, and rises in steps while there is none. */
+export type DescriptorBudget = {
+    limit: number;
+    /** When the limit fell or rose last. */
+    changedAt: number;
+    /** Time without a shortage after which the limit rises by a step. */
+    pauseMilliseconds: number;
+};
+
+const firstPauseMilliseconds = 10_000;
+const maxPauseMilliseconds = 320_000;
+/** Connections that are closed for a shortage give their descriptors back within this time. */
+const settleMilliseconds = 500;
+/** Files may cause a shortage too, for which no connection is to blame. */
+const minShortLimit = 64;
+/** Fraction of the full limit by which the limit rises at once. */
+const stepFraction = 1 / 32;
+
+export const fullBudget = (limits: DescriptorLimits): DescriptorBudget => ({
+    limit: effectiveLimit(limits),
+    changedAt: -Infinity,
+    pauseMilliseconds: firstPauseMilliseconds,
+});
+
+/**
+ * Returns the budget after a shortage. Its limit is the number of connections that were open, so that the part of files
+ * is free again when it is kept.
+ */
+export const budgetAfterShortage = (budget: DescriptorBudget, connections: number, now: number): DescriptorBudget =>
+    now - budget.changedAt < settleMilliseconds ? budget : {
+        limit: Math.min(budget.limit, Math.max(minShortLimit, connections)),
+        changedAt: now,
+        pauseMilliseconds: Math.min(maxPauseMilliseconds, 2 * budget.pauseMilliseconds),
+    };
+
+/** Returns the budget at a time when no shortage is seen. */
+export const budgetAt = (budget: DescriptorBudget, limits: DescriptorLimits, now: number): DescriptorBudget => {
+    const full = effectiveLimit(limits);
+    if (budget.limit >= full || now - budget.changedAt < budget.pauseMilliseconds) {
+        return budget;
+    }
+    const limit = Math.min(full, budget.limit + Math.ceil(full * stepFraction));
+    return limit === full ? fullBudget(limits) : { ...budget, limit, changedAt: now };
+};
+
+/** A check whether the process can still open files; undefined while it has no cause for one. */
+export type DescriptorProbe = {
+    /** Files to open at the same time. */
+    files: number;
+    /** Number of connections at which the next check is due when this one succeeds. */
+    nextAt: number;
+};
+
+const maxProbeFiles = 64;
+
+/**
+ * Returns the check that is due at a number of open connections. It is due only where the limit is beyond the process's
+ * own, and connections may be half of that.
+ */
+export const descriptorProbe = (limits: DescriptorLimits, connections: number): DescriptorProbe | undefined => {
+    const { process } = limits;
+    if (process === undefined || effectiveLimit(limits) <= process || connections < process / 2) {
+        return undefined;
+    }
+    const files = Math.min(maxProbeFiles, Math.ceil(process / 8));
+    return { files, nextAt: connections + Math.ceil(files / 2) };
+};
--- a/src/links/connectionlimit.ts
+++ b/src/links/connectionlimit.ts
@@ -1,6 +1,7 @@
 /**
  * Admits connections to a server within a number of descriptors. When they are used up, the connection that has been
- * idle longest is closed in favour of a new one; while none is idle, the new one is closed.
+ * idle longest is closed in favour of a new one; while none is idle, the new one is closed. When their number is lowered,
+ * idle ones are closed until it is kept.
  */
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
@@ -38,6 +39,7 @@
 ): ConnectionLimit => {
     /** When each connection was last in use, from the one that was not for longest. */
     const usedAt = new Map<Socket, number>();
+    const releases = new WeakMap<Socket, () => void>();
 
     const touch = (socket: Socket): void => {
         if (usedAt.delete(socket)) {
@@ -61,18 +63,40 @@
         return undefined;
     };
 
+    const closeIdle = (socket: Socket): void => {
+        descriptors.recordFull(part, "idle");
+        usedAt.delete(socket);
+        socket.destroy();
+        // The descriptor is free at once, the event of the close comes later.
+        releases.get(socket)?.();
+    };
+
+    descriptors.onExcess(part, () => {
+        const idleSince = clock.now() - minIdleMilliseconds;
+        for (const [socket, since] of usedAt) {
+            if (since > idleSince || descriptors.inUse(part) <= descriptors.limitOf(part)) {
+                return;
+            }
+            if (isIdle(socket)) {
+                closeIdle(socket);
+            }
+            else {
+                touch(socket);
+            }
+        }
+    });
+
     const admit = (socket: Socket): void => {
         if (descriptors.isFull(part)) {
             const idle = findIdle();
-            descriptors.recordFull(part, idle === undefined ? "new" : "idle");
             if (idle === undefined) {
+                descriptors.recordFull(part, "new");
                 socket.destroy();
                 return;
             }
-            usedAt.delete(idle);
-            idle.destroy();
+            closeIdle(idle);
         }
-        descriptors.track(part, socket);
+        releases.set(socket, descriptors.track(part, socket));
         usedAt.set(socket, clock.now());
         socket.once("close", () => usedAt.delete(socket));
     };
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -64,7 +64,8 @@
 });
 
 /** Passes the events of a socket to the listener. An error of the listener closes the connection. */
-const listenTo = (socket: WebSocket, path: string, listener: PeerListener, { log, metrics }: PeerOptions): void => {
+const listenTo = (socket: WebSocket, path: string, listener: PeerListener, options: PeerOptions): void => {
+    const { descriptors, log, metrics } = options;
     const accepts = (data: unknown): boolean => {
         try {
             return listener.onFrame(decodeFrame(data));
@@ -82,7 +83,10 @@
             socket.terminate();
         }
     });
-    socket.on("error", () => socket.terminate());
+    socket.on("error", error => {
+        descriptors?.recordError(error);
+        socket.terminate();
+    });
     socket.on("close", () => listener.onClose());
 };
 
--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -91,6 +91,8 @@
     /** The settings that are in force. */
     settings: ResidentSettings;
     readFile?: ReadFile;
+    /** Called with the error of a read that found no free descriptor or no memory. */
+    onShortage?: (error: unknown) => void;
     clock: Clock;
     log: Log;
     /** Ends the watch. */
@@ -114,7 +116,7 @@
  * start on.
  */
 export const watchSettings = (options: SettingsWatchOptions): SettingsWatch => {
-    const { file, readFile, clock, log, signal } = options;
+    const { file, readFile, onShortage, clock, log, signal } = options;
     let current = options.settings;
     let lastFinding = "";
     let isReadDue = false;
@@ -147,6 +149,7 @@
                 log.warn(isShortage(error) ? "settings-read-delayed" : "settings-refused", { file, finding });
             }
             if (isShortage(error)) {
+                onShortage?.(error);
                 readAgain(shortagePauseMilliseconds);
             }
         }
--- a/test/links/connectionlimit.test.ts
+++ b/test/links/connectionlimit.test.ts
@@ -10,6 +10,7 @@
 import { createDescriptors } from "../../src/links/descriptors.ts";
 import { silentLog } from "../../src/links/logs.ts";
 import { createMetrics } from "../../src/links/metrics.ts";
+import { createVirtualClock } from "../machines/fakes/clock.ts";
 
 type FakeSocket = EventEmitter & { isBusy: boolean; isClosed: boolean };
 
@@ -46,7 +47,7 @@
 for (const { title, open, closed } of cases) {
     test(`a full server closes ${title}`, t => {
         let now = 0;
-        const clock = { now: () => now };
+        const clock = { now: () => now, after: () => () => undefined };
         const metrics = createMetrics();
         const limits = { process: 1_024, stated: undefined, files: 48 };
         const full = { ...createDescriptors({ limits, clock, log: silentLog, metrics }), isFull: () => now === 10_000 };
@@ -70,6 +71,28 @@
     });
 }
 
+test("a server whose number of connections is lowered closes idle ones, those that are idle longest first", async t => {
+    const clock = createVirtualClock();
+    const limits = { process: undefined, stated: 4_100, files: 48 };
+    const descriptors = createDescriptors({ limits, clock, log: silentLog, metrics: createMetrics() });
+    const limit = createConnectionLimit(
+        { part: "callers", descriptors, clock },
+        socket => !(socket as unknown as FakeSocket).isBusy,
+    );
+    const sockets = Array.from({ length: 200 }, (...[, index]) => createSocket(index < 10));
+    for (const socket of sockets) {
+        limit.admit(socket as unknown as Socket);
+        await clock.advance(1);
+    }
+    descriptors.recordError(Object.assign(new Error("failed"), { code: "EMFILE" }));
+    const part = descriptors.limitOf("callers");
+    t.is(sockets.filter(({ isClosed }) => isClosed).length, 0, "requests may be on their way");
+    await clock.advance(1_000);
+    const open = sockets.filter(({ isClosed }) => !isClosed);
+    t.is(open.length, part);
+    t.deepEqual(open, [...sockets.slice(0, 10), ...sockets.slice(10 - part)]);
+});
+
 const head = (path: string, length = 0): string =>
     `POST ${path} HTTP/1.1\r\nhost: h\r\ncontent-length: ${length}\r\n\r\n`;
 const states: Array<{ title: string; sent: string[]; idle: boolean }> = [
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -5,6 +5,7 @@
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { codeOf } from "../../src/decisions/startwait.ts";
 import type { Log } from "../../src/links/logs.ts";
 import { silentLog } from "../../src/links/logs.ts";
 import { readResidentSettings, watchSettings } from "../../src/links/residentsettings.ts";
@@ -79,7 +80,9 @@
         const recordEvent: Log["info"] = event => lines.push(event);
         const log: Log = { ...silentLog, info: recordEvent, warn: recordEvent };
         const settings = readResidentSettings(file);
-        const watch = watchSettings({ file, settings, readFile, clock, log, signal: lifetime.signal });
+        const shortages: unknown[] = [];
+        const onShortage = (error: unknown): void => void shortages.push(codeOf(error));
+        const watch = watchSettings({ file, settings, readFile, onShortage, clock, log, signal: lifetime.signal });
         writeFileSync(file, valid.replace("2.5s", "3s"));
         failures = 4;
         watch.check();
@@ -91,6 +94,7 @@
             "settings-check-requested",
             "settings-read",
         ]);
+        t.deepEqual(shortages, [code, code, code, code]);
         lifetime.abort();
     });
 }
--- a/test/platform/descriptors.test.ts
+++ b/test/platform/descriptors.test.ts
@@ -38,13 +38,13 @@
     close: () => void;
 };
 
-const startFleet = async (): Promise<Fleet> => {
+const startFleet = async (openFilesAllowed = openFiles, moreSettings: string[] = []): Promise<Fleet> => {
     const store = await startStoreStandIn();
     const backend = await startBackendStandIn({ id: "i-1", slots: 4, queue: 8, workMilliseconds: 5, isSharded: false });
     store.put("servers", "i-1", entry("orders", backend));
     store.put("config", "main", { version: "r1", routes: firstRoutes, services, limits });
     const [metricsPort, linksPort] = [await freePort(), await freePort()];
-    const program = await startProgram(store, { openFiles, metricsPort, linksPort });
+    const program = await startProgram(store, { openFiles: openFilesAllowed, metricsPort, linksPort, moreSettings });
     await waitUntil("the host is ready", () => isReady(program));
     return {
         store,
@@ -200,4 +200,61 @@
     });
 }
 
+const beyondCases = [
+    { openFilesAllowed: 256, callers: 500, kind: "sent nothing", textOf: () => "" },
+    { openFilesAllowed: 1_024, callers: 1_500, kind: "sent nothing", textOf: () => "" },
+    { openFilesAllowed: 1_024, callers: 1_500, kind: "were answered once", textOf: orderText },
+    { openFilesAllowed: 1_024, callers: 1_500, kind: "sent half a head", textOf: () => "POST /a/y HTTP/1.1\r\nx" },
+];
+const statedDescriptors = 4_100;
+
+for (const { openFilesAllowed, callers: count, kind, textOf } of beyondCases) {
+    const title =
+        `${statedDescriptors} descriptors stated, ${openFilesAllowed} open files, ${count} callers that ${kind}`;
+    test.serial(`${title}: the host keeps health checks, store and reloads`, async t => {
+        const { program, store, readMetric, close } = await startFleet(openFilesAllowed, [
+            `descriptors: { limit: ${statedDescriptors}, files: 48 }`,
+        ]);
+        const second = await startBackendStandIn({
+            id: "i-2",
+            slots: 4,
+            queue: 8,
+            workMilliseconds: 5,
+            isSharded: false,
+        });
+        const callers: Socket[] = [];
+        t.teardown(() => {
+            close();
+            second.close();
+            callers.forEach(socket => socket.destroy());
+        });
+        for (let number = 0; number < count; number += 50) {
+            const ids = Array.from({ length: 50 }, (...[, index]) => `c-${number + index}`);
+            callers.push(...await Promise.all(ids.map(id => openIdleCaller(program.callersPort, textOf(id)))));
+        }
+        const startAt = performance.now();
+        t.true(await Promise.race([isReady(program), sleep(2_000, false)]), "health");
+        const metrics = Promise.all([
+            readMetric("carobpier_descriptor_limit "),
+            readMetric(`carobpier_descriptors{part="callers"} `),
+        ]);
+        const [limit = Infinity, open = Infinity] = await Promise.race([metrics, sleep(2_000, [])]);
+        t.true(limit < openFilesAllowed, `limit ${limit}`);
+        writeFileSync(program.file, `${program.settings}\nlogs: { level: debug }`);
+        program.child.kill("SIGHUP");
+        await waitUntil("the settings are read", () => program.log().includes("event=settings-read "));
+        const readAfter = performance.now() - startAt;
+        store.put("servers", "i-2", entry("orders", second));
+        store.remove("servers", "i-1");
+        await waitUntil("the target is used that the store tells of only then", async () => {
+            await askOnNewConnection(program.callersPort, `t-${performance.now()}`);
+            return second.arrivals.length > 0;
+        });
+        t.log(`limit ${limit}, callers ${open}, settings read after ${Math.round(readAfter)} ms`);
+        t.true(readAfter < 2_000, `settings read after ${readAfter} ms`);
+        t.notRegex(program.log(), /EMFILE|settings-read-delayed/);
+        t.true(await isReady(program));
+    });
+}
+
 test.before(buildProgram);
