Close idle connections to other targets for new ones

Callers' requests to a target without a connection failed as connect-failed (503) while the part of targets was used up by idle connections to other targets, for as long as those were kept. Cause: the connector refused a new connection whenever the part was full, without a look at what held it.

A new connection to a target now takes the place of one to another target that has no exchange, the one that is idle longest, as among callers. The same closes idle connections when a shortage has lowered the part. Connections are counted by target in links/targetconnections.ts; the exchange link only tells when an exchange begins and ends.

Test that failed before: five targets, four descriptors; the request to the fifth got DESCRIPTORS_USED_UP in both cases with an idle connection, and is answered now. With four requests that wait for answers it still fails, and none of the four is closed.

It works as a target without an exchange has only idle connections.

--- a/src/links/descriptors.ts
+++ b/src/links/descriptors.ts
@@ -216,43 +216,35 @@
 };
 
 /** Error code of a connection that was not opened since its part is used up. */
-const usedUpCode = "DESCRIPTORS_USED_UP";
+export const usedUpCode = "DESCRIPTORS_USED_UP";
 
 /** Whether a connection could not be opened for want of a descriptor, which tells nothing of the other end. */
 export const isDescriptorShortage = (error: unknown): boolean =>
     isSystemShortage(error) || codeOf(error) === usedUpCode;
 
-/** Wraps a connector of undici so that it opens no connection while the part is used up. */
-export const limitOpenedConnections = (
-    connect: buildConnector.connector,
-    part: DescriptorPart,
-    descriptors: Descriptors,
-): buildConnector.connector =>
-(target, callback) => {
-    if (!descriptors.isFull(part)) {
-        connect(target, callback);
-        return;
-    }
-    descriptors.recordFull(part, "new");
-    const error = Object.assign(new Error(`No descriptor is left for ${part}.`), { code: usedUpCode });
-    process.nextTick(callback, error);
-};
-
-/** Wraps a connector of undici so that its connections are counted in the part, also while they are opened. */
+/**
+ * Wraps a connector of undici so that its connections are counted in the part, also while they are opened.
+ *
+ * @param onOpen called with each connection, and with a function that counts it no longer.
+ */
 export const countConnections = (
     connect: buildConnector.connector,
     part: DescriptorPart,
     descriptors: Descriptors,
+    onOpen: (socket: Socket, release: () => void) => void = () => undefined,
 ): buildConnector.connector =>
 (target, callback) => {
     const release = descriptors.open(part);
     connect(target, (...results) => {
         const [error, socket] = results;
-        if (!socket) {
+        if (socket) {
+            socket.once("close", release);
+            onOpen(socket, release);
+        }
+        else {
             descriptors.recordError(error);
             release();
         }
-        socket?.once("close", release);
         callback(...results);
     });
 };
--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -4,8 +4,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool as ConnectionPool } from "undici";
-import { descriptorParts } from "../decisions/descriptors.ts";
-import { countConnections, type Descriptors, limitOpenedConnections } from "./descriptors.ts";
+import type { TargetConnections } from "./targetconnections.ts";
 
 export type TargetRequest = {
     method: string;
@@ -175,7 +174,7 @@
     /** Limit on the time in which a connection is opened. */
     connectMilliseconds: number;
     /** Counts and limits the connections. */
-    descriptors?: Descriptors;
+    targetConnections?: TargetConnections;
 };
 
 /**
@@ -183,13 +182,10 @@
  * targets.ts, it has no connection for grants, health, load and cancellations.
  */
 export const createExchangeLink = (
-    { address, connections, connectMilliseconds, descriptors }: ExchangeLinkOptions,
+    { address, connections, connectMilliseconds, targetConnections }: ExchangeLinkOptions,
 ): ExchangeLink => {
     const direct = createResetDetectingConnector(connectMilliseconds);
-    const part = descriptorParts.targets;
-    const connect = descriptors === undefined
-        ? direct
-        : limitOpenedConnections(countConnections(direct, part, descriptors), part, descriptors);
+    const connect = targetConnections?.limit(direct) ?? direct;
     // Created on first use: a host knows hundreds of targets and sends to some of them only.
     let pool: ConnectionPool | undefined;
     let isClosed = false;
@@ -207,7 +203,18 @@
             if (isClosed && !opened.closed) {
                 void opened.close();
             }
-            return startExchange(opened, request, receiver);
+            const end = targetConnections?.begin();
+            return startExchange(opened, request, {
+                ...receiver,
+                onEnd: () => {
+                    end?.();
+                    receiver.onEnd();
+                },
+                onFailure: (stage, error) => {
+                    end?.();
+                    receiver.onFailure(stage, error);
+                },
+            });
         },
         connections,
         close: () => {
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -3,9 +3,11 @@
  */
 import type { Clock } from "../../contracts/clock.ts";
 import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
+import { descriptorParts } from "../../decisions/descriptors.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
 import { createExchangeLink, type ExchangeLink } from "../../links/exchange.ts";
+import { createTargetConnectionLimit } from "../../links/targetconnections.ts";
 import type { TargetRegistry } from "./targetregistry.ts";
 
 /** What this host knows of one incarnation of a target. */
@@ -73,6 +75,7 @@
     { registry, findPool, hostCount, recordOwnRequests, descriptors, clock, signal }: TargetStatesOptions,
 ): TargetStates => {
     const states = new Map<string, TargetState>();
+    const addTargetConnections = descriptors && createTargetConnectionLimit(descriptors, descriptorParts.targets);
 
     const shareOf = (target: RegisteredTarget, hosts: number): number => {
         const accepted = findPool(target.pool)?.maxConnections ?? defaultMaxConnections;
@@ -84,7 +87,12 @@
         return {
             target,
             load: createTargetLoad(target.slots, own => recordOwnRequests(target.name, own)),
-            link: createExchangeLink({ address: target.address, connections, connectMilliseconds, descriptors }),
+            link: createExchangeLink({
+                address: target.address,
+                connections,
+                connectMilliseconds,
+                targetConnections: addTargetConnections?.(),
+            }),
             failureShare: 0,
             blockedUntil: 0,
             pausedUntil: 0,
