Wait at the start until other hosts have told what they know

Cause: hosts open links of gossip only to those of their zone that rank before them. A host that ranks first is told nothing until the others have read its registration and look at their ranking again (up to 0.5 s for each of the watch, the ranking and the links), and the others waited for theirs up to 1 s, as the ranking of the first moment, without any host, was kept. Being ready did not depend on it.

A host that starts now opens links to the two first hosts of its zone (or of all zones) whatever its rank, for 5 s, and is ready only when they have sent all that they know, or after 1 s. `gossip-told` says when and how much.

Evidence: the test asks the late host from the moment at which it is ready, not 1.5 s later, and its late host ranks first.

--- a/src/machines/resident/fleetfacts.ts
+++ b/src/machines/resident/fleetfacts.ts
@@ -9,7 +9,7 @@
 import { digestHash } from "../../zones/digesthash.ts";
 import { rankedBefore, rankGossipPeers } from "../../zones/gossippeers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
-import { createGossip, gossipPath } from "./gossip.ts";
+import { createGossip, type Gossip, gossipPath } from "./gossip.ts";
 import { crashGossipKind, crashGossipSchema, createSuspicions, type Suspicions } from "./suspicions.ts";
 import { createTargetLimits, limitsPath, type TargetLimits } from "./targetlimits.ts";
 import {
@@ -27,6 +27,8 @@
     suspicions: Suspicions;
     notices: TargetNotices;
     limits: TargetLimits;
+    /** See `Gossip`. */
+    waitUntilTold: Gossip["waitUntilTold"];
     /** Services that other hosts connect to, by path. */
     services: Record<string, PeerService>;
 };
@@ -82,6 +84,7 @@
             metrics,
         }),
         limits,
+        waitUntilTold: gossip.waitUntilTold,
         services: { [gossipPath]: gossip.service, [limitsPath]: limits.service },
     };
 };
--- a/src/machines/resident/gossip.ts
+++ b/src/machines/resident/gossip.ts
@@ -19,6 +19,11 @@
     put: (kind: string, name: string, value: unknown, lifetimeMilliseconds: number) => void;
     /** Adds a listener for the facts of a kind that other hosts tell. */
     onChange: (kind: string, listener: GossipListener) => void;
+    /**
+     * Resolves when the hosts that this one links to at its start have told it what they know, when none can be reached,
+     * or after the given time. Called once the other hosts are known.
+     */
+    waitUntilTold: (limitMilliseconds: number) => Promise<void>;
 };
 
 export type GossipListener = (name: string, value: unknown, ageMilliseconds: number) => void;
@@ -52,6 +57,13 @@
 const rankingMilliseconds = 1_000;
 const maxKeyLength = 300;
 const ownZoneGroup = "own";
+const startGroup = "start";
+/**
+ * A host that starts opens links to hosts of its zone whatever their rank, since those that are to open links to it do
+ * not know it yet.
+ */
+const startMilliseconds = 5_000;
+const toldCheckMilliseconds = 20;
 
 const entrySchema = z.tuple([
     /** Key: kind and name. */
@@ -96,8 +108,8 @@
         return Object.hasOwn(kinds, kind) && kinds[kind].safeParse(value).success;
     };
 
-    const sendEntries = (connection: PeerConnection, entries: readonly GossipEntry[]): void => {
-        if (entries.length === 0 || connection.queuedBytes() > maxQueuedBytes) {
+    const sendMessage = (connection: PeerConnection, entries: readonly GossipEntry[]): void => {
+        if (connection.queuedBytes() > maxQueuedBytes) {
             return;
         }
         const message: GossipMessage = {
@@ -114,7 +126,14 @@
         connection.send(message);
     };
 
-    const sendAll = (connection: PeerConnection): void => sendEntries(connection, state.list(clock.now()));
+    const sendEntries = (connection: PeerConnection, entries: readonly GossipEntry[]): void => {
+        if (entries.length > 0) {
+            sendMessage(connection, entries);
+        }
+    };
+
+    /** Sends all entries. A host that starts waits for them, also where there are none. */
+    const sendAll = (connection: PeerConnection): void => sendMessage(connection, state.list(clock.now()));
 
     const flush = (): void => {
         const now = clock.now();
@@ -157,18 +176,26 @@
 
     let peers: GossipPeers | undefined;
     let peersUntil = -Infinity;
+    const startEndsAt = clock.now() + startMilliseconds;
+    /** Links over which the other host has told what it knew. */
+    const toldBy = new Set<PeerConnection>();
 
     const groups = (): Map<string, PeerGroup> => {
         if (peers === undefined || clock.now() >= peersUntil) {
             peers = options.peers();
             peersUntil = clock.now() + rankingMilliseconds;
         }
-        const { ownZone, otherZones } = peers;
+        const { ownZone, nearest, otherZones } = peers;
         const isHub = ownZone.filter(links.isReachable).length < gossipLinks;
         const otherGroups = [...otherZones].map(([zone, candidates]) =>
             [`zone ${zone}`, { candidates, count: gossipLinks }] as const
         );
-        return new Map([[ownZoneGroup, { candidates: ownZone, count: gossipLinks }], ...(isHub ? otherGroups : [])]);
+        const isStarting = clock.now() < startEndsAt;
+        return new Map([
+            [ownZoneGroup, { candidates: ownZone, count: gossipLinks }],
+            ...(isStarting ? [[startGroup, { candidates: nearest, count: gossipLinks }] as const] : []),
+            ...(isHub ? otherGroups : []),
+        ]);
     };
 
     const links = createPeerLinks({
@@ -184,6 +211,7 @@
                 return false;
             }
             if (parsed.data.kind === "entries") {
+                toldBy.add(connection);
                 receive(connection, parsed.data);
             }
             else if (parsed.data.digest !== state.digest(clock.now())) {
@@ -191,14 +219,33 @@
             }
             return true;
         },
-        onClose: () => undefined,
+        onClose: connection => toldBy.delete(connection),
         clock,
         log,
         metrics,
         signal,
     });
 
+    /** Links that a host which has just started waits for. */
+    const expectedTellers = (): number => Math.min(gossipLinks, peers?.nearest.filter(links.isReachable).length ?? 0);
+
+    const waitUntilTold = async (limitMilliseconds: number): Promise<void> => {
+        const startedAt = clock.now();
+        peersUntil = -Infinity;
+        links.update();
+        while (!signal.aborted && toldBy.size < expectedTellers() && clock.now() - startedAt < limitMilliseconds) {
+            await clock.sleep(toldCheckMilliseconds, signal);
+        }
+        log.info("gossip-told", {
+            links: toldBy.size,
+            expected: expectedTellers(),
+            entries: state.list(clock.now()).length,
+            waitedMilliseconds: Math.round(clock.now() - startedAt),
+        });
+    };
+
     return {
+        waitUntilTold,
         service: links.service,
         put: (kind, name, value, lifetimeMilliseconds) => {
             sendOn([state.put(keyOf(kind, name), value, lifetimeMilliseconds, clock.now())], undefined);
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -78,6 +78,8 @@
 const watchMilliseconds = 3_000;
 /** Limit on the time in which a connection to another host is opened. */
 const peerHandshakeMilliseconds = 400;
+/** A host that starts waits no longer than this to be told what the others know of targets and requests. */
+const maxUntilToldMilliseconds = 1_000;
 /** Pauses between calls of the watcher that finds out when the store is back, and of those that wait for it. */
 const maxProbePauseMilliseconds = 500;
 const maxWaitingPauseMilliseconds = 3_000;
@@ -447,7 +449,9 @@
     });
     routeTable.onChange(applyTable);
 
-    void Promise.all(watchers.map(watcher => watcher.synced)).then(() => {
+    // A host that served at once would send requests to targets of which the others know that they leave.
+    const told = processes.known.then(() => facts.waitUntilTold(maxUntilToldMilliseconds));
+    void Promise.all([told, ...watchers.map(watcher => watcher.synced)]).then(() => {
         started = !signal.aborted;
         log.info("host-ready", {
             version: routeTable.current()?.table.version,
--- a/src/zones/gossippeers.ts
+++ b/src/zones/gossippeers.ts
@@ -13,6 +13,8 @@
 export type GossipPeers = {
     /** Hosts of the zone that rank before this one, the most preferred first. */
     ownZone: ReaderCandidate[];
+    /** All other hosts of the zone, or of all zones if it has none, the most preferred first. */
+    nearest: ReaderCandidate[];
     /** Hosts of each other zone, the most preferred first. */
     otherZones: Map<string, ReaderCandidate[]>;
 };
@@ -38,8 +40,10 @@
     const inZone = (zone: string): ReaderCandidate[] =>
         rankHosts(hash, zone, others.filter(host => host.zone === zone));
     const zones = [...new Set(others.map(host => host.zone))].filter(zone => zone !== self.zone).sort();
+    const neighbours = inZone(self.zone);
     return {
         ownZone: rankedBefore(hash, self.zone, self, others.filter(host => host.zone === self.zone)),
+        nearest: neighbours.length > 0 ? neighbours : rankHosts(hash, self.zone, others),
         otherZones: new Map(zones.map(zone => [zone, inZone(zone)])),
     };
 };
--- a/test/machines/resident/oddframes.test.ts
+++ b/test/machines/resident/oddframes.test.ts
@@ -77,7 +77,7 @@
         const gossip = createGossip({
             self: "h1",
             kinds: { [limitGossipKind]: limitGossipSchema },
-            peers: () => ({ ownZone: [], otherZones: new Map() }),
+            peers: () => ({ ownZone: [], nearest: [], otherZones: new Map() }),
             ...common,
         });
         const heard: unknown[] = [];
--- a/test/platform/notices.test.ts
+++ b/test/platform/notices.test.ts
@@ -128,8 +128,17 @@
     });
 }
 
+/** What a host learned of a target that leaves, and when it was told by others. */
+const linesAbout = ({ log }: Program, target: string): string[] =>
+    log().split("\n").filter(line =>
+        /event=(gossip-told|host-ready|host-starting) /.test(line)
+        || (/event=target-(leaving|notice) /.test(line) && line.includes(target))
+    );
+
 /** Time from the first answer that says that a target leaves to when no new request may reach it. */
 const drainMilliseconds = 2_000;
+/** The late host ranks before the others, which open the links of gossip to it once they know it. */
+const lateName = "h4";
 
 for (const sharded of [false, true]) {
     test(`a target ${sharded ? "that owns keys" : "without keys"} that says in its answers that it leaves gets no request after the drain time, also from a host that starts later`, async t => {
@@ -147,11 +156,11 @@
         const servedShare = answers.filter(answer => answer.statusCode === 200).length / answers.length;
         t.true(servedShare >= 0.9, `${servedShare} served while it leaves`);
 
-        const late = await startProgram(store, { name: "h9" });
+        const late = await startProgram(store, { name: lateName });
         programs.push(late);
         await waitUntil("the late host is ready", () => isReady(late));
-        await sleep(1_500);
         await load([late], 1_500);
+        programs.flatMap(program => linesAbout(program, leaver.id())).forEach(line => t.log(line));
         t.is(countBetween(leaver.arrivals, since, Infinity), 0, "requests of a host that started later");
 
         leaver.faults.leaving = false;
