Tell an odd answer of the platform as one in each call

A conflict of another shape threw an error of the schema library, which callers do not take for one of the platform, and a body that is no JSON was reported as "did not answer", so that an operator looked for a connection. Bodies are now parsed in one place, which throws a PlatformError that names what was wrong.

--- a/src/links/platform.ts
+++ b/src/links/platform.ts
@@ -67,7 +67,9 @@
     sourceAddress?: string;
 };
 
-type Reply = { statusCode: number; body: unknown };
+type Reply = { statusCode: number; text: string };
+
+const conflictSchema = z.strictObject({ current: storedObjectSchema.optional() });
 
 /** Opens the link. Connections are opened on first use. */
 export const createPlatformLink = (options: PlatformLinkOptions): PlatformLink => {
@@ -100,25 +102,35 @@
                 body: body === undefined ? undefined : JSON.stringify(body),
                 signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
             });
-            const text = await response.body.text();
-            return { statusCode: response.statusCode, body: text === "" ? undefined : JSON.parse(text) as unknown };
+            return { statusCode: response.statusCode, text: await response.body.text() };
         }
         catch (error) {
             throw new PlatformError(`The platform did not answer ${method} ${path}: ${messageOf(error)}.`);
         }
     };
 
-    const parseReply = <Shape>(schema: z.ZodType<Shape>, path: string, reply: Reply): Shape => {
-        if (reply.statusCode !== 200) {
-            throw new PlatformError(`The platform answered ${reply.statusCode} to ${path}.`);
+    const parseBody = <Shape>(schema: z.ZodType<Shape>, path: string, text: string): Shape => {
+        let body: unknown;
+        try {
+            body = text === "" ? undefined : JSON.parse(text);
+        }
+        catch (error) {
+            throw new PlatformError(`The platform's answer to ${path} is not valid JSON: ${messageOf(error)}.`);
         }
-        const result = schema.safeParse(reply.body);
+        const result = schema.safeParse(body);
         if (!result.success) {
             throw new PlatformError(`The platform's answer to ${path} has the wrong shape: ${result.error.message}.`);
         }
         return result.data;
     };
 
+    const parseReply = <Shape>(schema: z.ZodType<Shape>, path: string, reply: Reply): Shape => {
+        if (reply.statusCode !== 200) {
+            throw new PlatformError(`The platform answered ${reply.statusCode} to ${path}.`);
+        }
+        return parseBody(schema, path, reply.text);
+    };
+
     return {
         get: async (kind, name, signal) => {
             const path = `/objects/${kind}/${encodeURIComponent(name)}`;
@@ -135,8 +147,7 @@
             const { value, ifVersion, writeId, deleted = false } = request;
             const reply = await call("put", "PUT", path, { value, ifVersion, writeId, deleted }, 0, signal);
             if (reply.statusCode === 409) {
-                const conflict = z.strictObject({ current: storedObjectSchema.optional() }).parse(reply.body);
-                return { result: "conflict", current: conflict.current };
+                return { result: "conflict", current: parseBody(conflictSchema, path, reply.text).current };
             }
             return { result: "written", version: parseReply(storedObjectSchema, path, reply).version };
         },
