--- a/test/links/platform.test.ts
+++ b/test/links/platform.test.ts
@@ -18,7 +18,12 @@
 
 const answers = [
     { title: "a body that is not JSON", statusCode: 200, body: "<html>", message: /answer to \S+ is not valid JSON/ },
-    { title: "a conflict that is not JSON", statusCode: 409, body: "<html>", message: /answer to \S+ is not valid JSON|answered 409/ },
+    {
+        title: "a conflict that is not JSON",
+        statusCode: 409,
+        body: "<html>",
+        message: /answer to \S+ is not valid JSON|answered 409/,
+    },
     { title: "an empty body", statusCode: 200, body: "", message: /wrong shape/ },
     { title: "another shape", statusCode: 200, body: "{\"odd\":1}", message: /wrong shape/ },
     { title: "a conflict of another shape", statusCode: 409, body: "{\"odd\":1}", message: /wrong shape|answered 409/ },
