Tell by health check and metrics what a start waits for

Operators saw refused connections at the health address while a host waited for another of its addresses, as if no process were there: the links were opened first, then health, then metrics, each only after the one before.

Health and metrics are now opened first and side by side, then the links, then the callers' address. The gauge start-waiting{for} is 1 while an address is waited for, and the line names what the address is for. Links are later than health so that a host that is not going to be ready does not register as one that others may read the state from.

Each failed attempt to open the links also left a listener on the host's signal, which kept its servers in memory for as long as the wait lasted, ten of them a second. It is now added once the server listens.

--- a/src/links/listening.ts
+++ b/src/links/listening.ts
@@ -6,12 +6,18 @@
 import { messageOf } from "../contracts/errors.ts";
 import { codeOf, startWaitOf } from "../decisions/startwait.ts";
 import type { Log } from "./logs.ts";
+import type { Metrics } from "./metrics.ts";
+
+/** An address on which a host listens. `name` tells what for. */
+export type ListeningAddress = { name: string; address: string };
 
 export type ListeningOptions = {
     /** How long to try while the address is in use. */
     waitMilliseconds: number;
     clock: Clock;
     log: Log;
+    /** `start-waiting` is 1 while an address is waited for. */
+    metrics: Pick<Metrics, "gauge">;
     /** Ends the attempts. */
     signal: AbortSignal;
 };
@@ -26,16 +32,21 @@
  * address was in use for `waitMilliseconds`, or when the signal aborts.
  */
 export const listenWithRetries = async <Endpoint>(
-    address: string,
+    { name, address }: ListeningAddress,
     open: () => Promise<Endpoint>,
-    { waitMilliseconds, clock, log, signal }: ListeningOptions,
+    { waitMilliseconds, clock, log, metrics, signal }: ListeningOptions,
 ): Promise<Endpoint> => {
     let cause: string | undefined;
     let since = clock.now();
     let noticedAt = -Infinity;
+    const reportWaiting = (isWaiting: boolean): void =>
+        metrics.gauge("start-waiting", Number(isWaiting), { for: name });
+    reportWaiting(false);
     for (;;) {
         try {
-            return await open();
+            const endpoint = await open();
+            reportWaiting(false);
+            return endpoint;
         }
         catch (error) {
             const wait = startWaitOf(error);
@@ -49,11 +60,12 @@
             if (wait === undefined || isOver || signal.aborted) {
                 throw error;
             }
+            reportWaiting(true);
             if (now - noticedAt >= noticeMilliseconds) {
                 noticedAt = now;
                 const afterMilliseconds = Math.round(now - since);
                 const until = wait.lasts === "grace" ? { waitMilliseconds } : {};
-                log.warn(wait.event, { address, afterMilliseconds, ...until, error: messageOf(error) });
+                log.warn(wait.event, { for: name, address, afterMilliseconds, ...until, error: messageOf(error) });
             }
             await clock.sleep(retryMilliseconds, signal);
         }
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -117,13 +117,18 @@
             }
             listenTo(socket, path, service(toConnection(socket)), options);
         });
-        options.signal.addEventListener("abort", () => {
+        const close = (): void => {
             server.clients.forEach(client => client.terminate());
             server.close();
             listener.close();
             listener.closeAllConnections();
-        }, { once: true });
+        };
         server.once("listening", () => {
+            // Not before, since the signal would keep each server that could not be opened.
+            options.signal.addEventListener("abort", close, { once: true });
+            if (options.signal.aborted) {
+                close();
+            }
             server.on("error", error => options.log.warn("peer-endpoint-failed", { listen, error: error.message }));
             resolve();
         });
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -360,7 +360,7 @@
     const limitOf = (part: DescriptorPart) => (server: Server, isIdle?: (socket: Socket) => boolean): void =>
         limitConnections(server, { part, descriptors, clock }, isIdle);
     /** The former process of this host ends within its grace. */
-    const listening = { waitMilliseconds: settings.stopping.grace, clock, log, signal: options.startSignal };
+    const listening = { waitMilliseconds: settings.stopping.grace, clock, log, metrics, signal: options.startSignal };
     const [callersHost, callersPort] = settings.callers.listen.split(":");
     const openCallers = () =>
         createCallerLink<ResidentRequest>({
@@ -400,31 +400,38 @@
     };
     const openLinks = (): Promise<void> =>
         openPeerEndpoint(settings.links.listen, services, peerOptions, limitOf(descriptorParts.hosts));
-    await listenWithRetries(settings.links.listen, openLinks, listening);
-    acceptsLinks();
     let started = false;
     const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
     const openEndpoint = (
+        part: "health" | "metrics",
         listen: string,
-        part: DescriptorPart,
         answer: () => HttpEndpointAnswer,
-    ): Promise<HttpEndpoint> =>
-        listenWithRetries(listen, () => openHttpEndpoint(listen, answer, limitOf(part)), listening);
-    const health = await openEndpoint(settings.health.listen, descriptorParts.health, () => ({
-        statusCode: isReady() ? 200 : 503,
-        contentType: "text/plain",
-        body: "",
-    }));
-    const metricsServer = settings.metrics === undefined ? undefined : await openEndpoint(
-        settings.metrics.listen,
-        descriptorParts.metrics,
-        () => {
+    ): Promise<HttpEndpoint> => {
+        const open = (): Promise<HttpEndpoint> => openHttpEndpoint(listen, answer, limitOf(descriptorParts[part]));
+        return listenWithRetries({ name: part, address: listen }, open, listening);
+    };
+    const openMetrics = (listen: string): Promise<HttpEndpoint> =>
+        openEndpoint("metrics", listen, () => {
             descriptors.report();
             return { statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() };
-        },
-    );
+        });
+    // Each tells what the start waits for, so neither waits for the other.
+    const [health, metricsServer] = await Promise.all([
+        openEndpoint("health", settings.health.listen, () => ({
+            statusCode: isReady() ? 200 : 503,
+            contentType: "text/plain",
+            body: "",
+        })),
+        settings.metrics === undefined ? undefined : openMetrics(settings.metrics.listen),
+    ]);
+    await listenWithRetries({ name: "links", address: settings.links.listen }, openLinks, listening);
+    acceptsLinks();
     // Last, since a host that is asked to stop while it waits for another address has no requests to complete.
-    const callers = await listenWithRetries(settings.callers.listen, openCallers, listening);
+    const callers = await listenWithRetries(
+        { name: "callers", address: settings.callers.listen },
+        openCallers,
+        listening,
+    );
 
     const targetWatcher = watch(
         objects.targetKind,
--- a/test/links/listening.test.ts
+++ b/test/links/listening.test.ts
@@ -6,10 +6,13 @@
 import { InputError } from "../../src/contracts/errors.ts";
 import { listenWithRetries } from "../../src/links/listening.ts";
 import { silentLog } from "../../src/links/logs.ts";
+import { createMetrics } from "../../src/links/metrics.ts";
 import { awaitResidentSettings } from "../../src/links/residentsettings.ts";
 import { createVirtualClock } from "../machines/fakes/clock.ts";
 
 const graceMilliseconds = 6_000;
+const metrics = createMetrics();
+const address = { name: "callers", address: "192.0.2.1:1" };
 const systemError = (code: string): Error => Object.assign(new Error(code), { code });
 
 /** Each opens after the time, unless it is over before. */
@@ -32,8 +35,8 @@
         const opensAt = clock.now() + opensAfter;
         const open = (): Promise<string> =>
             clock.now() >= opensAt ? Promise.resolve("opened") : Promise.reject(systemError(code));
-        const options = { waitMilliseconds: graceMilliseconds, clock, log: silentLog, signal: stop.signal };
-        const outcome = listenWithRetries("192.0.2.1:1", open, options)
+        const options = { waitMilliseconds: graceMilliseconds, clock, log: silentLog, metrics, signal: stop.signal };
+        const outcome = listenWithRetries(address, open, options)
             .catch(() => stop.signal.aborted ? "stopped" : "failed");
         await clock.advance(70_000);
         stop.abort();
@@ -48,8 +51,8 @@
     const open = (): Promise<string> =>
         clock.now() > 35_000 ? Promise.resolve("opened") : Promise.reject(systemError(code()));
     const { signal } = new AbortController();
-    const options = { waitMilliseconds: graceMilliseconds, clock, log: silentLog, signal };
-    const opened = listenWithRetries("192.0.2.1:1", open, options);
+    const options = { waitMilliseconds: graceMilliseconds, clock, log: silentLog, metrics, signal };
+    const opened = listenWithRetries(address, open, options);
     await clock.advance(40_000);
     t.is(await opened, "opened");
 });
--- a/test/links/peers.test.ts
+++ b/test/links/peers.test.ts
@@ -3,6 +3,7 @@
  */
 import test from "ava";
 import { pack } from "msgpackr";
+import { getEventListeners } from "node:events";
 import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { WebSocket } from "ws";
@@ -95,3 +96,15 @@
     t.true(received.length > 0);
     lifetime.abort();
 });
+
+test("attempts to listen at an address in use leave nothing behind, however many there are", async t => {
+    const lifetime = new AbortController();
+    const { address } = await setUp(lifetime.signal);
+    const { signal } = new AbortController();
+    const options = { log: silentLog, metrics: createMetrics(), signal };
+    for (let attempt = 0; attempt < 20; attempt += 1) {
+        await t.throwsAsync(openPeerEndpoint(address, {}, options), { code: "EADDRINUSE" });
+    }
+    t.is(getEventListeners(signal, "abort").length, 0);
+    lifetime.abort();
+});
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -7,13 +7,20 @@
 import { once } from "node:events";
 import { closeSync, constants, mkdtempSync, openSync, renameSync, writeFileSync, writeSync } from "node:fs";
 import { open } from "node:fs/promises";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { startStoreStandIn } from "../../stand-ins/resident/store.ts";
-import { buildProgram, type Program, type ProgramOptions, sendRequest, startProgram, waitUntil } from "./program.ts";
+import {
+    buildProgram,
+    freePort,
+    type Program,
+    type ProgramOptions,
+    sendRequest,
+    startProgram,
+    waitUntil,
+} from "./program.ts";
 
 test.before(buildProgram);
 
@@ -123,6 +130,71 @@
     await assertStopsWell(t, program);
 });
 
+type HeldPort = { port: number; release: () => void };
+
+const holdByListener = async (t: ExecutionContext): Promise<HeldPort> => {
+    const port = await freePort();
+    const server = createServer().listen(port, "127.0.0.1");
+    await once(server, "listening");
+    const release = (): void => void server.close();
+    t.teardown(release);
+    return { port, release };
+};
+
+const addressNames = ["health", "metrics", "links", "callers"] as const;
+type AddressName = (typeof addressNames)[number];
+
+/** Starts the program with the ports, and with free ones for all other addresses. */
+const startAt = async (
+    t: ExecutionContext,
+    given: Partial<Record<AddressName, number>>,
+    options: ProgramOptions = {},
+): Promise<{ program: Program; ports: Record<AddressName, number> }> => {
+    const free = await Promise.all(addressNames.map(async name => [name, await freePort()] as const));
+    const ports = { ...Object.fromEntries(free) as Record<AddressName, number>, ...given };
+    const program = await start(t, {
+        ...options,
+        ports: { callersPort: ports.callers, healthPort: ports.health },
+        linksPort: ports.links,
+        metricsPort: ports.metrics,
+    });
+    return { program, ports };
+};
+
+const waitingGauge = async (port: number, name: AddressName): Promise<number | undefined> => {
+    const { body } = await sendRequest(port, "/").catch(() => ({ body: "" }));
+    const value = new RegExp(`^carobpier_start_waiting\\{for="${name}"\\} (\\d)$`, "m").exec(body)?.[1];
+    return value === undefined ? undefined : Number(value);
+};
+
+/** Tells of the wait wherever an address is open. */
+const assertTells = async (
+    t: ExecutionContext,
+    name: AddressName,
+    program: Program,
+    ports: Record<AddressName, number>,
+): Promise<void> => {
+    await waitUntil("the wait is logged", () => program.log().includes(`event=address-in-use for=${name}`));
+    if (name !== "health") {
+        t.is((await sendRequest(ports.health, "/")).statusCode, 503);
+    }
+    if (name !== "metrics") {
+        await waitUntil("the gauge is set", async () => await waitingGauge(ports.metrics, name) === 1);
+    }
+};
+
+for (const name of addressNames) {
+    test.serial(`a start that waits for the address of ${name} tells it by log, health check and metrics`, async t => {
+        t.timeout(20_000);
+        const { port, release } = await holdByListener(t);
+        const { program, ports } = await startAt(t, { [name]: port });
+        await assertTells(t, name, program, ports);
+        release();
+        await assertRuns(t, program);
+        await waitUntil("the gauge is reset", async () => await waitingGauge(ports.metrics, name) === 0);
+    });
+}
+
 const unwritten: Array<{ title: string; first: string | undefined }> = [
     { title: "missing", first: undefined },
     { title: "empty", first: "" },
