Give up callers that take nothing of an answer for the idle time

A caller that never reads an 8 MB answer kept its connection, its request and the target's connection for as long as it liked (open after 12 s with time-outs of 2 s and 1 s and a route of 20 s): no timer applies while an answer is written. Where the route's time-out is shorter, that ends a streamed answer; an answer of up to 1 MiB that the system does not take whole has no bound either.

While bytes wait for a caller, the host looks four times within the idle time at what the caller took, and closes the connection when nothing changed: logged and counted as caller-stalled, with the request's id. What the caller sends meanwhile does not count.

Writes alone can't tell a slow reader: the system takes more only once about a third of what it holds has gone. So the unacknowledged bytes of the system's table of connections count too; where it tells none, the time is four times as long.

Tests that failed before: callers that take nothing of a buffer, of a stream, or while they go on sending kept their connections (idle time 0.4 s, looked at for 4 s); now given up.

It works as the timer no longer depends on reads or on whole writes. What is left: an answer that a route's time-out ends while its caller reads nothing is still told as answer-cut-short by the target.

--- a/src/links/answerwriter.ts
+++ b/src/links/answerwriter.ts
@@ -24,7 +24,12 @@
 /**
  * Resolves to true when the whole body was passed on. When it breaks off, `onFailure` closes the caller's connection.
  */
-const streamBody = (response: ServerResponse, stream: AnswerStream, onFailure: () => void): Promise<boolean> =>
+const streamBody = (
+    response: ServerResponse,
+    stream: AnswerStream,
+    onWrite: () => void,
+    onFailure: () => void,
+): Promise<boolean> =>
     new Promise(resolve => {
         response.on("drain", stream.resume);
         response.once("close", () => {
@@ -32,7 +37,11 @@
             resolve(false);
         });
         stream.start({
-            onBytes: bytes => response.write(bytes),
+            onBytes: bytes => {
+                const takesMore = response.write(bytes);
+                onWrite();
+                return takesMore;
+            },
             onEnd: () => response.end(() => resolve(true)),
             onFailure,
         });
@@ -65,6 +74,7 @@
         }
         response.writeHead(statusCode, headers);
         response.end(body);
+        connection.watchTaking();
     },
     writeAnswer: (due, id, answer) => {
         const { response, connection } = due;
@@ -81,9 +91,10 @@
         response.writeHead(answer.statusCode, headers);
         if (body === undefined || Buffer.isBuffer(body)) {
             response.end(body);
+            connection.watchTaking();
             return true;
         }
-        return streamBody(response, body, () => {
+        return streamBody(response, body, connection.watchTaking, () => {
             connection.nameEnd("answer-cut-short");
             // Only a reset tells the caller that an answer without a length is not whole.
             if (endsWithConnection) {
--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../contracts/clock.ts";
 import type { Reason } from "../contracts/outcome.ts";
 import type { BodyBreaker } from "./callerbody.ts";
+import type { SendQueues } from "./sendqueues.ts";
 
 /** Why a connection ended while answers were due on it, and who ended it. */
 export const connectionEnds = {
@@ -75,6 +76,8 @@
     isIdle: () => boolean;
     /** Ends the connection if it is idle after a request, or else when no more answers are due. */
     endWhenIdle: () => void;
+    /** Gives the caller up if it takes nothing of what waits to be written to it for the idle time. */
+    watchTaking: () => void;
     /** Called when nothing was read or written for the socket's time-out. */
     onTimeout: () => void;
     /** Names the reason if the connection ends now. The first reason named counts. */
@@ -93,12 +96,22 @@
 
 export type CallerConnectionsOptions = {
     clock: Clock;
-    /** Time after which a caller that takes no bytes of the last answers is given up. */
+    /** Time after which a caller that takes no bytes of its answers is given up; 0 for none. */
     idleMilliseconds: () => number;
+    sendQueues: SendQueues;
     /** Called once when a connection, or the caller's half of it, has ended while answers were due on it. */
     onEnd: (end: ConnectionEnd) => void;
 };
 
+/** Looks at a caller within the idle time. It is given up when it took nothing from one to the next, all of them. */
+const looksPerIdleTime = 4;
+/** Factor of the idle time where the system does not tell what a slow reader takes. */
+const unknownFactor = 4;
+
+/** Bytes of the current write that the system has not taken yet. Node tells this of whole writes only. */
+const unwrittenBytes = (socket: Socket): number | undefined =>
+    (socket as { _handle?: { writeQueueSize?: number } | null })._handle?.writeQueueSize;
+
 type Phase = "open" | "closing" | "refused" | "ended";
 
 const maxIdsTold = 5;
@@ -113,7 +126,7 @@
 
 const openConnection = (
     socket: Socket,
-    { clock, idleMilliseconds, onEnd }: CallerConnectionsOptions,
+    { clock, idleMilliseconds, sendQueues, onEnd }: CallerConnectionsOptions,
 ): CallerConnection => {
     const dueAnswers = new Set<DueAnswer>();
     let phase: Phase = "open";
@@ -128,6 +141,7 @@
     let wasEndTold = false;
     let cancelLinger = (): void => undefined;
     let cancelPause: (() => void) | undefined;
+    let cancelLook: (() => void) | undefined;
 
     const nameEnd = (reason: ConnectionEndReason): void => {
         namedEnd ??= reason;
@@ -162,6 +176,30 @@
         }
     };
 
+    const look = async (lastSeen: string, unchanged: number): Promise<void> => {
+        const unacknowledged = await sendQueues.unacknowledged(socket);
+        const isWaiting = !socket.destroyed && socket.writableLength > 0;
+        if (!isWaiting) {
+            cancelLook = undefined;
+            return;
+        }
+        const seen = [socket.bytesWritten, socket.writableLength, unwrittenBytes(socket), unacknowledged].join();
+        const count = seen === lastSeen ? unchanged + 1 : 0;
+        if (count === looksPerIdleTime * (unacknowledged === undefined ? unknownFactor : 1)) {
+            destroy("caller-stalled");
+            return;
+        }
+        lookLater(seen, count);
+    };
+    const lookLater = (lastSeen: string, unchanged: number): void => {
+        cancelLook = clock.after(idleMilliseconds() / looksPerIdleTime, () => void look(lastSeen, unchanged));
+    };
+    const watchTaking = (): void => {
+        if (cancelLook === undefined && socket.writableLength > 0 && idleMilliseconds() > 0) {
+            lookLater("", 0);
+        }
+    };
+
     socket.setTimeout(idleMilliseconds());
     socket.once("error", () => {
         failed = true;
@@ -180,6 +218,7 @@
     socket.once("close", () => {
         cancelLinger();
         cancelPause?.();
+        cancelLook?.();
         tellEnd(namedEnd ?? (failed ? "caller-reset" : "host-closed"));
     });
 
@@ -206,6 +245,7 @@
                 if (!socket.destroyed) {
                     dueAnswers.delete(answer);
                     endIfNothingIsDue();
+                    watchTaking();
                 }
             });
             return answer;
@@ -257,8 +297,10 @@
             endsWhenIdle = true;
             endIfNothingIsDue();
         },
+        watchTaking,
         onTimeout: () => {
-            if ([...dueAnswers].some(({ response }) => !response.writableEnded)) {
+            if (dueAnswers.size > 0) {
+                watchTaking();
                 socket.setTimeout(idleMilliseconds());
                 return;
             }
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -16,6 +16,7 @@
     createCallerConnections,
     type DueAnswer,
 } from "./callerconnections.ts";
+import { createSendQueues } from "./sendqueues.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
 
@@ -107,6 +108,7 @@
     const connections = createCallerConnections({
         clock,
         idleMilliseconds: () => server.keepAliveTimeout,
+        sendQueues: createSendQueues(clock),
         onEnd: end => options.onConnectionEnd?.(end),
     });
     const { writeRefusal, writeAnswer, formatBytes } = createAnswerWriter({ protocol, keepsAlive: () => keepsAlive });
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -54,6 +54,26 @@
         const body = Buffer.alloc(largeBytes, "x");
         return { ...answer, headers: { "content-length": String(largeBytes) }, body };
     }
+    if (path === "/stream") {
+        const start = ({ onBytes }: StreamReceiver): void => {
+            while (onBytes(Buffer.alloc(largeBytes / 8, "x"))) {
+                // Until the caller is to be waited for.
+            }
+        };
+        const body = { start, resume: () => undefined, abort: () => undefined };
+        return { ...answer, headers: { "content-length": String(largeBytes) }, body };
+    }
+    if (path === "/slow") {
+        const start = ({ onBytes, onEnd }: StreamReceiver): void => {
+            onBytes(Buffer.alloc(largeBytes / 2, "x"));
+            setTimeout(() => {
+                onBytes(Buffer.alloc(largeBytes / 2, "x"));
+                onEnd();
+            }, 2_000);
+        };
+        const body = { start, resume: () => undefined, abort: () => undefined };
+        return { ...answer, headers: { "content-length": String(largeBytes) }, body };
+    }
     if (path === "/broken") {
         const start = ({ onFailure }: StreamReceiver): void => onFailure();
         const body = { start, resume: () => undefined, abort: () => undefined };
@@ -287,6 +307,50 @@
     t.deepEqual(opened.ends.map(({ reason, due }) => ({ reason, due })), [{ reason: "caller-stalled", due: 1 }]);
 });
 
+type Reader = {
+    title: string;
+    path: string;
+    idleMilliseconds: number;
+    /** Called every 50 ms. */
+    act: (socket: Socket) => unknown;
+    /** Whether the caller is given up. */
+    isStalled: boolean;
+};
+const readers: Reader[] = [
+    { title: "nothing", path: "large", idleMilliseconds: 400, act: () => undefined, isStalled: true },
+    { title: "nothing of a stream", path: "stream", idleMilliseconds: 400, act: () => undefined, isStalled: true },
+    {
+        title: "nothing, and goes on sending",
+        path: "large",
+        idleMilliseconds: 400,
+        act: socket => socket.write("x"),
+        isStalled: true,
+    },
+    { title: "little", path: "large", idleMilliseconds: 1_000, act: socket => socket.read(10_000), isStalled: false },
+    { title: "all there is", path: "slow", idleMilliseconds: 100, act: socket => socket.resume(), isStalled: false },
+];
+
+for (const { title, path, idleMilliseconds, act, isStalled } of readers) {
+    test(`a caller that takes ${title} ${isStalled ? "is given up after the idle time" : "keeps its connection"}`, async t => {
+        const opened = await openLink();
+        t.teardown(opened.link.close);
+        const [host, port] = opened.link.address.split(":");
+        const socket = connect(Number(port), host).on("error", () => undefined).pause();
+        t.teardown(() => socket.destroy());
+        socket.write(get(path));
+        while (opened.served.length === 0) {
+            await sleep(5);
+        }
+        opened.link.setTimeouts(idleMilliseconds, longHeadMilliseconds);
+        const timer = setInterval(() => act(socket), 50);
+        t.teardown(() => clearInterval(timer));
+        await waitTurns(4_000, () => opened.ends.length > 0);
+        const ends = opened.ends.map(({ reason, due, requestIds }) => ({ reason, due, ids: requestIds.length }));
+        t.deepEqual(ends, isStalled ? [{ reason: "caller-stalled", due: 1, ids: 1 }] : []);
+        t.is(opened.link.inFlight(), isStalled || path === "slow" ? 0 : 1);
+    });
+}
+
 test("an answer without a length that breaks off does not end the connection before the answer ahead of it", async t => {
     const opened = await openLink();
     t.teardown(opened.link.close);
