Name the host's end of a connection where its caller closes after it

Operators saw answers that were lost behind an answer without a length told as caller-closed, by=caller: the caller did nothing wrong, it only closed its half after the host had closed its own. Cause: the caller's end of its half always named it.

Once the host has ended the connection, its own reason counts. Test that failed before: one answer without a length and two due behind it gave caller-closed, due 2, and give answer-without-length now.

Looked at as well: such an answer still ends its connection, with those due behind it.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -212,7 +212,8 @@
         }
     };
     socket.once("end", () => {
-        tellEnd("caller-closed");
+        // A caller also closes its half when the host has ended the connection.
+        tellEnd(phase === "ended" ? namedEnd ?? "host-closed" : "caller-closed");
         dueAnswers.forEach(({ onCallerEnd }) => onCallerEnd?.());
     });
     socket.once("close", () => {
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -74,6 +74,9 @@
         const body = { start, resume: () => undefined, abort: () => undefined };
         return { ...answer, headers: { "content-length": String(largeBytes) }, body };
     }
+    if (path === "/unframed") {
+        return { ...answer, headers: {}, body: Buffer.from(wholeBody), endsWithConnection: true };
+    }
     if (path === "/broken") {
         const start = ({ onFailure }: StreamReceiver): void => onFailure();
         const body = { start, resume: () => undefined, abort: () => undefined };
@@ -366,6 +369,23 @@
     t.is(opened.link.inFlight(), 0);
 });
 
+test("an answer without a length is written whole, and those that were due behind it are told as lost", async t => {
+    const opened = await openLink();
+    t.teardown(opened.link.close);
+    const socket = openSocket(t, opened);
+    let received = "";
+    socket.on("data", chunk => {
+        received += String(chunk);
+    });
+    socket.write(get("unframed") + get("running") + get("running"));
+    await once(socket, "close");
+    await waitTurns(1_000, () => opened.ends.length > 0);
+    t.is(received.split("HTTP/1.1 ").length, 2, received);
+    t.true(received.endsWith(`\r\n\r\n${wholeBody}`));
+    const ends = opened.ends.map(({ reason, due, requestIds }) => ({ reason, due, ids: requestIds.length }));
+    t.deepEqual(ends, [{ reason: "answer-without-length", due: 2, ids: 2 }]);
+});
+
 const droppedBytes = "x".repeat(100_000);
 const unreadFollowers: [string, string][] = [
     ["garbage", `\0\0 no request\r\n\r\n${droppedBytes}`],
