Refuse a caller's other bodies for a path after their first crash

A caller had two requests that crash targets, for one path and with different bodies.

Requests of one caller for one path, whatever their bodies, are now related: the first half of a fingerprint hashes all but the body. Where one of them is refused for its crashes, another is from its first crash on. Bodies that crashed nothing are served, as is what other callers ask for there.

Evidence: the case of test/machines/resident/suspicions.test.ts at 2, 10 and 195 hosts failed before.

--- a/src/machines/resident/suspicions.ts
+++ b/src/machines/resident/suspicions.ts
@@ -97,6 +97,7 @@
         ageMilliseconds: suspicionMilliseconds,
         crashesUntilQuarantine,
         answersLift: true,
+        relatesBodies: true,
         clock,
         log,
         metrics,
