Count the bytes of answers and pushes between hosts, not their characters

Bounds in bytes were applied to the length of the text, so that names outside of ASCII made messages up to three times as large as allowed, and the other host then closed the link for a frame beyond its limit. Now the encoded bytes are counted.

--- a/src/machines/replica.ts
+++ b/src/machines/replica.ts
@@ -198,7 +198,7 @@
             const items: StoredObject[] = [];
             let bytes = 0;
             for (const item of wanted) {
-                bytes += JSON.stringify(item).length;
+                bytes += Buffer.byteLength(JSON.stringify(item));
                 if (items.length > 0 && bytes > options.maxAnswerBytes) {
                     break;
                 }
--- a/src/machines/replication.ts
+++ b/src/machines/replication.ts
@@ -54,7 +54,7 @@
             return;
         }
         const push = buildPush(update);
-        if (JSON.stringify(push).length > options.maxPushBytes) {
+        if (Buffer.byteLength(JSON.stringify(push)) > options.maxPushBytes) {
             metrics.count("objects-push-too-large");
             return;
         }
--- a/test/machines/replica.test.ts
+++ b/test/machines/replica.test.ts
@@ -127,6 +127,18 @@
     t.deepEqual(inForce(objects), { a: 1 });
 });
 
+for (const letter of ["a", "\u00e9", "\u6c34"]) {
+    test(`an answer stays within its bytes with names of the letter ${letter}`, t => {
+        const items = [1, 2].map(version => plan(letter.repeat(100 + version), version));
+        const bytes = items.reduce((sum, item) => sum + Buffer.byteLength(JSON.stringify(item)), 0);
+        for (const [limit, count] of [[bytes - 1, 1], [bytes, 2]]) {
+            const { replica } = newReplica(fixedClock({ now: 0 }), limit);
+            replica.applyPage({ position: 2, items }, 0, 0);
+            t.is(replica.answer(0, []).items.length, count);
+        }
+    });
+}
+
 test("no order, loss or duplication of pages, answers and pushes lowers a version or moves the position past a missing object", t => {
     const step = fastCheck.record({
         kind: fastCheck.constantFrom("page", "push", "answer"),
