Open no further connection to a target after an aborted request

A request that was aborted before the head of its answer left one more connection to its target behind, on which nothing was sent: undici's pool connects again since the request is still in its queue. Such connections count toward the limit of the target, which resets those beyond it.

A link to a target now holds its connections itself (connectionpool.ts), each with one request at a time, the last used first, and drops one whose request failed. Its limit is asked for each time and not fixed when the target is first seen, so that it may change: after it has shrunk, idle connections close at once and others when their requests end.

Evidence: "a request that is aborted before its answer leaves no connection behind" saw two connections before, one of them open, and sees one closed now.

--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -3,8 +3,10 @@
  * which it failed.
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { buildConnector, type Dispatcher, Pool as ConnectionPool } from "undici";
+import { buildConnector, Client as TargetConnection, type Dispatcher } from "undici";
+import { messageOf } from "../contracts/errors.ts";
 import { descriptorParts } from "../decisions/descriptors.ts";
+import { createConnectionPool } from "./connectionpool.ts";
 import { countConnections, type Descriptors, limitOpenedConnections } from "./descriptors.ts";
 
 export type TargetRequest = {
@@ -63,11 +65,14 @@
 /**
  * Sends a request once. undici may start a request again on a new connection; a second start is refused, since the
  * first one may have reached the target.
+ *
+ * @param onDone called once when undici has done with the request, with whether the request failed.
  */
 export const startExchange = (
-    connections: ConnectionPool,
+    connections: Pick<Dispatcher, "dispatch">,
     request: TargetRequest,
     receiver: AnswerReceiver,
+    onDone: (failed: boolean) => void = () => undefined,
 ): TargetExchange => {
     let stage: SendStage = sendStages.unsent;
     let controller: Dispatcher.DispatchController | undefined;
@@ -127,20 +132,25 @@
             }
         },
         onResponseEnd: () => {
+            onDone(false);
             if (!settled) {
                 settled = true;
                 receiver.onEnd();
             }
         },
-        onResponseError: (...[, error]) => fail(error),
+        onResponseError: (...[, error]) => {
+            onDone(true);
+            fail(error);
+        },
     });
     return { resume: () => controller?.resume(), abort: () => abort() };
 };
 
 export type ExchangeLink = {
+    /** A request beyond the limit waits for a connection. */
     send: (request: TargetRequest, receiver: AnswerReceiver) => TargetExchange;
-    /** Limit on the connections that are open at the same time. Each carries one request at a time. */
-    connections: number;
+    /** Closes idle connections beyond those that are kept, and sends waiting requests when the limit has grown. */
+    applyLimit: () => void;
     /** Closes the link once the running exchanges have ended. */
     close: () => void;
 };
@@ -170,8 +180,10 @@
 export type ExchangeLinkOptions = {
     /** IP address and port of the target. */
     address: string;
-    /** Limit on the connections that are open at the same time. */
-    connections: number;
+    /** Returns the limit on the connections that are open at the same time. Each carries one request at a time. */
+    connections: () => number;
+    /** Returns how many of them are kept open for further requests. */
+    keptConnections: () => number;
     /** Limit on the time in which a connection is opened. */
     connectMilliseconds: number;
     /** Counts and limits the connections. */
@@ -179,40 +191,49 @@
 };
 
 /**
- * Creates a pool of connections for requests, which connects on first use and reuses its connections. Unlike the link in
- * targets.ts, it has no connection for grants, health, load and cancellations.
+ * Creates a link for requests, which connects on first use and reuses its connections. Unlike the link in targets.ts, it
+ * has no connection for grants, health, load and cancellations.
  */
 export const createExchangeLink = (
-    { address, connections, connectMilliseconds, descriptors }: ExchangeLinkOptions,
+    { address, connections, keptConnections, connectMilliseconds, descriptors }: ExchangeLinkOptions,
 ): ExchangeLink => {
     const direct = createResetDetectingConnector(connectMilliseconds);
     const part = descriptorParts.targets;
     const connect = descriptors === undefined
         ? direct
         : limitOpenedConnections(countConnections(direct, part, descriptors), part, descriptors);
-    // Created on first use: a host knows hundreds of targets and sends to some of them only.
-    let pool: ConnectionPool | undefined;
-    let isClosed = false;
-    const openPool = (): ConnectionPool => {
-        pool ??= new ConnectionPool(`http://${address}`, {
-            connections,
-            pipelining: 1,
-            connect,
-        });
-        return pool;
-    };
+    const pool = createConnectionPool<TargetConnection>({
+        open: () => new TargetConnection(`http://${address}`, { pipelining: 1, connect }),
+        close: connection => void connection.close().catch(() => connection.destroy()),
+        // undici would connect again after an aborted request, though no request needs it.
+        destroy: connection => void connection.destroy(),
+        limit: connections,
+        kept: keptConnections,
+    });
     return {
         send: (request, receiver) => {
-            const opened = openPool();
-            if (isClosed && !opened.closed) {
-                void opened.close();
-            }
-            return startExchange(opened, request, receiver);
-        },
-        connections,
-        close: () => {
-            isClosed = true;
-            pool?.close().catch(() => pool?.destroy());
+            let exchange: TargetExchange | undefined;
+            const withdraw = pool.acquire(connection => {
+                const release = (failed: boolean): void => pool.release(connection, failed);
+                try {
+                    exchange = startExchange(connection, request, receiver, release);
+                }
+                catch (error) {
+                    release(true);
+                    receiver.onFailure(sendStages.unsent, new Error(messageOf(error)));
+                }
+            });
+            return {
+                resume: () => exchange?.resume(),
+                abort: () => {
+                    if (withdraw()) {
+                        receiver.onFailure(sendStages.unsent, abortedError);
+                    }
+                    exchange?.abort();
+                },
+            };
         },
+        applyLimit: pool.applyLimit,
+        close: pool.close,
     };
 };
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -80,11 +80,17 @@
     };
 
     const create = (target: RegisteredTarget): TargetState => {
-        const connections = shareOf(target, 0);
+        const connections = (): number => shareOf(target, 0);
         return {
             target,
             load: createTargetLoad(target.slots, own => recordOwnRequests(target.name, own)),
-            link: createExchangeLink({ address: target.address, connections, connectMilliseconds, descriptors }),
+            link: createExchangeLink({
+                address: target.address,
+                connections,
+                keptConnections: connections,
+                connectMilliseconds,
+                descriptors,
+            }),
             failureShare: 0,
             blockedUntil: 0,
             pausedUntil: 0,
--- a/test/links/exchange.test.ts
+++ b/test/links/exchange.test.ts
@@ -66,7 +66,12 @@
         });
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         const { port } = server.address() as { port: number };
-        const link = createExchangeLink({ address: `127.0.0.1:${port}`, connections: 1, connectMilliseconds: 500 });
+        const link = createExchangeLink({
+            address: `127.0.0.1:${port}`,
+            connections: () => 1,
+            keptConnections: () => 1,
+            connectMilliseconds: 500,
+        });
         const outcome = await new Promise<End>(resolve => {
             link.send({ method: "GET", path: "/", headers: [], body: undefined }, {
                 mayStart: () => true,
@@ -81,3 +86,39 @@
         server.close();
     });
 }
+
+test("a request that is aborted before its answer leaves no connection behind", async t => {
+    const sockets: Socket[] = [];
+    const server = createServer(socket => {
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        socket.resume();
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as { port: number };
+    const link = createExchangeLink({
+        address: `127.0.0.1:${port}`,
+        connections: () => 2,
+        keptConnections: () => 2,
+        connectMilliseconds: 500,
+    });
+    t.teardown(() => {
+        link.close();
+        sockets.forEach(socket => socket.destroy());
+        server.close();
+    });
+    await new Promise<void>(resolve => {
+        const exchange = link.send({ method: "GET", path: "/", headers: [], body: undefined }, {
+            mayStart: () => {
+                setTimeout(() => exchange.abort(), 50);
+                return true;
+            },
+            onHead: () => undefined,
+            onBytes: () => true,
+            onEnd: () => undefined,
+            onFailure: () => resolve(),
+        });
+    });
+    await sleep(100);
+    t.deepEqual(sockets.map(socket => socket.closed || socket.readableEnded), [true]);
+});
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -33,7 +33,7 @@
         target,
         load: createTargetLoad(2),
         link: {
-            connections: 4,
+            applyLimit: () => undefined,
             close: () => undefined,
             send: (...[, receiver]) => {
                 if (failToSend) {
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -66,7 +66,7 @@
         target,
         load: createTargetLoad(target.slots),
         link: {
-            connections: 4,
+            applyLimit: () => undefined,
             close: () => undefined,
             send: (...[, receiver]) => {
                 receivers.push(receiver);
@@ -92,7 +92,7 @@
         recordSuccess: () => undefined,
         recordConnectFailure: ({ target: { name } }) => unreachable.push(name),
         block: () => undefined,
-        maxConnections: ({ link }) => link.connections,
+        maxConnections: () => 4,
     };
     const ownerships = createOwnershipCache(clock, silentLog, signal);
     const table = tableOf(kind, ownsKeys);
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -47,7 +47,11 @@
         warmupMilliseconds: 0,
     },
     load: createTargetLoad(1),
-    link: { connections: 1, send: () => ({ resume: () => undefined, abort: () => undefined }), close: () => undefined },
+    link: {
+        applyLimit: () => undefined,
+        send: () => ({ resume: () => undefined, abort: () => undefined }),
+        close: () => undefined,
+    },
     failureShare: 0,
     blockedUntil: 0,
     pausedUntil: 0,
