Let a host use the part of a target that its fleet leaves it

One host with one target of 50 slots and 100 connections that reports itself idle answered 7 of 40 requests at once, each of 0.5 s, and refused the others as no-target (no-owner where the target owns keys); three hosts answered 21.

A target's connections were divided among at least fourteen hosts, whatever their number, and each host had four at least, which is more than the target accepts beyond 25 hosts. The pool of connections was sized when the target was first seen and never again.

A host now uses its part of 0.65 of the connections, divided among the hosts that have registered (decisions/targetroom.ts). What doesn't divide evenly goes to other hosts at each target. The rest is room for hosts that join: when three quarters as many join, the sum stays within the limit though none of the others learns of them, so hosts that are cut off may keep what they had. The limit is applied when hosts or pools change: idle connections beyond it are closed at once. With fewer connections than hosts, one without a part opens a connection for one request while the others, as told by the readers, have few requests there.

--- /dev/null
+++ b/src/decisions/targetroom.ts
@@ -0,0 +1,55 @@
+/**
+ * How many connections a host may use at a target that accepts a limited number from all hosts together. A part is
+ * divided among the hosts that are known; the rest is kept for hosts that join before all others know of them.
+ */
+
+/** The hosts among which a target's connections are divided, as one host knows them. */
+export type SharingHosts = {
+    /** Hosts that are known, this one included. */
+    count: number;
+    /** Place of this host in the order of all hosts, from 0. */
+    place: number;
+    /** Whether this host also knows those that joined at the same time. */
+    isSettled: boolean;
+};
+
+/**
+ * Fraction that is divided among the known hosts. When three quarters as many join and none of the others learns of it,
+ * the parts sum up to 1 + 3/7 of this.
+ */
+const settledFraction = 0.65;
+/** Fraction that is divided among all hosts for those that join: three quarters as many use 3/4 of this at most. */
+const joiningFraction = 0.4;
+/** The hosts of a new deployment start together before any knows another. */
+const minJoiningHosts = 14;
+/** What a host may use that knows of no host, as when the store does not answer at its start. */
+const unknownConnections = 1;
+/** The fraction when there are fewer connections than hosts: many of those that join may be among those with a part. */
+const sparseFraction = 0.5;
+/** A host without a part may open a connection while all others have fewer requests than this fraction. */
+const lentFraction = 0.4;
+
+/**
+ * Returns the connections that the host may use.
+ *
+ * @param accepted connections that the target accepts from all hosts.
+ * @param offset a number from 0, different for each target, so that not the same hosts get what doesn't divide evenly.
+ * @param hosts undefined when no hosts are known.
+ */
+export const connectionsAt = (accepted: number, offset: number, hosts: SharingHosts | undefined): number => {
+    if (hosts === undefined) {
+        return unknownConnections;
+    }
+    const { count, place, isSettled } = hosts;
+    if (!isSettled) {
+        return Math.floor(Math.min(accepted * joiningFraction / count, accepted / minJoiningHosts));
+    }
+    const isSparse = accepted * settledFraction < count;
+    const divided = Math.floor(accepted * (isSparse ? sparseFraction : settledFraction));
+    const hasOneMore = (place + offset) % count < divided % count;
+    return Math.floor(divided / count) + Number(hasOneMore);
+};
+
+/** Whether a host without a part may open a connection for one request. */
+export const mayLend = (accepted: number, requestsOfOthers: number): boolean =>
+    requestsOfOthers < Math.floor(accepted * lentFraction);
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -37,6 +37,7 @@
 import { createRangeController, type RangeController } from "./rangecontroller.ts";
 import { createRouteTableHolder } from "./routetableholder.ts";
 import { createSharedLoads } from "./sharedloads.ts";
+import { createSharingHosts } from "./sharinghosts.ts";
 import { createStateCache } from "./statecache.ts";
 import { createStateServer } from "./stateserver.ts";
 import { createStateSource, type ReadPace } from "./statesource.ts";
@@ -256,7 +257,13 @@
     const targetStates = createTargetStates({
         registry,
         findPool: poolOf,
-        hostCount: () => processes.hostCount() ?? 0,
+        sharingHosts: createSharingHosts({
+            self: settings.host.name,
+            processes,
+            reachableSince: () => processWatcher.reachableSince(),
+            clock,
+        }),
+        requestsOfOthers: sharedLoads.requestsOfOthers,
         recordOwnRequests: sharedLoads.record,
         descriptors,
         clock,
@@ -315,6 +322,7 @@
     };
 
     const applyTable = (table: RouteTable): void => {
+        targetStates.applyLimits();
         const { idleTimeoutMilliseconds, headTimeoutMilliseconds } = table.limits;
         callers.setTimeouts(idleTimeoutMilliseconds, headTimeoutMilliseconds);
         for (const pool of table.pools.values()) {
@@ -441,8 +449,9 @@
     const applyHosts = (hosts: StoreObject[]): void => {
         processes.applyObjects(hosts);
         source.reconsider();
+        targetStates.applyLimits();
     };
-    watch(processKind, applyHosts, events => {
+    const processWatcher = watch(processKind, applyHosts, events => {
         applyHosts(events.filter(event => !event.removed).map(event => event.object));
     });
     routeTable.onChange(applyTable);
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -30,6 +30,12 @@
      * Returns the number of hosts that ever registered, removed ones included; undefined before the first was read.
      */
     hostCount: () => number | undefined;
+    /** Returns the names of these hosts, this one included. The same array is returned while they are the same. */
+    hostNames: () => readonly string[];
+    /** Whether this host had registered before this process started; undefined until it is known. */
+    wasRegistered: () => boolean | undefined;
+    /** Monotonic time at which the registration of this process was confirmed; undefined before. */
+    registeredAt: () => number | undefined;
     /** Returns the largest processor of these hosts, in cores; undefined before the first was read. */
     maxProcessor: () => number | undefined;
 };
@@ -67,7 +73,9 @@
 /** Registers this process in the store, retrying until it succeeds. */
 export const registerProcess = ({ store, self, host, clock, log, signal, listening }: ProcessesOptions): Processes => {
     const records = new Map<string, { record: ProcessRecord; revision: number }>();
-    let registered = false;
+    let registeredAt: number | undefined;
+    let wasRegistered: boolean | undefined;
+    let names: readonly string[] = [];
     const value: ProcessRecord = {
         process: self,
         processor: host.processor,
@@ -118,8 +126,8 @@
     const registerWithRetries = async (): Promise<void> => {
         while (!signal.aborted) {
             try {
-                registered = await register();
-                if (registered) {
+                if (await register()) {
+                    registeredAt = clock.now();
                     return;
                 }
             }
@@ -133,9 +141,9 @@
     const join = async (): Promise<void> => {
         await readHosts();
         await listening;
-        const isNew = !records.has(host.name);
+        wasRegistered = records.has(host.name);
         void registerWithRetries();
-        if (isNew) {
+        if (!wasRegistered) {
             await clock.sleep(joinMilliseconds, signal);
             await readHosts();
         }
@@ -156,7 +164,16 @@
             records.size === 0
                 ? undefined
                 : Math.max(host.processor, ...[...records.values()].map(({ record }) => record.processor)),
-        isRegistered: () => registered,
+        hostNames: () => {
+            const all = new Set([...records.keys(), host.name]);
+            if (all.size !== names.length) {
+                names = [...all];
+            }
+            return names;
+        },
+        wasRegistered: () => wasRegistered,
+        registeredAt: () => registeredAt,
+        isRegistered: () => registeredAt !== undefined,
         hasEnded: async process => {
             try {
                 const object = await store.get(processKind, hostOf(process), signal);
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -4,8 +4,10 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
+import { connectionsAt, mayLend, type SharingHosts } from "../../decisions/targetroom.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
 import { createExchangeLink, type ExchangeLink } from "../../links/exchange.ts";
+import { digestHash } from "../../zones/digesthash.ts";
 import type { TargetRegistry } from "./targetregistry.ts";
 
 /** What this host knows of one incarnation of a target. */
@@ -34,8 +36,10 @@
 export type TargetStates = {
     ofPool: (pool: string) => TargetState[];
     get: (name: string) => TargetState | undefined;
-    /** Limit on the connections that this host may use at the target: its share of those that the target accepts. */
+    /** Limit on the connections that this host may use at the target: its part of those that the target accepts. */
     maxConnections: (state: TargetState) => number;
+    /** Applies the limits on connections after the hosts or the pools have changed. */
+    applyLimits: () => void;
     recordFailure: (state: TargetState) => void;
     recordSuccess: (state: TargetState) => void;
     /** Records a failure to connect and blocks the target, each time for longer. */
@@ -47,8 +51,10 @@
 export type TargetStatesOptions = {
     registry: TargetRegistry;
     findPool: (name: string) => TablePool | undefined;
-    /** Returns the number of hosts that share the targets, as far as it is known. */
-    hostCount: () => number;
+    /** Returns the hosts that share the targets, as far as they are known. */
+    sharingHosts: () => SharingHosts | undefined;
+    /** Returns the requests of all other hosts at a target; undefined while they are not known. */
+    requestsOfOthers: (target: string) => number | undefined;
     /** Called with the number of this host's requests at a target when it changes. */
     recordOwnRequests: (target: string, requests: number) => void;
     /** Counts and limits the connections to targets. */
@@ -63,31 +69,54 @@
 const maxBlockMilliseconds = 2_000;
 /** Time-out of connecting: an attempt that takes longer goes to a machine that is down or unreachable. */
 const connectMilliseconds = 300;
-/** A target's connections are divided among at least this many hosts, since some may not be known yet. */
-const minHostsPerTarget = 14;
-const minConnections = 4;
 const defaultMaxConnections = 100;
+const hashRange = 2 ** 32;
 
 /** Creates the states and updates them when the registry changes. */
 export const createTargetStates = (
-    { registry, findPool, hostCount, recordOwnRequests, descriptors, clock, signal }: TargetStatesOptions,
+    {
+        registry,
+        findPool,
+        sharingHosts,
+        requestsOfOthers,
+        recordOwnRequests,
+        descriptors,
+        clock,
+        signal,
+    }: TargetStatesOptions,
 ): TargetStates => {
     const states = new Map<string, TargetState>();
+    const offsets = new WeakMap<TargetState, number>();
 
-    const shareOf = (target: RegisteredTarget, hosts: number): number => {
-        const accepted = findPool(target.pool)?.maxConnections ?? defaultMaxConnections;
-        return Math.max(minConnections, Math.floor(accepted / Math.max(minHostsPerTarget, hosts)));
+    const acceptedBy = ({ target }: TargetState): number =>
+        findPool(target.pool)?.maxConnections ?? defaultMaxConnections;
+
+    const offsetOf = (state: TargetState): number => {
+        const offset = offsets.get(state) ?? digestHash(state.target.name, hashRange);
+        offsets.set(state, offset);
+        return offset;
+    };
+
+    const partOf = (state: TargetState): number => connectionsAt(acceptedBy(state), offsetOf(state), sharingHosts());
+
+    const maxConnections = (state: TargetState): number => {
+        const part = partOf(state);
+        if (part > 0) {
+            return part;
+        }
+        const { target: { name }, load } = state;
+        const others = requestsOfOthers(name) ?? load.expectedRequests(clock.now()) - load.ownRequests();
+        return Number(mayLend(acceptedBy(state), others));
     };
 
     const create = (target: RegisteredTarget): TargetState => {
-        const connections = (): number => shareOf(target, 0);
-        return {
+        const state: TargetState = {
             target,
             load: createTargetLoad(target.slots, own => recordOwnRequests(target.name, own)),
             link: createExchangeLink({
                 address: target.address,
-                connections,
-                keptConnections: connections,
+                connections: () => maxConnections(state),
+                keptConnections: () => partOf(state),
                 connectMilliseconds,
                 descriptors,
             }),
@@ -100,6 +129,7 @@
             warmupEndsAt: clock.now() + target.warmupMilliseconds,
             gone: false,
         };
+        return state;
     };
 
     const remove = (state: TargetState): void => {
@@ -134,7 +164,8 @@
     return {
         ofPool: name => [...states.values()].filter(state => state.target.pool === name),
         get: name => states.get(name),
-        maxConnections: state => shareOf(state.target, hostCount()),
+        maxConnections,
+        applyLimits: () => states.forEach(({ link }) => link.applyLimit()),
         recordFailure: state => {
             state.failureShare += (1 - state.failureShare) * failureWeight;
         },
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -93,6 +93,7 @@
         recordConnectFailure: ({ target: { name } }) => unreachable.push(name),
         block: () => undefined,
         maxConnections: () => 4,
+        applyLimits: () => undefined,
     };
     const ownerships = createOwnershipCache(clock, silentLog, signal);
     const table = tableOf(kind, ownsKeys);
--- a/test/machines/resident/lonehost.ts
+++ b/test/machines/resident/lonehost.ts
@@ -48,7 +48,8 @@
     const views = createTargetStates({
         registry,
         findPool: name => tables.current()?.table.pools.get(name),
-        hostCount: () => 1,
+        sharingHosts: () => ({ count: 1, place: 0, isSettled: true }),
+        requestsOfOthers: () => undefined,
         recordOwnRequests: () => undefined,
         descriptors,
         ...common,
