--- a/test/machines/resident/targetconnections.test.ts
+++ b/test/machines/resident/targetconnections.test.ts
@@ -32,7 +32,8 @@
     const states = createTargetStates({
         registry,
         findPool: () => undefined,
-        hostCount: () => 1,
+        sharingHosts: () => ({ count: 1, place: 0, isSettled: true }),
+        requestsOfOthers: () => undefined,
         recordOwnRequests: () => undefined,
         descriptors,
         ...common,
