Wait for an address until a stop, whatever its code

Operators saw exit 1 after the grace (6.2 s) where a port was held by an outgoing connection of the machine or by a frozen former process, and exit 1 at once where an address was refused with another code. Each restart found the same and ended again, which counts as processes that end by themselves.

The table held ends that a restart does not mend. Now a process ends by itself only where a new process may do better: an error without a code, a fault of the program. Every code is waited for until a stop, with a line per code every 30 s, at most eight; `changes` tells that codes alternate. The pause between attempts grows to a second in a long wait.

--- a/src/links/listening.ts
+++ b/src/links/listening.ts
@@ -1,10 +1,10 @@
 /**
- * Opens an address on which a host listens. Another process may hold it for a moment: the former process of the host
- * while it stops, or one whose outgoing connection was given the port. A machine may also get the address later.
+ * Opens an address on which a host listens. Another process may hold it: the former process of the host while it stops or
+ * is frozen, or one whose outgoing connection was given the port. A machine may also get the address later.
  */
 import type { Clock } from "../contracts/clock.ts";
 import { messageOf } from "../contracts/errors.ts";
-import { codeOf, startWaitOf } from "../decisions/startwait.ts";
+import { addressWaitEventOf, codeOf, createWaitNotices } from "../decisions/startwait.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
 
@@ -12,8 +12,6 @@
 export type ListeningAddress = { name: string; address: string };
 
 export type ListeningOptions = {
-    /** How long to try while the address is in use. */
-    waitMilliseconds: number;
     clock: Clock;
     log: Log;
     /** `start-waiting` is 1 while an address is waited for. */
@@ -22,23 +20,25 @@
     signal: AbortSignal;
 };
 
-const retryMilliseconds = 100;
+/** The pause between attempts grows with the wait, so that an address is taken up to a hundredth of it late. */
+const pauses = { shortestMilliseconds: 100, longestMilliseconds: 1_000, partOfWait: 0.01 };
 
-/** A wait that goes on is logged again after this time. */
-const noticeMilliseconds = 30_000;
+const pauseAfter = (waitedMilliseconds: number): number =>
+    Math.min(pauses.longestMilliseconds, Math.max(pauses.shortestMilliseconds, waitedMilliseconds * pauses.partOfWait));
 
 /**
- * Calls `open` until it succeeds. Rejects with its error when that is one to end at (`decisions/startwait.ts`), when the
- * address was in use for `waitMilliseconds`, or when the signal aborts.
+ * Calls `open` until it succeeds. Rejects with its error when that is one to end at (`decisions/startwait.ts`) or when the
+ * signal aborts.
  */
 export const listenWithRetries = async <Endpoint>(
     { name, address }: ListeningAddress,
     open: () => Promise<Endpoint>,
-    { waitMilliseconds, clock, log, metrics, signal }: ListeningOptions,
+    { clock, log, metrics, signal }: ListeningOptions,
 ): Promise<Endpoint> => {
-    let cause: string | undefined;
-    let since = clock.now();
-    let noticedAt = -Infinity;
+    const notices = createWaitNotices();
+    const startedAt = clock.now();
+    let lastCode: string | undefined;
+    let changes = 0;
     const reportWaiting = (isWaiting: boolean): void =>
         metrics.gauge("start-waiting", Number(isWaiting), { for: name });
     reportWaiting(false);
@@ -49,25 +49,20 @@
             return endpoint;
         }
         catch (error) {
-            const wait = startWaitOf(error);
-            const now = clock.now();
-            if (codeOf(error) !== cause) {
-                cause = codeOf(error);
-                since = now;
-                noticedAt = -Infinity;
-            }
-            const isOver = wait?.lasts === "grace" && now - since >= waitMilliseconds;
-            if (wait === undefined || isOver || signal.aborted) {
+            const event = addressWaitEventOf(error);
+            if (event === undefined || signal.aborted) {
                 throw error;
             }
             reportWaiting(true);
-            if (now - noticedAt >= noticeMilliseconds) {
-                noticedAt = now;
-                const afterMilliseconds = Math.round(now - since);
-                const until = wait.lasts === "grace" ? { waitMilliseconds } : {};
-                log.warn(wait.event, { for: name, address, afterMilliseconds, ...until, error: messageOf(error) });
+            const code = codeOf(error) ?? "";
+            changes += Number(lastCode !== undefined && lastCode !== code);
+            lastCode = code;
+            const waitedMilliseconds = clock.now() - startedAt;
+            if (notices.isDue(code, clock.now())) {
+                const afterMilliseconds = Math.round(waitedMilliseconds);
+                log.warn(event, { for: name, address, code, afterMilliseconds, changes, error: messageOf(error) });
             }
-            await clock.sleep(retryMilliseconds, signal);
+            await clock.sleep(pauseAfter(waitedMilliseconds), signal);
         }
     }
 };
--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -7,7 +7,7 @@
 import { InputError, messageOf } from "../contracts/errors.ts";
 import { describeFinding } from "../contracts/finding.ts";
 import { type ResidentSettings, residentSettingsSchema } from "../contracts/residentsettings.ts";
-import { startWaitOf } from "../decisions/startwait.ts";
+import { isShortage } from "../decisions/startwait.ts";
 import type { Log } from "./logs.ts";
 import { checkYaml } from "./yaml.ts";
 
@@ -16,9 +16,6 @@
 
 const readFileText: ReadFile = file => readFileSync(file, "utf8");
 
-/** Whether a file could not be opened for want of descriptors or memory, which tells nothing of the file. */
-const isShortage = (error: unknown): boolean => startWaitOf(error)?.lasts === "until-stopped";
-
 const readText = (file: string, readFile: ReadFile): string => {
     try {
         return readFile(file);
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -63,7 +63,7 @@
     metrics: Metrics;
     /** Returns all metrics as text. */
     metricsText: () => string;
-    /** Ends the wait for addresses that are still in use, when it aborts while the host starts. */
+    /** Ends the wait for addresses that can not be opened yet, when it aborts while the host starts. */
     startSignal: AbortSignal;
 };
 
@@ -98,7 +98,7 @@
 /** Each host stays below the retry ratio that all share by this factor, since hosts see different parts of the load. */
 const retryRatioFactor = 0.85;
 
-/** Starts the host. Resolves when it accepts requests. Rejects when one of its addresses cannot be opened. */
+/** Starts the host. Resolves when it accepts requests. Rejects when the start signal aborts. */
 export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
     const { settings, store, objects, descriptors, clock, metrics, random } = options;
     const { zone, processor: { share, speed } } = settings.host;
@@ -359,8 +359,7 @@
 
     const limitOf = (part: DescriptorPart) => (server: Server, isIdle?: (socket: Socket) => boolean): void =>
         limitConnections(server, { part, descriptors, clock }, isIdle);
-    /** The former process of this host ends within its grace. */
-    const listening = { waitMilliseconds: settings.stopping.grace, clock, log, metrics, signal: options.startSignal };
+    const listening = { clock, log, metrics, signal: options.startSignal };
     const [callersHost, callersPort] = settings.callers.listen.split(":");
     const openCallers = () =>
         createCallerLink<ResidentRequest>({
