Wait for valid settings until a stop

Operators saw exit 1 after 2 s where the settings file was absent, empty or cut for longer; each restart found the same file and ended the same way.

A process that waits takes the corrected file by itself, so nothing is won by an end, also where the settings can never be valid: they are now read until they are valid or a stop comes, with a pause that grows from 100 ms to a second.

--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -7,7 +7,7 @@
 import { InputError, messageOf } from "../contracts/errors.ts";
 import { describeFinding } from "../contracts/finding.ts";
 import { type ResidentSettings, residentSettingsSchema } from "../contracts/residentsettings.ts";
-import { isShortage } from "../decisions/startwait.ts";
+import { createWaitNotices, isShortage } from "../decisions/startwait.ts";
 import type { Log } from "./logs.ts";
 import { checkYaml } from "./yaml.ts";
 
@@ -40,39 +40,40 @@
     return value;
 };
 
-const startRetryMilliseconds = 100;
+export type SettingsWaitOptions = {
+    clock: Clock;
+    /** Ends the wait. */
+    signal: AbortSignal;
+    /** Gets each new finding, and again while it lasts. */
+    onWait?: (finding: string, afterMilliseconds: number) => void;
+    read?: (file: string) => ResidentSettings;
+};
+
+/** Pauses between the reads of a start: a file that is being replaced is soon complete, others take an operator. */
+const startPauses = { firstMilliseconds: 100, factor: 1.5, maxMilliseconds: 1_000 };
 
 /**
- * Reads the settings at the start of a process. The file may be missing, empty or half written while it is replaced, so
- * an error counts only when it lasts for `waitMilliseconds`, and one for want of descriptors never. Resolves to undefined
- * when the signal aborts before. `onWait` gets each new finding.
+ * Reads the settings at the start of a process until they are valid. The file may be missing, empty, half written or wrong,
+ * which a restart would find as well. Resolves to undefined when the signal aborts before.
  */
 export const awaitResidentSettings = async (
     file: string,
-    waitMilliseconds: number,
-    clock: Clock,
-    signal: AbortSignal,
-    onWait: (finding: string) => void = () => undefined,
-    read: (file: string) => ResidentSettings = readResidentSettings,
+    { clock, signal, onWait, read = readResidentSettings }: SettingsWaitOptions,
 ): Promise<ResidentSettings | undefined> => {
-    let endsAt = clock.now() + waitMilliseconds;
-    let lastFinding: string | undefined;
+    const notices = createWaitNotices();
+    const startedAt = clock.now();
+    let pauseMilliseconds = startPauses.firstMilliseconds;
     while (!signal.aborted) {
         try {
             return read(file);
         }
         catch (error) {
-            if (isShortage(error)) {
-                endsAt = clock.now() + waitMilliseconds;
-            }
-            else if (clock.now() >= endsAt) {
-                throw error;
-            }
-            if (messageOf(error) !== lastFinding) {
-                lastFinding = messageOf(error);
-                onWait(lastFinding);
+            const finding = messageOf(error);
+            if (notices.isDue(finding, clock.now())) {
+                onWait?.(finding, Math.round(clock.now() - startedAt));
             }
-            await clock.sleep(startRetryMilliseconds, signal);
+            await clock.sleep(pauseMilliseconds, signal);
+            pauseMilliseconds = Math.min(startPauses.maxMilliseconds, pauseMilliseconds * startPauses.factor);
         }
     }
     return undefined;
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -5,9 +5,11 @@
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { InputError } from "../../src/contracts/errors.ts";
+import type { ResidentSettings } from "../../src/contracts/residentsettings.ts";
 import type { Log } from "../../src/links/logs.ts";
 import { silentLog } from "../../src/links/logs.ts";
-import { readResidentSettings, watchSettings } from "../../src/links/residentsettings.ts";
+import { awaitResidentSettings, readResidentSettings, watchSettings } from "../../src/links/residentsettings.ts";
 import { createVirtualClock } from "../machines/fakes/clock.ts";
 
 const valid = `
@@ -110,3 +112,47 @@
     t.deepEqual(events, ["settings-refused", "settings-read stopping"]);
     lifetime.abort();
 });
+
+const systemError = (code: string): Error => Object.assign(new Error(code), { code });
+const finding = (): Error => new InputError("host: expected object");
+
+/** Each is readable after the time, unless a stop comes before. One finding is told in each 30 s, and a new one at once. */
+const waits = [
+    { title: "no descriptors", error: () => systemError("EMFILE"), validAfter: Infinity, told: 3 },
+    { title: "findings", error: finding, validAfter: 1_000, told: 1 },
+    { title: "findings", error: finding, validAfter: 75_000, told: 3 },
+    { title: "findings", error: finding, validAfter: Infinity, told: 3 },
+    {
+        title: "two findings in turn",
+        error: (read: number) => new InputError(read % 2 === 0 ? "empty" : "cut"),
+        validAfter: 75_000,
+        told: 6,
+    },
+    { title: "ever new findings", error: (read: number) => new InputError(`${read}`), validAfter: 75_000, told: 24 },
+];
+
+for (const { title, error, validAfter, told } of waits) {
+    test(`settings that cannot be read for ${title} are waited for, valid after ${validAfter} ms`, async t => {
+        const clock = createVirtualClock();
+        const stop = new AbortController();
+        const validAt = clock.now() + validAfter;
+        const settings = readResidentSettings(fileWith(valid));
+        const findings: string[] = [];
+        let reads = 0;
+        const read = (): ResidentSettings => {
+            reads += 1;
+            if (clock.now() < validAt) {
+                throw error(reads);
+            }
+            return settings;
+        };
+        const onWait = (text: string): void => void findings.push(text);
+        const outcome = awaitResidentSettings("settings.yaml", { clock, signal: stop.signal, onWait, read });
+        await clock.advance(76_500);
+        stop.abort();
+        await clock.advance(1_000);
+        t.is(await outcome, validAfter === Infinity ? undefined : settings);
+        t.is(findings.length, told);
+        t.true(reads < 90, `${reads} reads`);
+    });
+}
