Write large answers without a length in chunks, and confirm their end

The answer had no length, so it was passed on without one and ended with the caller's connection, which the system closes in the ordinary way for a killed process.

A streamed answer without a length, one over 1 MiB, is now written in chunks to callers of HTTP/1.1: without the last chunk they see that it broke off. Callers of HTTP/1.0 get no chunks: for them the answer ends with the connection as before, or with a reset where the end was not confirmed. Shorter answers are written at once as before, and pools without a health path keep the old way.

--- a/src/contracts/resident.ts
+++ b/src/contracts/resident.ts
@@ -62,6 +62,10 @@
     readAnswer: (statusCode: number, headers: IncomingHttpHeaders) => TargetAnswer;
     /** Builds the headers of the answer to the caller from those of the target's answer. */
     buildAnswerHeaders: (headers: IncomingHttpHeaders) => Record<string, string | string[]>;
+    /** Builds the headers of a call that asks the target for a sign of life, as alternating names and values. */
+    buildCheckHeaders: (target: RegisteredTarget) => string[];
+    /** Whether an answer to that call comes from the target, whatever it says of its health. */
+    isAnswerOf: (target: RegisteredTarget, statusCode: number, headers: IncomingHttpHeaders) => boolean;
 };
 
 /**
--- a/src/contracts/routing.ts
+++ b/src/contracts/routing.ts
@@ -34,6 +34,8 @@
     maxConnections: number;
     /** Whether each key has one owner, which the pool's ownership object names. */
     isSharded: boolean;
+    /** Path at which its targets answer without work; undefined if there is none. */
+    healthPath?: string | undefined;
     /** Time for which a target serves keys slowly after it received them without their former owner's state. */
     coldKeysMilliseconds: number;
 };
--- a/src/links/answerwriter.ts
+++ b/src/links/answerwriter.ts
@@ -68,7 +68,11 @@
     },
     writeAnswer: (due, id, answer) => {
         const { response, connection } = due;
-        const { headers, body, endsWithConnection = false } = answer;
+        const { headers, body } = answer;
+        const isWritten = body === undefined || Buffer.isBuffer(body);
+        // A caller of HTTP/1.0 reads no chunks.
+        const lacksEnd = !isWritten && headers["content-length"] === undefined && response.req.httpVersion === "1.0";
+        const endsWithConnection = answer.endsWithConnection === true || lacksEnd;
         protocol.addAnswerHeaders(headers, id);
         if (endsWithConnection || (!keepsAlive() && connection.isLast(due))) {
             headers["connection"] = "close";
@@ -79,7 +83,7 @@
             connection.nameEnd("answer-without-length");
         }
         response.writeHead(answer.statusCode, headers);
-        if (body === undefined || Buffer.isBuffer(body)) {
+        if (isWritten) {
             response.end(body);
             return true;
         }
--- a/src/links/calleranswers.ts
+++ b/src/links/calleranswers.ts
@@ -31,8 +31,8 @@
         headers: Record<string, string | string[]>;
         body: Buffer | undefined | AnswerStream;
         /**
-         * Whether only the close of the connection ends the answer, since the target sent no length. It is written to
-         * the caller in the same way, since nobody can tell whether it is whole.
+         * Whether only the close of the connection ends the answer, since the target sent no length and cannot tell
+         * whether it was whole. It is written to the caller in the same way.
          */
         endsWithConnection?: boolean;
     }
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -43,6 +43,11 @@
     onNotice: (notice: TargetNotice, sentAt: number) => void;
     /** Called with a function that ends the send as timed out, since the host stops. Returns how to forget it. */
     registerStop: (stopSend: () => void) => () => void;
+    /**
+     * Resolves to whether the target still runs, so that the end of its connection was the end of an answer without a
+     * length. Undefined if it cannot be asked.
+     */
+    confirmEnd?: (() => Promise<boolean>) | undefined;
     clock: Clock;
 };
 
@@ -60,18 +65,20 @@
 
 /**
  * Builds the answer for the caller. Where the end of the target's answer was certain, the answer has a content length;
- * otherwise it ends with the connection.
+ * otherwise it ends with the connection, except for a stream of which the target will confirm the end: its bytes are
+ * written in chunks, so that the caller sees it if this host ends midway.
  */
 const createAnswer = (
     request: ResidentRequest,
     head: { statusCode: number; headers: IncomingHttpHeaders },
     headers: Record<string, string | string[]>,
     body: Buffer | undefined | AnswerStream,
+    confirmsEnd: boolean,
 ): CallerAnswer & { kind: "answer" } => {
     const { statusCode } = head;
     const isBuffered = body === undefined || Buffer.isBuffer(body);
     const hasBody = request.method !== "HEAD" && statusCode !== 204 && statusCode !== 304;
-    if (!hasKnownEnd(request.method, statusCode, head.headers)) {
+    if (!hasKnownEnd(request.method, statusCode, head.headers) && (isBuffered || !confirmsEnd)) {
         return { kind: "answer", statusCode, headers, body, endsWithConnection: true };
     }
     if (isBuffered && hasBody) {
@@ -127,7 +134,8 @@
                 if (head === undefined) {
                     throw new Error("The body of the answer arrived before its head.");
                 }
-                const answer = createAnswer(request, head, protocol.buildAnswerHeaders(head.headers), body);
+                const headers = protocol.buildAnswerHeaders(head.headers);
+                const answer = createAnswer(request, head, headers, body, options.confirmEnd !== undefined);
                 settle({ kind: "answered", answer, workMilliseconds });
             },
         });
@@ -169,6 +177,19 @@
             head = { statusCode, headers };
         };
 
+        /** Ends the body, after the target has confirmed the end of a stream that may have been cut short. */
+        const endBody = (): void => {
+            const isCertain = head === undefined || hasKnownEnd(request.method, head.statusCode, head.headers);
+            if (isCertain || !collector.isStreaming() || options.confirmEnd === undefined) {
+                collector.onEnd();
+                return;
+            }
+            options.confirmEnd().then(
+                isConfirmed => isConfirmed ? collector.onEnd() : collector.onFailure(),
+                () => collector.onFailure(),
+            );
+        };
+
         const failWith = (
             reason: Reason,
             detail: string,
@@ -218,7 +239,7 @@
                     return;
                 }
                 finish(clock.now() - sentAt);
-                collector.onEnd();
+                endBody();
             },
             onFailure: (failedStage, error) => {
                 const streaming = collector.onFailure();
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -18,6 +18,7 @@
 import type { OwnershipCache } from "./ownershipcache.ts";
 import { createRefusal, refuse, type RequestContext } from "./requestcontext.ts";
 import type { RouteTableHolder } from "./routetableholder.ts";
+import { askForLife } from "./signoflife.ts";
 import type { Suspicions } from "./suspicions.ts";
 import { createTargetChooser, shedBlockMilliseconds } from "./targetchooser.ts";
 import type { TargetLimits } from "./targetlimits.ts";
@@ -170,8 +171,23 @@
         return verdict !== "no";
     };
 
+    /** Resolves to whether the target still runs after an answer that ended with its connection. */
+    const confirmEnd = async (
+        { request, pool }: RequestContext,
+        targetState: TargetState,
+        healthPath: string,
+    ): Promise<boolean> => {
+        const isConfirmed = await askForLife({ targetState, protocol: options.protocol, healthPath, clock });
+        metrics.count("ends-checked", { pool: pool.name, result: isConfirmed ? "confirmed" : "doubtful" });
+        if (!isConfirmed) {
+            log.warn("end-doubtful", { request: request.id, pool: pool.name, target: targetState.target.name });
+        }
+        return isConfirmed;
+    };
+
     const send = async (context: RequestContext, targetState: TargetState): Promise<AttemptResult> => {
         const { request, route, pool } = context;
+        const { healthPath } = pool;
         context.sends += 1;
         const attempt = await sendOnce({
             request,
@@ -185,6 +201,9 @@
             mayStart: () => !targetState.gone && !targetState.target.leaving && targetState.pausedUntil <= clock.now(),
             abortOnHangUp: route.kind === routeKinds.idempotent,
             onNotice: (notice, sentAt) => options.notices.record(targetState, notice, sentAt),
+            confirmEnd: healthPath === undefined
+                ? undefined
+                : () => confirmEnd(context, targetState, healthPath),
             clock,
         });
         if (attempt.kind === "answered" || !attempt.notRun) {
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -55,6 +55,8 @@
         notice: undefined,
     }),
     buildAnswerHeaders: () => ({}),
+    buildCheckHeaders: () => [],
+    isAnswerOf: () => true,
 };
 
 const setUp = (kind: "idempotent" | "once", ownsKeys: boolean, limits = noLimits, limit?: number) => {
--- /dev/null
+++ b/test/machines/resident/lengthless.test.ts
@@ -0,0 +1,129 @@
+/**
+ * Large answers that have no length and end with the target's connection. Guards against a part of one that looks whole,
+ * since the target crashed or this host was killed.
+ */
+import test from "ava";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { headOf } from "../../rawtarget.ts";
+import { startHost } from "./lonehost.ts";
+
+const bodyBytes = 2_097_152;
+const body = Buffer.alloc(bodyBytes, "x");
+
+type HealthAnswer = (socket: Socket) => void;
+
+const answersAs = (id: string, statusLine = "200 OK"): HealthAnswer => socket =>
+    socket.write(`HTTP/1.1 ${statusLine}\r\ninstance-id: ${id}\r\ncontent-length: 0\r\n\r\n`);
+
+/** Starts a target that sends the body without a length; undefined for one that is gone when it has ended it. */
+const startTarget = async (answerHealth: HealthAnswer | undefined) => {
+    let healthCalls = 0;
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", (data: Buffer) => {
+            const text = data.toString("latin1");
+            if (text.startsWith("GET /health ")) {
+                healthCalls += 1;
+                answerHealth?.(socket);
+                return;
+            }
+            const id = /request-id: ([^\r\n]+)/.exec(text)?.[1] ?? "";
+            socket.write(headOf(id, "response-signature: s"));
+            if (answerHealth === undefined) {
+                server.close();
+            }
+            socket.end(body);
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        healthCalls: () => healthCalls,
+        close: () => {
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+        },
+    };
+};
+
+type Received = { head: string; bytes: number; lastChunk: boolean; end: "ended" | "reset" };
+
+/** Sends a request and reads until the connection ends or the last chunk has come. */
+const ask = (address: string, version: string): Promise<Received> =>
+    new Promise(resolve => {
+        const [host, port] = address.split(":");
+        const parts: Buffer[] = [];
+        const socket = connect(Number(port), host, () => {
+            socket.write(`GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`);
+        });
+        const finish = (end: Received["end"]): void => {
+            const received = Buffer.concat(parts).toString("latin1");
+            const split = received.indexOf("\r\n\r\n");
+            const lastChunk = received.endsWith("\r\n0\r\n\r\n");
+            resolve({
+                head: received.slice(0, split).toLowerCase(),
+                bytes: received.split("x").length - 1,
+                lastChunk,
+                end,
+            });
+            socket.destroy();
+        };
+        socket.on("data", (part: Buffer) => {
+            parts.push(part);
+            if (part.subarray(-5).toString("latin1") === "0\r\n\r\n") {
+                finish("ended");
+            }
+        });
+        socket.on("end", () => finish("ended"));
+        socket.on("error", () => finish("reset"));
+    });
+
+type Case = { title: string; answerHealth: HealthAnswer | undefined; isWhole: boolean };
+
+const cases: Case[] = [
+    { title: "a target that still runs", answerHealth: answersAs("i-1"), isWhole: true },
+    {
+        title: "a target that still runs, and is full",
+        answerHealth: answersAs("i-1", "503 Service Unavailable"),
+        isWhole: true,
+    },
+    { title: "a target that has ended", answerHealth: undefined, isWhole: false },
+    { title: "a target that is silent", answerHealth: () => undefined, isWhole: false },
+    { title: "an address that has another target", answerHealth: answersAs("i-2"), isWhole: false },
+    {
+        title: "an address that has a target which names itself not",
+        answerHealth: socket => socket.write("HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n"),
+        isWhole: false,
+    },
+];
+
+for (const { title, answerHealth, isWhole } of cases) {
+    for (const version of ["1.1", "1.0"]) {
+        test(`a large answer without a length of ${title}, to a caller of HTTP/${version}, ${isWhole ? "is whole" : "breaks off"}`, async t => {
+            const target = await startTarget(answerHealth);
+            const host = await startHost({
+                addresses: [target.address],
+                timeoutMilliseconds: 3_000,
+                healthPath: "/health",
+            });
+            t.teardown(target.close);
+            t.teardown(host.close);
+            const { head, bytes, lastChunk, end } = await ask(host.link.address, version);
+            t.regex(head, /^http\/1.1 200 /);
+            const isChunked = version === "1.1";
+            t.is(head.includes("transfer-encoding: chunked"), isChunked);
+            t.is(lastChunk, isChunked && isWhole);
+            t.false(head.includes("content-length"));
+            if (isWhole) {
+                t.is(bytes, bodyBytes);
+                t.is(end, "ended");
+            }
+            else if (!isChunked) {
+                t.is(end, "reset");
+            }
+            t.is(target.healthCalls(), answerHealth === undefined ? 0 : 1);
+        });
+    }
+}
--- a/test/machines/resident/lonehost.ts
+++ b/test/machines/resident/lonehost.ts
@@ -23,11 +23,13 @@
     timeoutMilliseconds: number;
     maxAttempts?: number;
     descriptors?: Descriptors;
+    /** Path of the targets' health check; none by default. */
+    healthPath?: string;
 };
 
 /** Starts a host without a store, whose only pool has these targets. */
 export const startHost = async (
-    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1, descriptors }: HostOptions,
+    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1, descriptors, healthPath }: HostOptions,
 ) => {
     const lifetime = new AbortController();
     const common = { clock: systemClock, log: silentLog, signal: lifetime.signal };
@@ -42,7 +44,12 @@
         maxAttempts,
     };
     const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeout: "3s", idleTimeout: "15s" };
-    const spec = { version: "r1", routes: { r: route }, services: { orders: { maxConnections: 100 } }, limits };
+    const spec = {
+        version: "r1",
+        routes: { r: route },
+        services: { orders: { maxConnections: 100, healthPath } },
+        limits,
+    };
     tables.put({ name: "main", revision: 1, value: spec });
     const registry = createTargetRegistry({ decode: platformObjects.decodeTarget, reachableSince: () => 0, ...common });
     const views = createTargetStates({
