Log the path and the caller of requests under which targets ended

The line now has the first 200 characters of the path, the caller's address and the length of the body.

--- a/src/machines/resident/suspicions.ts
+++ b/src/machines/resident/suspicions.ts
@@ -51,6 +51,7 @@
  * Connections also break without a crash, and a request that is sent again may meet the one that crashes targets twice.
  */
 const crashesUntilQuarantine = 3;
+const maxLoggedPath = 200;
 /** Time for which hosts keep in mind that a crash was withdrawn. */
 const refutationMilliseconds = 20_000;
 /**
@@ -129,7 +130,15 @@
             const isAlive = (): Promise<boolean> => answered;
             for (const content of contentsOf(request)) {
                 const fingerprint = quarantines.recordConnectionLost(content, { name, incarnation, isAlive });
-                log.info("crash-suspected", { request: request.id, fingerprint, target: name, incarnation });
+                log.info("crash-suspected", {
+                    request: request.id,
+                    fingerprint,
+                    target: name,
+                    incarnation,
+                    caller: request.callerAddress,
+                    path: request.path.slice(0, maxLoggedPath),
+                    bodyBytes: request.body?.length ?? 0,
+                });
             }
         },
         recordAnswered: request => contentsOf(request).forEach(quarantines.recordAnswered),
