--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -48,16 +48,11 @@
     ageMilliseconds: number;
     /** Number of crashes from which on a request is refused; 2 by default. */
     crashesUntilQuarantine?: number | undefined;
-    /**
-     * Returns what the contents of requests have in common that are alike but for their bodies; undefined for none. Where
-     * one of them is refused, the others are from their first crash on.
-     */
-    familyOf?: (fingerprint: string) => string | undefined;
 };
 
 /** Creates an empty quarantine. */
 export const createQuarantine = (
-    { ageMilliseconds, crashesUntilQuarantine = 2, familyOf = () => undefined }: QuarantineOptions,
+    { ageMilliseconds, crashesUntilQuarantine = 2 }: QuarantineOptions,
 ): Quarantine => {
     const suspects = new Map<string, Suspect>();
 
@@ -95,15 +90,6 @@
         return countOf(crashes.filter(({ id }) => !explained.has(id))) >= crashesUntilQuarantine;
     };
 
-    /** Whether another request of the family has enough crashes. */
-    const hasBadRelative = ({ fingerprint }: Suspect, now: number): boolean => {
-        const family = familyOf(fingerprint);
-        return family !== undefined
-            && [...suspects.values()].some(other =>
-                familyOf(other.fingerprint) === family && prune(other, now) && hasEnough(other)
-            );
-    };
-
     /** Evicts the oldest suspect that is not quarantined; if all are, the oldest one. */
     const evictOne = (): void => {
         for (const suspect of suspects.values()) {
@@ -145,7 +131,7 @@
         isSuspect: (fingerprint, now) => find(fingerprint, now) !== undefined,
         isQuarantined: (fingerprint, now) => {
             const suspect = find(fingerprint, now);
-            return suspect !== undefined && (hasEnough(suspect) || hasBadRelative(suspect, now));
+            return suspect !== undefined && hasEnough(suspect);
         },
         list: now => [...suspects.values()].filter(suspect => prune(suspect, now)),
     };
--- a/src/machines/quarantines.ts
+++ b/src/machines/quarantines.ts
@@ -77,8 +77,6 @@
      * same time are served again when some targets ended under them by chance. False by default.
      */
     answersLift?: boolean;
-    /** Whether requests of one caller for one path are related, whatever their bodies. False by default. */
-    relatesBodies?: boolean;
     clock: Clock;
     log: Log;
     metrics: Metrics;
@@ -108,26 +106,19 @@
     },
 });
 
-const familyLength = 12;
-const bodyHashLength = 12;
-
-const hashOf = (length: number, ...parts: Array<string | Buffer>): string => {
+/** Hash of what the request asks for. It is the same on all hosts and for every attempt. */
+const fingerprintOf = (request: RequestContent): string => {
     const hash = createHash("sha256");
-    parts.forEach(part => hash.update(part));
-    return hash.digest("base64url").slice(0, length);
+    hash.update(`${request.pool}\n${request.method}\n${request.path}\n${request.key ?? ""}\n`);
+    if (request.caller !== undefined) {
+        hash.update(`caller ${request.caller}\n`);
+    }
+    if (request.body !== undefined) {
+        hash.update(request.body);
+    }
+    return hash.digest("base64url").slice(0, 24);
 };
 
-/**
- * Hash of what the request asks for. It is the same on all hosts and for every attempt. The first part is that of
- * everything but the body.
- */
-const fingerprintOf = ({ pool, method, path, key, caller, body }: RequestContent): string => {
-    const head = `${pool}\n${method}\n${path}\n${key ?? ""}\n${caller === undefined ? "" : `caller ${caller}\n`}`;
-    return hashOf(familyLength, head) + hashOf(bodyHashLength, head, body ?? "");
-};
-
-const familyOf = (fingerprint: string): string => fingerprint.slice(0, familyLength);
-
 /** Identifies a crash on all hosts. */
 const crashIdOf = (pool: string, { name, incarnation }: TargetIncarnation): string => `${pool}/${name}#${incarnation}`;
 
@@ -141,11 +132,7 @@
 export const createQuarantines = (options: QuarantinesOptions): Quarantines => {
     const { channel, clock, log, metrics } = options;
     const { ageMilliseconds, crashesUntilQuarantine } = options;
-    const quarantine = createQuarantine({
-        ageMilliseconds,
-        crashesUntilQuarantine,
-        ...(options.relatesBodies === true ? { familyOf } : {}),
-    });
+    const quarantine = createQuarantine({ ageMilliseconds, crashesUntilQuarantine });
     let suspectCount = 0;
 
     const recount = (): void => {
--- a/src/machines/resident/suspicions.ts
+++ b/src/machines/resident/suspicions.ts
@@ -98,7 +98,6 @@
         ageMilliseconds: suspicionMilliseconds,
         crashesUntilQuarantine,
         answersLift: true,
-        relatesBodies: true,
         clock,
         log,
         metrics,
