Refuse a request after two crashes under which three callers' requests ran

Copies of it run on one target at a time: 1 at the first crash (16.4 s), 4 at the second (19.9 s), 5 at the third (23.3 s). Hosts counted targets, so two.

Two crashes now are enough where at least three requests ran under them and no caller had one under both. Requests that a single caller repeats, and sound ones that run beside those, are counted as before. Crashes of one caller that are enough to refuse it count against others only if others ran under two of them, for the same reason.

--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -72,22 +72,30 @@
 
     const countOf = (crashes: readonly Crash[]): number => new Set(crashes.map(({ id }) => id)).size;
 
+    /** Returns the crashes of the sender whose requests ran under the most of them. */
+    const crashesOfMainSender = (crashes: readonly RecordedCrash[]): RecordedCrash[] =>
+        [...new Set(crashes.map(({ sender }) => sender))]
+            .filter(sender => sender !== undefined)
+            .map(sender => crashes.filter(crash => crash.sender === sender))
+            .sort((left, right) => countOf(right) - countOf(left))[0] ?? [];
+
     /**
-     * Whether enough crashes count. Those of one sender that are enough by themselves are put down to that sender's
-     * requests, so that they do not count against what others ask for.
+     * Whether the request is refused for its crashes. Those of one sender that are enough by themselves are put down to
+     * that sender's requests: they do not count against others, unless others ran under nearly as many. Where no sender
+     * had a request under all crashes, one crash less is enough if as many requests ran under them, since copies of a
+     * request that is sent by many arrive at a target together.
      */
     const hasEnough = ({ crashes }: Suspect): boolean => {
-        if (countOf(crashes) < crashesUntilQuarantine) {
-            return false;
+        const needed = crashesUntilQuarantine;
+        const count = countOf(crashes);
+        const ofMain = crashesOfMainSender(crashes);
+        if (ofMain.length === 0) {
+            return count >= needed;
+        }
+        if (countOf(ofMain) >= needed) {
+            return countOf(crashes.filter(({ sender }) => sender !== ofMain[0].sender)) >= needed - 1;
         }
-        const explained = new Set(
-            [...new Set(crashes.map(({ sender }) => sender))]
-                .filter(sender => sender !== undefined)
-                .map(sender => crashes.filter(crash => crash.sender === sender))
-                .filter(ofSender => countOf(ofSender) >= crashesUntilQuarantine)
-                .flatMap(ofSender => ofSender.map(({ id }) => id)),
-        );
-        return countOf(crashes.filter(({ id }) => !explained.has(id))) >= crashesUntilQuarantine;
+        return count >= needed || (count === needed - 1 && countOf(ofMain) < count && crashes.length >= needed);
     };
 
     /** Evicts the oldest suspect that is not quarantined; if all are, the oldest one. */
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -306,4 +306,18 @@
         }
         t.true(hosts.every(host => host.refuses("/poison", "10.9.0.9")));
     });
+
+    test(`all of ${hostCount} hosts refuse a request after its second crash if three callers' requests ran under the two, whoever asks`, async t => {
+        const setup = setUp(hostCount, zoneCount);
+        const { clock, hosts } = setup;
+        await clock.advance(3_000);
+        hosts[0].crash("/poison", "a", "10.9.0.1");
+        await clock.advance(400);
+        hosts[0].crash("/poison", "b", "10.9.0.2");
+        await clock.advance(100);
+        t.false(hosts.some(host => host.refuses("/poison", "10.9.0.9")), "two runs may have another cause");
+        hosts[1].crash("/poison", "b", "10.9.0.3");
+        await clock.advance(100);
+        t.true(hosts.every(host => host.refuses("/poison", "10.9.0.9")));
+    });
 }
