--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -48,16 +48,11 @@
     ageMilliseconds: number;
     /** Number of crashes from which on a request is refused; 2 by default. */
     crashesUntilQuarantine?: number | undefined;
-    /**
-     * Returns what the contents of requests have in common that are alike but for their bodies; undefined for none. Where
-     * one of them is refused, the others are from their first crash on.
-     */
-    familyOf?: (fingerprint: string) => string | undefined;
 };
 
 /** Creates an empty quarantine. */
 export const createQuarantine = (
-    { ageMilliseconds, crashesUntilQuarantine = 2, familyOf = () => undefined }: QuarantineOptions,
+    { ageMilliseconds, crashesUntilQuarantine = 2 }: QuarantineOptions,
 ): Quarantine => {
     const suspects = new Map<string, Suspect>();
 
@@ -77,31 +72,30 @@
 
     const countOf = (crashes: readonly Crash[]): number => new Set(crashes.map(({ id }) => id)).size;
 
+    /** Returns the crashes of the sender whose requests ran under the most of them. */
+    const crashesOfMainSender = (crashes: readonly RecordedCrash[]): RecordedCrash[] =>
+        [...new Set(crashes.map(({ sender }) => sender))]
+            .filter(sender => sender !== undefined)
+            .map(sender => crashes.filter(crash => crash.sender === sender))
+            .sort((left, right) => countOf(right) - countOf(left))[0] ?? [];
+
     /**
-     * Whether enough crashes count. Those of one sender that are enough by themselves are put down to that sender's
-     * requests, so that they do not count against what others ask for.
+     * Whether the request is refused for its crashes. Those of one sender that are enough by themselves are put down to
+     * that sender's requests: they do not count against others, unless others ran under nearly as many. Where no sender
+     * had a request under all crashes, one crash less is enough if as many requests ran under them, since copies of a
+     * request that is sent by many arrive at a target together.
      */
     const hasEnough = ({ crashes }: Suspect): boolean => {
-        if (countOf(crashes) < crashesUntilQuarantine) {
-            return false;
+        const needed = crashesUntilQuarantine;
+        const count = countOf(crashes);
+        const ofMain = crashesOfMainSender(crashes);
+        if (ofMain.length === 0) {
+            return count >= needed;
         }
-        const explained = new Set(
-            [...new Set(crashes.map(({ sender }) => sender))]
-                .filter(sender => sender !== undefined)
-                .map(sender => crashes.filter(crash => crash.sender === sender))
-                .filter(ofSender => countOf(ofSender) >= crashesUntilQuarantine)
-                .flatMap(ofSender => ofSender.map(({ id }) => id)),
-        );
-        return countOf(crashes.filter(({ id }) => !explained.has(id))) >= crashesUntilQuarantine;
-    };
-
-    /** Whether another request of the family has enough crashes. */
-    const hasBadRelative = ({ fingerprint }: Suspect, now: number): boolean => {
-        const family = familyOf(fingerprint);
-        return family !== undefined
-            && [...suspects.values()].some(other =>
-                familyOf(other.fingerprint) === family && prune(other, now) && hasEnough(other)
-            );
+        if (countOf(ofMain) >= needed) {
+            return countOf(crashes.filter(({ sender }) => sender !== ofMain[0].sender)) >= needed - 1;
+        }
+        return count >= needed || (count === needed - 1 && countOf(ofMain) < count && crashes.length >= needed);
     };
 
     /** Evicts the oldest suspect that is not quarantined; if all are, the oldest one. */
@@ -145,7 +139,7 @@
         isSuspect: (fingerprint, now) => find(fingerprint, now) !== undefined,
         isQuarantined: (fingerprint, now) => {
             const suspect = find(fingerprint, now);
-            return suspect !== undefined && (hasEnough(suspect) || hasBadRelative(suspect, now));
+            return suspect !== undefined && hasEnough(suspect);
         },
         list: now => [...suspects.values()].filter(suspect => prune(suspect, now)),
     };
