Answer heads that are never ended also behind a planned stop

Callers with half a head on their connection when a host stopped got no answer at all: the head's time-out passed without a 408, and the connection was cut when the host closed. Cause: Node's server checks no heads once it accepts no connections, and the last close destroyed all connections without a word.

The link now keeps the limit itself after a stop (408), and refuses what has come in part when it closes (503 host-stopping, not run), before it destroys its connections. The exit waits for neither.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -91,6 +91,8 @@
     of: (socket: Socket) => CallerConnection;
     /** Calls `endWhenIdle` of all connections. */
     endIdle: () => void;
+    /** Returns the connections on which a part of a request has arrived and no answer is due. */
+    unfinished: () => CallerConnection[];
     destroyAll: (reason: ConnectionEndReason) => void;
 };
 
@@ -326,6 +328,10 @@
             return connection;
         },
         endIdle: () => connections.forEach(connection => connection.endWhenIdle()),
+        unfinished: () =>
+            [...connections.values()].filter(connection =>
+                connection.isOpen() && connection.due() === 0 && !connection.isIdle()
+            ),
         destroyAll: reason => connections.forEach(connection => connection.destroy(reason)),
     };
 };
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -245,6 +245,9 @@
             connection.refuse(formatBytes({ kind: "refusal", reason, detail }));
         }
     };
+    const refuseUnfinished = (reason: Reason): void =>
+        connections.unfinished().forEach(connection => refuseBytes(connection, reason));
+    let cancelHeadLimit = (): void => undefined;
     server.on("connection", socket => void connections.of(socket));
     server.on("timeout", socket => connections.of(socket).onTimeout());
     server.on("checkExpectation", (incoming: IncomingMessage, response: ServerResponse) => {
@@ -296,10 +299,14 @@
         stopAccepting: () => {
             keepsAlive = false;
             server.close();
+            // A closed server checks no heads any more.
+            cancelHeadLimit = clock.after(server.headersTimeout, () => refuseUnfinished("read-timed-out"));
         },
         close: () =>
             new Promise(resolve => {
+                cancelHeadLimit();
                 server.close(() => resolve());
+                refuseUnfinished("host-stopping");
                 connections.destroyAll("host-stopped");
             }),
     };
