--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -96,7 +96,7 @@
     r2: route("orders.example", "orders", "unsafe"),
 };
 
-export const entry = (service: string, backend: BackendStandIn, state = "ready", born = 1_000) => ({
+export const entry = (service: string, backend: Pick<BackendStandIn, "address">, state = "ready", born = 1_000) => ({
     service,
     address: backend.address,
     zone: "z1",
