--- a/test/platform/descriptors.test.ts
+++ b/test/platform/descriptors.test.ts
@@ -202,6 +202,7 @@
 
 const beyondCases = [
     { openFilesAllowed: 256, callers: 500, kind: "sent nothing", textOf: () => "" },
+    { openFilesAllowed: 256, callers: 500, kind: "sent half a head", textOf: () => "POST /a/y HTTP/1.1\r\nx" },
     { openFilesAllowed: 1_024, callers: 1_500, kind: "sent nothing", textOf: () => "" },
     { openFilesAllowed: 1_024, callers: 1_500, kind: "were answered once", textOf: orderText },
     { openFilesAllowed: 1_024, callers: 1_500, kind: "sent half a head", textOf: () => "POST /a/y HTTP/1.1\r\nx" },
@@ -253,6 +254,10 @@
         t.log(`limit ${limit}, callers ${open}, settings read after ${Math.round(readAfter)} ms`);
         t.true(readAfter < 2_000, `settings read after ${readAfter} ms`);
         t.notRegex(program.log(), /EMFILE|settings-read-delayed/);
+        await waitUntil("the connections of callers are within their part", async () => {
+            const part = await readMetric(`carobpier_descriptor_part{part="callers"} `) ?? 0;
+            return (await readMetric(`carobpier_descriptors{part="callers"} `) ?? Infinity) <= part;
+        });
         t.true(await isReady(program));
     });
 }
