Use settings that change while a start waits

An operator who corrected a wrong address in the settings file saw the process go on waiting for the old one, until a restart. The settings were read once, and the watch on the file began only when the host ran.

The watch now begins with the first settings. Where they change while an address is waited for, the start begins again with the new ones; the same for the store's settings while the host has never been ready. The abort of a start ends all of its tasks and closes all that it opened: the endpoints for health and metrics now close with the host's signal, as the links did.

--- a/src/links/httpendpoint.ts
+++ b/src/links/httpendpoint.ts
@@ -5,21 +5,22 @@
 
 export type HttpEndpointAnswer = { statusCode: number; contentType: string; body: string };
 
-export type HttpEndpoint = { close: () => void };
-
 /** Requests between machines of a deployment are small, and those that do not arrive must not keep others out. */
 export const requestTimeouts = { headersTimeout: 2_000, requestTimeout: 4_000, connectionsCheckingInterval: 500 };
 
 /**
  * Listens on `address:port` and answers every request, whatever its method and path, with the result of `answer`.
+ * Resolves when it listens.
  *
+ * @param signal closes the server and its connections.
  * @param limitConnections limits the connections of the server.
  */
 export const openHttpEndpoint = (
     listen: string,
     answer: () => HttpEndpointAnswer,
+    signal: AbortSignal,
     limitConnections?: (server: Server, isIdle: () => boolean) => void,
-): Promise<HttpEndpoint> =>
+): Promise<void> =>
     new Promise((resolve, reject) => {
         const [host, port] = listen.split(":");
         const server = createServer(requestTimeouts, (incoming, response) => {
@@ -32,11 +33,14 @@
         limitConnections?.(server, () => true);
         server.once("error", reject);
         server.listen(Number(port), host, () => {
-            resolve({
-                close: () => {
-                    server.close();
-                    server.closeAllConnections();
-                },
-            });
+            const close = (): void => {
+                server.close();
+                server.closeAllConnections();
+            };
+            signal.addEventListener("abort", close, { once: true });
+            if (signal.aborted) {
+                close();
+            }
+            resolve();
         });
     });
--- a/src/links/listening.ts
+++ b/src/links/listening.ts
@@ -51,6 +51,7 @@
         catch (error) {
             const event = addressWaitEventOf(error);
             if (event === undefined || signal.aborted) {
+                reportWaiting(false);
                 throw error;
             }
             reportWaiting(true);
--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -91,6 +91,11 @@
     readFile?: ReadFile;
     clock: Clock;
     log: Log;
+    /**
+     * Called with settings that changed and the names of those that did. Returns whether they are in force now; otherwise, and
+     * by default, they are from the next start on.
+     */
+    onChange?: (settings: ResidentSettings, changed: string[]) => boolean;
     /** Ends the watch. */
     signal: AbortSignal;
 };
@@ -108,11 +113,10 @@
 
 /**
  * Reads the settings file again when asked and every few seconds. A file that is not valid changes nothing; a read that
- * finds no free descriptor is tried again soon. The log names the settings that changed; they are in force from the next
- * start on.
+ * finds no free descriptor is tried again soon. The log names the settings that changed and when they are in force.
  */
 export const watchSettings = (options: SettingsWatchOptions): SettingsWatch => {
-    const { file, readFile, clock, log, signal } = options;
+    const { file, readFile, clock, log, onChange, signal } = options;
     let current = options.settings;
     let lastFinding = "";
     let isReadDue = false;
@@ -135,7 +139,8 @@
             current = next;
             lastFinding = "";
             if (changed.length > 0) {
-                log.info("settings-read", { file, changed: changed.join(","), inForce: "at the next start" });
+                const inForce = onChange?.(next, changed) === true ? "now" : "at the next start";
+                log.info("settings-read", { file, changed: changed.join(","), inForce });
             }
         }
         catch (error) {
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -15,10 +15,10 @@
 import { loadsPath, statePath } from "../../contracts/statemessages.ts";
 import { type DescriptorPart, descriptorParts } from "../../decisions/descriptors.ts";
 import { ownershipPatch } from "../../decisions/ownershipchanges.ts";
-import { type CallerProtocol, createCallerLink } from "../../links/callers.ts";
+import { type CallerLink, type CallerProtocol, createCallerLink } from "../../links/callers.ts";
 import { limitConnections } from "../../links/connectionlimit.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
-import { type HttpEndpoint, type HttpEndpointAnswer, openHttpEndpoint } from "../../links/httpendpoint.ts";
+import { type HttpEndpointAnswer, openHttpEndpoint } from "../../links/httpendpoint.ts";
 import { listenWithRetries } from "../../links/listening.ts";
 import { loadReportPath } from "../../links/loadreports.ts";
 import type { Log } from "../../links/logs.ts";
@@ -68,6 +68,8 @@
 };
 
 export type ResidentHost = {
+    /** Whether the host has ever read the whole state from the store. */
+    wasReady: () => boolean;
     /** Completes the requests in flight and stops. Resolves when all have ended or the grace period has. */
     stop: () => Promise<void>;
 };
@@ -98,7 +100,7 @@
 /** Each host stays below the retry ratio that all share by this factor, since hosts see different parts of the load. */
 const retryRatioFactor = 0.85;
 
-/** Starts the host. Resolves when it accepts requests. Rejects when the start signal aborts. */
+/** Starts the host. Resolves when it accepts requests. When the start signal aborts before, it rejects and has closed all. */
 export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
     const { settings, store, objects, descriptors, clock, metrics, random } = options;
     const { zone, processor: { share, speed } } = settings.host;
@@ -400,37 +402,46 @@
     const openLinks = (): Promise<void> =>
         openPeerEndpoint(settings.links.listen, services, peerOptions, limitOf(descriptorParts.hosts));
     let started = false;
+    let wasReady = false;
     const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
     const openEndpoint = (
         part: "health" | "metrics",
         listen: string,
         answer: () => HttpEndpointAnswer,
-    ): Promise<HttpEndpoint> => {
-        const open = (): Promise<HttpEndpoint> => openHttpEndpoint(listen, answer, limitOf(descriptorParts[part]));
+    ): Promise<void> => {
+        const open = (): Promise<void> => openHttpEndpoint(listen, answer, signal, limitOf(descriptorParts[part]));
         return listenWithRetries({ name: part, address: listen }, open, listening);
     };
-    const openMetrics = (listen: string): Promise<HttpEndpoint> =>
+    const openMetrics = (listen: string): Promise<void> =>
         openEndpoint("metrics", listen, () => {
             descriptors.report();
             return { statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() };
         });
-    // Each tells what the start waits for, so neither waits for the other.
-    const [health, metricsServer] = await Promise.all([
-        openEndpoint("health", settings.health.listen, () => ({
-            statusCode: isReady() ? 200 : 503,
-            contentType: "text/plain",
-            body: "",
-        })),
-        settings.metrics === undefined ? undefined : openMetrics(settings.metrics.listen),
-    ]);
-    await listenWithRetries({ name: "links", address: settings.links.listen }, openLinks, listening);
-    acceptsLinks();
-    // Last, since a host that is asked to stop while it waits for another address has no requests to complete.
-    const callers = await listenWithRetries(
-        { name: "callers", address: settings.callers.listen },
-        openCallers,
-        listening,
-    );
+    const openAddresses = async (): Promise<CallerLink> => {
+        // Each tells what the start waits for, so neither waits for the other.
+        await Promise.all([
+            openEndpoint("health", settings.health.listen, () => ({
+                statusCode: isReady() ? 200 : 503,
+                contentType: "text/plain",
+                body: "",
+            })),
+            settings.metrics === undefined ? undefined : openMetrics(settings.metrics.listen),
+        ]);
+        await listenWithRetries({ name: "links", address: settings.links.listen }, openLinks, listening);
+        acceptsLinks();
+        // Last, since a host that is asked to stop while it waits for another address has no requests to complete.
+        return listenWithRetries({ name: "callers", address: settings.callers.listen }, openCallers, listening);
+    };
+    /** Ends all tasks and closes all that was opened but the callers' address. */
+    const close = (): void => {
+        lifetime.abort();
+        options.ownershipLink.close();
+        store.close();
+    };
+    const callers = await openAddresses().catch((error: unknown) => {
+        close();
+        throw error;
+    });
 
     const targetWatcher = watch(
         objects.targetKind,
@@ -455,6 +466,7 @@
 
     void Promise.all(watchers.map(watcher => watcher.synced)).then(() => {
         started = !signal.aborted;
+        wasReady ||= started;
         log.info("host-ready", {
             version: routeTable.current()?.table.version,
             calls: JSON.stringify(store.callCounts()),
@@ -468,6 +480,7 @@
     };
 
     return {
+        wasReady: () => wasReady,
         stop: async () => {
             const endAt = clock.now() + settings.stopping.grace - forcedCloseMilliseconds;
             stopping = true;
@@ -483,12 +496,8 @@
             callers.stopAccepting();
             await waitUntilIdle(endAt);
             log.info("host-stopped", { inFlight: callers.inFlight(), calls: JSON.stringify(store.callCounts()) });
-            lifetime.abort();
-            health.close();
-            metricsServer?.close();
-            options.ownershipLink.close();
+            close();
             await callers.close();
-            store.close();
             await metrics.close();
         },
     };
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -187,8 +187,9 @@
     name: AddressName,
     program: Program,
     ports: Record<AddressName, number>,
+    event = "address-in-use",
 ): Promise<void> => {
-    await waitUntil("the wait is logged", () => program.log().includes(`event=address-in-use for=${name}`));
+    await waitUntil("the wait is logged", () => program.log().includes(`event=${event} for=${name}`));
     if (name !== "health") {
         t.is((await sendRequest(ports.health, "/")).statusCode, 503);
     }
@@ -256,6 +257,67 @@
     });
 }
 
+const opens = (port: number): Promise<boolean> =>
+    new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        socket.once("connect", () => resolve(true)).once("error", () => resolve(false));
+        socket.once("connect", () => socket.destroy());
+    });
+
+test.serial("settings that are corrected while an address is waited for are used, and what was open is closed", async t => {
+    t.timeout(30_000);
+    const { program, ports } = await startAt(t, {}, { linksHost: "192.0.2.1" });
+    await assertTells(t, "links", program, ports, "address-not-there-yet");
+    const moved = await freePort();
+    const corrected = program.settings.replace("192.0.2.1", "127.0.0.1").replace(`:${ports.health}"`, `:${moved}"`);
+    writeFileSync(program.file, corrected);
+    program.child.kill("SIGHUP");
+    await waitUntil("the host runs", () => program.log().includes("event=host-ready"));
+    t.deepEqual(endOf(program), { code: undefined, signal: undefined });
+    t.regex(program.log(), /event=settings-read .*changed=health,links inForce=now/);
+    t.true(await opens(moved));
+    t.true(await opens(ports.links));
+    t.true(await opens(ports.callers));
+    t.false(await opens(ports.health));
+    await waitUntil("the gauge is reset", async () => await waitingGauge(ports.metrics, "links") === 0);
+    program.child.kill("SIGTERM");
+    await assertStopsWell(t, program);
+});
+
+test.serial("the address of the store is corrected without a restart while the host has never been ready", async t => {
+    t.timeout(30_000);
+    const nobody = await freePort();
+    const right = { address: "" };
+    const wrongly = (file: string, settings: string): void => {
+        right.address = /store: .*/.exec(settings)?.[0] ?? "";
+        writeFileSync(file, settings.replace(right.address, `store: { address: "127.0.0.1:${nobody}" }`));
+    };
+    const { program } = await startAt(t, {}, { prepareFile: wrongly, grace: "4s" });
+    await waitUntil("the store is lost", () => program.log().includes("event=registration-failed"));
+    writeFileSync(program.file, program.settings);
+    await waitUntil("the host runs", () => program.log().includes("event=host-ready"));
+    t.regex(program.log(), /event=settings-read .*changed=store inForce=now/);
+    program.child.kill("SIGTERM");
+    await assertStopsWell(t, program);
+});
+
+test.serial("settings that change while the host runs are in force from its next start on", async t => {
+    t.timeout(30_000);
+    const { program, ports } = await startAt(t, {});
+    await waitUntil("the host runs", () => program.log().includes("event=host-ready"));
+    const changed = program.settings.replace("grace: 6s", "grace: 4s").replace(
+        /store: .*/,
+        "store: { address: \"127.0.0.1:1\" }",
+    );
+    writeFileSync(program.file, changed);
+    program.child.kill("SIGHUP");
+    await waitUntil("they are read", () => program.log().includes("event=settings-read"));
+    t.regex(program.log(), /changed=store,stopping inForce="at the next start"/);
+    await sleep(500);
+    t.true(await opens(ports.callers));
+    t.is(program.log().match(/event=host-starting/g)?.length, 1);
+});
+
 const unwritten: Array<{ title: string; first: string | undefined }> = [
     { title: "missing", first: undefined },
     { title: "empty", first: "" },
