End a stop within the grace, whatever does not answer

A stop waited for the store before anything else: while the store's answers went on a byte at a time, the process was still running 12 s after SIGTERM with a grace of 6 s, so that the platform would have killed it. A grace of 1 s was overrun by the 2.4 s that the load balancer needs.

The coordinator's resignation is now written beside the rest of the stop, and the pause for the load balancer ends with the grace.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -491,8 +491,11 @@
             });
             server.announce();
             callers.disableKeepAlive();
-            await Promise.all([...controllers.values()].map(controller => controller.resign()));
-            await clock.sleep(balancerRemovalMilliseconds);
+            // The store may never answer, so nothing waits for it.
+            for (const controller of controllers.values()) {
+                controller.resign().catch((error: unknown) => log.warn("resign-failed", { error: messageOf(error) }));
+            }
+            await clock.sleep(Math.min(balancerRemovalMilliseconds, endAt - clock.now()));
             callers.stopAccepting();
             await waitUntilIdle(endAt);
             log.info("host-stopped", { inFlight: callers.inFlight(), calls: JSON.stringify(store.callCounts()) });
