Catch the other signals that end a process by default

Operators who stop a program with SIGQUIT, as some service managers do, or whose machine tells of a power failure by SIGPWR, saw the process end at once, with the requests that it had. SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGSTKFLT and SIGXCPU, which nobody sends to it on purpose, ended it too. The table of signals named only five of those that Node can catch.

The first two are stops now, the others are logged and ignored. Signals of a fault of the program itself stay as they are, and real-time signals can not be caught by Node.

--- a/src/links/signals.ts
+++ b/src/links/signals.ts
@@ -1,6 +1,7 @@
 /**
  * Signals of the operating system. All that would end the process by default are caught, from before the settings are
- * read: the platform may send one as soon as the process exists.
+ * read: the platform may send one as soon as the process exists. Left out are those of a fault of the program itself, such
+ * as SIGSEGV, and the real-time signals, which Node can not catch.
  */
 import type { Log } from "./logs.ts";
 
@@ -8,9 +9,18 @@
 const reactions = {
     SIGTERM: "stop",
     SIGINT: "stop",
+    SIGQUIT: "stop",
+    /** The power fails. */
+    SIGPWR: "stop",
     SIGHUP: "reload",
     SIGUSR1: "ignore",
     SIGUSR2: "ignore",
+    SIGALRM: "ignore",
+    SIGVTALRM: "ignore",
+    SIGPROF: "ignore",
+    SIGIO: "ignore",
+    SIGSTKFLT: "ignore",
+    SIGXCPU: "ignore",
 } as const satisfies Partial<Record<NodeJS.Signals, "stop" | "reload" | "ignore">>;
 type CaughtSignal = keyof typeof reactions;
 
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -102,6 +102,22 @@
     }
 }
 
+for (const signal of ["SIGQUIT", "SIGPWR"] as const) {
+    test.serial(`${signal} is a stop, and does not end the process at once`, async t => {
+        const program = await signalAfter(t, signal, 1_500);
+        await assertStopsWell(t, program);
+        t.regex(program.log(), new RegExp(`event=signal-received signal=${signal} reaction=stop`));
+    });
+}
+
+const ignoredSignals = ["SIGALRM", "SIGVTALRM", "SIGPROF", "SIGIO", "SIGSTKFLT", "SIGXCPU"] as const;
+
+for (const signal of ignoredSignals) {
+    test.serial(`${signal}, which nobody sends on purpose, does not end the process`, async t => {
+        await assertRuns(t, await signalAfter(t, signal, 700));
+    });
+}
+
 test.serial("an address that another process gives up within the grace is opened then", async t => {
     const holder = createServer();
     await new Promise<void>(resolve => holder.listen(0, "127.0.0.1", resolve));
