Keep of the store's objects only what is used, so that large ones do not end the process

A host ended by the limit of its heap ("Reached heap limit", SIGABRT, no line in the log), and each restart ended the same way while the objects were there: six target entries of 1 MB with a field that is a list of empty objects, 200 entries with a long text, or 200 objects of 1 MB beside the manifest. The platform allows values of 1 MB, and entries of other writers.

Cause: lists were parsed as a whole, and the cache of the state kept each value whole and the one before it. JSON takes up to twenty times its bytes in memory, and parsing 1 MB of it takes about 150 ms. A watch with more than 16 MB of changes was asked for again without end until the history was gone.

Large answers are now read an element at a time, and of a large element of which only some fields are used only these are parsed. Of entries the fields that the decoder knows stay, of the table's kind only the manifest. An answer to a watch that is too large, or comes while 32 MB are being read, leads to a list, which comes in pages.

The stand-in of the store ends a page at 1 MB, as the platform does.

--- a/stand-ins/resident/store.ts
+++ b/stand-ins/resident/store.ts
@@ -45,6 +45,8 @@
 };
 
 const pageSize = 50;
+/** A page ends with the object that reaches this size. */
+const pageBytes = 1_048_576;
 /** Interval at which a watch looks for events. */
 const pollMilliseconds = 10;
 
@@ -58,7 +60,7 @@
 
 /** Starts the store on a free port of the loopback address and resolves once it listens. */
 export const startStoreStandIn = async (
-    /** Replaces addresses in the text of answers, so that a relay can stand before them. */
+    /** Replaces parts of the text of answers, such as addresses, so that a relay can stand before them. */
     publicAddresses: (text: string) => string = text => text,
 ): Promise<StoreStandIn> => {
     const objects = new Map<string, WireObject>();
@@ -112,7 +114,12 @@
         const all = [...objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, object]) => object)
             .filter(object => object.metadata.name > after)
             .sort((left, right) => left.metadata.name < right.metadata.name ? -1 : 1);
-        const items = all.slice(0, pageSize);
+        let bytes = 0;
+        const items = all.slice(0, pageSize).filter(object => {
+            const isWithin = bytes < pageBytes;
+            bytes += isWithin ? publicAddresses(JSON.stringify(object)).length : 0;
+            return isWithin;
+        });
         sendJson(response, 200, { items, more: all.length > items.length, currentRev: revision });
     };
 
--- /dev/null
+++ b/test/platform/memory.test.ts
@@ -0,0 +1,128 @@
+/**
+ * Memory of the program while others write much into the store. Guards against ends by the limit of the heap, which leave
+ * no line, and by that of the machine.
+ */
+import test, { type ExecutionContext } from "ava";
+import { readFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
+import { startBackendStandIn } from "../../stand-ins/resident/backend.ts";
+import { startStoreStandIn, type StoreStandIn } from "../../stand-ins/resident/store.ts";
+import {
+    buildProgram,
+    entry,
+    firstRoutes,
+    isReady,
+    limits,
+    type Program,
+    requestOrder,
+    services,
+    startProgram,
+    waitUntil,
+} from "./program.ts";
+
+test.before(buildProgram);
+
+/** Of the smallest machines. */
+const machineMegabytes = 285;
+
+const times = (count: number): number[] => [...Array.from({ length: count }).keys()];
+
+const valueBytes = 1_000_000;
+/** Texts of values in JSON, by the word that stands for each in objects of the store, which sends the texts. */
+const largeTexts = {
+    "@texts@": JSON.stringify("x".repeat(valueBytes)),
+    "@objects@": JSON.stringify(times(valueBytes / 3).map(() => ({}))),
+    "@keys@": JSON.stringify(Object.fromEntries(times(valueBytes / 10).map(index => [index.toString(36), 0]))),
+} as const;
+type Large = keyof typeof largeTexts;
+const larges = Object.keys(largeTexts) as Large[];
+
+const insertLarge = (text: string): string =>
+    Object.entries(largeTexts).reduce((before, [word, large]) => before.replaceAll(JSON.stringify(word), large), text);
+
+const peakMegabytes = ({ child }: Program): number => {
+    const [, kilobytes] = readFileSync(`/proc/${child.pid}/status`, "utf8").match(/VmHWM:\s+(\d+) kB/) ?? [];
+    return Number(kilobytes) / 1_024;
+};
+
+type Case = {
+    title: string;
+    /** Writes objects before the program starts. */
+    before?: (store: StoreStandIn) => void;
+    /** Writes objects while it runs. */
+    meanwhile?: (store: StoreStandIn) => Promise<void>;
+};
+
+/** An entry of a target that nobody can use, and what it has beside. */
+const largeEntry = (labels: Large, seq = 1) => ({
+    service: "orders",
+    address: "127.0.0.1:9",
+    zone: "z1",
+    slots: 1,
+    state: "gone",
+    seq,
+    labels,
+});
+
+const putEntries = (store: StoreStandIn, count: number, large: Large, seq?: number): void =>
+    times(count).forEach(index => store.put("servers", `l${index}`, largeEntry(large, seq)));
+
+const cases: Case[] = [
+    ...larges.map(large => ({
+        title: `200 entries of 1 MB of ${large}`,
+        before: (store: StoreStandIn) => putEntries(store, 200, large),
+    })),
+    ...larges.map(large => ({
+        title: `entries of 1 MB of ${large} that come by dozens`,
+        meanwhile: async (store: StoreStandIn) => {
+            for (const round of times(10)) {
+                putEntries(store, 12, large, round);
+                await sleep(300);
+            }
+        },
+    })),
+    {
+        title: "200 objects of 1 MB beside the manifest",
+        before: store => times(200).forEach(index => store.put("config", `l${index}`, { labels: "@texts@" })),
+    },
+    {
+        title: "40 entries of 1 MB at once",
+        meanwhile: async store => {
+            putEntries(store, 40, "@texts@");
+            await sleep(3_000);
+        },
+    },
+];
+
+const manifest = { version: "r1", routes: firstRoutes, services, limits };
+
+const startWith = async (t: ExecutionContext, { before }: Case): Promise<[Program, StoreStandIn]> => {
+    const store = await startStoreStandIn(insertLarge);
+    t.teardown(store.close);
+    const backend = await startBackendStandIn({ id: "i-1", slots: 2, queue: 2, workMilliseconds: 5, isSharded: false });
+    t.teardown(backend.close);
+    store.put("config", "main", manifest);
+    store.put("servers", "i-1", entry("orders", backend));
+    before?.(store);
+    const program = await startProgram(store);
+    t.teardown(() => program.child.kill("SIGKILL"));
+    return [program, store];
+};
+
+for (const testCase of cases) {
+    test.serial(`${testCase.title} do not end the program`, async t => {
+        t.timeout(90_000);
+        const [program, store] = await startWith(t, testCase);
+        const isOver = (): boolean =>
+            [program.child.exitCode, program.child.signalCode].some(end => (end ?? undefined) !== undefined);
+        await waitUntil("the host is ready or has ended", async () => isOver() || await isReady(program));
+        t.false(isOver());
+        await testCase.meanwhile?.(store);
+        await sleep(1_500);
+        t.false(isOver());
+        t.is((await requestOrder(program, "1")).statusCode, 200);
+        const peak = peakMegabytes(program);
+        t.log(`peak ${Math.round(peak)} MB`);
+        t.true(peak < machineMegabytes, `${peak} MB`);
+    });
+}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -122,3 +122,34 @@
     const read = await store.watch("servers", 1, 0);
     t.deepEqual(read.result === "changes" ? read.events.map(event => event.object.value) : [], values);
 });
+
+/** An object of 1 MB, most of which nobody uses. */
+const large = (spec: unknown, beside: unknown): string =>
+    JSON.stringify({ metadata: { name: "i-1", rev: 7, finalizers: [beside] }, spec, status: beside });
+
+test.serial("changes that are too large for one answer are listed, which comes in pages", async t => {
+    const event = `{"removed":false,"object":${large({}, "x".repeat(500_000))}}`;
+    const answer = Buffer.from(`{"events":[${Array.from({ length: 20 }, () => event).join()}],"currentRev":9}`);
+    const { store, close } = await setUp(response => response.end(answer));
+    t.teardown(close);
+    t.deepEqual(await store.watch("servers", 1, 0), { result: "history-lost" });
+});
+
+const largeFields = { text: "x".repeat(100_000), list: Array.from({ length: 50_000 }, () => ({})) };
+for (const [title, field] of Object.entries(largeFields)) {
+    test.serial(`of an entry with a large ${title} that nobody uses, the others are kept, in lists and in changes`, async t => {
+        const object = large({ slots: 3, zone: field, labels: field, state: "ready" }, field);
+        const { store, close } = await setUp((response, isWatch) =>
+            response.end(
+                isWatch
+                    ? `{"events":[{"object":${object},"removed":true}],"currentRev":9}`
+                    : `{"currentRev":9,"items":[${object}, ${object}],"more":false}`,
+            )
+        );
+        t.teardown(close);
+        const expected = { name: "i-1", revision: 7, value: { slots: 3, zone: {}, state: "ready" } };
+        t.deepEqual(await store.list("servers"), { objects: [expected, expected], position: 9 });
+        const read = await store.watch("servers", 1, 0);
+        t.deepEqual(read.result === "changes" && read.events, [{ removed: true, object: expected }]);
+    });
+}
