Tell how full the heap is before it ends the process

Operators could not tell an end by the heap's limit from one by SIGKILL: V8 ends the process without a line in the log, and no metric named the heap. Two gauges tell what is used and the limit, a third the memory beside it, every second; from 80% on there is a line heap-nearly-full, every 30 s at most.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -18,6 +18,7 @@
 import { type CallerProtocol, createCallerLink } from "../../links/callers.ts";
 import { limitConnections } from "../../links/connectionlimit.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
+import { readHeap } from "../../links/heap.ts";
 import { type HttpEndpoint, type HttpEndpointAnswer, openHttpEndpoint } from "../../links/httpendpoint.ts";
 import { listenWithRetries } from "../../links/listening.ts";
 import { loadReportPath } from "../../links/loadreports.ts";
@@ -31,6 +32,7 @@
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
 import { createFleetFacts } from "./fleetfacts.ts";
 import { createGateway } from "./gateway.ts";
+import { monitorHeap } from "./heapmonitor.ts";
 import { createLoadReporter } from "./loadreporter.ts";
 import { createOwnershipCache } from "./ownershipcache.ts";
 import { processKind, registerProcess } from "./processes.ts";
@@ -118,6 +120,7 @@
 
     const { processorMilliseconds } = options;
     const { measure } = createEventLoopMonitor({ processorMilliseconds, clock, log, metrics, signal });
+    monitorHeap({ readHeap, clock, log, metrics, signal });
 
     const peerOptions = { descriptors, log, metrics, signal };
     const dial = createPeerDialer(peerHandshakeMilliseconds, peerOptions);
--- a/test/platform/memory.test.ts
+++ b/test/platform/memory.test.ts
@@ -11,10 +11,12 @@
     buildProgram,
     entry,
     firstRoutes,
+    freePort,
     isReady,
     limits,
     type Program,
     requestOrder,
+    sendRequest,
     services,
     startProgram,
     waitUntil,
@@ -126,3 +128,16 @@
         t.true(peak < machineMegabytes, `${peak} MB`);
     });
 }
+
+test.serial("the metrics tell the heap and its limit", async t => {
+    const store = await startStoreStandIn();
+    t.teardown(store.close);
+    const metricsPort = await freePort();
+    const program = await startProgram(store, { metricsPort });
+    t.teardown(() => program.child.kill("SIGKILL"));
+    const read = () => sendRequest(metricsPort, "/").then(({ body }) => body, () => "");
+    const gauges = /carobpier_heap_used_bytes (\d+)[^]*carobpier_heap_limit_bytes (\d+)/;
+    await waitUntil("the heap is told", async () => gauges.test(await read()));
+    const [, used, limit] = (await read()).match(gauges)?.map(Number) ?? [];
+    t.true(used > 0 && used < limit && limit < machineMegabytes * 1_048_576, `${used} of ${limit}`);
+});
