Copy the parts of bodies together, so that parts of one byte do not fill the heap

A host ended by the limit of its heap ("Ineffective mark-compacts near heap limit", SIGABRT, no line in the log) after 40 callers had each sent 65,536 chunks of one byte of a body, 393 KB on the wire, within all limits on bodies. 200 callers with bodies of 8 MB brought the process to 346 MB, above the memory of a machine of 285 MB.

Cause: each part of a body was kept as a buffer of its own, which takes some hundred bytes of heap; the limit counted the bytes of the parts only. A whole body was kept twice while its request ran, as parts and as one, and so were parts of refused bodies.

Parts are copied into one buffer that grows by doubling, whose capacity counts towards the limit; a body of one part is not copied. The same holds for what is collected of targets' answers.

--- a/src/links/callerbody.ts
+++ b/src/links/callerbody.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../contracts/clock.ts";
 import type { Reason } from "../contracts/outcome.ts";
+import { createByteBuffer } from "./bytebuffer.ts";
 
 /** A whole body (`undefined` when it is empty) with its memory, or the reason why it is refused. */
 export type BodyResult = { body: Buffer | undefined; release: () => void } | { reason: Reason; detail: string };
@@ -43,8 +44,9 @@
 
     return (incoming, deadlineAt, onStart) =>
         new Promise(resolve => {
-            const chunks: Buffer[] = [];
-            let size = 0;
+            const content = createByteBuffer();
+            /** What this body takes of `bufferedBytes`. */
+            let ownBytes = 0;
             let settled = false;
 
             const finish = (result: BodyResult): void => {
@@ -56,12 +58,13 @@
                 resolve(result);
             };
             const release = (): void => {
-                bufferedBytes -= size;
-                size = 0;
+                bufferedBytes -= ownBytes;
+                ownBytes = 0;
             };
             const refuse = (reason: Reason, detail: string): void => {
                 if (!settled) {
                     release();
+                    content.take();
                     incoming.pause();
                 }
                 finish({ reason, detail });
@@ -79,19 +82,23 @@
                 if (settled) {
                     return;
                 }
-                if (size + chunk.length > maxBodyBytes) {
+                if (content.size() + chunk.length > maxBodyBytes) {
                     refuse("body-too-large", `The body is larger than ${maxBodyBytes} bytes.`);
                     return;
                 }
-                if (bufferedBytes + chunk.length > maxBufferedBytes) {
+                const capacity = content.capacityWith(chunk);
+                if (bufferedBytes - ownBytes + capacity > maxBufferedBytes) {
                     refuse("memory-full", `The bodies of all requests together exceed ${maxBufferedBytes} bytes.`);
                     return;
                 }
-                size += chunk.length;
-                bufferedBytes += chunk.length;
-                chunks.push(chunk);
+                content.append(chunk);
+                bufferedBytes += capacity - ownBytes;
+                ownBytes = capacity;
+            });
+            incoming.once("end", () => {
+                const body = content.take();
+                finish({ body: body.length === 0 ? undefined : body, release });
             });
-            incoming.once("end", () => finish({ body: size === 0 ? undefined : Buffer.concat(chunks), release }));
             incoming.once("error", () => refuse("cancelled", "The caller hung up before its body was complete."));
             incoming.once("close", () => refuse("cancelled", "The caller hung up before its body was complete."));
         });
--- a/src/machines/bodycollector.ts
+++ b/src/machines/bodycollector.ts
@@ -2,6 +2,7 @@
  * Collects the body of one answer. A small body is passed on when it is complete, so that the request can still be
  * refused or retried when the body breaks off. A larger body is passed on as a stream with back-pressure.
  */
+import { createByteBuffer } from "../links/bytebuffer.ts";
 import type { AnswerStream, StreamReceiver } from "../links/callers.ts";
 
 export type BodyCollector = {
@@ -25,24 +26,16 @@
     onBody: (body: Buffer | undefined | AnswerStream) => void;
 };
 
-const concatenate = (parts: Buffer[]): Buffer | undefined => parts.length <= 1 ? parts[0] : Buffer.concat(parts);
-
 /** Creates the collector of one answer's body. */
 export const createBodyCollector = (options: BodyCollectorOptions): BodyCollector => {
-    let buffered: Buffer[] = [];
-    let bufferedBytes = 0;
+    const buffered = createByteBuffer();
     let streaming = false;
     let state: "arriving" | "whole" | "cut" = "arriving";
     let receiver: StreamReceiver | undefined;
 
     const start = (newReceiver: StreamReceiver): void => {
         receiver = newReceiver;
-        const parts = buffered;
-        buffered = [];
-        let wantsMore = true;
-        for (const bytes of parts) {
-            wantsMore = newReceiver.onBytes(bytes);
-        }
+        const wantsMore = newReceiver.onBytes(buffered.take());
         if (state === "whole") {
             newReceiver.onEnd();
         }
@@ -59,9 +52,8 @@
             if (receiver !== undefined) {
                 return receiver.onBytes(bytes);
             }
-            buffered.push(bytes);
-            bufferedBytes += bytes.length;
-            if (bufferedBytes <= options.maxBufferedBytes) {
+            buffered.append(bytes);
+            if (buffered.size() <= options.maxBufferedBytes) {
                 return true;
             }
             if (!streaming) {
@@ -73,7 +65,7 @@
         onEnd: () => {
             state = "whole";
             if (!streaming) {
-                options.onBody(concatenate(buffered));
+                options.onBody(buffered.size() === 0 ? undefined : buffered.take());
                 return;
             }
             receiver?.onEnd();
--- a/test/platform/memory.test.ts
+++ b/test/platform/memory.test.ts
@@ -4,6 +4,7 @@
  */
 import test, { type ExecutionContext } from "ava";
 import { readFileSync } from "node:fs";
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { startBackendStandIn } from "../../stand-ins/resident/backend.ts";
 import { startStoreStandIn, type StoreStandIn } from "../../stand-ins/resident/store.ts";
@@ -96,9 +97,19 @@
     },
 ];
 
-const manifest = { version: "r1", routes: firstRoutes, services, limits };
+const hasEnded = ({ child }: Program): boolean =>
+    [child.exitCode, child.signalCode].some(end => (end ?? undefined) !== undefined);
 
-const startWith = async (t: ExecutionContext, { before }: Case): Promise<[Program, StoreStandIn]> => {
+const assertPeak = (t: ExecutionContext, program: Program): void => {
+    const peak = peakMegabytes(program);
+    t.log(`peak ${Math.round(peak)} MB`);
+    t.true(peak < machineMegabytes, `${peak} MB`);
+};
+
+const maxBodyBytes = 8_388_608;
+const manifest = { version: "r1", routes: firstRoutes, services, limits: { ...limits, maxBodyBytes } };
+
+const startWith = async (t: ExecutionContext, { before }: Pick<Case, "before">): Promise<[Program, StoreStandIn]> => {
     const store = await startStoreStandIn(insertLarge);
     t.teardown(store.close);
     const backend = await startBackendStandIn({ id: "i-1", slots: 2, queue: 2, workMilliseconds: 5, isSharded: false });
@@ -115,17 +126,13 @@
     test.serial(`${testCase.title} do not end the program`, async t => {
         t.timeout(90_000);
         const [program, store] = await startWith(t, testCase);
-        const isOver = (): boolean =>
-            [program.child.exitCode, program.child.signalCode].some(end => (end ?? undefined) !== undefined);
-        await waitUntil("the host is ready or has ended", async () => isOver() || await isReady(program));
-        t.false(isOver());
+        await waitUntil("the host is ready or has ended", async () => hasEnded(program) || await isReady(program));
+        t.false(hasEnded(program));
         await testCase.meanwhile?.(store);
         await sleep(1_500);
-        t.false(isOver());
+        t.false(hasEnded(program));
         t.is((await requestOrder(program, "1")).statusCode, 200);
-        const peak = peakMegabytes(program);
-        t.log(`peak ${Math.round(peak)} MB`);
-        t.true(peak < machineMegabytes, `${peak} MB`);
+        assertPeak(t, program);
     });
 }
 
@@ -141,3 +148,43 @@
     const [, used, limit] = (await read()).match(gauges)?.map(Number) ?? [];
     t.true(used > 0 && used < limit && limit < machineMegabytes * 1_048_576, `${used} of ${limit}`);
 });
+
+/** Sends requests with the header and the bytes of a body that is not complete. */
+const sendBodies = (t: ExecutionContext, program: Program, callers: number, header: string, bytes: Buffer): void => {
+    const head = ["POST /a/y HTTP/1.1", "host: orders.example", "request-deadline: 20000", header].join("\r\n");
+    for (const index of times(callers)) {
+        const socket = connect(program.callersPort, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(`${head}\r\nrequest-id: c${index}\r\n\r\n`);
+        socket.write(bytes);
+        t.teardown(() => socket.destroy());
+    }
+};
+
+const largeBody = Buffer.alloc(maxBodyBytes - 1);
+const tinyChunks = Buffer.from("1\r\nx\r\n".repeat(65_536));
+const bodies = [
+    {
+        title: "bodies that come in chunks of one byte",
+        send: (t: ExecutionContext, program: Program) =>
+            sendBodies(t, program, 40, "transfer-encoding: chunked", tinyChunks),
+    },
+    {
+        title: "200 bodies of 8 MB",
+        send: (t: ExecutionContext, program: Program) =>
+            sendBodies(t, program, 200, `content-length: ${maxBodyBytes}`, largeBody),
+    },
+];
+
+for (const { title, send } of bodies) {
+    test.serial(`${title} do not end the program`, async t => {
+        t.timeout(90_000);
+        const [program] = await startWith(t, {});
+        await waitUntil("the host is ready", () => isReady(program));
+        send(t, program);
+        await sleep(5_000);
+        t.false(hasEnded(program));
+        t.is((await requestOrder(program, "1")).statusCode, 200);
+        assertPeak(t, program);
+    });
+}
