Tell requests that ran beside a crash apart from the one that caused it

Sound requests were refused for the crashes under another one, in two ways:

A host that loses a sound request counts the crash at once, the host of the other caller's request tells it some 15 ms later, and meanwhile the crash seems to be one that no single caller accounts for. The sound request, sent again at once, met just that moment.

A crash is now counted as one of the main sender's for the first 50 ms, in which all hosts tell what ran under it. And a request is not refused while another that is refused had part in all of its crashes and has more against it: more crashes, or more callers. A target that crashes under it alone ends that.

--- a/src/decisions/quarantine.ts
+++ b/src/decisions/quarantine.ts
@@ -42,6 +42,8 @@
 
 /** When this many requests are suspected, a new suspect replaces an old one. */
 const maxSuspects = 10_000;
+/** Time in which all hosts have told which requests ran under a crash. */
+const tellingMilliseconds = 50;
 
 export type QuarantineOptions = {
     /** Time after which a crash no longer counts. */
@@ -79,29 +81,52 @@
             .map(sender => crashes.filter(crash => crash.sender === sender))
             .sort((left, right) => countOf(right) - countOf(left))[0] ?? [];
 
+    /** Whether other hosts may still have to tell of requests that ran under the crash. */
+    const isFresh = (crashes: readonly RecordedCrash[], id: string, now: number): boolean =>
+        crashes.every(crash => crash.id !== id || now - crash.at < tellingMilliseconds);
+
     /**
      * Whether the request is refused for its crashes. Those of one sender that are enough by themselves are put down to
      * that sender's requests: they do not count against others, unless others ran under nearly as many. Where no sender
      * had a request under all crashes, one crash less is enough if as many requests ran under them, since copies of a
      * request that is sent by many arrive at a target together.
      */
-    const hasEnough = ({ crashes }: Suspect): boolean => {
+    const hasEnough = ({ crashes }: Suspect, now: number): boolean => {
         const needed = crashesUntilQuarantine;
         const count = countOf(crashes);
         const ofMain = crashesOfMainSender(crashes);
         if (ofMain.length === 0) {
             return count >= needed;
         }
-        if (countOf(ofMain) >= needed) {
-            return countOf(crashes.filter(({ sender }) => sender !== ofMain[0].sender)) >= needed - 1;
+        const [{ sender: main }] = ofMain;
+        const countOfMain = countOf(crashes.filter(({ id, sender }) => sender === main || isFresh(crashes, id, now)));
+        if (countOfMain >= needed) {
+            return countOf(crashes.filter(({ sender }) => sender !== main)) >= needed - 1;
         }
-        return count >= needed || (count === needed - 1 && countOf(ofMain) < count && crashes.length >= needed);
+        return count >= needed || (count === needed - 1 && countOfMain < count && crashes.length >= needed);
+    };
+
+    const isStronger = (left: Suspect, right: Suspect): boolean => {
+        const difference = countOf(left.crashes) - countOf(right.crashes);
+        return difference > 0 || (difference === 0 && left.crashes.length > right.crashes.length);
     };
 
+    /**
+     * Whether another request that is refused had part in all of its crashes, and more evidence against it: this one may
+     * only have run beside it.
+     */
+    const isExplained = (suspect: Suspect, now: number): boolean =>
+        [...suspects.values()].some(other =>
+            other !== suspect && prune(other, now) && hasEnough(other, now) && isStronger(other, suspect)
+            && suspect.crashes.every(({ id }) => other.crashes.some(crash => crash.id === id))
+        );
+
+    const isRefused = (suspect: Suspect, now: number): boolean => hasEnough(suspect, now) && !isExplained(suspect, now);
+
     /** Evicts the oldest suspect that is not quarantined; if all are, the oldest one. */
-    const evictOne = (): void => {
+    const evictOne = (now: number): void => {
         for (const suspect of suspects.values()) {
-            if (!hasEnough(suspect)) {
+            if (!hasEnough(suspect, now)) {
                 suspects.delete(suspect.fingerprint);
                 return;
             }
@@ -113,7 +138,7 @@
         recordCrash: (pool, fingerprint, crash, now) => {
             const known = find(fingerprint, now);
             if (known === undefined && suspects.size >= maxSuspects) {
-                evictOne();
+                evictOne(now);
             }
             const suspect = known ?? { fingerprint, pool, crashes: [] };
             suspects.set(fingerprint, suspect);
@@ -139,7 +164,7 @@
         isSuspect: (fingerprint, now) => find(fingerprint, now) !== undefined,
         isQuarantined: (fingerprint, now) => {
             const suspect = find(fingerprint, now);
-            return suspect !== undefined && hasEnough(suspect);
+            return suspect !== undefined && isRefused(suspect, now);
         },
         list: now => [...suspects.values()].filter(suspect => prune(suspect, now)),
     };
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -284,6 +284,22 @@
         t.false(hosts.some(host => host.refuses("/poison", "10.9.0.3")));
     });
 
+    test(`one of ${hostCount} hosts sends a sound request again at once whose path another caller's request has crashed targets by`, async t => {
+        const setup = setUp(hostCount, zoneCount);
+        const { clock, hosts } = setup;
+        await clock.advance(3_000);
+        for (const target of ["a", "b"]) {
+            hosts[0].crash("/poison", target, "10.9.0.1");
+            await clock.advance(400);
+        }
+        hosts[1].crash("/poison", "c", "10.9.0.2");
+        t.false(hosts[1].refuses("/poison", "10.9.0.2"), "before the other host has told of the same crash");
+        hosts[0].crash("/poison", "c", "10.9.0.1");
+        await clock.advance(100);
+        t.false(hosts.some(host => host.refuses("/poison", "10.9.0.2")));
+        t.true(hosts.every(host => host.refuses("/poison", "10.9.0.1")));
+    });
+
     test(`all of ${hostCount} hosts serve a path whose requests are answered right after three targets ended under it at once`, async t => {
         const setup = setUp(hostCount, zoneCount);
         const { clock, hosts } = setup;
@@ -320,4 +336,22 @@
         await clock.advance(100);
         t.true(hosts.every(host => host.refuses("/poison", "10.9.0.9")));
     });
+
+    test(`all of ${hostCount} hosts serve a request that lost its connections at the crashes under another that many send, until a target crashes under it alone`, async t => {
+        const setup = setUp(hostCount, zoneCount);
+        const { clock, hosts } = setup;
+        await clock.advance(3_000);
+        for (const [send, target] of ["a", "b", "c"].entries()) {
+            hosts[send % hosts.length].crash("/poison", target, `10.9.0.${send}`);
+            hosts[1].crash("/poison", target, `10.9.1.${send}`);
+            hosts[1].crash("/beside", target, "10.9.0.9");
+            await clock.advance(60);
+        }
+        await clock.advance(100);
+        t.true(hosts.every(host => host.refuses("/poison", "10.9.0.8")));
+        t.false(hosts.some(host => host.refuses("/beside", "10.9.0.9")));
+        hosts[1].crash("/beside", "d", "10.9.0.9");
+        await clock.advance(100);
+        t.true(hosts.every(host => host.refuses("/beside", "10.9.0.9")));
+    });
 }
