Report a quarantine that time brings about

The check of a request reports it now as well, once for each quarantine. A case of test/machines/resident/suspicions.test.ts at 2, 10 and 195 hosts asks for the count, and failed before.

--- a/src/machines/quarantines.ts
+++ b/src/machines/quarantines.ts
@@ -134,9 +134,15 @@
     const { ageMilliseconds, crashesUntilQuarantine } = options;
     const quarantine = createQuarantine({ ageMilliseconds, crashesUntilQuarantine });
     let suspectCount = 0;
+    /** Requests whose quarantine was logged. */
+    const reported = new Set<string>();
 
     const recount = (): void => {
-        suspectCount = quarantine.list(clock.now()).length;
+        const known = new Set(quarantine.list(clock.now()).map(({ fingerprint }) => fingerprint));
+        suspectCount = known.size;
+        [...reported].filter(fingerprint => !known.has(fingerprint)).forEach(fingerprint =>
+            reported.delete(fingerprint)
+        );
         metrics.gauge("suspects", suspectCount);
     };
 
@@ -148,14 +154,21 @@
         ageMilliseconds = 0,
     ): CrashSuspicion => ({ kind: "suspicion", pool, fingerprint, change, crash: id, sender, ageMilliseconds });
 
-    /** Records a crash. True when it was not known yet. */
-    const recordCrash = (pool: string, fingerprint: string, crash: Crash, at: number): boolean => {
-        const wasQuarantined = quarantine.isQuarantined(fingerprint, clock.now());
-        const isNew = quarantine.recordCrash(pool, fingerprint, crash, at);
-        if (!wasQuarantined && quarantine.isQuarantined(fingerprint, clock.now())) {
+    /** Whether the request is refused now. Reports the first time, as the passing of time alone may make it so. */
+    const isQuarantined = (pool: string, fingerprint: string): boolean => {
+        const isRefused = quarantine.isQuarantined(fingerprint, clock.now());
+        if (isRefused && !reported.has(fingerprint)) {
+            reported.add(fingerprint);
             log.warn("request-quarantined", { pool, fingerprint });
             metrics.count("quarantines", { pool });
         }
+        return isRefused;
+    };
+
+    /** Records a crash. True when it was not known yet. */
+    const recordCrash = (pool: string, fingerprint: string, crash: Crash, at: number): boolean => {
+        const isNew = quarantine.recordCrash(pool, fingerprint, crash, at);
+        isQuarantined(pool, fingerprint);
         recount();
         return isNew;
     };
@@ -228,7 +241,7 @@
         fingerprintOf,
         isQuarantined: request => {
             const fingerprint = fingerprintIfSuspects(request);
-            return fingerprint !== undefined && quarantine.isQuarantined(fingerprint, clock.now());
+            return fingerprint !== undefined && isQuarantined(request.pool, fingerprint);
         },
         isSuspect: request => {
             const fingerprint = fingerprintIfSuspects(request);
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -95,6 +95,8 @@
         return {
             host,
             suspicions,
+            /** Number of requests whose quarantine the host has reported. */
+            reported: () => metrics.snapshot()["quarantines{pool=stock.example}"] ?? 0,
             clock: hostClock,
             crash: (path: string, target: string, callerAddress?: string, body?: string) =>
                 suspicions.recordConnectionLost(requestWith(path, callerAddress, body), stateOf(target)),
@@ -335,6 +337,16 @@
         hosts[1].crash("/poison", "b", "10.9.0.3");
         await clock.advance(100);
         t.true(hosts.every(host => host.refuses("/poison", "10.9.0.9")));
+        hosts[0].crash("/other", "c", "10.9.0.1");
+        await clock.advance(400);
+        hosts[0].crash("/other", "d", "10.9.0.2");
+        hosts[1].crash("/other", "d", "10.9.0.3");
+        await clock.advance(100);
+        t.true(hosts.every(host => host.refuses("/other", "10.9.0.9")));
+        t.true(
+            hosts.every(host => host.refuses("/other", "10.9.0.9") && host.reported() === 2),
+            "each is reported once",
+        );
     });
 
     test(`all of ${hostCount} hosts serve a request that lost its connections at the crashes under another that many send, until a target crashes under it alone`, async t => {
