Let requests wait for a connection to an idle target

A request that found all of its host's connections to a pool's targets in use was refused at once as no-target, though the targets had slots free, and one for a key as no-owner after 0.4 of its route's objective. The reasons told nothing of the limit that was met.

Such a request now waits for a connection, the most urgent first, while the targets themselves would take it and its place in the queue makes an answer within its deadline likely (decisions/connectionwait.ts). Otherwise it is refused: connections-used where this host's connections are the limit, deadline-unreachable where the targets' slots are, target-limited and target-paused where a target said so itself; no-target remains for a pool without a usable target. connection-waits counts the waits.

Requests that arrive within one turn of the event loop don't see each other yet; those wait in the link.

--- a/src/contracts/outcome.ts
+++ b/src/contracts/outcome.ts
@@ -69,6 +69,12 @@
     "host-overloaded": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The host runs late." },
     "no-owner": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "No target owns the key now." },
     "no-target": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "No target of the pool can serve." },
+    "connections-used": {
+        outcome: "not-run",
+        statusCode: 503,
+        sendAgain: true,
+        title: "The host's connections are in use.",
+    },
     "not-current": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The assignment is not confirmed." },
     "host-stopping": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The host is stopping." },
     "host-isolated": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The host is cut off." },
--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -23,8 +23,14 @@
     clock: Clock;
 };
 
-/** Why a key's owner is not used: it may be usable soon, or it wants no requests from this host for a time. */
-export type UnusableOwner = string | { pausedMilliseconds: number };
+/** Targets to which this host has no connection free, and how many it may use at all of them. */
+export type TargetsInUse = { candidates: Candidate[]; connections: number };
+
+/**
+ * Why a key's owner is not used: it may be usable soon, it wants no requests from this host for a time, or this host has
+ * no connection free.
+ */
+export type UnusableOwner = string | { pausedMilliseconds: number } | { inUse: TargetsInUse };
 
 export type CandidateSelector = {
     /**
@@ -32,6 +38,11 @@
      * others. Targets that failed the request are included only when no other is left.
      */
     usableTargets: (context: RequestContext) => Candidate[];
+    /**
+     * Returns targets that would be usable if this host had a connection free, drawn as usable ones are; undefined when
+     * there is none.
+     */
+    targetsInUse: (context: RequestContext) => TargetsInUse | undefined;
     /** Returns the owner of the request's key, or why the request cannot be sent to it now. */
     keyOwner: (context: RequestContext) => Candidate | UnusableOwner;
     /**
@@ -119,18 +130,22 @@
         };
     };
 
-    const isUsable = (targetState: TargetState): boolean =>
-        !targetState.gone && !targetState.target.leaving && targetState.blockedUntil <= clock.now()
-        && targetState.load.ownRequests() < targetStates.maxConnections(targetState);
+    const isOpen = (targetState: TargetState): boolean =>
+        !targetState.gone && !targetState.target.leaving && targetState.blockedUntil <= clock.now();
+
+    const hasConnection = (targetState: TargetState): boolean =>
+        targetState.load.ownRequests() < targetStates.maxConnections(targetState);
 
     /** Time before which the target takes no request without a key, by its own word. */
     const notBefore = ({ pausedUntil, limitedUntil }: TargetState): number => Math.max(pausedUntil, limitedUntil);
 
-    const usableTargets = (context: RequestContext): Candidate[] => {
-        const { route, pool, failedTargets } = context;
-        const usable = targetStates.ofPool(pool.name).filter(targetState =>
-            isUsable(targetState) && notBefore(targetState) <= clock.now() && !context.refusedBy.has(targetState)
+    const openTargets = ({ pool, refusedBy }: RequestContext): TargetState[] =>
+        targetStates.ofPool(pool.name).filter(targetState =>
+            isOpen(targetState) && notBefore(targetState) <= clock.now() && !refusedBy.has(targetState)
         );
+
+    const candidatesAmong = (usable: TargetState[], context: RequestContext): Candidate[] => {
+        const { route, pool, failedTargets } = context;
         const untried = usable.filter(targetState => !failedTargets.has(targetState));
         const typicalMilliseconds = typicalServiceMilliseconds(pool.name);
         const nearFirst = (untried.length > 0 ? untried : usable).sort((left, right) =>
@@ -144,6 +159,19 @@
         return compared.map(targetState => candidateOf(targetState, route, typicalMilliseconds));
     };
 
+    const usableTargets = (context: RequestContext): Candidate[] =>
+        candidatesAmong(openTargets(context).filter(hasConnection), context);
+
+    const connectionsTo = (inUse: TargetState[]): number =>
+        inUse.reduce((sum, targetState) => sum + targetStates.maxConnections(targetState), 0);
+
+    const targetsInUse = (context: RequestContext): TargetsInUse | undefined => {
+        const inUse = openTargets(context).filter(targetState => !hasConnection(targetState));
+        return inUse.length === 0
+            ? undefined
+            : { connections: connectionsTo(inUse), candidates: candidatesAmong(inUse, context) };
+    };
+
     const keyOwner = (context: RequestContext): Candidate | UnusableOwner => {
         const { request, route, pool } = context;
         const range = ownerships.findRange(pool.name, request.key ?? 0);
@@ -168,9 +196,13 @@
         if (targetState.pausedUntil > clock.now()) {
             return { pausedMilliseconds: targetState.pausedUntil - clock.now() };
         }
-        return isUsable(targetState)
-            ? candidateOf(targetState, route, typicalServiceMilliseconds(pool.name))
-            : "the owner is not reachable";
+        if (!isOpen(targetState)) {
+            return "the owner is not reachable";
+        }
+        const candidate = candidateOf(targetState, route, typicalServiceMilliseconds(pool.name));
+        return hasConnection(targetState)
+            ? candidate
+            : { inUse: { candidates: [candidate], connections: connectionsTo([targetState]) } };
     };
 
     const untilUsable: CandidateSelector["untilUsable"] = pool => {
@@ -184,5 +216,5 @@
         };
     };
 
-    return { usableTargets, keyOwner, untilUsable, typicalServiceMilliseconds };
+    return { usableTargets, targetsInUse, keyOwner, untilUsable, typicalServiceMilliseconds };
 };
--- a/src/machines/resident/targetchooser.ts
+++ b/src/machines/resident/targetchooser.ts
@@ -2,11 +2,23 @@
  * Chooses the target to which a request is sent next: waits for the owner of its key, compares the usable targets, and
  * asks for a place within a limit that the target has named.
  */
-import { placeRequest, type RefusedPlacement, retryAfterMilliseconds } from "../../decisions/placement.ts";
+import { expectedWaitMilliseconds, isWaitUseful } from "../../decisions/connectionwait.ts";
+import {
+    type Placement,
+    placeRequest,
+    type RefusedPlacement,
+    retryAfterMilliseconds,
+} from "../../decisions/placement.ts";
 import type { CallerRefusal } from "../../links/callers.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
-import { type Candidate, type CandidateSelectorOptions, createCandidateSelector } from "./candidateselector.ts";
+import {
+    type Candidate,
+    type CandidateSelectorOptions,
+    createCandidateSelector,
+    type TargetsInUse,
+} from "./candidateselector.ts";
+import { placeOfPool, placeOfTarget } from "./connectionqueue.ts";
 import { refuse, type RequestContext } from "./requestcontext.ts";
 import type { TargetLimits } from "./targetlimits.ts";
 import type { TargetNotices } from "./targetnotices.ts";
@@ -36,6 +48,8 @@
 export const shedBlockMilliseconds = 60;
 /** A target whose limit left no room is not asked for again for at least this time. */
 const minLimitedMilliseconds = 20;
+/** A request that waits for a connection finds out within this time that it waits in vain. */
+const connectionCheckMilliseconds = 100;
 /** Delay, before a random spread, after which a caller is told to retry when its key has no usable owner. */
 const noOwnerRetryMilliseconds = 300;
 
@@ -44,6 +58,98 @@
     const { ownerships, remaining, clock, log, metrics, random } = options;
     const candidateSelector = createCandidateSelector(options);
 
+    const logRefusedPlacement = (context: RequestContext, placement: RefusedPlacement<Candidate>): void => {
+        const { targetState, serviceMilliseconds, load } = placement.candidate;
+        log.info("placement-refused", {
+            request: context.request.id,
+            pool: context.pool.name,
+            target: targetState.target.name,
+            expectedMilliseconds: Math.round(placement.expectedMilliseconds),
+            remainingMilliseconds: Math.round(remaining(context)),
+            serviceMilliseconds: Math.round(serviceMilliseconds),
+            load: Math.round(load * 10) / 10,
+            own: targetState.load.ownRequests(),
+            toldAgeMilliseconds: Math.round(targetState.load.reportAge(clock.now())),
+            retryAfterMilliseconds: Math.round(placement.retryAfterMilliseconds),
+        });
+    };
+
+    /** Places the request on one of the candidates, or returns a refusal. */
+    const place = (
+        context: RequestContext,
+        candidates: Candidate[],
+    ): Extract<Placement<Candidate>, { verdict: "placed" }> | CallerRefusal => {
+        const remainingMilliseconds = remaining(context);
+        const limits = { objectiveMilliseconds: context.route.objectiveMilliseconds, remainingMilliseconds };
+        const placement = placeRequest(candidates, limits, random);
+        if (placement.verdict === "placed") {
+            return placement;
+        }
+        logRefusedPlacement(context, placement);
+        const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, `
+            + `of ${Math.round(remainingMilliseconds)} ms left.`;
+        return refuse(context, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
+    };
+
+    /** Waits until a connection may be free. Returns a refusal where that is not likely to bring an answer in time. */
+    const waitForConnection = async (
+        context: RequestContext,
+        queuePlace: string,
+        { candidates, connections }: TargetsInUse,
+    ): Promise<CallerRefusal | undefined> => {
+        const { request, route, pool } = context;
+        const placement = place(context, candidates);
+        if ("kind" in placement) {
+            return placement;
+        }
+        const { connectionQueue } = options.targetStates;
+        const waiter = { priority: route.priority, receivedAt: request.receivedAt };
+        const wait = {
+            connections,
+            ahead: connectionQueue.ahead(queuePlace, waiter),
+            serviceMilliseconds: placement.candidate.serviceMilliseconds,
+            remainingMilliseconds: remaining(context),
+        };
+        if (!isWaitUseful(wait)) {
+            const detail = `This host may use ${connections} connections, ${wait.ahead} requests wait for them.`;
+            const expected = connections === 0 ? shedBlockMilliseconds : expectedWaitMilliseconds(wait);
+            const milliseconds = Math.min(Math.max(shedBlockMilliseconds, expected), wait.remainingMilliseconds);
+            return refuse(context, "connections-used", detail, retryAfterMilliseconds(milliseconds, random));
+        }
+        metrics.count("connection-waits", { pool: pool.name });
+        await connectionQueue.wait(queuePlace, waiter, connectionCheckMilliseconds);
+        return request.hangUp.happened
+            ? refuse(context, "cancelled", "The caller hung up before the request was sent.")
+            : undefined;
+    };
+
+    /** Returns targets of a pool without key owners. Waits for a connection where that is useful. */
+    const findUnowned = async (context: RequestContext): Promise<Candidate[] | CallerRefusal> => {
+        const { name } = context.pool;
+        for (;;) {
+            const usable = candidateSelector.usableTargets(context);
+            if (usable.length > 0) {
+                return usable;
+            }
+            const inUse = candidateSelector.targetsInUse(context);
+            if (inUse === undefined) {
+                const wait = candidateSelector.untilUsable(name);
+                const detail = `No target of pool "${name}" takes new work.`;
+                const milliseconds = Math.max(shedBlockMilliseconds, wait?.milliseconds ?? 0);
+                return refuse(
+                    context,
+                    wait?.reason ?? "no-target",
+                    detail,
+                    retryAfterMilliseconds(milliseconds, random),
+                );
+            }
+            const refusal = await waitForConnection(context, placeOfPool(name), inUse);
+            if (refusal !== undefined) {
+                return refusal;
+            }
+        }
+    };
+
     /**
      * Returns the targets to which the request may go. In a pool that owns keys, waits for the key to get a usable
      * owner; returns a refusal when there is none in time.
@@ -51,14 +157,7 @@
     const findCandidates = async (context: RequestContext): Promise<Candidate[] | CallerRefusal> => {
         const { pool, request } = context;
         if (!pool.isSharded) {
-            const usable = candidateSelector.usableTargets(context);
-            if (usable.length > 0) {
-                return usable;
-            }
-            const wait = candidateSelector.untilUsable(pool.name);
-            const detail = `No target of pool "${pool.name}" takes new work.`;
-            const retryAfter = retryAfterMilliseconds(Math.max(shedBlockMilliseconds, wait?.milliseconds ?? 0), random);
-            return refuse(context, wait?.reason ?? "no-target", detail, retryAfter);
+            return findUnowned(context);
         }
         if (request.key === undefined) {
             return refuse(context, "missing-key", `Pool "${pool.name}" needs a key.`);
@@ -74,6 +173,14 @@
                     retryAfterMilliseconds(owner.pausedMilliseconds, random),
                 );
             }
+            if (typeof owner !== "string" && "inUse" in owner) {
+                const [{ name }] = owner.inUse.candidates;
+                const refusal = await waitForConnection(context, placeOfTarget(name), owner.inUse);
+                if (refusal !== undefined) {
+                    return refusal;
+                }
+                continue;
+            }
             if (typeof owner !== "string") {
                 return [owner];
             }
@@ -124,24 +231,8 @@
         return "elsewhere";
     };
 
-    const logRefusedPlacement = (context: RequestContext, placement: RefusedPlacement<Candidate>): void => {
-        const { targetState, serviceMilliseconds, load } = placement.candidate;
-        log.info("placement-refused", {
-            request: context.request.id,
-            pool: context.pool.name,
-            target: targetState.target.name,
-            expectedMilliseconds: Math.round(placement.expectedMilliseconds),
-            remainingMilliseconds: Math.round(remaining(context)),
-            serviceMilliseconds: Math.round(serviceMilliseconds),
-            load: Math.round(load * 10) / 10,
-            own: targetState.load.ownRequests(),
-            toldAgeMilliseconds: Math.round(targetState.load.reportAge(clock.now())),
-            retryAfterMilliseconds: Math.round(placement.retryAfterMilliseconds),
-        });
-    };
-
     const choose = async (context: RequestContext): Promise<Candidate | CallerRefusal> => {
-        const { request, route } = context;
+        const { request } = context;
         for (;;) {
             const candidates = await findCandidates(context);
             if (request.hangUp.happened) {
@@ -150,16 +241,9 @@
             if (!Array.isArray(candidates)) {
                 return candidates;
             }
-            const limits = {
-                objectiveMilliseconds: route.objectiveMilliseconds,
-                remainingMilliseconds: remaining(context),
-            };
-            const placement = placeRequest(candidates, limits, random);
-            if (placement.verdict === "refused") {
-                logRefusedPlacement(context, placement);
-                const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, `
-                    + `of ${Math.round(limits.remainingMilliseconds)} ms left.`;
-                return refuse(context, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
+            const placement = place(context, candidates);
+            if ("kind" in placement) {
+                return placement;
             }
             const limited = await takeFromLimit(context, placement.candidate.targetState);
             if (request.hangUp.happened) {
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -8,6 +8,7 @@
 import type { Descriptors } from "../../links/descriptors.ts";
 import { createExchangeLink, type ExchangeLink } from "../../links/exchange.ts";
 import { digestHash } from "../../zones/digesthash.ts";
+import { type ConnectionQueue, createConnectionQueue, placeOfPool, placeOfTarget } from "./connectionqueue.ts";
 import type { TargetRegistry } from "./targetregistry.ts";
 
 /** What this host knows of one incarnation of a target. */
@@ -38,6 +39,8 @@
     get: (name: string) => TargetState | undefined;
     /** Limit on the connections that this host may use at the target: its part of those that the target accepts. */
     maxConnections: (state: TargetState) => number;
+    /** Requests that wait for a connection to a target, or to any target of a pool. */
+    connectionQueue: ConnectionQueue;
     /** Applies the limits on connections after the hosts or the pools have changed. */
     applyLimits: () => void;
     recordFailure: (state: TargetState) => void;
@@ -59,6 +62,8 @@
     recordOwnRequests: (target: string, requests: number) => void;
     /** Counts and limits the connections to targets. */
     descriptors?: Descriptors;
+    /** Creates the link to a target; by default one over HTTP. */
+    openLink?: typeof createExchangeLink;
     clock: Clock;
     signal: AbortSignal;
 };
@@ -81,12 +86,14 @@
         requestsOfOthers,
         recordOwnRequests,
         descriptors,
+        openLink = createExchangeLink,
         clock,
         signal,
     }: TargetStatesOptions,
 ): TargetStates => {
     const states = new Map<string, TargetState>();
     const offsets = new WeakMap<TargetState, number>();
+    const connectionQueue = createConnectionQueue(clock);
 
     const acceptedBy = ({ target }: TargetState): number =>
         findPool(target.pool)?.maxConnections ?? defaultMaxConnections;
@@ -110,10 +117,20 @@
     };
 
     const create = (target: RegisteredTarget): TargetState => {
+        let lastOwn = 0;
+        const recordOwn = (own: number): void => {
+            recordOwnRequests(target.name, own);
+            const isFreed = own < lastOwn;
+            lastOwn = own;
+            if (isFreed) {
+                connectionQueue.wakeFirst(placeOfTarget(target.name));
+                connectionQueue.wakeFirst(placeOfPool(target.pool));
+            }
+        };
         const state: TargetState = {
             target,
-            load: createTargetLoad(target.slots, own => recordOwnRequests(target.name, own)),
-            link: createExchangeLink({
+            load: createTargetLoad(target.slots, recordOwn),
+            link: openLink({
                 address: target.address,
                 connections: () => maxConnections(state),
                 keptConnections: () => partOf(state),
@@ -165,6 +182,7 @@
         ofPool: name => [...states.values()].filter(state => state.target.pool === name),
         get: name => states.get(name),
         maxConnections,
+        connectionQueue,
         applyLimits: () => states.forEach(({ link }) => link.applyLimit()),
         recordFailure: state => {
             state.failureShare += (1 - state.failureShare) * failureWeight;
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -11,6 +11,7 @@
 import type { AnswerReceiver } from "../../../src/links/exchange.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
+import { createConnectionQueue } from "../../../src/machines/resident/connectionqueue.ts";
 import { createGateway } from "../../../src/machines/resident/gateway.ts";
 import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
 import type { TargetState, TargetStates } from "../../../src/machines/resident/targetstates.ts";
@@ -93,6 +94,7 @@
         recordConnectFailure: ({ target: { name } }) => unreachable.push(name),
         block: () => undefined,
         maxConnections: () => 4,
+        connectionQueue: createConnectionQueue(clock),
         applyLimits: () => undefined,
     };
     const ownerships = createOwnershipCache(clock, silentLog, signal);
--- /dev/null
+++ b/test/machines/resident/virtualhosts.ts
@@ -0,0 +1,281 @@
+/**
+ * Gateways of many hosts in virtual time, with targets that count connections and reset those beyond their limit. Each
+ * host learns of the requests of the others a while later, as the readers tell it.
+ */
+import { setMaxListeners } from "node:events";
+import type { ResidentRequest, TargetProtocol } from "../../../src/contracts/resident.ts";
+import type { RegisteredTarget, RouteTable } from "../../../src/contracts/routing.ts";
+import { createRouteIndex } from "../../../src/decisions/routetable.ts";
+import type { SharingHosts } from "../../../src/decisions/targetroom.ts";
+import type { CallerAnswer } from "../../../src/links/callers.ts";
+import { createConnectionPool } from "../../../src/links/connectionpool.ts";
+import type { AnswerReceiver, createExchangeLink } from "../../../src/links/exchange.ts";
+import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
+import { createGateway } from "../../../src/machines/resident/gateway.ts";
+import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
+import type { TargetRegistry } from "../../../src/machines/resident/targetregistry.ts";
+import { createTargetStates, type TargetStates } from "../../../src/machines/resident/targetstates.ts";
+import type { VirtualClock } from "../fakes/clock.ts";
+import { noLimits, noNotices } from "./nonotices.ts";
+import { noSuspicions } from "./nosuspicions.ts";
+
+export type PlayOptions = {
+    clock: VirtualClock;
+    targets: number;
+    slots: number;
+    /** Requests that wait at a target; it sheds further ones. */
+    queue: number;
+    /** Connections that a target accepts. */
+    accepted: number;
+    workMilliseconds: () => number;
+    isSharded: boolean;
+    objectiveMilliseconds: number;
+    timeoutMilliseconds: number;
+    random: () => number;
+};
+
+export type VirtualTarget = { name: string; open: number; mostOpen: number; resets: number; running: number };
+
+export type VirtualHost = {
+    states: TargetStates;
+    /** What the host knows of the hosts. */
+    know: (hosts: SharingHosts) => void;
+    serve: (key?: number) => Promise<CallerAnswer>;
+    request: (key?: number) => ResidentRequest;
+    serveRequest: (request: ResidentRequest) => Promise<CallerAnswer>;
+};
+
+/** Delay until all hosts know of a request that one of them has sent. */
+const toldMilliseconds = 150;
+const networkMilliseconds = 1;
+/** After this time without a request, a connection closes. */
+const idleMilliseconds = 4_000;
+const keys = 65_536;
+
+const protocol: TargetProtocol = {
+    buildRequestHeaders: ({ id }) => ["id", id],
+    readAnswer: (statusCode, { id, running, waiting }) => ({
+        outcome: statusCode === 503 ? "not-run" : "answered",
+        requestId: String(id),
+        load: { running: Number(running), waiting: Number(waiting) },
+        notice: undefined,
+    }),
+    buildAnswerHeaders: () => ({}),
+};
+
+type Connection = { isOpen: boolean; cancelIdle: () => void };
+type Job = { receiver: AnswerReceiver; id: string; done: () => void };
+
+export const createVirtualHosts = (options: PlayOptions) => {
+    const { clock, slots, queue, accepted, random } = options;
+    const { signal } = new AbortController();
+    setMaxListeners(0, signal);
+    const registered: RegisteredTarget[] = Array.from({ length: options.targets }, (...[, index]) => ({
+        name: `t${index}`,
+        incarnation: "1",
+        pool: "p",
+        address: `t${index}`,
+        zone: "z",
+        slots,
+        leaving: false,
+        warmupMilliseconds: 0,
+    }));
+    const table: RouteTable = {
+        version: 1,
+        routes: [{
+            name: "r",
+            host: "h",
+            prefix: "/",
+            kind: "idempotent",
+            timeoutMilliseconds: options.timeoutMilliseconds,
+            objectiveMilliseconds: options.objectiveMilliseconds,
+            priority: 1,
+            maxAttempts: 2,
+            shares: [{ pool: "p", weight: 1 }],
+        }],
+        pools: new Map([["p", {
+            name: "p",
+            maxConnections: accepted,
+            isSharded: options.isSharded,
+            coldKeysMilliseconds: 0,
+        }]]),
+        limits: { maxHeadBytes: 1, maxBodyBytes: 1, headTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+    };
+    const index = createRouteIndex(table);
+    const targets = new Map(registered.map(({ name }) => {
+        const target: VirtualTarget = { name, open: 0, mostOpen: 0, resets: 0, running: 0 };
+        const jobs: Job[] = [];
+        const answer = ({ receiver, id, done }: Job, statusCode: number): void => {
+            clock.after(networkMilliseconds, () => {
+                receiver.onHead(statusCode, { id, running: String(target.running), waiting: String(jobs.length) });
+                done();
+                receiver.onEnd();
+            });
+        };
+        const run = (job: Job): void => {
+            target.running += 1;
+            clock.after(options.workMilliseconds(), () => {
+                target.running -= 1;
+                answer(job, 200);
+                const next = jobs.shift();
+                if (next !== undefined) {
+                    run(next);
+                }
+            });
+        };
+        const arrive = (job: Job): void => {
+            if (target.running < slots) {
+                run(job);
+            }
+            else if (jobs.length < queue) {
+                jobs.push(job);
+            }
+            else {
+                answer(job, 503);
+            }
+        };
+        return [name, { target, arrive }];
+    }));
+
+    const openLink: typeof createExchangeLink = ({ address, connections, keptConnections }) => {
+        const { target, arrive } = targets.get(address)!;
+        const close = (connection: Connection): void => {
+            connection.cancelIdle();
+            target.open -= Number(connection.isOpen);
+            connection.isOpen = false;
+        };
+        const pool = createConnectionPool<Connection>({
+            open: () => ({ isOpen: false, cancelIdle: () => undefined }),
+            close,
+            destroy: close,
+            limit: connections,
+            kept: keptConnections,
+        });
+        const open = (connection: Connection): boolean => {
+            connection.cancelIdle();
+            if (!connection.isOpen && target.open >= accepted) {
+                target.resets += 1;
+                return false;
+            }
+            target.open += Number(!connection.isOpen);
+            target.mostOpen = Math.max(target.mostOpen, target.open);
+            connection.isOpen = true;
+            return true;
+        };
+        return {
+            send: ({ headers: [, id] }, receiver) => {
+                const withdraw = pool.acquire(connection => {
+                    clock.after(networkMilliseconds, () => {
+                        const isOpen = open(connection);
+                        if (!isOpen || !receiver.mayStart()) {
+                            pool.release(connection, !isOpen);
+                            receiver.onFailure("unsent", new Error("reset"));
+                            return;
+                        }
+                        const done = (): void => {
+                            connection.cancelIdle = clock.after(idleMilliseconds, () => close(connection));
+                            pool.release(connection, false);
+                        };
+                        arrive({ receiver, id, done });
+                    });
+                });
+                return {
+                    resume: () => undefined,
+                    abort: () => withdraw() && receiver.onFailure("unsent", new Error()),
+                };
+            },
+            applyLimit: pool.applyLimit,
+            close: pool.close,
+        };
+    };
+
+    const told = new Map<string, number>();
+    let lastId = 0;
+
+    const start = (first: SharingHosts): VirtualHost => {
+        let hosts = first;
+        const own = new Map<string, number>();
+        const ownTold = new Map<string, number>();
+        const recordOwnRequests = (target: string, requests: number): void => {
+            const change = requests - (own.get(target) ?? 0);
+            own.set(target, requests);
+            clock.after(toldMilliseconds, () => {
+                told.set(target, (told.get(target) ?? 0) + change);
+                ownTold.set(target, (ownTold.get(target) ?? 0) + change);
+            });
+        };
+        const requestsOfOthers = (target: string): number => (told.get(target) ?? 0) - (ownTold.get(target) ?? 0);
+        const registry: Pick<TargetRegistry, "onChange"> = {
+            onChange: listener => registered.forEach(target => listener(target, false)),
+        };
+        const states = createTargetStates({
+            registry: registry as TargetRegistry,
+            findPool: name => table.pools.get(name),
+            sharingHosts: () => hosts,
+            requestsOfOthers,
+            recordOwnRequests,
+            openLink,
+            clock,
+            signal,
+        });
+        const ownerships = createOwnershipCache(clock, silentLog, signal);
+        const size = keys / options.targets;
+        const ranges = registered.map(({ name, incarnation }, number) => ({
+            from: Math.ceil(number * size),
+            to: Math.ceil((number + 1) * size) - 1,
+            owner: { target: name, incarnation },
+            fence: 1,
+            predecessors: [],
+        }));
+        if (options.isSharded) {
+            ownerships.put({ name: "p", revision: 1, value: { term: 1, coordinator: "c/1", nextFence: 2, ranges } });
+        }
+        const gateway = createGateway({
+            routeTable: { current: () => ({ table, index }), onChange: () => undefined, put: () => undefined },
+            targetStates: states,
+            ownerships,
+            protocol,
+            suspicions: noSuspicions,
+            notices: noNotices,
+            limits: noLimits,
+            zone: "z",
+            retryRatio: 0.2,
+            retrySlack: () => 1,
+            recordKey: () => undefined,
+            recordWork: () => undefined,
+            requestsOfOthers,
+            random,
+            clock,
+            log: silentLog,
+            metrics: createMetrics(),
+        });
+        const request = (key = Math.floor(random() * keys)): ResidentRequest => {
+            lastId += 1;
+            return {
+                id: String(lastId),
+                method: "GET",
+                host: "h",
+                path: "/x",
+                headers: {},
+                body: undefined,
+                key,
+                receivedAt: clock.now(),
+                deadlineAt: clock.now() + options.timeoutMilliseconds,
+                callerAddress: "10.9.0.1",
+                hangUp: { happened: false, listener: undefined },
+            };
+        };
+        return {
+            states,
+            know: next => {
+                hosts = next;
+                states.applyLimits();
+            },
+            request,
+            serveRequest: gateway.serve,
+            serve: key => gateway.serve(request(key)),
+        };
+    };
+    return { targets: [...targets.values()].map(({ target }) => target), start };
+};
