Open connections for one request each where hosts outnumber them

With more hosts than parts of a target's connections, some hosts kept one open and the others could open one only while the target had few requests.

There no host keeps a connection open any more, so that the connections are those of running requests, which the hosts tell each other: each host may open two while all have fewer requests than 0.8 of the limit, one that has just joined one while they have fewer than 0.2.

What hosts open within the 150 ms until the others know of it is not bounded by the rule.

--- a/src/decisions/targetroom.ts
+++ b/src/decisions/targetroom.ts
@@ -24,32 +24,46 @@
 const minJoiningHosts = 14;
 /** What a host may use that knows of no host, as when the store does not answer at its start. */
 const unknownConnections = 1;
-/** The fraction when there are fewer connections than hosts: many of those that join may be among those with a part. */
-const sparseFraction = 0.5;
-/** A host without a part may open a connection while all others have fewer requests than this fraction. */
-const lentFraction = 0.4;
+/** Where there are more hosts than parts, connections are open for one request only, while all hosts have fewer. */
+const sparseFraction = 0.8;
+/** How many of these one host may open. */
+const sparseConnections = 2;
+/** The same for a host that has just joined and has no part, since others keep theirs open. */
+const joiningSparseFraction = 0.2;
+
+const isSparse = (accepted: number, { count }: SharingHosts): boolean => accepted * settledFraction < count;
 
 /**
- * Returns the connections that the host may use.
+ * Returns the host's part: the connections that it may use and keep open.
  *
  * @param accepted connections that the target accepts from all hosts.
  * @param offset a number from 0, different for each target, so that not the same hosts get what doesn't divide evenly.
  * @param hosts undefined when no hosts are known.
  */
-export const connectionsAt = (accepted: number, offset: number, hosts: SharingHosts | undefined): number => {
+export const connectionPart = (accepted: number, offset: number, hosts: SharingHosts | undefined): number => {
     if (hosts === undefined) {
         return unknownConnections;
     }
     const { count, place, isSettled } = hosts;
+    if (isSparse(accepted, hosts)) {
+        return 0;
+    }
     if (!isSettled) {
         return Math.floor(Math.min(accepted * joiningFraction / count, accepted / minJoiningHosts));
     }
-    const isSparse = accepted * settledFraction < count;
-    const divided = Math.floor(accepted * (isSparse ? sparseFraction : settledFraction));
+    const divided = Math.floor(accepted * settledFraction);
     const hasOneMore = (place + offset) % count < divided % count;
     return Math.floor(divided / count) + Number(hasOneMore);
 };
 
-/** Whether a host without a part may open a connection for one request. */
-export const mayLend = (accepted: number, requestsOfOthers: number): boolean =>
-    requestsOfOthers < Math.floor(accepted * lentFraction);
+/**
+ * Returns how many connections a host without a part may open, each for one request.
+ *
+ * @param requests requests of all hosts at the target.
+ */
+export const sparseLimit = (accepted: number, hosts: SharingHosts, requests: number): number => {
+    const { isSettled } = hosts;
+    const fraction = isSettled ? sparseFraction : joiningSparseFraction;
+    const most = Math.max(1, Math.floor(accepted * fraction));
+    return requests < most ? Math.min(most, isSettled ? sparseConnections : 1) : 0;
+};
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
-import { connectionsAt, mayLend, type SharingHosts } from "../../decisions/targetroom.ts";
+import { connectionPart, type SharingHosts, sparseLimit } from "../../decisions/targetroom.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
 import { createExchangeLink, type ExchangeLink } from "../../links/exchange.ts";
 import { digestHash } from "../../zones/digesthash.ts";
@@ -104,16 +104,18 @@
         return offset;
     };
 
-    const partOf = (state: TargetState): number => connectionsAt(acceptedBy(state), offsetOf(state), sharingHosts());
+    const partOf = (state: TargetState): number => connectionPart(acceptedBy(state), offsetOf(state), sharingHosts());
 
     const maxConnections = (state: TargetState): number => {
         const part = partOf(state);
-        if (part > 0) {
+        const hosts = sharingHosts();
+        if (part > 0 || hosts === undefined) {
             return part;
         }
         const { target: { name }, load } = state;
-        const others = requestsOfOthers(name) ?? load.expectedRequests(clock.now()) - load.ownRequests();
-        return Number(mayLend(acceptedBy(state), others));
+        const others = requestsOfOthers(name);
+        const requests = others === undefined ? load.expectedRequests(clock.now()) : load.ownRequests() + others;
+        return sparseLimit(acceptedBy(state), hosts, requests);
     };
 
     const create = (target: RegisteredTarget): TargetState => {
