--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -165,9 +165,9 @@
                 ? undefined
                 : Math.max(host.processor, ...[...records.values()].map(({ record }) => record.processor)),
         hostNames: () => {
-            const all = new Set([...records.keys(), host.name]);
-            if (all.size !== names.length) {
-                names = [...all];
+            const count = records.size + Number(!records.has(host.name));
+            if (count !== names.length) {
+                names = [...new Set([...records.keys(), host.name])];
             }
             return names;
         },
