--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -5,11 +5,12 @@
 import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
 import { descriptorParts } from "../../decisions/descriptors.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
-import { connectionsAt, mayLend, type SharingHosts } from "../../decisions/targetroom.ts";
+import { connectionPart, type SharingHosts, sparseLimit } from "../../decisions/targetroom.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
 import { createExchangeLink, type ExchangeLink } from "../../links/exchange.ts";
 import { createTargetConnectionLimit } from "../../links/targetconnections.ts";
 import { digestHash } from "../../zones/digesthash.ts";
+import { type ConnectionQueue, createConnectionQueue, placeOfPool, placeOfTarget } from "./connectionqueue.ts";
 import type { TargetRegistry } from "./targetregistry.ts";
 
 /** What this host knows of one incarnation of a target. */
@@ -40,6 +41,8 @@
     get: (name: string) => TargetState | undefined;
     /** Limit on the connections that this host may use at the target: its part of those that the target accepts. */
     maxConnections: (state: TargetState) => number;
+    /** Requests that wait for a connection to a target, or to any target of a pool. */
+    connectionQueue: ConnectionQueue;
     /** Applies the limits on connections after the hosts or the pools have changed. */
     applyLimits: () => void;
     recordFailure: (state: TargetState) => void;
@@ -61,6 +64,8 @@
     recordOwnRequests: (target: string, requests: number) => void;
     /** Counts and limits the connections to targets. */
     descriptors?: Descriptors;
+    /** Creates the link to a target; by default one over HTTP. */
+    openLink?: typeof createExchangeLink;
     clock: Clock;
     signal: AbortSignal;
 };
@@ -83,6 +88,7 @@
         requestsOfOthers,
         recordOwnRequests,
         descriptors,
+        openLink = createExchangeLink,
         clock,
         signal,
     }: TargetStatesOptions,
@@ -90,6 +96,7 @@
     const states = new Map<string, TargetState>();
     const addTargetConnections = descriptors && createTargetConnectionLimit(descriptors, descriptorParts.targets);
     const offsets = new WeakMap<TargetState, number>();
+    const connectionQueue = createConnectionQueue(clock);
 
     const acceptedBy = ({ target }: TargetState): number =>
         findPool(target.pool)?.maxConnections ?? defaultMaxConnections;
@@ -100,23 +107,35 @@
         return offset;
     };
 
-    const partOf = (state: TargetState): number => connectionsAt(acceptedBy(state), offsetOf(state), sharingHosts());
+    const partOf = (state: TargetState): number => connectionPart(acceptedBy(state), offsetOf(state), sharingHosts());
 
     const maxConnections = (state: TargetState): number => {
         const part = partOf(state);
-        if (part > 0) {
+        const hosts = sharingHosts();
+        if (part > 0 || hosts === undefined) {
             return part;
         }
         const { target: { name }, load } = state;
-        const others = requestsOfOthers(name) ?? load.expectedRequests(clock.now()) - load.ownRequests();
-        return Number(mayLend(acceptedBy(state), others));
+        const others = requestsOfOthers(name);
+        const requests = others === undefined ? load.expectedRequests(clock.now()) : load.ownRequests() + others;
+        return sparseLimit(acceptedBy(state), hosts, requests);
     };
 
     const create = (target: RegisteredTarget): TargetState => {
+        let lastOwn = 0;
+        const recordOwn = (own: number): void => {
+            recordOwnRequests(target.name, own);
+            const isFreed = own < lastOwn;
+            lastOwn = own;
+            if (isFreed) {
+                connectionQueue.wakeFirst(placeOfTarget(target.name));
+                connectionQueue.wakeFirst(placeOfPool(target.pool));
+            }
+        };
         const state: TargetState = {
             target,
-            load: createTargetLoad(target.slots, own => recordOwnRequests(target.name, own)),
-            link: createExchangeLink({
+            load: createTargetLoad(target.slots, recordOwn),
+            link: openLink({
                 address: target.address,
                 connections: () => maxConnections(state),
                 keptConnections: () => partOf(state),
@@ -168,6 +187,7 @@
         ofPool: name => [...states.values()].filter(state => state.target.pool === name),
         get: name => states.get(name),
         maxConnections,
+        connectionQueue,
         applyLimits: () => states.forEach(({ link }) => link.applyLimit()),
         recordFailure: state => {
             state.failureShare += (1 - state.failureShare) * failureWeight;
