--- a/src/machines/resident/heapmonitor.ts
+++ b/src/machines/resident/heapmonitor.ts
@@ -10,7 +10,8 @@
     metrics: Metrics;
 };
 
-const intervalMilliseconds = 1_000;
+/** A heap that is filled by what a few answers hold is full within seconds. */
+const intervalMilliseconds = 250;
 /** Interval at which a heap that stays nearly full is logged. */
 const repeatMilliseconds = 30_000;
 /** Share of the limit from which the heap is nearly full. */
--- a/test/machines/resident/heapmonitor.test.ts
+++ b/test/machines/resident/heapmonitor.test.ts
@@ -51,12 +51,16 @@
 
 const cases = [
     { title: "a heap with room is not logged", shares: steady(40, 0.79), expected: [] },
-    { title: "a heap that is nearly full is logged at once", shares: [0.5, 0.5, 0.8, 0.5], expected: [3] },
-    { title: "a heap that stays nearly full is logged every 30 s", shares: steady(65, 0.9), expected: [1, 31, 61] },
+    { title: "a heap that is nearly full is logged at once", shares: [0.5, 0.5, 0.8, 0.5], expected: [0.75] },
+    {
+        title: "a heap that stays nearly full is logged every 30 s",
+        shares: steady(260, 0.9),
+        expected: [0.25, 30.25, 60.25],
+    },
     {
         title: "a heap that is nearly full at every other moment is logged every 30 s",
-        shares: steady(64, 0).map((share, index) => index % 2 === 0 ? 0.9 : share),
-        expected: [1, 31, 61],
+        shares: steady(260, 0).map((share, index) => index % 2 === 0 ? 0.9 : share),
+        expected: [0.25, 30.25, 60.25],
     },
 ];
 
