Let a coordinator step down whose steps all fail

A coordinator whose planning threw at every step kept its term, as its heartbeats went on: the keys of a target that left, or was lost, stayed where they were, for as long as the process ran.

A coordinator whose steps have all failed for 6 s, although the store confirms its heartbeats, resigns so that another host takes over, and tries again itself only after 2.5 s: within the hold of its last grants, so that keys stay served where nobody else takes over or all hosts fail in the same way. A store that does not answer is no such failure. `coordinator-gave-up` tells of it, and a resignation does not claim any more that the host stops.

Evidence: test/machines/resident/rangecontroller.test.ts, "1 of 3 hosts fail at each step of planning" failed before (the same host was still coordinator after 40 s) and passes; with all of three hosts failing, no sampled key is unserved in 40 s, before and after.

--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -387,7 +387,7 @@
                 const next = { ...known.coordination, former: formerCoordinators.names(), coordinator: noCoordinator };
                 const write = await store.replace(storeKinds.coordination, pool, next, known.revision);
                 if (write.result === "written") {
-                    stepDown("the host is stopping");
+                    stepDown("it resigned");
                     return;
                 }
                 // A heartbeat was written meanwhile, or another process has taken over.
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -92,6 +92,12 @@
 const heartbeatMilliseconds = 800;
 /** Moved keys do not move again for this time, in which their load at the new owner becomes known. */
 const settleMilliseconds = 800;
+/**
+ * A coordinator whose steps have failed for this time, although the store takes its heartbeats, steps down so that another
+ * host tries. It does not take over again at once, but while targets still hold their keys.
+ */
+const maxFailingMilliseconds = 6_000;
+const restMilliseconds = 2_500;
 /** A new coordinator waits this long before it assigns the first ranges, since more targets may still register. */
 const initialGatherMilliseconds = 1_200;
 
@@ -154,15 +160,17 @@
         return currentIndex.ids.has(rangeId(range));
     };
 
-    /** Runs a step and logs its failure unless the host is stopping. */
-    const runStep = async (step: string, work: () => Promise<unknown>): Promise<void> => {
+    /** Runs a step and logs its failure unless the host is stopping. Resolves to whether it succeeded. */
+    const runStep = async (step: string, work: () => Promise<unknown>): Promise<boolean> => {
         try {
             await work();
+            return true;
         }
         catch (error) {
             if (!signal.aborted) {
                 log.warn("ownership-step-failed", { step, error: messageOf(error) });
             }
+            return false;
         }
     };
 
@@ -186,7 +194,9 @@
         mayGrant: coordinator.mayGrant,
         isCurrent,
         onHigherFence: range => void runStep("renew-fence", () => renewFences([range])),
-        onSuspect: owner => runStep("renew-fences", () => renewFencesOf(owner)),
+        onSuspect: async owner => {
+            await runStep("renew-fences", () => renewFencesOf(owner));
+        },
         holdMilliseconds: Math.min(holdMilliseconds, options.maxHoldMilliseconds),
         clock,
         log,
@@ -282,6 +292,34 @@
         moves.start(currentRanges());
     };
 
+    let failingSince: number | undefined;
+    let restsUntil = -Infinity;
+
+    /** Steps down when all steps have failed for long for another reason than a store that does not answer. */
+    const recordStep = async (succeeded: boolean): Promise<void> => {
+        if (succeeded || !coordinator.mayPlan()) {
+            failingSince = undefined;
+            return;
+        }
+        failingSince ??= clock.now();
+        const failingMilliseconds = clock.now() - failingSince;
+        if (failingMilliseconds >= maxFailingMilliseconds) {
+            log.error("coordinator-gave-up", { failingMilliseconds: Math.round(failingMilliseconds) });
+            failingSince = undefined;
+            restsUntil = clock.now() + restMilliseconds;
+            await runStep("resign", coordinator.resign);
+        }
+    };
+
+    const step = async (): Promise<void> => {
+        if (coordinator.ownership() !== undefined) {
+            await recordStep(await runStep("step", coordinate));
+        }
+        else if (clock.now() >= restsUntil) {
+            await runStep("step", coordinator.tryTakeOver);
+        }
+    };
+
     /** Each run starts from the ownership and the holds as they are then, so that a failure leaves nothing to repeat. */
     const repeat = (name: string, pause: () => number, work: () => unknown): void => {
         const run = async (): Promise<void> => {
@@ -295,7 +333,7 @@
     repeat(
         "coordination",
         () => moves.arePending() ? movingStepMilliseconds : stepMilliseconds,
-        () => runStep("step", () => coordinator.ownership() === undefined ? coordinator.tryTakeOver() : coordinate()),
+        step,
     );
     repeat("coordination-beat", () => heartbeatMilliseconds, () => runStep("beat", coordinator.heartbeat));
     const renew = (): void => measure("renew", () => grants.renew(currentRanges().filter(moves.isGrantable)));
@@ -305,6 +343,8 @@
         applyCoordination: coordinator.applyCoordination,
         isCoordinator: () => coordinator.ownership() !== undefined,
         reportsAddress: coordinator.reportsAddress,
-        resign: () => runStep("resign", coordinator.resign),
+        resign: async () => {
+            await runStep("resign", coordinator.resign);
+        },
     };
 };
--- a/test/machines/resident/controllers.ts
+++ b/test/machines/resident/controllers.ts
@@ -49,7 +49,7 @@
         const { signal } = lifetime;
         const clock = createPausableClock(world);
         const access = shared.access();
-        const state = { cut: false, cutFrom: new Set<string>(), plans: 0, failing: "" };
+        const state = { cut: false, cutFrom: new Set<string>(), plans: 0, failing: "", keepsFailing: false };
         const loads = createKeyLoads();
         const common = { clock, log: silentLog, metrics, signal };
         const watcherOptions = {
@@ -106,10 +106,10 @@
             reachableSince: () => coordinationWatcher.reachableSince(),
             maxHoldMilliseconds: 10_000,
             wallClock: world.now,
-            /** Throws once for the task that is to fail. */
+            /** Throws for the task that is to fail, once or each time. */
             measure: (task, run) => {
                 if (state.failing === task) {
-                    state.failing = "";
+                    state.failing = state.keepsFailing ? task : "";
                     throw new Error(`${task} failed`);
                 }
                 return run();
--- a/test/machines/resident/rangecontroller.test.ts
+++ b/test/machines/resident/rangecontroller.test.ts
@@ -193,6 +193,29 @@
     t.deepEqual(setup.targets.violations, []);
 });
 
+const sampledKeys = [0, 10_000, 20_000, 30_000, 40_000, 50_000, 65_535];
+
+for (const failingHosts of [1, 3]) {
+    test(`${failingHosts} of 3 hosts fail at each step of planning: ${failingHosts === 1 ? "another takes over and moves the keys of a target that leaves" : "keys stay served"}`, async t => {
+        const setup = await setUp();
+        const { coordinator, hosts, targets, register } = setup;
+        for (const host of [coordinator, ...hosts.filter(other => other !== coordinator)].slice(0, failingHosts)) {
+            host.state.failing = "plan";
+            host.state.keepsFailing = true;
+        }
+        register("b", true);
+        const unserved = await unservedDuring(setup, 40_000);
+        t.is(unserved, 0);
+        t.deepEqual(targets.violations, []);
+        if (failingHosts === 1) {
+            t.false(coordinator.controller.isCoordinator());
+            t.true(hosts.some(host => host.controller.isCoordinator()));
+            t.deepEqual(sampledKeys.filter(key => targets.get("b").holds(key)), [], "the keys have moved");
+        }
+        hosts.forEach(host => host.kill());
+    });
+}
+
 test("a coordinator with finished moves calls a store that refuses it a few times a second", async t => {
     const setup = await setUp();
     const { coordinator } = setup;
