Keep one pool or follower that fails from starving the next

A pool whose load report threw at each turn, or a follower whose connection did, ended the loop before those after it had their turn, and the pause before the next one grew to 5 s: no load of the other pools reached their coordinators, and followers further down got neither state nor status.

Each item of these loops now has its turn alone; a failure is logged and counted as a failure of the task, as before.

Evidence: two cases of test/machines/resident/longtasks.test.ts had 0 turns in 20 s before, and have 30 at least now.

--- a/src/machines/longtasks.ts
+++ b/src/machines/longtasks.ts
@@ -71,3 +71,21 @@
     };
     return keepRunning(name, repeat, options);
 };
+
+/** Runs `work` for each item, so that an exception costs this item's turn alone. */
+export const forEachAlone = <Item>(
+    task: string,
+    items: Iterable<Item>,
+    work: (item: Item) => void,
+    { log, metrics }: Pick<LongTaskOptions, "log" | "metrics">,
+): void => {
+    for (const item of items) {
+        try {
+            work(item);
+        }
+        catch (error) {
+            metrics.count("task-failures", { task });
+            log.error("task-failed", { task, error: error instanceof Error ? error.stack : String(error) });
+        }
+    }
+};
--- a/src/machines/resident/loadreporter.ts
+++ b/src/machines/resident/loadreporter.ts
@@ -9,7 +9,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer, PeerService } from "../../links/peers.ts";
-import { keepRunning } from "../longtasks.ts";
+import { forEachAlone, keepRunning } from "../longtasks.ts";
 import type { EventLoopMonitor } from "./eventloopmonitor.ts";
 
 export type LoadReporter = {
@@ -88,7 +88,7 @@
     const reportRepeatedly = async (): Promise<void> => {
         while (!signal.aborted) {
             await clock.sleep(reportMilliseconds, signal);
-            pools.forEach((pool, name) => sendReport(name, pool));
+            forEachAlone("load-reports", pools, ([name, pool]) => sendReport(name, pool), options);
         }
     };
     void keepRunning("load-reports", reportRepeatedly, options);
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -15,7 +15,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerService } from "../../links/peers.ts";
-import { keepRunning } from "../longtasks.ts";
+import { forEachAlone, keepRunning } from "../longtasks.ts";
 import type { StateCache } from "./statecache.ts";
 
 export type StateServerOptions = {
@@ -174,20 +174,23 @@
         }
     };
 
-    const announce = (): void => followers.forEach(sendStatus);
+    const forEachFollower = (work: (follower: Follower) => void): void =>
+        forEachAlone("reader-status", followers, work, { log, metrics });
+
+    const announce = (): void => forEachFollower(sendStatus);
 
     const announceRepeatedly = async (): Promise<void> => {
         while (!signal.aborted) {
             await clock.sleep(statusMilliseconds, signal);
             announce();
-            followers.forEach(dropIfStuck);
+            forEachFollower(dropIfStuck);
         }
     };
     void keepRunning("reader-status", announceRepeatedly, { clock, log, metrics, signal });
 
     cache.onAdvance(kind => {
         if (options.isCurrent()) {
-            followers.forEach(follower => sendKind(follower, kind));
+            forEachFollower(follower => sendKind(follower, kind));
         }
     });
 
--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -221,6 +221,64 @@
     });
 }
 
+/** Starts a task for two of a kind, of which the first always fails, and calls `reached` when the second has its turn. */
+const pairs: Array<{ title: string; start: (reached: () => void, common: Common) => unknown }> = [
+    {
+        title: "a pool",
+        start: (reached, common) => {
+            const reporter = createLoadReporter({
+                ...common,
+                dial,
+                coordinatorAddress: pool => {
+                    reporter.recordKey(pool, 1, true);
+                    if (pool === "p") {
+                        throw new Error("always");
+                    }
+                    reached();
+                    return undefined;
+                },
+                measure: (...[, run]) => run(),
+            });
+            ["p", "q"].forEach(pool => reporter.recordKey(pool, 1, true));
+        },
+    },
+    {
+        title: "a follower",
+        start: (reached, common) => {
+            const server = createStateServer({
+                ...common,
+                cache: createStateCache(),
+                kinds: ["k"],
+                patches: {},
+                isCurrent: () => true,
+                onLoads: () => undefined,
+                wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
+            });
+            const failing = (): never => {
+                throw new Error("always");
+            };
+            const sends = [failing, reached];
+            sends.map(send => server.service({ ...connection, queuedBytes: () => (send(), 0) })).forEach(
+                (listener, index) => listener.onFrame({ kind: "follow", host: `h${index}`, positions: {} }),
+            );
+        },
+    },
+];
+
+for (const { title, start } of pairs) {
+    test(`${title} that always fails does not keep the next from its turns`, async t => {
+        const { clock, failed, lifetime, common } = setUp();
+        let turns = 0;
+        start(() => {
+            turns += 1;
+        }, common);
+        await clock.advance(20_000);
+        t.true(turns >= 30, `${turns} turns`);
+        t.true(failed.length > 0);
+        lifetime.abort();
+    });
+}
+
 const endings: Array<{ title: string; run: () => Promise<void> }> = [
     { title: "always fails", run: () => Promise.reject(new Error("always")) },
     { title: "always ends", run: () => Promise.resolve() },
