Refuse settings that are nested too deep before they are parsed

A settings file of some hundred nested lists or entries ended the process with 134 after a few reads, at the start and while a host ran: the parser is recursive, and where it has used up the stack V8 can not compile a regular expression ("RegExpCompiler Allocation failed") and ends the process, which no catch prevents.

The reader now refuses a file in which more than 200 collections begin, the widest indentation included, as a finding like any other.

All five are findings now (test/links/residentsettings.test.ts).

--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -28,12 +28,26 @@
     }
 };
 
+/** The parser is recursive, and V8 ends the process when it has no stack left for a regular expression. */
+const maxNesting = 200;
+
+/** Returns an upper bound on how deep collections are nested: those that begin, and the widest indentation. */
+const nestingBound = (text: string): number => {
+    const collections = text.match(/[[{]|[-?][ \n]/g)?.length ?? 0;
+    const indentation = (text.match(/^ +/gm) ?? []).reduce((widest, { length }) => Math.max(widest, length), 0);
+    return collections + indentation;
+};
+
 /**
  * Reads a settings file, or throws an `InputError` that lists every finding. Throws the system's error when there is no
  * free descriptor.
  */
 export const readResidentSettings = (file: string, readFile = readFileText): ResidentSettings => {
-    const { value, findings } = checkYaml(file, readText(file, readFile), residentSettingsSchema);
+    const text = readText(file, readFile);
+    if (nestingBound(text) > maxNesting) {
+        throw new InputError(`The settings file "${file}" has more than ${maxNesting} nested collections.`);
+    }
+    const { value, findings } = checkYaml(file, text, residentSettingsSchema);
     if (value === undefined) {
         throw new InputError(findings.map(describeFinding).join("\n"));
     }
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -33,6 +33,22 @@
     t.is(settings.ownership.maxHold, 10_000);
 });
 
+const nested = [
+    { title: "lists", text: "[".repeat(2_000) },
+    { title: "objects", text: "{a: ".repeat(2_000) },
+    { title: "entries", text: "- ".repeat(2_000) },
+    { title: "keys", text: "? ".repeat(2_000) },
+    { title: "names", text: [...new Array(700).keys()].map(depth => `${" ".repeat(depth)}a:\n`).join("") },
+];
+
+for (const { title, text } of nested) {
+    test(`a file of deeply nested ${title} is a finding, and does not end the process`, t => {
+        for (let read = 0; read < 3; read += 1) {
+            t.throws(() => readResidentSettings(fileWith(text)), { message: /nested collections/ });
+        }
+    });
+}
+
 const statedLimits: Array<[string, number | undefined]> = [["3075", 3_075], ["0", undefined], ["", undefined]];
 
 for (const [text, expected] of statedLimits) {
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -338,6 +338,7 @@
     { title: "missing", first: undefined },
     { title: "empty", first: "" },
     { title: "half written", first: "host: { name: h1, zo" },
+    { title: "nested too deep", first: "[".repeat(8_000) },
 ];
 
 const unwrittenCases = unwritten.flatMap(state =>
