Find addresses in the settings that can never be valid

A store address of 127.0.0.1:70000 or 127.0.0.300:7000 passed the settings' check and ended the process with "Invalid URL", code 1, at each start, and also a process that was never ready once such settings came by a reload. An address is now checked as one, with its port, so that the start waits with a finding and a reload is refused.

--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -1,10 +1,19 @@
 /**
  * Settings of a resident host: schema and defaults. The file is YAML; durations are written as `1500ms` or `2.5s`.
  */
+import { isIPv4 } from "node:net";
 import { z } from "zod";
 import { durationSchema } from "./duration.ts";
 
-const addressSchema = z.string().regex(/^[0-9.]+:\d{1,5}$/, "an IP address with a port");
+const maxPort = 65_535;
+
+/** Whether a text is an IPv4 address with a port, as `10.0.0.1:8080`. */
+const isAddress = (text: string): boolean => {
+    const [host, port, ...rest] = text.split(":");
+    return rest.length === 0 && isIPv4(host) && /^[1-9]\d{0,4}$/.test(port ?? "") && Number(port) <= maxPort;
+};
+
+const addressSchema = z.string().refine(isAddress, "an IP address with a port");
 
 export const residentSettingsSchema = z.object({
     host: z.object({
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -71,6 +71,9 @@
         text: valid.replace("127.0.0.1:4", "store:4"),
         finding: /store.address/,
     },
+    { title: "a port that is none", text: valid.replace("127.0.0.1:4", "127.0.0.1:70000"), finding: /store.address/ },
+    { title: "a port of 0", text: valid.replace("127.0.0.1:4", "127.0.0.1:0"), finding: /store.address/ },
+    { title: "an address that is none", text: valid.replace("127.0.0.1:4", "127.0.0.300:4"), finding: /store.address/ },
     { title: "invalid YAML", text: "host: [", finding: /valid YAML/ },
 ];
 
