Catch all signals from the loader's first line on

SIGQUIT and SIGALRM 40 to 150 ms after a start ended the process 4 times of 4 (SIGTERM once at 40 ms, never later): the loader caught five signals, the program thirteen. The loader now has the same, and those that stop end it with 0 while it waits for its program.

--- a/scripts/loader.cjs
+++ b/scripts/loader.cjs
@@ -12,9 +12,24 @@
 let isWaiting = false;
 // A signal that arrives while the program loads must not end the process. It is delivered once the event loop runs, and
 // then the program has set its own listeners.
-for (const signal of ["SIGTERM", "SIGINT", "SIGHUP", "SIGUSR1", "SIGUSR2"]) {
+const stopSignals = ["SIGTERM", "SIGINT", "SIGQUIT", "SIGPWR"];
+const otherSignals = [
+    "SIGHUP",
+    "SIGUSR1",
+    "SIGUSR2",
+    "SIGALRM",
+    "SIGVTALRM",
+    "SIGPROF",
+    "SIGIO",
+    "SIGSTKFLT",
+    "SIGXCPU",
+];
+for (const signal of otherSignals) {
+    process.on(signal, () => undefined);
+}
+for (const signal of stopSignals) {
     process.on(signal, () => {
-        if (isWaiting && (signal === "SIGTERM" || signal === "SIGINT")) {
+        if (isWaiting) {
             process.exit(0);
         }
     });
--- a/test/platform/build.test.ts
+++ b/test/platform/build.test.ts
@@ -104,13 +104,15 @@
     });
 }
 
-for (const signal of ["SIGTERM", "SIGINT"] as const) {
+for (const signal of ["SIGTERM", "SIGINT", "SIGQUIT", "SIGPWR"] as const) {
     test.serial(`${signal} ends a process that waits for its program`, async t => {
         const folder = copyBuild();
         rmSync(pathOf(folder, ".cjs"));
         const program = await start(t, folder);
         await waitUntil("it waits", () => /event=program-wait/.test(program.errors()));
-        program.child.kill("SIGHUP");
+        for (const ignored of ["SIGHUP", "SIGALRM", "SIGIO", "SIGXCPU"] as const) {
+            program.child.kill(ignored);
+        }
         await sleep(100);
         t.false(isOver(program));
         program.child.kill(signal);
