Put back packages that are a relative link when an installation fails

With node_modules a relative link and an npm that failed, the link was left in target/ and the next build had no packages: moved, it names nothing there, and existsSync said that it was not there. The link itself is looked at now.

--- a/scripts/installmodules.cjs
+++ b/scripts/installmodules.cjs
@@ -5,7 +5,7 @@
  */
 "use strict";
 const { spawnSync } = require("node:child_process");
-const { existsSync, mkdirSync, renameSync, rmSync } = require("node:fs");
+const { existsSync, lstatSync, mkdirSync, renameSync, rmSync } = require("node:fs");
 const { join } = require("node:path");
 
 const tries = 2;
@@ -18,10 +18,13 @@
 
 const remove = path => rmSync(path, { recursive: true, force: true });
 
+/** Also true of a link whose target is not there, as a relative one that was moved. */
+const isThere = path => lstatSync(path, { throwIfNoEntry: false }) !== undefined;
+
 const tell = text => process.stderr.write(`${text}\n`);
 
 const restore = () => {
-    if (existsSync(former)) {
+    if (isThere(former)) {
         remove(folder);
         renameSync(former, folder);
     }
@@ -34,7 +37,7 @@
             restore();
         }
         remove(former);
-        if (existsSync(folder)) {
+        if (isThere(folder)) {
             renameSync(folder, former);
         }
     }
@@ -62,7 +65,7 @@
 }
 else {
     process.exitCode = 1;
-    if (existsSync(former)) {
+    if (isThere(former)) {
         restore();
         tell("The packages that were there before are used.");
     }
--- a/test/platform/installmodules.test.ts
+++ b/test/platform/installmodules.test.ts
@@ -4,7 +4,7 @@
  */
 import test from "ava";
 import { spawnSync } from "node:child_process";
-import { existsSync, mkdirSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { existsSync, mkdirSync, mkdtempSync, readFileSync, renameSync, symlinkSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { delimiter, join, resolve } from "node:path";
 
@@ -19,9 +19,9 @@
 type Attempt = keyof typeof attempts;
 
 /** Where packages are before the installation, by the text in their `kind`; complete ones have npm's last file. */
-type Before = { packages?: { kind: string; isComplete: boolean }; kept?: string };
+type Before = { packages?: { kind: string; isComplete: boolean }; isLink?: true; kept?: string };
 
-const createFolder = ({ packages, kept }: Before, [first, second]: [Attempt, Attempt]): string => {
+const createFolder = ({ packages, isLink, kept }: Before, [first, second]: [Attempt, Attempt]): string => {
     const root = mkdtempSync(join(tmpdir(), "carobpier-install-"));
     const write = (path: string, content: string): void => {
         mkdirSync(join(root, path, ".."), { recursive: true });
@@ -33,6 +33,11 @@
     if (packages?.isComplete === true) {
         write("node_modules/.package-lock.json", "{}");
     }
+    if (isLink) {
+        mkdirSync(join(root, "shared"));
+        renameSync(join(root, "node_modules"), join(root, "shared/node_modules"));
+        symlinkSync("shared/node_modules", join(root, "node_modules"));
+    }
     if (kept !== undefined) {
         write("target/formermodules/kind", kept);
         write("target/formermodules/.package-lock.json", "{}");
@@ -57,6 +62,12 @@
     { title: "are replaced when npm hangs once", before: complete, npm: ["hangs", "works"], kind: "new" },
     { title: "are put back when npm fails twice", before: complete, npm: ["fails", "fails"], kind: "former" },
     { title: "are put back when npm hangs twice", before: complete, npm: ["hangs", "hangs"], kind: "former" },
+    {
+        title: "that are a relative link are put back when npm fails twice",
+        before: { ...complete, isLink: true },
+        npm: ["fails", "fails"],
+        kind: "former",
+    },
     {
         title: "are put back when npm ends well without them",
         before: complete,
