Give a connection back once, also when a receiver throws at the end of its answer

undici reports an error after the end when the receiver throws, so that the connection was given back twice: another exchange that had it by then failed ("The client is destroyed"), and its target counted one exchange too few from then on, so that a busy connection could be closed as idle. Only the first report counts now.

--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -77,6 +77,15 @@
     let controller: Dispatcher.DispatchController | undefined;
     let settled = false;
     let interimAnswers = 0;
+    let isDone = false;
+
+    /** undici reports an error after the end when `onEnd` throws. The connection may have its next request by then. */
+    const done = (failed: boolean): void => {
+        if (!isDone) {
+            isDone = true;
+            onDone(failed);
+        }
+    };
 
     const fail = (error: Error): void => {
         if (!settled) {
@@ -131,14 +140,14 @@
             }
         },
         onResponseEnd: () => {
-            onDone(false);
+            done(false);
             if (!settled) {
                 settled = true;
                 receiver.onEnd();
             }
         },
         onResponseError: (...[, error]) => {
-            onDone(true);
+            done(true);
             fail(error);
         },
     });
