Let no request wait in vain for a connection to an idle target

Where hosts outnumber the connections of a target, a request was answered with 504 after its whole time-out though the target was idle: it counted itself as one of the requests that leave no room, and nothing woke it.

The link leaves the request out that asks, and allows one connection at least, since a request that waits while the host has no other one at the target would not be started.

--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -109,7 +109,8 @@
 
     const partOf = (state: TargetState): number => connectionPart(acceptedBy(state), offsetOf(state), sharingHosts());
 
-    const maxConnections = (state: TargetState): number => {
+    /** Returns the limit for a request that is counted already, or for one that is not. */
+    const limitFor = (state: TargetState, isCounted: boolean): number => {
         const part = partOf(state);
         const hosts = sharingHosts();
         if (part > 0 || hosts === undefined) {
@@ -118,9 +119,14 @@
         const { target: { name }, load } = state;
         const others = requestsOfOthers(name);
         const requests = others === undefined ? load.expectedRequests(clock.now()) : load.ownRequests() + others;
-        return sparseLimit(acceptedBy(state), hosts, requests);
+        return sparseLimit(acceptedBy(state), hosts, requests - Number(isCounted));
     };
 
+    const maxConnections = (state: TargetState): number => limitFor(state, false);
+
+    /** One at least: nothing would start a request again that the link keeps waiting while it has no other one. */
+    const linkConnections = (state: TargetState): number => Math.max(1, limitFor(state, true));
+
     const create = (target: RegisteredTarget): TargetState => {
         let lastOwn = 0;
         const recordOwn = (own: number): void => {
@@ -137,7 +143,7 @@
             load: createTargetLoad(target.slots, recordOwn),
             link: openLink({
                 address: target.address,
-                connections: () => maxConnections(state),
+                connections: () => linkConnections(state),
                 keptConnections: () => partOf(state),
                 connectMilliseconds,
                 targetConnections: addTargetConnections?.(),
