Keep the descriptors' limit in a shortage that connections do not cause

One passing EMFILE with 16 connections open lowered the limit from 4,100 to 64, so that the host had four connections for callers: 34 to 56 of 60 requests at once were reset for 19 s. With fewer than 64 connections open, files or another process cause the shortage, and closing connections mends nothing: the limit stays.

--- a/src/decisions/descriptors.ts
+++ b/src/decisions/descriptors.ts
@@ -78,8 +78,8 @@
 const maxPauseMilliseconds = 320_000;
 /** Connections that are closed for a shortage give their descriptors back within this time. */
 const settleMilliseconds = 500;
-/** Files may cause a shortage too, for which no connection is to blame. */
-const minShortLimit = 64;
+/** With fewer connections, files or another process cause the shortage, and closing connections mends nothing. */
+const minShortConnections = 64;
 /** Fraction of the full limit by which the limit rises at once. */
 const stepFraction = 1 / 32;
 
@@ -94,8 +94,8 @@
  * is free again when it is kept.
  */
 export const budgetAfterShortage = (budget: DescriptorBudget, connections: number, now: number): DescriptorBudget =>
-    now - budget.changedAt < settleMilliseconds ? budget : {
-        limit: Math.min(budget.limit, Math.max(minShortLimit, connections)),
+    now - budget.changedAt < settleMilliseconds || connections < minShortConnections ? budget : {
+        limit: Math.min(budget.limit, connections),
         changedAt: now,
         pauseMilliseconds: Math.min(maxPauseMilliseconds, 2 * budget.pauseMilliseconds),
     };
