Give tests of the built program ports that no other test is given

Cause: a free port was drawn from 12,000 and closed again, and the program listens on it only after its start, up to some seconds later. Tests of eight processes draw some fifty ports within such a time, so that two fleets of five ports may get the same one: the program of one then waits for its address, or the health check of one reads the other's. Change: each process of tests takes 120 ports by listening on the first of them until it ends, and hands them out in turn.

--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -4,7 +4,7 @@
 import { type ChildProcess, execFileSync, spawn } from "node:child_process";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { request as httpRequest } from "node:http";
-import { createServer, type Socket } from "node:net";
+import { createServer, type Server, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -25,16 +25,41 @@
 
 /** Below the ports that systems give to outgoing connections, which may take a free one before the program does. */
 const portRange = { first: 20_000, count: 12_000 };
+/** Ports that one process of tests hands out, beside the first, which it holds. */
+const portsPerProcess = 120;
 
+const listenOn = (port: number): Promise<Server | undefined> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(undefined));
+        server.listen(port, "127.0.0.1", () => resolve(server));
+    });
+
+/** Takes ports that no other process of tests hands out, by listening on the first of them until the process ends. */
+const claimPorts = async (): Promise<number> => {
+    for (;;) {
+        const slice = Math.floor(Math.random() * portRange.count / portsPerProcess);
+        const first = portRange.first + slice * portsPerProcess;
+        const holder = await listenOn(first);
+        if (holder) {
+            holder.unref();
+            return first;
+        }
+    }
+};
+
+let claim: Promise<number> | undefined;
+let handedOut = 0;
+
+/** A port that is free and that no test was given before, as a program listens on it only some time later. */
 export const freePort = async (): Promise<number> => {
+    claim ??= claimPorts();
+    const first = await claim;
     for (;;) {
-        const port = portRange.first + Math.floor(Math.random() * portRange.count);
-        const server = createServer();
-        const isFree = await new Promise<boolean>(resolve => {
-            server.once("error", () => resolve(false));
-            server.listen(port, "127.0.0.1", () => resolve(true));
-        });
-        if (isFree) {
+        handedOut += 1;
+        const port = first + 1 + handedOut % (portsPerProcess - 1);
+        const server = await listenOn(port);
+        if (server) {
             await new Promise(resolve => server.close(resolve));
             return port;
         }
