Let the tests of descriptors wait until the host has taken the connections

On a busy machine the 300 or 500 connections wait in the system's queue, and the host takes them in one burst after the test's pause of 500 ms. Then no caller's connection has been idle for the 250 ms after which one may be closed for a new one, so that new callers are closed (ECONNRESET beside "descriptors-used-up closed=new" in the log, at a load of 24), and the limit is not lowered yet when the test reads it. Change: the tests wait until the host has counted the connections, or met the shortage, and check the same things then, each with its bound as before. Failures print the host's log. The test of a host that cannot listen waits for the line before it looks whether the process stays.

--- a/test/platform/descriptors.test.ts
+++ b/test/platform/descriptors.test.ts
@@ -35,6 +35,8 @@
     store: StoreStandIn;
     program: Program;
     readMetric: (name: string) => Promise<number | undefined>;
+    /** Waits until the host has taken that many connections at an address. */
+    waitForConnections: (part: string, count: number) => Promise<void>;
     close: () => void;
 };
 
@@ -46,15 +48,26 @@
     const [metricsPort, linksPort] = [await freePort(), await freePort()];
     const program = await startProgram(store, { openFiles: openFilesAllowed, metricsPort, linksPort, moreSettings });
     await waitUntil("the host is ready", () => isReady(program));
+    const readMetric = async (name: string): Promise<number | undefined> => {
+        await sendRequest(metricsPort, "/");
+        const line = (await sendRequest(metricsPort, "/")).body.split("\n").find(text => text.startsWith(name));
+        return line === undefined ? undefined : Number(line.slice(name.length));
+    };
     return {
         store,
         program,
         ports: { links: linksPort, health: program.healthPort, metrics: metricsPort },
-        readMetric: async name => {
-            await sendRequest(metricsPort, "/");
-            const line = (await sendRequest(metricsPort, "/")).body.split("\n").find(text => text.startsWith(name));
-            return line === undefined ? undefined : Number(line.slice(name.length));
-        },
+        readMetric,
+        waitForConnections: (part, count) =>
+            waitUntil(`${count} connections of ${part} are taken`, async () => {
+                const names = [
+                    `carobpier_descriptors{part="${part}"} `,
+                    `carobpier_descriptors_used_up{part="${part}",closed="idle"} `,
+                    `carobpier_descriptors_used_up{part="${part}",closed="new"} `,
+                ];
+                const taken = await Promise.all(names.map(name => readMetric(name).catch(() => 0)));
+                return taken.reduce<number>((sum, number = 0) => sum + number, 0) >= count;
+            }),
         close: () => {
             program.child.kill("SIGKILL");
             [store, backend].forEach(part => part.close());
@@ -92,7 +105,7 @@
         };
         const timer = setTimeout(() => finish("silent"), closeMilliseconds);
         socket.on("data", bytes => finish(String(bytes).startsWith("HTTP/1.1 200") ? "answered" : String(bytes)));
-        socket.on("error", () => finish("closed"));
+        socket.on("error", error => finish(`closed: ${error.message}`));
         socket.on("close", () => finish("closed"));
     });
 
@@ -112,7 +125,7 @@
 
 for (const [title, textOf] of idleKinds) {
     test(`with more callers than descriptors that ${title}, the host goes on in all its duties`, async t => {
-        const { store, program, readMetric, close } = await startFleet();
+        const { store, program, readMetric, waitForConnections, close } = await startFleet();
         const callers: Socket[] = [];
         const second = await startBackendStandIn({
             id: "i-2",
@@ -129,6 +142,8 @@
         for (let number = 0; number < callerCount; number += 1) {
             callers.push(await openIdleCaller(program.callersPort, textOf(`c-${number}`)));
         }
+        // A connection is idle only some time after the host took it, and the system takes those that wait for it.
+        await waitForConnections("callers", callerCount);
         await sleep(500);
         const results: string[] = [];
         for (let number = 0; number < 10; number += 1) {
@@ -136,7 +151,7 @@
         }
         // The target runs in this process, so that the host may refuse a request when the machine is busy.
         const isGiven = (result: string): boolean => result === "answered" || /deadline-unreachable/.test(result);
-        t.deepEqual(results.filter(result => !isGiven(result)), [], "new callers");
+        t.deepEqual(results.filter(result => !isGiven(result)), [], `new callers; ${program.log()}`);
         await waitUntil(
             "a new caller is answered by the target",
             async () => await askOnNewConnection(program.callersPort, `w-${performance.now()}`) === "answered",
@@ -181,7 +196,7 @@
 
 for (const address of ["links", "health", "metrics"] as const) {
     test(`more idle connections than descriptors at the address of ${address} keep nobody out`, async t => {
-        const { program, ports, readMetric, close } = await startFleet();
+        const { program, ports, readMetric, waitForConnections, close } = await startFleet();
         const idle: Socket[] = [];
         t.teardown(() => {
             close();
@@ -190,8 +205,9 @@
         for (let number = 0; number < callerCount; number += 1) {
             idle.push(await openIdleCaller(ports[address], ""));
         }
+        await waitForConnections(address === "links" ? "hosts" : address, callerCount);
         await sleep(500);
-        t.is(await askOnNewConnection(program.callersPort, "n-1"), "answered");
+        t.is(await askOnNewConnection(program.callersPort, "n-1"), "answered", program.log());
         t.true(await isReady(program));
         t.is(await readMetric("carobpier_descriptor_limit "), openFiles);
         const link = new WebSocket(`ws://127.0.0.1:${ports.links}/state`);
@@ -233,8 +249,13 @@
             const ids = Array.from({ length: 50 }, (...[, index]) => `c-${number + index}`);
             callers.push(...await Promise.all(ids.map(id => openIdleCaller(program.callersPort, textOf(id)))));
         }
-        const startAt = performance.now();
         t.true(await Promise.race([isReady(program), sleep(2_000, false)]), "health");
+        // Until then, most callers may wait for the host in the system's queue.
+        await waitUntil("the host has met the shortage", async () => {
+            const limit = await readMetric("carobpier_descriptor_limit ").catch(() => undefined);
+            return limit !== undefined && limit < openFilesAllowed;
+        });
+        const startAt = performance.now();
         const metrics = Promise.all([
             readMetric("carobpier_descriptor_limit "),
             readMetric(`carobpier_descriptors{part="callers"} `),
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -135,8 +135,8 @@
     const program = await startProgram(store, { linksPort: Number(store.address.split(":")[1]), grace: "2s" });
     t.teardown(() => program.child.kill("SIGKILL"));
     const end = once(program.child, "exit").then(([exitCode]) => exitCode as number);
+    await waitUntil("the address is told", () => /event=address-in-use for=links .*EADDRINUSE/.test(program.log()));
     t.is(await Promise.race([end, sleep(5_000, "running", { ref: false })]), "running");
-    t.regex(program.log(), /event=address-in-use for=links .*EADDRINUSE/);
     t.is((await sendRequest(program.healthPort, "/")).statusCode, 503);
     await t.throwsAsync(sendRequest(program.callersPort, "/"), { code: "ECONNREFUSED" });
     program.child.kill("SIGTERM");
