Name the refusals when the tests of limits and notices find requests unserved

Cause: these tests failed on busy machines with "others serve what the target does not take" alone, so that the reason could not be traced. Change: the reasons and bodies of what was refused are in the message. The checks are the same.

--- a/test/platform/limits.test.ts
+++ b/test/platform/limits.test.ts
@@ -79,6 +79,7 @@
         const limited = backends.find(backend => !sharded || backend.ownsKey(100)) ?? backends[0];
 
         const statuses: number[] = [];
+        const refusals: string[] = [];
         const lateStatuses: number[] = [];
         const retryAfters: unknown[] = [];
         const pending: Array<Promise<void>> = [];
@@ -91,6 +92,9 @@
             };
             const answer = await sendRequest(programs[number % programs.length].callersPort, "/a/x", headers);
             statuses.push(answer.statusCode);
+            if (answer.statusCode !== 200) {
+                refusals.push(`${answer.statusCode} ${String(answer.headers["carobpier-reason"])}: ${answer.body}`);
+            }
             if (performance.now() > startedAt + loadMilliseconds - lateMilliseconds) {
                 lateStatuses.push(answer.statusCode);
             }
@@ -114,9 +118,15 @@
         t.true(retryAfters.every(value => Number(value) > 0), "a refused caller is told when to come back");
         const servedLate = lateStatuses.filter(status => status === 200).length / lateStatuses.length;
         // Keys move by the store only.
-        t.true(isStoreOut || servedLate >= minServedLate, `${servedLate} of the last requests were served`);
+        t.true(
+            isStoreOut || servedLate >= minServedLate,
+            `${servedLate} of the last requests were served; ${refusals.join("\n")}`,
+        );
         if (!sharded) {
-            t.true(statuses.every(status => status === 200), "others serve what the target does not take");
+            t.true(
+                statuses.every(status => status === 200),
+                `others serve what the target does not take; ${refusals.join("\n")}`,
+            );
         }
     });
 }
--- a/test/platform/notices.test.ts
+++ b/test/platform/notices.test.ts
@@ -166,7 +166,12 @@
         };
         logTrace();
         t.is(countBetween(leaver.arrivals, since, Infinity), 0, "requests after the drain time");
-        t.true(drained.every(answer => answer.statusCode === 200), "others serve what it served");
+        const refused = drained.filter(answer => answer.statusCode !== 200);
+        t.deepEqual(
+            refused.map(answer => [answer.headers["carobpier-reason"], answer.body]),
+            [],
+            "others serve what it served",
+        );
         const servedShare = answers.filter(answer => answer.statusCode === 200).length / answers.length;
         t.true(servedShare >= 0.9, `${servedShare} served while it leaves`);
 
