Start the loops of an entry host again after an exception

An exception in any loop of src/machines/*.ts ended that loop for good, as an unhandled rejection that also ended the process of `carobpier run`; one in work that a loop starts without waiting left the flag behind that keeps the next turn from starting it (renewals, offers of assignments, questions to relays and witnesses). Callers then saw keys without an owner or a host that admits nothing, or a connection that ended with the process.

The loops are owned by machines/longtasks.ts, as those of the resident host are: each failure is logged with its name and counted, the loop goes on after a pause, and a stop ends it. Work without a waiter goes through runAlone, each pool, target and host of a turn through forEachAlone, so that one that always fails does not starve the next. A handler that throws at a message of a host to itself is logged like one at a message of another host.

--- a/src/machines/admission.ts
+++ b/src/machines/admission.ts
@@ -2,11 +2,11 @@
  * Admission of requests to targets: for each target view, a queue with a concurrency limit, and the timers that advance
  * the queue.
  */
-import type { Clock } from "../contracts/clock.ts";
 import { type AdmissionQueue, createAdmissionQueue, type QueuedRequest, type Verdict } from "../decisions/admission.ts";
 import { type ConcurrencyLimit, createConcurrencyLimit } from "../decisions/concurrencylimit.ts";
 import { connectionsFor } from "../decisions/share.ts";
 import type { AdmissionReading } from "./gauges.ts";
+import { type LongTaskOptions, runStep } from "./longtasks.ts";
 import type { ExchangeSample } from "./sender.ts";
 import type { TargetView } from "./target.ts";
 
@@ -55,9 +55,11 @@
 /** Tells whether the caller hung up, and calls the listener when it does. */
 export type HangUpSignal = { happened: boolean; listener: (() => void) | undefined };
 
-export type AdmissionOptions = { queueLength: number; rampMilliseconds: number; clock: Clock; signal: AbortSignal };
+export type AdmissionOptions = { queueLength: number; rampMilliseconds: number } & LongTaskOptions;
 
 const minBackOffMilliseconds = 10;
+/** Pause after an exception in a queue that advances by its timer. */
+const failurePauseMilliseconds = 100;
 
 /** Creates the admission of one host to all targets. `queueLength` bounds the requests that wait for one target. */
 export const createAdmission = (options: AdmissionOptions): Admission => {
@@ -90,17 +92,17 @@
     const of = (view: TargetView): TargetAdmission => targets.get(view) ?? create(view);
 
     /** Sets a timer for a queue that advances at a certain time rather than when a request ends. */
-    const schedule = (queue: AdmissionQueue): void => {
+    const schedule = (queue: AdmissionQueue, minMilliseconds = 1): void => {
         const now = clock.now();
         const dueAt = queue.nextAdvanceAt(now);
         if (dueAt === undefined || scheduled.has(queue)) {
             return;
         }
         scheduled.add(queue);
-        clock.after(Math.max(1, dueAt - now), () => {
+        clock.after(Math.max(minMilliseconds, dueAt - now), () => {
             scheduled.delete(queue);
-            queue.advance(clock.now());
-            schedule(queue);
+            const advanced = runStep("admission", () => queue.advance(clock.now()), options);
+            schedule(queue, advanced ? undefined : failurePauseMilliseconds);
         }, signal);
     };
 
--- a/src/machines/assigner.ts
+++ b/src/machines/assigner.ts
@@ -25,9 +25,11 @@
 import type { MoveTiming } from "../decisions/move.ts";
 import type { RevisionTracker } from "../decisions/revisiontracker.ts";
 import type { Log } from "../links/logs.ts";
+import type { Metrics } from "../links/metrics.ts";
 import type { PlatformLink } from "../links/platform.ts";
 import { writeOnce } from "./conditionalwrite.ts";
 import { createPoolLoads, loadReportIntervalMilliseconds } from "./loads.ts";
+import { runAlone } from "./longtasks.ts";
 import { createMoveTracker } from "./movetracker.ts";
 import type { ObjectView } from "./objects.ts";
 import type { Peers } from "./peers.ts";
@@ -48,6 +50,7 @@
     timing: MoveTiming;
     clock: Clock;
     log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -118,6 +121,8 @@
         timing: options.timing,
         routersReadAfter,
         clock,
+        log,
+        metrics: options.metrics,
         signal,
         onReleased: released => {
             const slots = released.reduce((sum, move) => sum + move.slots.length, 0);
@@ -175,8 +180,7 @@
         };
     };
 
-    const write = async (value: Assignment, reason: string): Promise<void> => {
-        isWriting = true;
+    const writeNow = async (value: Assignment, reason: string): Promise<void> => {
         const writeId = randomUUID();
         const ifVersion = objects.get("assignments", poolName)?.version ?? 0;
         const sentAt = clock.now();
@@ -200,6 +204,11 @@
             nextWriteAt = clock.now() + retryDelay;
             retryDelay = Math.min(maxRetryMilliseconds, retryDelay * 2);
         }
+    };
+
+    const write = async (value: Assignment, reason: string): Promise<void> => {
+        isWriting = true;
+        await runAlone("assignment-write", () => writeNow(value, reason), options);
         isWriting = false;
     };
 
--- a/src/machines/claimkeeper.ts
+++ b/src/machines/claimkeeper.ts
@@ -17,6 +17,7 @@
 import type { HostLinks } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
 import type { Metrics } from "../links/metrics.ts";
+import { forEachAlone, keepRunning, runAlone } from "./longtasks.ts";
 import type { ObjectView } from "./objects.ts";
 
 export type ClaimKeeperOptions = {
@@ -165,9 +166,8 @@
             return;
         }
         entry.copying = true;
-        await work().finally(() => {
-            entry.copying = false;
-        });
+        await runAlone("claim-memory", work, options);
+        entry.copying = false;
     };
 
     /** The second keeper copies the memory of the first again when their epochs differ. */
@@ -207,29 +207,31 @@
     objects.onChange("pools", recordPool);
     objects.onChange("assignments", applyKeepers);
 
+    const startTakeOver = (entry: KeptGroup): void => {
+        if (entry.memory.handoverSources() === undefined) {
+            unready.delete(entry);
+            return;
+        }
+        void unlessCopying(entry, () => takeOver(entry));
+    };
+
     const run = async (): Promise<void> => {
         await options.ready;
         isReady = true;
-        objects.list("assignments").forEach(({ name }) => applyKeepers(name));
-        objects.list("pools").forEach(({ name }) => recordPool(name));
+        forEachAlone("claim-keeper", objects.list("assignments"), ({ name }) => applyKeepers(name), options);
+        forEachAlone("claim-keeper", objects.list("pools"), ({ name }) => recordPool(name), options);
         let expiredAt = clock.now();
         while (!signal.aborted) {
-            for (const entry of unready) {
-                if (entry.memory.handoverSources() === undefined) {
-                    unready.delete(entry);
-                    continue;
-                }
-                void unlessCopying(entry, () => takeOver(entry));
-            }
+            forEachAlone("claim-keeper", unready, startTakeOver, options);
             if (clock.now() - expiredAt >= expiryIntervalMilliseconds) {
                 expiredAt = clock.now();
-                kept.forEach(entry => entry.memory.expire(expiredAt));
+                forEachAlone("claim-keeper", kept.values(), ({ memory }) => memory.expire(expiredAt), options);
             }
             await clock.sleep(takeOverIntervalMilliseconds, signal);
         }
     };
 
-    void run();
+    void keepRunning("claim-keeper", run, options);
     return {
         claim,
         settle,
--- a/src/machines/coordinator.ts
+++ b/src/machines/coordinator.ts
@@ -7,9 +7,11 @@
 import type { MoveTiming } from "../decisions/move.ts";
 import type { RevisionTracker } from "../decisions/revisiontracker.ts";
 import type { Log } from "../links/logs.ts";
+import type { Metrics } from "../links/metrics.ts";
 import type { PlatformLink } from "../links/platform.ts";
 import { type Assigner, type AssignerReport, createAssigner } from "./assigner.ts";
 import type { Leases } from "./leases.ts";
+import { forEachAlone, keepRunning } from "./longtasks.ts";
 import type { ObjectView } from "./objects.ts";
 import type { Peers } from "./peers.ts";
 
@@ -26,6 +28,7 @@
     timing: MoveTiming;
     clock: Clock;
     log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -68,14 +71,12 @@
 
     const run = async (): Promise<void> => {
         while (!signal.aborted) {
-            for (const { name } of objects.list("pools")) {
-                assignerOf(name)?.check();
-            }
+            forEachAlone("coordination", objects.list("pools"), ({ name }) => assignerOf(name)?.check(), options);
             await clock.sleep(checkIntervalMilliseconds, signal);
         }
     };
 
-    void run();
+    void keepRunning("coordination", run, options);
     return {
         report: () => {
             const held = [...assigners].filter(([pool]) => leases.holds(pool));
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -18,9 +18,10 @@
 import { allRelays, choosePeers, hostsServedBy, majorityHosts, rankHosts, relaysAskedBy } from "../zones/relays.ts";
 import { createAnnouncement } from "./announcement.ts";
 import { createFollower } from "./follower.ts";
+import { keepRunning, runAlone, runStep } from "./longtasks.ts";
 import { startMajorityPoll } from "./majoritypoll.ts";
 import type { ObjectView } from "./objects.ts";
-import { createReplica } from "./replica.ts";
+import { createReplica, type ReplicaUpdate } from "./replica.ts";
 import { startReplication } from "./replication.ts";
 
 export type FleetOptions = {
@@ -186,7 +187,7 @@
         checkedVersion = newest.version;
         if (newest.deleted) {
             isolation.noteAnnouncementRemoved();
-            void announce();
+            void runAlone("announcement", announce, options);
             return;
         }
         const held = objects.get("status", self.name)?.value;
@@ -245,7 +246,7 @@
         }
     };
 
-    replica.onUpdate(({ changes }) => {
+    const applyChanges = ({ changes }: ReplicaUpdate): void => {
         for (const { item: { kind, name, version, deleted } } of changes) {
             log.debug("object-accepted", { kind, name, version, deleted });
         }
@@ -254,17 +255,18 @@
             checkOwnStatus();
             updatePeers();
         }
-    });
+    };
+    replica.onUpdate(update => void runStep("object-updates", () => applyChanges(update), options));
     links.onChange(host => membership.recordLink(host, links.incarnationOf(host), clock.now()));
 
     return {
         start: async () => {
-            void runTicks();
+            void keepRunning("ticks", runTicks, options);
             await announce();
             follower.start();
             await follower.ready;
-            void runPeers();
-            void runHostList();
+            void keepRunning("peers", runPeers, options);
+            void keepRunning("host-list", runHostList, options);
             startMajorityPoll({
                 self: self.name,
                 replica,
@@ -273,6 +275,8 @@
                 hosts: () => majorityHosts(slotHash, members()).map(host => host.name),
                 isolationMilliseconds,
                 clock,
+                log,
+                metrics,
                 signal,
             });
         },
--- a/src/machines/follower.ts
+++ b/src/machines/follower.ts
@@ -10,6 +10,7 @@
 import type { Log } from "../links/logs.ts";
 import type { Metrics } from "../links/metrics.ts";
 import type { PlatformLink } from "../links/platform.ts";
+import { keepRunning, runAlone } from "./longtasks.ts";
 import type { Replica } from "./replica.ts";
 
 /** What the follower may ask, by the current membership. */
@@ -154,27 +155,33 @@
         const noRelayAnswers = relays.length === 0 || unanswered >= relays.length;
         const shouldAskPlatform = lastAnswerAt === undefined || isRelay || noRelayAnswers;
         if (shouldAskPlatform && clock.now() >= nextPlatformAt && outstanding < maxOutstanding) {
-            void readPlatform();
+            void runAlone("platform-read", readPlatform, options);
         }
         if (lastAnswerAt === undefined || relays.length === 0 || isAskingRelay || (isRelay && failures === 0)) {
             return;
         }
         isAskingRelay = true;
-        await askRelay(relays);
-        isAskingRelay = false;
+        try {
+            await askRelay(relays);
+        }
+        finally {
+            isAskingRelay = false;
+        }
     };
 
+    const askNow = (): void => void runAlone("follower", ask, options);
+
     const follow = async (): Promise<void> => {
         while (!signal.aborted) {
-            void ask();
+            askNow();
             await clock.sleep(roundMilliseconds * (0.9 + random() / 5), signal);
         }
     };
 
     return {
-        start: () => void follow(),
+        start: () => void keepRunning("follower", follow, options),
         ready,
         lastPlatformAnswerAt: () => lastAnswerAt,
-        askNow: () => void ask(),
+        askNow,
     };
 };
--- a/src/machines/gauges.ts
+++ b/src/machines/gauges.ts
@@ -2,9 +2,9 @@
  * Gauges of this host's requests to the targets of each pool: how many run, how many wait, and how evenly they are
  * spread.
  */
-import type { Clock } from "../contracts/clock.ts";
 import { imbalanceOf } from "../decisions/balance.ts";
 import type { Metrics } from "../links/metrics.ts";
+import { type LongTaskOptions, repeatTask } from "./longtasks.ts";
 
 /** Requests of this host to one target. `finished` counts those that ended since the last reading. */
 export type AdmissionReading = { pool: string; running: number; waiting: number; finished: number; speed: number };
@@ -13,9 +13,7 @@
     /** Reads the counts of all targets and resets the count of finished requests. */
     takeReadings: () => AdmissionReading[];
     metrics: Metrics;
-    clock: Clock;
-    signal: AbortSignal;
-};
+} & LongTaskOptions;
 
 const gaugeIntervalMilliseconds = 5_000;
 
@@ -39,12 +37,6 @@
 
 /** Sets the gauges at a regular interval until the signal aborts. */
 export const startGauges = (options: GaugesOptions): void => {
-    const { clock, signal } = options;
-    const run = async (): Promise<void> => {
-        while (!signal.aborted) {
-            await clock.sleep(gaugeIntervalMilliseconds, signal);
-            setGauges(options.takeReadings(), options.metrics);
-        }
-    };
-    void run();
+    const update = (): void => setGauges(options.takeReadings(), options.metrics);
+    void repeatTask("gauges", () => gaugeIntervalMilliseconds, update, options);
 };
--- a/src/machines/heartbeat.ts
+++ b/src/machines/heartbeat.ts
@@ -2,11 +2,11 @@
  * Heartbeats between hosts. Each host tells the others that it runs and which hosts it hears, so that several hosts and
  * not one decide that a host is lost.
  */
-import type { Clock } from "../contracts/clock.ts";
 import { isHostLost } from "../decisions/detect.ts";
+import { keepRunning, type LongTaskOptions } from "./longtasks.ts";
 import type { Peers } from "./peers.ts";
 
-export type HeartbeatOptions = { host: string; peers: Peers; clock: Clock; signal: AbortSignal };
+export type HeartbeatOptions = { host: string; peers: Peers } & LongTaskOptions;
 
 export type Heartbeat = {
     /** Other hosts from which a heartbeat came recently and to which a link is open. */
@@ -82,7 +82,7 @@
         }
     };
 
-    void run();
+    void keepRunning("heartbeat", run, options);
     return {
         heardHosts,
         hearsNoHost: () => heardHosts().size === 0,
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -20,6 +20,7 @@
 import { createOperatorLink } from "../links/operators.ts";
 import { createPlatformLink } from "../links/platform.ts";
 import { createFleet, type FleetReport } from "./fleet.ts";
+import { runAlone } from "./longtasks.ts";
 import { createObjectView, type ObjectState } from "./objects.ts";
 import { createOwnership, type OwnershipReport } from "./ownership.ts";
 import { createRequestPath, type RequestReport } from "./requestpath.ts";
@@ -176,6 +177,7 @@
         unfinishedBelow: (pool, revision) => requests.unfinishedBelow(pool, revision),
         clock,
         log,
+        metrics,
         signal,
     });
     const requests = createRequestPath({
@@ -236,11 +238,13 @@
             return { host: name, incarnation, bar: fleet.admissionBlock(), version, inForce, since };
         },
     });
-    void fleet.start().then(() => {
+    const start = async (): Promise<void> => {
+        await fleet.start();
         state = "live";
         markReady();
         log.info("host-live", { host: name, zone, callers: callers.address });
-    });
+    };
+    void runAlone("start", start, { log, metrics });
 
     const dispose = async (): Promise<void> => {
         lifetime.abort();
--- a/src/machines/leases.ts
+++ b/src/machines/leases.ts
@@ -14,9 +14,11 @@
     shouldTakeLease,
 } from "../decisions/lease.ts";
 import type { Log } from "../links/logs.ts";
+import type { Metrics } from "../links/metrics.ts";
 import type { PlatformLink } from "../links/platform.ts";
 import { writeOnce } from "./conditionalwrite.ts";
 import type { Heartbeat } from "./heartbeat.ts";
+import { forEachAlone, keepRunning, runAlone } from "./longtasks.ts";
 import type { ObjectView } from "./objects.ts";
 
 export type LeasesOptions = {
@@ -28,6 +30,7 @@
     ranking: HostRanking;
     clock: Clock;
     log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -179,21 +182,19 @@
             }
             attempt.aloneWaitMilliseconds = Math.min(maxAloneWaitMilliseconds, attempt.aloneWaitMilliseconds * 2);
         }
-        void take(pool, attempt);
+        void runAlone("leases", () => take(pool, attempt), options);
     };
 
     const run = async (): Promise<void> => {
         while (!signal.aborted) {
             const now = clock.now();
             trackHosts(now);
-            for (const { name } of objects.list("pools")) {
-                check(name, now);
-            }
+            forEachAlone("leases", objects.list("pools"), ({ name }) => check(name, now), options);
             await clock.sleep(checkIntervalMilliseconds, signal);
         }
     };
 
-    void run();
+    void keepRunning("leases", run, options);
     return {
         holds: pool => holdsLease(leaseViewOf(pool, clock.now())),
         holder: pool => leaseOf(pool)?.holder,
--- a/src/machines/loads.ts
+++ b/src/machines/loads.ts
@@ -2,18 +2,16 @@
  * Load of slots and keys. Each host counts its requests by slot, finds its most requested keys and reports both to the
  * coordinator of the pool, which adds up the reports of all hosts.
  */
-import type { Clock } from "../contracts/clock.ts";
 import type { LoadReport } from "../contracts/ownershipmessages.ts";
 import { createLoadEstimate } from "../decisions/balance.ts";
 import { chooseHotKeys, createKeySketch, defaultHotKeyOptions, type KeySketch } from "../decisions/hotkeys.ts";
+import { forEachAlone, type LongTaskOptions, repeatTask } from "./longtasks.ts";
 import type { Peers } from "./peers.ts";
 
 export type LoadCounterOptions = {
     coordinatorOf: (pool: string) => string | undefined;
     peers: Peers;
-    clock: Clock;
-    signal: AbortSignal;
-};
+} & LongTaskOptions;
 
 export type LoadCounter = {
     /** Counts a request that is sent to the owner of the slot. */
@@ -29,7 +27,7 @@
 
 /** Starts to count requests. Reports once in each interval until the signal aborts. */
 export const createLoadCounter = (options: LoadCounterOptions): LoadCounter => {
-    const { peers, clock, signal } = options;
+    const { peers } = options;
     const pools = new Map<string, Counts>();
 
     const countsOf = (pool: string): Counts => {
@@ -55,16 +53,9 @@
         counts.keys.clear();
     };
 
-    const run = async (): Promise<void> => {
-        while (!signal.aborted) {
-            await clock.sleep(loadReportIntervalMilliseconds, signal);
-            for (const [pool, counts] of pools) {
-                report(pool, counts);
-            }
-        }
-    };
-
-    void run();
+    const reportAll = (): void =>
+        forEachAlone("load-reports", pools, ([pool, counts]) => report(pool, counts), options);
+    void repeatTask("load-reports", () => loadReportIntervalMilliseconds, reportAll, options);
     return {
         count: (pool, slot, key) => {
             const { slots, keys } = countsOf(pool);
--- a/src/machines/loadshedding.ts
+++ b/src/machines/loadshedding.ts
@@ -4,16 +4,15 @@
 import type { Clock } from "../contracts/clock.ts";
 import { createLoadShedder, type LoadShedder } from "../decisions/loadshedding.ts";
 import type { Metrics } from "../links/metrics.ts";
+import { keepRunning, type LongTaskOptions } from "./longtasks.ts";
 
 export type LoadSheddingOptions = {
     /** Sustained lateness of the event loop from which requests are refused. */
     latenessMilliseconds: number;
     /** A number from 0 up to, not including, 1. */
     random: () => number;
-    clock: Clock;
     metrics: Metrics;
-    signal: AbortSignal;
-};
+} & LongTaskOptions;
 
 export type SampleLatenessOptions = {
     /** Called with the lateness of each sample and the time since the sample before. */
@@ -51,6 +50,6 @@
         }
     };
 
-    void sampleLateness({ onSample, clock, signal });
+    void keepRunning("lateness", () => sampleLateness({ onSample, clock, signal }), options);
     return loadShedder;
 };
--- a/src/machines/longtasks.ts
+++ b/src/machines/longtasks.ts
@@ -72,20 +72,43 @@
     return keepRunning(name, repeat, options);
 };
 
+type FailureOptions = Pick<LongTaskOptions, "log" | "metrics">;
+
+const recordFailure = (task: string, error: unknown, { log, metrics }: FailureOptions): void => {
+    metrics.count("task-failures", { task });
+    log.error("task-failed", { task, error: error instanceof Error ? error.stack : String(error) });
+};
+
+/** Runs `work`, and counts and logs an exception. Returns whether there was none. */
+export const runStep = (task: string, work: () => void, options: FailureOptions): boolean => {
+    try {
+        work();
+        return true;
+    }
+    catch (error) {
+        recordFailure(task, error, options);
+        return false;
+    }
+};
+
+/** Runs asynchronous work that nobody waits for. Counts and logs its failure. Never rejects. */
+export const runAlone = async (task: string, work: () => Promise<unknown>, options: FailureOptions): Promise<void> => {
+    try {
+        await work();
+    }
+    catch (error) {
+        recordFailure(task, error, options);
+    }
+};
+
 /** Runs `work` for each item, so that an exception costs this item's turn alone. */
 export const forEachAlone = <Item>(
     task: string,
     items: Iterable<Item>,
     work: (item: Item) => void,
-    { log, metrics }: Pick<LongTaskOptions, "log" | "metrics">,
+    options: FailureOptions,
 ): void => {
     for (const item of items) {
-        try {
-            work(item);
-        }
-        catch (error) {
-            metrics.count("task-failures", { task });
-            log.error("task-failed", { task, error: error instanceof Error ? error.stack : String(error) });
-        }
+        runStep(task, () => work(item), options);
     }
 };
--- a/src/machines/majoritypoll.ts
+++ b/src/machines/majoritypoll.ts
@@ -3,9 +3,9 @@
  * the other hosts, and a majority of answers extends that time instead. Any two majorities share a host, so a newer
  * object that a majority holds can not be missed.
  */
-import type { Clock } from "../contracts/clock.ts";
 import type { Isolation } from "../decisions/isolation.ts";
 import type { HostLinks } from "../links/hosts.ts";
+import { keepRunning, type LongTaskOptions } from "./longtasks.ts";
 import type { Replica } from "./replica.ts";
 
 export type MajorityPollOptions = {
@@ -16,9 +16,7 @@
     /** Names of the hosts among which the majority is counted. */
     hosts: () => string[];
     isolationMilliseconds: number;
-    clock: Clock;
-    signal: AbortSignal;
-};
+} & LongTaskOptions;
 
 const roundsPerIsolationTime = 8;
 
@@ -54,5 +52,5 @@
         }
     };
 
-    void run();
+    void keepRunning("majority-poll", run, options);
 };
--- a/src/machines/movetracker.ts
+++ b/src/machines/movetracker.ts
@@ -3,7 +3,6 @@
  * their acknowledgements and the answers of former owners, and determines when each move is released.
  */
 import type { Assignment, Move } from "../contracts/assignment.ts";
-import type { Clock } from "../contracts/clock.ts";
 import type { StoredObject } from "../contracts/objects.ts";
 import type { MoveId } from "../contracts/ownershipmessages.ts";
 import {
@@ -14,6 +13,7 @@
     releaseTimeUnchecked,
     renewalsEndedBelow,
 } from "../decisions/move.ts";
+import { keepRunning, type LongTaskOptions, runAlone, runStep } from "./longtasks.ts";
 import type { Peers } from "./peers.ts";
 
 export type MoveTrackerOptions = {
@@ -23,11 +23,9 @@
     timing: MoveTiming;
     /** Hosts that may route, by a read of the platform that was sent after `time`; undefined if there is none yet. */
     routersReadAfter: (time: number) => readonly string[] | undefined;
-    clock: Clock;
-    signal: AbortSignal;
     /** Called with the moves that were released just now. */
     onReleased: (moves: Move[]) => void;
-};
+} & LongTaskOptions;
 
 export type MoveTracker = {
     /** Tracks the moves of an assignment that is known to be written; `item` is the stored object of the assignment. */
@@ -122,8 +120,8 @@
         }
         asking.add(question);
         lastAskedAt.set(question, askedAt);
-        const answer = await peers.ask(renewer, { kind: "target-question", pool, target }, askTimeoutMilliseconds);
-        asking.delete(question);
+        const message = { kind: "target-question", pool, target } as const;
+        const answer = await peers.ask(renewer, message, askTimeoutMilliseconds).finally(() => asking.delete(question));
         if (answer?.kind === "target-report" && answer.pool === pool && answer.target === target) {
             const { revision, releasing, releasingKeys } = answer;
             answers.set(target, { revision, releasing, releasingKeys, askedAt });
@@ -145,16 +143,17 @@
         const unfinished = assignment.moves.filter(move => !released.has(moveIdOf(move)));
         const targets = new Set(unfinished.filter(move => haveRenewalsEnded(move, assignment)).map(move => move.from));
         for (const target of targets) {
-            (assignment.renewers[target] ?? []).forEach(renewer => void askTarget(target, renewer));
+            (assignment.renewers[target] ?? []).forEach(renewer =>
+                void runAlone("move-questions", () => askTarget(target, renewer), options)
+            );
         }
         return targets.size;
     };
 
-    /** Releases the moves that can be released now, and sets a timer for the next one that is due. */
-    const releaseMoves = (): void => {
-        stopTimer();
+    /** Releases the moves that can be released now. Returns when the next one is due; `Infinity` while none is. */
+    const releaseDueMoves = (): number => {
         if (current === undefined) {
-            return;
+            return Infinity;
         }
         const { assignment, checksGrants } = current;
         const now = clock.now();
@@ -177,8 +176,18 @@
         if (askTargets() > 0) {
             nextAt = Math.min(nextAt, now + askIntervalMilliseconds);
         }
+        return nextAt;
+    };
+
+    /** Releases the moves that can be released now, and sets a timer for the next one that is due. */
+    const releaseMoves = (): void => {
+        stopTimer();
+        let nextAt = clock.now() + offerIntervalMilliseconds;
+        runStep("move-releases", () => {
+            nextAt = releaseDueMoves();
+        }, options);
         if (nextAt < Infinity) {
-            stopTimer = clock.after(Math.max(1, nextAt - now), releaseMoves, signal);
+            stopTimer = clock.after(Math.max(1, nextAt - clock.now()), releaseMoves, signal);
         }
     };
 
@@ -191,8 +200,8 @@
         }
         const { item } = current;
         asking.add(host);
-        const answer = await peers.ask(host, { kind: "assignment-offer", item }, askTimeoutMilliseconds);
-        asking.delete(host);
+        const message = { kind: "assignment-offer", item } as const;
+        const answer = await peers.ask(host, message, askTimeoutMilliseconds).finally(() => asking.delete(host));
         if (current === undefined) {
             return;
         }
@@ -233,11 +242,12 @@
         return [options.host, ...peers.connected()].filter(host => waitsForRouters || !hasAcknowledged(host));
     };
 
+    const offerToAll = (): void =>
+        hostsToAsk().forEach(host => void runAlone("move-offers", () => offerTo(host), options));
+
     const run = async (): Promise<void> => {
         while (!signal.aborted) {
-            for (const host of hostsToAsk()) {
-                void offerTo(host);
-            }
+            offerToAll();
             if (current !== undefined && clock.now() - lastAnnouncedAt >= announceIntervalMilliseconds) {
                 announceReleased(current.assignment);
             }
@@ -261,15 +271,13 @@
         }
     };
 
-    void run();
+    void keepRunning("move-offers", run, options);
     return {
         track: (assignment, item, checksGrants) => {
             current = { assignment, item, checksGrants };
             knownAt.set(assignment.revision, clock.now());
             forgetOldRevisions(assignment);
-            for (const host of hostsToAsk()) {
-                void offerTo(host);
-            }
+            offerToAll();
             releaseMoves();
         },
         isReleased: move => released.has(moveIdOf(move)),
--- a/src/machines/ownership.ts
+++ b/src/machines/ownership.ts
@@ -10,6 +10,7 @@
 import type { SlotHash } from "../decisions/hash.ts";
 import type { RevisionTracker } from "../decisions/revisiontracker.ts";
 import type { Log } from "../links/logs.ts";
+import type { Metrics } from "../links/metrics.ts";
 import type { PlatformLink } from "../links/platform.ts";
 import { rankHosts } from "../zones/relays.ts";
 import type { AssignerReport } from "./assigner.ts";
@@ -40,6 +41,7 @@
     unfinishedBelow: (pool: string, revision: number) => number;
     clock: Clock;
     log: Log;
+    metrics: Metrics;
     signal: AbortSignal;
 };
 
@@ -66,14 +68,14 @@
 
 /** Starts all ownership tasks. They run until the signal aborts. */
 export const createOwnership = (options: OwnershipOptions): Ownership => {
-    const { host, objects, revisionTracker, clock, signal, settings } = options;
-    const peers = createPeers(host, options.links);
+    const { host, objects, revisionTracker, clock, settings } = options;
+    const peers = createPeers(host, options.links, options.log);
     const ranking = (pool: string, names: readonly string[]): string[] =>
         rankHosts(options.slotHash, `coordinator-${pool}`, names.map(name => ({ name, zone: "" }))).map(({ name }) =>
             name
         );
     const timing = { ...settings, longestDeadlineMilliseconds: options.longestDeadlineMilliseconds };
-    const heartbeat = createHeartbeat({ host, peers, clock, signal });
+    const heartbeat = createHeartbeat({ ...options, peers });
     const leases = createLeases({ ...options, heartbeat, ranking });
     const coordinatorOf = (pool: string): string | undefined => leases.holder(pool);
     const slotOf = (pool: string, key: string): number =>
@@ -111,12 +113,11 @@
         onAssignmentAccepted: renewer.renewNow,
     });
     startProber({
+        ...options,
         probedTargets: renewer.probedTargets,
         coordinatorOf,
         peers,
         probe: defaultProbeOptions,
-        clock,
-        signal,
     });
     const coordinator = createCoordinator({
         ...options,
@@ -141,7 +142,7 @@
     };
 
     return {
-        loads: createLoadCounter({ coordinatorOf, peers, clock, signal }),
+        loads: createLoadCounter({ ...options, coordinatorOf, peers }),
         report: () => {
             const assigners = coordinator.report();
             const names = objects.list("pools").map(pool => pool.name);
--- a/src/machines/peers.ts
+++ b/src/machines/peers.ts
@@ -4,15 +4,23 @@
  */
 import type { Message, MessageKind, MessageOf } from "../contracts/messages.ts";
 import type { HostLinks, MessageHandler } from "../links/hosts.ts";
+import type { Log } from "../links/logs.ts";
 
 export type Peers = Pick<HostLinks, "tell" | "ask" | "handle" | "connected">;
 
 /** Adds delivery to this host itself to its links. `connected` still returns only the other hosts. */
-export const createPeers = (self: string, links: Peers): Peers => {
+export const createPeers = (self: string, links: Peers, log: Log): Peers => {
     const handlers = new Map<MessageKind, MessageHandler<MessageKind>>();
 
-    const deliver = async (message: Message): Promise<Message | undefined> =>
-        handlers.get(message.kind)?.(self, message as MessageOf<MessageKind>);
+    const deliver = async (message: Message): Promise<Message | undefined> => {
+        try {
+            return await handlers.get(message.kind)?.(self, message as MessageOf<MessageKind>);
+        }
+        catch (error) {
+            log.error("peer-message-failed", { peer: self, error: String(error) });
+            return undefined;
+        }
+    };
 
     return {
         connected: links.connected,
--- a/src/machines/prober.ts
+++ b/src/machines/prober.ts
@@ -2,10 +2,10 @@
  * The prober reports to the coordinators what this host finds of the targets that it renews: at once when a finding
  * changes, and otherwise at intervals.
  */
-import type { Clock } from "../contracts/clock.ts";
 import type { ProbeReport } from "../contracts/ownershipmessages.ts";
 import { targetStates } from "../contracts/targetprotocol.ts";
 import { findingOf, type ProbeOptions } from "../decisions/detect.ts";
+import { forEachAlone, keepRunning, type LongTaskOptions, runAlone } from "./longtasks.ts";
 import type { Peers } from "./peers.ts";
 import type { ProbedTarget } from "./renewer.ts";
 import { recordHealth } from "./target.ts";
@@ -16,9 +16,7 @@
     coordinatorOf: (pool: string) => string | undefined;
     peers: Peers;
     probe: ProbeOptions;
-    clock: Clock;
-    signal: AbortSignal;
-};
+} & LongTaskOptions;
 
 const checkIntervalMilliseconds = 20;
 const reportIntervalMilliseconds = 1_000;
@@ -57,7 +55,7 @@
     /** Sends the reports that changed or whose interval has passed. */
     const sendDueReports = (): void => {
         const now = clock.now();
-        for (const [pool, report] of currentReports(now)) {
+        forEachAlone("probe-reports", currentReports(now), ([pool, report]) => {
             const coordinator = options.coordinatorOf(pool);
             const text = JSON.stringify([coordinator, report.findings, report.draining]);
             const last = lastReports.get(pool);
@@ -65,7 +63,7 @@
             if (coordinator !== undefined && isDue && peers.tell(coordinator, report)) {
                 lastReports.set(pool, { text, at: now });
             }
-        }
+        }, options);
     };
 
     /**
@@ -92,13 +90,13 @@
         while (!signal.aborted) {
             const inBatch = options.probedTargets().filter((...[, index]) => index % batchesPerInterval === batch);
             inBatch.filter(({ view }) => view.probe.unansweredSince === undefined).forEach(probed =>
-                void readHealth(probed)
+                void runAlone("target-health", () => readHealth(probed), options)
             );
             batch = (batch + 1) % batchesPerInterval;
             await clock.sleep(healthIntervalMilliseconds / batchesPerInterval, signal);
         }
     };
 
-    void runReports();
-    void runHealth();
+    void keepRunning("probe-reports", runReports, options);
+    void keepRunning("target-health", runHealth, options);
 };
--- a/src/machines/quarantines.ts
+++ b/src/machines/quarantines.ts
@@ -8,6 +8,7 @@
 import type { HostLinks } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
 import type { Metrics } from "../links/metrics.ts";
+import { runAlone } from "./longtasks.ts";
 
 /** What identifies a request that is sent again. */
 export type RequestContent = {
@@ -190,9 +191,11 @@
         fingerprint: string,
         crash: Crash,
     ): Promise<void> => {
-        if (await isAlive === true) {
-            refute(pool, fingerprint, crash);
-        }
+        await runAlone("crash-check", async () => {
+            if (await isAlive === true) {
+                refute(pool, fingerprint, crash);
+            }
+        }, options);
     };
 
     /** Applies a change that another host sent. */
--- a/src/machines/renewer.ts
+++ b/src/machines/renewer.ts
@@ -4,12 +4,12 @@
  * of a target.
  */
 import type { Assignment, Move } from "../contracts/assignment.ts";
-import type { Clock } from "../contracts/clock.ts";
 import type { Grant, GrantAnswer } from "../contracts/grant.ts";
 import type { MoveId } from "../contracts/ownershipmessages.ts";
 import { divisions, type Target } from "../contracts/pool.ts";
 import { entitlementOf, isWithheld, validUntilOf } from "../decisions/grant.ts";
 import type { RevisionTracker } from "../decisions/revisiontracker.ts";
+import { forEachAlone, keepRunning, type LongTaskOptions, runAlone } from "./longtasks.ts";
 import type { ObjectView } from "./objects.ts";
 import type { Peers } from "./peers.ts";
 import { recordClockReading, recordHealth, recordProbeAnswer, type TargetView, type TargetViews } from "./target.ts";
@@ -23,9 +23,7 @@
     slotOf: (pool: string, key: string) => number;
     renewalMilliseconds: number;
     timeToLiveMilliseconds: number;
-    clock: Clock;
-    signal: AbortSignal;
-};
+} & LongTaskOptions;
 
 export type ProbedTarget = { pool: string; target: Target; view: TargetView };
 
@@ -112,8 +110,13 @@
         const { grant, grantedState } = grantFor(task, assignment, incarnation);
         view.probe.unansweredSince ??= askedAt;
         const listeners = task.listeners.splice(0);
-        const answer = await view.link.grant(grant, timeToLiveMilliseconds);
-        listeners.forEach(resolve => resolve(answer));
+        let answer: GrantAnswer | undefined;
+        try {
+            answer = await view.link.grant(grant, timeToLiveMilliseconds);
+        }
+        finally {
+            listeners.forEach(resolve => resolve(answer));
+        }
         if (answer === undefined) {
             noteNoAnswer(task, askedAt);
             return;
@@ -150,15 +153,21 @@
             return;
         }
         task.isAsking = true;
-        do {
-            task.askAgain = false;
-            await renewOnce(task);
+        try {
+            do {
+                task.askAgain = false;
+                await renewOnce(task);
+            }
+            while (task.askAgain && !signal.aborted);
+        }
+        finally {
+            task.isAsking = false;
+            task.listeners.splice(0).forEach(resolve => resolve(undefined));
         }
-        while (task.askAgain && !signal.aborted);
-        task.isAsking = false;
-        task.listeners.splice(0).forEach(resolve => resolve(undefined));
     };
 
+    const startRenewal = (task: Task): void => void runAlone("grant-renewal", () => renew(task), options);
+
     const isNamed = (assignment: Assignment, target: string): boolean =>
         assignment.renewers[target]?.includes(options.host) === true;
 
@@ -188,9 +197,7 @@
     };
 
     const renewNow = (pool: string): void => {
-        for (const task of tasksOf(pool)) {
-            void renew(task);
-        }
+        tasksOf(pool).forEach(startRenewal);
     };
 
     /** Discards released moves that the assignment no longer lists. */
@@ -206,7 +213,7 @@
             return undefined;
         }
         const asked = new Promise<GrantAnswer | undefined>(resolve => task.listeners.push(resolve));
-        void renew(task);
+        startRenewal(task);
         const answer = await asked;
         if (answer === undefined) {
             return undefined;
@@ -245,10 +252,12 @@
      */
     const renewBatch = (batch: number): void => {
         if (batch === 0) {
-            intervalTasks = objects.list("assignments").flatMap(({ name }) => tasksOf(name));
+            intervalTasks = [];
+            const assignments = objects.list("assignments");
+            forEachAlone("grant-renewal", assignments, ({ name }) => intervalTasks.push(...tasksOf(name)), options);
         }
         for (let index = batch; index < intervalTasks.length; index += batchesPerInterval) {
-            void renew(intervalTasks[index]);
+            startRenewal(intervalTasks[index]);
         }
     };
 
@@ -269,7 +278,7 @@
         }
     };
 
-    void run();
+    void keepRunning("grant-renewal", run, options);
     return {
         renewNow,
         probedTargets: () => [...tasks.values()].map(({ pool, target, view }) => ({ pool, target, view })),
--- a/src/machines/requestpath.ts
+++ b/src/machines/requestpath.ts
@@ -77,9 +77,11 @@
         queueLength: requests.queueLength,
         rampMilliseconds: requests.rampMilliseconds,
         clock,
+        log,
+        metrics,
         signal,
     });
-    startGauges({ takeReadings: admission.takeReadings, metrics, clock, signal });
+    startGauges({ takeReadings: admission.takeReadings, metrics, clock, log, signal });
     const destinations = createDestinationResolver({
         objects,
         views,
@@ -127,6 +129,7 @@
             latenessMilliseconds: requests.latenessMilliseconds,
             random: Math.random,
             clock,
+            log,
             metrics,
             signal,
         }),
--- a/src/machines/witness.ts
+++ b/src/machines/witness.ts
@@ -4,7 +4,6 @@
  * acknowledges them.
  */
 import { type Assignment, assignmentSchema } from "../contracts/assignment.ts";
-import type { Clock } from "../contracts/clock.ts";
 import type { StoredObject } from "../contracts/objects.ts";
 import type { AssignmentAcknowledgement } from "../contracts/ownershipmessages.ts";
 import { mayReportFinished, type MoveTiming } from "../decisions/move.ts";
@@ -16,6 +15,7 @@
     type RevisionTracker,
 } from "../decisions/revisiontracker.ts";
 import { vouchesFor } from "../decisions/witness.ts";
+import { forEachAlone, keepRunning, type LongTaskOptions, runAlone } from "./longtasks.ts";
 import type { ObjectView } from "./objects.ts";
 import type { Peers } from "./peers.ts";
 
@@ -30,9 +30,7 @@
     freshnessMilliseconds: number;
     /** Called after a newer assignment of the pool has been accepted. */
     onAssignmentAccepted: (pool: string) => void;
-    clock: Clock;
-    signal: AbortSignal;
-};
+} & LongTaskOptions;
 
 /** Share of the freshness time without an answer after which the platform counts as unreachable. */
 const unreachableShare = 0.6;
@@ -116,8 +114,7 @@
             return;
         }
         asking.add(pool);
-        await askWitnesses(pool, assignment.revision, assignment.witnesses);
-        asking.delete(pool);
+        await askWitnesses(pool, assignment.revision, assignment.witnesses).finally(() => asking.delete(pool));
     };
 
     /**
@@ -171,15 +168,15 @@
 
     const run = async (): Promise<void> => {
         while (!signal.aborted) {
-            for (const { name, value } of objects.list("assignments")) {
+            forEachAlone("witness", objects.list("assignments"), ({ name, value }) => {
                 const remainingMilliseconds = revisionTracker.remaining(name, value.revision, clock.now());
                 if (remainingMilliseconds < freshnessMilliseconds * lowShare) {
-                    void refresh(name);
+                    void runAlone("witness", () => refresh(name), options);
                 }
-            }
+            }, options);
             await clock.sleep(freshnessMilliseconds / roundsPerFreshnessTime, signal);
         }
     };
 
-    void run();
+    void keepRunning("witness", run, options);
 };
--- a/test/machines/fakes/fleet.ts
+++ b/test/machines/fakes/fleet.ts
@@ -10,6 +10,7 @@
 import { createRevisionTracker, type RevisionTracker } from "../../../src/decisions/revisiontracker.ts";
 import type { MessageHandler } from "../../../src/links/hosts.ts";
 import { silentLog } from "../../../src/links/logs.ts";
+import { createMetrics } from "../../../src/links/metrics.ts";
 import { createObjectView, type ObjectView } from "../../../src/machines/objects.ts";
 import { createOwnership, type Ownership } from "../../../src/machines/ownership.ts";
 import type { Peers } from "../../../src/machines/peers.ts";
@@ -194,6 +195,7 @@
             unfinishedBelow: () => unfinished.count,
             clock: hostClock,
             log: silentLog,
+            metrics: createMetrics(),
             signal: abortController.signal,
         });
         const { signal } = abortController;
