Let an entry host go on after an exception that nobody caught

`carobpier run` ended with code 1 and Node's message on standard error at any exception or rejection without a handler, and with it all requests of its callers; a request whose serving threw was answered as `host-failed` without a line. The process now logs and counts what nobody caught, as the resident host does, and logs exceptions of requests. The metrics are created by the command, which needs them before the host.

--- a/src/commands/run.ts
+++ b/src/commands/run.ts
@@ -3,7 +3,9 @@
  */
 import { Command, Flags } from "@oclif/core";
 import { InputError } from "../contracts/errors.ts";
+import { catchExceptions } from "../links/exceptions.ts";
 import { createLog } from "../links/logs.ts";
+import { createMetrics } from "../links/metrics.ts";
 import { readSecret, readSettings } from "../links/settings.ts";
 import { createHost } from "../machines/host.ts";
 
@@ -40,9 +42,12 @@
         const { tokenFile } = settings.platform;
         const token = tokenFile === undefined ? undefined : await readSecret(flags.settings, tokenFile);
         const log = createLog({ level: settings.logs.level }).child({ host: settings.host.name });
+        const metrics = createMetrics(settings.metrics);
+        catchExceptions(log, metrics);
         const stopSignal = waitForStopSignal();
-        const host = await createHost({ settings, peerKeys, platformToken: token?.toString("utf8"), log });
+        const host = await createHost({ settings, peerKeys, platformToken: token?.toString("utf8"), log, metrics });
         await stopSignal;
         await host.stop();
+        await metrics.close();
     }
 }
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -16,7 +16,7 @@
 import { systemClock } from "../links/clock.ts";
 import { createHostLinks, type HostTraffic } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
-import { createMetrics } from "../links/metrics.ts";
+import { createMetrics, type Metrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
 import { createPlatformLink } from "../links/platform.ts";
 import { createFleet, type FleetReport } from "./fleet.ts";
@@ -33,6 +33,8 @@
     /** Bearer token that the host presents to the platform. */
     platformToken?: string;
     log: Log;
+    /** Created from the settings by default, and then closed with the host. */
+    metrics?: Metrics;
     /** The system clock by default. */
     clock?: Clock;
 };
@@ -111,7 +113,7 @@
     const lifetime = new AbortController();
     const { signal } = lifetime;
     setMaxListeners(0, signal);
-    const metrics = createMetrics(settings.metrics);
+    const metrics = options.metrics ?? createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
     const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken, sourceAddress });
     const objects = createObjectView();
@@ -206,6 +208,11 @@
         },
         onDone: requests.recordDone,
         onMalformed: requests.recordMalformed,
+        onException: (error, request) =>
+            log.error("request-exception", {
+                request,
+                error: error instanceof Error ? error.stack : String(error),
+            }),
         healthy: () => state === "live" && fleet.admissionBlock() === undefined,
     });
 
@@ -248,7 +255,8 @@
 
     const dispose = async (): Promise<void> => {
         lifetime.abort();
-        await Promise.all([callers.close(), operators.close(), views.close(), platform.close(), metrics.close()]);
+        const closeMetrics = options.metrics === undefined ? metrics.close : () => undefined;
+        await Promise.all([callers.close(), operators.close(), views.close(), platform.close(), closeMetrics()]);
     };
 
     return {
