Tell of lost links between hosts, and of closes without harm as information

A link that broke had no line at all, and closes of a spare or unwanted link, which belong to every start and stop, were warnings. Lost links are told as peer-link-lost; spare-link and not-wanted as information.

test/links/hosts.test.ts asks for the line of each end: two of three cases failed before (no line until the time limit; "warn peer-link-closed b not-wanted").

--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -93,6 +93,8 @@
 /** This size is an assumption. It turns `queueLength` into a limit on bytes. */
 const averageMessageBytes = 512;
 const maxFormerIncarnations = 8;
+/** Reasons for which this host closes a link while another one serves or none is needed. */
+const harmlessReasons: readonly CloseReason[] = [closeReasons.spareLink, closeReasons.notWanted];
 
 /** Opens the listening socket, and keeps links to the peers open until the signal aborts. */
 export const createHostLinks = async (options: HostLinksOptions): Promise<HostLinks> => {
@@ -107,13 +109,11 @@
     const traffic: HostTraffic = { sentBytes: 0, receivedBytes: 0, sentByKind: {} };
     let peers = new Map<string, PeerAddress>();
 
-    /**
-     * Counts and logs that this host closed or refused a link for a reason, also for a routine one such as
-     * `spare-link` or `not-wanted`. Not called for a close without a reason.
-     */
+    /** Counts and logs that this host closed or refused a link. Not called for a close without a reason. */
     const recordClose = (host: string, reason: CloseReason): void => {
         metrics.count("peer-closed", { reason });
-        log.warn("peer-link-closed", { peer: host, reason });
+        const writeLine = harmlessReasons.includes(reason) ? log.info : log.warn;
+        writeLine("peer-link-closed", { peer: host, reason });
     };
 
     const notify = (host: string, open: boolean): void => listeners.forEach(listener => listener(host, open));
@@ -158,6 +158,9 @@
                     recordClose(host, reason);
                 }
                 if (links.get(host) === link) {
+                    if (reason === undefined && !signal.aborted) {
+                        log.info("peer-link-lost", { peer: host, incarnation });
+                    }
                     links.delete(host);
                     notify(host, false);
                 }
--- a/test/links/hosts.test.ts
+++ b/test/links/hosts.test.ts
@@ -10,7 +10,7 @@
 import { decodeFrame } from "../../src/links/frames.ts";
 import { computeProof, linkRoles } from "../../src/links/handshake.ts";
 import { createHostLinks, type HostLinks } from "../../src/links/hosts.ts";
-import { silentLog } from "../../src/links/logs.ts";
+import { type Log, type LogFields, silentLog } from "../../src/links/logs.ts";
 import { createMetrics, type Metrics } from "../../src/links/metrics.ts";
 import { until } from "../system.ts";
 
@@ -18,11 +18,15 @@
 const otherKey = Buffer.from("other-key");
 const maxFrameBytes = 4_096;
 
-type TestHost = { links: HostLinks; metrics: Metrics; stop: () => void };
+type TestHost = { links: HostLinks; metrics: Metrics; lines: string[]; stop: () => void };
 
 const startHost = async (name: string, keys: Buffer[] = [key], incarnation = `${name}-1`): Promise<TestHost> => {
     const lifetime = new AbortController();
     const metrics = createMetrics();
+    const lines: string[] = [];
+    const lineWriter = (level: string) => (event: string, { peer, reason }: LogFields = {}): void =>
+        void lines.push([level, event, peer, reason].join(" ").trimEnd());
+    const log: Log = { ...silentLog, info: lineWriter("info"), warn: lineWriter("warn") };
     const links = await createHostLinks({
         name,
         zone: "zone-1",
@@ -33,7 +37,7 @@
         maxFrameBytes,
         queueLength: 4,
         clock: systemClock,
-        log: silentLog,
+        log,
         metrics,
         signal: lifetime.signal,
     });
@@ -48,7 +52,7 @@
         current: [],
         departures: [],
     }));
-    return { links, metrics, stop: () => lifetime.abort() };
+    return { links, metrics, lines, stop: () => lifetime.abort() };
 };
 
 const question: Message = { kind: "objects-question", after: 7 };
@@ -117,6 +121,31 @@
     [a, oldHost, newHost].forEach(host => host.stop());
 });
 
+/** What ends the link that host "a" dialled to "b", and the line that tells of it at "a". */
+const linkEnds: Array<{ title: string; end: (a: TestHost, b: TestHost) => void; line: string }> = [
+    { title: "the other host stops", end: (...[, b]) => b.stop(), line: "info peer-link-lost b" },
+    { title: "it is not wanted", end: a => a.links.setPeers([]), line: "info peer-link-closed b not-wanted" },
+    {
+        title: "the other host is a former incarnation",
+        end: (a, b) => a.links.setPeers([{ name: "b", address: b.links.address, incarnation: "b-2" }]),
+        line: "warn peer-link-closed b former-incarnation",
+    },
+];
+
+for (const { title, end, line } of linkEnds) {
+    test(`the end of a link is told, and as a warning only where it may harm: ${title}`, async t => {
+        const [a, b] = [await startHost("a"), await startHost("b")];
+        a.links.setPeers([{ name: "b", address: b.links.address, incarnation: "b-1" }]);
+        await until(() => a.links.connected().includes("b"));
+        t.deepEqual(a.lines, []);
+        end(a, b);
+        await until(() => a.lines.length > 0);
+        t.is(a.lines[0], line);
+        a.stop();
+        b.stop();
+    });
+}
+
 /** A plain socket that acts as a host named "z", with the frames that it received. */
 type RawPeer = { socket: WebSocket; frames: unknown[]; hello: Hello };
 
