--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -16,10 +16,11 @@
 import { systemClock } from "../links/clock.ts";
 import { createHostLinks, type HostTraffic } from "../links/hosts.ts";
 import type { Log } from "../links/logs.ts";
-import { createMetrics } from "../links/metrics.ts";
+import { createMetrics, type Metrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
 import { createPlatformLink } from "../links/platform.ts";
 import { createFleet, type FleetReport } from "./fleet.ts";
+import { runAlone } from "./longtasks.ts";
 import { createObjectView, type ObjectState } from "./objects.ts";
 import { createOwnership, type OwnershipReport } from "./ownership.ts";
 import { createRequestPath, type RequestReport } from "./requestpath.ts";
@@ -32,6 +33,8 @@
     /** Bearer token that the host presents to the platform. */
     platformToken?: string;
     log: Log;
+    /** Created from the settings by default, and then closed with the host. */
+    metrics?: Metrics;
     /** The system clock by default. */
     clock?: Clock;
 };
@@ -110,7 +113,7 @@
     const lifetime = new AbortController();
     const { signal } = lifetime;
     setMaxListeners(0, signal);
-    const metrics = createMetrics(settings.metrics);
+    const metrics = options.metrics ?? createMetrics(settings.metrics);
     const { timeoutMilliseconds, url } = settings.platform;
     const platform = createPlatformLink({ url, timeoutMilliseconds, token: options.platformToken, sourceAddress });
     const objects = createObjectView();
@@ -176,6 +179,7 @@
         unfinishedBelow: (pool, revision) => requests.unfinishedBelow(pool, revision),
         clock,
         log,
+        metrics,
         signal,
     });
     const requests = createRequestPath({
@@ -204,6 +208,11 @@
         },
         onDone: requests.recordDone,
         onMalformed: requests.recordMalformed,
+        onException: (error, request) =>
+            log.error("request-exception", {
+                request,
+                error: error instanceof Error ? error.stack : String(error),
+            }),
         healthy: () => state === "live" && fleet.admissionBlock() === undefined,
     });
 
@@ -236,15 +245,18 @@
             return { host: name, incarnation, bar: fleet.admissionBlock(), version, inForce, since };
         },
     });
-    void fleet.start().then(() => {
+    const start = async (): Promise<void> => {
+        await fleet.start();
         state = "live";
         markReady();
         log.info("host-live", { host: name, zone, callers: callers.address });
-    });
+    };
+    void runAlone("start", start, { log, metrics });
 
     const dispose = async (): Promise<void> => {
         lifetime.abort();
-        await Promise.all([callers.close(), operators.close(), views.close(), platform.close(), metrics.close()]);
+        const closeMetrics = options.metrics === undefined ? metrics.close : () => undefined;
+        await Promise.all([callers.close(), operators.close(), views.close(), platform.close(), closeMetrics()]);
     };
 
     return {
