Ask and link to further hosts beside those that are silent

A host that starts tried one candidate for its state after the other, each until its handshake timed out, and waited for gossip links to hosts that did not answer. Beside hosts that are gone with their addresses a start took 2 s longer. A candidate that does not answer within 100 ms now has the next one asked beside it; the same for links, where each slow one adds one more, and once one host has told, silent ones are not waited for.

--- a/src/machines/resident/gossip.ts
+++ b/src/machines/resident/gossip.ts
@@ -226,8 +226,12 @@
         signal,
     });
 
-    /** Links that a host which has just started waits for. */
-    const expectedTellers = (): number => Math.min(gossipLinks, peers?.nearest.filter(links.isReachable).length ?? 0);
+    /** Links that a host which has just started waits for. Once one has told, hosts that seem silent are not waited for. */
+    const expectedTellers = (): number => {
+        const reachable = peers?.nearest.filter(links.isReachable) ?? [];
+        const awaited = toldBy.size === 0 ? reachable : reachable.filter(host => !links.isSlow(host));
+        return Math.min(gossipLinks, awaited.length);
+    };
 
     const waitUntilTold = async (limitMilliseconds: number): Promise<void> => {
         const startedAt = clock.now();
@@ -235,6 +239,7 @@
         links.update();
         while (!signal.aborted && toldBy.size < expectedTellers() && clock.now() - startedAt < limitMilliseconds) {
             await clock.sleep(toldCheckMilliseconds, signal);
+            links.update();
         }
         log.info("gossip-told", {
             links: toldBy.size,
--- a/src/machines/resident/peerlinks.ts
+++ b/src/machines/resident/peerlinks.ts
@@ -41,6 +41,8 @@
     first: (group: string) => PeerConnection | "opening" | undefined;
     /** Whether the host is linked, or has not failed to be for a while. */
     isReachable: (host: ReaderCandidate) => boolean;
+    /** Whether the link to the host is being opened for longer than a host takes that runs. */
+    isSlow: (host: ReaderCandidate) => boolean;
     /** Looks at the groups now. */
     update: () => void;
 };
@@ -48,10 +50,14 @@
 const updateMilliseconds = 500;
 /** A host that could not be reached is not tried again for this time. */
 const unreachableMilliseconds = 4_000;
+/** A link that takes longer to open does not keep the next ones from being tried. */
+const slowOpenMilliseconds = 100;
+/** Links of a group that are opened beside slow ones, at most. */
+const maxBesideSlow = 32;
 /** Beats that may be missing before a link is closed. */
 const maxMissingBeats = 2.5;
 
-type Dialed = { connection: PeerConnection; isOpen: boolean };
+type Dialed = { connection: PeerConnection; since: number; isOpen: boolean };
 
 /** Starts to open links. */
 export const createPeerLinks = (options: PeerLinksOptions): PeerLinks => {
@@ -93,6 +99,7 @@
                     listener.onOpen?.();
                 },
             }),
+            since: clock.now(),
             isOpen: false,
         };
         dialed.set(host.name, link);
@@ -100,7 +107,18 @@
 
     const mayTry = (host: ReaderCandidate): boolean => (unreachableUntil.get(host.name) ?? -Infinity) <= clock.now();
 
-    const wanted = ({ candidates, count }: PeerGroup): ReaderCandidate[] => candidates.filter(mayTry).slice(0, count);
+    const isSlow = ({ name }: ReaderCandidate): boolean => {
+        const link = dialed.get(name);
+        return link !== undefined && !link.isOpen && clock.now() - link.since >= slowOpenMilliseconds;
+    };
+
+    /** With each slow host one more is tried, so that many of them are passed by in a few steps. */
+    const wanted = ({ candidates, count }: PeerGroup): ReaderCandidate[] => {
+        const possible = candidates.filter(mayTry);
+        const slow = possible.filter(isSlow);
+        const others = possible.filter(host => !slow.includes(host));
+        return [...slow, ...others.slice(0, count + Math.min(slow.length, maxBesideSlow))];
+    };
 
     const update = (): void => {
         if (signal.aborted) {
@@ -159,6 +177,7 @@
             return undefined;
         },
         isReachable: mayTry,
+        isSlow,
         update,
     };
 };
--- a/src/machines/resident/statesource.ts
+++ b/src/machines/resident/statesource.ts
@@ -71,6 +71,8 @@
 const startingReaderMilliseconds = 1_500;
 /** Time given to one candidate to say whether it is current. */
 const candidateMilliseconds = 900;
+/** A candidate that takes longer does not keep the next ones from being asked. */
+const slowCandidateMilliseconds = 100;
 /** Interval of the search for a better source, and of the checks of whether the store serves a refused reader again. */
 const searchMilliseconds = 5_000;
 const refusedSearchMilliseconds = 1_000;
@@ -324,12 +326,21 @@
         isSearchWanted = false;
     };
 
-    /** Resolves to whether the candidate is current. A candidate that is reached but not current stays connected. */
-    const isCandidateCurrent = async (reader: ReaderCandidate): Promise<boolean> => {
+    /**
+     * Resolves to whether the candidate is current. A candidate that is reached but not current stays connected. While it
+     * does not answer, `askNext` is called at intervals.
+     */
+    const isCandidateCurrent = async (reader: ReaderCandidate, askNext: () => void): Promise<boolean> => {
         const follow = open(reader);
-        const endAt = clock.now() + candidateMilliseconds;
+        const startedAt = clock.now();
+        const endAt = startedAt + candidateMilliseconds;
+        let nextAt = startedAt + slowCandidateMilliseconds;
         while (follow.state() === "waiting" && clock.now() < endAt && !signal.aborted) {
-            await waitForSearch(endAt - clock.now());
+            if (clock.now() >= nextAt) {
+                nextAt += slowCandidateMilliseconds;
+                askNext();
+            }
+            await waitForSearch(Math.min(nextAt, endAt) - clock.now());
         }
         if (follow.state() === "waiting") {
             follow.close("no-answer");
@@ -383,8 +394,19 @@
             closeOthers([], "is-reader");
             return searchMilliseconds;
         }
-        for (const candidate of betterCandidates(candidates)) {
-            if (await isCandidateCurrent(candidate)) {
+        const better = betterCandidates(candidates);
+        const unasked = [...better];
+        const askNext = (): void => {
+            const next = unasked.shift();
+            if (next !== undefined) {
+                open(next);
+            }
+        };
+        for (const candidate of better) {
+            if (unasked[0] === candidate) {
+                unasked.shift();
+            }
+            if (await isCandidateCurrent(candidate, askNext)) {
                 const follow = open(candidate);
                 setSource({ kind: "reader", follow }, "reader-current");
                 follow.askForLoads();
--- a/test/machines/resident/gossip.test.ts
+++ b/test/machines/resident/gossip.test.ts
@@ -74,6 +74,19 @@
         disturb: (network, hosts) => hosts.forEach(({ address }) => network.silence(address)),
         boundMilliseconds: limitMilliseconds + 50,
     },
+    {
+        title: "30 others that are gone with their addresses",
+        hosts: zones(30, 1),
+        hasFacts: false,
+        disturb: (network, hosts) => hosts.forEach(({ address }) => network.silence(address)),
+        boundMilliseconds: 750,
+    },
+    {
+        title: "30 others of which 29 are gone with their addresses",
+        hosts: zones(30, 1),
+        disturb: (network, hosts) => hosts.slice(1).forEach(({ address }) => network.silence(address)),
+        boundMilliseconds: 450,
+    },
 ];
 
 for (const { title, hosts, hasFacts = true, disturb, boundMilliseconds } of cases) {
--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -288,3 +288,21 @@
     t.true(hosts.every(host => host.watcher.reachableSince() !== undefined));
     t.is(hosts.filter(({ source }) => source.name() === "store").length, 10);
 });
+
+/** Guards against a start that waits for one host after the other, all of them gone with their addresses. */
+test("a host that starts beside silent ones has the state within a second", async t => {
+    const { clock, shared, network, hosts, start } = setUp(31);
+    shared.put(kind, "main", 1);
+    await clock.advance(3_000);
+    hosts.forEach(host => host.end());
+    hosts.forEach(({ host }) => network.silence(host.address));
+    // Whatever the rank of the host.
+    for (const { host } of hosts) {
+        network.heal(host.address);
+        const late = start(host);
+        await clock.advance(1_000);
+        t.is(late.version(), 1, host.name);
+        late.end();
+        network.silence(host.address);
+    }
+});
