--- a/test/machines/resident/room.test.ts
+++ b/test/machines/resident/room.test.ts
@@ -3,91 +3,9 @@
  * beyond its limit.
  */
 import test from "ava";
-import { createRandom } from "../../../bench/random.ts";
-import type { SharingHosts } from "../../../src/decisions/targetroom.ts";
-import { createVirtualClock } from "../fakes/clock.ts";
-import { createVirtualHosts } from "./virtualhosts.ts";
+import { playRoom, type RoomPlay, utilization } from "./roomplay.ts";
 
-const workMilliseconds = 500;
-const utilization = 0.9;
-
-type Play = {
-    hosts: number;
-    /** Hosts that join in the middle of the play. */
-    joining?: number;
-    targets: number;
-    slots: number;
-    accepted: number;
-    isSharded?: boolean;
-    minServed: number;
-    seconds: number;
-};
-
-/** Time after which those that were there before know those that join, and after which these have settled. */
-const knownMilliseconds = 1_000;
-const settledMilliseconds = 4_000;
-
-const play = async ({ hosts, joining = 0, targets, slots, accepted, isSharded = false, seconds }: Play) => {
-    const clock = createVirtualClock();
-    const random = createRandom(1);
-    const setup = createVirtualHosts({
-        clock,
-        targets,
-        slots,
-        queue: 20,
-        accepted,
-        workMilliseconds: () => random.exponential(workMilliseconds),
-        isSharded,
-        objectiveMilliseconds: 3 * workMilliseconds,
-        timeoutMilliseconds: 6 * workMilliseconds,
-        random: random.uniform,
-    });
-    const settled = (count: number, place: number): SharingHosts => ({ count, place, isSettled: true });
-    const running = Array.from({ length: hosts }, (...[, place]) => setup.start(settled(hosts, place)));
-    const all = hosts + joining;
-    const join = (): void => {
-        for (let place = hosts; place < all; place += 1) {
-            running.push(setup.start({ count: all, place, isSettled: false }));
-        }
-        clock.after(
-            knownMilliseconds,
-            () => running.slice(0, hosts).forEach((host, place) => host.know(settled(all, place))),
-        );
-        clock.after(
-            settledMilliseconds,
-            () => running.slice(hosts).forEach((host, index) => host.know(settled(all, hosts + index))),
-        );
-    };
-    const ended: Record<string, number> = {};
-    let asked = 0;
-    const meanPause = workMilliseconds / (targets * slots * utilization);
-    const endAt = clock.now() + seconds * 1_000;
-    const ask = (): void => {
-        if (clock.now() >= endAt) {
-            return;
-        }
-        asked += 1;
-        void running[random.integerBelow(running.length)].serve().then(answer => {
-            const result = answer.kind === "refusal" ? answer.reason : "served";
-            ended[result] = (ended[result] ?? 0) + 1;
-        });
-        clock.after(random.exponential(meanPause), ask);
-    };
-    ask();
-    if (joining > 0) {
-        clock.after(seconds * 1_000 / 3, join);
-    }
-    await clock.advance(seconds * 1_000 + 12 * workMilliseconds);
-    return {
-        served: (ended["served"] ?? 0) / asked,
-        asked,
-        ended,
-        mostOpen: Math.max(...setup.targets.map(target => target.mostOpen)),
-        resets: setup.targets.reduce((sum, target) => sum + target.resets, 0),
-    };
-};
-
-const plays: Play[] = [
+const plays: Array<RoomPlay & { minServed: number }> = [
     { hosts: 1, targets: 1, slots: 50, accepted: 100, minServed: 0.98, seconds: 20 },
     { hosts: 1, targets: 3, slots: 50, accepted: 100, minServed: 0.98, seconds: 20 },
     { hosts: 3, targets: 3, slots: 50, accepted: 100, minServed: 0.98, seconds: 20 },
@@ -108,7 +26,7 @@
     const title = `${hosts} hosts${joining > 0 ? ` and ${joining} that join` : ""}, ${targets} targets `
         + `${isSharded ? "that own keys, " : ""}of ${slots} slots and ${accepted} connections`;
     test.serial(`${title}: served at ${utilization} of the capacity, and no connection beyond the limit`, async t => {
-        const figures = await play(options);
+        const figures = await playRoom(options);
         t.log(JSON.stringify(figures));
         t.is(figures.resets, 0);
         t.true(figures.served >= minServed, `${figures.served}`);
--- a/test/machines/resident/virtualhosts.ts
+++ b/test/machines/resident/virtualhosts.ts
@@ -39,8 +39,10 @@
 
 export type VirtualHost = {
     states: TargetStates;
-    /** What the host knows of the hosts. */
-    know: (hosts: SharingHosts) => void;
+    /** What the host knows of the hosts; undefined when it knows of none. */
+    know: (hosts: SharingHosts | undefined) => void;
+    /** Cuts the host off from those of other groups: it learns of no requests of theirs. All start in group 0. */
+    moveTo: (group: number) => void;
     serve: (key?: number) => Promise<CallerAnswer>;
     request: (key?: number) => ResidentRequest;
     serveRequest: (request: ResidentRequest) => Promise<CallerAnswer>;
@@ -192,22 +194,34 @@
         };
     };
 
-    const told = new Map<string, number>();
+    /** Requests at each target of the hosts of each group. */
+    const told = new Map<number, Map<string, number>>();
     let lastId = 0;
 
-    const start = (first: SharingHosts): VirtualHost => {
+    const add = (counts: Map<string, number>, target: string, change: number): void => {
+        counts.set(target, (counts.get(target) ?? 0) + change);
+    };
+
+    const toldOf = (group: number): Map<string, number> => {
+        const known = told.get(group) ?? new Map<string, number>();
+        told.set(group, known);
+        return known;
+    };
+
+    const start = (first: SharingHosts | undefined, firstGroup = 0): VirtualHost => {
         let hosts = first;
+        let groupTold = toldOf(firstGroup);
         const own = new Map<string, number>();
         const ownTold = new Map<string, number>();
         const recordOwnRequests = (target: string, requests: number): void => {
             const change = requests - (own.get(target) ?? 0);
             own.set(target, requests);
             clock.after(toldMilliseconds, () => {
-                told.set(target, (told.get(target) ?? 0) + change);
-                ownTold.set(target, (ownTold.get(target) ?? 0) + change);
+                add(groupTold, target, change);
+                add(ownTold, target, change);
             });
         };
-        const requestsOfOthers = (target: string): number => (told.get(target) ?? 0) - (ownTold.get(target) ?? 0);
+        const requestsOfOthers = (target: string): number => (groupTold.get(target) ?? 0) - (ownTold.get(target) ?? 0);
         const registry: Pick<TargetRegistry, "onChange"> = {
             onChange: listener => registered.forEach(target => listener(target, false)),
         };
@@ -274,6 +288,11 @@
                 hosts = next;
                 states.applyLimits();
             },
+            moveTo: group => {
+                ownTold.forEach((requests, target) => add(groupTold, target, -requests));
+                groupTold = toldOf(group);
+                ownTold.forEach((requests, target) => add(groupTold, target, requests));
+            },
             request,
             serveRequest: gateway.serve,
             serve: key => gateway.serve(request(key)),
