Refuse settings files that are no regular files

A settings file that is a pipe without a writer kept the process in its read, so that SIGTERM had no effect. The file is now opened without a wait, and one that is not regular is a finding like others: told, and waited for until a regular one takes its place.

--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -2,7 +2,7 @@
  * Reads the settings of a resident host from a YAML file, and again while the host runs. All findings are reported
  * together, each with its place in the file.
  */
-import { readFileSync } from "node:fs";
+import { closeSync, constants, fstatSync, openSync, readFileSync } from "node:fs";
 import type { Clock } from "../contracts/clock.ts";
 import { InputError, messageOf } from "../contracts/errors.ts";
 import { describeFinding } from "../contracts/finding.ts";
@@ -14,7 +14,19 @@
 /** Returns the text of a file, or throws. */
 export type ReadFile = (file: string) => string;
 
-const readFileText: ReadFile = file => readFileSync(file, "utf8");
+/** Without a wait for data: one for the writer of a pipe would keep the process from all else, signals included. */
+const readFileText: ReadFile = file => {
+    const descriptor = openSync(file, constants.O_RDONLY | constants.O_NONBLOCK);
+    try {
+        if (!fstatSync(descriptor).isFile()) {
+            throw new Error("it is no regular file");
+        }
+        return readFileSync(descriptor, "utf8");
+    }
+    finally {
+        closeSync(descriptor);
+    }
+};
 
 const readText = (file: string, readFile: ReadFile): string => {
     try {
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -2,6 +2,7 @@
  * Settings of a resident host: findings with their places, and changes of the file while the host runs.
  */
 import test from "ava";
+import { execFileSync } from "node:child_process";
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -179,3 +180,12 @@
         t.true(reads < 90, `${reads} reads`);
     });
 }
+
+test("a settings file that is a folder or a pipe without a writer is a finding, and does not keep the process", t => {
+    const folder = mkdtempSync(join(tmpdir(), "carobpier-"));
+    const pipe = join(folder, "pipe");
+    execFileSync("mkfifo", [pipe]);
+    for (const file of [folder, pipe]) {
+        t.throws(() => readResidentSettings(file), { message: /no regular file/ });
+    }
+});
