Link to a host again whose announced address was none

The address of a peer comes from its announcement. One that is no address made the loop that keeps the link end by an unhandled rejection, and the host was never linked to again, also with a corrected address. The attempt is told as peer-dial-failed and repeated with the usual pauses. A heartbeat that throws no longer ends the checks of its link.

test/links/hosts.test.ts, "a peer whose address is none ...": pending until the time limit before.

--- a/src/links/hostlink.ts
+++ b/src/links/hostlink.ts
@@ -113,6 +113,8 @@
     };
 
     const checkHeartbeat = (): void => {
+        // Before the check, which then comes again even if it throws.
+        clock.after(heartbeatIntervalMilliseconds, checkHeartbeat, lifetime.signal);
         if (clock.now() - lastHeardAt > maxSilenceMilliseconds) {
             close();
             return;
@@ -120,7 +122,6 @@
         if (isOpen() && options.sendsHeartbeat) {
             socket.ping();
         }
-        clock.after(heartbeatIntervalMilliseconds, checkHeartbeat, lifetime.signal);
     };
 
     socket.on("message", (data: Buffer) => {
--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import type { Clock } from "../contracts/clock.ts";
+import { messageOf } from "../contracts/errors.ts";
 import type { Hello, Message, MessageKind, MessageOf } from "../contracts/messages.ts";
 import { type CloseReason, closeReasons, type LinkRole, linkRoles, performHandshake } from "./handshake.ts";
 import { createHostLink, type HostLink } from "./hostlink.ts";
@@ -203,13 +204,19 @@
         socket.terminate();
     };
 
+    /** Dials once and resolves when the attempt has ended. Never rejects; an announced address may be none. */
     const dial = async (peer: PeerAddress): Promise<void> => {
-        const socket = new WebSocket(`ws://${peer.address}`, {
-            maxPayload: options.maxFrameBytes,
-            handshakeTimeout: connectTimeoutMilliseconds,
-            localAddress: options.sourceAddress,
-        });
-        await authenticate(socket, linkRoles.dialer, peer.name);
+        try {
+            const socket = new WebSocket(`ws://${peer.address}`, {
+                maxPayload: options.maxFrameBytes,
+                handshakeTimeout: connectTimeoutMilliseconds,
+                localAddress: options.sourceAddress,
+            });
+            await authenticate(socket, linkRoles.dialer, peer.name);
+        }
+        catch (error) {
+            log.warn("peer-dial-failed", { peer: peer.name, address: peer.address, error: messageOf(error) });
+        }
     };
 
     /**
@@ -258,7 +265,10 @@
         maxPayload: options.maxFrameBytes,
     });
     server.on("connection", socket => {
-        void authenticate(socket, linkRoles.acceptor);
+        authenticate(socket, linkRoles.acceptor).catch((error: unknown) => {
+            log.warn("peer-accept-failed", { error: messageOf(error) });
+            socket.terminate();
+        });
     });
     await new Promise<void>((resolve, reject) => {
         server.once("listening", resolve);
--- a/test/links/hosts.test.ts
+++ b/test/links/hosts.test.ts
@@ -121,6 +121,17 @@
     [a, oldHost, newHost].forEach(host => host.stop());
 });
 
+test("a peer whose address is none is linked to as soon as its address is corrected", async t => {
+    const [a, b] = [await startHost("a"), await startHost("b")];
+    a.links.setPeers([{ name: "b", address: "no address" }]);
+    await until(() => a.lines.includes("warn peer-dial-failed b"));
+    a.links.setPeers([{ name: "b", address: b.links.address }]);
+    await until(() => a.links.connected().includes("b"));
+    t.is(await askPosition(a, "b"), 8);
+    a.stop();
+    b.stop();
+});
+
 /** What ends the link that host "a" dialled to "b", and the line that tells of it at "a". */
 const linkEnds: Array<{ title: string; end: (a: TestHost, b: TestHost) => void; line: string }> = [
     { title: "the other host stops", end: (...[, b]) => b.stop(), line: "info peer-link-lost b" },
