Remove the registrations of hosts that are gone for good

Registrations stayed for ever: gone hosts kept their parts of targets' connections, were asked at each start, and a renamed host left its former name. The host that coordinates the first pool now asks each other one every five minutes; after ten minutes without an answer to it or, by gossip, to anybody it reaches, it removes the registration at the revision that it knew. A host that sees its own gone writes it again at once, and after a wrong removal there is none for an hour, so that cut-off groups cost two writes an hour. A stop or restart writes no more than before.

gonehosts.test.ts in virtual time: one write removes a gone host, thirty go one after the other, a renamed one goes, hosts that run, are away for nine minutes or are reached only by others stay. Taking out the answer by gossip, the rest after a wrong removal, the second registration or the name in the answer fails the cases for each.

--- a/src/contracts/objectstore.ts
+++ b/src/contracts/objectstore.ts
@@ -53,6 +53,8 @@
         revision: number,
         signal?: AbortSignal,
     ) => Promise<StoreWriteResult>;
+    /** Removes the object if it still has the given revision. Resolves to whether it is gone. */
+    remove: (kind: string, name: string, revision: number, signal?: AbortSignal) => Promise<boolean>;
     /** Number of calls made so far, by name. */
     callCounts: () => Record<string, number>;
     /** Closes all connections. */
--- a/src/machines/resident/fleetfacts.ts
+++ b/src/machines/resident/fleetfacts.ts
@@ -1,6 +1,6 @@
 /**
- * What resident hosts tell one another without the store: requests that crash targets, targets that leave, and limits of
- * targets.
+ * What resident hosts tell one another without the store: requests that crash targets, targets that leave, limits of
+ * targets, and which hosts are there.
  */
 import type { Clock } from "../../contracts/clock.ts";
 import type { Log } from "../../links/logs.ts";
@@ -9,7 +9,16 @@
 import { digestHash } from "../../zones/digesthash.ts";
 import { rankedBefore, rankGossipPeers } from "../../zones/gossippeers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
+import {
+    absentGossipKind,
+    absentGossipSchema,
+    createGoneHosts,
+    presencePath,
+    presentGossipKind,
+    presentGossipSchema,
+} from "./gonehosts.ts";
 import { createGossip, type Gossip, gossipPath } from "./gossip.ts";
+import type { Processes } from "./processes.ts";
 import { crashGossipKind, crashGossipSchema, createSuspicions, type Suspicions } from "./suspicions.ts";
 import { createTargetLimits, limitsPath, type TargetLimits } from "./targetlimits.ts";
 import {
@@ -35,8 +44,9 @@
 
 export type FleetFactsOptions = {
     self: ReaderCandidate;
-    /** Returns the known hosts, with or without this one. */
-    hosts: () => ReaderCandidate[];
+    processes: Pick<Processes, "hosts" | "others" | "remove">;
+    /** Whether it is for this host to remove the registrations of hosts that are gone. */
+    removesHosts: () => boolean;
     registry: Pick<TargetRegistry, "markLeaving">;
     targetStates: Pick<TargetStates, "get">;
     dial: PeerDialer;
@@ -50,13 +60,16 @@
 
 /** Starts to tell other hosts, and to learn from them. */
 export const createFleetFacts = (options: FleetFactsOptions): FleetFacts => {
-    const { self, hosts, registry, targetStates, dial, random, clock, log, metrics, signal } = options;
+    const { self, processes, registry, targetStates, dial, random, clock, log, metrics, signal } = options;
+    const { hosts } = processes;
     const gossip = createGossip({
         self: self.name,
         kinds: {
             [crashGossipKind]: crashGossipSchema,
             [leavingGossipKind]: leavingGossipSchema,
             [limitGossipKind]: limitGossipSchema,
+            [absentGossipKind]: absentGossipSchema,
+            [presentGossipKind]: presentGossipSchema,
         },
         peers: () => rankGossipPeers(digestHash, self, hosts()),
         dial,
@@ -73,6 +86,17 @@
         metrics,
         signal,
     });
+    const goneHosts = createGoneHosts({
+        self: self.name,
+        processes,
+        isResponsible: options.removesHosts,
+        gossip,
+        dial,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
     return {
         suspicions: createSuspicions({ gossip, targetStates, random, clock, log, metrics }),
         notices: createTargetNotices({
@@ -85,6 +109,6 @@
         }),
         limits,
         waitUntilTold: gossip.waitUntilTold,
-        services: { [gossipPath]: gossip.service, [limitsPath]: limits.service },
+        services: { [gossipPath]: gossip.service, [limitsPath]: limits.service, [presencePath]: goneHosts.service },
     };
 };
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -8,7 +8,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
-import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
+import type { ObjectStore, StoreObject } from "../../contracts/objectstore.ts";
 import type { OwnershipLink, PlatformObjects, ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
 import type { ResidentSettings } from "../../contracts/residentsettings.ts";
 import type { RouteTable } from "../../contracts/routing.ts";
@@ -43,7 +43,7 @@
 import { createStateCache } from "./statecache.ts";
 import { createStateServer } from "./stateserver.ts";
 import { createStateSource, type ReadPace } from "./statesource.ts";
-import { createStoreWatcher, type StoreWatcher } from "./storewatcher.ts";
+import { createStoreWatcher, type StoreWatcher, type StoreWatcherOptions } from "./storewatcher.ts";
 import { createTargetRegistry } from "./targetregistry.ts";
 import { createTargetStates } from "./targetstates.ts";
 
@@ -208,8 +208,8 @@
     const watchers: StoreWatcher[] = [];
     const watch = (
         kind: string,
-        onList: (all: StoreObject[]) => void,
-        onChanges: (events: StoreEvent[]) => void,
+        onList: StoreWatcherOptions["onList"],
+        onChanges: StoreWatcherOptions["onChanges"],
     ): StoreWatcher => {
         const watcher = createStoreWatcher({
             store: source,
@@ -321,6 +321,13 @@
         }
     };
 
+    /** Whether this host coordinates the first of the pools that have a coordinator. */
+    const coordinatesFirstPool = (): boolean => {
+        const coordinated = [...controllers].filter(([, controller]) => controller.reportsAddress() !== undefined);
+        const [first] = coordinated.sort(([left], [right]) => left < right ? -1 : 1);
+        return first?.[1].isCoordinator() === true;
+    };
+
     const applyCoordination = (object: StoreObject, removed: boolean): void => {
         lastCoordination.set(object.name, object);
         applyAlone(storeKinds.coordination, object, () => {
@@ -341,7 +348,8 @@
 
     const facts = createFleetFacts({
         self,
-        hosts: processes.hosts,
+        processes,
+        removesHosts: () => !stopping && coordinatesFirstPool(),
         registry,
         targetStates,
         dial,
@@ -468,14 +476,21 @@
         all => all.forEach(object => applyCoordination(object, false)),
         events => events.forEach(event => applyCoordination(event.object, event.removed)),
     );
-    const applyHosts = (hosts: StoreObject[]): void => {
-        processes.applyObjects(hosts);
+    const onHosts = (): void => {
         source.reconsider();
         targetStates.applyLimits();
     };
-    const processWatcher = watch(processKind, applyHosts, events => {
-        applyHosts(events.filter(event => !event.removed).map(event => event.object));
-    });
+    const processWatcher = watch(
+        processKind,
+        (all, position) => {
+            processes.applyList(all, position);
+            onHosts();
+        },
+        (events, position) => {
+            processes.applyChanges(events, position);
+            onHosts();
+        },
+    );
     routeTable.onChange(applyTable);
 
     // A host that served at once would send requests to targets of which the others know that they leave.
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -5,17 +5,23 @@
 import { z } from "zod";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
-import type { ObjectStore, StoreObject } from "../../contracts/objectstore.ts";
+import type { ObjectStore, StoreEvent, StoreObject, StoreWriteResult } from "../../contracts/objectstore.ts";
 import type { Log } from "../../links/logs.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
 
 export type Processes = {
     /** Resolves when the other hosts are known or cannot be read, so that a source of state can be chosen. */
     known: Promise<void>;
-    /** Returns the hosts that ever registered, removed ones included. */
+    /** Returns the registered hosts. */
     hosts: () => ReaderCandidate[];
-    /** Takes in the records of all hosts, or changes of some. */
-    applyObjects: (objects: StoreObject[]) => void;
+    /** Returns the registrations of the other hosts. */
+    others: () => Registration[];
+    /** Takes in all records, as the store held them at the position. */
+    applyList: (objects: StoreObject[], position: number) => void;
+    /** Takes in changes of records up to the position. */
+    applyChanges: (events: StoreEvent[], position: number) => void;
+    /** Removes a registration unless it has changed. Resolves to whether it is gone. */
+    remove: (registration: Registration) => Promise<boolean>;
     /**
      * Whether the registration of this process is confirmed. Only then does another name in its host's record show that
      * it has ended.
@@ -27,7 +33,7 @@
      */
     hasEnded: (process: string) => Promise<boolean>;
     /**
-     * Returns the number of hosts that ever registered, removed ones included; undefined before the first was read.
+     * Returns the number of registered hosts; undefined before the first was read.
      */
     hostCount: () => number | undefined;
     /** Returns the names of these hosts, this one included. The same array is returned while they are the same. */
@@ -40,6 +46,9 @@
     maxProcessor: () => number | undefined;
 };
 
+/** The process that a host registered, with the revision of the record. */
+export type Registration = { name: string; process: string; address: string; revision: number };
+
 export type ProcessesOptions = {
     store: ObjectStore;
     /** Name of this process: its host's name, a slash, and a unique suffix. */
@@ -57,6 +66,8 @@
 export const processKind = "hosts";
 
 const retryMilliseconds = 500;
+/** A host writes its registration again at once when it is gone, but no more often than this. */
+const rewriteMilliseconds = 5_000;
 /** Hosts that are new start together with others, which have registered after this time. */
 const joinMilliseconds = 600;
 const recordSchema = z.object({
@@ -75,7 +86,12 @@
     const records = new Map<string, { record: ProcessRecord; revision: number }>();
     let registeredAt: number | undefined;
     let wasRegistered: boolean | undefined;
-    let names: readonly string[] = [];
+    let isRegistered = false;
+    /** When the record was last written. */
+    let writtenAt = -Infinity;
+    /** Position in the store's history up to which all records are known. */
+    let knownTo = 0;
+    let names: readonly string[] | undefined;
     const value: ProcessRecord = {
         process: self,
         processor: host.processor,
@@ -83,15 +99,32 @@
         address: host.address,
     };
 
+    /** Takes in records. One that is unknown, although it is older than what is known, was removed meanwhile. */
     const applyObjects = (objects: StoreObject[]): void => {
-        for (const object of objects) {
-            const parsed = recordSchema.safeParse(object.value);
-            if (parsed.success && object.revision > (records.get(object.name)?.revision ?? 0)) {
-                records.set(object.name, { record: parsed.data, revision: object.revision });
+        for (const { name, revision, value: stored } of objects) {
+            const parsed = recordSchema.safeParse(stored);
+            if (parsed.success && revision > (records.get(name)?.revision ?? knownTo)) {
+                names = records.has(name) || name === host.name ? names : undefined;
+                records.set(name, { record: parsed.data, revision });
             }
         }
     };
 
+    /** Drops the record if it is not newer than the position at which it was missing. */
+    const drop = (name: string, position: number): void => {
+        const known = records.get(name);
+        if (known === undefined || known.revision > position) {
+            return;
+        }
+        records.delete(name);
+        names = name === host.name ? names : undefined;
+        if (name === host.name && isRegistered) {
+            isRegistered = false;
+            log.warn("registration-gone", { process: self, position });
+            void registerAgain();
+        }
+    };
+
     const readHosts = async (): Promise<void> => {
         try {
             applyObjects(await store.staleList(processKind, signal));
@@ -101,33 +134,40 @@
         }
     };
 
+    const write = (revision: number | undefined): Promise<StoreWriteResult> =>
+        revision === undefined
+            ? store.create(processKind, host.name, value, signal)
+            : store.replace(processKind, host.name, value, revision, signal);
+
     /**
-     * Writes the record over the one of the host's process before, if there is one. Resolves to whether the store has
-     * the record.
+     * Writes the record over the one of the host's process before, if there is one. Resolves to the object if the store
+     * has the record.
      */
-    const register = async (): Promise<boolean> => {
-        const before = records.get(host.name)?.revision;
-        const write = before === undefined
-            ? await store.create(processKind, host.name, value, signal)
-            : await store.replace(processKind, host.name, value, before, signal);
-        if (write.result === "written") {
-            applyObjects([write.object]);
-            return true;
-        }
-        if (write.current === undefined) {
-            return (await store.create(processKind, host.name, value, signal)).result === "written";
+    const register = async (): Promise<StoreObject | undefined> => {
+        const first = await write(records.get(host.name)?.revision);
+        if (first.result === "written") {
+            return first.object;
         }
         // An earlier attempt may have been written without an answer.
-        return recordSchema.safeParse(write.current.value).data?.process === self
-            || (await store.replace(processKind, host.name, value, write.current.revision, signal)).result
-                === "written";
+        if (recordSchema.safeParse(first.current?.value).data?.process === self) {
+            return first.current;
+        }
+        const second = await write(first.current?.revision);
+        return second.result === "written" ? second.object : undefined;
     };
 
     const registerWithRetries = async (): Promise<void> => {
         while (!signal.aborted) {
             try {
-                if (await register()) {
-                    registeredAt = clock.now();
+                const object = await register();
+                if (object !== undefined) {
+                    writtenAt = clock.now();
+                    applyObjects([object]);
+                    // It may have been removed before the answer came.
+                    isRegistered = records.has(host.name);
+                }
+                if (isRegistered) {
+                    registeredAt ??= clock.now();
                     return;
                 }
             }
@@ -138,6 +178,11 @@
         }
     };
 
+    const registerAgain = async (): Promise<void> => {
+        await clock.sleep(Math.max(0, writtenAt + rewriteMilliseconds - clock.now()), signal);
+        await registerWithRetries();
+    };
+
     const join = async (): Promise<void> => {
         await readHosts();
         await listening;
@@ -158,22 +203,37 @@
                 address: record.address,
                 processor: record.processor,
             })),
-        applyObjects,
+        others: () =>
+            [...records].filter(([name]) => name !== host.name).map(([name, { record, revision }]) => ({
+                name,
+                process: record.process,
+                address: record.address,
+                revision,
+            })),
+        applyList: (objects, position) => {
+            applyObjects(objects);
+            const listed = new Set(objects.map(({ name }) => name));
+            [...records.keys()].filter(name => !listed.has(name)).forEach(name => drop(name, position));
+            knownTo = Math.max(knownTo, position);
+        },
+        applyChanges: (events, position) => {
+            applyObjects(events.filter(({ removed }) => !removed).map(({ object }) => object));
+            events.filter(({ removed }) => removed).forEach(({ object }) => drop(object.name, position));
+            knownTo = Math.max(knownTo, position);
+        },
+        remove: ({ name, revision }) => store.remove(processKind, name, revision, signal),
         hostCount: () => records.size === 0 ? undefined : records.size,
         maxProcessor: () =>
             records.size === 0
                 ? undefined
                 : Math.max(host.processor, ...[...records.values()].map(({ record }) => record.processor)),
         hostNames: () => {
-            const count = records.size + Number(!records.has(host.name));
-            if (count !== names.length) {
-                names = [...new Set([...records.keys(), host.name])];
-            }
+            names ??= [...new Set([...records.keys(), host.name])];
             return names;
         },
         wasRegistered: () => wasRegistered,
         registeredAt: () => registeredAt,
-        isRegistered: () => registeredAt !== undefined,
+        isRegistered: () => isRegistered,
         hasEnded: async process => {
             try {
                 const object = await store.get(processKind, hostOf(process), signal);
--- a/src/machines/resident/storewatcher.ts
+++ b/src/machines/resident/storewatcher.ts
@@ -20,10 +20,13 @@
      * back, so at least one watcher needs a short pause; it makes the others call again by `onRecovered`.
      */
     maxPauseMilliseconds: number;
-    /** Called with all objects of the kind; objects that are not among them no longer exist. */
-    onList: (objects: StoreObject[]) => void;
-    /** Called with the latest change of each changed object. */
-    onChanges: (events: StoreEvent[]) => void;
+    /**
+     * Called with all objects of the kind, as they were at the position; objects that are not among them did not exist
+     * then.
+     */
+    onList: (objects: StoreObject[], position: number) => void;
+    /** Called with the latest change of each object that changed up to the position. */
+    onChanges: (events: StoreEvent[], position: number) => void;
     /** Called when the store answers again after it was unreachable. */
     onRecovered: () => void;
     clock: Clock;
@@ -97,7 +100,7 @@
     const listOnce = async (): Promise<void> => {
         const list = await store.list(kind, signal);
         recordSuccess();
-        notify(() => options.onList(list.objects));
+        notify(() => options.onList(list.objects, list.position));
         position = list.position;
     };
 
@@ -111,8 +114,9 @@
             return;
         }
         const latest = latestOf(changes.events);
-        notify(() => options.onChanges(latest));
-        position = Math.max(from, changes.position);
+        const reached = Math.max(from, changes.position);
+        notify(() => options.onChanges(latest, reached));
+        position = reached;
         const supersededBytes = changes.bytes * (1 - latest.length / Math.max(1, changes.events.length));
         if (supersededBytes > maxSupersededBytes) {
             log.info("store-watch-behind", { kind, position, supersededBytes: Math.round(supersededBytes) });
--- a/stand-ins/resident/store.ts
+++ b/stand-ins/resident/store.ts
@@ -166,12 +166,16 @@
         if (method === "POST" && current !== undefined) {
             return [409, current];
         }
-        if (method === "PUT" && current === undefined) {
+        if (method !== "POST" && current === undefined) {
             return [404, {}];
         }
-        if (method === "PUT" && body.metadata?.rev !== undefined && body.metadata.rev !== current?.metadata.rev) {
+        if (method !== "POST" && body.metadata?.rev !== undefined && body.metadata.rev !== current?.metadata.rev) {
             return [409, current];
         }
+        if (method === "DELETE") {
+            remove(kind, name);
+            return [200, {}];
+        }
         return [200, write(kind, name, body.spec)];
     };
 
@@ -179,7 +183,8 @@
         const url = new URL(request.url ?? "/", "http://store");
         const [, , , kind = "", name = ""] = url.pathname.split("/").map(decodeURIComponent);
         const method = request.method ?? "GET";
-        const body = await readJson(request);
+        const sent = await readJson(request);
+        const body = url.searchParams.has("rev") ? { metadata: { rev: Number(url.searchParams.get("rev")) } } : sent;
         if (faults.silent) {
             return;
         }
--- a/test/machines/resident/controllers.ts
+++ b/test/machines/resident/controllers.ts
@@ -82,8 +82,8 @@
         createStoreWatcher({
             ...watcherOptions,
             kind: "hosts",
-            onList: processes.applyObjects,
-            onChanges: events => processes.applyObjects(events.map(event => event.object)),
+            onList: processes.applyList,
+            onChanges: processes.applyChanges,
         });
         const controller = createRangeController({
             pool,
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -130,6 +130,19 @@
                     : { result: "conflict", current },
             );
         },
+        remove: async (kind, name, revision) => {
+            await applyFault();
+            const current = shared.objects.get(keyOf(kind, name));
+            const isGone = current === undefined || current.revision === revision;
+            if (current !== undefined && isGone) {
+                change(kind, name, undefined, true);
+            }
+            if (fake.fault === "answers-lost") {
+                await clock.sleep(timeoutMilliseconds);
+                throw new PlatformError("no answer in time");
+            }
+            return isGone;
+        },
         callCounts: () => ({}),
         close: () => undefined,
     };
--- a/test/machines/resident/processes.test.ts
+++ b/test/machines/resident/processes.test.ts
@@ -2,9 +2,9 @@
  * Each host counts the hosts by the processes that registered in the store.
  */
 import test from "ava";
-import type { ObjectStore } from "../../../src/contracts/objectstore.ts";
+import type { ObjectStore, StoreObject } from "../../../src/contracts/objectstore.ts";
 import { silentLog } from "../../../src/links/logs.ts";
-import { registerProcess } from "../../../src/machines/resident/processes.ts";
+import { type Processes, registerProcess } from "../../../src/machines/resident/processes.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
 import { createFakeStore } from "./fakestore.ts";
 
@@ -23,6 +23,12 @@
     return { clock, shared, start };
 };
 
+const takeIn = (processes: Processes, objects: Array<StoreObject | undefined>): void => {
+    const known = objects.filter(object => object !== undefined);
+    const position = Math.max(...known.map(({ revision }) => revision));
+    processes.applyChanges(known.map(object => ({ object, removed: false })), position);
+};
+
 test("hosts that start together know each other soon, and keep what they know while the store is unreachable", async t => {
     const { clock, shared, start } = setUp();
     const first = start("h1/x");
@@ -34,7 +40,7 @@
     start("h3/x", 2);
     await clock.advance(1_000);
     first.access.fault = "refusing";
-    first.processes.applyObjects([shared.read("hosts", "h3")].filter(object => object !== undefined));
+    takeIn(first.processes, [shared.read("hosts", "h3")]);
     await clock.advance(1_000);
     t.is(first.processes.hostCount(), 3);
     t.is(first.processes.maxProcessor(), 2);
@@ -49,7 +55,7 @@
     const older = shared.read("hosts", "h2");
     shared.put("hosts", "h2", { process: "h2/b", zone: "z1", address: "10.0.0.3:1" });
     const newer = shared.read("hosts", "h2");
-    processes.applyObjects([newer, older].filter(object => object !== undefined));
+    takeIn(processes, [newer, older]);
     t.is(processes.hosts().find(host => host.name === "h2")?.address, "10.0.0.3:1");
 });
 
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -13,6 +13,7 @@
     buildProgram,
     entry,
     firstRoutes,
+    isReady,
     limits,
     linesOf,
     requestOrder,
@@ -129,6 +130,25 @@
     [left, right, orders].forEach(part => t.true([...part.runCounts.values()].every(count => count === 1)));
 });
 
+/** Guards against a host that was taken for gone, and that no other knows any more. */
+test("a host whose registration was removed registers the same process again, and goes on", async t => {
+    const store = await startStoreStandIn();
+    store.put("config", "main", { version: "r3", routes: firstRoutes, services, limits });
+    const program = await startProgram(store);
+    t.teardown(() => {
+        program.child.kill("SIGKILL");
+        store.close();
+    });
+    await waitUntil("the host is ready", () => isReady(program));
+    const registration = store.read("hosts", "h1");
+    t.not(registration, undefined);
+    store.remove("hosts", "h1");
+    await waitUntil("the host registers again", () => store.read("hosts", "h1") !== undefined);
+    t.deepEqual(store.read("hosts", "h1"), registration);
+    t.true(await isReady(program));
+    t.regex(program.log(), /event=registration-gone/);
+});
+
 test("a host that cannot listen on one of its addresses stays, is not ready, and tells it", async t => {
     const store = await startStoreStandIn();
     t.teardown(store.close);
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -5,6 +5,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createStore } from "../../platform/store.ts";
+import { startStoreStandIn } from "../../stand-ins/resident/store.ts";
 
 const timeoutMilliseconds = 200;
 const chunkMilliseconds = 50;
@@ -103,6 +104,28 @@
     await t.throwsAsync(store.list("config"), { message: /larger than/ });
 });
 
+/** Guards against the removal of what was written again meanwhile. */
+test("an object is removed only at the revision that the caller knows", async t => {
+    const standIn = await startStoreStandIn();
+    const store = createStore({ address: standIn.address, timeoutMilliseconds });
+    t.teardown(() => {
+        store.close();
+        standIn.close();
+    });
+    const name = "a/b c";
+    standIn.put("hosts", name, 1);
+    const before = await store.get("hosts", name);
+    standIn.put("hosts", name, 2);
+    t.false(await store.remove("hosts", name, before?.revision ?? 0));
+    t.is(standIn.read("hosts", name), 2);
+    const current = await store.get("hosts", name);
+    t.true(await store.remove("hosts", name, current?.revision ?? 0));
+    t.is(standIn.read("hosts", name), undefined);
+    t.true(await store.remove("hosts", name, current?.revision ?? 0));
+    standIn.faults.refuse = 503;
+    await t.throwsAsync(store.remove("hosts", name, 1));
+});
+
 test("an object nested beyond any use costs that object alone, in lists and in changes", async t => {
     const deep = `${"[".repeat(100_000)}${"]".repeat(100_000)}`;
     const object = (index: number, spec: string): string =>
