Never take the coordination over again after a stop has resigned it

The step of a controller tries to take over whenever there is no coordinator, and a stop goes on for up to the grace after its resignation. So a stopping host took the duty again, 1.2 s later in one log, and all keys waited for the next takeover when it ended. A resignation that is asked for now ends takeovers for good, and one that comes while a takeover is under way is repeated after it.

The two new cases of rangecontroller.test.ts failed before: the host coordinated again within 100 ms, and the other one coordinated after all.

--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -72,7 +72,7 @@
     isCoordinator: () => boolean;
     /** Returns the address at which the pool's coordinator receives load reports; undefined while there is none. */
     reportsAddress: () => string | undefined;
-    /** Steps down as coordinator so that another host takes over at once. */
+    /** Steps down as coordinator so that another host takes over at once, and never takes over again. */
     resign: () => Promise<void>;
 };
 
@@ -292,6 +292,8 @@
         moves.start(currentRanges());
     };
 
+    const resign = (): Promise<boolean> => runStep("resign", coordinator.resign);
+
     let failingSince: number | undefined;
     let restsUntil = -Infinity;
 
@@ -306,8 +308,8 @@
         if (failingMilliseconds >= maxFailingMilliseconds) {
             log.error("coordinator-gave-up", { failingMilliseconds: Math.round(failingMilliseconds) });
             failingSince = undefined;
-            restsUntil = clock.now() + restMilliseconds;
-            await runStep("resign", coordinator.resign);
+            restsUntil = Math.max(restsUntil, clock.now() + restMilliseconds);
+            await resign();
         }
     };
 
@@ -317,6 +319,10 @@
         }
         else if (clock.now() >= restsUntil) {
             await runStep("step", coordinator.tryTakeOver);
+            // The host may have been asked to resign meanwhile.
+            if (restsUntil === Infinity) {
+                await resign();
+            }
         }
     };
 
@@ -344,7 +350,8 @@
         isCoordinator: () => coordinator.ownership() !== undefined,
         reportsAddress: coordinator.reportsAddress,
         resign: async () => {
-            await runStep("resign", coordinator.resign);
+            restsUntil = Infinity;
+            await resign();
         },
     };
 };
--- a/test/machines/resident/rangecontroller.test.ts
+++ b/test/machines/resident/rangecontroller.test.ts
@@ -264,3 +264,34 @@
     t.deepEqual(setup.targets.violations, []);
     small.kill();
 });
+
+/** Guards against a host that stops while it coordinates keys, so that they are lost with it. */
+test("a host that resigns does not take over again, even when nobody else can", async t => {
+    const { world, shared, coordinator } = await setUp([1]);
+    const resigned = coordinator.controller.resign();
+    await world.advance(100);
+    await resigned;
+    for (let second = 0; second < 10; second += 1) {
+        t.false(coordinator.controller.isCoordinator(), `${second} s`);
+        await world.advance(1_000);
+    }
+    t.is((shared.read("coordination", "stock")?.value as { coordinator: string }).coordinator, "");
+    coordinator.kill();
+});
+
+test("a host that resigns while it takes over leaves the coordination to another", async t => {
+    const { world, shared, hosts, coordinator } = await setUp();
+    coordinator.kill();
+    const named = (): string => (shared.read("coordination", "stock")?.value as { coordinator: string }).coordinator;
+    while (named() === coordinator.process || named() === "") {
+        await world.advance(1);
+    }
+    const successor = hosts.find(({ process }) => process === named())!;
+    t.false(successor.controller.isCoordinator());
+    void successor.controller.resign();
+    await world.advance(2_500);
+    t.false(successor.controller.isCoordinator());
+    const third = hosts.find(host => host !== coordinator && host !== successor)!;
+    t.true(third.controller.isCoordinator());
+    hosts.forEach(host => host.kill());
+});
