Bundle only the parts of undici and prom-client that a host uses

The entry points of both libraries load all that they have: mocks, proxies, caches, web sockets, and fetch, which loads the one within Node as well. The bundle now has what is named in scripts/bundle.ts; an import of anything else fails the build.

The new case of test/platform/build.test.ts failed before: Node's own undici was loaded.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -25,11 +25,55 @@
     },
 };
 
+/**
+ * Libraries of which a program that starts often needs a small part, while their entry points load all: undici's also its
+ * `fetch` and, with that, the one within Node, and prom-client's the clients of other services. An import of anything that
+ * is not named here fails the build.
+ */
+const neededParts: Record<string, string> = {
+    undici: `
+        import api from "undici/lib/api/index.js";
+        import buildConnector from "undici/lib/core/connect.js";
+        import Client from "undici/lib/dispatcher/client.js";
+        import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
+        import Pool from "undici/lib/dispatcher/pool.js";
+        Object.assign(Dispatcher.prototype, api);
+        export { buildConnector, Client, Pool };`,
+    "prom-client": `
+        export { default as Counter } from "prom-client/lib/counter.js";
+        export { default as Gauge } from "prom-client/lib/gauge.js";
+        export { default as Histogram } from "prom-client/lib/histogram.js";
+        export { default as Registry } from "prom-client/lib/registry.js";`,
+};
+
+const loadNeededParts: Plugin = {
+    name: "load-needed-parts",
+    setup: builder => {
+        builder.onResolve({ filter: /^(undici|prom-client)$/ }, ({ path, resolveDir }) => ({
+            path,
+            namespace: "needed-parts",
+            pluginData: resolveDir,
+        }));
+        builder.onLoad({ filter: /.*/, namespace: "needed-parts" }, ({ path, pluginData }) => ({
+            contents: neededParts[path],
+            resolveDir: String(pluginData),
+        }));
+    },
+};
+
 /** The `require` of a single executable warns about each module not built into Node; an ordinary one does not. */
 const ordinaryRequire = "require = require(\"node:module\").createRequire(process.execPath);";
 
-/** Bundles the program whose entry point is `entry` into `file`. */
-export const bundleProgram = async (entry: string, file: string, { minify = false } = {}): Promise<void> => {
+/**
+ * Bundles the program whose entry point is `entry` into `file`.
+ *
+ * @param options.isLean whether large libraries are left out but for the parts that a resident host needs.
+ */
+export const bundleProgram = async (
+    entry: string,
+    file: string,
+    { minify = false, isLean = false } = {},
+): Promise<void> => {
     await build({
         entryPoints: [entry],
         bundle: true,
@@ -38,7 +82,7 @@
         format: "cjs",
         outfile: file,
         minify,
-        plugins: [leaveOutOptionalModules, leaveOutLocales],
+        plugins: [leaveOutOptionalModules, leaveOutLocales, ...(isLean ? [loadNeededParts] : [])],
         banner: { js: ordinaryRequire },
         logLevel: "warning",
     });
--- a/scripts/residentbuild.ts
+++ b/scripts/residentbuild.ts
@@ -65,7 +65,7 @@
     mkdirSync(folder, { recursive: true });
     const workFolder = mkdtempSync(join(folder, "build-"));
     const bundle = join(workFolder, "program.cjs");
-    await bundleProgram(entry, bundle, { minify: true });
+    await bundleProgram(entry, bundle, { minify: true, isLean: true });
     const digest = digestOf(readFileSync(bundle));
     const program = { name: nameOf(digest, "cjs"), digest };
     renameSync(bundle, join(workFolder, program.name));
--- a/test/platform/build.test.ts
+++ b/test/platform/build.test.ts
@@ -181,6 +181,21 @@
     await assertRuns(t, program, true);
 });
 
+test("a start loads neither Node's own fetch nor the parts of libraries that no host uses", t => {
+    const loaded = spawnSync(
+        process.execPath,
+        ["-e", "require(process.argv[1]); console.log(process.moduleLoadList.join());", pathOf(copyBuild(), "cjs")],
+        { encoding: "utf8" },
+    );
+    t.is(loaded.status, 0, loaded.stderr);
+    t.true(loaded.stdout.includes("NativeModule http,"), loaded.stdout);
+    t.false(loaded.stdout.includes("deps/undici"), loaded.stdout);
+    const text = readFileSync(pathOf(copyBuild(), "cjs"), "utf8");
+    for (const unused of ["MockAgent", "SnapshotAgent", "EventSource", "Pushgateway"]) {
+        t.false(text.includes(unused), unused);
+    }
+});
+
 test.serial("files of builds before the former one are removed, those of a build that goes on are not", async t => {
     const folder = createFolder();
     await buildSmall(folder, "a");
