--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -38,12 +38,8 @@
     return collections + indentation;
 };
 
-/**
- * Reads a settings file, or throws an `InputError` that lists every finding. Throws the system's error when there is no
- * free descriptor.
- */
-export const readResidentSettings = (file: string, readFile = readFileText): ResidentSettings => {
-    const text = readText(file, readFile);
+/** Returns the settings in the text, or throws an `InputError` that lists every finding. */
+const parseResidentSettings = (file: string, text: string): ResidentSettings => {
     if (nestingBound(text) > maxNesting) {
         throw new InputError(`The settings file "${file}" has more than ${maxNesting} nested collections.`);
     }
@@ -54,6 +50,13 @@
     return value;
 };
 
+/**
+ * Reads a settings file, or throws an `InputError` that lists every finding. Throws the system's error when there is no
+ * free descriptor.
+ */
+export const readResidentSettings = (file: string, readFile = readFileText): ResidentSettings =>
+    parseResidentSettings(file, readText(file, readFile));
+
 export type SettingsWaitOptions = {
     clock: Clock;
     /** Ends the wait. */
@@ -132,9 +135,11 @@
  * finds no free descriptor is tried again soon. The log names the settings that changed and when they are in force.
  */
 export const watchSettings = (options: SettingsWatchOptions): SettingsWatch => {
-    const { file, readFile, onShortage, onChange, clock, log, signal } = options;
+    const { file, readFile = readFileText, onShortage, onChange, clock, log, signal } = options;
     let current = options.settings;
     let lastFinding = "";
+    /** Of the last read, unless it failed. Its findings and changes are told already. */
+    let lastText: string | undefined;
     let isReadDue = false;
 
     const readAgain = (pauseMilliseconds: number): void => {
@@ -150,7 +155,14 @@
             return;
         }
         try {
-            const next = readResidentSettings(file, readFile);
+            const before = lastText;
+            lastText = undefined;
+            const text = readText(file, readFile);
+            lastText = text;
+            if (text === before) {
+                return;
+            }
+            const next = parseResidentSettings(file, text);
             const changed = changedNames(current, next);
             current = next;
             lastFinding = "";
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -136,6 +136,29 @@
     lifetime.abort();
 });
 
+test("a file that is missing at times or wrong again is told each time, and one that stays the same is told once", async t => {
+    const file = fileWith(valid);
+    const clock = createVirtualClock();
+    const lifetime = new AbortController();
+    const events: string[] = [];
+    const recordEvent: Log["info"] = event => events.push(event);
+    const log: Log = { ...silentLog, info: recordEvent, warn: recordEvent };
+    let text: string | undefined = valid;
+    const readFile = (): string => {
+        if (text === undefined) {
+            throw systemError("ENOENT");
+        }
+        return text;
+    };
+    watchSettings({ file, settings: readResidentSettings(file), readFile, clock, log, signal: lifetime.signal });
+    const wrong = "host: [";
+    for (text of [valid, undefined, valid, undefined, undefined, wrong, wrong, undefined, wrong, valid, wrong]) {
+        await clock.advance(5_000);
+    }
+    t.deepEqual(events, new Array(6).fill("settings-refused"));
+    lifetime.abort();
+});
+
 const systemError = (code: string): Error => Object.assign(new Error(code), { code });
 const finding = (): Error => new InputError("host: expected object");
 
