Rank hosts again only when the known hosts have changed

A reader ranked all hosts for each message of loads, eight times a second, and every host ranked them for gossip once a second and at each search for a reader; each ranking digests every name. The list of known hosts is now the same array while they are the same, and the rankings are kept for it.

--- a/src/machines/resident/fleetfacts.ts
+++ b/src/machines/resident/fleetfacts.ts
@@ -10,6 +10,7 @@
 import { rankedBefore, rankGossipPeers } from "../../zones/gossippeers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
 import { createGossip, type Gossip, gossipPath } from "./gossip.ts";
+import { keepLastResult } from "./lastresult.ts";
 import { crashGossipKind, crashGossipSchema, createSuspicions, type Suspicions } from "./suspicions.ts";
 import { createTargetLimits, limitsPath, type TargetLimits } from "./targetlimits.ts";
 import {
@@ -36,7 +37,7 @@
 export type FleetFactsOptions = {
     self: ReaderCandidate;
     /** Returns the known hosts, with or without this one. */
-    hosts: () => ReaderCandidate[];
+    hosts: () => readonly ReaderCandidate[];
     registry: Pick<TargetRegistry, "markLeaving">;
     targetStates: Pick<TargetStates, "get">;
     dial: PeerDialer;
@@ -51,6 +52,9 @@
 /** Starts to tell other hosts, and to learn from them. */
 export const createFleetFacts = (options: FleetFactsOptions): FleetFacts => {
     const { self, hosts, registry, targetStates, dial, random, clock, log, metrics, signal } = options;
+    const gossipPeersFor = keepLastResult((known: readonly ReaderCandidate[]) =>
+        rankGossipPeers(digestHash, self, known)
+    );
     const gossip = createGossip({
         self: self.name,
         kinds: {
@@ -58,7 +62,7 @@
             [leavingGossipKind]: leavingGossipSchema,
             [limitGossipKind]: limitGossipSchema,
         },
-        peers: () => rankGossipPeers(digestHash, self, hosts()),
+        peers: () => gossipPeersFor(hosts()),
         dial,
         clock,
         log,
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -33,6 +33,7 @@
 import { createFleetFacts } from "./fleetfacts.ts";
 import { createGateway } from "./gateway.ts";
 import { monitorHeap } from "./heapmonitor.ts";
+import { keepLastResult } from "./lastresult.ts";
 import { createLoadReporter } from "./loadreporter.ts";
 import { createOwnershipCache } from "./ownershipcache.ts";
 import { processKind, registerProcess } from "./processes.ts";
@@ -148,6 +149,10 @@
         signal,
         listening: acceptingLinks,
     });
+    const readersFor = keepLastResult((hosts: readonly ReaderCandidate[]) => chooseReaders(digestHash, self, hosts));
+    const otherReadersFor = keepLastResult((hosts: readonly ReaderCandidate[]) =>
+        readersToTell(digestHash, self, hosts)
+    );
     const cache = createStateCache();
     const paces: Record<string, ReadPace> = {
         [objects.targetKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
@@ -164,7 +169,7 @@
         paces,
         patches,
         hostsKnown: processes.known,
-        choose: () => chooseReaders(digestHash, self, processes.hosts()),
+        choose: () => readersFor(processes.hosts()),
         dial,
         onLoads: message => sharedLoads.receiveTotals(message),
         onSourceChange: () => sharedLoads.resetSource(),
@@ -180,7 +185,7 @@
     });
     const sharedLoads = createSharedLoads({
         isReader: source.isCurrent,
-        otherReaders: () => readersToTell(digestHash, self, processes.hosts()),
+        otherReaders: () => otherReadersFor(processes.hosts()),
         dial,
         sendToReader: source.sendLoads,
         sendToFollowers: message => server.sendLoads(message),
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -12,8 +12,8 @@
 export type Processes = {
     /** Resolves when the other hosts are known or cannot be read, so that a source of state can be chosen. */
     known: Promise<void>;
-    /** Returns the hosts that ever registered, removed ones included. */
-    hosts: () => ReaderCandidate[];
+    /** Returns the hosts that ever registered, removed ones included. The same array is returned while they are the same. */
+    hosts: () => readonly ReaderCandidate[];
     /** Takes in the records of all hosts, or changes of some. */
     applyObjects: (objects: StoreObject[]) => void;
     /**
@@ -76,6 +76,7 @@
     let registeredAt: number | undefined;
     let wasRegistered: boolean | undefined;
     let names: readonly string[] = [];
+    let hosts: readonly ReaderCandidate[] | undefined;
     const value: ProcessRecord = {
         process: self,
         processor: host.processor,
@@ -88,6 +89,7 @@
             const parsed = recordSchema.safeParse(object.value);
             if (parsed.success && object.revision > (records.get(object.name)?.revision ?? 0)) {
                 records.set(object.name, { record: parsed.data, revision: object.revision });
+                hosts = undefined;
             }
         }
     };
@@ -151,13 +153,15 @@
 
     return {
         known: join(),
-        hosts: () =>
-            [...records].filter(([, { record }]) => record.address !== "").map(([name, { record }]) => ({
+        hosts: () => {
+            hosts ??= [...records].filter(([, { record }]) => record.address !== "").map(([name, { record }]) => ({
                 name,
                 zone: record.zone,
                 address: record.address,
                 processor: record.processor,
-            })),
+            }));
+            return hosts;
+        },
         applyObjects,
         hostCount: () => records.size === 0 ? undefined : records.size,
         maxProcessor: () =>
--- a/test/machines/resident/processes.test.ts
+++ b/test/machines/resident/processes.test.ts
@@ -50,7 +50,13 @@
     shared.put("hosts", "h2", { process: "h2/b", zone: "z1", address: "10.0.0.3:1" });
     const newer = shared.read("hosts", "h2");
     processes.applyObjects([newer, older].filter(object => object !== undefined));
-    t.is(processes.hosts().find(host => host.name === "h2")?.address, "10.0.0.3:1");
+    const hosts = processes.hosts();
+    t.is(hosts.find(host => host.name === "h2")?.address, "10.0.0.3:1");
+    processes.applyObjects([newer, older].filter(object => object !== undefined));
+    t.is(processes.hosts(), hosts);
+    shared.put("hosts", "h2", { process: "h2/c", zone: "z1", address: "10.0.0.4:1" });
+    processes.applyObjects([shared.read("hosts", "h2")].filter(object => object !== undefined));
+    t.is(processes.hosts().find(host => host.name === "h2")?.address, "10.0.0.4:1");
 });
 
 test("the start of a host that was there before costs one cheap list and one write, and is known to end the process before", async t => {
