Encode a beat once, and wake only the watches of a kind that advanced

Each beat was encoded for every link, and each advance of one kind ended and began the waits of the watches of all five kinds.

--- a/src/machines/resident/peerlinks.ts
+++ b/src/machines/resident/peerlinks.ts
@@ -3,6 +3,7 @@
  * a beat at regular intervals: a link on which nothing is heard is closed, since a connection may go silent for good.
  */
 import type { Clock } from "../../contracts/clock.ts";
+import { encodeFrame } from "../../links/frames.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerListener, PeerService } from "../../links/peers.ts";
@@ -133,8 +134,8 @@
     repeat("links", updateMilliseconds, update);
     repeat("beats", options.beatMilliseconds, () => {
         closeSilent();
-        const beat = options.beat();
-        heardAt.forEach((...[, connection]) => connection.send(beat));
+        const beat = encodeFrame(options.beat());
+        heardAt.forEach((...[, connection]) => connection.sendFrame(beat));
     });
 
     return {
--- a/src/machines/resident/statesource.ts
+++ b/src/machines/resident/statesource.ts
@@ -100,21 +100,22 @@
     let awaitReaderUntil = -Infinity;
     let isSearchWanted = false;
     let endSearchPause: () => void = () => undefined;
-    const changeWaiters = new Set<() => void>();
+    /** What waits for a change of the source or an advance of a kind. */
+    const changeWaiters = new Map<() => void, string>();
 
     const wakeSearch = (): void => {
         isSearchWanted = true;
         endSearchPause();
     };
 
-    const wakeWaiters = (): void => {
-        const waiting = [...changeWaiters];
-        changeWaiters.clear();
-        waiting.forEach(wake => wake());
+    /** Wakes those that wait for the kind, or all. */
+    const wakeWaiters = (kind?: string): void => {
+        const waiting = [...changeWaiters].filter(([, waited]) => kind === undefined || kind === waited);
+        waiting.forEach(([wake]) => wake());
     };
 
-    /** Resolves at the next change of the source or advance of the cache, at the latest after the time. */
-    const waitForChange = (milliseconds: number, callSignal: AbortSignal | undefined): Promise<void> =>
+    /** Resolves at the next change of the source or advance of the kind, at the latest after the time. */
+    const waitForChange = (kind: string, milliseconds: number, callSignal: AbortSignal | undefined): Promise<void> =>
         new Promise(resolve => {
             const finish = (): void => {
                 cancel();
@@ -123,7 +124,7 @@
                 resolve();
             };
             const cancel = clock.after(milliseconds, finish);
-            changeWaiters.add(finish);
+            changeWaiters.set(finish, kind);
             callSignal?.addEventListener("abort", finish, { once: true });
         });
     cache.onAdvance(wakeWaiters);
@@ -223,7 +224,7 @@
                 throw new Error("The list was aborted.");
             }
             if (source.kind !== "store") {
-                await waitForChange(searchMilliseconds, callSignal);
+                await waitForChange(kind, searchMilliseconds, callSignal);
             }
         }
     };
@@ -272,7 +273,7 @@
             if (left <= 0 || callSignal?.aborted === true) {
                 return { result: "changes", events: [], position, bytes: 0 };
             }
-            await waitForChange(left, callSignal);
+            await waitForChange(kind, left, callSignal);
         }
     };
 
