--- a/src/machines/resident/fleetfacts.ts
+++ b/src/machines/resident/fleetfacts.ts
@@ -18,6 +18,7 @@
     presentGossipSchema,
 } from "./gonehosts.ts";
 import { createGossip, type Gossip, gossipPath } from "./gossip.ts";
+import { keepLastResult } from "./lastresult.ts";
 import type { Processes } from "./processes.ts";
 import { crashGossipKind, crashGossipSchema, createSuspicions, type Suspicions } from "./suspicions.ts";
 import { createTargetLimits, limitsPath, type TargetLimits } from "./targetlimits.ts";
@@ -62,6 +63,9 @@
 export const createFleetFacts = (options: FleetFactsOptions): FleetFacts => {
     const { self, processes, registry, targetStates, dial, random, clock, log, metrics, signal } = options;
     const { hosts } = processes;
+    const gossipPeersFor = keepLastResult((known: readonly ReaderCandidate[]) =>
+        rankGossipPeers(digestHash, self, known)
+    );
     const gossip = createGossip({
         self: self.name,
         kinds: {
@@ -71,7 +75,7 @@
             [absentGossipKind]: absentGossipSchema,
             [presentGossipKind]: presentGossipSchema,
         },
-        peers: () => rankGossipPeers(digestHash, self, hosts()),
+        peers: () => gossipPeersFor(hosts()),
         dial,
         clock,
         log,
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -12,8 +12,8 @@
 export type Processes = {
     /** Resolves when the other hosts are known or cannot be read, so that a source of state can be chosen. */
     known: Promise<void>;
-    /** Returns the registered hosts. */
-    hosts: () => ReaderCandidate[];
+    /** Returns the registered hosts. The same array is returned while they are the same. */
+    hosts: () => readonly ReaderCandidate[];
     /** Returns the registrations of the other hosts. */
     others: () => Registration[];
     /** Takes in all records, as the store held them at the position. */
@@ -92,6 +92,7 @@
     /** Position in the store's history up to which all records are known. */
     let knownTo = 0;
     let names: readonly string[] | undefined;
+    let hosts: readonly ReaderCandidate[] | undefined;
     const value: ProcessRecord = {
         process: self,
         processor: host.processor,
@@ -106,6 +107,7 @@
             if (parsed.success && revision > (records.get(name)?.revision ?? knownTo)) {
                 names = records.has(name) || name === host.name ? names : undefined;
                 records.set(name, { record: parsed.data, revision });
+                hosts = undefined;
             }
         }
     };
@@ -117,6 +119,7 @@
             return;
         }
         records.delete(name);
+        hosts = undefined;
         names = name === host.name ? names : undefined;
         if (name === host.name && isRegistered) {
             isRegistered = false;
@@ -196,13 +199,15 @@
 
     return {
         known: join(),
-        hosts: () =>
-            [...records].filter(([, { record }]) => record.address !== "").map(([name, { record }]) => ({
+        hosts: () => {
+            hosts ??= [...records].filter(([, { record }]) => record.address !== "").map(([name, { record }]) => ({
                 name,
                 zone: record.zone,
                 address: record.address,
                 processor: record.processor,
-            })),
+            }));
+            return hosts;
+        },
         others: () =>
             [...records].filter(([name]) => name !== host.name).map(([name, { record, revision }]) => ({
                 name,
