Let hosts without parts go by the target's own count too

Hosts that outnumber a target's parts opened connections by what the readers tell alone, which leaves out hosts that are cut off: 93 hosts in two groups at a target with a slot for each connection had 454 connections reset in 18 s.

A test shows that parts follow removed registrations.

--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -117,8 +117,9 @@
             return part;
         }
         const { target: { name }, load } = state;
-        const others = requestsOfOthers(name);
-        const requests = others === undefined ? load.expectedRequests(clock.now()) : load.ownRequests() + others;
+        const told = load.ownRequests() + (requestsOfOthers(name) ?? 0);
+        // The target's own word includes hosts that are cut off from this one.
+        const requests = Math.max(told, load.expectedRequests(clock.now()));
         return sparseLimit(acceptedBy(state), hosts, requests - Number(isCounted));
     };
 
--- a/test/machines/resident/roomplay.ts
+++ b/test/machines/resident/roomplay.ts
@@ -3,8 +3,8 @@
  */
 import { createRandom } from "../../../bench/random.ts";
 import type { SharingHosts } from "../../../src/decisions/targetroom.ts";
-import { createVirtualClock } from "../fakes/clock.ts";
-import { createVirtualHosts } from "./virtualhosts.ts";
+import { createVirtualClock, type VirtualClock } from "../fakes/clock.ts";
+import { createVirtualHosts, type VirtualHost } from "./virtualhosts.ts";
 
 const workMilliseconds = 500;
 export const utilization = 0.9;
@@ -19,18 +19,49 @@
     accepted: number;
     isSharded?: boolean;
     seconds: number;
+    /** 1 by default. */
+    seed?: number;
+    /** Requests as a share of those that all slots can run; 0.9 by default. */
+    load?: number;
+    /** Share of the requests that come to the first host; the others come to random ones. */
+    hotShare?: number;
+    /** Called when a third of the play is over. */
+    disturb?: (play: Disturbance) => void;
 };
 
+export type Disturbance = {
+    clock: VirtualClock;
+    /** Hosts that get requests. */
+    running: VirtualHost[];
+    /** Starts one more host, which gets requests from now on. */
+    start: (hosts: SharingHosts | undefined, group?: number) => VirtualHost;
+};
+
+/** Returns what a host knows that knows all of the hosts for long. */
+export const settled = (count: number, place: number): SharingHosts => ({ count, place, isSettled: true });
+
 /** Time after which those that were there before know those that join, and after which these have settled. */
 const knownMilliseconds = 1_000;
 const settledMilliseconds = 4_000;
 
-/** Plays requests at random hosts at 0.9 of the capacity. Returns what became of them and what the targets counted. */
+/** Plays requests at random hosts. Returns what became of them and what the targets counted. */
 export const playRoom = async (
-    { hosts, joining = 0, targets, slots, accepted, isSharded = false, seconds }: RoomPlay,
+    {
+        hosts,
+        joining = 0,
+        targets,
+        slots,
+        accepted,
+        isSharded = false,
+        seconds,
+        seed = 1,
+        load = utilization,
+        hotShare = 0,
+        disturb,
+    }: RoomPlay,
 ) => {
     const clock = createVirtualClock();
-    const random = createRandom(1);
+    const random = createRandom(seed);
     const setup = createVirtualHosts({
         clock,
         targets,
@@ -43,7 +74,6 @@
         timeoutMilliseconds: 6 * workMilliseconds,
         random: random.uniform,
     });
-    const settled = (count: number, place: number): SharingHosts => ({ count, place, isSettled: true });
     const running = Array.from({ length: hosts }, (...[, place]) => setup.start(settled(hosts, place)));
     const all = hosts + joining;
     const join = (): void => {
@@ -61,14 +91,15 @@
     };
     const ended: Record<string, number> = {};
     let asked = 0;
-    const meanPause = workMilliseconds / (targets * slots * utilization);
+    const meanPause = workMilliseconds / (targets * slots * load);
     const endAt = clock.now() + seconds * 1_000;
     const ask = (): void => {
         if (clock.now() >= endAt) {
             return;
         }
         asked += 1;
-        void running[random.integerBelow(running.length)].serve().then(answer => {
+        const isHot = hotShare > 0 && random.uniform() < hotShare;
+        void running[isHot ? 0 : random.integerBelow(running.length)].serve().then(answer => {
             const result = answer.kind === "refusal" ? answer.reason : "served";
             ended[result] = (ended[result] ?? 0) + 1;
         });
@@ -78,6 +109,14 @@
     if (joining > 0) {
         clock.after(seconds * 1_000 / 3, join);
     }
+    if (disturb !== undefined) {
+        const start: Disturbance["start"] = (...parameters) => {
+            const host = setup.start(...parameters);
+            running.push(host);
+            return host;
+        };
+        clock.after(seconds * 1_000 / 3, () => disturb({ clock, running, start }));
+    }
     await clock.advance(seconds * 1_000 + 12 * workMilliseconds);
     return {
         served: (ended["served"] ?? 0) / asked,
--- a/test/machines/resident/sharinghosts.test.ts
+++ b/test/machines/resident/sharinghosts.test.ts
@@ -3,7 +3,7 @@
  * their targets accept.
  */
 import test from "ava";
-import { createSharingHosts } from "../../../src/machines/resident/sharinghosts.ts";
+import { createSharingHosts, orderHosts } from "../../../src/machines/resident/sharinghosts.ts";
 
 type Case = {
     title: string;
@@ -105,3 +105,27 @@
     names = ["a", "b", "c"];
     t.is(hosts()?.count, 3);
 });
+
+test("the part of a host whose registration is removed goes to the others", t => {
+    let names = ["a", "b", "c", "d"];
+    const hosts = createSharingHosts({
+        self: "b",
+        processes: {
+            hostNames: () => names,
+            hostCount: () => names.length,
+            wasRegistered: () => true,
+            registeredAt: () => 0,
+        },
+        reachableSince: () => 0,
+        clock: { now: () => 5_000 },
+    });
+    const places = (): [number | undefined, number | undefined] => [hosts()?.count, hosts()?.place];
+    const placeIn = (known: string[]): [number, number] => [known.length, orderHosts(known).indexOf("b")];
+    t.deepEqual(places(), placeIn(["a", "b", "c", "d"]));
+    names = ["a", "b", "d"];
+    t.deepEqual(places(), placeIn(["a", "b", "d"]));
+    names = ["b", "e", "d"];
+    t.deepEqual(places(), placeIn(["b", "e", "d"]));
+    names = ["b"];
+    t.deepEqual(places(), [1, 0]);
+});
