Divide the loads of a new coordinator by the time that it knows them

A coordinator that took over divided its first loads by the whole mean life of 5.8 s, and balanced too little for six seconds. They are divided by the time since the first report now, at least 1 s. While loads are uncertain, moved keys now cost more and loads count as a little lower.

--- a/src/decisions/keyload.ts
+++ b/src/decisions/keyload.ts
@@ -14,6 +14,8 @@
     rate: (now: number) => number;
     /** Number of requests on which the estimate is based; older requests count for less than one each. */
     sampleCount: (now: number) => number;
+    /** The part, from 0 to 1, of the time on which the estimate is to be based that has passed since the first request. */
+    knownShare: (now: number) => number;
     /** All keys in ascending order; each busy key is a segment of its own. */
     segments: (now: number) => KeySegment[];
 };
@@ -34,6 +36,8 @@
 const minKeyWeight = 0.05;
 /** Number of recent requests that may be missing by chance, however few there were. */
 const shortTermSlack = 2;
+/** A load is taken to have lasted at least this long, since the first report tells of requests some time before it. */
+const minKnownMilliseconds = 1_000;
 /** Share of the load that is spread evenly over all buckets, since keys without recent requests are requested too. */
 const evenShare = 0.05;
 
@@ -51,8 +55,7 @@
  * Returns the long-term weight, clamped to what the short-term weight allows: at least its value less one standard
  * deviation, at most its value plus two and the slack. A load that has started or stopped thus shows within a second.
  */
-const likelyWeight = ({ longTerm, shortTerm }: Weights): number => {
-    const scale = meanLifeSeconds / shortTermMeanLifeSeconds;
+const likelyWeight = ({ longTerm, shortTerm }: Weights, scale: number): number => {
     const deviation = Math.sqrt(shortTerm);
     const least = (shortTerm - deviation) * scale;
     const most = (shortTerm + 2 * deviation + shortTermSlack) * scale;
@@ -63,6 +66,7 @@
 export const createKeyLoads = (): KeyLoads => {
     const keys = new Map<number, DecayingWeight>();
     const total: DecayingWeight = { weight: 0, shortTermWeight: 0, at: 0 };
+    let startedAt: number | undefined;
 
     const add = (held: DecayingWeight, now: number, weight: number): void => {
         held.shortTermWeight = shortTermWeightAt(held, now) + weight;
@@ -70,12 +74,19 @@
         held.at = now;
     };
 
+    const knownMilliseconds = (now: number): number => Math.max(minKnownMilliseconds, now - (startedAt ?? now));
+    const longTermSeconds = (now: number): number =>
+        meanLifeSeconds * (1 - 0.5 ** (knownMilliseconds(now) / halfLifeMilliseconds));
+    const shortTermSeconds = (now: number): number =>
+        shortTermMeanLifeSeconds * (1 - 0.5 ** (knownMilliseconds(now) / shortTermHalfLifeMilliseconds));
+
     const bucketWeights = (now: number): { weights: number[]; busy: Array<{ key: number; weight: number }> } => {
+        const scale = longTermSeconds(now) / shortTermSeconds(now);
         const spread = Array.from({ length: bucketCount }, (): Weights => ({ longTerm: 0, shortTerm: 0 }));
         const busy: Array<{ key: number; weight: number }> = [];
         for (const [key, held] of keys) {
             const own = { longTerm: longTermWeightAt(held, now), shortTerm: shortTermWeightAt(held, now) };
-            const weight = likelyWeight(own);
+            const weight = likelyWeight(own, scale);
             if (own.longTerm < minKeyWeight) {
                 keys.delete(key);
             }
@@ -88,7 +99,10 @@
                 bucket.shortTerm += own.shortTerm;
             }
         }
-        return { weights: spread.map(likelyWeight), busy: busy.sort((left, right) => left.key - right.key) };
+        return {
+            weights: spread.map(weights => likelyWeight(weights, scale)),
+            busy: busy.sort((left, right) => left.key - right.key),
+        };
     };
 
     return {
@@ -97,16 +111,19 @@
             keys.set(key, held);
             add(held, now, weight);
             add(total, now, weight);
+            startedAt ??= now;
         },
-        rate: now => longTermWeightAt(total, now) / meanLifeSeconds,
+        rate: now => longTermWeightAt(total, now) / longTermSeconds(now),
         sampleCount: now => longTermWeightAt(total, now),
+        knownShare: now => longTermSeconds(now) / meanLifeSeconds,
         segments: now => {
             const { weights, busy } = bucketWeights(now);
             const spread = weights.reduce((sum, weight) => sum + weight, 0);
             const even = Math.max(spread, 1) / bucketCount;
             const segments: KeySegment[] = [];
+            const seconds = longTermSeconds(now);
             const push = (from: number, to: number, weight: number): void => {
-                segments.push({ from, to, load: weight / meanLifeSeconds });
+                segments.push({ from, to, load: weight / seconds });
             };
             let next = 0;
             for (let bucket = 0; bucket < bucketCount; bucket += 1) {
--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -26,6 +26,11 @@
     segments: KeySegment[];
     /** Number of requests on which the loads are based. */
     sampleCount: number;
+    /**
+     * How certain the loads are, from 0 to 1: that part of the time on which their estimate is to be based for which they
+     * have been observed.
+     */
+    knownShare: number;
     /**
      * Number of pieces that may be split off ranges in this plan, to relieve targets or to supply new ones. A merge is
      * not counted, but 0 rules it out too. Keys without a live owner are moved in any case.
@@ -50,6 +55,13 @@
  * costs the same fraction of it.
  */
 const usualAllKeysCost = 5;
+/**
+ * While loads are uncertain, so are the capacities that are learned with them, and many keys would be moved back and forth.
+ * The cost then grows by this power of the certainty, so that narrow ranges of busy keys move first, and loads count as
+ * lower by the other one, since the busiest targets are often those that look busier than they are.
+ */
+const uncertainCostExponent = 2;
+const uncertainLoadExponent = 0.25;
 /** A plan ends when this many of the targets with the highest marginal cost have no split that pays. */
 const maxExhaustedDonors = 8;
 /** Number of targets considered as receivers: those with the lowest marginal cost. */
@@ -359,11 +371,12 @@
         .sort((left, right) => right.cost - left.cost)
         .map(({ targetLoad }) => targetLoad);
     const receivers = byCost.slice(-maxReceivers);
+    const allKeysCost = usualAllKeysCost / input.knownShare ** uncertainCostExponent;
     for (const donor of byCost.filter(targetLoad => !exhausted.has(targetLoad))) {
         if (exhausted.size >= maxExhaustedDonors) {
             return undefined;
         }
-        const split = bestSplit(donor, receivers, input, usualAllKeysCost);
+        const split = bestSplit(donor, receivers, input, allKeysCost);
         if (split !== undefined && split.gain >= minGain) {
             return { donor, split };
         }
@@ -399,16 +412,24 @@
     return moves;
 };
 
+/** The segments with loads that are as high as is certain. */
+const certainSegments = ({ segments, knownShare }: RangePlanInput): KeySegment[] => {
+    const scale = knownShare ** uncertainLoadExponent;
+    return segments.map(segment => ({ ...segment, load: segment.load * scale }));
+};
+
 /**
  * Plans the moves to make now. Keys without a live owner come first. If there are none, targets that own no keys get
  * some, a range is merged if there are too many, and ranges are split to relieve targets where requests wait or are
  * served slowly.
  */
-export const planRanges = (input: RangePlanInput): RangeMove[] => {
-    const { ranges, targets, segments } = input;
+export const planRanges = (given: RangePlanInput): RangeMove[] => {
+    const { targets } = given;
     if (targets.length === 0) {
         return [];
     }
+    const input = { ...given, segments: certainSegments(given) };
+    const { ranges, segments } = input;
     const sums = createLoadSums(segments);
     const orphans = planOrphans(input, sums);
     if (orphans.length > 0) {
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -259,6 +259,7 @@
             targets: targets.map(planTargetOf),
             segments: options.loads.segments(now),
             sampleCount: options.loads.sampleCount(now),
+            knownShare: options.loads.knownShare(now),
             maxSplits: mayBalance ? Math.ceil(targets.length / targetsPerCut) : 0,
             isMovable: range => now - (movedAt.get(range.fence) ?? -Infinity) >= settleMilliseconds,
         });
--- a/test/decisions/keyload.test.ts
+++ b/test/decisions/keyload.test.ts
@@ -30,11 +30,8 @@
     t.true(Math.abs(loadOf(loads, 700, now) - perSecond) < perSecond / 4, `${loadOf(loads, 700, now)}`);
 };
 
-test("a steady load is known 30000 ms after the first report", checkEstimate, 30_000);
-
-// KNOWN-RED.txt: a new coordinator underestimates loads.
-for (const milliseconds of [1_000, 3_000, 10_000]) {
-    test.failing(`a steady load is known ${milliseconds} ms after the first report`, checkEstimate, milliseconds);
+for (const milliseconds of [1_000, 3_000, 10_000, 30_000]) {
+    test(`a steady load is known ${milliseconds} ms after the first report`, checkEstimate, milliseconds);
 }
 
 test("a load that has started, and one that has stopped, is known within a second and a half", t => {
--- a/test/decisions/rangeplan.test.ts
+++ b/test/decisions/rangeplan.test.ts
@@ -38,6 +38,7 @@
         targets,
         segments: loads.segments(now),
         sampleCount: loads.sampleCount(now),
+        knownShare: loads.knownShare(now),
         maxSplits: 1,
         isMovable: () => true,
     });
--- a/test/decisions/rangesimulation.ts
+++ b/test/decisions/rangesimulation.ts
@@ -91,6 +91,7 @@
         targets,
         segments: loads.segments(now),
         sampleCount: loads.sampleCount(now),
+        knownShare: loads.knownShare(now),
         maxSplits,
         isMovable: range => now - (movedAt.get(range.fence) ?? -Infinity) >= settleMilliseconds,
     });
