Begin a start again when its settings turn out cut or change

A settings file read while it was written could be cut and valid: the host then ran with a limit of 41 descriptors in place of 4100 until the next start. A file that changed within 100 ms is now read again until it has settled, for a second at most; the file is read every 100 ms in the first 10 s, and changes stand when two reads give the same. Until the host has been ready the start begins again with any change, the log's level included; after that only when the file begins with all that was read, within the first 10 s.

A change that came once all addresses were open had the former start go through its whole stop (2.4 s) or was left for the next start. A host that was never ready now stops without the time for the load balancer. The former budget of descriptors ends with its start.

--- a/src/links/descriptors.ts
+++ b/src/links/descriptors.ts
@@ -48,6 +48,8 @@
     metrics: Pick<Metrics, "count" | "gauge">;
     /** Whether the process can open this many more files now. */
     canOpen?: (files: number) => boolean;
+    /** Ends the checks of a lowered limit. */
+    signal?: AbortSignal;
 };
 
 /** Lines a second that tell of a shortage, and for each part that it is used up. */
@@ -93,7 +95,7 @@
 
 /** Divides the descriptors of one process and counts those in use. */
 export const createDescriptors = (
-    { limits, clock, log, metrics, canOpen = canOpenFiles }: DescriptorsOptions,
+    { limits, clock, log, metrics, canOpen = canOpenFiles, signal }: DescriptorsOptions,
 ): Descriptors => {
     let budget = fullBudget(limits);
     let parts = divideDescriptors(budget.limit, limits.files);
@@ -136,7 +138,7 @@
             isChecking = false;
             setBudget(budgetAt(budget, limits, clock.now()));
             reduceParts();
-        });
+        }, signal);
     };
 
     const reduceParts = (): void => {
--- a/src/links/logs.ts
+++ b/src/links/logs.ts
@@ -16,8 +16,13 @@
     child: (fields: LogFields) => Log;
 };
 
+export type LogLevel = "debug" | "info" | "warn" | "error" | "silent";
+
+/** `setLevel` holds for this log and for the children that it gets later. */
+export type RootLog = Log & { setLevel: (level: LogLevel) => void };
+
 export type LogOptions = {
-    level: "debug" | "info" | "warn" | "error" | "silent";
+    level: LogLevel;
     /** Receives each line with its line break. Defaults to standard output. */
     write?: (line: string) => void;
     /** Returns milliseconds since the Unix epoch; tests replace it to get the same lines in each run. */
@@ -44,7 +49,7 @@
  * log.info("request-refused", { pool: "orders", reason: "queue-full" });
  * // time=2026-01-01T00:00:00.000Z level=info event=request-refused pool=orders reason=queue-full
  */
-export const createLog = (options: LogOptions): Log => {
+export const createLog = (options: LogOptions): RootLog => {
     const write = options.write ?? writeToStandardOutput;
     const wallClock = options.wallClock ?? Date.now;
     const destination = {
@@ -59,7 +64,10 @@
         timestamp: () => `,"time":"${new Date(wallClock()).toISOString()}"`,
         formatters: { level: label => ({ level: label }) },
     }, destination);
-    return toLog(logger);
+    const setLevel = (level: LogLevel): void => {
+        logger.level = level;
+    };
+    return { ...toLog(logger), setLevel };
 };
 
 const ignore = (): void => undefined;
--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -2,7 +2,7 @@
  * Reads the settings of a resident host from a YAML file, and again while the host runs. All findings are reported
  * together, each with its place in the file.
  */
-import { closeSync, constants, fstatSync, openSync, readFileSync } from "node:fs";
+import { closeSync, constants, fstatSync, openSync, readFileSync, statSync } from "node:fs";
 import type { Clock } from "../contracts/clock.ts";
 import { InputError, messageOf } from "../contracts/errors.ts";
 import { describeFinding } from "../contracts/finding.ts";
@@ -50,12 +50,7 @@
     return collections + indentation;
 };
 
-/**
- * Reads a settings file, or throws an `InputError` that lists every finding. Throws the system's error when there is no
- * free descriptor.
- */
-export const readResidentSettings = (file: string, readFile = readFileText): ResidentSettings => {
-    const text = readText(file, readFile);
+const parseResidentSettings = (file: string, text: string): ResidentSettings => {
     if (nestingBound(text) > maxNesting) {
         throw new InputError(`The settings file "${file}" has more than ${maxNesting} nested collections.`);
     }
@@ -66,34 +61,65 @@
     return value;
 };
 
+/** Settings, and the text of the file that they are from. */
+export type SettingsText = { settings: ResidentSettings; text: string };
+
+/**
+ * Reads a settings file, or throws an `InputError` that lists every finding. Throws the system's error when there is no
+ * free descriptor.
+ */
+export const readResidentSettings = (file: string, readFile: ReadFile = readFileText): SettingsText => {
+    const text = readText(file, readFile);
+    return { settings: parseResidentSettings(file, text), text };
+};
+
 export type SettingsWaitOptions = {
     clock: Clock;
     /** Ends the wait. */
     signal: AbortSignal;
     /** Gets each new finding, and again while it lasts. */
     onWait?: (finding: string, afterMilliseconds: number) => void;
-    read?: (file: string) => ResidentSettings;
+    read?: (file: string) => SettingsText;
+    /** Returns the time since the file was written last. */
+    ageOf?: (file: string) => number;
 };
 
 /** Pauses between the reads of a start: a file that is being replaced is soon complete, others take an operator. */
 const startPauses = { firstMilliseconds: 100, factor: 1.5, maxMilliseconds: 1_000 };
+/** A file that changed within this time may be half written, and valid all the same. */
+const settleMilliseconds = 100;
+/** A file that never settles is taken as it is after this time. */
+const maxSettleMilliseconds = 1_000;
+
+const fileAge = (file: string): number =>
+    Date.now() - (statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? -Infinity);
 
 /**
- * Reads the settings at the start of a process until they are valid. The file may be missing, empty, half written or wrong,
- * which a restart would find as well. Resolves to undefined when the signal aborts before.
+ * Reads the settings at the start of a process until they are valid and the file has settled. It may be missing, empty, half
+ * written or wrong, which a restart would find as well. Resolves to undefined when the signal aborts before any are valid.
  */
 export const awaitResidentSettings = async (
     file: string,
-    { clock, signal, onWait, read = readResidentSettings }: SettingsWaitOptions,
-): Promise<ResidentSettings | undefined> => {
+    { clock, signal, onWait, read = readResidentSettings, ageOf = fileAge }: SettingsWaitOptions,
+): Promise<SettingsText | undefined> => {
     const notices = createWaitNotices();
     const startedAt = clock.now();
     let pauseMilliseconds = startPauses.firstMilliseconds;
+    let settleUntil: number | undefined;
+    let found: SettingsText | undefined;
     while (!signal.aborted) {
         try {
-            return read(file);
+            found = read(file);
+            settleUntil ??= clock.now() + maxSettleMilliseconds;
+            const ageMilliseconds = ageOf(file);
+            // A time of the file that lies ahead tells nothing.
+            if (ageMilliseconds < 0 || ageMilliseconds >= settleMilliseconds || clock.now() >= settleUntil) {
+                return found;
+            }
+            await clock.sleep(settleMilliseconds - ageMilliseconds, signal);
         }
         catch (error) {
+            found = undefined;
             const finding = messageOf(error);
             if (notices.isDue(finding, clock.now())) {
                 onWait?.(finding, Math.round(clock.now() - startedAt));
@@ -102,7 +128,7 @@
             pauseMilliseconds = Math.min(startPauses.maxMilliseconds, pauseMilliseconds * startPauses.factor);
         }
     }
-    return undefined;
+    return found;
 };
 
 export type SettingsWatch = {
@@ -113,23 +139,24 @@
 export type SettingsWatchOptions = {
     file: string;
     /** The settings that are in force. */
-    settings: ResidentSettings;
+    inForce: SettingsText;
     readFile?: ReadFile;
     /** Called with the error of a read that found no free descriptor or no memory. */
     onShortage?: (error: unknown) => void;
     clock: Clock;
     log: Log;
     /**
-     * Called with settings that changed and the names of those that did. Returns whether they are in force now; otherwise, and
-     * by default, they are from the next start on.
+     * Called with settings that changed, and whether the start read a file that was not yet written to its end. Returns whether they are in force now; otherwise, and by default, they are from the next start on.
      */
-    onChange?: (settings: ResidentSettings, changed: string[]) => boolean;
+    onChange?: (settings: ResidentSettings, wasCut: boolean) => boolean;
     /** Ends the watch. */
     signal: AbortSignal;
 };
 
 /** The file may change without a signal to the process or any other notice, so it is read at this interval. */
 const checkIntervalMilliseconds = 5_000;
+/** A process that starts may find a file that is still being written, so it is read more often at first. */
+const startChecks = { intervalMilliseconds: 100, untilMilliseconds: 10_000 };
 /** Pause before a read is tried again that found no free descriptor; doubled each time. */
 const firstShortagePauseMilliseconds = 50;
 const maxShortagePauseMilliseconds = 2_000;
@@ -140,12 +167,15 @@
 };
 
 /**
- * Reads the settings file again when asked and every few seconds. A file that is not valid changes nothing; a read that
- * finds no free descriptor is tried again soon. The log names the settings that changed and when they are in force.
+ * Reads the settings file again when asked and every few seconds. Changes stand when two reads in a row give the same. A file
+ * that is not valid changes nothing; a read that finds no free descriptor is tried again soon. The log names
+ * the settings that changed and when they are in force.
  */
 export const watchSettings = (options: SettingsWatchOptions): SettingsWatch => {
-    const { file, readFile, onShortage, onChange, clock, log, signal } = options;
-    let current = options.settings;
+    const { file, readFile = readFileText, onShortage, onChange, clock, log, signal } = options;
+    const startChecksUntil = clock.now() + startChecks.untilMilliseconds;
+    let current = options.inForce;
+    let unsettledText: string | undefined;
     let lastFinding = "";
     let isReadDue = false;
 
@@ -162,12 +192,20 @@
             return;
         }
         try {
-            const next = readResidentSettings(file, readFile);
-            const changed = changedNames(current, next);
-            current = next;
+            const text = readText(file, readFile);
+            if (text !== current.text && text !== unsettledText) {
+                unsettledText = text;
+                readAgain(settleMilliseconds);
+                return;
+            }
+            unsettledText = undefined;
+            const before = current;
+            current = text === before.text ? before : { settings: parseResidentSettings(file, text), text };
+            const changed = changedNames(before.settings, current.settings);
             lastFinding = "";
             if (changed.length > 0) {
-                const inForce = onChange?.(next, changed) === true ? "now" : "at the next start";
+                const wasCut = clock.now() < startChecksUntil && text.startsWith(before.text);
+                const inForce = onChange?.(current.settings, wasCut) === true ? "now" : "at the next start";
                 log.info("settings-read", { file, changed: changed.join(","), inForce });
             }
         }
@@ -186,7 +224,8 @@
 
     const checkRepeatedly = async (): Promise<void> => {
         while (!signal.aborted) {
-            await clock.sleep(checkIntervalMilliseconds, signal);
+            const isStart = clock.now() < startChecksUntil;
+            await clock.sleep(isStart ? startChecks.intervalMilliseconds : checkIntervalMilliseconds, signal);
             if (!signal.aborted) {
                 check();
             }
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -73,8 +73,11 @@
 export type ResidentHost = {
     /** Whether the host has ever read the whole state from the store. */
     wasReady: () => boolean;
-    /** Completes the requests in flight and stops. Resolves when all have ended or the grace period has. */
-    stop: () => Promise<void>;
+    /**
+     * Completes the requests in flight and stops. Resolves when all have ended or the grace period has. New ones are served for
+     * the given time, by default until the load balancer sends none.
+     */
+    stop: (servingMilliseconds?: number) => Promise<void>;
 };
 
 /** Wait of the watch that tells whether the store still answers. */
@@ -497,13 +500,13 @@
 
     return {
         wasReady: () => wasReady,
-        stop: async () => {
+        stop: async (servingMilliseconds = balancerRemovalMilliseconds) => {
             const endAt = clock.now() + settings.stopping.grace - forcedCloseMilliseconds;
             stopping = true;
             log.info("host-stopping", { inFlight: callers.inFlight() });
             gateway.stop({
                 endsAt: endAt - lastAnswerMilliseconds,
-                refusesFrom: clock.now() + balancerRemovalMilliseconds,
+                refusesFrom: clock.now() + servingMilliseconds,
             });
             server.announce();
             callers.disableKeepAlive();
@@ -511,7 +514,7 @@
             for (const controller of controllers.values()) {
                 controller.resign().catch((error: unknown) => log.warn("resign-failed", { error: messageOf(error) }));
             }
-            await clock.sleep(Math.min(balancerRemovalMilliseconds, endAt - clock.now()));
+            await clock.sleep(Math.min(servingMilliseconds, endAt - clock.now()));
             callers.stopAccepting();
             await waitUntilIdle(endAt);
             log.info("host-stopped", { inFlight: callers.inFlight(), calls: JSON.stringify(store.callCounts()) });
--- a/test/links/descriptors.test.ts
+++ b/test/links/descriptors.test.ts
@@ -68,6 +68,27 @@
     });
 }
 
+test("a lowered limit is no longer checked once the start that it belongs to is over", async t => {
+    const [metrics, clock] = [createMetrics(), createVirtualClock()];
+    const lifetime = new AbortController();
+    const { signal } = lifetime;
+    const descriptors = createDescriptors({ limits: shortLimits, clock, log: silentLog, metrics, signal });
+    Array.from({ length: 500 }, () => descriptors.open("callers"));
+    let checks = 0;
+    descriptors.onExcess("callers", () => {
+        checks += 1;
+    });
+    descriptors.recordError(Object.assign(new Error("failed"), { code: "EMFILE" }));
+    await clock.advance(1_000);
+    const before = checks;
+    t.true(before > 1);
+    lifetime.abort();
+    await clock.advance(3_600_000);
+    t.is(checks, before);
+    descriptors.report();
+    t.is(metrics.snapshot()["descriptor-limit"], 500);
+});
+
 test("files are opened to check for descriptors rarely, and the parts shrink when that fails", t => {
     const [metrics, clock] = [createMetrics(), createVirtualClock()];
     let checks = 0;
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -11,7 +11,12 @@
 import { codeOf } from "../../src/decisions/startwait.ts";
 import type { Log } from "../../src/links/logs.ts";
 import { silentLog } from "../../src/links/logs.ts";
-import { awaitResidentSettings, readResidentSettings, watchSettings } from "../../src/links/residentsettings.ts";
+import {
+    awaitResidentSettings,
+    readResidentSettings,
+    type SettingsText,
+    watchSettings,
+} from "../../src/links/residentsettings.ts";
 import { createVirtualClock } from "../machines/fakes/clock.ts";
 
 const valid = `
@@ -30,7 +35,7 @@
 };
 
 test("durations have units, missing settings have their defaults, and unknown names are ignored", t => {
-    const settings = readResidentSettings(fileWith(`${valid}later: { field: 1 }\n`));
+    const { settings } = readResidentSettings(fileWith(`${valid}later: { field: 1 }\n`));
     t.is(settings.stopping.grace, 2_500);
     t.is(settings.ownership.maxHold, 10_000);
 });
@@ -55,7 +60,7 @@
 
 for (const [text, expected] of statedLimits) {
     test(`a limit of descriptors that is filled in as "${text}" is ${expected}`, t => {
-        const settings = readResidentSettings(fileWith(`${valid}descriptors: { limit: ${text} }\n`));
+        const { settings } = readResidentSettings(fileWith(`${valid}descriptors: { limit: ${text} }\n`));
         t.is(settings.descriptors.limit, expected);
     });
 }
@@ -101,10 +106,10 @@
         };
         const recordEvent: Log["info"] = event => lines.push(event);
         const log: Log = { ...silentLog, info: recordEvent, warn: recordEvent };
-        const settings = readResidentSettings(file);
+        const inForce = readResidentSettings(file);
         const shortages: unknown[] = [];
         const onShortage = (error: unknown): void => void shortages.push(codeOf(error));
-        const watch = watchSettings({ file, settings, readFile, onShortage, clock, log, signal: lifetime.signal });
+        const watch = watchSettings({ file, inForce, readFile, onShortage, clock, log, signal: lifetime.signal });
         writeFileSync(file, valid.replace("2.5s", "3s"));
         failures = 4;
         watch.check();
@@ -128,7 +133,7 @@
     const events: string[] = [];
     const recordEvent: Log["info"] = (event, fields) => events.push(`${event} ${fields?.changed ?? ""}`.trim());
     const log: Log = { ...silentLog, info: recordEvent, warn: recordEvent };
-    watchSettings({ file, settings: readResidentSettings(file), clock, log, signal: lifetime.signal });
+    watchSettings({ file, inForce: readResidentSettings(file), clock, log, signal: lifetime.signal });
     writeFileSync(file, "host: [");
     await clock.advance(11_000);
     writeFileSync(file, valid.replace("2.5s", "3s"));
@@ -163,7 +168,7 @@
         const settings = readResidentSettings(fileWith(valid));
         const findings: string[] = [];
         let reads = 0;
-        const read = (): ResidentSettings => {
+        const read = (): SettingsText => {
             reads += 1;
             if (clock.now() < validAt) {
                 throw error(reads);
@@ -181,6 +186,69 @@
     });
 }
 
+/** Age of the file at the first read, and from which read on the file does not change any more. */
+const fresh: Array<{ title: string; age: (read: number) => number; reads: number; after: number }> = [
+    { title: "long ago is taken at once", age: () => 10_000, reads: 1, after: 0 },
+    { title: "ahead of the clock is taken at once", age: () => -10_000, reads: 1, after: 0 },
+    { title: "just now is read once more", age: read => (read - 1) * 100, reads: 2, after: 100 },
+    { title: "by parts is read until it is whole", age: read => read < 4 ? 50 : 100, reads: 4, after: 150 },
+    { title: "all the time is taken after a second", age: () => 0, reads: 11, after: 1_000 },
+];
+
+for (const { title, age, reads, after } of fresh) {
+    test(`a settings file written ${title}`, async t => {
+        const clock = createVirtualClock();
+        const startedAt = clock.now();
+        let count = 0;
+        const read = (): SettingsText => {
+            count += 1;
+            return { ...readResidentSettings(fileWith(valid)), text: `${count}` };
+        };
+        const { signal } = new AbortController();
+        const outcome = awaitResidentSettings("settings.yaml", { clock, signal, read, ageOf: () => age(count) })
+            .then(found => ({ text: found?.text, after: clock.now() - startedAt }));
+        await clock.advance(2_000);
+        t.deepEqual(await outcome, { text: `${reads}`, after });
+    });
+}
+
+const whole = `${valid}descriptors:\n    limit: 4100\n`;
+const cut = whole.slice(0, -3);
+const other = whole.replace("2.5s", "3s");
+/** Changes of the file by the time after the start, and what is told of them. */
+const changes: Array<
+    { title: string; at: Array<[milliseconds: number, text: string]>; told: Array<[limit: number, wasCut: boolean]> }
+> = [
+    { title: "the rest of a cut file is told as such", at: [[700, whole]], told: [[4_100, true]] },
+    {
+        title: "the rest that comes in parts is told once it is whole",
+        at: [[700, whole.slice(0, -2)], [750, whole]],
+        told: [[4_100, true]],
+    },
+    { title: "another file is a change", at: [[700, other]], told: [[4_100, false]] },
+    { title: "a longer file much later is a change", at: [[60_000, whole]], told: [[4_100, false]] },
+    { title: "a file that is taken back at once is no change", at: [[700, other], [750, cut]], told: [] },
+];
+
+for (const { title, at, told } of changes) {
+    test(`a start that read a valid part of its settings: ${title}`, async t => {
+        const clock = createVirtualClock();
+        const lifetime = new AbortController();
+        const startedAt = clock.now();
+        const readFile = (): string => at.findLast(([from]) => clock.now() - startedAt >= from)?.[1] ?? cut;
+        const inForce = readResidentSettings("settings.yaml", readFile);
+        t.is(inForce.settings.descriptors.limit, 41);
+        const found: Array<[limit: number | undefined, wasCut: boolean]> = [];
+        const onChange = ({ descriptors }: ResidentSettings, wasCut: boolean): boolean =>
+            found.push([descriptors.limit, wasCut]) > 0;
+        const { signal } = lifetime;
+        watchSettings({ file: "settings.yaml", inForce, readFile, onChange, clock, log: silentLog, signal });
+        await clock.advance(80_000);
+        lifetime.abort();
+        t.deepEqual(found, told);
+    });
+}
+
 test("a settings file that is a folder or a pipe without a writer is a finding, and does not keep the process", t => {
     const folder = mkdtempSync(join(tmpdir(), "carobpier-"));
     const pipe = join(folder, "pipe");
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -6,6 +6,7 @@
 import { execFileSync } from "node:child_process";
 import { once } from "node:events";
 import {
+    appendFileSync,
     closeSync,
     constants,
     mkdtempSync,
@@ -328,6 +329,25 @@
     await assertStopsWell(t, program);
 });
 
+test.serial("settings that change before the host is ready are used at once, without a whole stop", async t => {
+    t.timeout(30_000);
+    const nobody = await freePort();
+    const withoutStore = (settings: string): string =>
+        settings.replace(/(store: ).*/, `$1{ address: "127.0.0.1:${nobody}" }`);
+    const prepareFile = (file: string, settings: string): void => writeFileSync(file, withoutStore(settings));
+    const { program, ports } = await startAt(t, {}, { prepareFile });
+    await waitUntil("all addresses are open", () => opens(ports.callers));
+    await sleep(500);
+    writeFileSync(program.file, withoutStore(program.settings).replace("grace: 6s", "grace: 4s"));
+    const begun = (): string[] =>
+        program.log().split("\n").filter(line => /event=(host-starting|start-begins-again)/.test(line));
+    await waitUntil("the start begins again", () => begun().length === 3);
+    t.regex(program.log(), /event=settings-read .*changed=stopping inForce=now/);
+    const [first = 0, second = 0] = begun().slice(1).map(line => Date.parse(/time=(\S+)/.exec(line)?.[1] ?? ""));
+    t.true(second - first < 2_000, `${second - first} ms`);
+    await waitUntil("all addresses are open", () => opens(ports.callers));
+});
+
 test.serial("settings that change while the host runs are in force from its next start on", async t => {
     t.timeout(30_000);
     const { program, ports } = await startAt(t, {});
@@ -390,6 +410,46 @@
     await assertStopsWell(t, program);
 });
 
+const block = ["descriptors:", "    limit: 4100", "logs:", "    level: warn"];
+/** Each ends a file that is valid. */
+const cutsAfter = ["limit: 41", "limit: 4100"];
+/** While the settings are read, while the host is not ready yet, and once it is. */
+const wholeAfter = [50, 700, 3_500];
+
+const descriptorLimit = async (port: number): Promise<number> => {
+    const { body } = await sendRequest(port, "/").catch(() => ({ body: "" }));
+    return Number(/^carobpier_descriptor_limit (\d+)$/m.exec(body)?.[1]);
+};
+
+for (
+    const { text, afterMilliseconds } of cutsAfter.flatMap(text =>
+        wholeAfter.map(afterMilliseconds => ({ text, afterMilliseconds }))
+    )
+) {
+    test.serial(`settings cut after "${text}" and whole after ${afterMilliseconds} ms are in force whole`, async t => {
+        t.timeout(30_000);
+        const metricsPort = await freePort();
+        const cutAt = (settings: string): number => settings.indexOf(text) + text.length;
+        const prepareFile = (file: string, settings: string): void =>
+            writeFileSync(file, settings.slice(0, cutAt(settings)));
+        const program = await start(t, { prepareFile, metricsPort, moreSettings: block });
+        await sleep(afterMilliseconds);
+        appendFileSync(program.file, program.settings.slice(cutAt(program.settings)));
+        const isWhole = async (): Promise<boolean> => {
+            if (await descriptorLimit(metricsPort) !== 4_100) {
+                return false;
+            }
+            const before = program.log().length;
+            program.child.kill("SIGUSR2");
+            await sleep(1_200);
+            return program.log().length === before;
+        };
+        await waitUntil("the limit is whole, and lines below the level are left out", isWhole);
+        program.child.kill("SIGTERM");
+        await assertStopsWell(t, program);
+    });
+}
+
 /** Holds a port for as long as the process of the test runs. */
 const portHolder = createServer();
 
