--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -166,6 +166,10 @@
     return names.filter(name => JSON.stringify(before[name]) !== JSON.stringify(after[name]));
 };
 
+/** Whether a text begins with the former one and goes on within its last line, as nobody changes a file. */
+const goesOnInLine = (before: string, after: string): boolean =>
+    after.startsWith(before) && !before.endsWith("\n") && !/^\r?\n/.test(after.slice(before.length));
+
 /**
  * Reads the settings file again when asked and every few seconds. Changes stand when two reads in a row give the same. A file
  * that is not valid changes nothing; a read that finds no free descriptor is tried again soon. The log names
@@ -204,7 +208,7 @@
             const changed = changedNames(before.settings, current.settings);
             lastFinding = "";
             if (changed.length > 0) {
-                const wasCut = clock.now() < startChecksUntil && text.startsWith(before.text);
+                const wasCut = clock.now() < startChecksUntil && goesOnInLine(before.text, text);
                 const inForce = onChange?.(current.settings, wasCut) === true ? "now" : "at the next start";
                 log.info("settings-read", { file, changed: changed.join(","), inForce });
             }
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -225,6 +225,7 @@
         at: [[700, whole.slice(0, -2)], [750, whole]],
         told: [[4_100, true]],
     },
+    { title: "a line that is added is a change", at: [[700, `${cut}\nlogs: { level: warn }\n`]], told: [[41, false]] },
     { title: "another file is a change", at: [[700, other]], told: [[4_100, false]] },
     { title: "a longer file much later is a change", at: [[60_000, whole]], told: [[4_100, false]] },
     { title: "a file that is taken back at once is no change", at: [[700, other], [750, cut]], told: [] },
