Raise the limit of descriptors faster where they are there

After a passing shortage the limit rose by a thirty-second in each pause: 25 steps from 960 to 4100. Before each step as many files are now opened and closed as the process would have left at the higher limit. While that succeeds each step is twice the one before; otherwise it is a first one as before, since a system may count connections and files apart. Checks open at most 4,096 files, and no more than half of those that the system has left.

--- a/src/decisions/descriptors.ts
+++ b/src/decisions/descriptors.ts
@@ -72,6 +72,8 @@
     changedAt: number;
     /** Time without a shortage after which the limit rises by a step. */
     pauseMilliseconds: number;
+    /** Fraction of the full limit by which it rises next where that many descriptors are there. */
+    stepFraction: number;
 };
 
 const firstPauseMilliseconds = 10_000;
@@ -80,13 +82,14 @@
 const settleMilliseconds = 500;
 /** With fewer connections, files or another process cause the shortage, and closing connections mends nothing. */
 const minShortConnections = 64;
-/** Fraction of the full limit by which the limit rises at once. */
-const stepFraction = 1 / 32;
+/** Fraction of the full limit by which the limit rises at first, and where the descriptors are not known to be there. */
+const firstStepFraction = 1 / 32;
 
 export const fullBudget = (limits: DescriptorLimits): DescriptorBudget => ({
     limit: effectiveLimit(limits),
     changedAt: -Infinity,
     pauseMilliseconds: firstPauseMilliseconds,
+    stepFraction: firstStepFraction,
 });
 
 /**
@@ -98,16 +101,46 @@
         limit: Math.min(budget.limit, connections),
         changedAt: now,
         pauseMilliseconds: Math.min(maxPauseMilliseconds, 2 * budget.pauseMilliseconds),
+        stepFraction: firstStepFraction,
     };
 
-/** Returns the budget at a time when no shortage is seen. */
-export const budgetAt = (budget: DescriptorBudget, limits: DescriptorLimits, now: number): DescriptorBudget => {
+/**
+ * Returns the budget at a time when no shortage is seen. Each step is twice the one before as long as `isThere` tells that
+ * the process can have all descriptors of the higher limit; otherwise it is a first step, since systems may count files and
+ * connections apart.
+ */
+export const budgetAt = (
+    budget: DescriptorBudget,
+    limits: DescriptorLimits,
+    now: number,
+    isThere: (limit: number) => boolean = () => false,
+): DescriptorBudget => {
     const full = effectiveLimit(limits);
     if (budget.limit >= full || now - budget.changedAt < budget.pauseMilliseconds) {
         return budget;
     }
-    const limit = Math.min(full, budget.limit + Math.ceil(full * stepFraction));
-    return limit === full ? fullBudget(limits) : { ...budget, limit, changedAt: now };
+    const after = (fraction: number): number => Math.min(full, budget.limit + Math.ceil(full * fraction));
+    const isKnown = isThere(after(budget.stepFraction));
+    const limit = after(isKnown ? budget.stepFraction : firstStepFraction);
+    const stepFraction = isKnown ? 2 * budget.stepFraction : firstStepFraction;
+    return limit === full ? fullBudget(limits) : { ...budget, limit, changedAt: now, stepFraction };
+};
+
+/** A check opens no more files at once, since it holds the event loop. */
+const maxRiseFiles = 4_096;
+
+/**
+ * Returns the number of files that shows, when they can be opened at once, that the process can have all descriptors of a
+ * limit; undefined where there are too many to try, or more than half of those that the system has left for all processes.
+ */
+export const riseProbe = (
+    limit: number,
+    files: number,
+    connections: number,
+    leftOfSystem: number | undefined,
+): number | undefined => {
+    const needed = Math.max(0, Math.ceil(limit - ownDescriptors - Math.min(files, limit / 4) - connections));
+    return needed > maxRiseFiles || needed > (leftOfSystem ?? Infinity) / 2 ? undefined : needed;
 };
 
 /** A check whether the process can still open files; undefined while it has no cause for one. */
--- a/src/links/descriptors.ts
+++ b/src/links/descriptors.ts
@@ -15,6 +15,7 @@
     descriptorProbe,
     divideDescriptors,
     fullBudget,
+    riseProbe,
 } from "../decisions/descriptors.ts";
 import { createLogRateLimit } from "../decisions/lograte.ts";
 import { codeOf } from "../decisions/startwait.ts";
@@ -73,6 +74,17 @@
     }
 };
 
+/** Returns how many files the system can still open for all processes; undefined where it does not tell. */
+export const readFilesLeft = (file = "/proc/sys/fs/file-nr"): number | undefined => {
+    try {
+        const [allocated, , limit] = readFileSync(file, "utf8").trim().split(/\s+/).map(Number);
+        return limit === undefined || allocated === undefined ? undefined : limit - allocated;
+    }
+    catch {
+        return undefined;
+    }
+};
+
 /**
  * Opens files and closes them again. Connections that find no descriptor are closed by the event loop without a word, so
  * that their errors do not tell.
@@ -128,6 +140,11 @@
         }
     };
 
+    const isThere = (limit: number): boolean => {
+        const needed = riseProbe(limit, limits.files, connections(), readFilesLeft());
+        return needed !== undefined && canOpen(needed);
+    };
+
     /** Runs while the limit is lower than at the start. */
     const checkLater = (): void => {
         if (isChecking) {
@@ -136,7 +153,7 @@
         isChecking = true;
         clock.after(loweredCheckMilliseconds, () => {
             isChecking = false;
-            setBudget(budgetAt(budget, limits, clock.now()));
+            setBudget(budgetAt(budget, limits, clock.now(), isThere));
             reduceParts();
         }, signal);
     };
--- a/test/decisions/descriptors.test.ts
+++ b/test/decisions/descriptors.test.ts
@@ -11,6 +11,7 @@
     divideDescriptors,
     effectiveLimit,
     fullBudget,
+    riseProbe,
 } from "../../src/decisions/descriptors.ts";
 
 const cases: Array<DescriptorLimits & { limit: number; callers: number; targets: number; hosts: number }> = [
@@ -75,6 +76,75 @@
     t.deepEqual(budget, fullBudget(limits));
 });
 
+/** Returns the time from a shortage at 960 connections to the full limit, and how often the limit fell until then. */
+const recover = (available: (now: number) => number, open: (limit: number) => number, isProbed: boolean) => {
+    let budget = budgetAfterShortage(fullBudget(limits), 960, 0);
+    let now = 0;
+    let falls = 0;
+    for (; budget.limit < 4_100 && now < 3_600_000; now += 250) {
+        const isThere = (limit: number): boolean => limit <= available(now);
+        budget = budgetAt(budget, limits, now, isProbed ? isThere : undefined);
+        const connections = open(budget.limit);
+        if (connections > available(now)) {
+            const before = budget.limit;
+            budget = budgetAfterShortage(budget, available(now), now);
+            falls += Number(budget.limit < before);
+        }
+    }
+    return { seconds: Math.round(now / 1_000), falls };
+};
+
+const recoveries = [
+    { title: "a passing shortage", available: () => 5_000, open: () => 300, seconds: 100, falls: 0 },
+    {
+        title: "a shortage of 50 s",
+        available: (now: number) => now < 50_000 ? 1_024 : 5_000,
+        open: () => 300,
+        seconds: 140,
+        falls: 0,
+    },
+    {
+        title: "a shortage that lasts, with few connections",
+        available: () => 1_024,
+        open: () => 300,
+        seconds: 500,
+        falls: 0,
+    },
+    {
+        title: "a shortage that lasts, with all connections in use",
+        available: () => 1_024,
+        open: (limit: number) => limit,
+        seconds: 3_600,
+        falls: 14,
+    },
+];
+
+for (const { title, available, open, ...expected } of recoveries) {
+    test(`after ${title} the limit rises fast only where the descriptors are there, and falls no more often`, t => {
+        const probed = recover(available, open, true);
+        t.deepEqual(probed, expected);
+        const slow = recover(available, open, false);
+        t.true(probed.seconds <= slow.seconds);
+        t.true(probed.falls <= slow.falls);
+    });
+}
+
+const riseProbes: Array<
+    [title: string, limit: number, connections: number, left: number | undefined, files: number | undefined]
+> = [
+    ["all descriptors of the limit but those in use", 4_100, 300, undefined, 3_736],
+    ["none where more are in use", 1_024, 1_000, undefined, 0],
+    ["nothing where they are too many to try", 100_000, 300, undefined, undefined],
+    ["nothing where other processes could run short", 4_100, 300, 7_000, undefined],
+    ["as many where the system has enough", 4_100, 300, 8_000, 3_736],
+];
+
+for (const [title, limit, connections, left, files] of riseProbes) {
+    test(`a rise is checked with ${title}`, t => {
+        t.is(riseProbe(limit, 48, connections, left), files);
+    });
+}
+
 const probes: Array<[title: string, limits: DescriptorLimits, connections: number, files: number | undefined]> = [
     ["while few connections are open", limits, 511, undefined],
     ["with half of the process's own limit", limits, 512, 64],
--- a/test/links/descriptors.test.ts
+++ b/test/links/descriptors.test.ts
@@ -68,6 +68,24 @@
     });
 }
 
+const rises: Array<[title: string, free: number, limit: number]> = [
+    ["by ever larger steps while files can be opened", 5_000, 4_100],
+    ["by small steps once they can not", 1_000, 1_657],
+];
+
+for (const [title, free, expected] of rises) {
+    test(`after a shortage the limit rises ${title}`, async t => {
+        const [metrics, clock] = [createMetrics(), createVirtualClock()];
+        const canOpen = (files: number): boolean => files <= free;
+        const descriptors = createDescriptors({ limits: shortLimits, clock, log: silentLog, metrics, canOpen });
+        Array.from({ length: 500 }, () => descriptors.open("callers"));
+        descriptors.recordError(Object.assign(new Error("failed"), { code: "EMFILE" }));
+        await clock.advance(105_000);
+        descriptors.report();
+        t.is(metrics.snapshot()["descriptor-limit"], expected);
+    });
+}
+
 test("a lowered limit is no longer checked once the start that it belongs to is over", async t => {
     const [metrics, clock] = [createMetrics(), createVirtualClock()];
     const lifetime = new AbortController();
