Keep large values of the hosts' own kinds within a bound by kind

Entries and objects beside the manifest are bounded by the fields that are used; values of the kinds that hosts write were kept whole, however large and many. 200 of 1 MB, or dozens that came by changes, ended the process by its heap. What a host needs is small and stays beside them.

--- a/src/contracts/objectstore.ts
+++ b/src/contracts/objectstore.ts
@@ -8,6 +8,8 @@
     /** Revision of the object's last change; a conditional write has to name it. */
     revision: number;
     value: unknown;
+    /** Size of the value's text, where it is large. */
+    bytes?: number;
 };
 
 /** Objects of one kind, and the position from which to watch for later changes. */
--- a/src/links/jsonlist.ts
+++ b/src/links/jsonlist.ts
@@ -70,19 +70,26 @@
     return at;
 };
 
-/** Calls `visit` with the bounds of each part between the brackets, and returns the position after these. */
+/**
+ * Calls `visit` with the start of each part between the brackets, which returns its end, and returns the position after
+ * these. Ends early when `visit` returns nothing.
+ */
 const skipParts = (
     bytes: Buffer,
     from: number,
     close: number,
-    visit: (start: number) => number,
+    visit: (start: number) => number | undefined,
 ): number => {
     let at = skipSpace(bytes, from + 1);
     if (bytes[at] === close) {
         return at + 1;
     }
     for (;;) {
-        at = skipSpace(bytes, visit(at));
+        const end = visit(at);
+        if (end === undefined) {
+            return at;
+        }
+        at = skipSpace(bytes, end);
         if (bytes[at] === close) {
             return at + 1;
         }
@@ -96,9 +103,14 @@
 /**
  * Returns the texts of the members that the names list. Undefined when the text is no object.
  *
+ * @param untilFound whether what follows the last of them is not read.
  * @throws SyntaxError when the object is not JSON; what its values hold is not checked.
  */
-export const readMembers = (bytes: Buffer, names: readonly string[]): Map<string, Buffer> | undefined => {
+export const readMembers = (
+    bytes: Buffer,
+    names: readonly string[],
+    untilFound = false,
+): Map<string, Buffer> | undefined => {
     const start = skipSpace(bytes, 0);
     if (bytes[start] !== codes.open) {
         return undefined;
@@ -120,7 +132,7 @@
         if (names.includes(name)) {
             members.set(name, bytes.subarray(valueStart, end));
         }
-        return end;
+        return untilFound && members.size === names.length ? undefined : end;
     });
     return members;
 };
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -46,6 +46,7 @@
 import { createStoreWatcher, type StoreWatcher, type StoreWatcherOptions } from "./storewatcher.ts";
 import { createTargetRegistry } from "./targetregistry.ts";
 import { createTargetStates } from "./targetstates.ts";
+import { largeValueBytes } from "./valuelimits.ts";
 
 export type ResidentHostOptions = {
     settings: ResidentSettings;
@@ -148,7 +149,7 @@
         signal,
         listening: acceptingLinks,
     });
-    const cache = createStateCache();
+    const cache = createStateCache(largeValueBytes);
     const paces: Record<string, ReadPace> = {
         [objects.targetKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
         [objects.tableKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
--- a/src/machines/resident/statecache.ts
+++ b/src/machines/resident/statecache.ts
@@ -4,6 +4,7 @@
  * history only increases, so a change of the source never leads back to an older state.
  */
 import type { StoreEvent, StoreListResult, StoreObject, StoreWatchResult } from "../../contracts/objectstore.ts";
+import { createValueBudget, type ValueBudget } from "../../decisions/valuebudget.ts";
 
 /** Changes of a kind after a position that the receiver holds. An object that changed several times is listed once. */
 export type StateChanges = { position: number; events: StoreEvent[] };
@@ -43,9 +44,31 @@
 /** Changes kept for each kind. Only names are kept, so even a follower that was away for long can continue. */
 const maxChanges = 8_192;
 
-/** Creates an empty cache. */
-export const createStateCache = (): StateCache => {
+/**
+ * Creates an empty cache.
+ *
+ * @param largeValueBytes bytes that large values of a kind may have together; not bounded for other kinds. Beyond that, the
+ * largest lose their value.
+ */
+export const createStateCache = (largeValueBytes: Readonly<Record<string, number>> = {}): StateCache => {
     const kinds = new Map<string, KindState>();
+    const budgets = new Map<string, ValueBudget>();
+
+    const resetBudget = (kind: string): void => {
+        budgets.set(kind, createValueBudget(largeValueBytes[kind] ?? Infinity));
+    };
+
+    const limit = (kind: string, object: StoreObject): void => {
+        const drop = (): void => {
+            object.value = undefined;
+        };
+        if (object.bytes === undefined) {
+            budgets.get(kind)?.release(object.name);
+        }
+        else if (budgets.get(kind)?.admit(object.name, object.bytes, drop) === false) {
+            drop();
+        }
+    };
     const listeners = new Set<(kind: string) => void>();
 
     const put = (state: KindState, object: StoreObject): void => {
@@ -92,6 +115,8 @@
             if (position <= (before?.position ?? -1)) {
                 return;
             }
+            resetBudget(kind);
+            objects.forEach(object => limit(kind, object));
             kinds.set(kind, {
                 position,
                 objects: new Map(objects.map(object => [object.name, object])),
@@ -107,6 +132,14 @@
                 return;
             }
             events.forEach(event => applyEvent(state, event, position));
+            for (const { object, removed } of events) {
+                if (removed) {
+                    budgets.get(kind)?.release(object.name);
+                }
+                else if (state.objects.get(object.name) === object) {
+                    limit(kind, object);
+                }
+            }
             state.position = position;
             forgetOldChanges(state);
             listeners.forEach(listener => listener(kind));
--- a/test/links/jsonlist.test.ts
+++ b/test/links/jsonlist.test.ts
@@ -45,6 +45,12 @@
     }));
 });
 
+test("what follows the wanted members is left unread only where that is asked for", t => {
+    const text = Buffer.from("{\"wanted\":{\"a\":1},\"rest\":[");
+    t.throws(() => readMembers(text, ["wanted"]), { instanceOf: SyntaxError });
+    t.is(readMembers(text, ["wanted"], true)?.get("wanted")?.toString("utf8"), "{\"a\":1}");
+});
+
 for (
     const text of [
         "{\"items\":[1 2]}",
