Tell why a coordinator stepped down, and that a takeover found a later term

A resignation that the host read back before the answer to its write gave `"" is the coordinator` as its reason, and a takeover that found an ownership of a later term ended without a line, so that nobody coordinated and nothing told why. The two new cases of takeovers.test.ts failed before.

--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -136,6 +136,7 @@
 type KnownCoordination = { coordination: Coordination; revision: number };
 
 const noCoordinator = "";
+const resigned = "it resigned";
 const noOwnership: Ownership = { term: 0, coordinator: noCoordinator, nextFence: 1, ranges: [] };
 
 /** Creates this process's part in the election of one pool's coordinator. The process is not coordinator at first. */
@@ -175,7 +176,9 @@
             : undefined;
         knownChangeAt = clock.now();
         if (heldOwnership !== undefined && known?.coordination.coordinator !== self) {
-            stepDown(`"${known?.coordination.coordinator ?? "nobody"}" is the coordinator`);
+            const { coordinator } = known?.coordination ?? {};
+            const by = coordinator === undefined ? "nobody" : `"${coordinator}"`;
+            stepDown(coordinator === noCoordinator ? resigned : `${by} is the coordinator`);
         }
     };
 
@@ -196,6 +199,7 @@
             }
             const before = parsed?.data ?? noOwnership;
             if (before.term > term) {
+                log.warn("take-over-found-later-term", { term, found: before.term, by: before.coordinator });
                 return undefined;
             }
             const ownership = { ...before, term, coordinator: self };
@@ -387,7 +391,7 @@
                 const next = { ...known.coordination, former: formerCoordinators.names(), coordinator: noCoordinator };
                 const write = await store.replace(storeKinds.coordination, pool, next, known.revision);
                 if (write.result === "written") {
-                    stepDown("it resigned");
+                    stepDown(resigned);
                     return;
                 }
                 // A heartbeat was written meanwhile, or another process has taken over.
--- a/test/machines/resident/controllers.ts
+++ b/test/machines/resident/controllers.ts
@@ -4,7 +4,7 @@
 import type { RegisteredTarget } from "../../../src/contracts/routing.ts";
 import { createKeyLoads } from "../../../src/decisions/keyload.ts";
 import { createServiceTimes } from "../../../src/decisions/servicetimes.ts";
-import { silentLog } from "../../../src/links/logs.ts";
+import type { Log, LogFields } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import { registerProcess } from "../../../src/machines/resident/processes.ts";
 import { createRangeController } from "../../../src/machines/resident/rangecontroller.ts";
@@ -28,6 +28,14 @@
     const targets = createFakeTargets(targetNames, world);
     const metrics = createMetrics();
 
+    const lines: Array<{ process: string; event: string; reason: unknown }> = [];
+    const logOf = (process: string): Log => {
+        const write = (event: string, fields: LogFields = {}): void =>
+            void lines.push({ process, event, reason: fields["reason"] });
+        const log: Log = { debug: write, info: write, warn: write, error: write, child: () => log };
+        return log;
+    };
+
     const register = (name: string, leaving = false): void => {
         const { incarnation } = targets.get(name);
         const address = `10.0.0.1:${name.charCodeAt(0)}`;
@@ -51,7 +59,7 @@
         const access = shared.access();
         const state = { cut: false, cutFrom: new Set<string>(), plans: 0, failing: "", keepsFailing: false };
         const loads = createKeyLoads();
-        const common = { clock, log: silentLog, metrics, signal };
+        const common = { clock, log: logOf(process), metrics, signal };
         const watcherOptions = {
             store: access.store,
             waitMilliseconds: 3_000,
@@ -124,7 +132,7 @@
     const hosts = processors.map((processor, index) => startHost(`h${index + 1}/x`, processor));
     await world.advance(6_000);
     const coordinator = hosts.find(host => host.controller.isCoordinator()) ?? hosts[0];
-    return { world, shared, targets, hosts, coordinator, register, startHost };
+    return { world, shared, targets, hosts, coordinator, register, startHost, lines };
 };
 
 export type Setup = Awaited<ReturnType<typeof setUp>>;
--- a/test/machines/resident/takeovers.test.ts
+++ b/test/machines/resident/takeovers.test.ts
@@ -121,3 +121,26 @@
         });
     }
 }
+
+/** Guards against lines that leave an operator without the reason of a change. */
+test("a resignation that is read before its answer comes is told as one", async t => {
+    const { world, shared, coordinator, lines, hosts } = await setUp();
+    const coordination = shared.read("coordination", "stock")?.value as Record<string, unknown>;
+    shared.put("coordination", "stock", { ...coordination, coordinator: "" });
+    await world.advance(100);
+    const reasons = lines.filter(({ process, event }) =>
+        process === coordinator.process && event === "coordinator-stepped-down"
+    ).map(({ reason }) => reason);
+    t.deepEqual(reasons, ["it resigned"]);
+    hosts.forEach(host => host.kill());
+});
+
+test("a takeover that finds a later term tells so", async t => {
+    const { world, shared, coordinator, lines, hosts } = await setUp([1, 1]);
+    const ownership = shared.read("ownership", "stock")?.value as Record<string, unknown>;
+    coordinator.kill();
+    shared.put("ownership", "stock", { ...ownership, term: 1_000, coordinator: "h9/x" });
+    await world.advance(5_000);
+    t.true(lines.some(({ event }) => event === "take-over-found-later-term"));
+    hosts.forEach(host => host.kill());
+});
