Do not blame a target for requests that are withdrawn before they are sent

A request that got its connection after its target had gone, begun to leave or asked for a pause was not sent and ended as connect-failed. That counted as a failed connect and as a failure of the target. It now ends as no-target, target-draining or target-paused, is not held against the target, and goes to another as before.

The three new cases of gateway.test.ts failed before: each had a failed connect and a failure. attempt.test.ts asks for the three reasons; its answers now come only if the request may be sent.

--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -29,14 +29,21 @@
     | { kind: "answered"; answer: CallerAnswer & { kind: "answer" }; workMilliseconds: number | undefined }
     | { kind: "failed"; reason: Reason; detail: string; notRun: boolean; arrived: boolean; ofHost: boolean };
 
+/** Why a request is not sent to the target that was chosen for it. The target is not to blame. */
+export const withdrawalReasons = ["no-target", "target-draining", "target-paused"] as const satisfies Reason[];
+export type WithdrawalReason = (typeof withdrawalReasons)[number];
+
 export type AttemptOptions = {
     request: ResidentRequest;
     targetState: TargetState;
     protocol: TargetProtocol;
     /** Monotonic time by which the answer must be complete. */
     endAt: number;
-    /** Called in the same turn of the event loop as the write; returns whether the request may still be sent. */
-    mayStart: () => boolean;
+    /**
+     * Called in the same turn of the event loop as the write; returns why the request is not to be sent any more, or
+     * undefined if it is.
+     */
+    withdrawnFor: () => WithdrawalReason | undefined;
     /** Whether to abort a request that was already written when its caller hangs up. */
     abortOnHangUp: boolean;
     /** Called with what the target's answer says of how it wants to be used. */
@@ -218,7 +225,12 @@
         load.recordSent();
         const receiver: AnswerReceiver = {
             mayStart: () => {
-                const may = forcedFailure === undefined && options.mayStart();
+                const withdrawn = forcedFailure === undefined ? options.withdrawnFor() : undefined;
+                if (withdrawn !== undefined) {
+                    const detail = `Target "${targetState.target.name}" takes no more requests.`;
+                    forcedFailure = { reason: withdrawn, detail, notRun: true };
+                }
+                const may = forcedFailure === undefined;
                 stage = may ? sendStages.sent : stage;
                 return may;
             },
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -14,7 +14,7 @@
 import type { CallerAnswer } from "../../links/callers.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
-import { type AttemptResult, sendOnce } from "./attempt.ts";
+import { type AttemptResult, sendOnce, type WithdrawalReason, withdrawalReasons } from "./attempt.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
 import { createRefusal, refuse, type RequestContext } from "./requestcontext.ts";
 import type { RouteTableHolder } from "./routetableholder.ts";
@@ -70,8 +70,8 @@
 
 /** A request waits at most this share of its latency objective for its key to get a usable owner. */
 const holdShareOfObjective = 0.4;
-/** Failures that the caller causes; they are not recorded as failures of the target. */
-const callerSideReasons = new Set<Reason>(["caller-gone", "cancelled"]);
+/** Failures that the caller or this host causes; they are not recorded as failures of the target. */
+const ownReasons = new Set<Reason>(["caller-gone", "cancelled", ...withdrawalReasons]);
 /**
  * Delay after which a caller is told to retry when no route table was read yet, or when the route's pool is not in the
  * table.
@@ -128,7 +128,7 @@
         }
         // `fence-refused` is not recorded as a failure of the target either. `connect-failed` is recorded here too, in
         // addition to the failure to connect above.
-        if (!callerSideReasons.has(reason) && reason !== "fence-refused" && !attempt.ofHost) {
+        if (!ownReasons.has(reason) && reason !== "fence-refused" && !attempt.ofHost) {
             targetStates.recordFailure(targetState);
         }
         log.info("send-failed", {
@@ -185,6 +185,16 @@
         return isConfirmed;
     };
 
+    const withdrawalOf = ({ gone, target, pausedUntil }: TargetState): WithdrawalReason | undefined => {
+        if (gone) {
+            return "no-target";
+        }
+        if (target.leaving) {
+            return "target-draining";
+        }
+        return pausedUntil > clock.now() ? "target-paused" : undefined;
+    };
+
     const send = async (context: RequestContext, targetState: TargetState): Promise<AttemptResult> => {
         const { request, route, pool } = context;
         const { healthPath } = pool;
@@ -198,7 +208,7 @@
                 runningSends.add(stopSend);
                 return () => runningSends.delete(stopSend);
             },
-            mayStart: () => !targetState.gone && !targetState.target.leaving && targetState.pausedUntil <= clock.now(),
+            withdrawnFor: () => withdrawalOf(targetState),
             abortOnHangUp: route.kind === routeKinds.idempotent,
             onNotice: (notice, sentAt) => options.notices.record(targetState, notice, sentAt),
             confirmEnd: healthPath === undefined
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -7,7 +7,12 @@
 import { targetProtocol } from "../../../platform/protocols.ts";
 import { createTargetLoad } from "../../../src/decisions/targetload.ts";
 import type { AnswerReceiver } from "../../../src/links/exchange.ts";
-import { type AttemptResult, sendOnce } from "../../../src/machines/resident/attempt.ts";
+import {
+    type AttemptResult,
+    sendOnce,
+    type WithdrawalReason,
+    withdrawalReasons,
+} from "../../../src/machines/resident/attempt.ts";
 import type { TargetState } from "../../../src/machines/resident/targetstates.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
 
@@ -27,6 +32,7 @@
     statusCode: number,
     headers: IncomingHttpHeaders,
     failToSend = false,
+    withdrawnFor?: WithdrawalReason,
 ): Promise<AttemptResult> => {
     const clock = createVirtualClock();
     const targetState: TargetState = {
@@ -39,7 +45,9 @@
                 if (failToSend) {
                     throw new TypeError("Invalid URL");
                 }
-                receiver.mayStart();
+                if (!receiver.mayStart()) {
+                    receiver.onFailure("unsent", new Error("withdrawn"));
+                }
                 void Promise.resolve().then(() => reply(receiver));
                 return { resume: () => undefined, abort: () => receiver.onFailure("answering", new Error("aborted")) };
             },
@@ -77,7 +85,7 @@
         targetState,
         protocol: targetProtocol,
         endAt: clock.now() + 1_000,
-        mayStart: () => true,
+        withdrawnFor: () => withdrawnFor,
         abortOnHangUp: false,
         onNotice: () => undefined,
         registerStop: () => () => undefined,
@@ -116,3 +124,10 @@
     t.is(result.kind, "failed");
     t.true(result.kind === "failed" && result.notRun && result.reason === "connect-failed");
 });
+
+for (const reason of withdrawalReasons) {
+    test(`a request that is withdrawn before it is sent ends as ${reason}, not as a failed connect`, async t => {
+        const result = await answerWith(200, {}, false, reason);
+        t.like(result, { kind: "failed", reason, notRun: true, arrived: false });
+    });
+}
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -65,6 +65,7 @@
     const { signal } = new AbortController();
     const receivers: AnswerReceiver[] = [];
     const unreachable: string[] = [];
+    const failed: string[] = [];
     const targetState: TargetState = {
         target,
         load: createTargetLoad(target.slots),
@@ -91,7 +92,7 @@
     const targetStates: TargetStates = {
         ofPool: () => [targetState],
         get: () => targetState,
-        recordFailure: () => undefined,
+        recordFailure: ({ target: { name } }) => failed.push(name),
         recordSuccess: () => undefined,
         recordConnectFailure: ({ target: { name } }) => unreachable.push(name),
         block: () => undefined,
@@ -146,7 +147,7 @@
         const ranges = [{ from: 0, to: 65_535, owner, fence: 1, predecessors: [] }];
         ownerships.put({ name: "stock", revision: 1, value: { term: 1, coordinator: "h/1", nextFence: 2, ranges } });
     };
-    return { gateway, request, receivers, unreachable, hangUp, assignKeys, clock };
+    return { gateway, request, receivers, unreachable, failed, targetState, hangUp, assignKeys, clock };
 };
 
 const reasonOf = (answer: CallerAnswer): string => answer.kind === "refusal" ? answer.reason : answer.kind;
@@ -191,6 +192,27 @@
     });
 }
 
+const withdrawals: Array<{ title: string; apply: (state: TargetState) => void }> = [
+    { title: "is gone", apply: state => void (state.gone = true) },
+    { title: "leaves", apply: state => void (state.target = { ...target, leaving: true }) },
+    { title: "asked for a pause", apply: state => void (state.pausedUntil = Infinity) },
+];
+
+for (const { title, apply } of withdrawals) {
+    test(`a target that ${title} while a request waits for its connection is not blamed for a failure`, async t => {
+        const { gateway, request, receivers, unreachable, failed, targetState, hangUp } = setUp("idempotent", false);
+        const answer = gateway.serve(request);
+        await new Promise(resolve => setImmediate(resolve));
+        apply(targetState);
+        t.false(receivers[0].mayStart());
+        receivers[0].onFailure("unsent", new Error("withdrawn"));
+        await new Promise(resolve => setImmediate(resolve));
+        hangUp();
+        await answer;
+        t.deepEqual([unreachable, failed], [[], []]);
+    });
+}
+
 test("a request of route kind once keeps running at its target when its caller hangs up", async t => {
     const { gateway, request, receivers, hangUp } = setUp("once", false);
     const answer = gateway.serve(request);
