Limit the connections of an entry host, and let its start wait for addresses

The servers of `carobpier run` took connections until the process had no descriptor left, so that callers could keep other hosts, operators and connections to targets out, and a start at an address still in use ended the process (EADDRINUSE). They use the parts of the resident host now: connections are admitted within the part of the descriptors that callers, links and operators have (connectionlimit.ts; connections to targets and dialled links are counted), and each address is waited for until a stop (listening.ts). `descriptors.limit` and `descriptors.files` are settings of entry hosts, too. The callers' address is opened last.

test/commands/run.test.ts, seven cases in a process of its own.

--- a/src/commands/run.ts
+++ b/src/commands/run.ts
@@ -2,7 +2,7 @@
  * `carobpier run`: starts an entry host, which serves until a signal stops it.
  */
 import { Command, Flags } from "@oclif/core";
-import { InputError } from "../contracts/errors.ts";
+import { InputError, messageOf } from "../contracts/errors.ts";
 import { catchExceptions } from "../links/exceptions.ts";
 import { createLog } from "../links/logs.ts";
 import { createMetrics } from "../links/metrics.ts";
@@ -44,10 +44,19 @@
         const log = createLog({ level: settings.logs.level }).child({ host: settings.host.name });
         const metrics = createMetrics(settings.metrics);
         catchExceptions(log, metrics);
-        const stopSignal = waitForStopSignal();
-        const host = await createHost({ settings, peerKeys, platformToken: token?.toString("utf8"), log, metrics });
+        const stop = new AbortController();
+        const stopSignal = waitForStopSignal().then(() => stop.abort());
+        const platformToken = token?.toString("utf8");
+        const startSignal = stop.signal;
+        const start = createHost({ settings, peerKeys, platformToken, log, metrics, startSignal });
+        const host = await start.catch((error: unknown) => {
+            if (!startSignal.aborted) {
+                throw error;
+            }
+            log.info("program-stopped-at-start", { error: messageOf(error) });
+        });
         await stopSignal;
-        await host.stop();
+        await host?.stop();
         await metrics.close();
     }
 }
--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -42,6 +42,12 @@
         queueLength: z.int().min(1).default(1_024),
     }).prefault({}),
     operators: z.strictObject({ port: portSchema.default(8_082) }).prefault({}),
+    descriptors: z.strictObject({
+        /** Descriptors that the deployment allows the process; 0 for the process's own limit. */
+        limit: z.int().min(0).default(0),
+        /** Descriptors that are kept for files. */
+        files: z.int().min(0).default(48),
+    }).prefault({}),
     ownership: z.strictObject({
         /** Validity of a grant. */
         timeToLiveMilliseconds: millisecondsSchema.default(400),
--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -4,13 +4,17 @@
  * shared key before any message is read. The host whose name sorts first dials; the other one dials when no link has
  * been opened after a delay.
  */
+import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import type { Clock } from "../contracts/clock.ts";
 import { messageOf } from "../contracts/errors.ts";
 import type { Hello, Message, MessageKind, MessageOf } from "../contracts/messages.ts";
+import { descriptorParts } from "../decisions/descriptors.ts";
+import type { Descriptors } from "./descriptors.ts";
 import { type CloseReason, closeReasons, type LinkRole, linkRoles, performHandshake } from "./handshake.ts";
 import { createHostLink, type HostLink } from "./hostlink.ts";
+import { createUpgradeServer } from "./httpendpoint.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
 
@@ -67,6 +71,10 @@
     port: number;
     /** Local IP address of the links that this host dials. */
     sourceAddress?: string;
+    /** Limits the connections of the server on which links are accepted. */
+    limitConnections?: (server: Server) => void;
+    /** Counts the links that this host dials. */
+    descriptors?: Descriptors;
     /** The first key signs own proofs; a proof by any of them is accepted. */
     sharedKeys: Buffer[];
     maxFrameBytes: number;
@@ -212,6 +220,9 @@
                 handshakeTimeout: connectTimeoutMilliseconds,
                 localAddress: options.sourceAddress,
             });
+            const release = options.descriptors?.open(descriptorParts.hosts);
+            socket.once("close", () => release?.());
+            socket.on("error", error => options.descriptors?.recordError(error));
             await authenticate(socket, linkRoles.dialer, peer.name);
         }
         catch (error) {
@@ -259,11 +270,8 @@
         }
     };
 
-    const server = new WebSocketServer({
-        host: options.bindAddress,
-        port: options.port,
-        maxPayload: options.maxFrameBytes,
-    });
+    const listener = createUpgradeServer(options.limitConnections);
+    const server = new WebSocketServer({ server: listener, maxPayload: options.maxFrameBytes });
     server.on("connection", socket => {
         authenticate(socket, linkRoles.acceptor).catch((error: unknown) => {
             log.warn("peer-accept-failed", { error: messageOf(error) });
@@ -273,10 +281,14 @@
     await new Promise<void>((resolve, reject) => {
         server.once("listening", resolve);
         server.once("error", reject);
+        listener.listen(options.port, options.bindAddress);
     });
+    server.on("error", error => log.warn("peer-endpoint-failed", { listen: options.port, error: error.message }));
     signal.addEventListener("abort", () => {
         sockets.forEach(socket => socket.terminate());
         server.close();
+        listener.close();
+        listener.closeAllConnections();
     }, { once: true });
     const { port } = server.address() as AddressInfo;
 
--- a/src/links/httpendpoint.ts
+++ b/src/links/httpendpoint.ts
@@ -8,6 +8,16 @@
 /** Requests between machines of a deployment are small, and those that do not arrive must not keep others out. */
 export const requestTimeouts = { headersTimeout: 2_000, requestTimeout: 4_000, connectionsCheckingInterval: 500 };
 
+/** Creates a server that accepts upgraded connections only. */
+export const createUpgradeServer = (limitConnections?: (server: Server) => void): Server => {
+    const server = createServer(requestTimeouts, (request, response) => {
+        request.resume();
+        response.writeHead(426).end();
+    });
+    limitConnections?.(server);
+    return server;
+};
+
 /**
  * Listens on `address:port` and answers every request, whatever its method and path, with the result of `answer`.
  * Resolves when it listens.
--- a/src/links/operators.ts
+++ b/src/links/operators.ts
@@ -2,7 +2,7 @@
  * The link to operators: an HTTP endpoint on each host that answers with the host's health and, as JSON, its status and
  * the state of single objects on it.
  */
-import { createServer } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 
 /** `address` is the IP address and port on which the endpoint listens. */
@@ -12,6 +12,8 @@
     /** IP address on which the endpoint listens. */
     bindAddress: string;
     port: number;
+    /** Limits the connections of the server. */
+    limitConnections?: (server: Server) => void;
     /** Answers the health check. */
     healthy: () => boolean;
     /** The status of the host, which is written as JSON. */
@@ -57,6 +59,7 @@
         }
         response.writeHead(404).end();
     });
+    options.limitConnections?.(server);
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(options.port, options.bindAddress, resolve);
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -3,12 +3,12 @@
  * same address. A frame that a service does not accept is counted and logged, and closes its connection; it never ends
  * the process.
  */
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { WebSocket, WebSocketServer } from "ws";
 import { descriptorParts } from "../decisions/descriptors.ts";
 import type { Descriptors } from "./descriptors.ts";
 import { decodeFrame, encodeFrame } from "./frames.ts";
-import { requestTimeouts } from "./httpendpoint.ts";
+import { createUpgradeServer } from "./httpendpoint.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
 
@@ -104,12 +104,7 @@
 ): Promise<void> =>
     new Promise((resolve, reject) => {
         const [host, port] = listen.split(":");
-        // What is no WebSocket is refused.
-        const listener = createServer(requestTimeouts, (request, response) => {
-            request.resume();
-            response.writeHead(426).end();
-        });
-        limitConnections?.(listener);
+        const listener = createUpgradeServer(limitConnections);
         const server = new WebSocketServer({ server: listener, perMessageDeflate: false, maxPayload: maxFrameBytes });
         server.on("connection", (socket, request) => {
             const path = request.url ?? "";
--- a/src/links/targets.ts
+++ b/src/links/targets.ts
@@ -12,6 +12,8 @@
     targetLoadReportSchema,
     targetPaths,
 } from "../contracts/targetprotocol.ts";
+import { descriptorParts } from "../decisions/descriptors.ts";
+import { countConnections, type Descriptors } from "./descriptors.ts";
 import {
     type AnswerReceiver,
     createResetDetectingConnector,
@@ -42,6 +44,8 @@
     connectMilliseconds: number;
     /** Local IP address of the connections. */
     sourceAddress?: string;
+    /** Counts the connections. */
+    descriptors?: Descriptors;
 };
 
 /** Parses the JSON text of an answer; undefined when it does not match the schema. */
@@ -60,10 +64,10 @@
  */
 export const createTargetLink = (options: TargetLinkOptions): TargetLink => {
     const origin = `http://${options.address}`;
-    const shared = {
-        pipelining: 1,
-        connect: createResetDetectingConnector(options.connectMilliseconds, options.sourceAddress),
-    };
+    const { descriptors } = options;
+    const direct = createResetDetectingConnector(options.connectMilliseconds, options.sourceAddress);
+    const connect = descriptors === undefined ? direct : countConnections(direct, descriptorParts.targets, descriptors);
+    const shared = { pipelining: 1, connect };
     const requests = new ConnectionPool(origin, { ...shared, connections: options.connections });
     const control = new ConnectionPool(origin, { ...shared, connections: 1 });
 
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -3,24 +3,31 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import type { Server } from "node:http";
+import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clock.ts";
 import type { Finding } from "../contracts/finding.ts";
 import type { HostStatus } from "../contracts/objects.ts";
 import type { Reason } from "../contracts/outcome.ts";
+import type { Target } from "../contracts/pool.ts";
 import type { Settings } from "../contracts/settings.ts";
+import { type DescriptorPart, descriptorParts } from "../decisions/descriptors.ts";
 import { createSlotHash } from "../decisions/hash.ts";
 import type { AdmissionBlock } from "../decisions/isolation.ts";
 import { createRevisionTracker } from "../decisions/revisiontracker.ts";
 import { createCallerProtocol } from "../links/callerprotocol.ts";
 import { createCallerLink } from "../links/callers.ts";
 import { systemClock } from "../links/clock.ts";
+import { limitConnections } from "../links/connectionlimit.ts";
+import { createDescriptors, readOpenFilesLimit } from "../links/descriptors.ts";
 import { createHostLinks, type HostTraffic } from "../links/hosts.ts";
+import { listenWithRetries } from "../links/listening.ts";
 import type { Log } from "../links/logs.ts";
 import { createMetrics, type Metrics } from "../links/metrics.ts";
 import { createOperatorLink } from "../links/operators.ts";
 import { createPlatformLink } from "../links/platform.ts";
 import { createFleet, type FleetReport } from "./fleet.ts";
-import { runAlone } from "./longtasks.ts";
+import { repeatTask, runAlone } from "./longtasks.ts";
 import { createObjectView, type ObjectState } from "./objects.ts";
 import { createOwnership, type OwnershipReport } from "./ownership.ts";
 import { createRequestPath, type RequestReport } from "./requestpath.ts";
@@ -37,6 +44,8 @@
     metrics?: Metrics;
     /** The system clock by default. */
     clock?: Clock;
+    /** Ends the wait for an address that can not be opened yet, and with it the start. */
+    startSignal?: AbortSignal;
 };
 
 /** The status of a host, which its operators' endpoint returns as JSON. */
@@ -89,6 +98,7 @@
 /** Time for the balancer to notice the failed health check before the host stops accepting connections. */
 const balancerNoticeMilliseconds = 200;
 const stopPollMilliseconds = 10;
+const descriptorReportIntervalMilliseconds = 5_000;
 
 /** How a host refuses requests while it may not admit any. */
 const barRefusals: Record<AdmissionBlock, { reason: Reason; detail: string }> = {
@@ -99,7 +109,8 @@
 };
 
 /**
- * Starts a host. Resolves when all its sockets listen, which may be before the host has read the platform.
+ * Starts a host. Resolves when all its sockets listen, which may be before the host has read the platform. Waits for an
+ * address that another process holds; rejects when `startSignal` aborts meanwhile.
  *
  * @example
  * const host = await createHost({ settings, peerKeys: [key], log });
@@ -119,28 +130,61 @@
     const objects = createObjectView();
     const revisionTracker = createRevisionTracker();
     const slotHash = await createSlotHash();
-    const views = createTargetViews(target => Math.max(1, Math.floor(target.connections / 2)), sourceAddress);
+    const { limit, files } = settings.descriptors;
+    const limits = { process: readOpenFilesLimit(), stated: limit === 0 ? undefined : limit, files };
+    const descriptors = createDescriptors({ limits, clock, log, metrics });
+    const limitOf = (part: DescriptorPart) => (server: Server, isIdle?: (socket: Socket) => boolean): void =>
+        limitConnections(server, { part, descriptors, clock }, isIdle);
+    const connectionsOf = (target: Target): number => Math.max(1, Math.floor(target.connections / 2));
+    const views = createTargetViews(connectionsOf, sourceAddress, descriptors);
     let state: HostReport["state"] = "starting";
     let markReady: () => void = () => undefined;
     const ready = new Promise<void>(resolve => {
         markReady = resolve;
     });
 
-    const hosts = await createHostLinks({
-        name,
-        zone,
-        incarnation,
-        bindAddress: address,
-        port: settings.peers.port,
-        sourceAddress,
-        sharedKeys: options.peerKeys,
-        maxFrameBytes: settings.peers.maxFrameBytes,
-        queueLength: settings.peers.queueLength,
-        clock,
-        log,
-        metrics,
-        signal,
-    });
+    /** Close what this host has opened. */
+    const closers: Array<() => Promise<void>> = [views.close, platform.close];
+    if (options.metrics === undefined) {
+        closers.push(metrics.close);
+    }
+    const dispose = async (): Promise<void> => {
+        lifetime.abort();
+        await Promise.all(closers.map(close => close()));
+    };
+    const listening = { clock, log, metrics, signal: options.startSignal ?? signal };
+    /** Opens an address of this host, and closes what was opened before if that fails for good. */
+    const open = async <Endpoint>(part: string, port: number, listen: () => Promise<Endpoint>): Promise<Endpoint> => {
+        try {
+            return await listenWithRetries({ name: part, address: `${address}:${port}` }, listen, listening);
+        }
+        catch (error) {
+            await dispose();
+            throw error;
+        }
+    };
+
+    /** Number of unfinished requests; none before the callers' address is open. */
+    let inFlight = (): number => 0;
+    const openLinks = () =>
+        createHostLinks({
+            name,
+            zone,
+            incarnation,
+            bindAddress: address,
+            port: settings.peers.port,
+            limitConnections: limitOf(descriptorParts.hosts),
+            descriptors,
+            sourceAddress,
+            sharedKeys: options.peerKeys,
+            maxFrameBytes: settings.peers.maxFrameBytes,
+            queueLength: settings.peers.queueLength,
+            clock,
+            log,
+            metrics,
+            signal,
+        });
+    const hosts = await open("links", settings.peers.port, openLinks);
     const ownStatus = (): HostStatus => ({
         zone,
         incarnation,
@@ -197,31 +241,34 @@
         metrics,
         signal,
     });
-    const callers = await createCallerLink({
-        bindAddress: address,
-        settings: settings.callers,
-        protocol: createCallerProtocol(settings.callers),
-        clock,
-        serve: async request => {
-            const bar = fleet.admissionBlock();
-            return bar === undefined ? requests.serve(request) : { kind: "refusal", ...barRefusals[bar] };
-        },
-        onDone: requests.recordDone,
-        onMalformed: requests.recordMalformed,
-        onException: (error, request) =>
-            log.error("request-exception", {
-                request,
-                error: error instanceof Error ? error.stack : String(error),
-            }),
-        healthy: () => state === "live" && fleet.admissionBlock() === undefined,
-    });
+    const isHealthy = (): boolean => state === "live" && fleet.admissionBlock() === undefined;
+    const openCallers = () =>
+        createCallerLink({
+            bindAddress: address,
+            settings: settings.callers,
+            protocol: createCallerProtocol(settings.callers),
+            limitConnections: limitOf(descriptorParts.callers),
+            clock,
+            serve: async request => {
+                const bar = fleet.admissionBlock();
+                return bar === undefined ? requests.serve(request) : { kind: "refusal", ...barRefusals[bar] };
+            },
+            onDone: requests.recordDone,
+            onMalformed: requests.recordMalformed,
+            onException: (error, request) =>
+                log.error("request-exception", {
+                    request,
+                    error: error instanceof Error ? error.stack : String(error),
+                }),
+            healthy: isHealthy,
+        });
 
     const report = (): HostReport => ({
         host: name,
         zone,
         incarnation,
         state,
-        inFlight: callers.inFlight(),
+        inFlight: inFlight(),
         peers: hosts.connected(),
         platformCalls: platform.callCounts(),
         objects: objects.states(),
@@ -234,16 +281,30 @@
         ...requests.report(),
     });
 
-    const operators = await createOperatorLink({
-        bindAddress: address,
-        port: settings.operators.port,
-        healthy: () => state === "live" && fleet.admissionBlock() === undefined,
-        status: report,
-        objectStatus: (kind, object): HostObjectStatus => {
-            const status = objects.states().find(item => item.kind === kind && item.name === object);
-            const { version, inForce, since } = status ?? { version: 0, inForce: 0, since: 0 };
-            return { host: name, incarnation, bar: fleet.admissionBlock(), version, inForce, since };
-        },
+    const openOperators = () =>
+        createOperatorLink({
+            bindAddress: address,
+            port: settings.operators.port,
+            limitConnections: limitOf(descriptorParts.health),
+            healthy: isHealthy,
+            status: report,
+            objectStatus: (kind, object): HostObjectStatus => {
+                const status = objects.states().find(item => item.kind === kind && item.name === object);
+                const { version, inForce, since } = status ?? { version: 0, inForce: 0, since: 0 };
+                return { host: name, incarnation, bar: fleet.admissionBlock(), version, inForce, since };
+            },
+        });
+    const operators = await open("operators", settings.operators.port, openOperators);
+    closers.push(operators.close);
+    // Last, since a host that is asked to stop while it waits for another address has no requests to complete.
+    const callers = await open("callers", settings.callers.port, openCallers);
+    closers.push(callers.close);
+    inFlight = callers.inFlight;
+    void repeatTask("descriptors", () => descriptorReportIntervalMilliseconds, descriptors.report, {
+        clock,
+        log,
+        metrics,
+        signal,
     });
     const start = async (): Promise<void> => {
         await fleet.start();
@@ -253,12 +314,6 @@
     };
     void runAlone("start", start, { log, metrics });
 
-    const dispose = async (): Promise<void> => {
-        lifetime.abort();
-        const closeMetrics = options.metrics === undefined ? metrics.close : () => undefined;
-        await Promise.all([callers.close(), operators.close(), views.close(), platform.close(), closeMetrics()]);
-    };
-
     return {
         name,
         callerAddress: callers.address,
--- a/src/machines/target.ts
+++ b/src/machines/target.ts
@@ -4,6 +4,7 @@
 import type { Target } from "../contracts/pool.ts";
 import { type TargetHealth, targetStates } from "../contracts/targetprotocol.ts";
 import type { ProbeRecord } from "../decisions/detect.ts";
+import type { Descriptors } from "../links/descriptors.ts";
 import { createTargetLink, type TargetLink } from "../links/targets.ts";
 
 export type TargetView = {
@@ -100,10 +101,12 @@
  *
  * @param connectionsOf how many connections this host may open to a target.
  * @param sourceAddress local address of these connections.
+ * @param descriptors counts these connections.
  */
 export const createTargetViews = (
     connectionsOf: (target: Target) => number,
     sourceAddress?: string,
+    descriptors?: Descriptors,
 ): TargetViews => {
     const views = new Map<string, TargetView>();
     return {
@@ -122,6 +125,7 @@
                     connections: connectionsOf(target),
                     connectMilliseconds,
                     sourceAddress,
+                    descriptors,
                 }),
                 incarnation: undefined,
                 clockReading: 0,
--- a/test/commands/run.test.ts
+++ b/test/commands/run.test.ts
@@ -5,7 +5,7 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
@@ -28,15 +28,16 @@
 };
 
 /** Starts a host, whose platform refuses connections, with ports for callers, other hosts and operators. */
-const startProgram = async (t: ExecutionContext) => {
+const startProgram = async (t: ExecutionContext, changes: Record<string, unknown> = {}) => {
     const folder = await mkdtemp(join(tmpdir(), "run-"));
-    const [callers, peers, operators] = await freePorts(3);
+    const [callers, links, operators] = await freePorts(3);
     const settings = {
         host: { name: "h1", zone: "z1" },
         platform: { url: "http://127.0.0.1:1" },
         callers: { port: callers },
-        peers: { port: peers, keyFiles: ["key"] },
+        peers: { port: links, keyFiles: ["key"] },
         operators: { port: operators },
+        ...changes,
     };
     await writeFile(join(folder, "settings.yaml"), JSON.stringify(settings));
     await writeFile(join(folder, "key"), "key");
@@ -65,18 +66,72 @@
         await answer?.body.dump();
         return answer?.statusCode === 503;
     };
-    return { callers, peers, operators, start, isListening };
+    return { ports: { callers, links, operators }, start, isListening };
 };
 
 test("an exception and a rejection that nobody caught do not end the process", async t => {
-    const { operators, callers, start, isListening } = await startProgram(t);
+    const { ports, start, isListening } = await startProgram(t);
     const { child, exitCode, hasEnded, log } = start();
-    await until(() => isListening(operators));
+    await until(() => isListening(ports.operators));
     child.kill("SIGUSR2");
     await until(() => hasEnded() || log().includes("odd exception") && log().includes("odd rejection"));
     t.regex(log(), /event=unexpected-exception .*origin=uncaughtException/);
     t.regex(log(), /event=unexpected-exception .*origin=unhandledRejection/);
-    t.true(await isListening(callers));
+    t.true(await isListening(ports.callers));
     child.kill("SIGTERM");
     t.is(await exitCode, 0);
 });
+
+for (const held of ["callers", "links", "operators"] as const) {
+    test(`a start waits for an address that another process holds: ${held}`, async t => {
+        const { ports, start, isListening } = await startProgram(t);
+        const holder = createServer().listen(ports[held], "127.0.0.1");
+        await once(holder, "listening");
+        const { child, exitCode, hasEnded, log } = start();
+        await until(() => hasEnded() || new RegExp(`event=address-in-use .*for=${held}`).test(log()));
+        t.false(hasEnded());
+        if (held === "callers") {
+            t.true(await isListening(ports.operators));
+        }
+        await once(holder.close(), "close");
+        await until(() => isListening(ports.callers));
+        child.kill("SIGTERM");
+        t.is(await exitCode, 0);
+    });
+}
+
+test("a stop ends a start that waits for an address", async t => {
+    const { ports, start } = await startProgram(t);
+    const holder = createServer().listen(ports.callers, "127.0.0.1");
+    await once(holder, "listening");
+    const { child, exitCode, hasEnded, log } = start();
+    await until(() => hasEnded() || log().includes("event=address-in-use"));
+    child.kill("SIGTERM");
+    t.is(await exitCode, 0);
+    t.regex(log(), /event=program-stopped-at-start/);
+    holder.close();
+});
+
+for (const full of ["callers", "links", "operators"] as const) {
+    test(`connections beyond the descriptors of their part leave the other addresses open: ${full}`, async t => {
+        const { ports, start, isListening } = await startProgram(t, { descriptors: { limit: 100 } });
+        const { log } = start();
+        await until(() => isListening(ports.callers));
+        const sockets = Array.from({ length: 100 }, () => connect(ports[full], "127.0.0.1"));
+        let open = sockets.length;
+        sockets.forEach(socket => {
+            socket.on("error", () => undefined).on("close", () => {
+                open -= 1;
+            }).resume();
+            // A request in part, of which none may be closed for another one.
+            socket.write("GET /x HTTP/1.1\r\n");
+        });
+        await until(() => open < 50);
+        t.true(open > 0);
+        t.regex(log(), /event=descriptors-used-up/);
+        for (const port of [ports.callers, ports.operators].filter(other => other !== ports[full])) {
+            t.true(await isListening(port));
+        }
+        sockets.forEach(socket => socket.destroy());
+    });
+}
