List a kind after a silence of the store in which its objects changed again and again

A watch after a refusal returned every change since. The ownership is one object of which each version is some 40 KB, so a host that was refused for 40 s read some MB on a thin link, beside the table. The watcher now estimates from the rate of changes before, at least 0.2 a second, how often each object has changed, and lists the kind when that is more than twice.

--- a/src/machines/resident/storewatcher.ts
+++ b/src/machines/resident/storewatcher.ts
@@ -48,6 +48,16 @@
  */
 const maxSupersededBytes = 65_536;
 
+/** Time in which a change counts half as much in the rate of changes that is expected. */
+const changeHalfLifeMilliseconds = 10_000;
+/** Changes a second that are expected at least, even of a kind that has not changed for long. */
+const minChangesPerSecond = 0.2;
+/**
+ * After a silence of the store, a list is read when so many changes for each object are expected, as a watch returns them
+ * all, and some kinds have a single object of which every version is large.
+ */
+const maxMissedVersions = 2;
+
 /** Returns the last event of each object, in the order of the events. */
 const latestOf = (events: StoreEvent[]): StoreEvent[] => {
     const last = new Map(events.map((event, index) => [event.object.name, index]));
@@ -61,9 +71,16 @@
     let unreachableSince = clock.now();
     let position: number | undefined;
     let pause = firstPauseMilliseconds;
+    let answeredAt = clock.now();
+    let objectCount = 1;
+    /** Recent changes, each counted less with its age. */
+    let recentChanges = 0;
     let wake: () => void = () => undefined;
 
-    const recordSuccess = (): void => {
+    const recordSuccess = (changeCount: number): void => {
+        const now = clock.now();
+        recentChanges = recentChanges * 0.5 ** ((now - answeredAt) / changeHalfLifeMilliseconds) + changeCount;
+        answeredAt = now;
         pause = firstPauseMilliseconds;
         if (reachableSince === undefined) {
             reachableSince = clock.now();
@@ -96,7 +113,8 @@
 
     const listOnce = async (): Promise<void> => {
         const list = await store.list(kind, signal);
-        recordSuccess();
+        recordSuccess(0);
+        objectCount = Math.max(1, list.objects.length);
         notify(() => options.onList(list.objects));
         position = list.position;
     };
@@ -104,7 +122,7 @@
     const watchOnce = async (from: number): Promise<void> => {
         const wait = reachableSince === undefined ? 0 : options.waitMilliseconds;
         const changes = await store.watch(kind, from, wait, signal);
-        recordSuccess();
+        recordSuccess(changes.result === "changes" ? changes.events.length : 0);
         if (changes.result === "history-lost") {
             log.info("store-history-lost", { kind, position: from });
             position = undefined;
@@ -120,6 +138,13 @@
         }
     };
 
+    /** Whether the changes since the last answer are probably more to read than all objects. */
+    const isListCheaper = (): boolean => {
+        const perSecond = recentChanges * Math.LN2 / (changeHalfLifeMilliseconds / 1_000);
+        const missed = Math.max(minChangesPerSecond, perSecond) * (clock.now() - answeredAt) / 1_000;
+        return reachableSince === undefined && missed > maxMissedVersions * objectCount;
+    };
+
     const waitForRetry = (): Promise<void> =>
         new Promise(resolve => {
             const cancel = clock.after(pause, resolve);
@@ -131,7 +156,7 @@
 
     const step = async (): Promise<void> => {
         try {
-            await (position === undefined ? listOnce() : watchOnce(position));
+            await (position === undefined || isListCheaper() ? listOnce() : watchOnce(position));
         }
         catch (error) {
             if (signal.aborted) {
--- a/test/machines/resident/storewatcher.test.ts
+++ b/test/machines/resident/storewatcher.test.ts
@@ -104,6 +104,46 @@
     lifetime.abort();
 });
 
+const missedCases = [
+    { title: "one object that changes all the time", objects: 1, changesPerSecond: 5, lists: 1 },
+    { title: "one object that has not changed for long", objects: 1, changesPerSecond: 0, lists: 1 },
+    { title: "many objects with few changes", objects: 300, changesPerSecond: 5, lists: 0 },
+];
+for (const { title, objects, changesPerSecond, lists } of missedCases) {
+    test(`${title}: a host that the store refused for long reads no more than a list of it, in time`, async t => {
+        const { clock, fake, current, lifetime } = setUp();
+        const large = "x".repeat(40_000 / objects);
+        let version = 0;
+        const change = async (milliseconds: number, perSecond: number): Promise<void> => {
+            for (let passed = 0; perSecond > 0 && passed < milliseconds; passed += 1_000 / perSecond) {
+                version += 1;
+                fake.put("config", `o${version % objects}`, `${version}${large}`);
+                await clock.advance(1_000 / perSecond);
+            }
+        };
+        for (let index = 0; index < objects; index += 1) {
+            fake.put("config", `o${index}`, `${large}`);
+        }
+        let listed = 0;
+        const { list } = fake.store;
+        fake.store.list = (...given) => {
+            listed += Number(fake.fault === "none");
+            return list(...given);
+        };
+        fake.bytesPerMillisecond = slowConnectionBytesPerMillisecond;
+        await clock.advance(1_000);
+        await change(5_000, changesPerSecond);
+        await clock.advance(changesPerSecond === 0 ? 60_000 : 0);
+        fake.fault = "refusing";
+        await change(40_000, 5);
+        fake.fault = "none";
+        await clock.advance(1_000);
+        t.true(String(current.get(`o${version % objects}`)).startsWith(`${version}x`));
+        t.is(listed, lists);
+        lifetime.abort();
+    });
+}
+
 test("an exception of a listener is no failure of the store: the watch goes on with the next change", async t => {
     const clock = createVirtualClock();
     const fake = createFakeStore(clock);
