Give all ranges new fences when a coordinator takes over

A coordinator repeats a fence only in the session of connections in which the owner took it, but one that had just taken over knew no session and repeated the fences of the one before. A target that had restarted meanwhile, unseen by the store, then held its keys with the fence of its former process. The write that begins a term now gives every range a new fence; owners stay as they are.

Nine new cases in test/machines/resident/rangecontroller.test.ts with a restart from 50 ms before the coordinator's end to 3.5 s after it: those at -50, 50 and 1,000 ms failed before ("key 22528 went to b/2 with 2, b/1 had it with 2").

--- a/src/decisions/rangeplan.ts
+++ b/src/decisions/rangeplan.ts
@@ -494,6 +494,13 @@
 /** Returns the ownership after the moves. Each moved piece gets a new fence and lists its former owners. */
 export const applyMoves = (ownership: Ownership, moves: RangeMove[]): Ownership => moves.reduce(applyMove, ownership);
 
+/** Returns the ownership with a new fence for every range. Owners and former owners stay as they are. */
+export const renewAllFences = (ownership: Ownership): Ownership => ({
+    ...ownership,
+    nextFence: ownership.nextFence + ownership.ranges.length,
+    ranges: ownership.ranges.map((range, index) => ({ ...range, fence: ownership.nextFence + index })),
+});
+
 const canMerge = (left: OwnedRange, right: OwnedRange): boolean =>
     left.to + 1 === right.from && isSameOwner(left.owner, right.owner)
     && left.predecessors.length === 0 && right.predecessors.length === 0;
--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -13,6 +13,7 @@
     takeoverDelayMilliseconds,
 } from "../../decisions/coordinatorlease.ts";
 import { createFormerCoordinators } from "../../decisions/formercoordinators.ts";
+import { renewAllFences } from "../../decisions/rangeplan.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { Processes } from "./processes.ts";
@@ -185,7 +186,10 @@
         confirmedAt = knownChangeAt;
     };
 
-    /** Writes the new term to the ownership object. After that, no write of an earlier coordinator succeeds. */
+    /**
+     * Writes the new term to the ownership object. After that, no write of an earlier coordinator succeeds. All ranges get new
+     * fences: only the earlier coordinator knew whether the processes that took the former ones still run.
+     */
     const writeTerm = async (term: number): Promise<HeldOwnership | undefined> => {
         for (;;) {
             const current = await store.get(storeKinds.ownership, pool, signal);
@@ -198,7 +202,7 @@
             if (before.term > term) {
                 return undefined;
             }
-            const ownership = { ...before, term, coordinator: self };
+            const ownership = { ...renewAllFences(before), term, coordinator: self };
             const write = current === undefined
                 ? await store.create(storeKinds.ownership, pool, ownership, signal)
                 : await store.replace(storeKinds.ownership, pool, ownership, current.revision, signal);
--- a/test/machines/resident/rangecontroller.test.ts
+++ b/test/machines/resident/rangecontroller.test.ts
@@ -193,6 +193,31 @@
     t.deepEqual(setup.targets.violations, []);
 });
 
+/** Times from the end of the coordinator to that of the target's process, beyond the takeover, which comes after about 2 s. */
+const restartTimes = [-50, 50, 1_000, 1_900, 2_050, 2_200, 2_500, 3_000, 3_500];
+
+for (const atMilliseconds of restartTimes) {
+    test(`a target that restarts unseen ${atMilliseconds} ms after its coordinator has ended gets no fence of the process before`, async t => {
+        const { world, targets, coordinator, hosts, register } = await setUp();
+        const restart = async (): Promise<void> => {
+            targets.get("b").crash();
+            await world.advance(20);
+            targets.get("b").restart("2");
+        };
+        const end = (): void => coordinator.kill();
+        await (atMilliseconds < 0 ? restart() : end());
+        await world.advance(Math.abs(atMilliseconds));
+        await (atMilliseconds < 0 ? end() : restart());
+        await world.advance(6_000);
+        register("b");
+        await world.advance(5_000);
+        t.true(hosts.some(host => host !== coordinator && host.controller.isCoordinator()));
+        t.deepEqual(targets.violations.slice(0, 1), []);
+        t.deepEqual(targets.unheld(), []);
+        hosts.forEach(host => host.kill());
+    });
+}
+
 const sampledKeys = [0, 10_000, 20_000, 30_000, 40_000, 50_000, 65_535];
 
 for (const failingHosts of [1, 3]) {
