Let hosts lend each other what they do not use of their parts

A host whose requests wait for a connection now asks others for what they do not use. A loan moves connections between two parts and runs out on both sides' own clocks, so the sum over all hosts stays that of the parts while hosts are cut off from each other, and after a restart.

--- a/src/decisions/targetroom.ts
+++ b/src/decisions/targetroom.ts
@@ -11,6 +11,8 @@
     place: number;
     /** Whether this host also knows those that joined at the same time. */
     isSettled: boolean;
+    /** Whether a process that ran on this host before may have lent a part of its connections. */
+    mayHaveLent?: boolean;
 };
 
 /**
--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -133,8 +133,8 @@
     const isOpen = (targetState: TargetState): boolean =>
         !targetState.gone && !targetState.target.leaving && targetState.blockedUntil <= clock.now();
 
-    const hasConnection = (targetState: TargetState): boolean =>
-        targetState.load.ownRequests() < targetStates.maxConnections(targetState);
+    const hasConnection = (targetState: TargetState, endAt: number): boolean =>
+        targetState.load.ownRequests() < targetStates.maxConnections(targetState, endAt);
 
     /** Time before which the target takes no request without a key, by its own word. */
     const notBefore = ({ pausedUntil, limitedUntil }: TargetState): number => Math.max(pausedUntil, limitedUntil);
@@ -160,16 +160,19 @@
     };
 
     const usableTargets = (context: RequestContext): Candidate[] =>
-        candidatesAmong(openTargets(context).filter(hasConnection), context);
+        candidatesAmong(openTargets(context).filter(state => hasConnection(state, context.endAt)), context);
 
-    const connectionsTo = (inUse: TargetState[]): number =>
-        inUse.reduce((sum, targetState) => sum + targetStates.maxConnections(targetState), 0);
+    /** Returns the connections to the targets, and has some borrowed for the requests that wait for them. */
+    const connectionsTo = (inUse: TargetState[], endAt: number): number => {
+        inUse.forEach(targetStates.wantConnections);
+        return inUse.reduce((sum, targetState) => sum + targetStates.maxConnections(targetState, endAt), 0);
+    };
 
     const targetsInUse = (context: RequestContext): TargetsInUse | undefined => {
-        const inUse = openTargets(context).filter(targetState => !hasConnection(targetState));
+        const inUse = openTargets(context).filter(targetState => !hasConnection(targetState, context.endAt));
         return inUse.length === 0
             ? undefined
-            : { connections: connectionsTo(inUse), candidates: candidatesAmong(inUse, context) };
+            : { connections: connectionsTo(inUse, context.endAt), candidates: candidatesAmong(inUse, context) };
     };
 
     const keyOwner = (context: RequestContext): Candidate | UnusableOwner => {
@@ -200,9 +203,9 @@
             return "the owner is not reachable";
         }
         const candidate = candidateOf(targetState, route, typicalServiceMilliseconds(pool.name));
-        return hasConnection(targetState)
+        return hasConnection(targetState, context.endAt)
             ? candidate
-            : { inUse: { candidates: [candidate], connections: connectionsTo([targetState]) } };
+            : { inUse: { candidates: [candidate], connections: connectionsTo([targetState], context.endAt) } };
     };
 
     const untilUsable: CandidateSelector["untilUsable"] = pool => {
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -8,6 +8,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
+import { loansPath } from "../../contracts/loanmessages.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
 import type { OwnershipLink, PlatformObjects, ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
 import type { ResidentSettings } from "../../contracts/residentsettings.ts";
@@ -34,6 +35,7 @@
 import { createGateway } from "./gateway.ts";
 import { monitorHeap } from "./heapmonitor.ts";
 import { createLoadReporter } from "./loadreporter.ts";
+import { createLoans } from "./loans.ts";
 import { createOwnershipCache } from "./ownershipcache.ts";
 import { processKind, registerProcess } from "./processes.ts";
 import { createRangeController, type RangeController } from "./rangecontroller.ts";
@@ -261,6 +263,18 @@
         signal,
     });
     const controllers = new Map<string, RangeController>();
+    const loans = createLoans({
+        others: () => processes.hosts().filter(({ name }) => name !== settings.host.name),
+        grant: (target, asked) => targetStates.grantConnections(target, asked),
+        isWithinPart: target => targetStates.isWithinPart(target),
+        onChange: target => targetStates.applyLimit(target),
+        dial,
+        random,
+        clock,
+        log,
+        metrics,
+        signal,
+    });
     const targetStates = createTargetStates({
         registry,
         findPool: poolOf,
@@ -272,6 +286,7 @@
         }),
         requestsOfOthers: sharedLoads.requestsOfOthers,
         recordOwnRequests: sharedLoads.record,
+        loans,
         descriptors,
         clock,
         signal,
@@ -410,6 +425,7 @@
         [loadReportPath]: loadReporter.service,
         [statePath]: server.service,
         [loadsPath]: sharedLoads.service,
+        [loansPath]: loans.service,
         ...facts.services,
     };
     const openLinks = (): Promise<void> =>
--- a/src/machines/resident/sharinghosts.ts
+++ b/src/machines/resident/sharinghosts.ts
@@ -2,6 +2,7 @@
  * The hosts that share the targets' connections, and the place of this host among them.
  */
 import type { Clock } from "../../contracts/clock.ts";
+import { lentMilliseconds } from "../../decisions/partlending.ts";
 import type { SharingHosts } from "../../decisions/targetroom.ts";
 import { digestHash } from "../../zones/digesthash.ts";
 import type { Processes } from "./processes.ts";
@@ -36,6 +37,7 @@
     let names: readonly string[] = [];
     let place = 0;
     let isSettled = false;
+    const startedAt = clock.now();
 
     /** A host that was there before is counted by all others. */
     const settles = (): boolean => {
@@ -56,6 +58,7 @@
             names = known;
             place = orderHosts(known).indexOf(self);
         }
-        return { count: names.length, place, isSettled };
+        const mayHaveLent = processes.wasRegistered() === true && clock.now() - startedAt < lentMilliseconds;
+        return { count: names.length, place, isSettled, mayHaveLent };
     };
 };
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
 import { descriptorParts } from "../../decisions/descriptors.ts";
+import { grantedConnections, ownConnections } from "../../decisions/partlending.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
 import { connectionPart, type SharingHosts, sparseLimit } from "../../decisions/targetroom.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
@@ -11,6 +12,7 @@
 import { createTargetConnectionLimit } from "../../links/targetconnections.ts";
 import { digestHash } from "../../zones/digesthash.ts";
 import { type ConnectionQueue, createConnectionQueue, placeOfPool, placeOfTarget } from "./connectionqueue.ts";
+import type { Loans } from "./loans.ts";
 import type { TargetRegistry } from "./targetregistry.ts";
 
 /** What this host knows of one incarnation of a target. */
@@ -39,8 +41,19 @@
 export type TargetStates = {
     ofPool: (pool: string) => TargetState[];
     get: (name: string) => TargetState | undefined;
-    /** Limit on the connections that this host may use at the target: its part of those that the target accepts. */
-    maxConnections: (state: TargetState) => number;
+    /**
+     * Limit on the connections that this host may use at the target for a request that ends at the monotonic time: its
+     * part of those that the target accepts, less those that are lent, and those that are borrowed until then.
+     */
+    maxConnections: (state: TargetState, endAt: number) => number;
+    /** Records that a request waits for a connection, so that some are borrowed. */
+    wantConnections: (state: TargetState) => void;
+    /** Returns how many of the connections to the target that another host asks for it gets. */
+    grantConnections: (target: string, asked: number) => number;
+    /** Whether this host's requests at the target need no more than its part. */
+    isWithinPart: (target: string) => boolean;
+    /** Applies the limit on the connections to the target after some were lent, borrowed or given back. */
+    applyLimit: (target: string) => void;
     /** Requests that wait for a connection to a target, or to any target of a pool. */
     connectionQueue: ConnectionQueue;
     /** Applies the limits on connections after the hosts or the pools have changed. */
@@ -62,6 +75,8 @@
     requestsOfOthers: (target: string) => number | undefined;
     /** Called with the number of this host's requests at a target when it changes. */
     recordOwnRequests: (target: string, requests: number) => void;
+    /** Connections that are lent to other hosts and borrowed from them. */
+    loans?: Pick<Loans, "want" | "lent" | "borrowed">;
     /** Counts and limits the connections to targets. */
     descriptors?: Descriptors;
     /** Creates the link to a target; by default one over HTTP. */
@@ -87,6 +102,7 @@
         sharingHosts,
         requestsOfOthers,
         recordOwnRequests,
+        loans,
         descriptors,
         openLink = createExchangeLink,
         clock,
@@ -109,13 +125,15 @@
 
     const partOf = (state: TargetState): number => connectionPart(acceptedBy(state), offsetOf(state), sharingHosts());
 
-    /** Returns the limit for a request that is counted already, or for one that is not. */
-    const limitFor = (state: TargetState, isCounted: boolean): number => {
-        const part = partOf(state);
-        const hosts = sharingHosts();
-        if (part > 0 || hosts === undefined) {
-            return part;
-        }
+    /** Returns the part less what is lent of it. */
+    const ownPartOf = (state: TargetState): number =>
+        ownConnections({
+            part: partOf(state),
+            lent: loans?.lent(state.target.name) ?? 0,
+            mayHaveLent: sharingHosts()?.mayHaveLent === true,
+        });
+
+    const sparseLimitOf = (state: TargetState, hosts: SharingHosts, isCounted: boolean): number => {
         const { target: { name }, load } = state;
         const told = load.ownRequests() + (requestsOfOthers(name) ?? 0);
         // The target's own word includes hosts that are cut off from this one.
@@ -123,10 +141,24 @@
         return sparseLimit(acceptedBy(state), hosts, requests - Number(isCounted));
     };
 
-    const maxConnections = (state: TargetState): number => limitFor(state, false);
+    /** Returns the limit for a request that is counted already, or for one that is not. */
+    const limitFor = (state: TargetState, isCounted: boolean, endAt: number): number => {
+        const hosts = sharingHosts();
+        return partOf(state) > 0 || hosts === undefined
+            ? ownPartOf(state) + (loans?.borrowed(state.target.name, endAt) ?? 0)
+            : sparseLimitOf(state, hosts, isCounted);
+    };
+
+    const keptConnections = (state: TargetState): number =>
+        partOf(state) === 0 ? 0 : limitFor(state, true, clock.now());
 
     /** One at least: nothing would start a request again that the link keeps waiting while it has no other one. */
-    const linkConnections = (state: TargetState): number => Math.max(1, limitFor(state, true));
+    const linkConnections = (state: TargetState): number => Math.max(1, limitFor(state, true, clock.now()));
+
+    const wake = ({ target: { name, pool } }: TargetState): void => {
+        connectionQueue.wakeFirst(placeOfTarget(name));
+        connectionQueue.wakeFirst(placeOfPool(pool));
+    };
 
     const create = (target: RegisteredTarget): TargetState => {
         let lastOwn = 0;
@@ -135,8 +167,7 @@
             const isFreed = own < lastOwn;
             lastOwn = own;
             if (isFreed) {
-                connectionQueue.wakeFirst(placeOfTarget(target.name));
-                connectionQueue.wakeFirst(placeOfPool(target.pool));
+                wake(state);
             }
         };
         const state: TargetState = {
@@ -145,7 +176,7 @@
             link: openLink({
                 address: target.address,
                 connections: () => linkConnections(state),
-                keptConnections: () => partOf(state),
+                keptConnections: () => keptConnections(state),
                 connectMilliseconds,
                 targetConnections: addTargetConnections?.(),
             }),
@@ -193,7 +224,30 @@
     return {
         ofPool: name => [...states.values()].filter(state => state.target.pool === name),
         get: name => states.get(name),
-        maxConnections,
+        maxConnections: (state, endAt) => limitFor(state, false, endAt),
+        wantConnections: state => partOf(state) > 0 && loans?.want(state.target.name),
+        grantConnections: (target, asked) => {
+            const state = states.get(target);
+            const hosts = sharingHosts();
+            return state === undefined || hosts === undefined ? 0 : grantedConnections({
+                part: partOf(state),
+                lent: loans?.lent(target) ?? 0,
+                inUse: state.load.ownRequests(),
+                isSettled: hosts.isSettled,
+                mayHaveLent: hosts.mayHaveLent === true,
+            }, asked);
+        },
+        isWithinPart: target => {
+            const state = states.get(target);
+            return state === undefined || state.load.ownRequests() <= ownPartOf(state);
+        },
+        applyLimit: target => {
+            const state = states.get(target);
+            if (state !== undefined) {
+                state.link.applyLimit();
+                wake(state);
+            }
+        },
         connectionQueue,
         applyLimits: () => states.forEach(({ link }) => link.applyLimit()),
         recordFailure: state => {
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -96,6 +96,10 @@
         recordConnectFailure: ({ target: { name } }) => unreachable.push(name),
         block: () => undefined,
         maxConnections: () => 4,
+        wantConnections: () => undefined,
+        grantConnections: () => 0,
+        isWithinPart: () => true,
+        applyLimit: () => undefined,
         connectionQueue: createConnectionQueue(clock),
         applyLimits: () => undefined,
     };
--- a/test/machines/resident/roomplay.ts
+++ b/test/machines/resident/roomplay.ts
@@ -35,6 +35,8 @@
     running: VirtualHost[];
     /** Starts one more host, which gets requests from now on. */
     start: (hosts: SharingHosts | undefined, group?: number) => VirtualHost;
+    /** From now on all requests come to the others than the first host. */
+    turnAway: () => void;
 };
 
 /** Returns what a host knows that knows all of the hosts for long. */
@@ -91,6 +93,7 @@
     };
     const ended: Record<string, number> = {};
     let asked = 0;
+    let isAway = false;
     const meanPause = workMilliseconds / (targets * slots * load);
     const endAt = clock.now() + seconds * 1_000;
     const ask = (): void => {
@@ -98,8 +101,9 @@
             return;
         }
         asked += 1;
-        const isHot = hotShare > 0 && random.uniform() < hotShare;
-        void running[isHot ? 0 : random.integerBelow(running.length)].serve().then(answer => {
+        const isHot = !isAway && hotShare > 0 && random.uniform() < hotShare;
+        const other = isAway ? 1 + random.integerBelow(running.length - 1) : random.integerBelow(running.length);
+        void running[isHot ? 0 : other].serve().then(answer => {
             const result = answer.kind === "refusal" ? answer.reason : "served";
             ended[result] = (ended[result] ?? 0) + 1;
         });
@@ -115,7 +119,10 @@
             running.push(host);
             return host;
         };
-        clock.after(seconds * 1_000 / 3, () => disturb({ clock, running, start }));
+        const turnAway = (): void => {
+            isAway = true;
+        };
+        clock.after(seconds * 1_000 / 3, () => disturb({ clock, running, start, turnAway }));
     }
     await clock.advance(seconds * 1_000 + 12 * workMilliseconds);
     return {
--- a/test/machines/resident/sharinghosts.test.ts
+++ b/test/machines/resident/sharinghosts.test.ts
@@ -129,3 +129,28 @@
     names = ["b"];
     t.deepEqual(places(), [1, 0]);
 });
+
+for (
+    const { wasRegistered, afterMilliseconds, mayHaveLent } of [
+        { wasRegistered: true, afterMilliseconds: 5_499, mayHaveLent: true },
+        { wasRegistered: true, afterMilliseconds: 5_500, mayHaveLent: false },
+        { wasRegistered: false, afterMilliseconds: 0, mayHaveLent: false },
+    ]
+) {
+    test(`a host ${wasRegistered ? "started again" : "that is new"}, after ${afterMilliseconds} ms, may have lent: ${mayHaveLent}`, t => {
+        let now = 0;
+        const hosts = createSharingHosts({
+            self: "a",
+            processes: {
+                hostNames: () => ["a"],
+                hostCount: () => 1,
+                wasRegistered: () => wasRegistered,
+                registeredAt: () => 0,
+            },
+            reachableSince: () => 0,
+            clock: { now: () => now },
+        });
+        now = afterMilliseconds;
+        t.is(hosts()?.mayHaveLent, mayHaveLent);
+    });
+}
--- a/test/machines/resident/virtualhosts.ts
+++ b/test/machines/resident/virtualhosts.ts
@@ -3,6 +3,7 @@
  * host learns of the requests of the others a while later, as the readers tell it.
  */
 import { setMaxListeners } from "node:events";
+import { createRandom } from "../../../bench/random.ts";
 import type { ResidentRequest, TargetProtocol } from "../../../src/contracts/resident.ts";
 import type { RegisteredTarget, RouteTable } from "../../../src/contracts/routing.ts";
 import { createRouteIndex } from "../../../src/decisions/routetable.ts";
@@ -12,7 +13,9 @@
 import type { AnswerReceiver, createExchangeLink } from "../../../src/links/exchange.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
+import type { PeerConnection, PeerDialer, PeerService } from "../../../src/links/peers.ts";
 import { createGateway } from "../../../src/machines/resident/gateway.ts";
+import { createLoans } from "../../../src/machines/resident/loans.ts";
 import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
 import type { TargetRegistry } from "../../../src/machines/resident/targetregistry.ts";
 import { createTargetStates, type TargetStates } from "../../../src/machines/resident/targetstates.ts";
@@ -197,6 +200,32 @@
     /** Requests at each target of the hosts of each group. */
     const told = new Map<number, Map<string, number>>();
     let lastId = 0;
+    /** Of its own, so that asks for loans do not change the requests of a play. */
+    const lendingRandom = createRandom(1);
+    /** Services and groups of the hosts that others ask for loans. */
+    const listening = new Map<string, { service: PeerService; group: () => number }>();
+
+    /** Connects hosts of one group; what is sent to another one is lost. */
+    const dialFrom = (group: () => number): PeerDialer => (address, ...[, listener]) => {
+        const peer = listening.get(address)!;
+        let isOpen = false;
+        const connectionTo = (receive: (value: unknown) => void): PeerConnection => ({
+            send: value => clock.after(networkMilliseconds, () => group() === peer.group() && receive(value)),
+            sendFrame: () => undefined,
+            isOpen: () => isOpen,
+            queuedBytes: () => 0,
+            close: () => {
+                isOpen = false;
+                clock.after(0, listener.onClose);
+            },
+        });
+        const accepted = peer.service(connectionTo(listener.onFrame));
+        clock.after(networkMilliseconds, () => {
+            isOpen = true;
+            listener.onOpen?.();
+        });
+        return connectionTo(accepted.onFrame);
+    };
 
     const add = (counts: Map<string, number>, target: string, change: number): void => {
         counts.set(target, (counts.get(target) ?? 0) + change);
@@ -210,7 +239,9 @@
 
     const start = (first: SharingHosts | undefined, firstGroup = 0): VirtualHost => {
         let hosts = first;
+        let inGroup = firstGroup;
         let groupTold = toldOf(firstGroup);
+        const self = `h${listening.size}`;
         const own = new Map<string, number>();
         const ownTold = new Map<string, number>();
         const recordOwnRequests = (target: string, requests: number): void => {
@@ -225,12 +256,28 @@
         const registry: Pick<TargetRegistry, "onChange"> = {
             onChange: listener => registered.forEach(target => listener(target, false)),
         };
-        const states = createTargetStates({
+        const loans = createLoans({
+            others: () =>
+                [...listening.keys()].filter(name => name !== self)
+                    .map(name => ({ name, address: name, zone: "z", processor: 1 })),
+            grant: (target, asked) => states.grantConnections(target, asked),
+            isWithinPart: target => states.isWithinPart(target),
+            onChange: target => states.applyLimit(target),
+            dial: dialFrom(() => inGroup),
+            random: lendingRandom.uniform,
+            clock,
+            log: silentLog,
+            metrics: createMetrics(),
+            signal,
+        });
+        listening.set(self, { service: loans.service, group: () => inGroup });
+        const states: TargetStates = createTargetStates({
             registry: registry as TargetRegistry,
             findPool: name => table.pools.get(name),
             sharingHosts: () => hosts,
             requestsOfOthers,
             recordOwnRequests,
+            loans,
             openLink,
             clock,
             signal,
@@ -290,6 +337,7 @@
             },
             moveTo: group => {
                 ownTold.forEach((requests, target) => add(groupTold, target, -requests));
+                inGroup = group;
                 groupTold = toldOf(group);
                 ownTold.forEach((requests, target) => add(groupTold, target, requests));
             },
--- a/test/platform/room.test.ts
+++ b/test/platform/room.test.ts
@@ -82,4 +82,49 @@
     });
 }
 
+/** Without loans, a host has a third of 65 connections, and its requests have no time to wait for them. */
+const borrowedFrom = 30;
+const roundMilliseconds = 200;
+const maxRounds = 60;
+
+test(`one of three hosts that gets all requests borrows connections, so that a target answers more than ${borrowedFrom} at once`, async t => {
+    const store = await startStoreStandIn();
+    const backend = await startBackendStandIn({
+        id: "i-1",
+        slots,
+        queue: 10,
+        workMilliseconds: 500,
+        isSharded: false,
+    });
+    store.put("servers", "i-1", { ...entry("orders", backend), slots });
+    store.put("config", "main", {
+        version: "r3",
+        routes: { r1: { ...route("a.example", "orders", "safe"), targetLatency: "1000ms" } },
+        services,
+        limits,
+    });
+    const programs = await Promise.all(["h1", "h2", "h3"].map(name => startProgram(store, { name })));
+    t.teardown(() => {
+        programs.forEach(({ child }) => child.kill("SIGKILL"));
+        [store, backend].forEach(part => part.close());
+    });
+    await waitUntil("all hosts are ready", async () => (await Promise.all(programs.map(isReady))).every(Boolean));
+    await sleep(joinedMilliseconds);
+    const answeredOf: number[] = [];
+    while (answeredOf.length < maxRounds && Math.max(0, ...answeredOf) <= borrowedFrom) {
+        const answers = await Promise.all(Array.from({ length: requests }, async (...[, index]) => {
+            const headers = {
+                host: "a.example",
+                "request-id": `q-${answeredOf.length}-${index}`,
+                "request-deadline": "900",
+            };
+            return (await sendRequest(programs[0].callersPort, "/a/x", headers)).statusCode;
+        }));
+        answeredOf.push(answers.filter(statusCode => statusCode === 200).length);
+        await sleep(roundMilliseconds);
+    }
+    t.log(answeredOf.join(", "));
+    t.true(Math.max(...answeredOf) > borrowedFrom, answeredOf.join(", "));
+});
+
 test.before(buildProgram);
