Run compiled code only on the kind of machine that it was made on

V8 compares neither system nor processor, and its own version only by a hash. The loader now has those of the build and leaves the compiled code out elsewhere. A build that looks at a file which another one removes meanwhile goes on.

Failed before: 3 of 3 kinds of other machines in test/platform/build.test.ts. Builds side by side passed there before as well (3 rounds of 3); the file that vanishes was found by reading.

--- a/scripts/loader.cjs
+++ b/scripts/loader.cjs
@@ -3,8 +3,8 @@
  * in the place of `files`. With `--write-compiled` it writes the compiled code instead.
  *
  * V8 itself compares no more than the length of the source with that of which compiled code was made, so that code of
- * another program, or with other bytes, would run or crash the process. Compiled code that is not that of the build is left
- * out. A program that is missing or not whole is waited for, since a process that starts again finds the same.
+ * another program, or with other bytes, would run or crash the process. Compiled code that is not that of the build, or of
+ * another kind of machine, is left out. A program that is missing or not whole is waited for, since a process that starts again finds the same.
  */
 /* global files */
 "use strict";
@@ -55,12 +55,15 @@
     }
 };
 
+const { machine } = files;
+const isMachineOfBuild = machine.platform === process.platform && machine.arch === process.arch &&
+    machine.v8 === process.versions.v8;
 const isWriting = process.argv.includes("--write-compiled");
 
 const run = bundle => {
     const file = join(__dirname, files.program.name);
     const source = `(function (exports, require, module, __filename, __dirname) {${bundle.toString("utf8")}\n})`;
-    const cachedData = isWriting ? undefined : readBuilt(files.compiled);
+    const cachedData = isWriting || !isMachineOfBuild ? undefined : readBuilt(files.compiled);
     const script = new Script(source, { filename: file, cachedData });
     const program = { exports: {} };
     script.runInThisContext()(program.exports, require, program, file, __dirname);
--- a/scripts/residentbuild.ts
+++ b/scripts/residentbuild.ts
@@ -44,8 +44,14 @@
     }
 };
 
+/** What compiled code is bound to, beside the flags, which V8 compares itself. */
+const machine = { platform: process.platform, arch: process.arch, v8: process.versions.v8 };
+
+type BuiltFile = { name: string; digest: string };
+
 /** The loader with the names and digests of what it starts. */
-const createLoader = async (files: Record<string, { name: string; digest: string }>): Promise<string> => {
+const createLoader = async (program: BuiltFile, compiled: BuiltFile): Promise<string> => {
+    const files = { program, compiled, machine };
     const source = readFileSync(new URL("loader.cjs", import.meta.url), "utf8");
     const { code } = await transform(source, { define: { files: JSON.stringify(files) } });
     return code;
@@ -56,8 +62,13 @@
     readdirSync(folder)
         .filter(file => file.match(builtFilePattern)?.[0] === file || workFolderPattern.test(file))
         .filter(file => !named.has(file))
-        .filter(file => statSync(join(folder, file)).mtimeMs < Date.now() - maxBuildMilliseconds)
-        .forEach(file => rmSync(join(folder, file), { recursive: true, force: true }));
+        // What another build removes meanwhile has no time.
+        .map(file => ({
+            file,
+            writtenAt: statSync(join(folder, file), { throwIfNoEntry: false })?.mtimeMs ?? Infinity,
+        }))
+        .filter(({ writtenAt }) => writtenAt < Date.now() - maxBuildMilliseconds)
+        .forEach(({ file }) => rmSync(join(folder, file), { recursive: true, force: true }));
 };
 
 /** Builds the program whose entry point is `entry` into `folder`, where `carobpier.cjs` starts it. */
@@ -71,12 +82,12 @@
     renameSync(bundle, join(workFolder, program.name));
     const loader = join(workFolder, loaderFile);
     const madeName = "program.compiled";
-    writeFileSync(loader, await createLoader({ program, compiled: { name: madeName, digest: "" } }));
+    writeFileSync(loader, await createLoader(program, { name: madeName, digest: "" }));
     execFileSync(process.execPath, [...flags, loader, "--write-compiled"], { stdio: "inherit" });
     const made = join(workFolder, madeName);
     const compiledDigest = digestOf(readFileSync(made));
     const compiled = { name: nameOf(compiledDigest, "compiled"), digest: compiledDigest };
-    writeFileSync(loader, await createLoader({ program, compiled }));
+    writeFileSync(loader, await createLoader(program, compiled));
     const formerLoader = readLoader(folder);
     renameSync(join(workFolder, program.name), join(folder, program.name));
     renameSync(made, join(folder, compiled.name));
--- a/test/platform/build.test.ts
+++ b/test/platform/build.test.ts
@@ -148,6 +148,23 @@
     t.is(runSmall(folder, ["--stack-size=900"]), "a false");
 });
 
+const otherMachines: Array<[title: string, key: string, value: string]> = [
+    ["system", "platform", process.platform],
+    ["processor", "arch", process.arch],
+    ["version of V8", "v8", process.versions.v8],
+];
+
+for (const [title, key, value] of otherMachines) {
+    test.serial(`compiled code of a machine with another ${title} is not run`, async t => {
+        const folder = createFolder();
+        await buildSmall(folder, "a");
+        t.is(runSmall(folder), "a true");
+        const named = new RegExp(`("?${key}"?: ?")${value}"`);
+        edit(join(folder, "carobpier.cjs"), content => Buffer.from(String(content).replace(named, "$1other\"")));
+        t.is(runSmall(folder), "a false");
+    });
+}
+
 test.serial("compiled code of another build of the same length is not run", async t => {
     const [first, second] = [createFolder(), createFolder()];
     await buildSmall(first, "a");
@@ -197,6 +214,24 @@
     t.is(runSmall(folder), "c true");
 });
 
+test.serial("builds side by side in one folder end well, and one of them is there", async t => {
+    const folder = createFolder();
+    const entry = join(createFolder(), "main.ts");
+    const script = join("scripts", "residentbuild.ts");
+    const code = `import(${JSON.stringify(join(process.cwd(), script))})
+        .then(({ buildResidentProgram }) => buildResidentProgram(${JSON.stringify(entry)}, ${JSON.stringify(folder)}))`;
+    writeFileSync(entry, "export const main = (compiled: boolean) => console.log(\"a\", compiled);\n");
+    for (let round = 0; round < 3; round += 1) {
+        const builds = Array.from(
+            { length: 3 },
+            () => promisify(execFile)(process.execPath, ["--import=tsx", "-e", code]),
+        );
+        await t.notThrowsAsync(Promise.all(builds));
+        t.is(runSmall(folder), "a true");
+    }
+    t.deepEqual(readdirSync(folder).filter(file => file.startsWith("build-")), []);
+});
+
 test.serial("processes that start while builds follow one another run one of them", async t => {
     const folder = createFolder();
     await buildSmall(folder, "a");
