Let builds in the same folder install one after the other

Two installations in one folder moved packages from one another. Each now takes a lock, a folder that names its holder; one that waited checks the packages again and installs only what is still missing. A lock whose holder has ended, or that is older than an installation can take, is taken over.

--- a/scripts/installmodules.cjs
+++ b/scripts/installmodules.cjs
@@ -2,14 +2,18 @@
  * Installs the packages of the lock file, without their install scripts: the build needs none of these, and some compile
  * with what they fetch. The packages that were there are put back when that fails, since they may do all the same. An
  * argument gives the time that one of the tries may take, in milliseconds. Needs no package itself.
+ *
+ * Builds in the same folder install one after the other, and those that waited use what the first one installed.
  */
 "use strict";
 const { spawnSync } = require("node:child_process");
-const { existsSync, lstatSync, mkdirSync, renameSync, rmSync } = require("node:fs");
+const { existsSync, lstatSync, mkdirSync, readFileSync, renameSync, rmSync, statSync, writeFileSync } = require("node:fs");
+const { hostname } = require("node:os");
 const { join } = require("node:path");
 
 const tries = 2;
 const defaultTryMilliseconds = 300_000;
+const tryMilliseconds = Number(process.argv[2] ?? defaultTryMilliseconds);
 
 const folder = "node_modules";
 const former = join("target", "formermodules");
@@ -49,7 +53,7 @@
 const install = () => {
     const { status, signal, error } = spawnSync("npm", ["ci", "--ignore-scripts", "--loglevel=error"], {
         stdio: ["ignore", "inherit", "inherit"],
-        timeout: Number(process.argv[2] ?? defaultTryMilliseconds),
+        timeout: tryMilliseconds,
         killSignal: "SIGKILL",
     });
     const isInstalled = status === 0 && existsSync(lastFile);
@@ -59,6 +63,81 @@
     return isInstalled;
 };
 
+const lock = join("target", "install.lock");
+const holder = join(lock, "holder");
+const lockPauseMilliseconds = 100;
+/** The holder writes its name at once; a lock without one for longer is of a process that ended before. */
+const maxUnnamedMilliseconds = 5_000;
+/** Longer than an installation takes. Of a holder on another machine nothing else is known. */
+const maxHeldMilliseconds = (tries + 1) * tryMilliseconds;
+
+const pause = () => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, lockPauseMilliseconds);
+
+const isRunning = processId => {
+    try {
+        process.kill(processId, 0);
+        return true;
+    }
+    catch (error) {
+        return error.code === "EPERM";
+    }
+};
+
+/** Whether the process that holds the lock is gone. */
+const isLeft = () => {
+    try {
+        const age = Date.now() - statSync(lock).mtimeMs;
+        if (!existsSync(holder)) {
+            return age > maxUnnamedMilliseconds;
+        }
+        const [processId, machine] = readFileSync(holder, "utf8").split(" ");
+        return age > maxHeldMilliseconds || (machine === hostname() && !isRunning(Number(processId)));
+    }
+    catch {
+        // It was given back meanwhile.
+        return false;
+    }
+};
+
+/** Takes the lock, and returns whether another process had it before. */
+const takeLock = () => {
+    mkdirSync("target", { recursive: true });
+    for (let waited = false;; waited = true) {
+        try {
+            mkdirSync(lock);
+            process.once("exit", () => remove(lock));
+            writeFileSync(holder, `${process.pid} ${hostname()}`);
+            return waited;
+        }
+        catch (error) {
+            if (error.code !== "EEXIST") {
+                throw error;
+            }
+        }
+        if (isLeft()) {
+            remove(lock);
+        }
+        pause();
+    }
+};
+
+const areInstalled = () =>
+    spawnSync(process.execPath, [join(__dirname, "checkmodules.cjs")], { stdio: "ignore" }).status === 0;
+
+const tryLock = () => {
+    try {
+        return takeLock();
+    }
+    catch (error) {
+        tell(`Builds beside this one can not be kept out: ${error.message}.`);
+        return false;
+    }
+};
+
+const waited = tryLock();
+if (waited && areInstalled()) {
+    process.exit();
+}
 keepFormer();
 if (Array.from({ length: tries }).some(install)) {
     remove(former);
--- a/test/platform/installmodules.test.ts
+++ b/test/platform/installmodules.test.ts
@@ -3,10 +3,21 @@
  * against the loss of packages that would have done.
  */
 import test from "ava";
-import { spawnSync } from "node:child_process";
-import { existsSync, mkdirSync, mkdtempSync, readFileSync, renameSync, symlinkSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
+import { execFile, spawnSync } from "node:child_process";
+import {
+    existsSync,
+    mkdirSync,
+    mkdtempSync,
+    readdirSync,
+    readFileSync,
+    renameSync,
+    symlinkSync,
+    utimesSync,
+    writeFileSync,
+} from "node:fs";
+import { hostname, tmpdir } from "node:os";
 import { delimiter, join, resolve } from "node:path";
+import { promisify } from "node:util";
 
 const installNew = "mkdir node_modules && echo new > node_modules/kind && echo {} > node_modules/.package-lock.json";
 /** As npm does, each of these removes what was there first. */
@@ -105,6 +116,54 @@
     });
 }
 
+const slowly = `echo x >> calls; rm -rf node_modules; sleep 0.5; ${installNew}`;
+
+const createSlowFolder = (): string => {
+    const root = createFolder(complete, ["works", "works"]);
+    writeFileSync(join(root, "bin/npm"), `#!/bin/sh\n${slowly}\n`);
+    writeFileSync(join(root, "package-lock.json"), "{ \"packages\": {} }");
+    return root;
+};
+
+const runBeside = (root: string) =>
+    promisify(execFile)(process.execPath, [resolve("scripts/installmodules.cjs"), "10000"], {
+        cwd: root,
+        env: { PATH: [join(root, "bin"), process.env["PATH"]].join(delimiter) },
+    });
+
+const callsIn = (root: string): number => readFileSync(join(root, "calls"), "utf8").trim().split("\n").length;
+
+test("installations side by side in one folder follow one another, and use what the first one installed", async t => {
+    const root = createSlowFolder();
+    await t.notThrowsAsync(Promise.all(Array.from({ length: 4 }, () => runBeside(root))));
+    t.is(readFileSync(join(root, "node_modules/kind"), "utf8").trim(), "new");
+    t.is(callsIn(root), 1);
+    t.deepEqual(readdirSync(join(root, "target")), []);
+});
+
+const endedProcess = (): string => `${spawnSync(process.execPath, ["-e", ""]).pid} ${hostname()}`;
+
+const leftLocks: Array<{ title: string; holder: string | undefined }> = [
+    { title: "by a process that ended", holder: endedProcess() },
+    { title: "on another machine long ago", holder: "1 another-machine" },
+    { title: "before its holder was named", holder: undefined },
+];
+
+for (const { title, holder } of leftLocks) {
+    test(`a lock that was left ${title} keeps no installation waiting`, async t => {
+        const root = createSlowFolder();
+        const lock = join(root, "target/install.lock");
+        mkdirSync(lock, { recursive: true });
+        if (holder !== undefined) {
+            writeFileSync(join(lock, "holder"), holder);
+        }
+        const anHourAgo = new Date(Date.now() - 3_600_000);
+        utimesSync(lock, anHourAgo, anHourAgo);
+        await runBeside(root);
+        t.deepEqual(readdirSync(join(root, "target")), []);
+    });
+}
+
 test("a build uses no package that it would have to fetch by itself, and installs by the script", t => {
     const [build] = readFileSync("deploy/system.toml", "utf8").match(/^build = .*$/m) ?? [""];
     t.regex(build, /checkmodules\.cjs \|\| node scripts\/installmodules\.cjs;/);
