Name the objective in a refusal that the route's objective decided

The detail of deadline-unreachable named the time left in any case, also where far less of it is useful because of the route's objective. The new case of gateway.test.ts failed before.

--- a/src/machines/resident/targetchooser.ts
+++ b/src/machines/resident/targetchooser.ts
@@ -4,6 +4,7 @@
  */
 import { expectedWaitMilliseconds, isWaitUseful } from "../../decisions/connectionwait.ts";
 import {
+    maxUsefulMilliseconds,
     type Placement,
     placeRequest,
     type RefusedPlacement,
@@ -86,8 +87,14 @@
             return placement;
         }
         logRefusedPlacement(context, placement);
-        const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, `
-            + `of ${Math.round(remainingMilliseconds)} ms left.`;
+        const { serviceMilliseconds } = placement.candidate;
+        const usefulMilliseconds = maxUsefulMilliseconds(limits, serviceMilliseconds);
+        const withoutObjective = { ...limits, objectiveMilliseconds: Infinity };
+        const isDeadline = usefulMilliseconds === maxUsefulMilliseconds(withoutObjective, serviceMilliseconds);
+        const bound = isDeadline
+            ? `of ${Math.round(remainingMilliseconds)} ms left.`
+            : `of ${Math.round(usefulMilliseconds)} ms that the route's objective allows.`;
+        const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, ${bound}`;
         return refuse(context, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
     };
 
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -238,3 +238,24 @@
         t.is(reasonOf(await answer), ownsKeys ? "no-owner" : "no-target");
     });
 }
+
+for (
+    const { title, load, deadlineMilliseconds, detail } of [
+        {
+            title: "the objective",
+            load: 8,
+            deadlineMilliseconds: 60_000,
+            detail: /of \d+ ms that the route's objective allows/,
+        },
+        { title: "the deadline", load: 2, deadlineMilliseconds: 60, detail: /of 60 ms left/ },
+    ]
+) {
+    test(`a request that is refused for ${title} is told so`, async t => {
+        const { gateway, request, targetState, clock } = setUp("idempotent", false);
+        targetState.load.recordReport(clock.now(), { running: target.slots, waiting: load });
+        request.deadlineAt = clock.now() + deadlineMilliseconds;
+        const answer = await gateway.serve(request);
+        t.is(reasonOf(answer), "deadline-unreachable");
+        t.regex(answer.kind === "refusal" ? answer.detail : "", detail);
+    });
+}
