Keep a host that throws from starving those after it in shared loads and links

The loops over readers to tell, linked hosts and hosts to link to ended with the first exception, so that one registration whose address is none, or one broken connection, kept all after it from their turns. Each item now has its own, and an address that can not be dialed is passed by for a while like one that does not answer.

The three new cases of longtasks.test.ts had 0 turns in 20 s before.

--- a/src/machines/resident/peerlinks.ts
+++ b/src/machines/resident/peerlinks.ts
@@ -7,7 +7,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerListener, PeerService } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
-import { repeatTask } from "../longtasks.ts";
+import { forEachAlone, repeatTask } from "../longtasks.ts";
 
 /** Hosts of which the first `count` that can be reached are linked. */
 export type PeerGroup = { candidates: readonly ReaderCandidate[]; count: number };
@@ -125,7 +125,16 @@
             return;
         }
         const hosts = [...options.groups().values()].flatMap(wanted);
-        hosts.filter(host => !dialed.has(host.name)).forEach(open);
+        forEachAlone(`links ${options.path}`, hosts.filter(host => !dialed.has(host.name)), host => {
+            try {
+                open(host);
+            }
+            catch (error) {
+                // An address that is none is passed by like one that does not answer.
+                unreachableUntil.set(host.name, clock.now() + unreachableMilliseconds);
+                throw error;
+            }
+        }, options);
         // Others are kept until all wanted hosts are linked, so that a host that comes back leaves no gap.
         if (hosts.every(host => dialed.get(host.name)?.isOpen === true)) {
             const names = new Set(hosts.map(host => host.name));
@@ -138,21 +147,17 @@
         }
     };
 
-    const closeSilent = (): void => {
-        for (const [connection, heard] of heardAt) {
-            if (clock.now() - heard > options.beatMilliseconds * maxMissingBeats) {
-                connection.close();
-            }
-        }
-    };
-
     const repeat = (name: string, milliseconds: number, task: () => void): void =>
         void repeatTask(`${name} ${options.path}`, () => milliseconds, task, options);
     repeat("links", updateMilliseconds, update);
     repeat("beats", options.beatMilliseconds, () => {
-        closeSilent();
         const beat = options.beat();
-        heardAt.forEach((...[, connection]) => connection.send(beat));
+        forEachAlone(`beats ${options.path}`, [...heardAt], ([connection, heard]) => {
+            if (clock.now() - heard > options.beatMilliseconds * maxMissingBeats) {
+                connection.close();
+            }
+            connection.send(beat);
+        }, options);
     });
 
     return {
--- a/src/machines/resident/sharedloads.ts
+++ b/src/machines/resident/sharedloads.ts
@@ -9,7 +9,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerService } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
-import { keepRunning } from "../longtasks.ts";
+import { forEachAlone, keepRunning } from "../longtasks.ts";
 
 export type SharedLoads = {
     /** Records how many requests this host has at the target. */
@@ -116,7 +116,7 @@
     };
 
     const tellReaders = (sums: Counts): void => {
-        options.otherReaders().forEach((candidates, group) => {
+        forEachAlone("shared-loads", options.otherReaders().entries(), ([group, candidates]) => {
             const known = outgoing.get(group);
             if (known === undefined) {
                 connectTo(group, candidates);
@@ -134,7 +134,7 @@
                 };
                 known.connection.send(message);
             }
-        });
+        }, options);
     };
 
     const shareAsReader = (): void => {
@@ -149,7 +149,7 @@
     };
 
     const shareAsFollower = (): void => {
-        outgoing.forEach(({ connection }) => connection.close());
+        forEachAlone("shared-loads", outgoing.values(), ({ connection }) => connection.close(), options);
         const sent = new Map(sentToReader);
         const whole = sent.size === 0;
         const loads = takeChanges(own, sent);
--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -221,6 +221,20 @@
     });
 }
 
+const throwAlways = (): never => {
+    throw new Error("always");
+};
+const linksOptions = {
+    path: "/x",
+    dial,
+    groups: () => new Map(),
+    beatMilliseconds: 500,
+    beat: () => "beat",
+    onOpen: () => undefined,
+    onFrame: () => true,
+    onClose: () => undefined,
+};
+
 /** Starts a task for two of a kind, of which the first always fails, and calls `reached` when the second has its turn. */
 const pairs: Array<{ title: string; start: (reached: () => void, common: Common) => unknown }> = [
     {
@@ -263,6 +277,42 @@
             );
         },
     },
+    {
+        title: "a reader to tell",
+        start: (reached, common) =>
+            createSharedLoads({
+                ...common,
+                isReader: () => true,
+                otherReaders: () => [[reader], [{ ...reader, name: "h3", address: "10.0.0.3:1" }]],
+                dial: address => ({ ...connection, send: address === reader.address ? throwAlways : reached }),
+                sendToReader: () => true,
+                sendToFollowers: () => undefined,
+            }),
+    },
+    {
+        title: "a linked host",
+        start: (reached, common) => {
+            const links = createPeerLinks({ ...linksOptions, ...common });
+            [throwAlways, reached].forEach(send => links.service({ ...connection, send }).onFrame(0));
+        },
+    },
+    {
+        title: "a host to link to",
+        start: (reached, common) =>
+            createPeerLinks({
+                ...linksOptions,
+                ...common,
+                groups: () =>
+                    new Map([["g", { candidates: [reader, { ...reader, name: "h3", address: "b" }], count: 2 }]]),
+                dial: (address, ...[, listener]) => {
+                    if (address !== "b") {
+                        throwAlways();
+                    }
+                    common.clock.after(1, () => listener.onOpen?.());
+                    return { ...connection, send: reached };
+                },
+            }),
+    },
 ];
 
 for (const { title, start } of pairs) {
