Tell an answer that the time of its route ended apart from one that its target cut

Where the time of the route, or the host's stop, ended an answer that was already passed on, caller-connection-ended and carobpier_answers_lost said answer-cut-short, by=target, also when the caller had taken nothing of it. Streams tell now why they were cut: answer-timed-out and host-stopped, both by=host.

Failed before: test/machines/resident/endless.test.ts (a caller that takes nothing) and two new cases of test/links/callerends.test.ts, each with answer-cut-short. In callerconnections.test.ts the cause is given where a stream breaks off; nothing is asked for less.

--- a/src/links/answerwriter.ts
+++ b/src/links/answerwriter.ts
@@ -3,7 +3,14 @@
  */
 import { type ServerResponse, STATUS_CODES } from "node:http";
 import { Socket } from "node:net";
-import type { AnswerStream, BaseCallerRequest, CallerAnswer, CallerProtocol, CallerRefusal } from "./calleranswers.ts";
+import type {
+    AnswerStream,
+    BaseCallerRequest,
+    CallerAnswer,
+    CallerProtocol,
+    CallerRefusal,
+    StreamCut,
+} from "./calleranswers.ts";
 import type { DueAnswer } from "./callerconnections.ts";
 
 export type AnswerWriterOptions = {
@@ -28,7 +35,7 @@
     response: ServerResponse,
     stream: AnswerStream,
     onWrite: () => void,
-    onFailure: () => void,
+    onFailure: (cut: StreamCut) => void,
 ): Promise<boolean> =>
     new Promise(resolve => {
         response.on("drain", stream.resume);
@@ -98,8 +105,8 @@
             connection.watchTaking();
             return true;
         }
-        return streamBody(response, body, connection.watchTaking, () => {
-            connection.nameEnd("answer-cut-short");
+        return streamBody(response, body, connection.watchTaking, cut => {
+            connection.nameEnd(cut);
             // Only a reset tells the caller that an answer without a length is not whole.
             if (endsWithConnection) {
                 reset(response);
--- a/src/links/calleranswers.ts
+++ b/src/links/calleranswers.ts
@@ -5,13 +5,16 @@
 import type { Reason } from "../contracts/outcome.ts";
 import type { HangUp } from "./callerhead.ts";
 
+/** Why a streamed answer was cut: its target broke it off, its time was over, or the host stopped. */
+export type StreamCut = "answer-cut-short" | "answer-timed-out" | "host-stopped";
+
 /** Receives a streamed body. After `onEnd` or `onFailure` no method is called again. */
 export type StreamReceiver = {
     /** Returns false to pause the stream until `resume` is called. */
     onBytes: (bytes: Buffer) => boolean;
     onEnd: () => void;
     /** Called when the rest of the body is lost. */
-    onFailure: () => void;
+    onFailure: (cut: StreamCut) => void;
 };
 
 /** The body of an answer that is passed on while it still arrives. */
--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -22,6 +22,8 @@
     /** The caller took no bytes of an answer for the idle time. */
     "caller-stalled": "caller",
     "answer-cut-short": "target",
+    /** The time of the request's route was over before its answer was written whole. */
+    "answer-timed-out": "host",
     /** Only the end of the connection ended an answer, and others were due behind it. */
     "answer-without-length": "target",
     exception: "host",
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -27,6 +27,7 @@
     CallerProtocol,
     CallerRefusal,
     RefusalResponse,
+    StreamCut,
     StreamReceiver,
 } from "./calleranswers.ts";
 
--- a/src/machines/bodycollector.ts
+++ b/src/machines/bodycollector.ts
@@ -3,7 +3,7 @@
  * refused or retried when the body breaks off. A larger body is passed on as a stream with back-pressure.
  */
 import { createByteBuffer } from "../links/bytebuffer.ts";
-import type { AnswerStream, StreamReceiver } from "../links/callers.ts";
+import type { AnswerStream, StreamCut, StreamReceiver } from "../links/callers.ts";
 
 export type BodyCollector = {
     /** Takes the next bytes. False asks the sender to pause until `resume`. */
@@ -11,7 +11,7 @@
     /** The body is complete. */
     onEnd: () => void;
     /** The exchange failed. True when the body had already been passed on as a stream. */
-    onFailure: () => boolean;
+    onFailure: (cut: StreamCut) => boolean;
     isStreaming: () => boolean;
 };
 
@@ -30,17 +30,18 @@
 export const createBodyCollector = (options: BodyCollectorOptions): BodyCollector => {
     const buffered = createByteBuffer();
     let streaming = false;
-    let state: "arriving" | "whole" | "cut" = "arriving";
+    let isWhole = false;
+    let cutBy: StreamCut | undefined;
     let receiver: StreamReceiver | undefined;
 
     const start = (newReceiver: StreamReceiver): void => {
         receiver = newReceiver;
         const wantsMore = newReceiver.onBytes(buffered.take());
-        if (state === "whole") {
+        if (isWhole) {
             newReceiver.onEnd();
         }
-        else if (state === "cut") {
-            newReceiver.onFailure();
+        else if (cutBy !== undefined) {
+            newReceiver.onFailure(cutBy);
         }
         else if (wantsMore) {
             options.resume();
@@ -63,16 +64,16 @@
             return false;
         },
         onEnd: () => {
-            state = "whole";
+            isWhole = true;
             if (!streaming) {
                 options.onBody(buffered.size() === 0 ? undefined : buffered.take());
                 return;
             }
             receiver?.onEnd();
         },
-        onFailure: () => {
-            state = "cut";
-            receiver?.onFailure();
+        onFailure: cut => {
+            cutBy = cut;
+            receiver?.onFailure(cut);
             return streaming;
         },
         isStreaming: () => streaming,
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -7,7 +7,7 @@
 import { messageOf } from "../../contracts/errors.ts";
 import type { Reason } from "../../contracts/outcome.ts";
 import type { ResidentRequest, TargetNotice, TargetProtocol } from "../../contracts/resident.ts";
-import type { AnswerStream, CallerAnswer } from "../../links/callers.ts";
+import type { AnswerStream, CallerAnswer, StreamCut } from "../../links/callers.ts";
 import { isDescriptorShortage } from "../../links/descriptors.ts";
 import {
     type AnswerReceiver,
@@ -101,6 +101,8 @@
         let forcedFailure: { reason: Reason; detail: string; notRun: boolean } | undefined;
         let head: { statusCode: number; headers: IncomingHttpHeaders } | undefined;
 
+        /** What cuts the answer if it does not arrive whole. */
+        let cutBy: StreamCut = "answer-cut-short";
         let exchange: TargetExchange | undefined;
         let droppedBytes = 0;
 
@@ -185,8 +187,8 @@
                 return;
             }
             options.confirmEnd().then(
-                isConfirmed => isConfirmed ? collector.onEnd() : collector.onFailure(),
-                () => collector.onFailure(),
+                isConfirmed => isConfirmed ? collector.onEnd() : collector.onFailure(cutBy),
+                () => collector.onFailure(cutBy),
             );
         };
 
@@ -202,11 +204,13 @@
         };
 
         const cancelTimer = clock.after(Math.max(1, options.endAt - sentAt), () => {
+            cutBy = "answer-timed-out";
             stop("timed-out", `Target "${targetState.target.name}" did not answer within the time of the route.`);
         });
-        const forgetStop = options.registerStop(() =>
-            stop("timed-out", `Target "${targetState.target.name}" did not answer before this host stopped.`)
-        );
+        const forgetStop = options.registerStop(() => {
+            cutBy = "host-stopped";
+            stop("timed-out", `Target "${targetState.target.name}" did not answer before this host stopped.`);
+        });
         request.hangUp.listener = () => {
             if (stage === sendStages.unsent) {
                 stop("cancelled", "The caller hung up before the request was sent.");
@@ -242,7 +246,7 @@
                 endBody();
             },
             onFailure: (failedStage, error) => {
-                const streaming = collector.onFailure();
+                const streaming = collector.onFailure(cutBy);
                 if (streaming) {
                     finish(undefined);
                     return;
--- a/src/machines/sender.ts
+++ b/src/machines/sender.ts
@@ -195,7 +195,8 @@
         if (written && stopCause !== undefined && outgoing.cancellable) {
             void view.link.cancel(request.id);
         }
-        if (!collector.onFailure() && !resolved) {
+        const cut = stopCause === stopCauses.deadline ? "answer-timed-out" : "answer-cut-short";
+        if (!collector.onFailure(cut) && !resolved) {
             fail(reason, `Target "${target}" gave no answer: ${error.message}`, written);
         }
     };
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -79,7 +79,7 @@
         return { ...answer, headers: {}, body: Buffer.from(wholeBody), endsWithConnection: true };
     }
     if (path === "/broken") {
-        const start = ({ onFailure }: StreamReceiver): void => onFailure();
+        const start = ({ onFailure }: StreamReceiver): void => onFailure("answer-cut-short");
         const body = { start, resume: () => undefined, abort: () => undefined };
         return { ...answer, headers: {}, body, endsWithConnection: true };
     }
--- a/test/links/callerends.test.ts
+++ b/test/links/callerends.test.ts
@@ -7,7 +7,7 @@
 import { settingsSchema } from "../../src/contracts/settings.ts";
 import type { ConnectionEnd, ConnectionEndReason } from "../../src/links/callerconnections.ts";
 import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerAnswer, type CallerLink, createCallerLink } from "../../src/links/callers.ts";
+import { type CallerAnswer, type CallerLink, createCallerLink, type StreamCut } from "../../src/links/callers.ts";
 import { systemClock } from "../../src/links/clock.ts";
 
 type Case = {
@@ -17,24 +17,28 @@
     reason: ConnectionEndReason;
 };
 
-const brokenStream: CallerAnswer = {
+const streamCutBy = (cut: StreamCut): CallerAnswer => ({
     kind: "answer",
     statusCode: 200,
     headers: { "content-length": "9" },
     body: {
         start: ({ onBytes, onFailure }) => {
             onBytes(Buffer.from("part"));
-            setTimeout(onFailure, 50);
+            setTimeout(() => onFailure(cut), 50);
         },
         resume: () => undefined,
         abort: () => undefined,
     },
-};
+});
 const cases: Case[] = [
     { title: "a caller that closes its connection", act: socket => socket.destroy(), reason: "caller-closed" },
     { title: "a caller that resets its connection", act: socket => socket.resetAndDestroy(), reason: "caller-reset" },
     { title: "a host that stops", act: (...[, link]) => link.close(), reason: "host-stopped" },
-    { title: "a target that breaks off", answer: brokenStream, act: () => undefined, reason: "answer-cut-short" },
+    ...([
+        ["a target that breaks off", "answer-cut-short"],
+        ["the time of a route", "answer-timed-out"],
+        ["a host that stops while an answer arrives", "host-stopped"],
+    ] as const).map(([title, reason]) => ({ title, answer: streamCutBy(reason), act: () => undefined, reason })),
 ];
 
 for (const { title, answer, act, reason } of cases) {
--- a/test/machines/resident/endless.test.ts
+++ b/test/machines/resident/endless.test.ts
@@ -133,3 +133,19 @@
     t.is(answer.result, "unknown");
     t.true(performance.now() - startedAt < 1_500);
 });
+
+test.serial("an answer that the time-out ends while its caller takes nothing is not told as cut by its target", async t => {
+    const target = await startTarget(`${head}transfer-encoding: chunked\r\n\r\n`, chunk);
+    const { link, ends, close } = await startHost({ addresses: [target.address], timeoutMilliseconds });
+    t.teardown(close);
+    t.teardown(target.close);
+    const [host, port] = link.address.split(":");
+    const socket = connect(Number(port), host).on("error", () => undefined).pause();
+    t.teardown(() => socket.destroy());
+    socket.write("GET /a HTTP/1.1\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n");
+    const endAt = performance.now() + timeoutMilliseconds * 5;
+    while (ends.length === 0 && performance.now() < endAt) {
+        await systemClock.sleep(10);
+    }
+    t.deepEqual(ends, [{ reason: "answer-timed-out", due: 1, requestIds: ["r1"] }]);
+});
--- a/test/machines/resident/lonehost.ts
+++ b/test/machines/resident/lonehost.ts
@@ -3,6 +3,7 @@
  */
 import { platformObjects } from "../../../platform/objects.ts";
 import { callerProtocol, targetProtocol } from "../../../platform/protocols.ts";
+import type { ConnectionEnd } from "../../../src/links/callerconnections.ts";
 import { createCallerLink } from "../../../src/links/callers.ts";
 import { systemClock } from "../../../src/links/clock.ts";
 import type { Descriptors } from "../../../src/links/descriptors.ts";
@@ -85,6 +86,7 @@
         log: silentLog,
         metrics: createMetrics(),
     });
+    const ends: ConnectionEnd[] = [];
     const link = await createCallerLink({
         bindAddress: "127.0.0.1",
         settings: { port: 0, maxHeadBytes: 16_384, maxBodyBytes: 65_536, maxBufferedBodyBytes: 1_048_576 },
@@ -93,11 +95,12 @@
         serve: gateway.serve,
         onDone: () => undefined,
         onMalformed: () => undefined,
+        onConnectionEnd: end => ends.push(end),
         healthy: () => true,
     });
     const close = async (): Promise<void> => {
         lifetime.abort();
         await link.close();
     };
-    return { link, close };
+    return { link, ends, close };
 };
