Tell the removal of a gone host's announcement after it was made

gone-host-removed was logged before the removal was tried, also when the platform did not answer or the host had announced itself again. announcement.remove returns whether the platform removed it, and the line follows that.

--- a/src/machines/announcement.ts
+++ b/src/machines/announcement.ts
@@ -25,8 +25,11 @@
     write: (status: HostStatus) => Promise<boolean>;
     /** Writes the status without retrying until it succeeds; logs a failure. True when the platform accepted it. */
     tryToWrite: (status: HostStatus) => Promise<boolean>;
-    /** Removes the status of this host or of a host that is gone. Retries a few times and logs each failure. */
-    remove: (host: string) => Promise<void>;
+    /**
+     * Removes the status of this host or of a host that is gone. Retries a few times and logs each failure. True when the
+     * platform has removed it.
+     */
+    remove: (host: string) => Promise<boolean>;
 };
 
 const removalAttempts = 3;
@@ -55,13 +58,11 @@
         }
     };
 
-    const removeOnce = async (name: string): Promise<void> => {
+    const removeOnce = async (name: string): Promise<boolean> => {
         const version = name === host
             ? (await platform.get("status", name))?.version
             : options.objects.newest("status", name)?.version;
-        if (version !== undefined) {
-            await put(name, undefined, version);
-        }
+        return version !== undefined && put(name, undefined, version);
     };
 
     return {
@@ -80,13 +81,13 @@
         remove: async name => {
             for (let attempt = 1; attempt <= removalAttempts; attempt += 1) {
                 try {
-                    await removeOnce(name);
-                    return;
+                    return await removeOnce(name);
                 }
                 catch (error) {
                     log.warn("announcement-removal-failed", { removed: name, attempt, error: messageOf(error) });
                 }
             }
+            return false;
         },
     };
 };
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -217,8 +217,9 @@
     const removeGoneHosts = async (): Promise<void> => {
         const gone = membership.removableHosts(clock.now());
         for (const name of ranksFirst() ? gone : []) {
-            log.info("gone-host-removed", { removed: name });
-            await announcement.remove(name);
+            if (await announcement.remove(name)) {
+                log.info("gone-host-removed", { removed: name });
+            }
         }
     };
 
