Look up no names in place of hosts' addresses

Node does not end before a lookup does: a call of the system that waits (a pipe, tried) kept a process that had called exit running for more than 5 s. Settings and targets' entries take IP addresses only; addresses of other hosts from the store were not checked. Their connections now refuse names.

Failed before: the case in test/links/peers.test.ts.

--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -4,6 +4,7 @@
  * the process.
  */
 import { createServer, type Server } from "node:http";
+import type { LookupFunction } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import { descriptorParts } from "../decisions/descriptors.ts";
 import type { Descriptors } from "./descriptors.ts";
@@ -143,6 +144,12 @@
 /** Opens connections to other hosts. */
 export type PeerDialer = (address: string, path: string, listener: PeerListener) => PeerConnection;
 
+/**
+ * Addresses of hosts are IP addresses. A name in the store would be looked up, and the process does not end before a lookup
+ * does.
+ */
+const refuseName: LookupFunction = (...[name, , callback]) => callback(new Error(`"${name}" is no IP address`), "");
+
 /**
  * Creates the dialer of one host. Its connections close when the signal aborts.
  *
@@ -156,6 +163,7 @@
             perMessageDeflate: false,
             handshakeTimeout: handshakeMilliseconds,
             maxPayload: maxFrameBytes,
+            lookup: refuseName,
         });
         open.add(socket);
         const release = options.descriptors?.open(descriptorParts.hosts);
--- a/test/links/peers.test.ts
+++ b/test/links/peers.test.ts
@@ -3,6 +3,7 @@
  */
 import test from "ava";
 import { pack } from "msgpackr";
+import dns from "node:dns";
 import { getEventListeners } from "node:events";
 import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -108,3 +109,17 @@
     t.is(getEventListeners(signal, "abort").length, 0);
     lifetime.abort();
 });
+
+test.serial("a name in place of a host's address is not looked up, which would hold the end of the process", async t => {
+    const looked: string[] = [];
+    const { lookup } = dns;
+    t.teardown(() => Object.assign(dns, { lookup }));
+    Object.assign(dns, { lookup: (name: string): void => void looked.push(name) });
+    const lifetime = new AbortController();
+    const dial = createPeerDialer(400, { log: silentLog, metrics: createMetrics(), signal: lifetime.signal });
+    await new Promise<void>(resolve => {
+        dial("host.invalid:1", loadReportPath, { onFrame: () => true, onClose: resolve });
+    });
+    lifetime.abort();
+    t.deepEqual(looked, []);
+});
