Remove the setting of a lease that nothing reads

`ownership.leaseMilliseconds` had no effect: a lease of a pool is held until its holder is gone, without a term. A file that still names it gets a finding with its place.

test/settings.test.ts, "a setting that was removed": no finding before.

--- a/src/contracts/settings.ts
+++ b/src/contracts/settings.ts
@@ -55,7 +55,6 @@
         renewalMilliseconds: millisecondsSchema.default(100),
         /** Time for which a revision counts as current after it was confirmed. */
         freshnessMilliseconds: millisecondsSchema.default(1_000),
-        leaseMilliseconds: millisecondsSchema.default(2_000),
     }).prefault({}),
     requests: z.strictObject({
         /** Maximum number of requests that wait for one target. */
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -39,6 +39,14 @@
         text: "host: { name: a, zone: b }\n",
         findings: ["s.yaml:1:1 platform: expected object, found nothing."],
     },
+    {
+        title: "a setting that was removed",
+        text: "host: { name: a, zone: b }\nplatform: { url: http://x }\nownership: { leaseMilliseconds: 9 }\n",
+        findings: [
+            "s.yaml:3:33 ownership.leaseMilliseconds: expected a known name such as \"renewalMilliseconds\", found the "
+            + "unknown name \"leaseMilliseconds\".",
+        ],
+    },
     {
         title: "broken YAML",
         text: "host: { name: a\n",
