Let removableHosts change nothing, and record absences apart

removableHosts began and ended the time of absence with each call, so that asking was part of the protocol. recordAbsences does that now, at each reading of the list, and removableHosts only answers. What the fleet does is unchanged.

test/zones/membership.test.ts records where it only asked before, and asks as often as before; the new case (asking does not begin the time) was not run on the former code, which has no recordAbsences.

--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -215,6 +215,7 @@
 
     /** Removes the announcements of hosts that have long been lost and that the platform does not list. */
     const removeGoneHosts = async (): Promise<void> => {
+        membership.recordAbsences(clock.now());
         const gone = membership.removableHosts(clock.now());
         for (const name of ranksFirst() ? gone : []) {
             if (await announcement.remove(name)) {
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -36,10 +36,9 @@
     members: (now: number) => Member[];
     /** Members that are live, this host included. */
     liveMembers: (now: number) => Member[];
-    /**
-     * Names of the members that every call over the removal time has found not live and absent from the platform's
-     * list.
-     */
+    /** Records which members are not live and absent from the platform's list. Called at each reading of the list. */
+    recordAbsences: (now: number) => void;
+    /** Names of the members that every `recordAbsences` over the removal time has found absent. Changes nothing. */
     removableHosts: (now: number) => string[];
     /** The current departures, to be passed on to hosts that do not read the platform's list. */
     departures: () => Departure[];
@@ -145,17 +144,16 @@
         },
         members,
         liveMembers: now => members(now).filter(member => member.state === memberStates.live),
-        removableHosts: now => {
-            const names: string[] = [];
+        recordAbsences: now => {
             for (const [name, record] of records) {
                 const isAbsent = stateOf(name, record, now) !== memberStates.live && departed.get(name) === "absent";
                 record.absentSince = isAbsent ? record.absentSince ?? now : undefined;
-                if (record.absentSince !== undefined && now - record.absentSince >= options.removalMilliseconds) {
-                    names.push(name);
-                }
             }
-            return names;
         },
+        removableHosts: now =>
+            [...records]
+                .filter(([, { absentSince = now }]) => now - absentSince >= options.removalMilliseconds)
+                .map(([name]) => name),
         departures: () => [...departed].map(([name, state]) => ({ name, state })),
     };
 };
--- a/test/zones/membership.test.ts
+++ b/test/zones/membership.test.ts
@@ -179,12 +179,14 @@
             membership.setDepartures(listed);
             if (now === linkedAt) {
                 membership.recordLink("other", "1", now);
+                membership.recordAbsences(now);
                 t.deepEqual(membership.removableHosts(now), []);
                 membership.recordLink("other", undefined, now);
             }
             if (now === announcedAt) {
                 membership.setAnnouncedHosts([self, otherHost("2")], now);
             }
+            membership.recordAbsences(now);
             if (now < 125_000) {
                 t.deepEqual(membership.removableHosts(now), []);
             }
@@ -192,3 +194,14 @@
         t.deepEqual(membership.removableHosts(130_000), gone);
     });
 }
+
+test("asking which hosts can be removed does not begin the time of their absence", t => {
+    const membership = createMembership(options);
+    membership.setAnnouncedHosts([self, otherHost("1")], 0);
+    membership.setWantedLinks(wanted, 0);
+    membership.setDepartures(absent);
+    t.deepEqual(membership.removableHosts(60_000), []);
+    membership.recordAbsences(120_000);
+    t.deepEqual(membership.removableHosts(200_000), []);
+    t.deepEqual(membership.removableHosts(240_000), ["other"]);
+});
