Send the stop once the program has told that it waits, in the test of its ends

Cause: the signal came 700 ms after the start was asked for; at a load of 18 to 21 that was before the program's first line in 3 of 5 runs, and Node ended without a line. Change: the signal comes after the line that says what is waited for, and what the test checks is the same. Measured: 6 of 6 at a load of 19.

--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -458,11 +458,18 @@
 const invalid = (file: string): void => writeFileSync(file, "host: {}");
 
 /** Each ends the process in another way; the last line of the log or of standard error tells how. */
-const ends: Array<{ title: string; options: ProgramOptions; isPortHeld?: true; stopAfter?: number; end: RegExp }> = [
+const ends: Array<{
+    title: string;
+    options: ProgramOptions;
+    isPortHeld?: true;
+    /** The stop comes so many milliseconds after the line. */
+    stop?: { line: RegExp; after: number };
+    end: RegExp;
+}> = [
     {
         title: "a stop while settings stay invalid",
         options: { prepareFile: invalid },
-        stopAfter: 3_500,
+        stop: { line: /event=settings-wait/, after: 3_000 },
         end: /code=0 cause="stopped before the settings were read"/,
     },
     {
@@ -473,32 +480,34 @@
     {
         title: "a stop while settings are waited for",
         options: { prepareFile: () => undefined },
-        stopAfter: 700,
+        stop: { line: /event=settings-wait/, after: 500 },
         end: /code=0 cause="stopped before the settings were read"/,
     },
     {
         title: "a stop while an address stays in use beyond the grace",
         options: { grace: "1s" },
         isPortHeld: true,
-        stopAfter: 2_500,
+        stop: { line: /event=address-in-use/, after: 2_000 },
         end: /code=0 cause="stopped at the start"/,
     },
     {
         title: "a stop while an address is waited for",
         options: { linksHost: "192.0.2.1" },
-        stopAfter: 700,
+        stop: { line: /event=address-not-there-yet/, after: 500 },
         end: /code=0 cause="stopped at the start"/,
     },
-    { title: "a stop", options: {}, stopAfter: 1_500, end: /code=0 cause=stopped / },
+    { title: "a stop", options: {}, stop: { line: /event=host-starting/, after: 1_000 }, end: /code=0 cause=stopped / },
 ];
 
-for (const { title, options, isPortHeld, stopAfter, end } of ends) {
+for (const { title, options, isPortHeld, stop, end } of ends) {
     test.serial(`${title} ends the process with one line that has the code and the cause`, async t => {
-        t.timeout(15_000);
+        t.timeout(30_000);
         const held = isPortHeld && { linksPort: (portHolder.address() as AddressInfo).port };
         const program = await start(t, { ...options, ...held });
-        if (stopAfter !== undefined) {
-            await sleep(stopAfter);
+        if (stop !== undefined) {
+            const isTold = (): boolean => stop.line.test(`${program.log()}${program.errors()}`);
+            await waitUntil("the program has told where it is", isTold);
+            await sleep(stop.after);
             program.child.kill("SIGTERM");
         }
         await once(program.child, "close");
