Watch a kind again when its lists fail after an outage of the store

Cause: once a list was expected to be cheaper than a watch, it stayed so until a list succeeded. Change: after eight lists in a row that failed, a watch is tried.

--- a/src/machines/resident/storewatcher.ts
+++ b/src/machines/resident/storewatcher.ts
@@ -60,6 +60,8 @@
  * all, and some kinds have a single object of which every version is large.
  */
 const maxMissedVersions = 2;
+/** After so many lists in a row that failed, a watch is tried: the store may refuse lists for longer. */
+const maxFailedLists = 8;
 
 /** Returns the last event of each object, in the order of the events. */
 const latestOf = (events: StoreEvent[]): StoreEvent[] => {
@@ -76,6 +78,8 @@
     let pause = firstPauseMilliseconds;
     let answeredAt = clock.now();
     let objectCount = 1;
+    /** Lists in a row that failed though a watch was possible. */
+    let failedLists = 0;
     /** Recent changes, each counted less with its age. */
     let recentChanges = 0;
     let wake: () => void = () => undefined;
@@ -159,10 +163,14 @@
         });
 
     const step = async (): Promise<void> => {
+        const prefersList = isListCheaper() && failedLists < maxFailedLists;
+        const watchedFrom = prefersList ? undefined : position;
         try {
-            await (position === undefined || isListCheaper() ? listOnce() : watchOnce(position));
+            await (watchedFrom === undefined ? listOnce() : watchOnce(watchedFrom));
+            failedLists = 0;
         }
         catch (error) {
+            failedLists = prefersList ? failedLists + 1 : 0;
             if (signal.aborted) {
                 return;
             }
--- a/test/machines/resident/storewatcher.test.ts
+++ b/test/machines/resident/storewatcher.test.ts
@@ -144,6 +144,21 @@
     });
 }
 
+test("a store that serves watches and refuses lists after an outage is followed by watches", async t => {
+    const { clock, fake, current, watcher, lifetime } = setUp();
+    fake.put("config", "main", "first");
+    await clock.advance(1_000);
+    fake.fault = "refusing";
+    await clock.advance(30_000);
+    fake.fault = "none";
+    fake.store.list = () => Promise.reject(new Error("refused"));
+    fake.put("config", "main", "second");
+    await clock.advance(5_000);
+    t.is(current.get("main"), "second");
+    t.not(watcher.reachableSince(), undefined);
+    lifetime.abort();
+});
+
 test("an exception of a listener is no failure of the store: the watch goes on with the next change", async t => {
     const clock = createVirtualClock();
     const fake = createFakeStore(clock);
