Keep a host whose address is none from ending loans, and ask only where hosts lend

Cause: an address that is none made the dial throw within the loop of loans, so that no other target was asked for and nothing went back (6 asks in 3 s in place of 30, found by a review). Hosts whose parts are too small to lend any were asked every 100 ms all the same (191 asks in 6 s by each of 30 hosts, 0 lent). Change: targets are asked for one by one, the pause is set before the dial, and hosts ask only where a part as large as their own is lent at all. Measured: the new case of loans.test.ts; roomlending.test.ts holds.

--- a/src/decisions/partlending.ts
+++ b/src/decisions/partlending.ts
@@ -32,6 +32,9 @@
 /** Connections that no host lends. */
 const keptConnections = (part: number): number => Math.min(part, Math.max(minKept, Math.ceil(part * keptShare)));
 
+/** Whether hosts lend any of such parts. Those of the other hosts of a target are about as large. */
+export const isLent = (part: number): boolean => keptConnections(part) < part;
+
 /** Returns how many connections of its part a host may use itself. */
 export const ownConnections = (
     { part, lent, mayHaveLent }: Pick<LenderState, "part" | "lent" | "mayHaveLent">,
--- a/src/machines/resident/loans.ts
+++ b/src/machines/resident/loans.ts
@@ -15,7 +15,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerService } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
-import { keepRunning } from "../longtasks.ts";
+import { forEachAlone, keepRunning } from "../longtasks.ts";
 
 export type Loans = {
     /** Records that a request waits for a connection to the target. */
@@ -138,11 +138,12 @@
         const hosts = options.others().filter(({ name }) => (refusedUntil.get(`${name} ${target}`) ?? 0) <= now);
         for (let count = 0; count < maxAsked && hosts.length > 0; count += 1) {
             const [host] = hosts.splice(Math.floor(random() * hosts.length), 1);
+            // Counts as refused until it is answered.
+            refusedUntil.set(`${host.name} ${target}`, now + refusedMilliseconds);
             const lender = lenders.get(host.name) ?? connect(host);
             lender.askedAt = now;
             lastId += 1;
             lender.asks.set(lastId, { name: host.name, target, askedAt: now });
-            refusedUntil.set(`${host.name} ${target}`, now + refusedMilliseconds);
             send(lender, { kind: "ask", id: lastId, target, connections: askedConnections });
         }
     };
@@ -183,8 +184,9 @@
         while (!signal.aborted) {
             await clock.sleep(askMilliseconds, signal);
             forgetRefusals();
-            wanted.forEach(ask);
+            const targets = [...wanted];
             wanted.clear();
+            forEachAlone("loans", targets, ask, options);
             recordNeeds();
             giveBack();
         }
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
 import { descriptorParts } from "../../decisions/descriptors.ts";
-import { grantedConnections, ownConnections } from "../../decisions/partlending.ts";
+import { grantedConnections, isLent, ownConnections } from "../../decisions/partlending.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
 import { connectionPart, type SharingHosts, sparseLimit } from "../../decisions/targetroom.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
@@ -225,7 +225,7 @@
         ofPool: name => [...states.values()].filter(state => state.target.pool === name),
         get: name => states.get(name),
         maxConnections: (state, endAt) => limitFor(state, false, endAt),
-        wantConnections: state => partOf(state) > 0 && loans?.want(state.target.name),
+        wantConnections: state => isLent(partOf(state)) && loans?.want(state.target.name),
         grantConnections: (target, asked) => {
             const state = states.get(target);
             const hosts = sharingHosts();
--- a/test/machines/resident/loans.test.ts
+++ b/test/machines/resident/loans.test.ts
@@ -134,6 +134,38 @@
     t.deepEqual(figures(), [2, 2]);
 });
 
+test("a host whose address is none keeps no other from being asked, nor loans from going back", async t => {
+    const { clock, network, state, lender } = setUp();
+    const failures: string[] = [];
+    const dial = network.dialerOf("c");
+    const borrower = createLoans({
+        others: () => ["none", "b"].map(name => ({ name, address: name, zone: "z", processor: 1 })),
+        grant: () => 0,
+        isWithinPart: () => state.isWithinPart,
+        onChange: () => undefined,
+        dial: (address, ...rest) => {
+            if (address === "none") {
+                throw new Error("Invalid URL");
+            }
+            return dial(address, ...rest);
+        },
+        random: () => 0,
+        clock,
+        log: { ...silentLog, error: event => failures.push(event) },
+        metrics: createMetrics(),
+        signal: new AbortController().signal,
+    });
+    borrower.want("t");
+    await clock.advance(150);
+    borrower.want("t");
+    await clock.advance(200);
+    t.is(borrower.borrowed("t", clock.now()), 2);
+    state.isWithinPart = true;
+    await clock.advance(1_500);
+    t.deepEqual([borrower.borrowed("t", clock.now()), lender.lent("t")], [0, 0]);
+    t.deepEqual(failures, ["task-failed"]);
+});
+
 const malformed: unknown[] = [
     undefined,
     {},
