Leave the registration of a later process of the same host to that process

Cause: a process that saw its host's registration removed wrote itself, also when the removed one named its successor (found by a review, which saw the former process register for about 1 s). Change: a process writes itself again only when the record that is gone named it. Measured: tests of processes and gonehosts pass; the overlap itself has no test.

--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -121,7 +121,8 @@
         records.delete(name);
         hosts = undefined;
         names = name === host.name ? names : undefined;
-        if (name === host.name && isRegistered) {
+        // The record of a later process of this host is for that one to write again.
+        if (name === host.name && known.record.process === self && isRegistered) {
             isRegistered = false;
             log.warn("registration-gone", { process: self, position });
             void registerAgain();
