--- a/scripts/installmodules.cjs
+++ b/scripts/installmodules.cjs
@@ -99,9 +99,10 @@
     }
 };
 
-/** Takes the lock, and returns whether another process had it before. */
+/** Takes the lock, or gives up on it after a while. Returns whether another process had it before. */
 const takeLock = () => {
     mkdirSync("target", { recursive: true });
+    const endAt = performance.now() + tryMilliseconds;
     for (let waited = false;; waited = true) {
         try {
             mkdirSync(lock);
@@ -117,6 +118,10 @@
         if (isLeft()) {
             remove(lock);
         }
+        else if (performance.now() > endAt) {
+            tell("The lock of another installation is held for long, this one goes on without it.");
+            return waited;
+        }
         pause();
     }
 };
