--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -293,7 +293,7 @@
         title: "a linked host",
         start: (reached, common) => {
             const links = createPeerLinks({ ...linksOptions, ...common });
-            [throwAlways, reached].forEach(send => links.service({ ...connection, send }).onFrame(0));
+            [throwAlways, reached].forEach(send => links.service({ ...connection, sendFrame: send }).onFrame(0));
         },
     },
     {
@@ -309,7 +309,7 @@
                         throwAlways();
                     }
                     common.clock.after(1, () => listener.onOpen?.());
-                    return { ...connection, send: reached };
+                    return { ...connection, sendFrame: reached };
                 },
             }),
     },
--- a/test/platform/memory.test.ts
+++ b/test/platform/memory.test.ts
@@ -31,7 +31,7 @@
 const times = (count: number): number[] => [...Array.from({ length: count }).keys()];
 
 /** Time to write and to read 200 MB a few times. */
-const readMilliseconds = 60_000;
+const rereadMilliseconds = 60_000;
 
 const valueBytes = 1_000_000;
 /** Texts of values in JSON, by the word that stands for each in objects of the store, which sends the texts. */
@@ -57,6 +57,8 @@
     before?: (store: StoreStandIn) => void;
     /** Writes objects while it runs. */
     meanwhile?: (store: StoreStandIn) => Promise<void>;
+    /** Time until the program is ready, if longer than usual. */
+    readyMilliseconds?: number;
 };
 
 /** An entry of a target that nobody can use, and what it has beside. */
@@ -96,6 +98,7 @@
             title: `200 objects of 1 MB of ${large} of the kind ${kind}, which only hosts write,`,
             before: (store: StoreStandIn) =>
                 times(200).forEach(index => store.put(kind, `l${index}`, { process: "l/1", labels: large })),
+            readyMilliseconds: rereadMilliseconds,
         }))
     ),
     {
@@ -146,7 +149,7 @@
         t.timeout(90_000);
         const [program, store] = await startWith(t, testCase);
         const isReadyOrOver = async () => hasEnded(program) || await isReady(program);
-        await waitUntil("the host is ready or has ended", isReadyOrOver, readMilliseconds);
+        await waitUntil("the host is ready or has ended", isReadyOrOver, testCase.readyMilliseconds);
         t.false(hasEnded(program));
         await testCase.meanwhile?.(store);
         await sleep(1_500);
