Copy the compiled code of the next build too in a test of builds

Cause: the test starts the program of a second copy of the build with the compiled code of the first. Change: the compiled code of the second copy is copied beside it.

--- a/test/platform/build.test.ts
+++ b/test/platform/build.test.ts
@@ -18,7 +18,7 @@
     writeFileSync,
 } from "node:fs";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { basename, join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { promisify } from "node:util";
 import { buildResidentProgram } from "../../scripts/residentbuild.ts";
@@ -192,6 +192,8 @@
     edit(join(next, "carobpier.cjs"), content => Buffer.concat([content, Buffer.from("\n")]));
     const renamed = join(folder, "program-next.cjs");
     cpSync(pathOf(next, ".cjs"), renamed);
+    // Compiled code differs from one build to the next, and another test may have built meanwhile.
+    cpSync(pathOf(next, ".compiled"), join(folder, basename(pathOf(next, ".compiled"))));
     const loader = readFileSync(join(next, "carobpier.cjs"), "utf8").replace(/program-\w+\.cjs/, "program-next.cjs");
     writeFileSync(join(folder, "new"), loader);
     renameSync(join(folder, "new"), join(folder, "carobpier.cjs"));
