--- a/src/links/clock.ts
+++ b/src/links/clock.ts
@@ -3,34 +3,19 @@
  */
 import type { Clock } from "../contracts/clock.ts";
 
-/** What is to be called when a signal aborts. A signal has one listener, since a listener costs more than a timer. */
-const callbacksOf = new WeakMap<AbortSignal, Set<() => void>>();
-
-/** Calls back once the signal aborts. Returns a function that withdraws the callback. */
-const onAbort = (signal: AbortSignal, callback: () => void): () => void => {
-    const known = callbacksOf.get(signal);
-    const callbacks = known ?? new Set<() => void>();
-    if (known === undefined) {
-        callbacksOf.set(signal, callbacks);
-        signal.addEventListener("abort", () => callbacks.forEach(call => call()), { once: true });
-    }
-    callbacks.add(callback);
-    return () => callbacks.delete(callback);
-};
-
 const after: Clock["after"] = (milliseconds, callback, signal) => {
-    if (signal?.aborted) {
-        return () => undefined;
-    }
     const timer = setTimeout(() => {
-        withdraw?.();
+        signal?.removeEventListener("abort", cancel);
         callback();
     }, milliseconds);
     const cancel = (): void => {
         clearTimeout(timer);
-        withdraw?.();
+        signal?.removeEventListener("abort", cancel);
     };
-    const withdraw = signal && onAbort(signal, cancel);
+    if (signal?.aborted) {
+        cancel();
+    }
+    signal?.addEventListener("abort", cancel, { once: true });
     return cancel;
 };
 
@@ -41,12 +26,12 @@
             return;
         }
         const finish = (): void => {
-            withdraw?.();
+            signal?.removeEventListener("abort", finish);
             clearTimeout(timer);
             resolve();
         };
         const timer = setTimeout(finish, milliseconds);
-        const withdraw = signal && onAbort(signal, finish);
+        signal?.addEventListener("abort", finish, { once: true });
     });
 
 /** The clock that running hosts and commands use; tests pass others. */
