Play the ends of answers without a length one after the other

Cause: twelve hosts, targets and callers ran side by side in one process; a host gives its target 300 ms to show that it still runs, and the first of the twelve came late on a busy machine, so that a whole answer was broken off. Change: the cases run one after the other, with the same checks.

--- a/test/machines/resident/lengthless.test.ts
+++ b/test/machines/resident/lengthless.test.ts
@@ -101,7 +101,8 @@
 
 for (const { title, answerHealth, isWhole } of cases) {
     for (const version of ["1.1", "1.0"]) {
-        test(`a large answer without a length of ${title}, to a caller of HTTP/${version}, ${isWhole ? "is whole" : "breaks off"}`, async t => {
+        // One after the other: a host asks the target for 300 ms whether it still runs, and all run in this process.
+        test.serial(`a large answer without a length of ${title}, to a caller of HTTP/${version}, ${isWhole ? "is whole" : "breaks off"}`, async t => {
             const target = await startTarget(answerHealth);
             const host = await startHost({
                 addresses: [target.address],
