Log how answers end that only the close of their connection can end

Nothing was logged for an answer that was believed, so that an answer cut by its target looked like any other. unframed-answer-ended tells request, target, size, transfer coding, how the connection ended, and what showed that the answer was whole; the counter unframed-answers counts the last.

test/machines/resident/lengthless.test.ts checks the line in its twelve cases; it failed before, since there was none.

--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -55,9 +55,23 @@
      * length. Undefined if it cannot be asked.
      */
     confirmEnd?: (() => Promise<boolean>) | undefined;
+    /** Called when an answer that only the close of its connection can end was ended or cut. */
+    onUnframedEnd: (end: UnframedEnd) => void;
     clock: Clock;
 };
 
+/** How an answer that only the close of its connection can end was ended. */
+export type UnframedEnd = {
+    statusCode: number;
+    bytes: number;
+    transferEncoding: string | undefined;
+    isStreamed: boolean;
+    /** `closed` by the target, or why the answer was cut. */
+    ending: string;
+    /** What shows that the answer is whole: its `target`, which still runs, only the `close`, or `nothing`. */
+    confirmedBy: "target" | "close" | "nothing";
+};
+
 /** Bytes that are read of a body that is not passed on, so that its connection can be used again. */
 const maxDroppedBytes = 65_536;
 
@@ -111,6 +125,7 @@
         /** What cuts the answer if it does not arrive whole. */
         let cutBy: StreamCut = "answer-cut-short";
         let exchange: TargetExchange | undefined;
+        let bodyBytes = 0;
         let droppedBytes = 0;
 
         const settle = (attempt: AttemptResult): void => {
@@ -186,17 +201,38 @@
             head = { statusCode, headers };
         };
 
+        const isUnframed = (): boolean =>
+            head !== undefined && !hasKnownEnd(request.method, head.statusCode, head.headers);
+
+        const recordUnframedEnd = (ending: string, confirmedBy: UnframedEnd["confirmedBy"]): void => {
+            if (head !== undefined && isUnframed()) {
+                options.onUnframedEnd({
+                    statusCode: head.statusCode,
+                    bytes: bodyBytes,
+                    transferEncoding: head.headers["transfer-encoding"],
+                    isStreamed: collector.isStreaming(),
+                    ending,
+                    confirmedBy,
+                });
+            }
+        };
+
         /** Ends the body, after the target has confirmed the end of a stream that may have been cut short. */
         const endBody = (): void => {
-            const isCertain = head === undefined || hasKnownEnd(request.method, head.statusCode, head.headers);
-            if (isCertain || !collector.isStreaming() || options.confirmEnd === undefined) {
+            if (!isUnframed() || !collector.isStreaming() || options.confirmEnd === undefined) {
+                recordUnframedEnd("closed", "close");
                 collector.onEnd();
                 return;
             }
-            options.confirmEnd().then(
-                isConfirmed => isConfirmed ? collector.onEnd() : collector.onFailure(cutBy),
-                () => collector.onFailure(cutBy),
-            );
+            void options.confirmEnd().catch(() => false).then(isConfirmed => {
+                recordUnframedEnd("closed", isConfirmed ? "target" : "nothing");
+                if (isConfirmed) {
+                    collector.onEnd();
+                }
+                else {
+                    collector.onFailure(cutBy);
+                }
+            });
         };
 
         const failWith = (
@@ -240,6 +276,7 @@
             },
             onHead,
             onBytes: bytes => {
+                bodyBytes += bytes.length;
                 if (forcedFailure === undefined) {
                     return collector.onBytes(bytes);
                 }
@@ -258,6 +295,8 @@
                 endBody();
             },
             onFailure: (failedStage, error) => {
+                const { code = error.name } = error as NodeJS.ErrnoException;
+                recordUnframedEnd(forcedFailure?.reason ?? code, "nothing");
                 const streaming = collector.onFailure(cutBy);
                 if (streaming) {
                     finish(undefined);
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -14,7 +14,7 @@
 import type { CallerAnswer } from "../../links/callers.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
-import { type AttemptResult, sendOnce, type WithdrawalReason, withdrawalReasons } from "./attempt.ts";
+import { type AttemptResult, sendOnce, type UnframedEnd, type WithdrawalReason, withdrawalReasons } from "./attempt.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
 import { createRefusal, refuse, type RequestContext } from "./requestcontext.ts";
 import type { RouteTableHolder } from "./routetableholder.ts";
@@ -185,6 +185,21 @@
         return isConfirmed;
     };
 
+    const recordUnframedEnd = ({ request, pool }: RequestContext, { target }: TargetState, end: UnframedEnd): void => {
+        metrics.count("unframed-answers", { pool: pool.name, confirmed: end.confirmedBy });
+        log.info("unframed-answer-ended", {
+            request: request.id,
+            pool: pool.name,
+            target: target.name,
+            status: end.statusCode,
+            bytes: end.bytes,
+            coding: end.transferEncoding ?? "none",
+            streamed: end.isStreamed,
+            ending: end.ending,
+            confirmedBy: end.confirmedBy,
+        });
+    };
+
     const withdrawalOf = ({ gone, target, pausedUntil }: TargetState): WithdrawalReason | undefined => {
         if (gone) {
             return "no-target";
@@ -214,6 +229,7 @@
             confirmEnd: healthPath === undefined
                 ? undefined
                 : () => confirmEnd(context, targetState, healthPath),
+            onUnframedEnd: end => recordUnframedEnd(context, targetState, end),
             clock,
         });
         if (attempt.kind === "answered" || !attempt.notRun) {
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -87,6 +87,7 @@
         endAt: clock.now() + 1_000,
         withdrawnFor: () => withdrawnFor,
         abortOnHangUp: false,
+        onUnframedEnd: () => undefined,
         onNotice: () => undefined,
         registerStop: () => () => undefined,
         clock,
--- a/test/machines/resident/lengthless.test.ts
+++ b/test/machines/resident/lengthless.test.ts
@@ -4,6 +4,7 @@
  */
 import test from "ava";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { createLog } from "../../../src/links/logs.ts";
 import { headOf } from "../../rawtarget.ts";
 import { startHost } from "./lonehost.ts";
 
@@ -104,10 +105,15 @@
         // One after the other: a host asks the target for 300 ms whether it still runs, and all run in this process.
         test.serial(`a large answer without a length of ${title}, to a caller of HTTP/${version}, ${isWhole ? "is whole" : "breaks off"}`, async t => {
             const target = await startTarget(answerHealth);
+            let logged = "";
+            const write = (line: string): void => {
+                logged += line;
+            };
             const host = await startHost({
                 addresses: [target.address],
                 timeoutMilliseconds: 3_000,
                 healthPath: "/health",
+                log: createLog({ level: "info", write }),
             });
             t.teardown(target.close);
             t.teardown(host.close);
@@ -124,6 +130,8 @@
             else if (!isChunked) {
                 t.is(end, "reset");
             }
+            const told = `request=r1 pool=orders target=i-1 status=200 bytes=${bodyBytes} coding=none streamed=true`;
+            t.true(logged.includes(`${told} ending=closed confirmedBy=${isWhole ? "target" : "nothing"}`), logged);
             t.is(target.healthCalls(), answerHealth === undefined ? 0 : 1);
         });
     }
--- a/test/machines/resident/lonehost.ts
+++ b/test/machines/resident/lonehost.ts
@@ -7,7 +7,7 @@
 import { createCallerLink } from "../../../src/links/callers.ts";
 import { systemClock } from "../../../src/links/clock.ts";
 import type { Descriptors } from "../../../src/links/descriptors.ts";
-import { silentLog } from "../../../src/links/logs.ts";
+import { type Log, silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import { createGateway } from "../../../src/machines/resident/gateway.ts";
 import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
@@ -26,11 +26,13 @@
     descriptors?: Descriptors;
     /** Path of the targets' health check; none by default. */
     healthPath?: string;
+    log?: Log;
 };
 
 /** Starts a host without a store, whose only pool has these targets. */
 export const startHost = async (
-    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1, descriptors, healthPath }: HostOptions,
+    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1, descriptors, healthPath, log = silentLog }:
+        HostOptions,
 ) => {
     const lifetime = new AbortController();
     const common = { clock: systemClock, log: silentLog, signal: lifetime.signal };
@@ -83,7 +85,7 @@
         requestsOfOthers: () => undefined,
         random: () => 0.5,
         clock: systemClock,
-        log: silentLog,
+        log,
         metrics: createMetrics(),
     });
     const ends: ConnectionEnd[] = [];
