Show that a reset behind the last bytes of an answer is taken for its end

Callers get nine tenths of an answer that looks whole, when its target sends the last of them and resets the connection: libuv sees both at once and reports the end of the stream. test/machines/resident/resetanswers.test.ts fails in 18 of 54 cases (2 KB, 200 KB and 3 MB; no length, identity, another last coding; HTTP/1.1 and 1.0); a reset 40 ms later and an orderly end pass. The test reads with connections that tell a reset from an end, by an empty write that the system refuses.

--- /dev/null
+++ b/src/links/resets.ts
@@ -0,0 +1,29 @@
+/**
+ * Tells the orderly end of a TCP connection from a reset. When a reset arrives right behind data, libuv reports the end
+ * of the stream in its place, so that a stream that was cut looks whole.
+ */
+import type { Socket } from "node:net";
+
+/**
+ * Makes a socket emit `error` in place of `end` when the other side has reset the connection, as long as its own half is
+ * open. An empty write sends nothing, and the system refuses it on a connection that was reset. Call it before the socket
+ * has read anything. Returns the socket.
+ */
+export const detectReset = (socket: Socket): Socket => {
+    const push = socket.push.bind(socket);
+    socket.push = (...pushed) => {
+        const isEnd = !(pushed[0] instanceof Uint8Array);
+        if (!isEnd || !socket.writable) {
+            return push(...pushed);
+        }
+        // A failed write destroys the socket with its error.
+        socket.write("", error => {
+            if (!error) {
+                push(...pushed);
+                socket.read(0);
+            }
+        });
+        return false;
+    };
+    return socket;
+};
--- /dev/null
+++ b/test/machines/resident/resetanswers.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Answers that a target cuts. Guards against a part of an answer that looks whole to the caller because the target's
+ * reset, right behind its last bytes, was taken for the end of an answer that only the close of the connection ends.
+ */
+import test from "ava";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { looksWhole, readRawAnswer } from "../../connections.ts";
+import { headOf } from "../../rawtarget.ts";
+import { startHost } from "./lonehost.ts";
+
+type Ending = (socket: Socket, lastBytes: Buffer) => void;
+
+const resetBehind: Ending = (socket, lastBytes) => {
+    socket.write(lastBytes);
+    socket.resetAndDestroy();
+};
+const resetAlone: Ending = (socket, lastBytes) => {
+    socket.write(lastBytes, () => setTimeout(() => socket.resetAndDestroy(), 40));
+};
+const endInOrder: Ending = (socket, lastBytes) => void socket.end(lastBytes);
+
+const resetRightBehind = "reset right behind its last bytes";
+const endings: Array<{ title: string; end: Ending; share: number; isWhole: boolean }> = [
+    { title: resetRightBehind, end: resetBehind, share: 0.9, isWhole: false },
+    { title: "reset behind its last bytes", end: resetAlone, share: 0.9, isWhole: false },
+    { title: "ended in order", end: endInOrder, share: 1, isWhole: true },
+];
+const framings: Array<{ title: string; lines: string[] }> = [
+    { title: "without a length", lines: [] },
+    { title: "with the transfer coding identity", lines: ["transfer-encoding: identity"] },
+    { title: "whose last transfer coding is not chunked", lines: ["transfer-encoding: chunked, gzip"] },
+];
+const sizes = [2_000, 200_000, 3_000_000];
+const firstBytes = 0.5;
+const pauseMilliseconds = 20;
+
+/** Starts a target that runs on after it has sent the share of the body and ended the connection. */
+const startTarget = async (body: Buffer, share: number, lines: string[], end: Ending) => {
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", (data: Buffer) => {
+            const text = data.toString("latin1");
+            if (text.startsWith("GET /health ")) {
+                socket.write("HTTP/1.1 200 OK\r\ninstance-id: i-1\r\ncontent-length: 0\r\n\r\n");
+                return;
+            }
+            const id = /request-id: ([^\r\n]+)/.exec(text)?.[1] ?? "";
+            const split = Math.floor(body.length * firstBytes);
+            socket.write(headOf(id, "response-signature: s", ...lines));
+            socket.write(
+                body.subarray(0, split),
+                () =>
+                    setTimeout(
+                        () => end(socket, body.subarray(split, Math.floor(body.length * share))),
+                        pauseMilliseconds,
+                    ),
+            );
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        close: () => {
+            server.close();
+            sockets.forEach(socket => socket.destroy());
+        },
+    };
+};
+
+for (const { title: framing, lines } of framings) {
+    for (const { title: ending, end, share, isWhole } of endings) {
+        for (const size of sizes) {
+            for (const version of ["1.1", "1.0"]) {
+                const outcome = isWhole ? "is whole" : "does not look whole";
+                const play = isWhole || ending !== resetRightBehind ? test.serial : test.serial.failing;
+                play(
+                    `an answer of ${size} bytes ${framing} that is ${ending} ${outcome} to a caller of HTTP/${version}`,
+                    async t => {
+                        const body = Buffer.alloc(size, "x");
+                        const target = await startTarget(body, share, lines, end);
+                        const host = await startHost({
+                            addresses: [target.address],
+                            timeoutMilliseconds: 3_000,
+                            healthPath: "/health",
+                        });
+                        t.teardown(target.close);
+                        t.teardown(host.close);
+                        const port = Number(host.link.address.split(":")[1]);
+                        const request = `GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`;
+                        const answer = await readRawAnswer(port, request);
+                        const status = Number(answer.head.split(" ")[1]);
+                        t.is(
+                            status === 200 && looksWhole(answer),
+                            isWhole,
+                            `${status}, ${answer.body.length} bytes, ${answer.end}`,
+                        );
+                        if (isWhole) {
+                            t.is(answer.body.length, size);
+                        }
+                    },
+                );
+            }
+        }
+    }
+}
