--- a/stand-ins/resident/backend.ts
+++ b/stand-ins/resident/backend.ts
@@ -7,6 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { type Garble, writeGarbled } from "./garble.ts";
 
 export type BackendFaults = {
     /** Whether requests get no answer and don't run. */
@@ -35,6 +36,8 @@
     retryAfter: string | undefined;
     /** Each answer of this many says what the three fields above hold; the others leave it out. */
     noticeEvery: number;
+    /** Returns how the next answer to a run is garbled; undefined for not at all. */
+    garble: () => Garble | undefined;
 };
 
 export type BackendOptions = {
@@ -69,6 +72,8 @@
     runCounts: Map<string, number>;
     /** Ids of the requests that arrived, whether they ran or not. */
     arrivedIds: Set<string>;
+    /** Ids of the requests whose answers were cut. */
+    cutIds: Set<string>;
     /** When each request arrived, in milliseconds of this process, without calls for grants. */
     arrivals: number[];
     /** Whether a grant covers the key now. */
@@ -115,9 +120,11 @@
         limit: undefined,
         retryAfter: undefined,
         noticeEvery: 1,
+        garble: () => undefined,
     };
     const arrivals: number[] = [];
     const arrivedIds = new Set<string>();
+    const cutIds = new Set<string>();
     const sockets = new Set<Socket>();
     let answerCount = 0;
     const runCounts = new Map<string, number>();
@@ -241,12 +248,18 @@
             request.socket.resetAndDestroy();
             return;
         }
-        sendAnswer(
-            response,
-            200,
-            { "request-id": requestId, "response-signature": `${id()}.signature` },
-            options.bodyOf?.(requestId, id()) ?? `served by ${id()}`,
-        );
+        const body = options.bodyOf?.(requestId, id()) ?? `served by ${id()}`;
+        const headers = { "request-id": requestId, "response-signature": `${id()}.signature` };
+        const garble = faults.garble();
+        if (garble === undefined) {
+            sendAnswer(response, 200, headers, body);
+            return;
+        }
+        if (garble.startsWith("cut-")) {
+            cutIds.add(requestId);
+        }
+        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+        writeGarbled(request.socket, garble, `HTTP/1.1 200 OK\r\n${lines.join("")}`, Buffer.from(body));
     };
 
     const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -316,6 +329,7 @@
         faults,
         runCounts,
         arrivedIds,
+        cutIds,
         arrivals,
         ownsKey,
         crashes: () => crashCount,
