Judge the ends of answers by connections that tell a reset from an end, in tests

Tests that tell a whole answer from a cut one by how the connection ended read it with plain sockets, which may take the reset of a connection for its orderly end.

--- a/test/connections.ts
+++ b/test/connections.ts
@@ -6,7 +6,8 @@
 import { detectReset } from "../src/links/resets.ts";
 
 /** Opens a connection on which a reset is always an error. */
-export const connectStrictly = (port: number, host = "127.0.0.1"): Socket => detectReset(connect(port, host));
+export const connectStrictly = (port: number, host = "127.0.0.1", localAddress?: string): Socket =>
+    detectReset(connect({ port, host, ...(localAddress === undefined ? {} : { localAddress }) }));
 
 export type RawAnswerRead = {
     /** Status line and headers in lower case. */
--- a/test/machines/resident/answers.test.ts
+++ b/test/machines/resident/answers.test.ts
@@ -4,7 +4,9 @@
  */
 import test from "ava";
 import { request as httpRequest } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { connectStrictly } from "../../connections.ts";
 import { headOf, type RawAnswer, startRawTarget } from "../../rawtarget.ts";
 import { startHost } from "./lonehost.ts";
 
@@ -16,7 +18,8 @@
         const [host, port] = address.split(":");
         const startedAt = performance.now();
         const headers = { host: "orders.example", "request-id": id };
-        const outgoing = httpRequest({ host, port, path: "/a", headers, agent: false }, response => {
+        const createConnection = (): Socket => connectStrictly(Number(port), host);
+        const outgoing = httpRequest({ path: "/a", headers, createConnection }, response => {
             let body = "";
             const finish = (): void =>
                 resolve({
--- a/test/machines/resident/endless.test.ts
+++ b/test/machines/resident/endless.test.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo } from "node:net";
 import { createOwnershipLink } from "../../../platform/protocols.ts";
 import { systemClock } from "../../../src/links/clock.ts";
+import { connectStrictly } from "../../connections.ts";
 import { startHost } from "./lonehost.ts";
 
 const timeoutMilliseconds = 600;
@@ -55,7 +56,7 @@
 
 const ask = async (address: string): Promise<Received> => {
     const [host, port] = address.split(":");
-    const socket = connect(Number(port), host);
+    const socket = connectStrictly(Number(port), host);
     const startedAt = performance.now();
     const received: Received = { text: "", bytes: 0, wasReset: false, milliseconds: 0 };
     socket.on("data", (bytes: Buffer) => {
--- a/test/machines/resident/lengthless.test.ts
+++ b/test/machines/resident/lengthless.test.ts
@@ -3,8 +3,9 @@
  * since the target crashed or this host was killed.
  */
 import test from "ava";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { createLog } from "../../../src/links/logs.ts";
+import { connectStrictly } from "../../connections.ts";
 import { headOf } from "../../rawtarget.ts";
 import { startHost } from "./lonehost.ts";
 
@@ -56,9 +57,8 @@
     new Promise(resolve => {
         const [host, port] = address.split(":");
         const parts: Buffer[] = [];
-        const socket = connect(Number(port), host, () => {
-            socket.write(`GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`);
-        });
+        const socket = connectStrictly(Number(port), host);
+        socket.write(`GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`);
         const finish = (end: Received["end"]): void => {
             const received = Buffer.concat(parts).toString("latin1");
             const split = received.indexOf("\r\n\r\n");
--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -10,6 +10,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { BackendStandIn } from "../../stand-ins/resident/backend.ts";
 import type { StoreStandIn } from "../../stand-ins/resident/store.ts";
+import { connectStrictly } from "../connections.ts";
 
 export type Answer = { statusCode: number; headers: Record<string, unknown>; body: string };
 export type Program = {
@@ -74,7 +75,8 @@
     localAddress = "127.0.0.1",
 ): Promise<Answer> =>
     new Promise((resolve, reject) => {
-        const options = { host: "127.0.0.1", port, path, method, headers, agent: false, localAddress };
+        const createConnection = (): Socket => connectStrictly(port, "127.0.0.1", localAddress);
+        const options = { path, method, headers: { host: `127.0.0.1:${port}`, ...headers }, createConnection };
         const outgoing = httpRequest(options, response => {
             const parts: Buffer[] = [];
             response.on("data", (part: Buffer) => parts.push(part));
