Keep settings that were cut from being taken for whole

A settings file that was read while it was written may be valid and yet a part. Where it was cut at the end of a line, or for longer than 10 s, the part stayed in force until the next start: the end of the file was taken for the writer's consent. A file that begins with the marker of a YAML document is now valid only once it ends with that of the document's end, and the deployment's template does.

test/links/residentsettings.test.ts: of a file between the markers each part is refused; it failed at 173 characters, and the template's test, before. test/platform/start.test.ts: the built program waits 12 s for the rest.

--- a/src/links/residentsettings.ts
+++ b/src/links/residentsettings.ts
@@ -50,11 +50,17 @@
     return collections + indentation;
 };
 
+/** A file that opens with the marker of a YAML document is complete only with that of the document's end. */
+const isCut = (text: string): boolean => /^---\s/.test(text) && !/\n\.\.\.\s*$/.test(text);
+
 /** Returns the settings in the text, or throws an `InputError` that lists every finding. */
 const parseResidentSettings = (file: string, text: string): ResidentSettings => {
     if (nestingBound(text) > maxNesting) {
         throw new InputError(`The settings file "${file}" has more than ${maxNesting} nested collections.`);
     }
+    if (isCut(text)) {
+        throw new InputError(`The settings file "${file}" begins with "---" and does not end with "...".`);
+    }
     const { value, findings } = checkYaml(file, text, residentSettingsSchema);
     if (value === undefined) {
         throw new InputError(findings.map(describeFinding).join("\n"));
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -275,6 +275,24 @@
     });
 }
 
+const framed = `---\n${whole}...\n`;
+
+test("of a settings file between the markers of a document, no part is valid", t => {
+    const read = (text: string) => readResidentSettings("settings.yaml", () => text).settings.descriptors.limit;
+    t.is(read(framed), 4_100);
+    const endOfMarker = framed.length - 1;
+    for (let length = 0; length < endOfMarker; length += 1) {
+        t.throws(() => read(framed.slice(0, length)), { instanceOf: InputError }, `${length} characters`);
+    }
+    t.is(read(framed.slice(0, endOfMarker)), 4_100);
+    t.throws(() => read(`${framed}logs: {}\n`), { instanceOf: InputError });
+});
+
+test("the template of the deployment stands between the markers of a document", t => {
+    const template = readFileSync("deploy/settings.yaml", "utf8");
+    t.regex(template, /^---\n[^]*\n\.\.\.\n$/);
+});
+
 test("a settings file that is a folder or a pipe without a writer is a finding, and does not keep the process", t => {
     const folder = mkdtempSync(join(tmpdir(), "carobpier-"));
     const pipe = join(folder, "pipe");
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -24,6 +24,7 @@
 import {
     buildProgram,
     freePort,
+    isReady,
     type Program,
     type ProgramOptions,
     sendRequest,
@@ -447,6 +448,27 @@
     });
 }
 
+test.serial("settings that begin with --- are waited for until they end with ..., however long they are cut", async t => {
+    t.timeout(30_000);
+    const metricsPort = await freePort();
+    let rest = "";
+    const prepareFile = (file: string, settings: string): void => {
+        const cutAt = settings.indexOf("limit: 4100") + "limit: 4100\n".length;
+        rest = `${settings.slice(cutAt)}\n...\n`;
+        writeFileSync(file, `---\n${settings.slice(0, cutAt)}`);
+    };
+    const program = await start(t, { prepareFile, metricsPort, moreSettings: block });
+    await waitUntil("the wait is told", () => /event=settings-wait/.test(program.errors()));
+    await sleep(12_000);
+    t.false(await isReady(program));
+    appendFileSync(program.file, rest);
+    await assertRuns(t, program);
+    await waitUntil("the limit is told", async () => await descriptorLimit(metricsPort) === 4_100);
+    t.notRegex(program.log(), /event=host-ready/);
+    program.child.kill("SIGTERM");
+    await assertStopsWell(t, program);
+});
+
 /** Holds a port for as long as the process of the test runs. */
 const portHolder = createServer();
 
