Tell a streamed answer without a length that was cut by its cause

caller-connection-ended named answer-without-length as soon as such an answer began, so that a cut one was told with the reason of a whole one, and an operator could not tell the two. It is now named when the answer has ended whole.

test/links/callerconnections.test.ts: two cases failed before, both told as answer-without-length.

--- a/src/links/answerwriter.ts
+++ b/src/links/answerwriter.ts
@@ -35,6 +35,7 @@
     response: ServerResponse,
     stream: AnswerStream,
     onWrite: () => void,
+    onWhole: () => void,
     onFailure: (cut: StreamCut) => void,
 ): Promise<boolean> =>
     new Promise(resolve => {
@@ -49,7 +50,10 @@
                 onWrite();
                 return takesMore;
             },
-            onEnd: () => response.end(() => resolve(true)),
+            onEnd: () => {
+                onWhole();
+                response.end(() => resolve(true));
+            },
             onFailure,
         });
     });
@@ -97,15 +101,20 @@
         }
         if (endsWithConnection) {
             response.removeHeader("transfer-encoding");
-            connection.nameEnd("answer-without-length");
         }
+        const nameWholeEnd = (): void => {
+            if (endsWithConnection) {
+                connection.nameEnd("answer-without-length");
+            }
+        };
         response.writeHead(answer.statusCode, headers);
         if (isWritten) {
+            nameWholeEnd();
             response.end(body);
             connection.watchTaking();
             return true;
         }
-        return streamBody(response, body, connection.watchTaking, cut => {
+        return streamBody(response, body, connection.watchTaking, nameWholeEnd, cut => {
             connection.nameEnd(cut);
             // Only a reset tells the caller that an answer without a length is not whole.
             if (endsWithConnection) {
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -78,8 +78,9 @@
     if (path === "/unframed") {
         return { ...answer, headers: {}, body: Buffer.from(wholeBody), endsWithConnection: true };
     }
-    if (path === "/broken") {
-        const start = ({ onFailure }: StreamReceiver): void => onFailure("answer-cut-short");
+    if (path === "/broken" || path === "/late") {
+        const start = ({ onFailure }: StreamReceiver): void =>
+            onFailure(path === "/late" ? "answer-timed-out" : "answer-cut-short");
         const body = { start, resume: () => undefined, abort: () => undefined };
         return { ...answer, headers: {}, body, endsWithConnection: true };
     }
@@ -421,6 +422,19 @@
     t.is(opened.link.inFlight(), 0);
 });
 
+for (const [path, reason] of [["broken", "answer-cut-short"], ["late", "answer-timed-out"]] as const) {
+    test(`an answer without a length that is cut is told as ${reason}`, async t => {
+        const opened = await openLink();
+        t.teardown(opened.link.close);
+        const socket = openSocket(t, opened);
+        const closed = new Promise(resolve => socket.on("error", () => undefined).once("close", resolve));
+        socket.resume().write(get(path) + get("running"));
+        await closed;
+        await waitTurns(1_000, () => opened.ends.length > 0);
+        t.deepEqual(opened.ends.map(end => [end.reason, end.due]), [[reason, 2]]);
+    });
+}
+
 test("an answer without a length is written whole, and those that were due behind it are told as lost", async t => {
     const opened = await openLink();
     t.teardown(opened.link.close);
