Let all listeners of an object hear of a change, also behind one that throws

A listener that threw kept those after it from hearing of that version, which is accepted only once: they kept the object of before. Found by reading. All are called now, and the first error is thrown afterwards, as before.

test/machines/objects.test.ts: the new case failed before.

--- a/src/machines/objects.ts
+++ b/src/machines/objects.ts
@@ -22,7 +22,10 @@
 };
 
 export type ObjectView = {
-    /** Accepts an object if its version is higher than the held one. True when this changed what is in force. */
+    /**
+     * Accepts an object if its version is higher than the held one. True when this changed what is in force. Throws the first
+     * error of a listener, once all have been called.
+     */
     accept: (item: StoredObject) => boolean;
     /** The object in force; undefined when there is none. */
     get: <Kind extends ObjectKind>(kind: Kind, name: string) => HeldObject<Kind> | undefined;
@@ -57,6 +60,22 @@
         return held;
     };
 
+    /** Calls all listeners, and throws the first error of one afterwards. */
+    const notify = (kind: ObjectKind, name: string): void => {
+        const errors: unknown[] = [];
+        for (const listener of listeners.get(kind) ?? []) {
+            try {
+                listener(name);
+            }
+            catch (error) {
+                errors.push(error);
+            }
+        }
+        if (errors.length > 0) {
+            throw errors[0];
+        }
+    };
+
     /** Puts a newer version in force if it matches its schema. True when this changed what is in force. */
     const apply = (item: StoredObject): boolean => {
         const id = `${item.kind}/${item.name}`;
@@ -95,7 +114,7 @@
             const changed = apply(item);
             updateState(id, item);
             if (changed) {
-                listeners.get(item.kind)?.forEach(listener => listener(item.name));
+                notify(item.kind, item.name);
             }
             return changed;
         },
--- a/test/machines/objects.test.ts
+++ b/test/machines/objects.test.ts
@@ -30,6 +30,18 @@
     { title: "a valid version clears the finding", items: [plan(1, 7), plan(2, "b")], customer: "b", findings: [] },
 ];
 
+test("a listener that throws does not keep the others from hearing of a change", t => {
+    const view = createObjectView();
+    const heard: string[] = [];
+    view.onChange("plans", () => {
+        throw new Error("odd");
+    });
+    view.onChange("plans", name => heard.push(name));
+    t.throws(() => view.accept(plan(1, "a")), { message: "odd" });
+    t.deepEqual(heard, ["hallam"]);
+    t.is(view.get("plans", "hallam")?.version, 1);
+});
+
 for (const { title, items, customer, findings } of cases) {
     test(title, t => {
         const view = createObjectView();
