--- a/test/machines/resident/resetanswers.test.ts
+++ b/test/machines/resident/resetanswers.test.ts
@@ -68,39 +68,33 @@
     };
 };
 
-for (const { title: framing, lines } of framings) {
-    for (const { title: ending, end, share, isWhole } of endings) {
-        for (const size of sizes) {
-            for (const version of ["1.1", "1.0"]) {
-                const outcome = isWhole ? "is whole" : "does not look whole";
-                test.serial(
-                    `an answer of ${size} bytes ${framing} that is ${ending} ${outcome} to a caller of HTTP/${version}`,
-                    async t => {
-                        const body = Buffer.alloc(size, "x");
-                        const target = await startTarget(body, share, lines, end);
-                        const host = await startHost({
-                            addresses: [target.address],
-                            timeoutMilliseconds: 3_000,
-                            healthPath: "/health",
-                        });
-                        t.teardown(target.close);
-                        t.teardown(host.close);
-                        const port = Number(host.link.address.split(":")[1]);
-                        const request = `GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`;
-                        const answer = await readRawAnswer(port, request);
-                        const status = Number(answer.head.split(" ")[1]);
-                        t.is(
-                            status === 200 && looksWhole(answer),
-                            isWhole,
-                            `${status}, ${answer.body.length} bytes, ${answer.end}`,
-                        );
-                        t.false(status === 200 && answer.head.includes("content-length"), "a length that nobody told");
-                        if (isWhole) {
-                            t.is(answer.body.length, size);
-                        }
-                    },
-                );
-            }
+const cases = framings.flatMap(framing =>
+    endings.flatMap(ending =>
+        sizes.flatMap(size => ["1.1", "1.0"].map(version => ({ framing, ending, size, version })))
+    )
+);
+
+for (const { framing, ending: { title: ending, end, share, isWhole }, size, version } of cases) {
+    const answer = `an answer of ${size} bytes ${framing.title} that is ${ending}`;
+    test.serial(`${answer} ${isWhole ? "is whole" : "does not look whole"} to a caller of HTTP/${version}`, async t => {
+        const body = Buffer.alloc(size, "x");
+        const target = await startTarget(body, share, framing.lines, end);
+        const host = await startHost({
+            addresses: [target.address],
+            timeoutMilliseconds: 3_000,
+            healthPath: "/health",
+        });
+        t.teardown(target.close);
+        t.teardown(host.close);
+        const port = Number(host.link.address.split(":")[1]);
+        const request = `GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`;
+        const received = await readRawAnswer(port, request);
+        const status = Number(received.head.split(" ")[1]);
+        const seen = `${status}, ${received.body.length} bytes, ${received.end}`;
+        t.is(status === 200 && looksWhole(received), isWhole, seen);
+        t.false(status === 200 && received.head.includes("content-length"), "a length that nobody told");
+        if (isWhole) {
+            t.is(received.body.length, size);
         }
-    }
+    });
 }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -80,6 +80,12 @@
     { name: "a cut by a kill", life: killed, request: cut, expected: [] },
     { name: "a cut after a reset", request: cut, records: { resets: [18_000] }, expected: ["CUT"] },
     { name: "a cut before a reset", request: cut, records: { resets: [20_500] }, expected: ["LOST"] },
+    {
+        name: "a cut of an answer that the target broke off",
+        request: cut,
+        records: { targets: [{ ...ran, cutIds: new Set(["q-1"]) }] },
+        expected: ["CUT"],
+    },
     {
         name: "a cut by the target",
         request: cut,
