Excuse a displaced answer only where the copy was on its connection

The backend now notes the requests on whose connection a second copy came where their answer was due; only these are excused.

--- a/stand-ins/resident/backend.ts
+++ b/stand-ins/resident/backend.ts
@@ -59,8 +59,6 @@
     bodyOf?: (requestId: string, id: string) => string;
     /** Called when the backend is back after a crash. */
     onRestart?: () => void;
-    /** Called when the backend sends a second copy of an answer. */
-    onRepeat?: () => void;
     /** Called at a crash with the id of the life that it ends. */
     onCrash?: (id: string) => void;
 };
@@ -76,6 +74,8 @@
     arrivedIds: Set<string>;
     /** Ids of the requests whose answers were cut. */
     cutIds: Set<string>;
+    /** Ids of the requests on whose connection a second copy of an earlier answer came where their answer was due. */
+    displacedIds: Set<string>;
     /** When each request arrived, in milliseconds of this process, without calls for grants. */
     arrivals: number[];
     /** Whether a grant covers the key now. */
@@ -127,6 +127,10 @@
     const arrivals: number[] = [];
     const arrivedIds = new Set<string>();
     const cutIds = new Set<string>();
+    const displacedIds = new Set<string>();
+    /** The last request on each connection, and the connections with a second copy of an answer. */
+    const lastIds = new WeakMap<Socket, string>();
+    const repeatedOn = new WeakSet<Socket>();
     const sockets = new Set<Socket>();
     let answerCount = 0;
     const runCounts = new Map<string, number>();
@@ -215,6 +219,10 @@
             return;
         }
         arrivedIds.add(requestId);
+        lastIds.set(request.socket, requestId);
+        if (repeatedOn.has(request.socket)) {
+            displacedIds.add(requestId);
+        }
         if (target !== undefined && target !== id()) {
             sendAnswer(response, 421, { "request-id": requestId });
             return;
@@ -260,13 +268,20 @@
         if (garble.startsWith("cut-")) {
             cutIds.add(requestId);
         }
+        const onRepeat = (): void => {
+            repeatedOn.add(request.socket);
+            const lastId = lastIds.get(request.socket);
+            if (lastId !== undefined && lastId !== requestId) {
+                displacedIds.add(lastId);
+            }
+        };
         const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
         writeGarbled(
             request.socket,
             garble,
             `HTTP/1.1 200 OK\r\n${lines.join("")}`,
             Buffer.from(body),
-            options.onRepeat,
+            onRepeat,
         );
     };
 
@@ -338,6 +353,7 @@
         runCounts,
         arrivedIds,
         cutIds,
+        displacedIds,
         arrivals,
         ownsKey,
         crashes: () => crashCount,
--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -101,7 +101,6 @@
         const { name, slots, workMilliseconds, isSharded } = site.services[service] as SoakService;
         const id = `i-${name}-${targets.length}`;
         const spread = 0.7 + random.below(60) / 100;
-        const repeatedAt: number[] = [];
         const backend = await startBackendStandIn({
             id,
             slots,
@@ -109,7 +108,6 @@
             workMilliseconds: workMilliseconds * spread,
             isSharded,
             bodyOf,
-            onRepeat: () => repeatedAt.push(now()),
             ...(port === undefined ? {} : { port }),
         });
         const entry = {
@@ -121,8 +119,8 @@
             warmupLeft: "0ms",
             seq: 1,
         };
-        const { arrivedIds, runCounts, cutIds } = backend;
-        const record = { id, arrivedIds, runCounts, cutIds, repeatedAt, endedAt: Infinity };
+        const { arrivedIds, runCounts, cutIds, displacedIds } = backend;
+        const record = { id, arrivedIds, runCounts, cutIds, displacedIds, endedAt: Infinity };
         const target = { name: id, service, backend, record, entry };
         targets.push(target);
         store.put("servers", id, { ...entry, state: "ready", born: Date.now() });
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -35,7 +35,7 @@
     arrivedIds: new Set(["q-1"]),
     runCounts: new Map([["q-1", 1]]),
     cutIds: new Set<string>(),
-    repeatedAt: [] as number[],
+    displacedIds: new Set<string>(),
     endedAt: Infinity,
 };
 const alsoRan = { ...ran, id: "t2" };
@@ -97,13 +97,13 @@
     {
         name: "a failure of its own after SIGTERM, as a second copy came where the answer was due",
         request: own,
-        records: { targets: [{ ...ran, repeatedAt: [20_050] }] },
+        records: { targets: [{ ...ran, displacedIds: new Set(["q-1"]) }] },
         expected: ["FAILED"],
     },
     {
-        name: "a failure of its own after SIGTERM, long after a second copy",
+        name: "a failure of its own after SIGTERM, as a second copy came on another connection of its target",
         request: own,
-        records: { targets: [{ ...ran, repeatedAt: [16_000] }] },
+        records: { targets: [{ ...ran, displacedIds: new Set(["q-2"]) }] },
         expected: ["LOST"],
     },
     { name: "a failure of its own", request: { ...own, sentAt: 19_000, endedAt: 19_100 }, expected: ["FAILED"] },
--- a/test/soak/verdict.ts
+++ b/test/soak/verdict.ts
@@ -37,8 +37,8 @@
     runCounts: Map<string, number>;
     /** Requests whose answers the target broke off. */
     cutIds: Set<string>;
-    /** When it sent second copies of answers, which come in place of the next answer on their connections. */
-    repeatedAt: number[];
+    /** Requests on whose connection a second copy of an earlier answer came where their answer was due. */
+    displacedIds: Set<string>;
     endedAt: number;
 };
 /** Slack for the load of the machine, in milliseconds. A loaded machine makes an unread request look like a lost one. */
@@ -171,9 +171,7 @@
             const isLastSixth = request.sentAt <= stop + calmMilliseconds
                 && request.endedAt >= stop + graceMilliseconds * 5 / 6;
             const isStopping = request.endedAt > stop && !isLastSixth;
-            const isDisplaced = reached.some(({ repeatedAt }) =>
-                repeatedAt.some(at => at >= request.sentAt - calmMilliseconds && at <= request.endedAt)
-            );
+            const isDisplaced = reached.some(({ displacedIds }) => displacedIds.has(request.id));
             report(
                 isStopping && !isDisplaced ? "LOST" : "FAILED",
                 `answered ${request.status} in place of its target after ${Math.round(passed)} ms`,
