--- a/test/connections.ts
+++ b/test/connections.ts
@@ -2,7 +2,7 @@
  * Connections for tests that judge whether an answer was whole. A socket of Node may report the orderly end of a
  * connection that was reset; these report the reset.
  */
-import { connect, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { detectReset } from "../src/links/resets.ts";
 
 /** Opens a connection on which a reset is always an error. */
@@ -79,3 +79,23 @@
     }
     return length === undefined ? head !== "" && end === "ended" : body.length === Number(length);
 };
+
+/** How a connection ends behind the last bytes of an answer that is cut. */
+export const cutEndings: Array<{ title: string; end: (socket: Socket) => void }> = [
+    { title: "ended", end: socket => void socket.end() },
+    { title: "reset", end: socket => socket.resetAndDestroy() },
+];
+
+/** Starts a server that writes the same bytes to each request, whole or in part, and ends the connection. */
+export const startCuttingServer = async (
+    bytes: () => string,
+    end: (socket: Socket) => void,
+): Promise<{ address: string; close: () => void }> => {
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => socket.write(bytes(), () => setTimeout(() => end(socket), 1)));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    return { address: `127.0.0.1:${port}`, close: () => void server.close() };
+};
--- a/test/platform/storecuts.test.ts
+++ b/test/platform/storecuts.test.ts
@@ -1,10 +1,10 @@
 /**
  * Answers of the store that break off. Guards against a part of a list or of changes that is taken for the whole, and
- * against a write that is taken for done.
+ * against a write or a removal that is taken for done.
  */
 import test from "ava";
-import { type AddressInfo, createServer, type Socket } from "node:net";
 import { createStore } from "../../platform/store.ts";
+import { cutEndings, startCuttingServer } from "../connections.ts";
 
 const object = (index: number, size: number) => ({
     metadata: { name: `i-${index}`, rev: index + 1 },
@@ -32,11 +32,6 @@
     { title: "a write", text: JSON.stringify(object(1, 10)), call: store => store.replace("hosts", "i-1", {}, 1) },
 ];
 const framings = ["", "transfer-encoding: identity\r\n"];
-const endings: Array<{ title: string; end: (socket: Socket) => void }> = [
-    { title: "ended", end: socket => void socket.end() },
-    { title: "reset", end: socket => socket.resetAndDestroy() },
-];
-
 /** Shares of the text, and bytes that are left of it. */
 const cuts = (length: number): number[] => [
     ...Array.from({ length: 24 }, (...[, index]) => Math.floor(length * index / 24)),
@@ -45,20 +40,13 @@
 ];
 
 for (const { title, text, call } of calls) {
-    for (const { title: ending, end } of endings) {
+    for (const { title: ending, end } of cutEndings) {
         test(`${title} without a known end that is ${ending} early is not taken for whole`, async t => {
             let cut = 0;
             let framing = "";
-            const server = createServer(socket => {
-                socket.on("error", () => undefined);
-                socket.on("data", () => {
-                    socket.write(`HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n${framing}\r\n`);
-                    socket.write(text.slice(0, cut), () => setTimeout(() => end(socket), 1));
-                });
-            });
-            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-            const { port } = server.address() as AddressInfo;
-            const store = createStore({ address: `127.0.0.1:${port}`, timeoutMilliseconds: 1_000 });
+            const head = (): string => `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n${framing}\r\n`;
+            const server = await startCuttingServer(() => head() + text.slice(0, cut), end);
+            const store = createStore({ address: server.address, timeoutMilliseconds: 1_000 });
             t.teardown(() => {
                 store.close();
                 server.close();
@@ -71,3 +59,31 @@
         });
     }
 }
+
+const removals = [
+    { title: "with a body", answer: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", removed: true },
+    { title: "without a body", answer: "HTTP/1.1 204 No Content\r\n\r\n", removed: true },
+    {
+        title: "of an object that was gone",
+        answer: "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+        removed: true,
+    },
+    { title: "of another revision", answer: "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n", removed: false },
+];
+for (const { title, answer, removed } of removals) {
+    for (const { title: ending, end } of cutEndings) {
+        test(`the answer to a removal ${title} that is ${ending} early is not taken for one`, async t => {
+            let cut = 0;
+            const server = await startCuttingServer(() => answer.slice(0, cut), end);
+            const store = createStore({ address: server.address, timeoutMilliseconds: 1_000 });
+            t.teardown(() => {
+                store.close();
+                server.close();
+            });
+            for (; cut < answer.length; cut += 1) {
+                await t.throwsAsync(store.remove("hosts", "i-1", 1), { name: "PlatformError" }, answer.slice(0, cut));
+            }
+            t.is(await store.remove("hosts", "i-1", 1), removed);
+        });
+    }
+}
