Let hosts that know no others open connections for one request only

Cause: a host that knows no hosts, as when the store is away at its start, kept one connection to each target open, whatever others used. Beside 93 hosts without parts, 69 such hosts held 69 of 100 connections, most of them idle, and the others, which count requests, opened up to 80 more.

Such a host now goes by the rule of hosts without a part: one connection, for one request, while the target's last word is below 0.8 of the limit.

--- a/src/decisions/targetroom.ts
+++ b/src/decisions/targetroom.ts
@@ -24,12 +24,12 @@
 const joiningFraction = 0.4;
 /** The hosts of a new deployment start together before any knows another. */
 const minJoiningHosts = 14;
-/** What a host may use that knows of no host, as when the store does not answer at its start. */
-const unknownConnections = 1;
 /** Where there are more hosts than parts, connections are open for one request only, while all hosts have fewer. */
 const sparseFraction = 0.8;
 /** How many of these one host may open. */
 const sparseConnections = 2;
+/** The same for a host that knows of no host, as when the store does not answer at its start. */
+const unknownConnections = 1;
 /** The same for a host that has just joined and has no part, since others keep theirs open. */
 const joiningSparseFraction = 0.2;
 
@@ -43,13 +43,10 @@
  * @param hosts undefined when no hosts are known.
  */
 export const connectionPart = (accepted: number, offset: number, hosts: SharingHosts | undefined): number => {
-    if (hosts === undefined) {
-        return unknownConnections;
-    }
-    const { count, place, isSettled } = hosts;
-    if (isSparse(accepted, hosts)) {
+    if (hosts === undefined || isSparse(accepted, hosts)) {
         return 0;
     }
+    const { count, place, isSettled } = hosts;
     if (!isSettled) {
         return Math.floor(Math.min(accepted * joiningFraction / count, accepted / minJoiningHosts));
     }
@@ -61,11 +58,12 @@
 /**
  * Returns how many connections a host without a part may open, each for one request.
  *
- * @param requests requests of all hosts at the target.
+ * @param hosts undefined when no hosts are known.
+ * @param requests requests of all hosts at the target, as far as this one knows.
  */
-export const sparseLimit = (accepted: number, hosts: SharingHosts, requests: number): number => {
-    const { isSettled } = hosts;
-    const fraction = isSettled ? sparseFraction : joiningSparseFraction;
-    const most = Math.max(1, Math.floor(accepted * fraction));
-    return requests < most ? Math.min(most, isSettled ? sparseConnections : 1) : 0;
+export const sparseLimit = (accepted: number, hosts: SharingHosts | undefined, requests: number): number => {
+    const hasJoined = hosts?.isSettled === false;
+    const most = Math.max(1, Math.floor(accepted * (hasJoined ? joiningSparseFraction : sparseFraction)));
+    const isLimitedToOne = hasJoined || hosts === undefined;
+    return requests < most ? Math.min(most, isLimitedToOne ? unknownConnections : sparseConnections) : 0;
 };
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -133,7 +133,7 @@
             mayHaveLent: sharingHosts()?.mayHaveLent === true,
         });
 
-    const sparseLimitOf = (state: TargetState, hosts: SharingHosts, isCounted: boolean): number => {
+    const sparseLimitOf = (state: TargetState, hosts: SharingHosts | undefined, isCounted: boolean): number => {
         const { target: { name }, load } = state;
         const told = load.ownRequests() + (requestsOfOthers(name) ?? 0);
         // The target's own word includes hosts that are cut off from this one.
@@ -143,10 +143,9 @@
 
     /** Returns the limit for a request that is counted already, or for one that is not. */
     const limitFor = (state: TargetState, isCounted: boolean, endAt: number): number => {
-        const hosts = sharingHosts();
-        return partOf(state) > 0 || hosts === undefined
+        return partOf(state) > 0
             ? ownPartOf(state) + (loans?.borrowed(state.target.name, endAt) ?? 0)
-            : sparseLimitOf(state, hosts, isCounted);
+            : sparseLimitOf(state, sharingHosts(), isCounted);
     };
 
     const keptConnections = (state: TargetState): number =>
