Split the plan of ranges by what its parts do

rangeplan.ts held loads, orphans, splits, the plan and the application of moves. Each has its own module now; the functions are as they were.

Tests of ranges pass.

--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -13,7 +13,7 @@
     takeoverDelayMilliseconds,
 } from "../../decisions/coordinatorlease.ts";
 import { createFormerCoordinators } from "../../decisions/formercoordinators.ts";
-import { renewAllFences } from "../../decisions/rangeplan.ts";
+import { renewAllFences } from "../../decisions/rangemoves.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { Processes } from "./processes.ts";
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -15,14 +15,10 @@
 import type { OwnershipLink } from "../../contracts/resident.ts";
 import type { RegisteredTarget } from "../../contracts/routing.ts";
 import type { KeyLoads } from "../../decisions/keyload.ts";
-import {
-    applyMoves,
-    hasOrphanedKeys,
-    mergeRanges,
-    planRanges,
-    type RangeMove,
-    type RangeTarget,
-} from "../../decisions/rangeplan.ts";
+import type { RangeTarget } from "../../decisions/rangeloads.ts";
+import { applyMoves, mergeRanges, type RangeMove } from "../../decisions/rangemoves.ts";
+import { hasOrphanedKeys } from "../../decisions/rangeorphans.ts";
+import { planRanges } from "../../decisions/rangeplan.ts";
 import type { ServiceTimes } from "../../decisions/servicetimes.ts";
 import { effectiveLimit } from "../../decisions/sharedlimit.ts";
 import type { Log } from "../../links/logs.ts";
--- a/test/decisions/ownershipchanges.test.ts
+++ b/test/decisions/ownershipchanges.test.ts
@@ -9,7 +9,7 @@
     ownershipChangesBetween,
     ownershipPatch,
 } from "../../src/decisions/ownershipchanges.ts";
-import { applyMoves, mergeRanges, type RangeMove } from "../../src/decisions/rangeplan.ts";
+import { applyMoves, mergeRanges, type RangeMove } from "../../src/decisions/rangemoves.ts";
 
 const owner = (index: number) => ({ target: `t${index}`, incarnation: "1" });
 
--- a/test/decisions/rangeplan.test.ts
+++ b/test/decisions/rangeplan.test.ts
@@ -11,7 +11,9 @@
     type RangeOwner,
 } from "../../src/contracts/ownership.ts";
 import { createKeyLoads, type KeyLoads } from "../../src/decisions/keyload.ts";
-import { applyMoves, mergeRanges, planRanges, type RangeTarget } from "../../src/decisions/rangeplan.ts";
+import type { RangeTarget } from "../../src/decisions/rangeloads.ts";
+import { applyMoves, mergeRanges } from "../../src/decisions/rangemoves.ts";
+import { planRanges } from "../../src/decisions/rangeplan.ts";
 
 const owner = (target: string): RangeOwner => ({ target, incarnation: "1" });
 const targetsOf = (names: string[], capacity = 30): RangeTarget[] =>
--- a/test/decisions/rangesimulation.ts
+++ b/test/decisions/rangesimulation.ts
@@ -5,7 +5,9 @@
 import { createRandom, type Random } from "../../bench/random.ts";
 import { findRangeOfKey, maxKey, type Ownership } from "../../src/contracts/ownership.ts";
 import { createKeyLoads, type KeyLoads } from "../../src/decisions/keyload.ts";
-import { applyMoves, mergeRanges, planRanges, type RangeTarget } from "../../src/decisions/rangeplan.ts";
+import type { RangeTarget } from "../../src/decisions/rangeloads.ts";
+import { applyMoves, mergeRanges } from "../../src/decisions/rangemoves.ts";
+import { planRanges } from "../../src/decisions/rangeplan.ts";
 import { createServiceTimes, type ServiceTimes } from "../../src/decisions/servicetimes.ts";
 
 /** What is simulated: the pool and its usual load. */
