Split the resident host by what it puts together

host.ts built the spread of state, the store's watchers, the controllers of pools and the addresses itself. Each is a module now; host.ts connects them.

Checked: types; 126 tests of the process, starts, stops, followers and the source of state pass.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -4,53 +4,40 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import type { Server } from "node:http";
-import type { Socket } from "node:net";
 import type { Clock } from "../../contracts/clock.ts";
-import { messageOf } from "../../contracts/errors.ts";
 import { loansPath } from "../../contracts/loanmessages.ts";
 import type { ObjectStore, StoreObject } from "../../contracts/objectstore.ts";
 import type { OwnershipLink, PlatformObjects, ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
 import type { ResidentSettings } from "../../contracts/residentsettings.ts";
 import type { RouteTable } from "../../contracts/routing.ts";
 import { loadsPath, statePath } from "../../contracts/statemessages.ts";
-import { type DescriptorPart, descriptorParts } from "../../decisions/descriptors.ts";
-import { ownershipPatch } from "../../decisions/ownershipchanges.ts";
 import { type CallerLink, type CallerProtocol, createCallerLink } from "../../links/callers.ts";
-import { limitConnections } from "../../links/connectionlimit.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
 import { readHeap } from "../../links/heap.ts";
-import { type HttpEndpointAnswer, openHttpEndpoint } from "../../links/httpendpoint.ts";
-import { listenWithRetries } from "../../links/listening.ts";
 import { loadReportPath } from "../../links/loadreports.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
-import { createPeerDialer, openPeerEndpoint } from "../../links/peers.ts";
-import { digestHash } from "../../zones/digesthash.ts";
-import { chooseReaders, type ReaderCandidate, readersToTell } from "../../zones/readers.ts";
+import { createPeerDialer } from "../../links/peers.ts";
+import type { ReaderCandidate } from "../../zones/readers.ts";
 import { createCallerLog } from "./callerlog.ts";
 import { storeKinds } from "./coordination.ts";
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
 import { createFleetFacts } from "./fleetfacts.ts";
 import { createGateway } from "./gateway.ts";
 import { monitorHeap } from "./heapmonitor.ts";
-import { keepLastResult } from "./lastresult.ts";
+import { type CallersEndpoint, openHostAddresses } from "./hostaddresses.ts";
 import { createLoadReporter } from "./loadreporter.ts";
 import { createLoans } from "./loans.ts";
 import { createOwnershipCache } from "./ownershipcache.ts";
+import { createPoolControllers } from "./poolcontrollers.ts";
 import { processKind, registerProcess } from "./processes.ts";
 import { createRangeController, type RangeController } from "./rangecontroller.ts";
 import { createRouteTableHolder } from "./routetableholder.ts";
-import { createSharedLoads } from "./sharedloads.ts";
 import { createSharingHosts } from "./sharinghosts.ts";
-import { createStateCache } from "./statecache.ts";
-import type { ReadPace } from "./statereading.ts";
-import { createStateServer } from "./stateserver.ts";
-import { createStateSource } from "./statesource.ts";
-import { createStoreWatcher, type StoreWatcher, type StoreWatcherOptions } from "./storewatcher.ts";
+import { createStateSpread } from "./statespread.ts";
+import { createStoreWatchers } from "./storewatchers.ts";
 import { createTargetRegistry } from "./targetregistry.ts";
 import { createTargetStates } from "./targetstates.ts";
-import { largeValueBytes } from "./valuelimits.ts";
 
 export type ResidentHostOptions = {
     settings: ResidentSettings;
@@ -85,17 +72,10 @@
     stop: (servingMilliseconds?: number) => Promise<void>;
 };
 
-/** Wait of the watch that tells whether the store still answers. */
-const livenessMilliseconds = 600;
-/** Wait of one watch call. A watch on a silent connection fails after this and the time-out of a call. */
-const watchMilliseconds = 3_000;
 /** Limit on the time in which a connection to another host is opened. */
 const peerHandshakeMilliseconds = 400;
 /** A host that starts waits no longer than this to be told what the others know of targets and requests. */
 const maxUntilToldMilliseconds = 1_000;
-/** Pauses between calls of the watcher that finds out when the store is back, and of those that wait for it. */
-const maxProbePauseMilliseconds = 500;
-const maxWaitingPauseMilliseconds = 3_000;
 /** Largest body that the host reads, even if the route table allows more. */
 const maxBodyBytes = 67_108_864;
 const maxHeadBytes = 16_384;
@@ -156,106 +136,22 @@
         signal,
         listening: acceptingLinks,
     });
-    const readersFor = keepLastResult((hosts: readonly ReaderCandidate[]) => chooseReaders(digestHash, self, hosts));
-    const otherReadersFor = keepLastResult((hosts: readonly ReaderCandidate[]) =>
-        readersToTell(digestHash, self, hosts)
-    );
-    const cache = createStateCache(largeValueBytes);
-    const paces: Record<string, ReadPace> = {
-        [objects.targetKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
-        [objects.tableKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
-        [storeKinds.ownership]: { pauseMilliseconds: 20, maxWaitMilliseconds: watchMilliseconds },
-        [storeKinds.coordination]: { pauseMilliseconds: 100, maxWaitMilliseconds: livenessMilliseconds },
-        [processKind]: { pauseMilliseconds: 500, maxWaitMilliseconds: watchMilliseconds },
-    };
-    const patches = { [storeKinds.ownership]: ownershipPatch };
-    const source = createStateSource({
-        self: settings.host.name,
+    const { source, server, sharedLoads } = createStateSpread({
+        self,
         store,
-        cache,
-        paces,
-        patches,
-        hostsKnown: processes.known,
-        choose: () => readersFor(processes.hosts()),
+        objects,
+        processes,
+        isStopping: () => stopping,
+        onSourceChange: () => watchers.retryNow(),
         dial,
-        onLoads: message => sharedLoads.receiveTotals(message),
-        onSourceChange: () => sharedLoads.resetSource(),
-        onChange: () => {
-            server.announce();
-            watchers.forEach(watcher => watcher.retryNow());
-        },
         clock,
         random,
         log,
         metrics,
         signal,
     });
-    const sharedLoads = createSharedLoads({
-        isReader: source.isCurrent,
-        otherReaders: () => otherReadersFor(processes.hosts()),
-        dial,
-        sendToReader: source.sendLoads,
-        sendToFollowers: message => server.sendLoads(message),
-        clock,
-        log,
-        metrics,
-        signal,
-    });
-    const server = createStateServer({
-        cache,
-        kinds: Object.keys(paces),
-        patches,
-        isCurrent: () => !stopping && source.isCurrent(),
-        onLoads: (follower, message) =>
-            message === undefined
-                ? sharedLoads.removeFollower(follower)
-                : sharedLoads.receiveFollower(follower, message),
-        wholeLoads: () => sharedLoads.wholeTotals(),
-        clock,
-        log,
-        metrics,
-        signal,
-    });
 
-    const watchers: StoreWatcher[] = [];
-    const watch = (
-        kind: string,
-        onList: StoreWatcherOptions["onList"],
-        onChanges: StoreWatcherOptions["onChanges"],
-    ): StoreWatcher => {
-        const watcher = createStoreWatcher({
-            store: source,
-            kind,
-            waitMilliseconds: watchMilliseconds,
-            maxPauseMilliseconds: watchers.length === 0 ? maxProbePauseMilliseconds : maxWaitingPauseMilliseconds,
-            onList,
-            onChanges,
-            onRecovered: () => watchers.forEach(other => other.retryNow()),
-            clock,
-            log,
-            metrics,
-            signal,
-        });
-        watchers.push(watcher);
-        return watcher;
-    };
-    /** Takes in an object so that an exception costs this object alone. */
-    const applyAlone = (kind: string, object: StoreObject, apply: () => void): void => {
-        try {
-            apply();
-        }
-        catch (error) {
-            const { name, revision } = object;
-            log.error("object-failed", { kind, name, revision, error: messageOf(error) });
-        }
-    };
-    /** Watches a kind of which removals are ignored. */
-    const watchIgnoringRemovals = (kind: string, onObject: (object: StoreObject) => void): StoreWatcher => {
-        const takeIn = (object: StoreObject): void => applyAlone(kind, object, () => onObject(object));
-        return watch(kind, all => all.forEach(takeIn), events => {
-            events.filter(event => !event.removed).forEach(event => takeIn(event.object));
-        });
-    };
+    const watchers = createStoreWatchers({ store: source, clock, log, metrics, signal });
 
     const routeTable = createRouteTableHolder({ decode: objects.decodeTable, log });
     const acceptTableObject = (object: StoreObject): void => {
@@ -272,7 +168,6 @@
         log,
         signal,
     });
-    const controllers = new Map<string, RangeController>();
     const loans = createLoans({
         others: () => processes.hosts().filter(({ name }) => name !== settings.host.name),
         grant: (target, asked) => targetStates.grantConnections(target, asked),
@@ -314,10 +209,8 @@
         metrics,
         signal,
     });
-    const lastCoordination = new Map<string, StoreObject>();
-
-    const startController = (pool: string): void => {
-        const controller = createRangeController({
+    const createController = (pool: string): RangeController =>
+        createRangeController({
             pool,
             self: processName,
             store,
@@ -339,34 +232,15 @@
             metrics,
             signal,
         });
-        controllers.set(pool, controller);
-        const lastObject = lastCoordination.get(pool);
-        if (lastObject !== undefined) {
-            controller.applyCoordination(lastObject);
-        }
-    };
-
-    /** Whether this host coordinates the first of the pools that have a coordinator. */
-    const coordinatesFirstPool = (): boolean => {
-        const coordinated = [...controllers].filter(([, controller]) => controller.reportsAddress() !== undefined);
-        const [first] = coordinated.sort(([left], [right]) => left < right ? -1 : 1);
-        return first?.[1].isCoordinator() === true;
-    };
-
-    const applyCoordination = (object: StoreObject, removed: boolean): void => {
-        lastCoordination.set(object.name, object);
-        applyAlone(storeKinds.coordination, object, () => {
-            controllers.get(object.name)?.applyCoordination(removed ? undefined : object);
-        });
-    };
+    const controllers = createPoolControllers(createController, log);
 
     const applyTable = (table: RouteTable): void => {
         targetStates.applyLimits();
         const { idleTimeoutMilliseconds, headTimeoutMilliseconds } = table.limits;
         callers.setTimeouts(idleTimeoutMilliseconds, headTimeoutMilliseconds);
         for (const pool of table.pools.values()) {
-            if (pool.isSharded && !controllers.has(pool.name)) {
-                startController(pool.name);
+            if (pool.isSharded) {
+                controllers.start(pool.name);
             }
         }
     };
@@ -374,7 +248,7 @@
     const facts = createFleetFacts({
         self,
         processes,
-        removesHosts: () => !stopping && coordinatesFirstPool(),
+        removesHosts: () => !stopping && controllers.coordinatesFirstPool(),
         registry,
         targetStates,
         dial,
@@ -405,20 +279,11 @@
         metrics,
     });
 
-    const limitOf = (part: DescriptorPart) => (server: Server, isIdle?: (socket: Socket) => boolean): void =>
-        limitConnections(server, { part, descriptors, clock }, isIdle);
-    const listening = { clock, log, metrics, signal: options.startSignal };
-    const [callersHost, callersPort] = settings.callers.listen.split(":");
-    const openCallers = () =>
+    const openCallers = ({ bindAddress, port, limitConnections }: CallersEndpoint): Promise<CallerLink> =>
         createCallerLink<ResidentRequest>({
-            bindAddress: callersHost,
-            limitConnections: limitOf(descriptorParts.callers),
-            settings: {
-                port: Number(callersPort),
-                maxHeadBytes,
-                maxBodyBytes,
-                maxBufferedBodyBytes: settings.callers.maxBufferedBodyBytes,
-            },
+            bindAddress,
+            limitConnections,
+            settings: { port, maxHeadBytes, maxBodyBytes, maxBufferedBodyBytes: settings.callers.maxBufferedBodyBytes },
             protocol: options.callerProtocol,
             clock,
             serve: gateway.serve,
@@ -446,67 +311,50 @@
         [loansPath]: loans.service,
         ...facts.services,
     };
-    const openLinks = (): Promise<void> =>
-        openPeerEndpoint(settings.links.listen, services, peerOptions, limitOf(descriptorParts.hosts));
     let started = false;
     let wasReady = false;
     const isReady = (): boolean => !stopping && routeTable.current() !== undefined && started;
-    const openEndpoint = (
-        part: "health" | "metrics",
-        listen: string,
-        answer: () => HttpEndpointAnswer,
-    ): Promise<void> => {
-        const open = (): Promise<void> => openHttpEndpoint(listen, answer, signal, limitOf(descriptorParts[part]));
-        return listenWithRetries({ name: part, address: listen }, open, listening);
-    };
-    const openMetrics = (listen: string): Promise<void> =>
-        openEndpoint("metrics", listen, () => {
-            descriptors.report();
-            return { statusCode: 200, contentType: "text/plain; version=0.0.4", body: options.metricsText() };
-        });
-    const openAddresses = async (): Promise<CallerLink> => {
-        // Each tells what the start waits for, so neither waits for the other.
-        await Promise.all([
-            openEndpoint("health", settings.health.listen, () => ({
-                statusCode: isReady() ? 200 : 503,
-                contentType: "text/plain",
-                body: "",
-            })),
-            settings.metrics === undefined ? undefined : openMetrics(settings.metrics.listen),
-        ]);
-        await listenWithRetries({ name: "links", address: settings.links.listen }, openLinks, listening);
-        acceptsLinks();
-        // Last, since a host that is asked to stop while it waits for another address has no requests to complete.
-        return listenWithRetries({ name: "callers", address: settings.callers.listen }, openCallers, listening);
-    };
     /** Ends all tasks and closes all that was opened but the callers' address. */
     const close = (): void => {
         lifetime.abort();
         options.ownershipLink.close();
         store.close();
     };
-    const callers = await openAddresses().catch((error: unknown) => {
+    const callers = await openHostAddresses({
+        settings,
+        isReady,
+        metricsText: options.metricsText,
+        services,
+        onLinksOpen: () => acceptsLinks(),
+        openCallers,
+        descriptors,
+        clock,
+        log,
+        metrics,
+        startSignal: options.startSignal,
+        signal,
+    }).catch((error: unknown) => {
         close();
         throw error;
     });
 
-    const targetWatcher = watch(
+    const targetWatcher = watchers.watch(
         objects.targetKind,
         all => measure("targets", () => registry.applyList(all)),
         events => measure("targets", () => registry.applyChanges(events)),
     );
-    watchIgnoringRemovals(objects.tableKind, acceptTableObject);
-    watchIgnoringRemovals(storeKinds.ownership, object => measure("ownership", () => ownerships.put(object)));
-    const coordinationWatcher = watch(
+    watchers.watchObjects(objects.tableKind, acceptTableObject);
+    watchers.watchObjects(storeKinds.ownership, object => measure("ownership", () => ownerships.put(object)));
+    const coordinationWatcher = watchers.watch(
         storeKinds.coordination,
-        all => all.forEach(object => applyCoordination(object, false)),
-        events => events.forEach(event => applyCoordination(event.object, event.removed)),
+        all => all.forEach(object => controllers.applyCoordination(object, false)),
+        events => events.forEach(event => controllers.applyCoordination(event.object, event.removed)),
     );
     const onHosts = (): void => {
         source.reconsider();
         targetStates.applyLimits();
     };
-    const processWatcher = watch(
+    const processWatcher = watchers.watch(
         processKind,
         (all, position) => {
             processes.applyList(all, position);
@@ -521,7 +369,7 @@
 
     // A host that served at once would send requests to targets of which the others know that they leave.
     const told = processes.known.then(() => facts.waitUntilTold(maxUntilToldMilliseconds));
-    void Promise.all([told, ...watchers.map(watcher => watcher.synced)]).then(() => {
+    void Promise.all([told, watchers.synced()]).then(() => {
         started = !signal.aborted;
         wasReady ||= started;
         log.info("host-ready", {
@@ -549,9 +397,7 @@
             server.announce();
             callers.disableKeepAlive();
             // The store may never answer, so nothing waits for it.
-            for (const controller of controllers.values()) {
-                controller.resign().catch((error: unknown) => log.warn("resign-failed", { error: messageOf(error) }));
-            }
+            controllers.resign();
             await clock.sleep(Math.min(servingMilliseconds, endAt - clock.now()));
             callers.stopAccepting();
             await waitUntilIdle(endAt);
