Share the raw targets and the reading of answers among tests

resetanswers, lengthless and rawtarget each had a server of bytes, and lengthless its own reader of answers.

--- a/test/machines/resident/lengthless.test.ts
+++ b/test/machines/resident/lengthless.test.ts
@@ -3,10 +3,10 @@
  * since the target crashed or this host was killed.
  */
 import test from "ava";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { createLog } from "../../../src/links/logs.ts";
-import { connectStrictly } from "../../connections.ts";
-import { headOf } from "../../rawtarget.ts";
+import { readRawAnswer } from "../../connections.ts";
+import { headOf, idOf, startTextServer } from "../../rawtarget.ts";
 import { startHost } from "./lonehost.ts";
 
 const bodyBytes = 2_097_152;
@@ -20,67 +20,21 @@
 /** Starts a target that sends the body without a length; undefined for one that is gone when it has ended it. */
 const startTarget = async (answerHealth: HealthAnswer | undefined) => {
     let healthCalls = 0;
-    const sockets = new Set<Socket>();
-    const server = createServer(socket => {
-        sockets.add(socket);
-        socket.on("error", () => undefined);
-        socket.on("data", (data: Buffer) => {
-            const text = data.toString("latin1");
-            if (text.startsWith("GET /health ")) {
-                healthCalls += 1;
-                answerHealth?.(socket);
-                return;
-            }
-            const id = /request-id: ([^\r\n]+)/.exec(text)?.[1] ?? "";
-            socket.write(headOf(id, "response-signature: s"));
-            if (answerHealth === undefined) {
-                server.close();
-            }
-            socket.end(body);
-        });
+    const server = await startTextServer((socket, text) => {
+        if (text.startsWith("GET /health ")) {
+            healthCalls += 1;
+            answerHealth?.(socket);
+            return;
+        }
+        socket.write(headOf(idOf(text) ?? "", "response-signature: s"));
+        if (answerHealth === undefined) {
+            server.stopListening();
+        }
+        socket.end(body);
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return {
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        healthCalls: () => healthCalls,
-        close: () => {
-            server.close();
-            sockets.forEach(socket => socket.destroy());
-        },
-    };
+    return { address: server.address, healthCalls: () => healthCalls, close: server.close };
 };
 
-type Received = { head: string; bytes: number; lastChunk: boolean; end: "ended" | "reset" };
-
-/** Sends a request and reads until the connection ends or the last chunk has come. */
-const ask = (address: string, version: string): Promise<Received> =>
-    new Promise(resolve => {
-        const [host, port] = address.split(":");
-        const parts: Buffer[] = [];
-        const socket = connectStrictly(Number(port), host);
-        socket.write(`GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`);
-        const finish = (end: Received["end"]): void => {
-            const received = Buffer.concat(parts).toString("latin1");
-            const split = received.indexOf("\r\n\r\n");
-            const lastChunk = received.endsWith("\r\n0\r\n\r\n");
-            resolve({
-                head: received.slice(0, split).toLowerCase(),
-                bytes: received.split("x").length - 1,
-                lastChunk,
-                end,
-            });
-            socket.destroy();
-        };
-        socket.on("data", (part: Buffer) => {
-            parts.push(part);
-            if (part.subarray(-5).toString("latin1") === "0\r\n\r\n") {
-                finish("ended");
-            }
-        });
-        socket.on("end", () => finish("ended"));
-        socket.on("error", () => finish("reset"));
-    });
-
 type Case = { title: string; answerHealth: HealthAnswer | undefined; isWhole: boolean };
 
 const cases: Case[] = [
@@ -117,14 +71,16 @@
             });
             t.teardown(target.close);
             t.teardown(host.close);
-            const { head, bytes, lastChunk, end } = await ask(host.link.address, version);
+            const request = `GET /a HTTP/${version}\r\nhost: orders.example\r\nrequest-id: r1\r\n\r\n`;
+            const port = Number(host.link.address.split(":")[1]);
+            const { head, body: received, hasLastChunk, end } = await readRawAnswer(port, request);
             t.regex(head, /^http\/1.1 200 /);
             const isChunked = version === "1.1";
             t.is(head.includes("transfer-encoding: chunked"), isChunked);
-            t.is(lastChunk, isChunked && isWhole);
+            t.is(hasLastChunk, isChunked && isWhole);
             t.false(head.includes("content-length"));
             if (isWhole) {
-                t.is(bytes, bodyBytes);
+                t.is(received.length, bodyBytes);
                 t.is(end, "ended");
             }
             else if (!isChunked) {
--- a/test/machines/resident/resetanswers.test.ts
+++ b/test/machines/resident/resetanswers.test.ts
@@ -3,9 +3,9 @@
  * reset, right behind its last bytes, was taken for the end of an answer that only the close of the connection ends.
  */
 import test from "ava";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { looksWhole, readRawAnswer } from "../../connections.ts";
-import { headOf } from "../../rawtarget.ts";
+import { headOf, idOf, startTextServer, type TextServer } from "../../rawtarget.ts";
 import { startHost } from "./lonehost.ts";
 
 type Ending = (socket: Socket, lastBytes: Buffer) => void;
@@ -34,39 +34,17 @@
 const pauseMilliseconds = 20;
 
 /** Starts a target that runs on after it has sent the share of the body and ended the connection. */
-const startTarget = async (body: Buffer, share: number, lines: string[], end: Ending) => {
-    const sockets = new Set<Socket>();
-    const server = createServer(socket => {
-        sockets.add(socket);
-        socket.on("error", () => undefined);
-        socket.on("data", (data: Buffer) => {
-            const text = data.toString("latin1");
-            if (text.startsWith("GET /health ")) {
-                socket.write("HTTP/1.1 200 OK\r\ninstance-id: i-1\r\ncontent-length: 0\r\n\r\n");
-                return;
-            }
-            const id = /request-id: ([^\r\n]+)/.exec(text)?.[1] ?? "";
-            const split = Math.floor(body.length * firstBytes);
-            socket.write(headOf(id, "response-signature: s", ...lines));
-            socket.write(
-                body.subarray(0, split),
-                () =>
-                    setTimeout(
-                        () => end(socket, body.subarray(split, Math.floor(body.length * share))),
-                        pauseMilliseconds,
-                    ),
-            );
-        });
+const startTarget = (body: Buffer, share: number, lines: string[], end: Ending): Promise<TextServer> =>
+    startTextServer((socket, text) => {
+        if (text.startsWith("GET /health ")) {
+            socket.write("HTTP/1.1 200 OK\r\ninstance-id: i-1\r\ncontent-length: 0\r\n\r\n");
+            return;
+        }
+        const split = Math.floor(body.length * firstBytes);
+        const lastBytes = body.subarray(split, Math.floor(body.length * share));
+        socket.write(headOf(idOf(text) ?? "", "response-signature: s", ...lines));
+        socket.write(body.subarray(0, split), () => setTimeout(() => end(socket, lastBytes), pauseMilliseconds));
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    return {
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        close: () => {
-            server.close();
-            sockets.forEach(socket => socket.destroy());
-        },
-    };
-};
 
 const cases = framings.flatMap(framing =>
     endings.flatMap(ending =>
--- a/test/rawtarget.ts
+++ b/test/rawtarget.ts
@@ -1,7 +1,7 @@
 /**
  * A target for tests that answers with the bytes that a test gives, and helpers to send requests to it.
  */
-import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import type { CallerRequest } from "../src/links/callers.ts";
 import { systemClock } from "../src/links/clock.ts";
 import { type Attempt, createSender, type ExchangeSample } from "../src/machines/sender.ts";
@@ -19,31 +19,22 @@
     close: () => Promise<void>;
 };
 
-/** Starts a target. The n-th request gets the n-th answer, and further requests the last one. */
-export const startRawTarget = async (answers: RawAnswer[]): Promise<RawTarget> => {
+/** A server of bytes on a port of the loopback address. */
+export type TextServer = { address: string; stopListening: () => void; close: () => Promise<void> };
+
+/** Starts a server that gets what comes on each connection as text. */
+export const startTextServer = async (onText: (socket: Socket, text: string) => void): Promise<TextServer> => {
     const sockets = new Set<Socket>();
-    const used = new Set<Socket>();
-    let received = 0;
-    const server: Server = createServer(socket => {
+    const server = createServer(socket => {
         sockets.add(socket);
         socket.on("error", () => undefined);
         socket.once("close", () => sockets.delete(socket));
-        socket.on("data", (data: Buffer) => {
-            const text = data.toString("latin1");
-            const id = /request-id: ([^\r\n]+)/.exec(text)?.[1];
-            if (id !== undefined) {
-                const answer = answers[Math.min(received, answers.length - 1)];
-                received += 1;
-                used.add(socket);
-                answer(socket, id, text);
-            }
-        });
+        socket.on("data", (data: Buffer) => onText(socket, data.toString("latin1")));
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        used: () => used.size,
-        received: () => received,
+        stopListening: () => void server.close(),
         close: () =>
             new Promise(resolve => {
                 server.close(() => resolve());
@@ -52,6 +43,25 @@
     };
 };
 
+/** Returns the id of the request that the text begins, if it names one. */
+export const idOf = (text: string): string | undefined => /request-id: ([^\r\n]+)/.exec(text)?.[1];
+
+/** Starts a target. The n-th request gets the n-th answer, and further requests the last one. */
+export const startRawTarget = async (answers: RawAnswer[]): Promise<RawTarget> => {
+    const used = new Set<Socket>();
+    let received = 0;
+    const { address, close } = await startTextServer((socket, text) => {
+        const id = idOf(text);
+        if (id !== undefined) {
+            const answer = answers[Math.min(received, answers.length - 1)];
+            received += 1;
+            used.add(socket);
+            answer(socket, id, text);
+        }
+    });
+    return { address, used: () => used.size, received: () => received, close };
+};
+
 /** The head of a successful answer with the given request id and further header lines. */
 export const headOf = (id: string, ...lines: string[]): string =>
     ["HTTP/1.1 200 OK", `request-id: ${id}`, "target-outcome: ran", ...lines, "", ""].join("\r\n");
