Leave a reader whose word arrives ever later

The reader's status names when it was sent, by its own clock. A follower takes the fastest one for not held up, and leaves a reader whose status is more than 600 ms later for 300 ms; for 10 s it is no candidate.

--- a/src/contracts/statemessages.ts
+++ b/src/contracts/statemessages.ts
@@ -40,7 +40,12 @@
  * Sent by the reader a few times a second. While `current`, the store has confirmed the reader's state within about a
  * second and all changes known to the reader were sent before this message.
  */
-export const readerStatusSchema = z.object({ kind: z.literal("status"), current: z.boolean() });
+export const readerStatusSchema = z.object({
+    kind: z.literal("status"),
+    current: z.boolean(),
+    /** When it was sent, in milliseconds of the reader's monotonic clock; absent from a host of an earlier version. */
+    sentAt: z.number().optional(),
+});
 
 /**
  * How many requests hosts have at targets: sent by a follower for itself, by a reader for its zone to other readers, and
--- a/src/machines/resident/readersearch.ts
+++ b/src/machines/resident/readersearch.ts
@@ -13,7 +13,7 @@
 import { keepRunning } from "../longtasks.ts";
 import type { CurrentSource } from "./currentsource.ts";
 import type { StateCache } from "./statecache.ts";
-import { createStateFollow, type StateFollow } from "./statefollow.ts";
+import { createStateFollow, lateReason, type StateFollow } from "./statefollow.ts";
 
 export type ReaderSearchOptions = {
     /** Name of this host. */
@@ -55,7 +55,7 @@
 const searchMilliseconds = 5_000;
 const refusedSearchMilliseconds = 1_000;
 const searchSpread = 0.4;
-/** A candidate that could not be reached is not tried again for this time. */
+/** A candidate that could not be reached, or was late, is not tried again for this time. */
 const unreachableMilliseconds = 10_000;
 
 /** Starts the search. */
@@ -91,6 +91,9 @@
                 }
             },
             onChange: () => {
+                if (follow.closeReason() === lateReason) {
+                    unreachableUntil.set(reader.name, clock.now() + unreachableMilliseconds);
+                }
                 wake();
                 if (isFollowed(follow) && follow.state() !== "current") {
                     leaveReader(follow);
--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -1,6 +1,7 @@
 /**
  * Follows one reader: keeps a connection to it and takes its changes into this host's cache. A reader from which
- * nothing was heard for a while is given up, since it may be frozen or the connection silent.
+ * nothing was heard for a while is given up, since it may be frozen or the connection silent, and so is one whose word
+ * arrives late, as behind a thin link.
  */
 import type { Clock } from "../../contracts/clock.ts";
 import type { StoreEvent } from "../../contracts/objectstore.ts";
@@ -12,6 +13,7 @@
     statePath,
     type ValuePatch,
 } from "../../contracts/statemessages.ts";
+import { createLateness } from "../../decisions/lateness.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer } from "../../links/peers.ts";
@@ -58,7 +60,10 @@
 
 const maxSilenceMilliseconds = 3 * statusMilliseconds;
 
-/** Starts to follow the reader. Ends when it is closed, when the reader is silent, or when the signal aborts. */
+/** Reason of a close because what the reader sent arrived late. */
+export const lateReason = "late";
+
+/** Starts to follow the reader. Ends when it is closed, when the reader is silent or late, or when the signal aborts. */
 export const createStateFollow = (options: StateFollowOptions): StateFollow => {
     const { cache, kinds, patches, clock, reader, log, metrics } = options;
     const lifetime = new AbortController();
@@ -66,6 +71,7 @@
     let state: FollowState = "waiting";
     let closeReason: string | undefined;
     let lastHeardAt = clock.now();
+    const isLate = createLateness();
 
     const setState = (next: FollowState): void => {
         if (state !== next && state !== "closed") {
@@ -141,6 +147,9 @@
             else if (parsed.data.kind === "loads") {
                 options.onLoads(parsed.data);
             }
+            else if (parsed.data.sentAt !== undefined && isLate(parsed.data.sentAt, lastHeardAt)) {
+                close(lateReason);
+            }
             else {
                 const isSynced = kinds.every(kind => cache.position(kind) !== undefined);
                 setState(parsed.data.current && isSynced ? "current" : "refused");
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -158,7 +158,11 @@
         if (current) {
             kinds.forEach(kind => sendKind(follower, kind));
         }
-        const message: ReaderStatusMessage = { kind: "status", current: current && isUpToDate(follower) };
+        const message: ReaderStatusMessage = {
+            kind: "status",
+            current: current && isUpToDate(follower),
+            sentAt: Math.round(clock.now()),
+        };
         follower.connection.send(message);
     };
 
--- a/test/machines/resident/fakenetwork.ts
+++ b/test/machines/resident/fakenetwork.ts
@@ -13,6 +13,8 @@
     kill: (address: string) => void;
     /** From now on nothing from or to the host arrives, and its connections stay open. */
     silence: (address: string) => void;
+    /** From now on what the host sends arrives ever later: each second by half a second more, up to the given time. */
+    slow: (address: string, upToMilliseconds: number) => void;
     /** Ends the silence; what was sent meanwhile is lost. */
     heal: (address: string) => void;
 };
@@ -26,8 +28,14 @@
 export const createFakeNetwork = (clock: Clock): FakeNetwork => {
     const listening = new Map<string, Record<string, PeerService>>();
     const silent = new Set<string>();
+    const slowed = new Map<string, { since: number; upTo: number }>();
     const open = new Set<{ ends: [End, End]; close: () => void }>();
 
+    const delayOf = (address: string): number => {
+        const { since, upTo } = slowed.get(address) ?? { since: 0, upTo: 0 };
+        return latencyMilliseconds + Math.min(upTo, (clock.now() - since) / 2);
+    };
+
     const connect = (from: string, to: string, path: string, listener: PeerListener): PeerConnection => {
         let isOpen = false;
         let isClosed = false;
@@ -46,7 +54,7 @@
         const createEnd = (address: string, other: () => End): End => {
             const sendFrame = (frame: Buffer): void => {
                 if (isOpen) {
-                    clock.after(latencyMilliseconds, () => {
+                    clock.after(delayOf(address), () => {
                         if (isOpen && !isCut() && other().listener?.onFrame(decodeFrame(frame)) === false) {
                             close();
                         }
@@ -91,6 +99,7 @@
             [...open].filter(({ ends }) => ends.some(end => end.address === address)).forEach(link => link.close());
         },
         silence: address => silent.add(address),
+        slow: (address, upTo) => slowed.set(address, { since: clock.now(), upTo }),
         heal: address => silent.delete(address),
     };
 };
--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -246,6 +246,25 @@
     t.is(refused.source.name(), "store");
 });
 
+/** Guards against followers that go on with a reader behind a thin link, whose word is seconds old. */
+test("a reader whose word arrives ever later is left, and for a while not followed again", async t => {
+    const { clock, shared, network, hosts, readers } = setUp(20);
+    shared.put(kind, "main", 1);
+    await clock.advance(3_000);
+    const isFollowed = ({ host }: TestHost): boolean => hosts.some(({ source }) => source.name() === host.name);
+    const [reader, other] = readers().sort((left, right) => Number(isFollowed(right)) - Number(isFollowed(left)));
+    const followers = hosts.filter(({ source }) => source.name() === reader.host.name);
+    t.true(followers.length > 0);
+    network.slow(reader.host.address, 2_500);
+    await clock.advance(3_000);
+    for (let version = 2; version <= 8; version += 1) {
+        shared.put(kind, "main", version);
+        await clock.advance(1_000);
+        t.true(followers.every(host => host.version() === version), `version ${version}`);
+        t.true(followers.every(({ source }) => source.name() === other.host.name));
+    }
+});
+
 test("followers return to their reader after it has restarted, and an older reader takes none of them back", async t => {
     const { clock, shared, network, hosts, start, readers } = setUp(20);
     shared.put(kind, "main", 1);
