--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -130,6 +130,13 @@
 
 type Setup = ReturnType<typeof setUp>;
 
+/** Returns the reader that hosts follow, the other one, and the followers. */
+const findFollowed = ({ hosts, readers }: Setup) => {
+    const isFollowed = ({ host }: TestHost): boolean => hosts.some(({ source }) => source.name() === host.name);
+    const [reader, other] = readers().sort((left, right) => Number(isFollowed(right)) - Number(isFollowed(left)));
+    return { reader, other, followers: hosts.filter(({ source }) => source.name() === reader.host.name) };
+};
+
 const totalCalls = (hosts: TestHost[], name: string): number =>
     hosts.reduce((sum, { calls }) => sum + (calls[name] ?? 0), 0);
 
@@ -248,12 +255,11 @@
 
 /** Guards against followers that go on with a reader behind a thin link, whose word is seconds old. */
 test("a reader whose word arrives ever later is left, and for a while not followed again", async t => {
-    const { clock, shared, network, hosts, readers } = setUp(20);
+    const setup = setUp(20);
+    const { clock, shared, network } = setup;
     shared.put(kind, "main", 1);
     await clock.advance(3_000);
-    const isFollowed = ({ host }: TestHost): boolean => hosts.some(({ source }) => source.name() === host.name);
-    const [reader, other] = readers().sort((left, right) => Number(isFollowed(right)) - Number(isFollowed(left)));
-    const followers = hosts.filter(({ source }) => source.name() === reader.host.name);
+    const { reader, other, followers } = findFollowed(setup);
     t.true(followers.length > 0);
     network.slow(reader.host.address, 2_500);
     await clock.advance(3_000);
@@ -266,12 +272,11 @@
 });
 
 test("followers return to their reader after it has restarted, and an older reader takes none of them back", async t => {
-    const { clock, shared, network, hosts, start, readers } = setUp(20);
+    const setup = setUp(20);
+    const { clock, shared, network, hosts, start } = setup;
     shared.put(kind, "main", 1);
     await clock.advance(3_000);
-    const isFollowed = ({ host }: TestHost): boolean => hosts.some(({ source }) => source.name() === host.name);
-    const [reader, other] = readers().sort((left, right) => Number(isFollowed(right)) - Number(isFollowed(left)));
-    const followers = hosts.filter(({ source }) => source.name() === reader.host.name);
+    const { reader, other, followers } = findFollowed(setup);
     t.true(followers.length > 0);
     reader.end();
     shared.put(kind, "main", 2);
