--- a/src/contracts/storehistory.ts
+++ b/src/contracts/storehistory.ts
@@ -9,6 +9,8 @@
 
 /** Revisions of an era. Eras and revisions together stay within the whole numbers that are exact. */
 const revisionsPerEra = 2 ** 40;
+/** The highest revision of an era. */
+export const maxRevision = revisionsPerEra - 1;
 /** The highest era. */
 export const maxEra = 2 ** 53 / revisionsPerEra - 1;
 
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -143,6 +143,9 @@
             }
             return isGone;
         },
+        era: () => 0,
+        learnEra: () => undefined,
+        onEra: () => undefined,
         callCounts: () => ({}),
         close: () => undefined,
     };
