Let the stand-in store and the fake store return from an older copy

The stand-in names its era in all answers and gives out the revisions after the copy a second time. The fake composes places of era and revision; each access learns of the era from its answers or is told.

--- a/stand-ins/resident/store.ts
+++ b/stand-ins/resident/store.ts
@@ -1,7 +1,7 @@
 /**
  * A small stand-in of the store of the users' platform, which speaks the platform's protocol. It holds objects by kind
  * and name under one revision counter and serves lists in pages, watches and conditional writes. It can refuse calls,
- * become silent, lose the answers to writes, apply writes late, and drop its history.
+ * become silent, lose the answers to writes, apply writes late, drop its history, and come back from an older copy.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -18,6 +18,8 @@
     loseWrites: boolean;
     /** When above 0: writes are applied after this time, if their condition still holds, and get no answer. */
     lateMilliseconds: number;
+    /** Returns the era that the next answer names, from that of the store; undefined to name none. */
+    namedEra: (era: number) => string | undefined;
 };
 
 /** An object as the protocol carries it. */
@@ -29,6 +31,14 @@
 type WireEvent = { kind: string; rev: number; removed: boolean; object: WireObject };
 type WireBody = { metadata?: { name?: string; rev?: number }; spec?: unknown };
 
+/** What a copy of the store keeps. */
+export type StoreCopy = {
+    readonly objects: ReadonlyMap<string, WireObject>;
+    readonly events: readonly WireEvent[];
+    readonly oldestRevision: number;
+    readonly revision: number;
+};
+
 export type StoreStandIn = {
     address: string;
     faults: StoreFaults;
@@ -41,6 +51,15 @@
     forgetHistory: () => void;
     /** Resets all connections; new ones are accepted. */
     resetConnections: () => void;
+    era: () => number;
+    copy: () => StoreCopy;
+    /** Resets all connections and accepts none until the store returns. */
+    goAway: () => Promise<void>;
+    /**
+     * Resets all connections and begins the next era with what the copy holds; without one, the store loses nothing and
+     * stays in its era.
+     */
+    returnFrom: (copy?: StoreCopy) => Promise<void>;
     close: () => void;
 };
 
@@ -70,11 +89,13 @@
         slowMilliseconds: 0,
         loseWrites: false,
         lateMilliseconds: 0,
+        namedEra: String,
     };
     let events: WireEvent[] = [];
     /** Lowest revision from which a watch can be served. */
     let oldestRevision = 0;
     let revision = 1;
+    let era = 1;
 
     /** Writes an object under the next revision. A spec that doesn't change the object has no effect. */
     const write = (kind: string, name: string, spec: unknown): WireObject => {
@@ -102,9 +123,11 @@
 
     const sendJson = (response: ServerResponse, statusCode: number, body: unknown): void => {
         const text = publicAddresses(JSON.stringify(body));
+        const named = faults.namedEra(era);
         response.writeHead(statusCode, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(text),
+            ...(named === undefined ? {} : { "store-era": named }),
         });
         response.end(text);
     };
@@ -127,7 +150,7 @@
     const watch = async (response: ServerResponse, kind: string, from: number, waitMs: number): Promise<void> => {
         const endAt = performance.now() + waitMs;
         for (;;) {
-            if (from < oldestRevision) {
+            if (from < oldestRevision || from > revision) {
                 sendJson(response, 410, {});
                 return;
             }
@@ -219,8 +242,11 @@
         sockets.add(socket);
         socket.once("close", () => sockets.delete(socket));
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const listen = (onPort: number): Promise<void> =>
+        new Promise(resolve => server.listen(onPort, "127.0.0.1", resolve));
+    await listen(0);
     const { port } = server.address() as AddressInfo;
+    const resetConnections = (): void => sockets.forEach(socket => socket.resetAndDestroy());
 
     return {
         address: `127.0.0.1:${port}`,
@@ -232,7 +258,27 @@
             events = [];
             oldestRevision = revision;
         },
-        resetConnections: () => sockets.forEach(socket => socket.resetAndDestroy()),
+        resetConnections,
+        era: () => era,
+        copy: () => ({ objects: new Map(objects), events: [...events], oldestRevision, revision }),
+        goAway: async () => {
+            const closed = new Promise(resolve => server.close(resolve));
+            resetConnections();
+            await closed;
+        },
+        returnFrom: async copy => {
+            resetConnections();
+            if (copy !== undefined) {
+                era += 1;
+                objects.clear();
+                copy.objects.forEach((object, key) => objects.set(key, object));
+                events = [...copy.events];
+                ({ oldestRevision, revision } = copy);
+            }
+            if (!server.listening) {
+                await listen(port);
+            }
+        },
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -1,16 +1,35 @@
 /**
- * An in-memory object store on a clock that the test advances, with faults that the test injects.
+ * An in-memory object store on a clock that the test advances, with faults that the test injects. It can come back from an
+ * older copy; each access learns of the new era as the client of a real store does, from its next answer.
  */
 import type { Clock } from "../../../src/contracts/clock.ts";
 import { PlatformError } from "../../../src/contracts/errors.ts";
-import type { ObjectStore, StoreEvent, StoreObject, StoreWriteResult } from "../../../src/contracts/objectstore.ts";
+import type { ObjectStore, StoreObject, StoreWriteResult } from "../../../src/contracts/objectstore.ts";
+import { eraOf, isLater, placeOf, revisionOf } from "../../../src/contracts/storehistory.ts";
 
-export type StoreFault = "none" | "silent" | "refusing" | "answers-lost";
+export type StoreFault = "none" | "silent" | "refusing" | "answers-lost" | "writes-late";
+
+/** A store that knows of eras. */
+type EraStore = ObjectStore & {
+    /** The latest era that this process knows of. */
+    era: () => number;
+    learnEra: (era: number) => void;
+    /** The listener is called once for each later era. */
+    onEra: (listener: (era: number) => void) => void;
+};
+
+/** An object under the revision of the era; its place follows from the era of the answer that carries it. */
+type Stored = StoreObject;
+export type FakeCopy = { revision: number; objects: Map<string, Stored>; events: Change[]; oldest: number };
 
 export type FakeStore = {
-    store: ObjectStore;
-    /** Fault of this host's calls; `answers-lost` carries out the writes and loses their answers. */
+    store: EraStore;
+    /**
+     * Fault of this host's calls. `answers-lost` carries out the writes and loses their answers; `writes-late` carries them
+     * out after `lateMilliseconds`, if their condition holds then, and loses their answers.
+     */
     fault: StoreFault;
+    lateMilliseconds: number;
     /** Speed of the connection for lists and changes. */
     bytesPerMillisecond: number;
     put: (kind: string, name: string, value: unknown) => void;
@@ -18,17 +37,19 @@
     read: (kind: string, name: string) => StoreObject | undefined;
     /** Drops all events, so that a watch from an earlier position results in `history-lost`. */
     forgetHistory: () => void;
-    /** Returns another host's access to the same objects, with its own fault. */
+    copy: () => FakeCopy;
+    /**
+     * Resets all calls of all accesses and begins the next era with what the copy holds. Late writes are carried out in it
+     * if an object has their revision there.
+     */
+    returnFrom: (copy: FakeCopy) => void;
+    /** Returns another host's access to the same objects, with its own fault and its own knowledge of the era. */
     access: () => FakeStore;
 };
 
-type Shared = {
-    revision: number;
-    objects: Map<string, StoreObject>;
-    events: Array<{ kind: string; revision: number; event: StoreEvent }>;
-    oldest: number;
-    waiters: Set<() => void>;
-};
+type Change = { kind: string; revision: number; object: Stored; removed: boolean };
+type Shared = FakeCopy & { era: number; waiters: Set<() => void> };
+type Condition = (current: Stored | undefined) => boolean;
 
 /** Time-out of a call to a silent store. */
 const timeoutMilliseconds = 800;
@@ -36,8 +57,27 @@
 
 const keyOf = (kind: string, name: string): string => `${kind}/${name}`;
 
+const copyOf = ({ revision, objects, events, oldest }: FakeCopy): FakeCopy => ({
+    revision,
+    objects: new Map(objects),
+    events: [...events],
+    oldest,
+});
+
 const access = (shared: Shared, clock: Clock): FakeStore => {
-    const change = (kind: string, name: string, value: unknown, removed: boolean): StoreObject => {
+    const listeners: Array<(era: number) => void> = [];
+    let knownEra = 0;
+
+    const learnEra = (era: number): void => {
+        if (isLater(era, knownEra)) {
+            knownEra = era;
+            listeners.forEach(listener => listener(era));
+        }
+    };
+
+    const wakeAll = (): void => [...shared.waiters].forEach(wake => wake());
+
+    const change = (kind: string, name: string, value: unknown, removed: boolean): Stored => {
         shared.revision += 1;
         const object = { name, revision: shared.revision, value };
         if (removed) {
@@ -46,102 +86,151 @@
         else {
             shared.objects.set(keyOf(kind, name), object);
         }
-        shared.events.push({ kind, revision: shared.revision, event: { object, removed } });
-        [...shared.waiters].forEach(wake => wake());
+        shared.events.push({ kind, revision: shared.revision, object, removed });
+        wakeAll();
         return object;
     };
 
+    const placed = (object: Stored): StoreObject => ({
+        ...object,
+        revision: placeOf(shared.era, object.revision),
+    });
+
+    /** Throws when connections were reset since the call began in the era. */
+    const checkConnected = (era: number): void => {
+        if (shared.era !== era) {
+            throw new PlatformError("connection reset");
+        }
+    };
+
+    /** Takes the time of an answer, with whose arrival the era becomes known. */
     const applyFault = async (): Promise<void> => {
+        const { era } = shared;
         if (fake.fault === "silent") {
             await clock.sleep(timeoutMilliseconds);
             throw new PlatformError("no answer in time");
         }
         await clock.sleep(answerMilliseconds);
+        checkConnected(era);
         if (fake.fault === "refusing") {
+            learnEra(era);
             throw new PlatformError("answered 503");
         }
     };
 
-    const answerUnlessLost = async (result: StoreWriteResult): Promise<StoreWriteResult> => {
+    /** Whoever knows of a later era takes no answer of this one. */
+    const learnFromAnswer = (): void => {
+        if (isLater(knownEra, shared.era)) {
+            throw new PlatformError("answer of an earlier era");
+        }
+        learnEra(shared.era);
+    };
+
+    /** Carries out a write if its condition holds, and answers with what `write` returns. */
+    const applyWrite = async (
+        kind: string,
+        name: string,
+        holds: Condition,
+        write: () => Stored,
+    ): Promise<StoreWriteResult> => {
+        await applyFault();
+        if (fake.fault === "writes-late") {
+            clock.after(fake.lateMilliseconds, () => {
+                if (holds(shared.objects.get(keyOf(kind, name)))) {
+                    write();
+                }
+            });
+            await clock.sleep(timeoutMilliseconds);
+            throw new PlatformError("no answer in time");
+        }
+        const current = shared.objects.get(keyOf(kind, name));
+        const result: StoreWriteResult = holds(current)
+            ? { result: "written", object: placed(write()) }
+            : { result: "conflict", current: current && placed(current) };
         if (fake.fault === "answers-lost") {
             await clock.sleep(timeoutMilliseconds);
             throw new PlatformError("no answer in time");
         }
+        learnFromAnswer();
         return result;
     };
 
-    const changesAfter = (kind: string, position: number): StoreEvent[] =>
-        shared.events.filter(entry => entry.kind === kind && entry.revision > position).map(entry => entry.event);
+    /**
+     * The store sees only the revision of a place. Whoever knows of a later era than that of the place doesn't send it, so
+     * that nothing matches.
+     */
+    const matches = (place: number): Condition => {
+        const isSent = !isLater(knownEra, eraOf(place));
+        return current => isSent && current?.revision === revisionOf(place);
+    };
+
+    const changesAfter = (kind: string, revision: number): Change[] =>
+        shared.events.filter(entry => entry.kind === kind && entry.revision > revision);
 
-    const store: ObjectStore = {
+    const store: EraStore = {
+        era: () => knownEra,
+        learnEra,
+        onEra: listener => {
+            listeners.push(listener);
+        },
         staleList: async kind => {
             const { objects } = await store.list(kind);
             return objects;
         },
         list: async kind => {
             await applyFault();
-            const objects = [...shared.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, object]) =>
-                object
-            );
-            const position = shared.revision;
+            const { era } = shared;
+            const objects = [...shared.objects].filter(([key]) => key.startsWith(`${kind}/`))
+                .map(([, object]) => placed(object));
+            const position = placeOf(era, shared.revision);
             await clock.sleep(JSON.stringify(objects).length / fake.bytesPerMillisecond);
+            checkConnected(era);
+            learnFromAnswer();
             return { objects, position };
         },
         get: async (kind, name) => {
             await applyFault();
-            return shared.objects.get(keyOf(kind, name));
+            learnFromAnswer();
+            const object = shared.objects.get(keyOf(kind, name));
+            return object && placed(object);
         },
         watch: async (kind, position, waitMilliseconds) => {
             await applyFault();
-            if (position < shared.oldest) {
+            const { era } = shared;
+            const from = revisionOf(position);
+            if (eraOf(position) !== era || from < shared.oldest || from > shared.revision) {
+                learnFromAnswer();
                 return { result: "history-lost" };
             }
             const endAt = clock.now() + waitMilliseconds;
-            while (changesAfter(kind, position).length === 0 && clock.now() < endAt) {
+            while (shared.era === era && changesAfter(kind, from).length === 0 && clock.now() < endAt) {
                 await new Promise<void>(resolve => {
                     shared.waiters.add(resolve);
                     clock.after(endAt - clock.now(), resolve);
                 });
             }
+            checkConnected(era);
             if (fake.fault !== "none") {
                 await applyFault();
             }
-            const events = changesAfter(kind, position);
+            const events = changesAfter(kind, from).map(({ object, removed }) => ({
+                object: placed(object),
+                removed,
+            }));
             const bytes = JSON.stringify(events).length;
-            const readTo = shared.revision;
+            const readTo = placeOf(era, shared.revision);
             await clock.sleep(bytes / fake.bytesPerMillisecond);
+            checkConnected(era);
+            learnFromAnswer();
             return { result: "changes", events, position: readTo, bytes };
         },
-        create: async (kind, name, value) => {
-            await applyFault();
-            const current = shared.objects.get(keyOf(kind, name));
-            return answerUnlessLost(
-                current === undefined
-                    ? { result: "written", object: change(kind, name, value, false) }
-                    : { result: "conflict", current },
-            );
-        },
-        replace: async (kind, name, value, revision) => {
-            await applyFault();
-            const current = shared.objects.get(keyOf(kind, name));
-            return answerUnlessLost(
-                current?.revision === revision
-                    ? { result: "written", object: change(kind, name, value, false) }
-                    : { result: "conflict", current },
-            );
-        },
-        remove: async (kind, name, revision) => {
-            await applyFault();
-            const current = shared.objects.get(keyOf(kind, name));
-            const isGone = current === undefined || current.revision === revision;
-            if (current !== undefined && isGone) {
-                change(kind, name, undefined, true);
-            }
-            if (fake.fault === "answers-lost") {
-                await clock.sleep(timeoutMilliseconds);
-                throw new PlatformError("no answer in time");
-            }
-            return isGone;
+        create: (kind, name, value) =>
+            applyWrite(kind, name, current => current === undefined, () => change(kind, name, value, false)),
+        replace: (kind, name, value, place) =>
+            applyWrite(kind, name, matches(place), () => change(kind, name, value, false)),
+        remove: async (kind, name, place) => {
+            const result = await applyWrite(kind, name, matches(place), () => change(kind, name, undefined, true));
+            return result.result === "written" || result.current === undefined;
         },
         callCounts: () => ({}),
         close: () => undefined,
@@ -150,6 +239,7 @@
     const fake: FakeStore = {
         store,
         fault: "none",
+        lateMilliseconds: 2_000,
         bytesPerMillisecond: Infinity,
         put: (kind, name, value) => {
             change(kind, name, value, false);
@@ -157,16 +247,25 @@
         remove: (kind, name) => {
             change(kind, name, undefined, true);
         },
-        read: (kind, name) => shared.objects.get(keyOf(kind, name)),
+        read: (kind, name) => {
+            const object = shared.objects.get(keyOf(kind, name));
+            return object && placed(object);
+        },
         forgetHistory: () => {
             shared.oldest = shared.revision;
             shared.events = [];
         },
+        copy: () => copyOf(shared),
+        returnFrom: copy => {
+            Object.assign(shared, copyOf(copy));
+            shared.era += 1;
+            wakeAll();
+        },
         access: () => access(shared, clock),
     };
     return fake;
 };
 
-/** Creates an empty store. */
+/** Creates an empty store in era 0. */
 export const createFakeStore = (clock: Clock): FakeStore =>
-    access({ revision: 1, objects: new Map(), events: [], oldest: 0, waiters: new Set() }, clock);
+    access({ era: 0, revision: 1, objects: new Map(), events: [], oldest: 0, waiters: new Set() }, clock);
