Let readers and followers agree on the store's era

A host learned of a later era from its own calls only, and two hosts of different eras took each other's word: a reader said that it was current while some of its kinds were of the ended era, and a follower took a list of that era for news, the first time, or took changes from another era as the next ones.

The status of a reader and the request of a follower carry the era; whoever hears a later one tells its client of the store. A follower ignores what is of an ended era, refuses its reader until it catches up, and tells it the later era once. A reader is current only once all kinds are of the latest era. Changes from another era, or a difference from a revision of one, are asked for whole. Places are compared by isLater and laterOf.

--- a/src/contracts/statemessages.ts
+++ b/src/contracts/statemessages.ts
@@ -2,6 +2,10 @@
  * Messages between a host that follows the store's state and the reader that it follows.
  */
 import { z } from "zod";
+import { maxEra } from "./storehistory.ts";
+
+/** Latest era of the store that the sender knows of; absent from a host of an earlier version. */
+const eraSchema = z.int().min(0).max(maxEra).optional();
 
 /** Sent by the follower: what it holds. Sent again to get a kind anew. */
 export const followSchema = z.object({
@@ -10,6 +14,7 @@
     host: z.string(),
     /** Position up to which the follower knows each kind; a kind that is absent is sent whole. */
     positions: z.record(z.string(), z.int().min(0)),
+    era: eraSchema,
 });
 
 const objectSchema = z.tuple([
@@ -45,6 +50,7 @@
     current: z.boolean(),
     /** When it was sent, in milliseconds of the reader's monotonic clock; absent from a host of an earlier version. */
     sentAt: z.number().optional(),
+    era: eraSchema,
 });
 
 /**
--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -2,6 +2,8 @@
  * The source from which this host reads the state now, and whether the store serves this host.
  */
 import type { Clock } from "../../contracts/clock.ts";
+import type { ObjectStore } from "../../contracts/objectstore.ts";
+import { eraOf } from "../../contracts/storehistory.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { StateCache } from "./statecache.ts";
@@ -16,7 +18,7 @@
     set: (next: Source, reason: string) => void;
     /** Aborted when the source changes, so that no call to the store is waited for in vain. */
     epoch: () => AbortSignal;
-    /** Whether this host reads the store itself and the store has answered lately. */
+    /** Whether this host reads the store itself, has all kinds of its latest era, and the store has answered lately. */
     isCurrent: () => boolean;
     /** Whether the store serves this host, as far as its last calls tell. */
     storeServes: () => boolean;
@@ -32,6 +34,7 @@
 
 export type CurrentSourceOptions = {
     kinds: string[];
+    store: Pick<ObjectStore, "era" | "onEra">;
     cache: Pick<StateCache, "position">;
     /** Called when this host became current as a reader or stopped being so, and when it reads from another source. */
     onChange: () => void;
@@ -57,7 +60,7 @@
 
 /** Creates the source, undecided at first. */
 export const createCurrentSource = (options: CurrentSourceOptions): CurrentSource => {
-    const { kinds, cache, clock, log, metrics, signal } = options;
+    const { kinds, store, cache, clock, log, metrics, signal } = options;
     let source: Source = { kind: "undecided" };
     let epoch = new AbortController();
     let storeAnsweredAt = clock.now();
@@ -70,9 +73,14 @@
         failures < failuresUntilRefused
         && (source.kind !== "store" || clock.now() - storeAnsweredAt < maxStoreSilenceMilliseconds);
 
+    const isOfLatestEra = (kind: string): boolean => {
+        const position = cache.position(kind);
+        return position !== undefined && eraOf(position) === store.era();
+    };
+
     const isCurrent = (): boolean =>
         source.kind === "store" && isStoreConfirmed && !signal.aborted && storeServes()
-        && kinds.every(kind => cache.position(kind) !== undefined);
+        && kinds.every(isOfLatestEra);
 
     const reportIfChanged = (): void => {
         if (isCurrent() !== wasCurrent) {
@@ -81,6 +89,8 @@
         }
     };
 
+    store.onEra(reportIfChanged);
+
     const set = (next: Source, reason: string): void => {
         const before = nameOf(source);
         if (nameOf(next) === before) {
--- a/src/machines/resident/readersearch.ts
+++ b/src/machines/resident/readersearch.ts
@@ -19,7 +19,7 @@
     /** Name of this host. */
     self: string;
     current: CurrentSource;
-    store: Pick<ObjectStore, "watch">;
+    store: Pick<ObjectStore, "watch" | "era" | "learnEra">;
     cache: StateCache;
     kinds: string[];
     patches: Readonly<Record<string, ValuePatch>>;
--- a/src/machines/resident/statecache.ts
+++ b/src/machines/resident/statecache.ts
@@ -4,6 +4,7 @@
  * history only increases, so a change of the source never leads back to an older state.
  */
 import type { StoreEvent, StoreListResult, StoreObject, StoreWatchResult } from "../../contracts/objectstore.ts";
+import { eraOf, isLater, laterOf } from "../../contracts/storehistory.ts";
 import { createValueBudget, type ValueBudget } from "../../decisions/valuebudget.ts";
 
 /** Changes of a kind after a position that the receiver holds. An object that changed several times is listed once. */
@@ -16,7 +17,7 @@
     applyList: (kind: string, list: StoreListResult) => void;
     /**
      * Takes in changes that follow the known position without a gap. Ignored when the position is not newer than the
-     * known one.
+     * known one, or of another era.
      */
     applyChanges: (kind: string, changes: StateChanges) => void;
     /** Returns all objects of the kind; undefined until it was listed. */
@@ -73,10 +74,10 @@
 
     const put = (state: KindState, object: StoreObject): void => {
         const before = state.objects.get(object.name);
-        if (before !== undefined && before.revision > object.revision) {
+        if (before !== undefined && isLater(before.revision, object.revision)) {
             return;
         }
-        if (before !== undefined && before.revision < object.revision) {
+        if (before !== undefined && isLater(object.revision, before.revision)) {
             state.previous.set(object.name, before);
         }
         state.objects.set(object.name, object);
@@ -112,7 +113,7 @@
         position: kind => kinds.get(kind)?.position,
         applyList: (kind, { objects, position }) => {
             const before = kinds.get(kind);
-            if (position <= (before?.position ?? -1)) {
+            if (!isLater(position, before?.position)) {
                 return;
             }
             resetBudget(kind);
@@ -128,7 +129,10 @@
         },
         applyChanges: (kind, { events, position }) => {
             const state = kinds.get(kind);
-            if (state === undefined || position <= state.position) {
+            if (
+                state === undefined || !isLater(position, state.position)
+                || eraOf(position) !== eraOf(state.position)
+            ) {
                 return;
             }
             events.forEach(event => applyEvent(state, event, position));
@@ -150,18 +154,18 @@
         },
         changesAfter: (kind, position) => {
             const state = kinds.get(kind);
-            if (state === undefined || position < state.changesFrom) {
+            if (state === undefined || isLater(state.changesFrom, position)) {
                 return { result: "history-lost" };
             }
             const names = new Set<string>();
             for (let index = state.changes.length - 1; index >= 0; index -= 1) {
-                if (state.changes[index].position <= position) {
+                if (!isLater(state.changes[index].position, position)) {
                     break;
                 }
                 names.add(state.changes[index].name);
             }
             const events = [...names].reverse().map(name => toEvent(state, name));
-            return { result: "changes", events, position: Math.max(position, state.position), bytes: 0 };
+            return { result: "changes", events, position: laterOf(position, state.position), bytes: 0 };
         },
         previous: (kind, name) => kinds.get(kind)?.previous.get(name),
         get: (kind, name) => kinds.get(kind)?.objects.get(name),
--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -1,18 +1,20 @@
 /**
  * Follows one reader: keeps a connection to it and takes its changes into this host's cache. A reader from which
  * nothing was heard for a while is given up, since it may be frozen or the connection silent, and so is one whose word
- * arrives late, as behind a thin link.
+ * arrives late, as behind a thin link. What a reader tells of an ended era of the store is ignored.
  */
 import type { Clock } from "../../contracts/clock.ts";
-import type { StoreEvent } from "../../contracts/objectstore.ts";
+import type { ObjectStore, StoreEvent } from "../../contracts/objectstore.ts";
 import {
     type ChangesMessage,
     type FollowMessage,
     type LoadsMessage,
     readerMessageSchema,
+    type ReaderStatusMessage,
     statePath,
     type ValuePatch,
 } from "../../contracts/statemessages.ts";
+import { eraOf, isLater } from "../../contracts/storehistory.ts";
 import { createLateness } from "../../decisions/lateness.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -44,6 +46,7 @@
     /** Name of this host. */
     self: string;
     reader: ReaderCandidate;
+    store: Pick<ObjectStore, "era" | "learnEra">;
     cache: StateCache;
     kinds: readonly string[];
     patches: Readonly<Record<string, ValuePatch>>;
@@ -65,12 +68,14 @@
 
 /** Starts to follow the reader. Ends when it is closed, when the reader is silent or late, or when the signal aborts. */
 export const createStateFollow = (options: StateFollowOptions): StateFollow => {
-    const { cache, kinds, patches, clock, reader, log, metrics } = options;
+    const { store, cache, kinds, patches, clock, reader, log, metrics } = options;
     const lifetime = new AbortController();
     const signal = AbortSignal.any([options.signal, lifetime.signal]);
     let state: FollowState = "waiting";
     let closeReason: string | undefined;
     let lastHeardAt = clock.now();
+    /** Era of which the reader was told. */
+    let toldEra = 0;
     const isLate = createLateness();
 
     const setState = (next: FollowState): void => {
@@ -93,7 +98,8 @@
     const sendFollow = (whole: readonly string[] = []): void => {
         const known = kinds.filter(kind => !whole.includes(kind) && cache.position(kind) !== undefined);
         const positions = Object.fromEntries(known.map(kind => [kind, cache.position(kind) ?? 0]));
-        const message: FollowMessage = { kind: "follow", host: options.self, positions };
+        toldEra = store.era();
+        const message: FollowMessage = { kind: "follow", host: options.self, positions, era: toldEra };
         connection.send(message);
     };
 
@@ -101,7 +107,7 @@
     const eventOfPatch = (kind: string, patch: ChangesMessage["patches"][number]): StoreEvent | undefined => {
         const [name, revision, base, difference] = patch;
         const held = cache.get(kind, name);
-        if (held !== undefined && held.revision >= revision) {
+        if (held !== undefined && !isLater(revision, held.revision)) {
             return { object: held, removed: false };
         }
         if (held?.revision !== base || !Object.hasOwn(patches, kind)) {
@@ -112,13 +118,21 @@
     };
 
     const applyChanges = ({ of: kind, since, position, objects, patches: patched, removed }: ChangesMessage): void => {
+        store.learnEra(eraOf(position));
+        if (isLater(store.era(), eraOf(position))) {
+            metrics.count("state-ended-era", { kind });
+            setState("refused");
+            return;
+        }
         const stored = objects.map(([name, revision, value]) => ({ name, revision, value }));
         if (since === undefined) {
             cache.applyList(kind, { objects: stored, position });
             return;
         }
         const patchEvents = patched.map(patch => eventOfPatch(kind, patch));
-        if ((cache.position(kind) ?? -1) < since || patchEvents.includes(undefined)) {
+        const known = cache.position(kind);
+        const hasGap = known === undefined || isLater(since, known) || eraOf(known) !== eraOf(position);
+        if (hasGap || patchEvents.includes(undefined)) {
             metrics.count("state-resyncs", { kind });
             sendFollow([kind]);
             return;
@@ -133,6 +147,19 @@
         });
     };
 
+    /** Takes in what the reader says of itself. */
+    const applyStatus = ({ current, era }: ReaderStatusMessage): void => {
+        store.learnEra(era ?? 0);
+        if (era !== undefined && isLater(store.era(), era) && isLater(store.era(), toldEra)) {
+            sendFollow();
+        }
+        const isSynced = kinds.every(kind => {
+            const position = cache.position(kind);
+            return position !== undefined && eraOf(position) === store.era();
+        });
+        setState(current && isSynced ? "current" : "refused");
+    };
+
     const connection = options.dial(reader.address, statePath, {
         onOpen: () => sendFollow(),
         onFrame: value => {
@@ -151,8 +178,7 @@
                 close(lateReason);
             }
             else {
-                const isSynced = kinds.every(kind => cache.position(kind) !== undefined);
-                setState(parsed.data.current && isSynced ? "current" : "refused");
+                applyStatus(parsed.data);
             }
             return true;
         },
--- a/src/machines/resident/statereading.ts
+++ b/src/machines/resident/statereading.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "../../contracts/clock.ts";
 import type { ObjectStore, StoreWatchResult } from "../../contracts/objectstore.ts";
+import { eraOf, isLater } from "../../contracts/storehistory.ts";
 import type { CurrentSource } from "./currentsource.ts";
 import type { StateCache } from "./statecache.ts";
 
@@ -22,7 +23,7 @@
 
 export type StateReadingOptions = {
     current: Pick<CurrentSource, "get" | "epoch" | "callStore">;
-    store: Pick<ObjectStore, "list" | "watch">;
+    store: Pick<ObjectStore, "list" | "watch" | "era">;
     cache: StateCache;
     /** The kinds that are read, with their pace. */
     paces: Readonly<Record<string, ReadPace>>;
@@ -64,7 +65,8 @@
             const epoch = current.epoch();
             const { kind: from } = current.get();
             const known = cache.list(kind);
-            if (from === "reader" && known !== undefined) {
+            const isOutdated = known !== undefined && isLater(store.era(), eraOf(known.position));
+            if (from === "reader" && known !== undefined && !isOutdated) {
                 return known;
             }
             if (from === "store") {
@@ -116,7 +118,8 @@
     const watch: ObjectStore["watch"] = async (kind, position, waitMilliseconds, callSignal) => {
         const endAt = clock.now() + waitMilliseconds;
         for (;;) {
-            if ((cache.position(kind) ?? -1) > position) {
+            const known = cache.position(kind);
+            if (known !== undefined && isLater(known, position)) {
                 return cache.changesAfter(kind, position);
             }
             const left = endAt - clock.now();
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -3,7 +3,7 @@
  * gets fewer and larger messages, since changes that wait are sent together.
  */
 import type { Clock } from "../../contracts/clock.ts";
-import type { StoreObject } from "../../contracts/objectstore.ts";
+import type { ObjectStore, StoreObject } from "../../contracts/objectstore.ts";
 import {
     type ChangesMessage,
     followerMessageSchema,
@@ -11,6 +11,7 @@
     type ReaderStatusMessage,
     type ValuePatch,
 } from "../../contracts/statemessages.ts";
+import { isLater } from "../../contracts/storehistory.ts";
 import { encodeFrame } from "../../links/frames.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -19,6 +20,7 @@
 import type { StateCache } from "./statecache.ts";
 
 export type StateServerOptions = {
+    store: Pick<ObjectStore, "era" | "learnEra">;
     cache: StateCache;
     /** The kinds that followers get. */
     kinds: readonly string[];
@@ -65,7 +67,7 @@
 
 /** Creates the server. */
 export const createStateServer = (options: StateServerOptions): StateServer => {
-    const { cache, kinds, patches, clock, log, metrics, signal } = options;
+    const { store, cache, kinds, patches, clock, log, metrics, signal } = options;
     const followers = new Set<Follower>();
     let lastId = 0;
     /** Frames of the newest changes by kind and position, since nearly all followers get the same. */
@@ -77,7 +79,7 @@
         since: number,
     ): ChangesMessage["patches"][number] | undefined => {
         const before = cache.previous(kind, object.name);
-        if (before === undefined || before.revision > since || !Object.hasOwn(patches, kind)) {
+        if (before === undefined || isLater(before.revision, since) || !Object.hasOwn(patches, kind)) {
             return undefined;
         }
         const patch = patches[kind].between(before.value, object.value);
@@ -139,7 +141,8 @@
     const sendKind = (follower: Follower, kind: string): void => {
         const since = follower.positions.get(kind);
         const position = cache.position(kind);
-        if (position === undefined || position <= (since ?? -1) || follower.connection.queuedBytes() > maxQueuedBytes) {
+        const isNews = position !== undefined && isLater(position, since);
+        if (!isNews || follower.connection.queuedBytes() > maxQueuedBytes) {
             return;
         }
         const frame = frameOf(kind, since);
@@ -151,7 +154,10 @@
     };
 
     const isUpToDate = (follower: Follower): boolean =>
-        kinds.every(kind => (follower.positions.get(kind) ?? -1) >= (cache.position(kind) ?? Infinity));
+        kinds.every(kind => {
+            const position = cache.position(kind);
+            return position !== undefined && !isLater(position, follower.positions.get(kind));
+        });
 
     const sendStatus = (follower: Follower): void => {
         const current = options.isCurrent();
@@ -162,6 +168,7 @@
             kind: "status",
             current: current && isUpToDate(follower),
             sentAt: Math.round(clock.now()),
+            era: store.era(),
         };
         follower.connection.send(message);
     };
@@ -227,7 +234,8 @@
                         options.onLoads(follower.id, parsed.data);
                         return true;
                     }
-                    const { host, positions } = parsed.data;
+                    const { host, positions, era = 0 } = parsed.data;
+                    store.learnEra(era);
                     log.info("follower-joined", { follower: host, current: options.isCurrent() });
                     follower.host = host;
                     follower.positions = new Map(Object.entries(positions));
--- a/src/machines/resident/statespread.ts
+++ b/src/machines/resident/statespread.ts
@@ -92,6 +92,7 @@
         signal,
     });
     const server = createStateServer({
+        store,
         cache,
         kinds: Object.keys(paces),
         patches,
--- a/src/machines/resident/storewatcher.ts
+++ b/src/machines/resident/storewatcher.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
+import { laterOf } from "../../contracts/storehistory.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { keepRunning } from "../longtasks.ts";
@@ -136,7 +137,7 @@
             return;
         }
         const latest = latestOf(changes.events);
-        const reached = Math.max(from, changes.position);
+        const reached = laterOf(from, changes.position);
         notify(() => options.onChanges(latest, reached));
         position = reached;
         const supersededBytes = changes.bytes * (1 - latest.length / Math.max(1, changes.events.length));
--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -93,6 +93,7 @@
         start: (step, common) => {
             const server = createStateServer({
                 ...common,
+                store: createFakeStore(common.clock).store,
                 cache: createStateCache(),
                 kinds: ["k"],
                 patches: {},
@@ -141,6 +142,7 @@
                 clock: { ...common.clock, now },
                 self: "h1",
                 reader,
+                store: createFakeStore(common.clock).store,
                 cache: createStateCache(),
                 kinds: [],
                 patches: {},
@@ -261,6 +263,7 @@
         start: (reached, common) => {
             const server = createStateServer({
                 ...common,
+                store: createFakeStore(common.clock).store,
                 cache: createStateCache(),
                 kinds: ["k"],
                 patches: {},
--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -88,6 +88,7 @@
             ...common,
         });
         const server = createStateServer({
+            store: access.store,
             cache,
             kinds: [kind],
             patches: {},
