Tell the age of each kind of state at readers and followers

A follower that goes on by old state could not be traced: logs said from whom a host learns, not how long ago the store had confirmed what it learns. Readers now record for each kind as of when the store told it, name the ages in their status, and every host has them in `state-age-milliseconds` beside `state-position` and `state-queued-bytes`; `state-source-changed` names the ages at the source that was left. No decision rests on them yet.

--- a/src/contracts/statemessages.ts
+++ b/src/contracts/statemessages.ts
@@ -45,6 +45,8 @@
     current: z.boolean(),
     /** When it was sent, in milliseconds of the reader's monotonic clock; absent from a host of an earlier version. */
     sentAt: z.number().optional(),
+    /** Milliseconds since the store confirmed each kind to the reader; absent from a host of an earlier version. */
+    ages: z.record(z.string(), z.number()).optional(),
 });
 
 /**
--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -20,12 +20,20 @@
     isCurrent: () => boolean;
     /** Whether the store serves this host, as far as its last calls tell. */
     storeServes: () => boolean;
+    /**
+     * Milliseconds since the store confirmed each kind, to this host or to its reader; a kind of which that is not known is
+     * absent.
+     */
+    ages: () => Record<string, number>;
     /**
      * Calls the store and records whether it served this host. The call is aborted with the signal, and when the source
-     * changes.
+     * changes. `confirmedAt` gets the answer and when the call began, and returns the time as of which the answer tells the
+     * kind's state.
      */
     callStore: <Result>(
+        kind: string,
         call: (callSignal: AbortSignal) => Promise<Result>,
+        confirmedAt: (result: Result, calledAt: number) => number,
         callSignal: AbortSignal | undefined,
     ) => Promise<Result>;
 };
@@ -55,12 +63,19 @@
 const nameOf = (source: Source): string | undefined =>
     source.kind === "reader" ? source.follow.reader.name : source.kind === "store" ? storeName : undefined;
 
+const describeAges = (ages: Record<string, number>): string | undefined => {
+    const pairs = Object.entries(ages).map(([kind, age]) => `${kind}:${age}`);
+    return pairs.length === 0 ? undefined : pairs.join(",");
+};
+
 /** Creates the source, undecided at first. */
 export const createCurrentSource = (options: CurrentSourceOptions): CurrentSource => {
     const { kinds, cache, clock, log, metrics, signal } = options;
     let source: Source = { kind: "undecided" };
     let epoch = new AbortController();
     let storeAnsweredAt = clock.now();
+    /** Time as of which the store has told each kind since this host reads from it. */
+    const confirmedAts = new Map<string, number>();
     /** Whether the store has answered since this host reads from it. */
     let isStoreConfirmed = false;
     let failures = 0;
@@ -81,25 +96,41 @@
         }
     };
 
+    const recordConfirmed = (kind: string, at: number): void => {
+        if (source.kind === "store" && at > (confirmedAts.get(kind) ?? -Infinity)) {
+            confirmedAts.set(kind, at);
+        }
+    };
+
+    const ages = (): Record<string, number> => {
+        if (source.kind === "reader") {
+            return source.follow.ages();
+        }
+        return Object.fromEntries([...confirmedAts].map(([kind, at]) => [kind, Math.round(clock.now() - at)]));
+    };
+
     const set = (next: Source, reason: string): void => {
         const before = nameOf(source);
         if (nameOf(next) === before) {
             return;
         }
+        const left = describeAges(ages());
         source = next;
         epoch.abort();
         epoch = new AbortController();
+        log.info("state-source-changed", { before, source: nameOf(next), reason, failures, ages: left });
         isStoreConfirmed = false;
+        confirmedAts.clear();
         storeAnsweredAt = clock.now();
-        log.info("state-source-changed", { before, source: nameOf(next), reason, failures });
         metrics.count("state-source-changes", { to: next.kind });
         options.onSourceChange();
         wasCurrent = isCurrent();
         options.onChange();
     };
 
-    const callStore: CurrentSource["callStore"] = async (call, callSignal) => {
+    const callStore: CurrentSource["callStore"] = async (kind, call, confirmedAt, callSignal) => {
         const current = epoch.signal;
+        const calledAt = clock.now();
         const aborter = new AbortController();
         const abort = (): void => aborter.abort();
         current.addEventListener("abort", abort, { once: true });
@@ -109,6 +140,7 @@
             if (!current.aborted) {
                 storeAnsweredAt = clock.now();
                 isStoreConfirmed = true;
+                recordConfirmed(kind, confirmedAt(result, calledAt));
                 failures = 0;
             }
             return result;
@@ -134,6 +166,7 @@
         epoch: () => epoch.signal,
         isCurrent,
         storeServes,
+        ages,
         callStore,
     };
 };
--- a/src/machines/resident/readersearch.ts
+++ b/src/machines/resident/readersearch.ts
@@ -14,6 +14,7 @@
 import type { CurrentSource } from "./currentsource.ts";
 import type { StateCache } from "./statecache.ts";
 import { createStateFollow, lateReason, type StateFollow } from "./statefollow.ts";
+import { watchConfirmedAt } from "./statereading.ts";
 
 export type ReaderSearchOptions = {
     /** Name of this host. */
@@ -173,7 +174,12 @@
     const probeStore = async (): Promise<void> => {
         try {
             const position = cache.position(kinds[0]) ?? 0;
-            await current.callStore(callSignal => store.watch(kinds[0], position, 0, callSignal), signal);
+            await current.callStore(
+                kinds[0],
+                callSignal => store.watch(kinds[0], position, 0, callSignal),
+                (answer, calledAt) => watchConfirmedAt(answer, calledAt, 0),
+                signal,
+            );
         }
         catch (error) {
             log.debug("store-probe-failed", { error: messageOf(error) });
--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -33,6 +33,8 @@
     state: () => FollowState;
     /** Why the follow is closed; undefined before. */
     closeReason: () => string | undefined;
+    /** Milliseconds since the store confirmed each kind to the reader, as far as the reader told. */
+    ages: () => Record<string, number>;
     /** Sends loads to the reader; false while earlier bytes wait. */
     sendLoads: (message: LoadsMessage) => boolean;
     /** Asks the reader for all loads. */
@@ -72,6 +74,7 @@
     let closeReason: string | undefined;
     let lastHeardAt = clock.now();
     const isLate = createLateness();
+    let told: { ages: Record<string, number>; at: number } | undefined;
 
     const setState = (next: FollowState): void => {
         if (state !== next && state !== "closed") {
@@ -141,6 +144,9 @@
                 return false;
             }
             lastHeardAt = clock.now();
+            if (parsed.data.kind === "status" && parsed.data.ages !== undefined) {
+                told = { ages: parsed.data.ages, at: lastHeardAt };
+            }
             if (parsed.data.kind === "changes") {
                 applyChanges(parsed.data);
             }
@@ -173,6 +179,12 @@
         reader,
         state: () => state,
         closeReason: () => closeReason,
+        ages: () => {
+            const sinceTold = clock.now() - (told?.at ?? 0);
+            return Object.fromEntries(
+                Object.entries(told?.ages ?? {}).map(([kind, age]) => [kind, Math.round(age + sinceTold)]),
+            );
+        },
         sendLoads: message => {
             const isFree = connection.isOpen() && connection.queuedBytes() === 0;
             if (isFree) {
--- a/src/machines/resident/statereading.ts
+++ b/src/machines/resident/statereading.ts
@@ -32,6 +32,17 @@
 /** Longest wait for a source until a list looks again. */
 const maxListWaitMilliseconds = 5_000;
 
+/**
+ * Time as of which a watch's answer tells the state. How long the answer was on its way is not known, so that it counts from
+ * the call, and from the end of the wait when the store had nothing to tell until then.
+ */
+export const watchConfirmedAt = (answer: StoreWatchResult, calledAt: number, waitMilliseconds: number): number => {
+    if (answer.result === "history-lost") {
+        return -Infinity;
+    }
+    return answer.events.length === 0 ? calledAt + waitMilliseconds : calledAt;
+};
+
 /** Creates the reading. */
 export const createStateReading = ({ current, store, cache, paces, clock }: StateReadingOptions): StateReading => {
     const pausedUntil = new Map<string, number>();
@@ -69,7 +80,12 @@
             }
             if (from === "store") {
                 try {
-                    const listed = await current.callStore(epochSignal => store.list(kind, epochSignal), callSignal);
+                    const listed = await current.callStore(
+                        kind,
+                        epochSignal => store.list(kind, epochSignal),
+                        (...[, calledAt]) => calledAt,
+                        callSignal,
+                    );
                     cache.applyList(kind, listed);
                     return cache.list(kind) ?? listed;
                 }
@@ -101,7 +117,9 @@
         }
         const wait = Math.min(waitMilliseconds, maxWaitMilliseconds);
         const result = await current.callStore(
+            kind,
             epochSignal => store.watch(kind, position, wait, epochSignal),
+            (answer, calledAt) => watchConfirmedAt(answer, calledAt, wait),
             callSignal,
         );
         if (result.result === "changes") {
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -26,6 +26,8 @@
     patches: Readonly<Record<string, ValuePatch>>;
     /** Whether this host reads the store itself and the store has confirmed its state lately. */
     isCurrent: () => boolean;
+    /** Milliseconds since the store confirmed each kind; a kind of which that is not known is absent. */
+    ages: () => Record<string, number>;
     /** Called with the loads of a follower; undefined when it has left. */
     onLoads: (follower: string, message: LoadsMessage | undefined) => void;
     /** Returns the loads for a follower that has just joined. */
@@ -162,6 +164,7 @@
             kind: "status",
             current: current && isUpToDate(follower),
             sentAt: Math.round(clock.now()),
+            ages: options.ages(),
         };
         follower.connection.send(message);
     };
@@ -183,11 +186,25 @@
 
     const announce = (): void => forEachFollower(sendStatus);
 
+    const measure = (): void => {
+        const ages = options.ages();
+        for (const kind of kinds) {
+            metrics.gauge("state-position", cache.position(kind) ?? -1, { kind });
+            metrics.gauge("state-age-milliseconds", ages[kind] ?? -1, { kind });
+        }
+        let mostQueued = 0;
+        forEachFollower(({ connection }) => {
+            mostQueued = Math.max(mostQueued, connection.queuedBytes());
+        });
+        metrics.gauge("state-queued-bytes", mostQueued);
+    };
+
     const announceRepeatedly = async (): Promise<void> => {
         while (!signal.aborted) {
             await clock.sleep(statusMilliseconds, signal);
             announce();
             forEachFollower(dropIfStuck);
+            measure();
         }
     };
     void keepRunning("reader-status", announceRepeatedly, { clock, log, metrics, signal });
--- a/src/machines/resident/statesource.ts
+++ b/src/machines/resident/statesource.ts
@@ -18,6 +18,8 @@
 export type StateSource = Pick<ObjectStore, "list" | "watch"> & {
     /** Whether this host reads the store itself and the store has answered lately. */
     isCurrent: () => boolean;
+    /** Milliseconds since the store confirmed each kind, to this host or to its reader. */
+    ages: () => Record<string, number>;
     /** Name of the reader that this host follows; `store` while it reads the store; undefined while undecided. */
     name: () => string | undefined;
     /** Makes the host choose its source anew, since it learned of other hosts. */
@@ -73,6 +75,7 @@
         list: reading.list,
         watch: reading.watch,
         isCurrent: current.isCurrent,
+        ages: current.ages,
         name: current.name,
         reconsider: search.wake,
         sendLoads: message => {
--- a/src/machines/resident/statespread.ts
+++ b/src/machines/resident/statespread.ts
@@ -96,6 +96,7 @@
         kinds: Object.keys(paces),
         patches,
         isCurrent: () => !options.isStopping() && source.isCurrent(),
+        ages: source.ages,
         onLoads: (follower, message) =>
             message === undefined
                 ? sharedLoads.removeFollower(follower)
--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -97,6 +97,7 @@
                 kinds: ["k"],
                 patches: {},
                 isCurrent: () => true,
+                ages: () => ({}),
                 onLoads: () => undefined,
                 wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
             });
@@ -265,6 +266,7 @@
                 kinds: ["k"],
                 patches: {},
                 isCurrent: () => true,
+                ages: () => ({}),
                 onLoads: () => undefined,
                 wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
             });
--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -92,6 +92,7 @@
             kinds: [kind],
             patches: {},
             isCurrent: source.isCurrent,
+            ages: source.ages,
             onLoads: () => undefined,
             wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
             ...common,
