Count a reader as current only while the store confirms each kind

What callers saw: requests handled by a former version of the manifest, and keys sent to former owners (fence-refused), at all followers of one reader, until they changed their reader.

Cause: any answer of the store to any kind confirmed all of a reader's state. The watch with the short wait was that of the coordination, whose answers are small. While the calls for the manifest, the targets or the ownership got no answers, were refused or were answered slowly, the reader told its followers that it is current, and stayed with the store itself, without end.

Change: a kind is confirmed as of when its call began, or as of the end of a wait in which the store had nothing to tell. When a kind becomes overdue, followers are told at once, and the reader follows another one until a probe of that kind is answered. Log: state-overdue.

--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import type { StateCache } from "./statecache.ts";
 import type { StateFollow } from "./statefollow.ts";
+import type { ReadPace } from "./statereading.ts";
 
 export type Source = { kind: "undecided" } | { kind: "store" } | { kind: "reader"; follow: StateFollow };
 
@@ -16,10 +17,12 @@
     set: (next: Source, reason: string) => void;
     /** Aborted when the source changes, so that no call to the store is waited for in vain. */
     epoch: () => AbortSignal;
-    /** Whether this host reads the store itself and the store has answered lately. */
+    /** Whether this host reads the store itself and the store has confirmed each kind lately. */
     isCurrent: () => boolean;
     /** Whether the store serves this host, as far as its last calls tell. */
     storeServes: () => boolean;
+    /** The kind by which to find out whether the store serves this host again. */
+    probedKind: () => string;
     /**
      * Milliseconds since the store confirmed each kind, to this host or to its reader; a kind of which that is not known is
      * absent.
@@ -39,13 +42,14 @@
 };
 
 export type CurrentSourceOptions = {
-    kinds: string[];
+    /** The kinds that are read, each with the longest wait of its watches. */
+    paces: Readonly<Record<string, Pick<ReadPace, "maxWaitMilliseconds">>>;
     cache: Pick<StateCache, "position">;
     /** Called when this host became current as a reader or stopped being so, and when it reads from another source. */
     onChange: () => void;
     /** Called when this host reads from another source, before anything comes from it. */
     onSourceChange: () => void;
-    /** Called when a call to the store failed. */
+    /** Called when a call to the store failed, or the store has not confirmed a kind for too long. */
     onStoreFailure: () => void;
     clock: Clock;
     log: Log;
@@ -53,8 +57,11 @@
     signal: AbortSignal;
 };
 
-/** A host whose store has not answered for longer is not current: it may be cut off without an error. */
-const maxStoreSilenceMilliseconds = 1_200;
+/**
+ * A host to which the store has not confirmed a kind for this much longer than its watch waits is not current: it may be cut
+ * off without an error, or the call be answered slowly. One lost answer is found and asked for again in this time.
+ */
+const maxOverdueMilliseconds = 800;
 /** One failed call may be chance, for example a connection that was reset. */
 const failuresUntilRefused = 2;
 
@@ -70,24 +77,29 @@
 
 /** Creates the source, undecided at first. */
 export const createCurrentSource = (options: CurrentSourceOptions): CurrentSource => {
-    const { kinds, cache, clock, log, metrics, signal } = options;
+    const { paces, cache, clock, log, metrics, signal } = options;
     let source: Source = { kind: "undecided" };
     let epoch = new AbortController();
-    let storeAnsweredAt = clock.now();
+    const kinds = Object.keys(paces);
+    let sourceSince = clock.now();
     /** Time as of which the store has told each kind since this host reads from it. */
     const confirmedAts = new Map<string, number>();
-    /** Whether the store has answered since this host reads from it. */
-    let isStoreConfirmed = false;
     let failures = 0;
+    let probedKind = kinds[0];
+    let cancelExpiry: () => void = () => undefined;
     let wasCurrent = false;
 
+    const overdueAt = (kind: string): number =>
+        (confirmedAts.get(kind) ?? sourceSince) + paces[kind].maxWaitMilliseconds + maxOverdueMilliseconds;
+
+    const overdueKind = (): string | undefined => kinds.find(kind => overdueAt(kind) <= clock.now());
+
     const storeServes = (): boolean =>
-        failures < failuresUntilRefused
-        && (source.kind !== "store" || clock.now() - storeAnsweredAt < maxStoreSilenceMilliseconds);
+        failures < failuresUntilRefused && (source.kind !== "store" || overdueKind() === undefined);
 
     const isCurrent = (): boolean =>
-        source.kind === "store" && isStoreConfirmed && !signal.aborted && storeServes()
-        && kinds.every(kind => cache.position(kind) !== undefined);
+        source.kind === "store" && !signal.aborted && storeServes()
+        && kinds.every(kind => confirmedAts.has(kind) && cache.position(kind) !== undefined);
 
     const reportIfChanged = (): void => {
         if (isCurrent() !== wasCurrent) {
@@ -96,9 +108,27 @@
         }
     };
 
+    /** Notices when the store does not confirm a kind in time, as no call need end then. */
+    const expectConfirmation = (): void => {
+        cancelExpiry();
+        const left = Math.min(...kinds.map(overdueAt)) - clock.now();
+        if (source.kind === "store" && left > 0) {
+            cancelExpiry = clock.after(left, () => {
+                const kind = overdueKind();
+                if (kind !== undefined) {
+                    log.warn("state-overdue", { kind, position: cache.position(kind), ages: describeAges(ages()) });
+                    metrics.count("state-overdue", { kind });
+                    options.onStoreFailure();
+                }
+                reportIfChanged();
+            }, signal);
+        }
+    };
+
     const recordConfirmed = (kind: string, at: number): void => {
         if (source.kind === "store" && at > (confirmedAts.get(kind) ?? -Infinity)) {
             confirmedAts.set(kind, at);
+            expectConfirmation();
         }
     };
 
@@ -115,13 +145,14 @@
             return;
         }
         const left = describeAges(ages());
+        probedKind = source.kind === "store" ? overdueKind() ?? kinds[0] : probedKind;
         source = next;
         epoch.abort();
         epoch = new AbortController();
         log.info("state-source-changed", { before, source: nameOf(next), reason, failures, ages: left });
-        isStoreConfirmed = false;
         confirmedAts.clear();
-        storeAnsweredAt = clock.now();
+        sourceSince = clock.now();
+        expectConfirmation();
         metrics.count("state-source-changes", { to: next.kind });
         options.onSourceChange();
         wasCurrent = isCurrent();
@@ -138,8 +169,6 @@
         try {
             const result = await call(aborter.signal);
             if (!current.aborted) {
-                storeAnsweredAt = clock.now();
-                isStoreConfirmed = true;
                 recordConfirmed(kind, confirmedAt(result, calledAt));
                 failures = 0;
             }
@@ -166,6 +195,7 @@
         epoch: () => epoch.signal,
         isCurrent,
         storeServes,
+        probedKind: () => probedKind,
         ages,
         callStore,
     };
--- a/src/machines/resident/readersearch.ts
+++ b/src/machines/resident/readersearch.ts
@@ -61,7 +61,7 @@
 
 /** Starts the search. */
 export const startReaderSearch = (options: ReaderSearchOptions): ReaderSearch => {
-    const { current, store, cache, kinds, clock, log, metrics, random, signal } = options;
+    const { current, store, cache, clock, log, metrics, random, signal } = options;
     const follows = new Map<string, StateFollow>();
     const unreachableUntil = new Map<string, number>();
     let awaitReaderUntil = -Infinity;
@@ -173,10 +173,11 @@
     /** Asks the store whether it serves this host again. */
     const probeStore = async (): Promise<void> => {
         try {
-            const position = cache.position(kinds[0]) ?? 0;
+            const kind = current.probedKind();
+            const position = cache.position(kind) ?? 0;
             await current.callStore(
-                kinds[0],
-                callSignal => store.watch(kinds[0], position, 0, callSignal),
+                kind,
+                callSignal => store.watch(kind, position, 0, callSignal),
                 (answer, calledAt) => watchConfirmedAt(answer, calledAt, 0),
                 signal,
             );
--- a/src/machines/resident/statereading.ts
+++ b/src/machines/resident/statereading.ts
@@ -21,7 +21,7 @@
 };
 
 export type StateReadingOptions = {
-    current: Pick<CurrentSource, "get" | "epoch" | "callStore">;
+    current: Pick<CurrentSource, "get" | "epoch" | "ages" | "callStore">;
     store: Pick<ObjectStore, "list" | "watch">;
     cache: StateCache;
     /** The kinds that are read, with their pace. */
@@ -115,7 +115,9 @@
         if (pause > 0) {
             await clock.sleep(pause, callSignal);
         }
-        const wait = Math.min(waitMilliseconds, maxWaitMilliseconds);
+        // A kind is confirmed at the end of a wait, counted from when it was confirmed before.
+        const age = current.ages()[kind] ?? maxWaitMilliseconds;
+        const wait = Math.min(waitMilliseconds, Math.max(0, maxWaitMilliseconds - age));
         const result = await current.callStore(
             kind,
             epochSignal => store.watch(kind, position, wait, epochSignal),
--- a/src/machines/resident/statesource.ts
+++ b/src/machines/resident/statesource.ts
@@ -16,7 +16,7 @@
 import { createStateReading, type ReadPace } from "./statereading.ts";
 
 export type StateSource = Pick<ObjectStore, "list" | "watch"> & {
-    /** Whether this host reads the store itself and the store has answered lately. */
+    /** Whether this host reads the store itself and the store has confirmed each kind lately. */
     isCurrent: () => boolean;
     /** Milliseconds since the store confirmed each kind, to this host or to its reader. */
     ages: () => Record<string, number>;
@@ -61,7 +61,6 @@
     const kinds = Object.keys(paces);
     const current = createCurrentSource({
         ...options,
-        kinds,
         onSourceChange: () => {
             options.onSourceChange();
             reading.wakeAll();
--- a/src/machines/resident/statespread.ts
+++ b/src/machines/resident/statespread.ts
@@ -13,13 +13,12 @@
 import { chooseReaders, type ReaderCandidate, readersToTell } from "../../zones/readers.ts";
 import { storeKinds } from "./coordination.ts";
 import { keepLastResult } from "./lastresult.ts";
-import { type Processes, processKind } from "./processes.ts";
+import type { Processes } from "./processes.ts";
 import { createSharedLoads, type SharedLoads } from "./sharedloads.ts";
 import { createStateCache } from "./statecache.ts";
-import type { ReadPace } from "./statereading.ts";
+import { createStatePaces } from "./statepaces.ts";
 import { createStateServer, type StateServer } from "./stateserver.ts";
 import { createStateSource, type StateSource } from "./statesource.ts";
-import { watchMilliseconds } from "./storewatchers.ts";
 import { largeValueBytes } from "./valuelimits.ts";
 
 export type StateSpread = { source: StateSource; server: StateServer; sharedLoads: SharedLoads };
@@ -40,9 +39,6 @@
     signal: AbortSignal;
 };
 
-/** Wait of the watch that tells whether the store still answers. */
-const livenessMilliseconds = 600;
-
 /** Starts to take part. */
 export const createStateSpread = (options: StateSpreadOptions): StateSpread => {
     const { self, store, objects, processes, dial, clock, random, log, metrics, signal } = options;
@@ -51,13 +47,7 @@
         readersToTell(digestHash, self, hosts)
     );
     const cache = createStateCache(largeValueBytes);
-    const paces: Record<string, ReadPace> = {
-        [objects.targetKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
-        [objects.tableKind]: { pauseMilliseconds: 100, maxWaitMilliseconds: watchMilliseconds },
-        [storeKinds.ownership]: { pauseMilliseconds: 20, maxWaitMilliseconds: watchMilliseconds },
-        [storeKinds.coordination]: { pauseMilliseconds: 100, maxWaitMilliseconds: livenessMilliseconds },
-        [processKind]: { pauseMilliseconds: 500, maxWaitMilliseconds: watchMilliseconds },
-    };
+    const paces = createStatePaces(objects);
     const patches = { [storeKinds.ownership]: ownershipPatch };
     const source = createStateSource({
         self: self.name,
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -5,12 +5,17 @@
 import { PlatformError } from "../../../src/contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject, StoreWriteResult } from "../../../src/contracts/objectstore.ts";
 
-export type StoreFault = "none" | "silent" | "refusing" | "answers-lost";
+export type StoreFault = "none" | "silent" | "refusing" | "answers-lost" | "stale" | "slow";
 
 export type FakeStore = {
     store: ObjectStore;
-    /** Fault of this host's calls; `answers-lost` carries out the writes and loses their answers. */
+    /**
+     * Fault of this host's calls; `answers-lost` carries out the writes and loses their answers, and `stale` watches hear of
+     * nothing and name the position of before. Changes that are read by `slow` watches arrive seconds later.
+     */
     fault: StoreFault;
+    /** Faults of calls for single kinds, in place of the one above. */
+    kindFaults: Map<string, StoreFault>;
     /** Speed of the connection for lists and changes. */
     bytesPerMillisecond: number;
     put: (kind: string, name: string, value: unknown) => void;
@@ -33,9 +38,16 @@
 /** Time-out of a call to a silent store. */
 const timeoutMilliseconds = 800;
 const answerMilliseconds = 4;
+/** Time that a slow answer takes from the first byte to the last. */
+const slowMilliseconds = 4_000;
 
 const keyOf = (kind: string, name: string): string => `${kind}/${name}`;
 
+const rejectWhenAborted = (signal: AbortSignal | undefined): Promise<never> =>
+    new Promise((...[, reject]) => {
+        signal?.addEventListener("abort", () => reject(new PlatformError("aborted")), { once: true });
+    });
+
 const access = (shared: Shared, clock: Clock): FakeStore => {
     const change = (kind: string, name: string, value: unknown, removed: boolean): StoreObject => {
         shared.revision += 1;
@@ -51,13 +63,15 @@
         return object;
     };
 
-    const applyFault = async (): Promise<void> => {
-        if (fake.fault === "silent") {
+    const faultOf = (kind: string): StoreFault => fake.kindFaults.get(kind) ?? fake.fault;
+
+    const applyFault = async (kind: string): Promise<void> => {
+        if (faultOf(kind) === "silent") {
             await clock.sleep(timeoutMilliseconds);
             throw new PlatformError("no answer in time");
         }
         await clock.sleep(answerMilliseconds);
-        if (fake.fault === "refusing") {
+        if (faultOf(kind) === "refusing") {
             throw new PlatformError("answered 503");
         }
     };
@@ -79,7 +93,7 @@
             return objects;
         },
         list: async kind => {
-            await applyFault();
+            await applyFault(kind);
             const objects = [...shared.objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, object]) =>
                 object
             );
@@ -88,11 +102,11 @@
             return { objects, position };
         },
         get: async (kind, name) => {
-            await applyFault();
+            await applyFault(kind);
             return shared.objects.get(keyOf(kind, name));
         },
-        watch: async (kind, position, waitMilliseconds) => {
-            await applyFault();
+        watch: async (kind, position, waitMilliseconds, signal) => {
+            await applyFault(kind);
             if (position < shared.oldest) {
                 return { result: "history-lost" };
             }
@@ -103,17 +117,22 @@
                     clock.after(endAt - clock.now(), resolve);
                 });
             }
-            if (fake.fault !== "none") {
-                await applyFault();
+            if (faultOf(kind) === "stale") {
+                await clock.sleep(Math.max(0, endAt - clock.now()));
+                return { result: "changes", events: [], position, bytes: 0 };
+            }
+            if (faultOf(kind) !== "none") {
+                await applyFault(kind);
             }
             const events = changesAfter(kind, position);
+            const slowness = faultOf(kind) === "slow" && events.length > 0 ? slowMilliseconds : 0;
             const bytes = JSON.stringify(events).length;
             const readTo = shared.revision;
-            await clock.sleep(bytes / fake.bytesPerMillisecond);
+            await Promise.race([clock.sleep(bytes / fake.bytesPerMillisecond + slowness), rejectWhenAborted(signal)]);
             return { result: "changes", events, position: readTo, bytes };
         },
         create: async (kind, name, value) => {
-            await applyFault();
+            await applyFault(kind);
             const current = shared.objects.get(keyOf(kind, name));
             return answerUnlessLost(
                 current === undefined
@@ -122,7 +141,7 @@
             );
         },
         replace: async (kind, name, value, revision) => {
-            await applyFault();
+            await applyFault(kind);
             const current = shared.objects.get(keyOf(kind, name));
             return answerUnlessLost(
                 current?.revision === revision
@@ -131,7 +150,7 @@
             );
         },
         remove: async (kind, name, revision) => {
-            await applyFault();
+            await applyFault(kind);
             const current = shared.objects.get(keyOf(kind, name));
             const isGone = current === undefined || current.revision === revision;
             if (current !== undefined && isGone) {
@@ -150,6 +169,7 @@
     const fake: FakeStore = {
         store,
         fault: "none",
+        kindFaults: new Map(),
         bytesPerMillisecond: Infinity,
         put: (kind, name, value) => {
             change(kind, name, value, false);
--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -7,7 +7,10 @@
 import { statePath } from "../../../src/contracts/statemessages.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
+import { storeKinds } from "../../../src/machines/resident/coordination.ts";
 import { createStateCache } from "../../../src/machines/resident/statecache.ts";
+import { createStatePaces } from "../../../src/machines/resident/statepaces.ts";
+import type { ReadPace } from "../../../src/machines/resident/statereading.ts";
 import { createStateServer } from "../../../src/machines/resident/stateserver.ts";
 import { createStateSource, type StateSource } from "../../../src/machines/resident/statesource.ts";
 import { createStoreWatcher, type StoreWatcher } from "../../../src/machines/resident/storewatcher.ts";
@@ -18,7 +21,10 @@
 import { createFakeStore, type FakeStore } from "./fakestore.ts";
 
 const kind = "config";
-const paces = { [kind]: { pauseMilliseconds: 50, maxWaitMilliseconds: 600 } };
+const configPaces = { [kind]: { pauseMilliseconds: 50, maxWaitMilliseconds: 600 } };
+
+/** As hosts read the kinds. */
+const productPaces = createStatePaces({ targetKind: "servers", tableKind: kind });
 
 type TestHost = {
     host: ReaderCandidate;
@@ -45,10 +51,11 @@
     },
 });
 
-const setUp = (hostCount: number, zoneCount = 1) => {
+const setUp = (hostCount: number, zoneCount = 1, paces: Readonly<Record<string, ReadPace>> = configPaces) => {
     const clock = createVirtualClock();
     const shared = createFakeStore(clock);
     const network = createFakeNetwork(clock);
+    const kinds = Object.keys(paces);
     const candidates: ReaderCandidate[] = Array.from({ length: hostCount }, (...[, index]) => ({
         name: `h${index}`,
         zone: `z${index % zoneCount}`,
@@ -82,14 +89,14 @@
             onSourceChange: () => undefined,
             onChange: () => {
                 server.announce();
-                watcher?.retryNow();
+                watchers?.forEach(watcher => watcher.retryNow());
             },
             random: () => 0.5,
             ...common,
         });
         const server = createStateServer({
             cache,
-            kinds: [kind],
+            kinds,
             patches: {},
             isCurrent: source.isCurrent,
             ages: source.ages,
@@ -98,21 +105,23 @@
             ...common,
         });
         network.listen(host.address, { [statePath]: server.service });
-        const watcher: StoreWatcher | undefined = createStoreWatcher({
-            store: source,
-            kind,
-            waitMilliseconds: 3_000,
-            maxPauseMilliseconds: 500,
-            onList: objects => objects.forEach(object => record(object.value)),
-            onChanges: events => events.forEach(event => record(event.object.value)),
-            onRecovered: () => undefined,
-            ...common,
-        });
+        const watchers: StoreWatcher[] | undefined = kinds.map(watched =>
+            createStoreWatcher({
+                store: source,
+                kind: watched,
+                waitMilliseconds: 3_000,
+                maxPauseMilliseconds: 500,
+                onList: objects => watched === kind && objects.forEach(object => record(object.value)),
+                onChanges: events => watched === kind && events.forEach(event => record(event.object.value)),
+                onRecovered: () => undefined,
+                ...common,
+            })
+        );
         return {
             host,
             access,
             source,
-            watcher,
+            watcher: watchers[0],
             version: () => version,
             hasRegressed: () => regressed,
             calls,
@@ -272,6 +281,32 @@
     }
 });
 
+/** What happens to the calls of a reader for the manifest, while its calls for other kinds are answered at once. */
+const blindnesses: Array<{ title: string; start: (reader: TestHost) => void }> = [
+    { title: "get no answers", start: ({ access }) => access.kindFaults.set(kind, "silent") },
+    { title: "are refused", start: ({ access }) => access.kindFaults.set(kind, "refusing") },
+    { title: "are answered slowly", start: ({ access }) => access.kindFaults.set(kind, "slow") },
+];
+
+/** Guards against a reader that counts as current while it is blind to one kind. */
+for (const { title, start } of blindnesses) {
+    test(`a reader whose calls for one kind ${title} is left: every host has a change within 2,000 ms`, async t => {
+        const setup = setUp(20, 1, productPaces);
+        const { clock, shared, hosts } = setup;
+        Object.keys(productPaces).forEach(each => shared.put(each, "main", 1));
+        await clock.advance(8_000);
+        const { reader, followers } = findFollowed(setup);
+        t.true(followers.length > 0);
+        start(reader);
+        shared.put(kind, "main", 2);
+        for (let count = 0; count < 20; count += 1) {
+            shared.put(storeKinds.coordination, "main", count);
+            await clock.advance(100);
+        }
+        t.deepEqual(hosts.map(host => host.version()), hosts.map(() => 2));
+    });
+}
+
 test("followers return to their reader after it has restarted, and an older reader takes none of them back", async t => {
     const setup = setUp(20);
     const { clock, shared, network, hosts, start } = setup;
