--- a/src/contracts/statemessages.ts
+++ b/src/contracts/statemessages.ts
@@ -51,6 +51,8 @@
     /** When it was sent, in milliseconds of the reader's monotonic clock; absent from a host of an earlier version. */
     sentAt: z.number().optional(),
     era: eraSchema,
+    /** Milliseconds since the store confirmed each kind to the reader; absent from a host of an earlier version. */
+    ages: z.record(z.string(), z.number()).optional(),
 });
 
 /**
--- a/src/machines/resident/readersearch.ts
+++ b/src/machines/resident/readersearch.ts
@@ -14,6 +14,7 @@
 import type { CurrentSource } from "./currentsource.ts";
 import type { StateCache } from "./statecache.ts";
 import { createStateFollow, lateReason, type StateFollow } from "./statefollow.ts";
+import { watchConfirmedAt } from "./statereading.ts";
 
 export type ReaderSearchOptions = {
     /** Name of this host. */
@@ -60,7 +61,7 @@
 
 /** Starts the search. */
 export const startReaderSearch = (options: ReaderSearchOptions): ReaderSearch => {
-    const { current, store, cache, kinds, clock, log, metrics, random, signal } = options;
+    const { current, store, cache, clock, log, metrics, random, signal } = options;
     const follows = new Map<string, StateFollow>();
     const unreachableUntil = new Map<string, number>();
     let awaitReaderUntil = -Infinity;
@@ -172,8 +173,14 @@
     /** Asks the store whether it serves this host again. */
     const probeStore = async (): Promise<void> => {
         try {
-            const position = cache.position(kinds[0]) ?? 0;
-            await current.callStore(callSignal => store.watch(kinds[0], position, 0, callSignal), signal);
+            const kind = current.probedKind();
+            const position = cache.position(kind) ?? 0;
+            await current.callStore(
+                kind,
+                callSignal => store.watch(kind, position, 0, callSignal),
+                (answer, calledAt) => watchConfirmedAt(answer, calledAt, 0),
+                signal,
+            );
         }
         catch (error) {
             log.debug("store-probe-failed", { error: messageOf(error) });
--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -35,6 +35,8 @@
     state: () => FollowState;
     /** Why the follow is closed; undefined before. */
     closeReason: () => string | undefined;
+    /** Milliseconds since the store confirmed each kind to the reader, as far as the reader told. */
+    ages: () => Record<string, number>;
     /** Sends loads to the reader; false while earlier bytes wait. */
     sendLoads: (message: LoadsMessage) => boolean;
     /** Asks the reader for all loads. */
@@ -77,6 +79,7 @@
     /** Era of which the reader was told. */
     let toldEra = 0;
     const isLate = createLateness();
+    let told: { ages: Record<string, number>; at: number } | undefined;
 
     const setState = (next: FollowState): void => {
         if (state !== next && state !== "closed") {
@@ -168,6 +171,9 @@
                 return false;
             }
             lastHeardAt = clock.now();
+            if (parsed.data.kind === "status" && parsed.data.ages !== undefined) {
+                told = { ages: parsed.data.ages, at: lastHeardAt };
+            }
             if (parsed.data.kind === "changes") {
                 applyChanges(parsed.data);
             }
@@ -199,6 +205,12 @@
         reader,
         state: () => state,
         closeReason: () => closeReason,
+        ages: () => {
+            const sinceTold = clock.now() - (told?.at ?? 0);
+            return Object.fromEntries(
+                Object.entries(told?.ages ?? {}).map(([kind, age]) => [kind, Math.round(age + sinceTold)]),
+            );
+        },
         sendLoads: message => {
             const isFree = connection.isOpen() && connection.queuedBytes() === 0;
             if (isFree) {
--- a/src/machines/resident/statereading.ts
+++ b/src/machines/resident/statereading.ts
@@ -22,7 +22,7 @@
 };
 
 export type StateReadingOptions = {
-    current: Pick<CurrentSource, "get" | "epoch" | "callStore">;
+    current: Pick<CurrentSource, "get" | "epoch" | "ages" | "callStore">;
     store: Pick<ObjectStore, "list" | "watch" | "era">;
     cache: StateCache;
     /** The kinds that are read, with their pace. */
@@ -33,6 +33,17 @@
 /** Longest wait for a source until a list looks again. */
 const maxListWaitMilliseconds = 5_000;
 
+/**
+ * Time as of which a watch's answer tells the state. How long the answer was on its way is not known, so that it counts from
+ * the call, and from the end of the wait when the store had nothing to tell until then.
+ */
+export const watchConfirmedAt = (answer: StoreWatchResult, calledAt: number, waitMilliseconds: number): number => {
+    if (answer.result === "history-lost") {
+        return -Infinity;
+    }
+    return answer.events.length === 0 ? calledAt + waitMilliseconds : calledAt;
+};
+
 /** Creates the reading. */
 export const createStateReading = ({ current, store, cache, paces, clock }: StateReadingOptions): StateReading => {
     const pausedUntil = new Map<string, number>();
@@ -71,7 +82,12 @@
             }
             if (from === "store") {
                 try {
-                    const listed = await current.callStore(epochSignal => store.list(kind, epochSignal), callSignal);
+                    const listed = await current.callStore(
+                        kind,
+                        epochSignal => store.list(kind, epochSignal),
+                        (...[, calledAt]) => calledAt,
+                        callSignal,
+                    );
                     cache.applyList(kind, listed);
                     return cache.list(kind) ?? listed;
                 }
@@ -101,9 +117,13 @@
         if (pause > 0) {
             await clock.sleep(pause, callSignal);
         }
-        const wait = Math.min(waitMilliseconds, maxWaitMilliseconds);
+        // A kind is confirmed at the end of a wait, counted from when it was confirmed before.
+        const age = current.ages()[kind] ?? maxWaitMilliseconds;
+        const wait = Math.min(waitMilliseconds, Math.max(0, maxWaitMilliseconds - age));
         const result = await current.callStore(
+            kind,
             epochSignal => store.watch(kind, position, wait, epochSignal),
+            (answer, calledAt) => watchConfirmedAt(answer, calledAt, wait),
             callSignal,
         );
         if (result.result === "changes") {
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -7,7 +7,7 @@
 import type { ObjectStore, StoreObject, StoreWriteResult } from "../../../src/contracts/objectstore.ts";
 import { eraOf, isLater, placeOf, revisionOf } from "../../../src/contracts/storehistory.ts";
 
-export type StoreFault = "none" | "silent" | "refusing" | "answers-lost" | "writes-late";
+export type StoreFault = "none" | "silent" | "refusing" | "answers-lost" | "writes-late" | "stale" | "slow";
 
 /** A store that knows of eras. */
 type EraStore = ObjectStore & {
@@ -26,9 +26,12 @@
     store: EraStore;
     /**
      * Fault of this host's calls. `answers-lost` carries out the writes and loses their answers; `writes-late` carries them
-     * out after `lateMilliseconds`, if their condition holds then, and loses their answers.
+     * out after `lateMilliseconds`, if their condition holds then, and loses their answers. `stale` watches hear of nothing and
+     * name the position of before. Changes that are read by `slow` watches arrive seconds later.
      */
     fault: StoreFault;
+    /** Faults of calls for single kinds, in place of the one above. */
+    kindFaults: Map<string, StoreFault>;
     lateMilliseconds: number;
     /** Speed of the connection for lists and changes. */
     bytesPerMillisecond: number;
@@ -54,6 +57,8 @@
 /** Time-out of a call to a silent store. */
 const timeoutMilliseconds = 800;
 const answerMilliseconds = 4;
+/** Time that a slow answer takes from the first byte to the last. */
+const slowMilliseconds = 4_000;
 
 const keyOf = (kind: string, name: string): string => `${kind}/${name}`;
 
@@ -64,6 +69,11 @@
     oldest,
 });
 
+const rejectWhenAborted = (signal: AbortSignal | undefined): Promise<never> =>
+    new Promise((...[, reject]) => {
+        signal?.addEventListener("abort", () => reject(new PlatformError("aborted")), { once: true });
+    });
+
 const access = (shared: Shared, clock: Clock): FakeStore => {
     const listeners: Array<(era: number) => void> = [];
     let knownEra = 0;
@@ -103,16 +113,18 @@
         }
     };
 
+    const faultOf = (kind: string): StoreFault => fake.kindFaults.get(kind) ?? fake.fault;
+
     /** Takes the time of an answer, with whose arrival the era becomes known. */
-    const applyFault = async (): Promise<void> => {
+    const applyFault = async (kind: string): Promise<void> => {
         const { era } = shared;
-        if (fake.fault === "silent") {
+        if (faultOf(kind) === "silent") {
             await clock.sleep(timeoutMilliseconds);
             throw new PlatformError("no answer in time");
         }
         await clock.sleep(answerMilliseconds);
         checkConnected(era);
-        if (fake.fault === "refusing") {
+        if (faultOf(kind) === "refusing") {
             learnEra(era);
             throw new PlatformError("answered 503");
         }
@@ -133,8 +145,8 @@
         holds: Condition,
         write: () => Stored,
     ): Promise<StoreWriteResult> => {
-        await applyFault();
-        if (fake.fault === "writes-late") {
+        await applyFault(kind);
+        if (faultOf(kind) === "writes-late") {
             clock.after(fake.lateMilliseconds, () => {
                 if (holds(shared.objects.get(keyOf(kind, name)))) {
                     write();
@@ -147,7 +159,7 @@
         const result: StoreWriteResult = holds(current)
             ? { result: "written", object: placed(write()) }
             : { result: "conflict", current: current && placed(current) };
-        if (fake.fault === "answers-lost") {
+        if (faultOf(kind) === "answers-lost") {
             await clock.sleep(timeoutMilliseconds);
             throw new PlatformError("no answer in time");
         }
@@ -178,7 +190,7 @@
             return objects;
         },
         list: async kind => {
-            await applyFault();
+            await applyFault(kind);
             const { era } = shared;
             const objects = [...shared.objects].filter(([key]) => key.startsWith(`${kind}/`))
                 .map(([, object]) => placed(object));
@@ -189,13 +201,13 @@
             return { objects, position };
         },
         get: async (kind, name) => {
-            await applyFault();
+            await applyFault(kind);
             learnFromAnswer();
             const object = shared.objects.get(keyOf(kind, name));
             return object && placed(object);
         },
-        watch: async (kind, position, waitMilliseconds) => {
-            await applyFault();
+        watch: async (kind, position, waitMilliseconds, signal) => {
+            await applyFault(kind);
             const { era } = shared;
             const from = revisionOf(position);
             if (eraOf(position) !== era || from < shared.oldest || from > shared.revision) {
@@ -210,8 +222,12 @@
                 });
             }
             checkConnected(era);
-            if (fake.fault !== "none") {
-                await applyFault();
+            if (faultOf(kind) === "stale") {
+                await clock.sleep(Math.max(0, endAt - clock.now()));
+                return { result: "changes", events: [], position, bytes: 0 };
+            }
+            if (faultOf(kind) !== "none") {
+                await applyFault(kind);
             }
             const events = changesAfter(kind, from).map(({ object, removed }) => ({
                 object: placed(object),
@@ -219,7 +235,8 @@
             }));
             const bytes = JSON.stringify(events).length;
             const readTo = placeOf(era, shared.revision);
-            await clock.sleep(bytes / fake.bytesPerMillisecond);
+            const slowness = faultOf(kind) === "slow" && events.length > 0 ? slowMilliseconds : 0;
+            await Promise.race([clock.sleep(bytes / fake.bytesPerMillisecond + slowness), rejectWhenAborted(signal)]);
             checkConnected(era);
             learnFromAnswer();
             return { result: "changes", events, position: readTo, bytes };
@@ -240,6 +257,7 @@
         store,
         fault: "none",
         lateMilliseconds: 2_000,
+        kindFaults: new Map(),
         bytesPerMillisecond: Infinity,
         put: (kind, name, value) => {
             change(kind, name, value, false);
--- a/test/machines/resident/followeras.test.ts
+++ b/test/machines/resident/followeras.test.ts
@@ -176,6 +176,7 @@
         kinds,
         patches,
         isCurrent: () => true,
+        ages: () => ({}),
         onLoads: () => undefined,
         wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
     });
@@ -197,7 +198,7 @@
     let changes = 0;
     const current = createCurrentSource({
         ...common,
-        kinds: both,
+        paces: Object.fromEntries(both.map(of => [of, { maxWaitMilliseconds: 1_000 }])),
         store,
         cache,
         onChange: () => {
@@ -209,7 +210,9 @@
     current.set({ kind: "store" }, "test");
     both.forEach(of => cache.applyList(of, { objects: [], position: placeOf(1, 9) }));
     store.learnEra(1);
-    await current.callStore(() => Promise.resolve(), undefined);
+    for (const of of both) {
+        await current.callStore(of, () => Promise.resolve(), (...[, calledAt]) => calledAt, undefined);
+    }
     t.true(current.isCurrent());
     changes = 0;
     store.learnEra(2);
--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -98,6 +98,7 @@
                 kinds: ["k"],
                 patches: {},
                 isCurrent: () => true,
+                ages: () => ({}),
                 onLoads: () => undefined,
                 wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
             });
@@ -268,6 +269,7 @@
                 kinds: ["k"],
                 patches: {},
                 isCurrent: () => true,
+                ages: () => ({}),
                 onLoads: () => undefined,
                 wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
             });
