Let the hosts of the test of returns follow readers

They watched three of the five kinds that a reader has, so that no reader was ever current and all read the store: the test showed the return for readers alone. They watch all now, and the test says how many readers there are.

--- a/test/machines/resident/statehosts.ts
+++ b/test/machines/resident/statehosts.ts
@@ -7,6 +7,7 @@
 import { loadsPath, statePath } from "../../../src/contracts/statemessages.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
+import { storeKinds } from "../../../src/machines/resident/coordination.ts";
 import { type Processes, registerProcess } from "../../../src/machines/resident/processes.ts";
 import { createRouteTableHolder } from "../../../src/machines/resident/routetableholder.ts";
 import type { StateSource } from "../../../src/machines/resident/statesource.ts";
@@ -95,6 +96,7 @@
         });
         const targetWatcher = watchers.watch(targetKind, registry.applyList, registry.applyChanges);
         watchers.watchObjects(tableKind, routeTable.put);
+        Object.values(storeKinds).forEach(kind => watchers.watchObjects(kind, () => undefined));
         watchers.watch("hosts", (all, position) => {
             processes.applyList(all, position);
             source.reconsider();
--- a/test/machines/resident/storeeras.test.ts
+++ b/test/machines/resident/storeeras.test.ts
@@ -79,7 +79,9 @@
         shared.put(tableKind, "main", 5);
         shared.put(targetKind, name, entry());
         await clock.advance(5_000);
-        const reader = hosts.find(({ source }) => source.name() === "store")!;
+        const readers = hosts.filter(({ source }) => source.name() === "store");
+        t.is(readers.length, 2);
+        const [reader] = readers;
         const copy = shared.copy();
         shared.put(tableKind, "main", 9);
         shared.put(targetKind, targets[1], entry());
