Write registrations again that the store has lost, and take none of a copy for a later process

After a return the copy lacks the hosts that registered since, and names processes that have ended. Each host whose record was missing wrote it at once, all in one second; until then each was alone in its own eyes, and took itself for a reader. A host whose record named the process before did nothing. A process whose host's record named the one before it had ended, in the eyes of whoever asked, though it runs: a coordinator may be taken for ended. A removal that the copy forgot stopped all others for an hour.

A host writes its record again within 20 ms for each host that is known, by its hash; the others are kept until they had 5 s more than that. A record tells the era in which it was written, and another name in it proves the end of a process only in that era. A process is registered only in an era in which its record was read or written.

--- a/src/machines/resident/gonehosts.ts
+++ b/src/machines/resident/gonehosts.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
+import { eraOf } from "../../contracts/storehistory.ts";
 import { createHostSilence } from "../../decisions/hostsilence.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -90,10 +91,11 @@
             const cancel = clock.after(answerMilliseconds, () => finish(isOpen));
         });
 
-    /** Whether the process whose registration was removed last has written it again. */
+    /** Whether the process whose registration was removed last has written it again. In a new era, a copy has. */
     const wasWrong = (others: readonly Registration[]): boolean =>
         others.some(({ name, process, revision }) =>
             name === removed?.name && process === removed.process && revision !== removed.revision
+            && eraOf(revision) === eraOf(removed.revision)
         );
 
     const remove = async (registration: Registration): Promise<void> => {
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -1,12 +1,15 @@
 /**
  * The processes that run on the hosts, as registered in the store when they start. A host runs one process at a time,
- * so a newer process there proves that an older one has ended.
+ * so a newer process there proves that an older one has ended. After a return of the store from an older copy, records of
+ * the time since are gone: each host writes its own again, and those of others are kept until they had the time to.
  */
 import { z } from "zod";
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreEvent, StoreObject, StoreWriteResult } from "../../contracts/objectstore.ts";
+import { eraOf, isLater, laterOf } from "../../contracts/storehistory.ts";
 import type { Log } from "../../links/logs.ts";
+import { digestHash } from "../../zones/digesthash.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
 
 export type Processes = {
@@ -23,8 +26,8 @@
     /** Removes a registration unless it has changed. Resolves to whether it is gone. */
     remove: (registration: Registration) => Promise<boolean>;
     /**
-     * Whether the registration of this process is confirmed. Only then does another name in its host's record show that
-     * it has ended.
+     * Whether the registration of this process is confirmed in the latest era of the store. Only then does another name in
+     * its host's record show that it has ended.
      */
     isRegistered: () => boolean;
     /**
@@ -68,6 +71,11 @@
 const retryMilliseconds = 500;
 /** A host writes its registration again at once when it is gone, but no more often than this. */
 const rewriteMilliseconds = 5_000;
+/** Hosts whose registrations are missing in a new era write them within this time for each host that is known. */
+const rewriteSpreadMilliseconds = 20;
+/** Time for which the others are kept beyond that. */
+const keptMilliseconds = 5_000;
+const hashRange = 2 ** 32;
 /** Hosts that are new start together with others, which have registered after this time. */
 const joinMilliseconds = 600;
 const recordSchema = z.object({
@@ -75,6 +83,8 @@
     processor: z.number().default(0),
     zone: z.string().default(""),
     address: z.string().default(""),
+    /** Era in which the record was written; in a later one, a copy of the store may have brought it back. */
+    era: z.int().default(0),
 });
 type ProcessRecord = z.infer<typeof recordSchema>;
 
@@ -87,24 +97,42 @@
     let registeredAt: number | undefined;
     let wasRegistered: boolean | undefined;
     let isRegistered = false;
+    /** Place at which the record of this process was read or written last. */
+    let confirmedAt = 0;
     /** When the record was last written. */
     let writtenAt = -Infinity;
     /** Position in the store's history up to which all records are known. */
     let knownTo = 0;
     let names: readonly string[] | undefined;
     let hosts: readonly ReaderCandidate[] | undefined;
-    const value: ProcessRecord = {
+    const createRecord = (): ProcessRecord => ({
         process: self,
         processor: host.processor,
         zone: host.zone,
         address: host.address,
+        era: store.era(),
+    });
+    const isConfirmed = (): boolean => isRegistered && eraOf(confirmedAt) === store.era();
+    const spreadMilliseconds = (): number => rewriteSpreadMilliseconds * records.size;
+
+    /** Takes in the record of this host. One of another process, read first in a new era, is older than this process. */
+    const applyOwn = ({ process }: ProcessRecord, place: number): void => {
+        if (process === self) {
+            confirmedAt = place;
+        }
+        else if (isRegistered && isLater(eraOf(place), eraOf(confirmedAt))) {
+            loseRegistration(place);
+        }
     };
 
     /** Takes in records. One that is unknown, although it is older than what is known, was removed meanwhile. */
     const applyObjects = (objects: StoreObject[]): void => {
         for (const { name, revision, value: stored } of objects) {
             const parsed = recordSchema.safeParse(stored);
-            if (parsed.success && revision > (records.get(name)?.revision ?? knownTo)) {
+            if (parsed.success && isLater(revision, records.get(name)?.revision ?? knownTo)) {
+                if (name === host.name) {
+                    applyOwn(parsed.data, revision);
+                }
                 names = records.has(name) || name === host.name ? names : undefined;
                 records.set(name, { record: parsed.data, revision });
                 hosts = undefined;
@@ -112,23 +140,47 @@
         }
     };
 
+    /** Writes the record again that the store has lost: soon when it was removed, and not with all others in a new era. */
+    const loseRegistration = (position: number): void => {
+        const isLostInReturn = isLater(eraOf(position), eraOf(confirmedAt));
+        const spread = spreadMilliseconds() * digestHash(`${self} ${eraOf(position)}`, hashRange) / hashRange;
+        const pause = isLostInReturn ? spread : Math.max(0, writtenAt + rewriteMilliseconds - clock.now());
+        isRegistered = false;
+        log.warn("registration-gone", { process: self, position, pauseMilliseconds: Math.round(pause) });
+        void registerAgain(pause);
+    };
+
     /** Drops the record if it is not newer than the position at which it was missing. */
     const drop = (name: string, position: number): void => {
         const known = records.get(name);
-        if (known === undefined || known.revision > position) {
+        if (known === undefined || isLater(known.revision, position)) {
             return;
         }
-        records.delete(name);
-        hosts = undefined;
-        names = name === host.name ? names : undefined;
+        const isOwn = name === host.name;
+        const isEndedEra = isLater(eraOf(position), eraOf(known.revision));
+        // What the store lost in a return counts until it is written again.
+        if (!(isOwn && isEndedEra)) {
+            records.delete(name);
+            hosts = undefined;
+            names = isOwn ? names : undefined;
+        }
         // The record of a later process of this host is for that one to write again.
-        if (name === host.name && known.record.process === self && isRegistered) {
-            isRegistered = false;
-            log.warn("registration-gone", { process: self, position });
-            void registerAgain();
+        if (isOwn && known.record.process === self && isRegistered) {
+            loseRegistration(position);
         }
     };
 
+    /** Drops the others of ended eras, which nobody has seen since. */
+    const dropEnded = (): void => {
+        const ended = [...records].filter(([name, { revision }]) =>
+            name !== host.name && isLater(eraOf(knownTo), eraOf(revision))
+        );
+        if (ended.length > 0) {
+            log.info("hosts-not-back", { position: knownTo, count: ended.length });
+        }
+        ended.forEach(([name]) => drop(name, knownTo));
+    };
+
     const readHosts = async (): Promise<void> => {
         try {
             applyObjects(await store.staleList(processKind, signal));
@@ -140,15 +192,17 @@
 
     const write = (revision: number | undefined): Promise<StoreWriteResult> =>
         revision === undefined
-            ? store.create(processKind, host.name, value, signal)
-            : store.replace(processKind, host.name, value, revision, signal);
+            ? store.create(processKind, host.name, createRecord(), signal)
+            : store.replace(processKind, host.name, createRecord(), revision, signal);
 
     /**
      * Writes the record over the one of the host's process before, if there is one. Resolves to the object if the store
      * has the record.
      */
     const register = async (): Promise<StoreObject | undefined> => {
-        const first = await write(records.get(host.name)?.revision);
+        const known = records.get(host.name)?.revision;
+        const isOfEra = known !== undefined && eraOf(known) === store.era();
+        const first = await write(isOfEra ? known : undefined);
         if (first.result === "written") {
             return first.object;
         }
@@ -182,8 +236,8 @@
         }
     };
 
-    const registerAgain = async (): Promise<void> => {
-        await clock.sleep(Math.max(0, writtenAt + rewriteMilliseconds - clock.now()), signal);
+    const registerAgain = async (pause: number): Promise<void> => {
+        await clock.sleep(pause, signal);
         await registerWithRetries();
     };
 
@@ -219,13 +273,20 @@
         applyList: (objects, position) => {
             applyObjects(objects);
             const listed = new Set(objects.map(({ name }) => name));
-            [...records.keys()].filter(name => !listed.has(name)).forEach(name => drop(name, position));
-            knownTo = Math.max(knownTo, position);
+            const missing = [...records].filter(([name]) => !listed.has(name));
+            const isKept = (name: string, revision: number): boolean =>
+                name !== host.name && isLater(eraOf(position), eraOf(revision));
+            const kept = missing.filter(([name, { revision }]) => isKept(name, revision));
+            missing.filter(([name, { revision }]) => !isKept(name, revision)).forEach(([name]) => drop(name, position));
+            if (kept.length > 0) {
+                clock.after(spreadMilliseconds() + keptMilliseconds, dropEnded, signal);
+            }
+            knownTo = laterOf(knownTo, position);
         },
         applyChanges: (events, position) => {
             applyObjects(events.filter(({ removed }) => !removed).map(({ object }) => object));
             events.filter(({ removed }) => removed).forEach(({ object }) => drop(object.name, position));
-            knownTo = Math.max(knownTo, position);
+            knownTo = laterOf(knownTo, position);
         },
         remove: ({ name, revision }) => store.remove(processKind, name, revision, signal),
         hostCount: () => records.size === 0 ? undefined : records.size,
@@ -239,12 +300,14 @@
         },
         wasRegistered: () => wasRegistered,
         registeredAt: () => registeredAt,
-        isRegistered: () => isRegistered,
+        isRegistered: isConfirmed,
         hasEnded: async process => {
             try {
                 const object = await store.get(processKind, hostOf(process), signal);
                 const parsed = recordSchema.safeParse(object?.value);
-                return parsed.success && parsed.data.process !== process;
+                // A record that a copy brought back may be of a process before.
+                const isOfEra = object !== undefined && parsed.data?.era === eraOf(object.revision);
+                return parsed.success && isOfEra && parsed.data.process !== process;
             }
             catch (error) {
                 log.info("process-lookup-failed", { process, error: messageOf(error) });
