--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -5,25 +5,16 @@
 import type { Clock } from "../../../src/contracts/clock.ts";
 import { PlatformError } from "../../../src/contracts/errors.ts";
 import type { ObjectStore, StoreObject, StoreWriteResult } from "../../../src/contracts/objectstore.ts";
-import { eraOf, isLater, placeOf, revisionOf } from "../../../src/contracts/storehistory.ts";
+import { eraOf, isLater, laterOf, placeOf, revisionOf } from "../../../src/contracts/storehistory.ts";
 
 export type StoreFault = "none" | "silent" | "refusing" | "answers-lost" | "writes-late";
 
-/** A store that knows of eras. */
-type EraStore = ObjectStore & {
-    /** The latest era that this process knows of. */
-    era: () => number;
-    learnEra: (era: number) => void;
-    /** The listener is called once for each later era. */
-    onEra: (listener: (era: number) => void) => void;
-};
-
 /** An object under the revision of the era; its place follows from the era of the answer that carries it. */
 type Stored = StoreObject;
 export type FakeCopy = { revision: number; objects: Map<string, Stored>; events: Change[]; oldest: number };
 
 export type FakeStore = {
-    store: EraStore;
+    store: ObjectStore;
     /**
      * Fault of this host's calls. `answers-lost` carries out the writes and loses their answers; `writes-late` carries them
      * out after `lateMilliseconds`, if their condition holds then, and loses their answers.
@@ -66,17 +57,18 @@
 
 const access = (shared: Shared, clock: Clock): FakeStore => {
     const listeners: Array<(era: number) => void> = [];
-    let knownEra = 0;
+    let knownEra: number | undefined;
+    const wakeAll = (): void => [...shared.waiters].forEach(wake => wake());
 
-    const learnEra = (era: number): void => {
-        if (isLater(era, knownEra)) {
-            knownEra = era;
-            listeners.forEach(listener => listener(era));
+    const learnEra = (told: number): void => {
+        const before = knownEra ?? 0;
+        knownEra = laterOf(before, told);
+        if (isLater(knownEra, before)) {
+            wakeAll();
+            listeners.forEach(listener => listener(told));
         }
     };
 
-    const wakeAll = (): void => [...shared.waiters].forEach(wake => wake());
-
     const change = (kind: string, name: string, value: unknown, removed: boolean): Stored => {
         shared.revision += 1;
         const object = { name, revision: shared.revision, value };
@@ -120,19 +112,23 @@
 
     /** Whoever knows of a later era takes no answer of this one. */
     const learnFromAnswer = (): void => {
-        if (isLater(knownEra, shared.era)) {
+        if (isLater(knownEra ?? 0, shared.era)) {
             throw new PlatformError("answer of an earlier era");
         }
         learnEra(shared.era);
     };
 
-    /** Carries out a write if its condition holds, and answers with what `write` returns. */
+    /**
+     * Carries out a write if its condition holds, and answers with what `write` returns. A write that was sent in an earlier
+     * era is a conflict, whether it was carried out or not.
+     */
     const applyWrite = async (
         kind: string,
         name: string,
         holds: Condition,
         write: () => Stored,
     ): Promise<StoreWriteResult> => {
+        const sentIn = knownEra;
         await applyFault();
         if (fake.fault === "writes-late") {
             clock.after(fake.lateMilliseconds, () => {
@@ -143,10 +139,13 @@
             await clock.sleep(timeoutMilliseconds);
             throw new PlatformError("no answer in time");
         }
-        const current = shared.objects.get(keyOf(kind, name));
-        const result: StoreWriteResult = holds(current)
-            ? { result: "written", object: placed(write()) }
-            : { result: "conflict", current: current && placed(current) };
+        const before = shared.objects.get(keyOf(kind, name));
+        const written = holds(before) ? write() : undefined;
+        const current = fake.read(kind, name);
+        const isOtherEra = sentIn !== undefined && sentIn !== shared.era;
+        const result: StoreWriteResult = written === undefined || isOtherEra
+            ? { result: "conflict", current }
+            : { result: "written", object: placed(written) };
         if (fake.fault === "answers-lost") {
             await clock.sleep(timeoutMilliseconds);
             throw new PlatformError("no answer in time");
@@ -160,15 +159,16 @@
      * that nothing matches.
      */
     const matches = (place: number): Condition => {
-        const isSent = !isLater(knownEra, eraOf(place));
+        learnEra(eraOf(place));
+        const isSent = eraOf(place) === knownEra;
         return current => isSent && current?.revision === revisionOf(place);
     };
 
     const changesAfter = (kind: string, revision: number): Change[] =>
         shared.events.filter(entry => entry.kind === kind && entry.revision > revision);
 
-    const store: EraStore = {
-        era: () => knownEra,
+    const store: ObjectStore = {
+        era: () => knownEra ?? 0,
         learnEra,
         onEra: listener => {
             listeners.push(listener);
@@ -191,24 +191,29 @@
         get: async (kind, name) => {
             await applyFault();
             learnFromAnswer();
-            const object = shared.objects.get(keyOf(kind, name));
-            return object && placed(object);
+            return fake.read(kind, name);
         },
         watch: async (kind, position, waitMilliseconds) => {
+            learnEra(eraOf(position));
+            const sentIn = knownEra;
             await applyFault();
             const { era } = shared;
             const from = revisionOf(position);
-            if (eraOf(position) !== era || from < shared.oldest || from > shared.revision) {
+            if (eraOf(position) !== knownEra || from < shared.oldest || from > shared.revision) {
                 learnFromAnswer();
                 return { result: "history-lost" };
             }
             const endAt = clock.now() + waitMilliseconds;
-            while (shared.era === era && changesAfter(kind, from).length === 0 && clock.now() < endAt) {
+            const isWaiting = (): boolean => shared.era === era && knownEra === sentIn && clock.now() < endAt;
+            while (isWaiting() && changesAfter(kind, from).length === 0) {
                 await new Promise<void>(resolve => {
                     shared.waiters.add(resolve);
                     clock.after(endAt - clock.now(), resolve);
                 });
             }
+            if (knownEra !== sentIn) {
+                return { result: "history-lost" };
+            }
             checkConnected(era);
             if (fake.fault !== "none") {
                 await applyFault();
@@ -222,6 +227,9 @@
             await clock.sleep(bytes / fake.bytesPerMillisecond);
             checkConnected(era);
             learnFromAnswer();
+            if (eraOf(position) !== era) {
+                return { result: "history-lost" };
+            }
             return { result: "changes", events, position: readTo, bytes };
         },
         create: (kind, name, value) =>
@@ -232,9 +240,6 @@
             const result = await applyWrite(kind, name, matches(place), () => change(kind, name, undefined, true));
             return result.result === "written" || result.current === undefined;
         },
-        era: () => 0,
-        learnEra: () => undefined,
-        onEra: () => undefined,
         callCounts: () => ({}),
         close: () => undefined,
     };
