Add a play to the soak in which the store returns from an older copy

The store goes away while manifests and targets change, comes back from a copy some seconds old, with its revisions overtaken or not, twice in a row, with late writes, a host cut off, or the coordinator's host ended around it. The verdict gets rules for owners of keys and their fences, for versions that are late on a host or come back, for keys that stay unserved, and for targets that join and are not used.

--- a/stand-ins/resident/backend.ts
+++ b/stand-ins/resident/backend.ts
@@ -78,6 +78,8 @@
     displacedIds: Set<string>;
     /** When each request arrived, in milliseconds of this process, without calls for grants. */
     arrivals: number[];
+    /** All holds so far, also those that have ended. */
+    holds: readonly Hold[];
     /** Whether a grant covers the key now. */
     ownsKey: (key: number) => boolean;
     /** Number of crashes so far. */
@@ -89,8 +91,8 @@
 
 /** A grant or release of the keys `from` to `target`, both included; `hold_time` is in milliseconds. */
 type GrantBody = { from: number; target: number; fence: number; hold_time?: string };
-/** A granted range and the time, in milliseconds of this process, at which its hold ends. */
-type HeldRange = GrantBody & { until: number };
+/** A granted range and the time, in milliseconds of this process, in which it is held. */
+export type Hold = { from: number; target: number; fence: number; since: number; until: number };
 
 const readBody = async (request: IncomingMessage): Promise<string> => {
     const chunks: Buffer[] = [];
@@ -137,7 +139,8 @@
     let waiting: Array<() => void> = [];
     let crashCount = 0;
     let isClosed = false;
-    let heldRanges: HeldRange[] = [];
+    let heldRanges: Hold[] = [];
+    const holds: Hold[] = [];
     let fences: GrantBody[] = [];
     let running = 0;
 
@@ -149,14 +152,22 @@
     const overlaps = (left: GrantBody, right: GrantBody): boolean =>
         left.from <= right.target && left.target >= right.from;
 
-    /** The held ranges without the keys of the body. A range that contains them is split. */
-    const rangesWithout = (body: GrantBody): HeldRange[] =>
-        heldRanges.flatMap(held =>
-            !overlaps(held, body) ? [held] : [
-                { ...held, target: Math.min(held.target, body.from - 1) },
-                { ...held, from: Math.max(held.from, body.target + 1) },
-            ].filter(piece => piece.from <= piece.target)
-        );
+    /** Ends the hold of the keys of the body. A held range that contains them is split. */
+    const endHolds = (body: GrantBody): void => {
+        const since = performance.now();
+        heldRanges = heldRanges.flatMap(held => {
+            if (!overlaps(held, body)) {
+                return [held];
+            }
+            const pieces = [
+                { ...held, since, target: Math.min(held.target, body.from - 1) },
+                { ...held, since, from: Math.max(held.from, body.target + 1) },
+            ].filter(piece => piece.from <= piece.target);
+            held.until = Math.min(held.until, since);
+            holds.push(...pieces);
+            return pieces;
+        });
+    };
 
     /**
      * Applies a grant and returns the status of its answer: 409 if an overlapping grant or release came earlier with a
@@ -167,7 +178,11 @@
             return 409;
         }
         fences = [...fences.filter(other => other.fence !== body.fence || !overlaps(other, body)), body];
-        heldRanges = [...rangesWithout(body), { ...body, until: arrivedAt + Number.parseFloat(body.hold_time ?? "0") }];
+        endHolds(body);
+        const { from, target, fence, hold_time: holdTime = "0" } = body;
+        const hold = { from, target, fence, since: performance.now(), until: arrivedAt + Number.parseFloat(holdTime) };
+        heldRanges.push(hold);
+        holds.push(hold);
         return 200;
     };
 
@@ -302,7 +317,7 @@
         }
         if (request.url === "/v1/release") {
             const released = JSON.parse(body) as GrantBody;
-            heldRanges = rangesWithout(released);
+            endHolds(released);
             fences.push(released);
             sendAnswer(response, 200, { handover: `${id()}-state` });
             return;
@@ -336,6 +351,7 @@
         crashCount += 1;
         running = 0;
         waiting = [];
+        heldRanges.forEach(held => held.until = Math.min(held.until, performance.now()));
         heldRanges = [];
         fences = [];
         stopListening();
@@ -355,6 +371,7 @@
         cutIds,
         displacedIds,
         arrivals,
+        holds,
         ownsKey,
         crashes: () => crashCount,
         resetConnections: () => sockets.forEach(socket => socket.resetAndDestroy()),
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -56,17 +56,27 @@
     & { at: number }
     & (
         /** With `afterStart`, the signal comes so many milliseconds after the host's next start. */
-        | { kind: "signal"; host: number; signal: Signal; afterStart?: number }
+        | { kind: "signal"; host: number | "coordinator"; signal: Signal; afterStart?: number }
         | { kind: "reuse"; service: number; to: number; how: "drained" | "removed" | "abrupt" }
         | { kind: "reset"; place: Place; share: number }
-        | { kind: "manifest"; how: "drop" | "move" | "restore"; service: number }
-        | { kind: "store"; fault: "silent" | "refusing" | "slow" | "none" }
+        /** `add` adds a route of the manifest's version. */
+        | { kind: "manifest"; how: "drop" | "move" | "restore" | "add"; service: number }
+        | { kind: "store"; fault: "silent" | "refusing" | "slow" | "late" | "none" }
+        /** The store is away from then on; it returns from the last copy, with revisions beyond the lost ones or not. */
+        | { kind: "copy" }
+        | { kind: "away" }
+        | { kind: "rewrite" }
+        | { kind: "return"; isOvertaking: boolean }
+        /** A host is cut from the store, or no longer. */
+        | { kind: "cut"; host: number; isCut: boolean }
+        /** Another target of the service registers. */
+        | { kind: "join"; service: number }
         /** From then on, targets garble the share of their answers in one of these ways. */
         | { kind: "garble"; garbles: Garble[]; share: number }
     );
 
 /** Names of the plays. Each brings together the disturbances that it is named for; `mixed` draws from all. */
-export const plays = ["reuse", "resets", "manifest", "thin", "starts", "garble", "mixed"] as const;
+export const plays = ["reuse", "resets", "manifest", "thin", "starts", "garble", "mixed", "store-return"] as const;
 export type Play = typeof plays[number];
 
 export type Random = { below: (limit: number) => number; chance: (share: number) => boolean };
@@ -147,6 +157,49 @@
         steps.push({ at, kind: "garble", garbles: chosen, share: pick([0.05, 0.2, 0.4]) });
     };
 
+    /** Writes what changes in the time before the copy is due, so that the store loses it. */
+    const changes = (from: number, time: number): void => {
+        for (let count = 2 + random.below(8); count > 0; count -= 1) {
+            steps.push({ at: from + random.below(time), kind: "manifest", how: "add", service: 0 });
+        }
+        steps.push({ at: from + random.below(time), kind: "join", service: services - 1 });
+    };
+    /** The store goes away, returns from the last copy, and what the operator and the targets wrote is written again. */
+    const goAndReturn = (at: number): number => {
+        if (random.chance(0.4)) {
+            steps.push({ at: at - random.below(600), kind: "store", fault: "late" });
+            steps.push({ at, kind: "store", fault: "none" });
+        }
+        const backAt = at + 700 + random.below(600);
+        const rewrittenAt = backAt + 300 + random.below(1_700);
+        steps.push({ at, kind: "away" });
+        steps.push({ at: backAt, kind: "return", isOvertaking: random.chance(0.5) });
+        steps.push({ at: rewrittenAt, kind: "rewrite" });
+        if (random.chance(0.5)) {
+            const signal = pick(["SIGKILL", "SIGTERM"] as const);
+            steps.push({ at: backAt - 1_500 + random.below(3_000), kind: "signal", host: "coordinator", signal });
+        }
+        if (random.chance(0.4)) {
+            const host = random.below(hosts);
+            steps.push({ at: at - random.below(1_000), kind: "cut", host, isCut: true });
+            steps.push({ at: backAt + random.below(4_000), kind: "cut", host, isCut: false });
+        }
+        changes(rewrittenAt + 200, 1_000);
+        return rewrittenAt;
+    };
+    const returns = (at: number): void => {
+        const lossMilliseconds = 1_500 + random.below(4_500);
+        steps.push({ at, kind: "copy" });
+        changes(at, lossMilliseconds);
+        const rewrittenAt = goAndReturn(at + lossMilliseconds);
+        if (random.chance(0.4)) {
+            if (random.chance(0.5)) {
+                steps.push({ at: rewrittenAt + 300, kind: "copy" });
+            }
+            goAndReturn(rewrittenAt + 1_500);
+        }
+    };
+
     const parts: Record<Play, Array<(at: number) => void>> = {
         reuse: [stops, reuse],
         resets: [stops, resets],
@@ -155,8 +208,10 @@
         starts: [starts, store],
         garble: [garble, stops],
         mixed: [stops, reuse, resets, manifest, starts, store, kills],
+        "store-return": [returns],
     };
-    for (let at = 1_000; at < seconds * 1_000 - 6_000; at += 5_000 + random.below(3_000)) {
+    const [gap, end] = play === "store-return" ? [14_000, 34_000] : [5_000, 6_000];
+    for (let at = 1_000; at < seconds * 1_000 - end; at += gap + random.below(3_000)) {
         const all = parts[play];
         const chosen = play === "mixed" ? all.filter(() => random.chance(0.45)) : all;
         chosen.forEach(part => part(at + random.below(1_000)));
--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -5,10 +5,11 @@
 import { once } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type BackendStandIn, startBackendStandIn } from "../../stand-ins/resident/backend.ts";
-import { startStoreStandIn } from "../../stand-ins/resident/store.ts";
+import { startStoreStandIn, type StoreCopy } from "../../stand-ins/resident/store.ts";
 import { isReady, limits, type Program, startProgram } from "../platform/program.ts";
 import { type Caller, startCallers } from "./callers.ts";
 import { createRandom, type Signal, type Site, type SoakService, type Step } from "./plan.ts";
+import { type KeyRound, startProbes, type VersionProbe, versionRoutes } from "./probes.ts";
 import { reservePorts, startRelay } from "./relay.ts";
 import { bodyOf, type LifeRecord, type RequestRecord, type SoakRecords, type TargetRecord } from "./verdict.ts";
 
@@ -67,6 +68,10 @@
     const targets: Target[] = [];
     const storeFaults: SoakRecords["storeFaults"] = [];
     const resets: number[] = [];
+    const versions: SoakRecords["versions"] = [];
+    const cuts: SoakRecords["cuts"] = [];
+    const probes: VersionProbe[] = [];
+    const keyRounds: KeyRound[] = [];
     const delayed: Array<Promise<void>> = [];
     let stallMilliseconds = 0;
     let isEnding = false;
@@ -93,6 +98,10 @@
             return relay === undefined ? all : `127.0.0.1:${relay}`;
         })
     );
+    /** Ways to the store that can be cut. */
+    const storeRelays = options.steps.some(({ kind }) => kind === "cut")
+        ? await Promise.all(hosts.map(() => startRelay(() => Number(store.address.split(":")[1]))))
+        : [];
     const thinRelays = options.isThin
         ? await Promise.all(hosts.map(host => startRelay(() => host.ports.callersPort, 40)))
         : [];
@@ -119,11 +128,22 @@
             warmupLeft: "0ms",
             seq: 1,
         };
-        const { arrivedIds, runCounts, cutIds, displacedIds } = backend;
-        const record = { id, arrivedIds, runCounts, cutIds, displacedIds, endedAt: Infinity };
+        const { arrivedIds, runCounts, cutIds, displacedIds, holds } = backend;
+        const record = {
+            id,
+            arrivedIds,
+            runCounts,
+            cutIds,
+            displacedIds,
+            holds,
+            service: name,
+            joinedAt: now(),
+            endedAt: Infinity,
+        };
         const target = { name: id, service, backend, record, entry };
         targets.push(target);
-        store.put("servers", id, { ...entry, state: "ready", born: Date.now() });
+        Object.assign(entry, { state: "ready", born: Date.now() });
+        store.put("servers", id, entry);
     };
     for (const [index, service] of site.services.entries()) {
         for (let count = Math.max(2, Math.ceil(service.backends * options.share)); count > 0; count -= 1) {
@@ -132,6 +152,8 @@
     }
 
     let version = 1;
+    let newest: object = {};
+    let addedRoutes = 0;
     const putManifest = (routes: Record<string, object>): void => {
         version += 3;
         const services = Object.fromEntries(site.services.map(({ name, isSharded }) => [name, {
@@ -139,7 +161,20 @@
             maxConnections: 110,
             ...(isSharded ? { sharded: true, warm: "2s" } : {}),
         }]));
-        store.put("config", "main", { version: `r${version}`, routes, services, limits });
+        newest = {
+            version: `r${version}`,
+            routes: { ...routes, ...versionRoutes(site, addedRoutes) },
+            services,
+            limits,
+        };
+        store.put("config", "main", newest);
+    };
+    /** Writes again what the operator and the targets wrote last. */
+    const rewrite = (): void => {
+        store.put("config", "main", newest);
+        targets.filter(({ entry }) => entry !== gone).forEach(({ name, entry }) => store.put("servers", name, entry));
+        versions.forEach(each => each.confirmedAt = Math.max(each.confirmedAt, each.isLost ? now() : 0));
+        versions.forEach(each => each.isLost = false);
     };
     const allRoutes = routesOf(site.services);
     putManifest(allRoutes);
@@ -165,7 +200,9 @@
     };
 
     const start = async (host: Host): Promise<void> => {
-        const program = await startProgram(store, {
+        const relay = storeRelays[hosts.indexOf(host)];
+        const seen = relay === undefined ? store : { ...store, address: `127.0.0.1:${relay.port}` };
+        const program = await startProgram(seen, {
             name: host.name,
             zone: host.zone,
             ports: host.ports,
@@ -245,9 +282,27 @@
             report(`${Math.round(now())} ${backend.address} is now ${targets.at(-1)?.name}`);
         }
     };
+    /** The host that coordinates the first service with keys, as the store has it. */
+    const coordinatorHost = (): Host | undefined => {
+        const name = site.services.find(({ isSharded }) => isSharded)?.name ?? "";
+        const held = store.read("coordination", name) as { coordinator?: string } | undefined;
+        return hosts.find(host => held?.coordinator?.startsWith(host.name));
+    };
+
+    let copy: StoreCopy | undefined;
+    const comeBack = async (isOvertaking: boolean): Promise<void> => {
+        const lost = store.copy().revision - (copy?.revision ?? 0);
+        const returned = store.returnFrom(copy);
+        for (let count = isOvertaking ? lost + 20 : 0; count > 0; count -= 1) {
+            store.put("others", "counter", count);
+        }
+        versions.forEach(each => each.isLost ||= !each.isCopied);
+        await returned;
+        storeFaults.filter(({ until }) => until === Infinity).forEach(fault => fault.until = now());
+    };
     const apply = (step: Step): void => {
         if (step.kind === "signal") {
-            const host = hosts[step.host];
+            const host = step.host === "coordinator" ? coordinatorHost() : hosts[step.host];
             if (step.afterStart === undefined && host !== undefined) {
                 send(host, step.signal);
             }
@@ -268,12 +323,49 @@
             };
             parts[step.place]();
         }
+        else if (step.kind === "manifest" && step.how === "add") {
+            addedRoutes += 1;
+            putManifest(allRoutes);
+            versions.push({ version: addedRoutes, confirmedAt: now(), isLost: false });
+        }
+        else if (step.kind === "join") {
+            delayed.push(addTarget(step.service, site.zones[targets.length % site.zones.length] ?? ""));
+        }
+        else if (step.kind === "cut") {
+            storeRelays[step.host]?.cut(step.isCut);
+            const name = hosts[step.host]?.name ?? "";
+            const open = cuts.find(({ host, until }) => host === name && until === Infinity);
+            if (step.isCut) {
+                cuts.push({ host: name, from: now(), until: Infinity });
+            }
+            else if (open !== undefined) {
+                open.until = now();
+            }
+        }
+        else if (step.kind === "copy") {
+            copy = store.copy();
+            versions.forEach(each => each.isCopied = true);
+        }
+        else if (step.kind === "away") {
+            storeFaults.push({ from: now(), until: Infinity });
+            delayed.push(store.goAway());
+        }
+        else if (step.kind === "return") {
+            delayed.push(comeBack(step.isOvertaking));
+        }
+        else if (step.kind === "rewrite") {
+            rewrite();
+        }
         else if (step.kind === "manifest") {
             const { name } = site.services[step.service] as SoakService;
             const other = site.services[(step.service + 1) % site.services.length]?.name;
             const { [name]: route, ...rest } = allRoutes;
-            const changed = { drop: rest, move: { ...rest, [name]: { ...route, service: other } }, restore: allRoutes };
-            putManifest(changed[step.how]);
+            const changed: Record<string, Record<string, object>> = {
+                drop: rest,
+                move: { ...rest, [name]: { ...route, service: other } },
+                restore: allRoutes,
+            };
+            putManifest(changed[step.how] ?? allRoutes);
         }
         else if (step.kind === "garble") {
             targets.forEach(({ backend }) => {
@@ -285,6 +377,7 @@
             store.faults.silent = step.fault === "silent";
             store.faults.refuse = step.fault === "refusing" ? 503 : undefined;
             store.faults.slowMilliseconds = step.fault === "slow" ? 400 : 0;
+            store.faults.lateMilliseconds = step.fault === "late" ? 2_000 : 0;
             const last = storeFaults.at(-1);
             if (last !== undefined) {
                 last.until = Math.min(last.until, now());
@@ -324,12 +417,33 @@
         choose,
         add: record => requests.push(record),
     });
+    const probing = new AbortController();
+    const isProbing = options.steps.some(({ kind }) => kind === "return");
+    const probed = isProbing
+        ? startProbes({
+            site,
+            now,
+            random,
+            hosts: () =>
+                hosts.filter(host => host.misses === 0 && lives[host.life]?.readyAt !== undefined)
+                    .map(host => ({ life: host.life, port: host.ports.callersPort })),
+            version: () => addedRoutes,
+            addProbe: probe => probes.push(probe),
+            addKeys: round => {
+                keyRounds.push(round);
+                report(`${Math.round(round.at)} keys served: ${round.served} of ${round.asked}`);
+            },
+            signal: probing.signal,
+        })
+        : undefined;
     for (const step of options.steps) {
         await sleep(Math.max(0, trafficAt + step.at - now()));
         apply(step);
     }
     await sleep(Math.max(0, trafficAt + options.seconds * 1_000 - now()));
-    await Promise.all(callers.map(caller => caller.stop()));
+    probing.abort();
+    await Promise.all([probed, ...callers.map(caller => caller.stop())]);
+    const endedAt = now();
     isEnding = true;
     await Promise.all(delayed);
     await Promise.all(hosts.map(async host => {
@@ -342,10 +456,29 @@
     }));
     clearInterval(balancer);
     clearInterval(ticker);
-    [reserved, store, ...linkRelays, ...thinRelays, ...targets.map(target => target.backend)].forEach(part =>
-        part.close()
+    [reserved, store, ...linkRelays, ...storeRelays, ...thinRelays, ...targets.map(target => target.backend)].forEach(
+        part => part.close(),
     );
-    return { requests, lives, targets: targets.map(({ record }) => record), storeFaults, resets, stallMilliseconds };
+    for (const { record } of targets) {
+        record.holds = record.holds.map(hold => ({
+            ...hold,
+            since: hold.since - startedAt,
+            until: Math.min(hold.until - startedAt, record.endedAt),
+        }));
+    }
+    return {
+        requests,
+        lives,
+        targets: targets.map(({ record }) => record),
+        storeFaults,
+        resets,
+        stallMilliseconds,
+        versions,
+        cuts,
+        probes,
+        keyRounds,
+        endedAt,
+    };
 };
 
 /** In place of the entry of a target that leaves. */
--- a/test/soak/relay.ts
+++ b/test/soak/relay.ts
@@ -5,7 +5,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { detectReset } from "../../src/links/resets.ts";
 
-export type Relay = { port: number; resetConnections: (isChosen: () => boolean) => void; close: () => void };
+export type Relay = {
+    port: number;
+    resetConnections: (isChosen: () => boolean) => void;
+    /** Resets all connections; new ones are reset too until it is called with false. */
+    cut: (isCut: boolean) => void;
+    close: () => void;
+};
 
 /** Ports below those of other tests and of outgoing connections. A soak holds the first port of its block meanwhile. */
 const blocks = { firstPort: 10_000, size: 100, count: 100 };
@@ -54,7 +60,12 @@
 
 export const startRelay = async (toPort: () => number, pauseMilliseconds = 0): Promise<Relay> => {
     const pairs = new Set<[Socket, Socket]>();
+    let isCutOff = false;
     const server = createServer({ allowHalfOpen: true }, near => {
+        if (isCutOff) {
+            near.resetAndDestroy();
+            return;
+        }
         const far = detectReset(connect({ port: toPort(), host: "127.0.0.1", allowHalfOpen: true }));
         const pair: [Socket, Socket] = [detectReset(near), far];
         pairs.add(pair);
@@ -68,6 +79,10 @@
     return {
         port: (server.address() as AddressInfo).port,
         resetConnections,
+        cut: isCut => {
+            isCutOff = isCut;
+            resetConnections(() => isCut);
+        },
         close: () => {
             server.close();
             resetConnections(() => true);
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -2,6 +2,7 @@
  * The verdict on a soak, as tables, and one short soak on each deployment.
  */
 import test from "ava";
+import type { Hold } from "../../stand-ins/resident/backend.ts";
 import { buildProgram } from "../platform/program.ts";
 import { describe, isBreach, soak } from "./main.ts";
 import { createPlan, plays } from "./plan.ts";
@@ -32,6 +33,9 @@
 };
 const ran = {
     id: "t1",
+    service: "keyed",
+    holds: [] as Hold[],
+    joinedAt: 0,
     arrivedIds: new Set(["q-1"]),
     runCounts: new Map([["q-1", 1]]),
     cutIds: new Set<string>(),
@@ -45,6 +49,10 @@
 const early = { endedAt: 60, code: undefined, endSignal: "SIGHUP", signals: [{ signal: "SIGHUP", at: 40 }] };
 const cut = { outcome: "cut", status: 0 } as const;
 
+const hold = { from: 0, target: 9, fence: 1, since: 1_000, until: 2_000 };
+const holder = { ...ran, holds: [hold] };
+const nextHolder = { ...idle, id: "t2", holds: [{ ...hold, fence: 2, since: 2_000, until: 3_000 }] };
+const probe = (sentAt: number, status = 404) => ({ life: 0, version: 1, sentAt, status });
 const own = { status: 502, signature: "" };
 
 type Case = {
@@ -120,6 +128,49 @@
     { name: "the answer of another request", request: { answerId: "q-2" }, expected: ["MIXED"] },
     { name: "a body that is cut short", request: { body: "q-1 served" }, expected: ["MIXED"] },
     { name: "a success that no target gave", records: { targets: [idle] }, expected: ["MIXED"] },
+    { name: "a key that moves", records: { targets: [holder, nextHolder] }, expected: [] },
+    {
+        name: "a key that moves while it is held",
+        records: { targets: [{ ...holder, holds: [{ ...hold, until: 2_001 }] }, nextHolder] },
+        expected: ["OWNER"],
+    },
+    {
+        name: "a key that moves with the same fence",
+        records: { targets: [holder, { ...nextHolder, holds: [{ ...hold, since: 2_000, until: 3_000 }] }] },
+        expected: ["FENCE"],
+    },
+    { name: "an old version shortly after the change", records: { probes: [probe(7_500)] }, expected: [] },
+    { name: "an old version later", records: { probes: [probe(12_000)] }, expected: ["CONFIG"] },
+    {
+        name: "an old version while the store has lost the new one",
+        records: { probes: [probe(12_000)], versions: [{ version: 1, confirmedAt: 5_000, isLost: true }] },
+        expected: [],
+    },
+    {
+        name: "an old version after the new one",
+        records: { probes: [probe(6_000, 200), probe(7_000)] },
+        expected: ["REGRESS"],
+    },
+    {
+        name: "an old version where the store was away shortly before",
+        records: { probes: [probe(12_000)], storeFaults: [{ from: 9_000, until: 10_000 }] },
+        expected: [],
+    },
+    {
+        name: "keys that are not served again",
+        records: { keyRounds: [{ at: 26_000, asked: 24, served: 23 }], storeFaults: [{ from: 9_000, until: 10_000 }] },
+        expected: ["KEYS"],
+    },
+    {
+        name: "keys that are served again",
+        records: { keyRounds: [{ at: 20_000, asked: 24, served: 0 }, { at: 22_000, asked: 24, served: 24 }] },
+        expected: [],
+    },
+    {
+        name: "a target that joins and is not used",
+        records: { targets: [ran, { ...idle, id: "t2", joinedAt: 1_000 }] },
+        expected: ["UNUSED"],
+    },
 ];
 for (const { name, life: lifeFields, request: requestFields, records, expected } of cases) {
     test(`verdict: ${name} gives ${expected.join(", ") || "no finding"}`, t => {
@@ -129,6 +180,11 @@
             targets: [ran],
             storeFaults: [],
             resets: [],
+            versions: [{ version: 1, confirmedAt: 5_000, isLost: false }],
+            cuts: [],
+            probes: [],
+            keyRounds: [],
+            endedAt: 30_000,
             stallMilliseconds: 0,
             ...records,
         });
@@ -138,7 +194,7 @@
 
 test("a seed gives the same plan again, and another seed another", t => {
     for (const play of plays) {
-        const plan = (seed: number) => createPlan({ seed, play, hosts: 4, seconds: 20, services: 3 });
+        const plan = (seed: number) => createPlan({ seed, play, hosts: 4, seconds: 40, services: 3 });
         t.deepEqual(plan(1), plan(1));
         t.notDeepEqual(plan(1), plan(2));
     }
--- a/test/soak/verdict.ts
+++ b/test/soak/verdict.ts
@@ -2,6 +2,9 @@
  * The verdict on a soak, from what callers, targets and the operator of the processes saw. Pure.
  */
 
+import type { Hold } from "../../stand-ins/resident/backend.ts";
+import type { KeyRound, VersionProbe } from "./probes.ts";
+
 /** What a caller saw of a request. Times are in milliseconds of the soak; `life` numbers the process it was sent to. */
 export type RequestRecord = {
     id: string;
@@ -30,9 +33,12 @@
     endSignal: string | undefined;
     log: string;
 };
-/** What one target saw: the requests that reached it, how often each ran, and when it ended. */
+/** What one target saw: the requests that reached it, how often each ran, the keys that it held, and its time. */
 export type TargetRecord = {
     id: string;
+    service: string;
+    holds: readonly Hold[];
+    joinedAt: number;
     arrivedIds: Set<string>;
     runCounts: Map<string, number>;
     /** Requests whose answers the target broke off. */
@@ -50,6 +56,7 @@
     /** Added to the grace of a stop. */
     grace: number;
 };
+export type VersionRecord = { version: number; confirmedAt: number; isLost: boolean; isCopied?: boolean };
 export type SoakRecords = {
     requests: RequestRecord[];
     lives: LifeRecord[];
@@ -57,12 +64,34 @@
     /** Spans in which the store was impaired, and moments of resets. */
     storeFaults: Array<{ from: number; until: number }>;
     resets: number[];
+    /** When each version was confirmed, or written again after the store had lost it; `isLost` while it has it no more. */
+    versions: VersionRecord[];
+    /** Spans in which a host was cut from the store. */
+    cuts: Array<{ host: string; from: number; until: number }>;
+    probes: VersionProbe[];
+    keyRounds: KeyRound[];
+    /** The end of the traffic. */
+    endedAt: number;
     /** The longest time for which the soak itself did not run; its times are late by as much. */
     stallMilliseconds: number;
 };
 export type Finding = {
     /** The rules' names; EARLY, CUT (after a reset) and FAILED (an own failure in place of an answer) are excused by them. */
-    rule: "FAULT" | "EARLY" | "LOST" | "CUT" | "FAILED" | "REFUSED" | "TWICE" | "MIXED";
+    rule:
+        | "FAULT"
+        | "EARLY"
+        | "LOST"
+        | "CUT"
+        | "FAILED"
+        | "REFUSED"
+        | "TWICE"
+        | "MIXED"
+        | "OWNER"
+        | "FENCE"
+        | "CONFIG"
+        | "REGRESS"
+        | "KEYS"
+        | "UNUSED";
     at: number;
     host: string;
     request: string;
@@ -122,9 +151,87 @@
 const isBefore = (resets: number[], { sentAt, endedAt }: RequestRecord): boolean =>
     resets.some(at => at > sentAt - calmMilliseconds && at <= endedAt);
 
+const overlap = (left: Hold, right: Hold): boolean => left.from <= right.target && right.from <= left.target;
+
+/** Two targets that hold a key at the same time, and fences that are not above those of earlier holds elsewhere. */
+const judgeOwners = (targets: TargetRecord[]): Finding[] => {
+    const all = targets.flatMap(({ id, service, holds }) => holds.map(hold => ({ id, service, hold })))
+        .sort((left, right) => left.hold.since - right.hold.since);
+    return all.flatMap(({ id, service, hold }, index) => {
+        const earlier = all.slice(0, index).filter(other =>
+            other.id !== id && other.service === service && overlap(other.hold, hold)
+        );
+        const text = (other: typeof all[number]): string =>
+            `${JSON.stringify(hold)} while or after ${other.id} ${JSON.stringify(other.hold)}`;
+        const finding = (rule: Finding["rule"], other: typeof all[number] | undefined): Finding[] =>
+            other === undefined
+                ? []
+                : [{ rule, at: hold.since, host: id, request: "", text: text(other), lines: [] }];
+        return [
+            ...finding("OWNER", earlier.find(other => other.hold.until > hold.since && hold.until > hold.since)),
+            ...finding("FENCE", earlier.find(other => other.hold.fence >= hold.fence)),
+        ];
+    });
+};
+
+const applyMilliseconds = 2_000;
+/** Time in which a host gets in touch again after the store or its way to it was impaired. */
+const stabilityMilliseconds = 3_000;
+const recoverMilliseconds = 15_000;
+
+/** Hosts that have an older version in force than they had, or than is due. */
+const judgeVersions = (records: SoakRecords, slack: Slack): Finding[] => {
+    const { probes, versions, lives, cuts, storeFaults, stallMilliseconds } = records;
+    const served = new Map<number, number>();
+    return [...probes].sort((left, right) => left.sentAt - right.sentAt).flatMap(probe => {
+        const { life: lifeIndex, version, sentAt, status } = probe;
+        const life = lives[lifeIndex] as LifeRecord;
+        if (status === 200) {
+            served.set(lifeIndex, Math.max(version, served.get(lifeIndex) ?? 0));
+        }
+        if (status !== 404) {
+            return [];
+        }
+        const impaired = [...storeFaults, ...cuts.filter(({ host }) => host === life.host)]
+            .filter(({ from }) => from <= sentAt).map(({ until }) => until);
+        const confirmed = versions.find(each => each.version === version);
+        const inTouchAt = Math.max(life.readyAt ?? Infinity, ...impaired) + stabilityMilliseconds;
+        const dueAt = Math.max(confirmed?.confirmedAt ?? Infinity, inTouchAt) + applyMilliseconds + slack.unread
+            + stallMilliseconds;
+        const rule = (served.get(lifeIndex) ?? 0) >= version ? "REGRESS" : "CONFIG";
+        return rule === "CONFIG" && (confirmed?.isLost === true || sentAt < dueAt) ? [] : [{
+            rule,
+            at: sentAt,
+            host: life.host,
+            request: "",
+            text: `version ${version} is not in force, due at ${Math.round(dueAt)}`,
+            lines: [],
+        }];
+    });
+};
+
+/** Keys that are not served again, and targets that joined and are not used, once all has been calm for long enough. */
+const judgeRecovery = ({ keyRounds, targets, storeFaults, cuts, endedAt }: SoakRecords): Finding[] => {
+    const calmAt = Math.max(0, ...[...storeFaults, ...cuts].map(({ until }) => until)) + recoverMilliseconds;
+    const findings: Finding[] = [];
+    const late = keyRounds.filter(({ at }) => at >= calmAt);
+    const best = Math.max(...late.map(({ asked, served }) => served / asked));
+    if (late.length > 0 && best < 1) {
+        const text = late.map(({ served, asked }) => `${served} of ${asked}`).join(", ");
+        findings.push({ rule: "KEYS", at: late[0]?.at ?? 0, host: "", request: "", text, lines: [] });
+    }
+    for (const { id, joinedAt, endedAt: leftAt, arrivedIds, service } of targets) {
+        if (joinedAt > 0 && leftAt > endedAt && Math.max(joinedAt, calmAt) < endedAt && arrivedIds.size === 0) {
+            const text = `a target of ${service} that joined was never used`;
+            findings.push({ rule: "UNUSED", at: joinedAt, host: id, request: "", text, lines: [] });
+        }
+    }
+    return findings;
+};
+
 export const judge = (records: SoakRecords, slack = usualSlack): Finding[] => {
     const { requests, lives, targets, storeFaults, resets, stallMilliseconds } = records;
-    const findings: Finding[] = [];
+    const findings = [...judgeOwners(targets), ...judgeVersions(records, slack), ...judgeRecovery(records)];
     const add = (rule: Finding["rule"], at: number, life: LifeRecord, request: string, text: string): void => {
         const lines = life.log.split("\n").filter(line => request !== "" && line.includes(`request=${request}`));
         const last = life.log.trimEnd().split("\n").slice(-3);
