Keep targets that a return of the store has lost, and use none that had left

After a return from an older copy, targets whose entries the copy lacked were removed at once by hosts that had heard of the return from their reader, for which the store had never been away, and by all hosts when they were few. A target that had drained, or whose entry had been removed, was used again when the copy held it as ready: a host that has acknowledged that a target leaves is bound by that.

The first list of an era gives every missing entry the time of an expiry, from when it was read. An incarnation that was seen draining stays so. An entry that was removed, and that a copy brings back, is used once it is written again, its target has started anew, or the store has kept it for 10 s, in which it removes those of silent targets.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -343,7 +343,7 @@
 
     const targetWatcher = watchers.watch(
         objects.targetKind,
-        all => measure("targets", () => registry.applyList(all)),
+        (all, position) => measure("targets", () => registry.applyList(all, position)),
         events => measure("targets", () => registry.applyChanges(events)),
     );
     watchers.watchObjects(objects.tableKind, acceptTableObject);
--- a/src/machines/resident/targetregistry.ts
+++ b/src/machines/resident/targetregistry.ts
@@ -1,11 +1,13 @@
 /**
  * The targets whose entries are in the platform's registry. An entry that expired while the store was unavailable is
- * kept for a short time after the store is back, in which a live target registers again.
+ * kept for a short time after the store is back, in which a live target registers again. In a return from an older copy
+ * the store loses entries, and brings back those of targets that have left.
  */
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { StoreEvent, StoreObject } from "../../contracts/objectstore.ts";
 import { type RegisteredTarget, unknownIncarnation } from "../../contracts/routing.ts";
+import { eraOf, isLater } from "../../contracts/storehistory.ts";
 import type { Log } from "../../links/logs.ts";
 
 export type TargetRegistry = {
@@ -13,8 +15,8 @@
     ofPool: (pool: string) => RegisteredTarget[];
     /** Adds a listener that is called after an entry was added, changed or removed. */
     onChange: (listener: (target: RegisteredTarget, gone: boolean) => void) => void;
-    /** Takes in the list of all entries. Targets that are not among them are removed. */
-    applyList: (objects: StoreObject[]) => void;
+    /** Takes in the list of all entries at the position. Targets that are not among them are removed. */
+    applyList: (objects: StoreObject[], position: number) => void;
     /** Takes in changes of entries. */
     applyChanges: (events: StoreEvent[]) => void;
     /**
@@ -37,6 +39,12 @@
 /** How long expired entries are kept: live targets are registered again about two seconds after the store is back. */
 const expiryGraceMilliseconds = 1_800;
 
+/**
+ * The store removes the entry of a target that is silent for long. One of a target that had left, which a copy brought back
+ * and which is still there after this time, is that of a target that lives.
+ */
+const doubtMilliseconds = 10_000;
+
 const maxLeavers = 2_000;
 
 /** An outage of the store expires all entries. When a smaller share than this is missing, those targets have left. */
@@ -49,6 +57,12 @@
     const pendingRemovals = new Map<string, () => void>();
     /** Incarnations of targets that leave, by name; the oldest are dropped. */
     const leavers = new Map<string, string>();
+    /** Incarnations of targets whose entries were removed, by name, and the place of the entry that a copy brought back. */
+    const departed = new Map<string, { incarnation: string; broughtBackAt: number }>();
+    /** Place of the newest list. */
+    let listedAt: number | undefined;
+    /** When the first list of the latest era was read. */
+    let returnedAt = -Infinity;
     const listeners: Array<(target: RegisteredTarget, gone: boolean) => void> = [];
 
     const notify = (target: RegisteredTarget, gone: boolean): void => {
@@ -60,9 +74,24 @@
         pendingRemovals.delete(name);
     };
 
-    const deleteTarget = (name: string, reason: string): void => {
+    /** Keeps an entry of a map in which the oldest are dropped. */
+    const keepBounded = <Value>(map: Map<string, Value>, name: string, value: Value): void => {
+        map.delete(name);
+        map.set(name, value);
+        for (const oldest of map.keys()) {
+            if (map.size <= maxLeavers) {
+                break;
+            }
+            map.delete(oldest);
+        }
+    };
+
+    const deleteTarget = (name: string, reason: "removed" | "lapsed" | "unreadable"): void => {
         cancelRemoval(name);
         const target = targets.get(name);
+        if (target !== undefined && reason === "removed") {
+            keepBounded(departed, name, { incarnation: target.incarnation, broughtBackAt: 0 });
+        }
         if (target !== undefined) {
             targets.delete(name);
             if (target.incarnation === unknownIncarnation) {
@@ -75,10 +104,9 @@
 
     /** Returns the time for which a missing entry is kept. */
     const remainingGrace = (): number => {
-        const since = options.reachableSince();
-        return since === undefined
-            ? expiryGraceMilliseconds
-            : Math.max(0, since + expiryGraceMilliseconds - clock.now());
+        const reachableSince = options.reachableSince();
+        const since = reachableSince === undefined ? clock.now() : Math.max(reachableSince, returnedAt);
+        return Math.max(0, since + expiryGraceMilliseconds - clock.now());
     };
 
     const remove = (name: string, isExpiry: boolean): void => {
@@ -95,9 +123,9 @@
         pendingRemovals.set(name, clock.after(grace, () => deleteTarget(name, "lapsed"), signal));
     };
 
-    const removeMissing = (names: string[]): void => {
+    const removeMissing = (names: string[], isLostInReturn: boolean): void => {
         const missing = new Set([...names, ...pendingRemovals.keys()]).size;
-        const isExpiry = missing >= targets.size * massExpiryShare;
+        const isExpiry = isLostInReturn || missing >= targets.size * massExpiryShare;
         names.forEach(name => remove(name, isExpiry));
     };
 
@@ -111,16 +139,38 @@
         }
     };
 
+    /** Whether the entry is of a target that left before the return in which a copy brought it back. */
+    const isBroughtBack = ({ name, revision }: StoreObject, incarnation: string, isReturn: boolean): boolean => {
+        const left = departed.get(name);
+        if (left === undefined) {
+            return false;
+        }
+        if (isReturn) {
+            left.broughtBackAt = revision;
+        }
+        return left.incarnation === incarnation && !isLater(revision, left.broughtBackAt)
+            && clock.now() - returnedAt < doubtMilliseconds;
+    };
+
     /** Takes in an entry. A change is logged; the many entries of the first list are not, but for their number. */
-    const put = (object: StoreObject, logsChange = true): void => {
+    const put = (object: StoreObject, logsChange = true, isReturn = false): void => {
         const decoded = decode(object);
         if (typeof decoded === "string") {
             log.warn("target-entry-unreadable", { target: object.name, revision: object.revision, finding: decoded });
             deleteTarget(object.name, "unreadable");
             return;
         }
-        const target = { ...decoded, leaving: decoded.leaving || leavers.get(object.name) === decoded.incarnation };
+        const hasLeft = isBroughtBack(object, decoded.incarnation, isReturn);
+        const isLeaver = leavers.get(object.name) === decoded.incarnation;
+        const target = { ...decoded, leaving: decoded.leaving || isLeaver || hasLeft };
         cancelRemoval(object.name);
+        if (hasLeft && isReturn) {
+            log.info("target-brought-back", { target: object.name, incarnation: target.incarnation });
+            clock.after(doubtMilliseconds, () => putAgain(object), signal);
+        }
+        else if (!hasLeft) {
+            departed.delete(object.name);
+        }
         const before = targets.get(object.name);
         targets.set(object.name, target);
         const isChanged = before === undefined || before.incarnation !== target.incarnation
@@ -133,15 +183,15 @@
         notify(target, false);
     };
 
-    const markLeaving = (name: string, incarnation: string): void => {
-        leavers.delete(name);
-        leavers.set(name, incarnation);
-        for (const oldest of leavers.keys()) {
-            if (leavers.size <= maxLeavers) {
-                break;
-            }
-            leavers.delete(oldest);
+    /** Takes in an entry again that a copy brought back, if it is still there as it was. */
+    const putAgain = (object: StoreObject): void => {
+        if (targets.has(object.name) && departed.get(object.name)?.broughtBackAt === object.revision) {
+            put(object);
         }
+    };
+
+    const markLeaving = (name: string, incarnation: string): void => {
+        keepBounded(leavers, name, incarnation);
         const target = targets.get(name);
         if (target?.incarnation === incarnation && !target.leaving) {
             const leaving = { ...target, leaving: true };
@@ -155,16 +205,24 @@
         get: name => targets.get(name),
         ofPool: pool => [...targets.values()].filter(target => target.pool === pool),
         onChange: listener => listeners.push(listener),
-        applyList: objects => {
+        applyList: (objects, position) => {
             const names = new Set(objects.map(object => object.name));
             const isFirst = targets.size === 0;
-            objects.forEach(object => put(object, !isFirst));
-            log.info("targets-listed", { targets: targets.size, objects: objects.length });
-            removeMissing([...targets.keys()].filter(name => !names.has(name)));
+            const isReturn = listedAt !== undefined && isLater(eraOf(position), eraOf(listedAt));
+            listedAt = position;
+            if (isReturn) {
+                returnedAt = clock.now();
+                // A target that leaves does not come back; a copy may say that it is ready.
+                [...targets.values()].filter(({ name, leaving }) => leaving && !departed.has(name))
+                    .forEach(({ name, incarnation }) => keepBounded(leavers, name, incarnation));
+            }
+            objects.forEach(object => put(object, !isFirst, isReturn));
+            log.info("targets-listed", { targets: targets.size, objects: objects.length, isReturn });
+            removeMissing([...targets.keys()].filter(name => !names.has(name)), isReturn);
         },
         applyChanges: events => {
             events.filter(event => !event.removed).forEach(event => put(event.object));
-            removeMissing(events.filter(event => event.removed).map(event => event.object.name));
+            removeMissing(events.filter(event => event.removed).map(event => event.object.name), false);
         },
         markLeaving,
     };
--- a/test/machines/resident/lonehost.ts
+++ b/test/machines/resident/lonehost.ts
@@ -64,11 +64,14 @@
         descriptors,
         ...common,
     });
-    registry.applyList(addresses.map((address, index) => ({
-        name: `i-${index + 1}`,
-        revision: index + 1,
-        value: { service: "orders", address, zone: "z", slots: 2, state: "ready", born: 1 },
-    })));
+    registry.applyList(
+        addresses.map((address, index) => ({
+            name: `i-${index + 1}`,
+            revision: index + 1,
+            value: { service: "orders", address, zone: "z", slots: 2, state: "ready", born: 1 },
+        })),
+        addresses.length,
+    );
     const gateway = createGateway({
         suspicions: noSuspicions,
         notices: noNotices,
--- a/test/machines/resident/targetconnections.test.ts
+++ b/test/machines/resident/targetconnections.test.ts
@@ -38,11 +38,14 @@
         descriptors,
         ...common,
     });
-    registry.applyList(targets.map(({ address }, index) => ({
-        name: `i-${index}`,
-        revision: index + 1,
-        value: { service: "orders", address, zone: "z", slots: 2, state: "ready", born: 1 },
-    })));
+    registry.applyList(
+        targets.map(({ address }, index) => ({
+            name: `i-${index}`,
+            revision: index + 1,
+            value: { service: "orders", address, zone: "z", slots: 2, state: "ready", born: 1 },
+        })),
+        targets.length,
+    );
     /** Resolves to `answered` or the code of the failure, or to `waits` after a while. */
     const send = (target: number, id: string): Promise<string> =>
         new Promise(resolve => {
