--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -93,6 +93,16 @@
 /** Each host stays below the retry ratio that all share by this factor, since hosts see different parts of the load. */
 const retryRatioFactor = 0.85;
 
+/** Logs and measures the era of the store, which rises when the store comes back from an older copy. */
+const reportEra = ({ store, log, metrics }: Pick<ResidentHostOptions, "store" | "log" | "metrics">): void => {
+    let before: number | undefined;
+    store.onEra(era => {
+        log.info("store-era-changed", { before, era });
+        metrics.gauge("store-era", era);
+        before = era;
+    });
+};
+
 /** Starts the host. Resolves when it accepts requests. When the start signal aborts before, it rejects and has closed all. */
 export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
     const { settings, store, objects, descriptors, clock, metrics, random } = options;
@@ -111,6 +121,8 @@
         store: settings.store.address,
     });
 
+    reportEra({ store, log, metrics });
+
     const { processorMilliseconds } = options;
     const { measure } = createEventLoopMonitor({ processorMilliseconds, clock, log, metrics, signal });
     monitorHeap({ readHeap, clock, log, metrics, signal });
