--- a/src/contracts/ownership.ts
+++ b/src/contracts/ownership.ts
@@ -20,11 +20,16 @@
 });
 
 export const ownershipSchema = z.object({
-    /** Increases by one with each new coordinator. */
+    /** Increases with each new coordinator, across eras of the store. */
     term: z.int().min(0),
     coordinator: z.string(),
-    /** Higher than every fence that was ever assigned. */
+    /** Higher than every fence that was ever assigned, in this or an earlier era of the store. */
     nextFence: z.int().min(1),
+    /**
+     * Whether targets may hold keys that an earlier era of the store gave them and that have other owners here. No keys are
+     * granted under these fences until that is ruled out.
+     */
+    isUncleared: z.boolean().default(false),
     /** Sorted by key, without overlap. Keys outside of all ranges have no owner. */
     ranges: z.array(ownedRangeSchema),
 });
--- a/src/decisions/coordinatorlease.ts
+++ b/src/decisions/coordinatorlease.ts
@@ -19,6 +19,8 @@
     revoke: () => void;
     /** Whether the host may act as coordinator now. */
     isValid: (now: ClockReading) => boolean;
+    /** Whether the store confirmed the host as coordinator within this time. */
+    wasConfirmedWithin: (milliseconds: number, now: ClockReading) => boolean;
 };
 
 /**
@@ -28,6 +30,9 @@
  */
 export const createCoordinatorLease = (validMilliseconds: number): CoordinatorLease => {
     let confirmedAt: ClockReading | undefined;
+    const wasConfirmedWithin: CoordinatorLease["wasConfirmedWithin"] = (milliseconds, now) =>
+        confirmedAt !== undefined
+        && Math.max(now.monotonic - confirmedAt.monotonic, now.wall - confirmedAt.wall) < milliseconds;
     return {
         renew: askedAt => {
             confirmedAt = askedAt;
@@ -35,9 +40,8 @@
         revoke: () => {
             confirmedAt = undefined;
         },
-        isValid: now =>
-            confirmedAt !== undefined
-            && Math.max(now.monotonic - confirmedAt.monotonic, now.wall - confirmedAt.wall) < validMilliseconds,
+        isValid: now => wasConfirmedWithin(validMilliseconds, now),
+        wasConfirmedWithin,
     };
 };
 
