--- a/src/contracts/ownership.ts
+++ b/src/contracts/ownership.ts
@@ -29,7 +29,7 @@
      * Whether targets may hold keys that an earlier era of the store gave them and that have other owners here. No keys are
      * granted under these fences until that is ruled out.
      */
-    isUncleared: z.boolean().default(false),
+    isUncleared: z.boolean().optional(),
     /** Sorted by key, without overlap. Keys outside of all ranges have no owner. */
     ranges: z.array(ownedRangeSchema),
 });
--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -2,17 +2,24 @@
  * Election of the coordinator of a pool's key ranges. The coordination object in the store names one process, which
  * writes heartbeats to it; when they stop, another process takes over. The ownership object decides which coordinator
  * is valid: it carries the coordinator's term, and writes of a coordinator of an earlier term fail.
+ *
+ * Each era of the store has objects of its own. The coordinator of the era before goes on renewing the grants that it knows
+ * by its lease, as in an outage, until the keys are granted in the new era or its lease ends.
  */
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
 import type { ObjectStore, StoreObject, StoreWriteResult } from "../../contracts/objectstore.ts";
 import { type Coordination, coordinationSchema, type Ownership, ownershipSchema } from "../../contracts/ownership.ts";
+import { eraOf, isLater, laterOf, startOfEra } from "../../contracts/storehistory.ts";
 import {
     type ClockReading,
+    type CoordinatorLease,
     createCoordinatorLease,
     takeoverDelayMilliseconds,
 } from "../../decisions/coordinatorlease.ts";
+import { newestOwnership, withFencesOfEra } from "../../decisions/eraclearing.ts";
 import { createFormerCoordinators } from "../../decisions/formercoordinators.ts";
+import { poolObjectName, readPoolObjectName } from "../../decisions/poolobjectnames.ts";
 import { renewAllFences } from "../../decisions/rangemoves.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -36,8 +43,10 @@
     processor: number;
     /** Returns whether there is anything to coordinate; otherwise this process does not take over. */
     isNeeded: () => boolean;
-    /** Called when this process becomes coordinator, before anything else is done in the term. */
+    /** Called when this process may grant keys in a new term, before anything else is done in it. */
     onTermStart: () => void;
+    /** Returns the newest ownership that this host has read, but not one that it knows only from an older copy. */
+    rememberedOwnership: () => Ownership | undefined;
     /** Tells other hosts of the terms of this process. */
     news: PoolNews;
     /** Whether a grant of this process is on its way. */
@@ -57,13 +66,19 @@
  * and nearly all of these processes are not the coordinator.
  */
 export type Coordinator = PoolNewsListener & {
-    /** Takes in the coordination object as it was read from the store; undefined when it was removed. */
-    applyCoordination: (object: StoreObject | undefined) => void;
+    /** Takes in a coordination object of the pool, of any era, as it was read from the store. */
+    applyCoordination: (object: StoreObject, removed: boolean) => void;
     /** Returns the pool's ownership while this process is coordinator, otherwise undefined. */
     ownership: () => Ownership | undefined;
+    /**
+     * Returns the ownership whose grants this process renews. It is that of the era before until the keys may be granted in
+     * the new one.
+     */
+    grantedOwnership: () => Ownership | undefined;
     /**
      * Writes a changed ownership to the store. Resolves to true once the write is confirmed. Resolves to false at once
-     * while this process is not coordinator, while another change is being written, and for a moment after a failure.
+     * while this process is not coordinator, while another change is being written, for a moment after a failure, and, but
+     * for the change that ends it, while the ownership is uncleared.
      *
      * False after a write does not mean that nothing was written: the answer may have been lost. `ownership()` then
      * returns what the store was found to hold, or undefined if the process stepped down. Rejects when the store fails
@@ -78,6 +93,8 @@
     mayPlan: () => boolean;
     /** Returns the monotonic time until which earlier coordinators may have sent grants, or may still send them. */
     formerMayGrantUntil: () => number;
+    /** Returns what this process knows of earlier eras. */
+    pastEras: () => PastEras;
     /**
      * Removes earlier coordinators that can certainly send no more grants. The next heartbeat writes the rest to the
      * store.
@@ -100,6 +117,13 @@
     resign: () => Promise<void>;
 };
 
+export type PastEras = {
+    /** When this process learned of the era; undefined when there was none before. */
+    learnedAt: number | undefined;
+    /** Whether it knows an ownership from an earlier era. */
+    isRemembered: boolean;
+};
+
 /**
  * A process tries to replace a coordinator that has written no heartbeat for this time, extended by the process's
  * takeover delay and a random spread.
@@ -115,6 +139,10 @@
  * are wasted if all processes try at once.
  */
 const vacancyTakeOverProbability = 0.3;
+/**
+ * Nobody has taken over from a coordinator that the store confirmed within this time: others wait longer for its heartbeat.
+ */
+const undisputedMilliseconds = 1_700;
 /** Pause after a failed attempt to take over. */
 const takeOverRetryMilliseconds = 1_000;
 /**
@@ -144,14 +172,38 @@
 /** The coordination object as last read or written. */
 type KnownCoordination = { coordination: Coordination; revision: number };
 
+/** The first era of a store that tells its eras. */
+const firstEra = 1;
 const noCoordinator = "";
 const resigned = "it resigned";
-const noOwnership: Ownership = { term: 0, coordinator: noCoordinator, nextFence: 1, ranges: [] };
+const noOwnership: Ownership = {
+    term: 0,
+    coordinator: noCoordinator,
+    nextFence: 1,
+    ranges: [],
+};
+
+/** The term of this process that the end of an era has cut short. */
+type OutlivedTerm = {
+    ownership: Ownership;
+    /** The lease that the store had confirmed in that era. */
+    lease: CoordinatorLease;
+    /** Whether certainly nobody else has changed the ownership since. */
+    isUndisputed: boolean;
+};
 
 /** Creates this process's part in the election of one pool's coordinator. The process is not coordinator at first. */
 export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
     const { pool, self, store, processes, clock, log, signal, random } = options;
-    const lease = createCoordinatorLease(grantingWindowMilliseconds);
+    let era = store.era();
+    let outlivedTerm: OutlivedTerm | undefined;
+    /** The last ownership of this process in an earlier era. */
+    let lastOwnership: Ownership | undefined;
+    /** Whether an earlier era had a coordinator, which may take over in this one before others do. */
+    let hadCoordinator: boolean | undefined;
+    /** A coordination object of a later era than the known one. */
+    let ahead: StoreObject | undefined;
+    let lease = createCoordinatorLease(grantingWindowMilliseconds);
     let known: KnownCoordination | undefined;
     let knownChangeAt = clock.now();
     let heldOwnership: HeldOwnership | undefined;
@@ -169,6 +221,9 @@
     const successors = new Map<string, Term>();
     /** Monotonic time before which the ownership is not written again after a failure. */
     let nextWriteAt = -Infinity;
+    /** When this process learned of the era. */
+    let eraLearnedAt = clock.now();
+    let pastEras: PastEras = { learnedAt: undefined, isRemembered: false };
 
     const readClocks = (): ClockReading => ({ monotonic: clock.now(), wall: options.wallClock() });
 
@@ -180,6 +235,39 @@
         lease.revoke();
     };
 
+    /** Whether another process grants the keys in this era. */
+    const isSucceeded = (): boolean => {
+        const newest = options.rememberedOwnership();
+        return newest !== undefined && eraOf(newest.term) === era && newest.coordinator !== self
+            && newest.isUncleared !== true;
+    };
+
+    /** Returns the ownership of the era before while this process may renew its grants. */
+    const outlivedOwnership = (): Ownership | undefined => {
+        if (outlivedTerm === undefined) {
+            return undefined;
+        }
+        const isExpired = !outlivedTerm.lease.isValid(readClocks());
+        if (!isExpired && !isSucceeded()) {
+            return outlivedTerm.ownership;
+        }
+        const { term } = outlivedTerm.ownership;
+        outlivedTerm = undefined;
+        log.info("outlived-term-ended", { term, era, reason: isExpired ? "its lease is over" : "it has a successor" });
+        void retire();
+        return undefined;
+    };
+
+    /** Takes in what the store holds of this process's term. */
+    const hold = (held: HeldOwnership): void => {
+        const mayGrantBefore = heldOwnership !== undefined && heldOwnership.ownership.isUncleared !== true;
+        if (!mayGrantBefore && held.ownership.isUncleared !== true) {
+            options.onTermStart();
+            outlivedTerm = undefined;
+        }
+        heldOwnership = held;
+    };
+
     /** Tells that no grant of an earlier term comes from this process, once the last ones are answered or given up. */
     const retire = async (): Promise<void> => {
         if (isRetiring) {
@@ -190,7 +278,8 @@
             while (options.hasGrantsInFlight() && !signal.aborted) {
                 await clock.sleep(retirementCheckMilliseconds, signal);
             }
-            if (heldOwnership === undefined && retiredFor !== latest && !signal.aborted) {
+            const mayGrant = heldOwnership !== undefined || outlivedTerm !== undefined;
+            if (!mayGrant && retiredFor !== latest && !signal.aborted) {
                 retiredFor = latest;
                 log.info("coordinator-retired", { latestTerm: latest.term, by: latest.coordinator });
                 options.news.announceRetired(latest);
@@ -203,11 +292,12 @@
 
     /** Takes in that another process coordinates in the term, which ends all earlier ones. */
     const applyTerm = ({ term, coordinator }: Term): void => {
-        if (term <= latest.term || coordinator === self) {
+        if (!isLater(term, latest.term) || coordinator === self) {
             return;
         }
+        store.learnEra(eraOf(term));
         latest = { term, coordinator };
-        if (heldOwnership !== undefined && heldOwnership.ownership.term < term) {
+        if (heldOwnership !== undefined && isLater(term, heldOwnership.ownership.term)) {
             stepDown(`"${coordinator}" is the coordinator`);
         }
         if (hasTried) {
@@ -228,8 +318,9 @@
         }
     };
 
-    const applyCoordination: Coordinator["applyCoordination"] = object => {
-        if (object !== undefined && object.revision <= (known?.revision ?? 0)) {
+    /** Takes in the coordination object of this era; undefined when there is none. */
+    const applyCurrent = (object: StoreObject | undefined): void => {
+        if (object !== undefined && !isLater(object.revision, known?.revision)) {
             return;
         }
         const parsed = object === undefined ? undefined : coordinationSchema.safeParse(object.value);
@@ -252,33 +343,141 @@
         }
     };
 
+    /** Takes in that an earlier era had the object, perhaps only in the copy that the store came back from. */
+    const applyEarlier = (object: StoreObject): void => {
+        pastEras = { ...pastEras, learnedAt: pastEras.learnedAt ?? eraLearnedAt };
+        hadCoordinator ??= coordinationSchema.safeParse(object.value).data?.coordinator !== noCoordinator;
+    };
+
+    const applyCoordination: Coordinator["applyCoordination"] = (object, removed) => {
+        const named = readPoolObjectName(object.name).era;
+        if (isLater(named, era)) {
+            ahead = object;
+        }
+        else if (isLater(era, named)) {
+            applyEarlier(object);
+        }
+        else if (eraOf(object.revision) === era) {
+            applyCurrent(removed ? undefined : object);
+        }
+    };
+
+    /** Returns the newest ownership of an earlier era that this process knows. */
+    const earlierOwnership = (): Ownership | undefined => {
+        const newest = newestOwnership(lastOwnership, options.rememberedOwnership());
+        return newest !== undefined && isLater(era, eraOf(newest.term)) ? newest : undefined;
+    };
+
+    /** Ends the term of this process in the store, and keeps what it may still do. */
+    const outlive = (ownership: Ownership): void => {
+        lastOwnership = ownership;
+        // Before the keys were cleared, only the grants of the era before were renewed.
+        if (ownership.isUncleared !== true) {
+            const isUndisputed = lease.wasConfirmedWithin(undisputedMilliseconds, readClocks());
+            outlivedTerm = { ownership, lease, isUndisputed };
+        }
+        log.info("coordinator-outlived-era", { term: ownership.term, undisputed: outlivedTerm?.isUndisputed });
+    };
+
+    const lookBack = (): void => {
+        const isRemembered = earlierOwnership() !== undefined;
+        // The first era that a store tells has none before it, unless the host has known one.
+        const hasPast = isRemembered || isLater(era, firstEra);
+        pastEras = { learnedAt: hasPast ? eraLearnedAt : undefined, isRemembered };
+    };
+    lookBack();
+
+    const enterEra = (next: number): void => {
+        const before = era;
+        if (outlivedTerm !== undefined) {
+            outlivedTerm.isUndisputed = false;
+        }
+        if (heldOwnership !== undefined) {
+            outlive(heldOwnership.ownership);
+        }
+        if (known !== undefined) {
+            hadCoordinator = known.coordination.coordinator !== noCoordinator;
+        }
+        era = next;
+        heldOwnership = undefined;
+        lease = createCoordinatorLease(grantingWindowMilliseconds);
+        formerCoordinators = createFormerCoordinators([], -Infinity, grantingWindowMilliseconds);
+        known = undefined;
+        eraLearnedAt = clock.now();
+        knownChangeAt = eraLearnedAt;
+        lookBack();
+        log.info("era-entered", { era, before, remembered: pastEras.isRemembered, hadCoordinator });
+        if (ahead !== undefined) {
+            const object = ahead;
+            ahead = undefined;
+            applyCoordination(object, false);
+        }
+    };
+    store.onEra(enterEra);
+
     const recordWrite = (coordination: Coordination, write: StoreWriteResult & { result: "written" }): void => {
         known = { coordination, revision: write.object.revision };
         knownChangeAt = clock.now();
         confirmedAt = knownChangeAt;
     };
 
+    /** Reads the newest ownership of an earlier era from the copy that the store came back from. */
+    const readCopy = async (): Promise<Ownership | undefined> => {
+        const { objects } = await store.list(storeKinds.ownership, signal);
+        return objects
+            .filter(({ name }) => readPoolObjectName(name).pool === pool)
+            .map(({ value }) => ownershipSchema.safeParse(value).data)
+            .reduce(newestOwnership, undefined);
+    };
+
+    /**
+     * Returns the ownership with which the pool begins, or from which it goes on in a new era. In a new era, whoever knows
+     * of moves that the store forgot may still carry them out.
+     */
+    const firstOwnership = async (term: number): Promise<Ownership> => {
+        if (era === 0) {
+            return noOwnership;
+        }
+        const isUndisputed = outlivedTerm?.isUndisputed === true;
+        const remembered = earlierOwnership();
+        const base = remembered ?? await readCopy();
+        const isUncleared = !isUndisputed && (base !== undefined || pastEras.learnedAt !== undefined);
+        log.info("era-base-chosen", {
+            era,
+            term,
+            baseTerm: base?.term,
+            source: remembered !== undefined ? "memory" : base !== undefined ? "copy" : "none",
+            ranges: base?.ranges.length,
+            uncleared: isUncleared,
+        });
+        return { ...base ?? noOwnership, isUncleared: isUncleared ? true : undefined };
+    };
+
     /**
      * Writes the new term to the ownership object. After that, no write of an earlier coordinator succeeds. All ranges get new
      * fences: only the earlier coordinator knew whether the processes that took the former ones still run.
      */
     const writeTerm = async (term: number): Promise<HeldOwnership | undefined> => {
+        const name = poolObjectName(pool, era);
         for (;;) {
-            const current = await store.get(storeKinds.ownership, pool, signal);
+            const current = await store.get(storeKinds.ownership, name, signal);
+            if (eraOf(term) !== era) {
+                return undefined;
+            }
             const parsed = current === undefined ? undefined : ownershipSchema.safeParse(current.value);
             if (parsed?.success === false) {
                 log.error("ownership-unreadable", { revision: current?.revision, finding: parsed.error.message });
                 return undefined;
             }
-            const before = parsed?.data ?? noOwnership;
-            if (before.term > term) {
+            const before = parsed?.data ?? await firstOwnership(term);
+            if (isLater(before.term, term)) {
                 log.warn("take-over-found-later-term", { term, found: before.term, by: before.coordinator });
                 return undefined;
             }
-            const ownership = { ...renewAllFences(before), term, coordinator: self };
+            const ownership = { ...renewAllFences(withFencesOfEra(before, eraOf(term))), term, coordinator: self };
             const write = current === undefined
-                ? await store.create(storeKinds.ownership, pool, ownership, signal)
-                : await store.replace(storeKinds.ownership, pool, ownership, current.revision, signal);
+                ? await store.create(storeKinds.ownership, name, ownership, signal)
+                : await store.replace(storeKinds.ownership, name, ownership, current.revision, signal);
             if (write.result === "written") {
                 return { ownership, revision: write.object.revision };
             }
@@ -296,8 +495,9 @@
     const takeOver = async (): Promise<void> => {
         const askedAt = readClocks();
         const before = known?.coordination;
+        const name = poolObjectName(pool, era);
         const coordination: Coordination = {
-            term: (before?.term ?? 0) + 1,
+            term: laterOf(before?.term ?? 0, startOfEra(era)) + 1,
             coordinator: self,
             reports: options.reportsAddress,
             former: formerOf(before),
@@ -306,23 +506,28 @@
         hasTried = true;
         const latestBefore = latest.term;
         const write = known === undefined
-            ? await store.create(storeKinds.coordination, pool, coordination, signal)
-            : await store.replace(storeKinds.coordination, pool, coordination, known.revision, signal);
+            ? await store.create(storeKinds.coordination, name, coordination, signal)
+            : await store.replace(storeKinds.coordination, name, coordination, known.revision, signal);
+        if (eraOf(coordination.term) !== era) {
+            return;
+        }
         if (write.result === "conflict") {
-            applyCoordination(write.current);
+            applyCurrent(write.current);
             return;
         }
         recordWrite(coordination, write);
         const ownershipInTerm = await writeTerm(coordination.term);
         // Another process may have taken over meanwhile, and have been told that this one sends no grants.
-        if (ownershipInTerm === undefined || latest.term > Math.max(coordination.term, latestBefore)) {
+        if (
+            ownershipInTerm === undefined || eraOf(coordination.term) !== era
+            || isLater(latest.term, laterOf(coordination.term, latestBefore))
+        ) {
             return;
         }
         lease.renew(askedAt);
         confirmedAt = clock.now();
         formerCoordinators = createFormerCoordinators(coordination.former, confirmedAt, grantingWindowMilliseconds);
-        options.onTermStart();
-        heldOwnership = ownershipInTerm;
+        hold(ownershipInTerm);
         latest = { term: coordination.term, coordinator: self };
         options.news.announceTerm(latest);
         removeRetired();
@@ -341,12 +546,13 @@
      * write moves cannot be served until its result is known. Reports a conflict then, even if the write took effect.
      */
     const writeOrReadBack = async (next: Ownership, revision: number): Promise<StoreWriteResult> => {
+        const name = poolObjectName(pool, eraOf(next.term));
         try {
-            return await store.replace(storeKinds.ownership, pool, next, revision, signal);
+            return await store.replace(storeKinds.ownership, name, next, revision, signal);
         }
         catch (error) {
             nextWriteAt = clock.now() + failedWritePauseMilliseconds;
-            const current = await store.get(storeKinds.ownership, pool, signal);
+            const current = await store.get(storeKinds.ownership, name, signal);
             log.info("write-read-back", { revision, found: current?.revision, error: messageOf(error) });
             return { result: "conflict", current };
         }
@@ -356,15 +562,20 @@
         if (heldOwnership === undefined || changing || clock.now() < nextWriteAt) {
             return false;
         }
+        const { ownership, revision } = heldOwnership;
+        const next = apply(ownership);
+        if (ownership.isUncleared === true && next.isUncleared === true) {
+            return false;
+        }
         changing = true;
         try {
-            const next = apply(heldOwnership.ownership);
-            const write = await writeOrReadBack(next, heldOwnership.revision);
-            if (heldOwnership === undefined) {
+            const write = await writeOrReadBack(next, revision);
+            // The answer may come in a later term of this process.
+            if (heldOwnership?.ownership.term !== ownership.term) {
                 return false;
             }
             if (write.result === "written") {
-                heldOwnership = { ownership: next, revision: write.object.revision };
+                hold({ ownership: next, revision: write.object.revision });
                 confirmedAt = clock.now();
                 return true;
             }
@@ -373,7 +584,7 @@
                 stepDown("the ownership was written in another term");
                 return false;
             }
-            heldOwnership = { ownership: parsed.data, revision: write.current.revision };
+            hold({ ownership: parsed.data, revision: write.current.revision });
             return false;
         }
         finally {
@@ -389,10 +600,22 @@
             removeRetired();
         },
         ownership: () => heldOwnership?.ownership,
+        grantedOwnership: () =>
+            heldOwnership === undefined || heldOwnership.ownership.isUncleared === true
+                ? outlivedOwnership()
+                : heldOwnership.ownership,
         updateOwnership,
-        mayGrant: () => heldOwnership !== undefined && lease.isValid(readClocks()),
+        mayGrant: () =>
+            heldOwnership === undefined || heldOwnership.ownership.isUncleared === true
+                ? outlivedOwnership() !== undefined
+                : lease.isValid(readClocks()),
         mayPlan: () => heldOwnership !== undefined && clock.now() - confirmedAt < planningWindowMilliseconds,
-        formerMayGrantUntil: () => formerCoordinators.mayHaveGrantedUntil(),
+        formerMayGrantUntil: () =>
+            Math.max(
+                formerCoordinators.mayHaveGrantedUntil(),
+                (pastEras.learnedAt ?? -Infinity) + grantingWindowMilliseconds,
+            ),
+        pastEras: () => pastEras,
         pruneFormer: async () => {
             if (heldOwnership === undefined) {
                 return;
@@ -415,7 +638,11 @@
             if (storeReachableSince === undefined || !options.isNeeded() || !processes.isRegistered()) {
                 return;
             }
-            const hasNoCoordinator = known === undefined || known.coordination.coordinator === noCoordinator;
+            const hasNoCoordinator = known === undefined
+                ? hadCoordinator !== true
+                : known.coordination.coordinator === noCoordinator;
+            // Only the coordinator of the era before knows how it left the keys.
+            const goesOn = known === undefined && outlivedOwnership() !== undefined;
             // The object names this process, but the process does not hold the ownership: the answer to its write was
             // lost, the new term could not be written, or it stepped down since the ownership is not of its term.
             const isNamedButNotCoordinator = known?.coordination.coordinator === self;
@@ -427,7 +654,7 @@
                 overdueMilliseconds >= heartbeatTimeoutMilliseconds * (1 + heartbeatTimeoutSpread * random());
             const mayFillVacancy = hasNoCoordinator && overdueMilliseconds >= 0
                 && random() < vacancyTakeOverProbability;
-            if (!isNamedButNotCoordinator && !isSilent && !mayFillVacancy) {
+            if (!isNamedButNotCoordinator && !goesOn && !isSilent && !mayFillVacancy) {
                 return;
             }
             try {
@@ -449,7 +676,8 @@
                 former: formerCoordinators.names(),
                 beat: known.coordination.beat + 1,
             };
-            const write = await store.replace(storeKinds.coordination, pool, coordination, known.revision, signal);
+            const name = poolObjectName(pool, eraOf(term));
+            const write = await store.replace(storeKinds.coordination, name, coordination, known.revision, signal);
             // The answer may come in a later term of this process.
             if (heldOwnership?.ownership.term !== term) {
                 return;
@@ -459,9 +687,10 @@
                 lease.renew(askedAt);
                 return;
             }
-            applyCoordination(write.current);
+            applyCurrent(write.current);
         },
         resign: async () => {
+            outlivedTerm?.lease.revoke();
             if (options.reachableSince() === undefined) {
                 return;
             }
@@ -473,13 +702,18 @@
                 // that resigned. They resume after a confirmed heartbeat, which makes a pending resignation fail.
                 lease.revoke();
                 const next = { ...known.coordination, former: formerCoordinators.names(), coordinator: noCoordinator };
-                const write = await store.replace(storeKinds.coordination, pool, next, known.revision);
+                const { term } = heldOwnership.ownership;
+                const name = poolObjectName(pool, eraOf(term));
+                const write = await store.replace(storeKinds.coordination, name, next, known.revision);
+                if (eraOf(term) !== era) {
+                    return;
+                }
                 if (write.result === "written") {
                     stepDown(resigned);
                     return;
                 }
                 // A heartbeat was written meanwhile, or another process has taken over.
-                applyCoordination(write.current);
+                applyCurrent(write.current);
             }
         },
     };
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -223,6 +223,7 @@
             work: loadReporter.workOf(pool),
             limitOf: facts.notices.limitOf,
             reachableSince: () => coordinationWatcher.reachableSince(),
+            rememberedOwnership: () => ownerships.getRemembered(pool),
             news: facts.coordinators.of(pool),
             maxHoldMilliseconds: settings.ownership.maxHold,
             clock,
--- a/src/machines/resident/poolcontrollers.ts
+++ b/src/machines/resident/poolcontrollers.ts
@@ -6,6 +6,7 @@
 import type { Log } from "../../links/logs.ts";
 import { storeKinds } from "./coordination.ts";
 import type { RangeController } from "./rangecontroller.ts";
+import { readPoolObjectName } from "../../decisions/poolobjectnames.ts";
 import { applyAlone } from "./storewatchers.ts";
 
 export type PoolControllers = {
@@ -23,7 +24,8 @@
 /** Creates the controllers of a host, none at first. */
 export const createPoolControllers = (create: (pool: string) => RangeController, log: Log): PoolControllers => {
     const controllers = new Map<string, RangeController>();
-    const lastCoordination = new Map<string, StoreObject>();
+    /** The last coordination object of each name. */
+    const lastCoordination = new Map<string, { object: StoreObject; removed: boolean }>();
     return {
         start: pool => {
             if (controllers.has(pool)) {
@@ -31,16 +33,17 @@
             }
             const controller = create(pool);
             controllers.set(pool, controller);
-            const lastObject = lastCoordination.get(pool);
-            if (lastObject !== undefined) {
-                controller.applyCoordination(lastObject);
+            for (const { object, removed } of lastCoordination.values()) {
+                if (readPoolObjectName(object.name).pool === pool) {
+                    controller.applyCoordination(object, removed);
+                }
             }
         },
         get: pool => controllers.get(pool),
         applyCoordination: (object, removed) => {
-            lastCoordination.set(object.name, object);
+            lastCoordination.set(object.name, { object, removed });
             applyAlone(log, storeKinds.coordination, object, () => {
-                controllers.get(object.name)?.applyCoordination(removed ? undefined : object);
+                controllers.get(readPoolObjectName(object.name).pool)?.applyCoordination(object, removed);
             });
         },
         coordinatesFirstPool: () => {
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -10,12 +10,15 @@
  */
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
+import { eraOf } from "../../contracts/storehistory.ts";
 import type { ObjectStore, StoreObject } from "../../contracts/objectstore.ts";
 import { isSameOwner, type OwnedRange, type Ownership, rangeId, type RangeOwner } from "../../contracts/ownership.ts";
 import type { OwnershipLink } from "../../contracts/resident.ts";
 import type { RegisteredTarget } from "../../contracts/routing.ts";
 import type { KeyLoads } from "../../decisions/keyload.ts";
 import type { RangeTarget } from "../../decisions/rangeloads.ts";
+import { clearingFence, isClearingOver } from "../../decisions/eraclearing.ts";
+import { lapsedAt } from "../../decisions/coordinatorlease.ts";
 import { applyMoves, mergeRanges, type RangeMove } from "../../decisions/rangemoves.ts";
 import { hasOrphanedKeys } from "../../decisions/rangeorphans.ts";
 import { planRanges } from "../../decisions/rangeplan.ts";
@@ -24,6 +27,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { keepRunning } from "../longtasks.ts";
+import { createClearing } from "./clearing.ts";
 import { createCoordinator } from "./coordination.ts";
 import type { PoolNews, PoolNewsListener } from "./coordinatornews.ts";
 import type { EventLoopMonitor } from "./eventloopmonitor.ts";
@@ -50,6 +54,8 @@
     limitOf: (target: RegisteredTarget) => number | undefined;
     /** Returns the monotonic time since which the store has answered without a failure; undefined while it does not. */
     reachableSince: () => number | undefined;
+    /** Returns the newest ownership that this host has read, but not one that it knows only from an older copy. */
+    rememberedOwnership: () => Ownership | undefined;
     /** Tells other hosts of the terms of this process. */
     news: PoolNews;
     /** Longest hold that the settings allow. */
@@ -66,8 +72,8 @@
 };
 
 export type RangeController = PoolNewsListener & {
-    /** Takes in the coordination object as it was read from the store; undefined when it was removed. */
-    applyCoordination: (object: StoreObject | undefined) => void;
+    /** Takes in a coordination object of the pool, of any era, as it was read from the store. */
+    applyCoordination: (object: StoreObject, removed: boolean) => void;
     isCoordinator: () => boolean;
     /** Returns the address at which the pool's coordinator receives load reports; undefined while there is none. */
     reportsAddress: () => string | undefined;
@@ -114,17 +120,23 @@
     const log = options.log.child({ pool });
     const movedAt = new Map<number, number>();
     const lastKnown = new Map<string, RegisteredTarget>();
+    /** When the targets' entries were removed. */
+    const goneAt = new Map<string, number>();
     let gatheringStartedAt = clock.now();
     let balancedAt = -Infinity;
 
     const remember = (target: RegisteredTarget): void => {
         lastKnown.set(`${target.name}/${target.incarnation}`, target);
+        goneAt.delete(target.name);
     };
     registry.ofPool(pool).forEach(remember);
     registry.onChange((target, gone) => {
         if (target.pool === pool && !gone) {
             remember(target);
         }
+        else if (target.pool === pool) {
+            goneAt.set(target.name, clock.now());
+        }
     });
 
     const findTarget = ({ target, incarnation }: RangeOwner): RegisteredTarget | undefined =>
@@ -148,7 +160,7 @@
         hasGrantsInFlight: () => grants.areInFlight(),
     });
 
-    const currentRanges = (): OwnedRange[] => coordinator.ownership()?.ranges ?? [];
+    const currentRanges = (): OwnedRange[] => coordinator.grantedOwnership()?.ranges ?? [];
 
     let currentIndex: { ranges: OwnedRange[]; ids: Set<string> } = { ranges: [], ids: new Set() };
 
@@ -188,6 +200,7 @@
         await renewFences(ranges);
     };
 
+    const grantedMilliseconds = Math.min(holdMilliseconds, options.maxHoldMilliseconds);
     const grants = createGrants({
         link,
         findTarget,
@@ -197,12 +210,19 @@
         onSuspect: async owner => {
             await runStep("renew-fences", () => renewFencesOf(owner));
         },
-        holdMilliseconds: Math.min(holdMilliseconds, options.maxHoldMilliseconds),
+        holdMilliseconds: grantedMilliseconds,
         clock,
         log,
         metrics,
     });
     const { formerMayGrantUntil } = coordinator;
+    const clearing = createClearing({
+        link,
+        ranges: () => coordinator.ownership()?.ranges ?? [],
+        clock,
+        log,
+        metrics,
+    });
     const moves = createMoves({
         link,
         grants,
@@ -216,6 +236,58 @@
         signal,
     });
 
+    /** Returns when all holds that earlier coordinators may have granted have certainly expired. */
+    const formerHoldsLapseAt = (): number => lapsedAt(-Infinity, formerMayGrantUntil(), grantedMilliseconds);
+
+    /**
+     * Returns the targets that an earlier era may have given keys, as far as this process knows them: those that own keys
+     * and those whose entries were there not too long before.
+     */
+    const targetsToClear = (ownership: Ownership, eraLearnedAt: number): RegisteredTarget[] => {
+        const owners = ownership.ranges.flatMap(range => [range.owner, ...range.predecessors]);
+        const goneSince = eraLearnedAt - (formerHoldsLapseAt() - eraLearnedAt);
+        const recent = [...lastKnown.values()].filter(({ name }) => (goneAt.get(name) ?? Infinity) >= goneSince);
+        const known = [...owners.map(findTarget), ...recent, ...registry.ofPool(pool)];
+        return [...new Map(known.flatMap(target => target === undefined ? [] : [[target.name, target]])).values()];
+    };
+
+    let clearingStartedAt: number | undefined;
+
+    /**
+     * Lets the targets release the keys of others, and records when none can hold them any more. Targets that appear later
+     * are cleared, too, while earlier eras may still have granted them keys.
+     */
+    const clear = async (ownership: Ownership): Promise<void> => {
+        const { learnedAt, isRemembered } = coordinator.pastEras();
+        const now = clock.now();
+        if (ownership.isUncleared !== true && (learnedAt === undefined || now >= formerHoldsLapseAt())) {
+            return;
+        }
+        const fence = clearingFence(eraOf(ownership.term));
+        const eraLearnedAt = learnedAt ?? -Infinity;
+        const targets = targetsToClear(ownership, eraLearnedAt);
+        clearing.advance(targets, fence);
+        if (ownership.isUncleared !== true) {
+            return;
+        }
+        if (clearingStartedAt === undefined) {
+            clearingStartedAt = now;
+            log.info("clearing-started", { fence, targets: targets.length, remembered: isRemembered });
+        }
+        const names = new Set(targets.map(({ name }) => name));
+        const unknown = ownership.ranges.filter(({ owner }) => !names.has(owner.target)).length;
+        const pending = unknown + targets.filter(target => !clearing.isCleared(target, fence)).length;
+        const remembersTargets = isRemembered || ownership.ranges.length === 0;
+        const view = { now, eraLearnedAt, lapsesAt: formerHoldsLapseAt(), pending, remembersTargets };
+        if (!isClearingOver(view) || !await coordinator.updateOwnership(({ isUncleared, ...rest }) => rest)) {
+            return;
+        }
+        const waitedMilliseconds = Math.round(clock.now() - clearingStartedAt);
+        clearingStartedAt = undefined;
+        metrics.timing("clearing", waitedMilliseconds, { pool });
+        log.info("clearing-finished", { fence, targets: targets.length, pending, waitedMilliseconds });
+    };
+
     const targetsToPlan = (): RegisteredTarget[] =>
         registry.ofPool(pool).filter(target => !target.leaving && !grants.isLost(ownerOf(target)));
 
@@ -288,6 +360,9 @@
         await coordinator.pruneFormer();
         const ownership = coordinator.ownership();
         if (ownership !== undefined) {
+            await clear(ownership);
+        }
+        if (ownership !== undefined && ownership.isUncleared !== true) {
             await plan(ownership);
         }
         moves.start(currentRanges());
--- a/test/machines/resident/controllers.ts
+++ b/test/machines/resident/controllers.ts
@@ -7,6 +7,7 @@
 import type { Log, LogFields } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import type { PoolNewsListener } from "../../../src/machines/resident/coordinatornews.ts";
+import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
 import { registerProcess } from "../../../src/machines/resident/processes.ts";
 import { createRangeController } from "../../../src/machines/resident/rangecontroller.ts";
 import { createStoreWatcher } from "../../../src/machines/resident/storewatcher.ts";
@@ -94,9 +95,15 @@
         const coordinationWatcher = createStoreWatcher({
             ...watcherOptions,
             kind: "coordination",
-            onList: objects => objects.forEach(object => controller.applyCoordination(object)),
-            onChanges: events =>
-                events.forEach(event => controller.applyCoordination(event.removed ? undefined : event.object)),
+            onList: objects => objects.forEach(object => controller.applyCoordination(object, false)),
+            onChanges: events => events.forEach(event => controller.applyCoordination(event.object, event.removed)),
+        });
+        const ownerships = createOwnershipCache(clock, common.log, signal);
+        createStoreWatcher({
+            ...watcherOptions,
+            kind: "ownership",
+            onList: objects => objects.forEach(ownerships.put),
+            onChanges: events => events.filter(event => !event.removed).forEach(event => ownerships.put(event.object)),
         });
         const host = { name: process.slice(0, process.lastIndexOf("/")), zone: "z1", address: "10.0.0.9:1", processor };
         const processes = registerProcess({ store: access.store, self: process, host, ...common });
@@ -134,6 +141,7 @@
             work: createServiceTimes(),
             limitOf: () => undefined,
             reachableSince: () => coordinationWatcher.reachableSince(),
+            rememberedOwnership: () => ownerships.getRemembered(pool),
             news: {
                 announceTerm: term => tellOthers(listener => listener.applyTerm(term)),
                 announceRetired: successor => tellOthers(listener => listener.applyRetired(process, successor)),
--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -232,9 +232,6 @@
             const result = await applyWrite(kind, name, matches(place), () => change(kind, name, undefined, true));
             return result.result === "written" || result.current === undefined;
         },
-        era: () => 0,
-        learnEra: () => undefined,
-        onEra: () => undefined,
         callCounts: () => ({}),
         close: () => undefined,
     };
