--- a/src/machines/resident/poolcontrollers.ts
+++ b/src/machines/resident/poolcontrollers.ts
@@ -3,10 +3,10 @@
  */
 import { messageOf } from "../../contracts/errors.ts";
 import type { StoreObject } from "../../contracts/objectstore.ts";
+import { readPoolObjectName } from "../../decisions/poolobjectnames.ts";
 import type { Log } from "../../links/logs.ts";
 import { storeKinds } from "./coordination.ts";
 import type { RangeController } from "./rangecontroller.ts";
-import { readPoolObjectName } from "../../decisions/poolobjectnames.ts";
 import { applyAlone } from "./storewatchers.ts";
 
 export type PoolControllers = {
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -10,15 +10,15 @@
  */
 import type { Clock } from "../../contracts/clock.ts";
 import { messageOf } from "../../contracts/errors.ts";
-import { eraOf } from "../../contracts/storehistory.ts";
 import type { ObjectStore, StoreObject } from "../../contracts/objectstore.ts";
 import { isSameOwner, type OwnedRange, type Ownership, rangeId, type RangeOwner } from "../../contracts/ownership.ts";
 import type { OwnershipLink } from "../../contracts/resident.ts";
 import type { RegisteredTarget } from "../../contracts/routing.ts";
+import { eraOf } from "../../contracts/storehistory.ts";
+import { lapsedAt } from "../../decisions/coordinatorlease.ts";
+import { clearingFence, isClearingOver } from "../../decisions/eraclearing.ts";
 import type { KeyLoads } from "../../decisions/keyload.ts";
 import type { RangeTarget } from "../../decisions/rangeloads.ts";
-import { clearingFence, isClearingOver } from "../../decisions/eraclearing.ts";
-import { lapsedAt } from "../../decisions/coordinatorlease.ts";
 import { applyMoves, mergeRanges, type RangeMove } from "../../decisions/rangemoves.ts";
 import { hasOrphanedKeys } from "../../decisions/rangeorphans.ts";
 import { planRanges } from "../../decisions/rangeplan.ts";
@@ -266,7 +266,11 @@
         const fence = clearingFence(eraOf(ownership.term));
         const eraLearnedAt = learnedAt ?? -Infinity;
         const targets = targetsToClear(ownership, eraLearnedAt);
-        clearing.advance(targets, fence);
+        // Whoever does not know what it may have missed waits until all former holds are over.
+        const remembersTargets = isRemembered || ownership.ranges.length === 0;
+        if (remembersTargets) {
+            clearing.advance(targets, fence);
+        }
         if (ownership.isUncleared !== true) {
             return;
         }
@@ -277,9 +281,11 @@
         const names = new Set(targets.map(({ name }) => name));
         const unknown = ownership.ranges.filter(({ owner }) => !names.has(owner.target)).length;
         const pending = unknown + targets.filter(target => !clearing.isCleared(target, fence)).length;
-        const remembersTargets = isRemembered || ownership.ranges.length === 0;
         const view = { now, eraLearnedAt, lapsesAt: formerHoldsLapseAt(), pending, remembersTargets };
-        if (!isClearingOver(view) || !await coordinator.updateOwnership(({ isUncleared, ...rest }) => rest)) {
+        if (
+            !isClearingOver(view)
+            || !await coordinator.updateOwnership(before => ({ ...before, isUncleared: undefined }))
+        ) {
             return;
         }
         const waitedMilliseconds = Math.round(clock.now() - clearingStartedAt);
--- a/test/machines/resident/controllers.ts
+++ b/test/machines/resident/controllers.ts
@@ -159,7 +159,15 @@
             random: () => 0.1,
             ...common,
         });
-        return { process, clock, access, state, controller, kill: () => lifetime.abort() };
+        return {
+            process,
+            clock,
+            access,
+            state,
+            controller,
+            kill: () => lifetime.abort(),
+            hasEnded: () => signal.aborted,
+        };
     };
 
     targetNames.forEach(name => register(name));
--- /dev/null
+++ b/test/machines/resident/storereturns.test.ts
@@ -0,0 +1,274 @@
+/**
+ * The store comes back from an older copy, while coordinators take over, stop, are cut off or end: a key must never have two
+ * owners, no fence is given to two owners, and the keys go on being served.
+ */
+import test from "ava";
+import { type Setup, setUp } from "./controllers.ts";
+
+const stepMilliseconds = 50;
+
+/** Advances the clock and returns the longest time for which some sampled key was held by no target. */
+const unservedDuring = async ({ world, targets }: Setup, milliseconds: number): Promise<number> => {
+    let unserved = 0;
+    let longest = 0;
+    for (let passed = 0; passed < milliseconds; passed += stepMilliseconds) {
+        await world.advance(stepMilliseconds);
+        unserved = targets.unheld().length > 0 ? unserved + stepMilliseconds : 0;
+        longest = Math.max(longest, unserved);
+    }
+    return longest;
+};
+
+/** The store is silent for the time, and comes back with what it held when the copy was made. */
+const returnStore = (setup: Setup, copy: ReturnType<Setup["shared"]["copy"]>, awayMilliseconds: number): void => {
+    const away = setup.hosts.filter(host => host.access.fault === "none");
+    away.forEach(host => host.access.fault = "silent");
+    setup.world.after(awayMilliseconds, () => {
+        setup.shared.returnFrom(copy);
+        away.forEach(host => host.access.fault = "none");
+    });
+};
+
+type Case = {
+    title: string;
+    /** What happens for 15 s before the copy is made. */
+    prepare?: (setup: Setup) => void;
+    /** What happens after the copy was made, so that the store forgets it. */
+    lost?: (setup: Setup) => void;
+    lostMilliseconds?: number;
+    awayMilliseconds?: number;
+    /** What happens beside the return, from its start on. Hosts that are cut off then stay so. */
+    beside?: (setup: Setup) => void;
+    /** Longest allowed time for which any key is unserved. */
+    unservedMilliseconds: number;
+};
+
+const leave = ({ register }: Setup): void => register("b", true);
+const cutFromStore = ({ coordinator }: Setup): void => {
+    coordinator.access.fault = "silent";
+};
+const healStore = ({ coordinator }: Setup): void => {
+    coordinator.access.fault = "none";
+};
+/** Cuts the coordinator off from all but the targets, so that it is deposed. */
+const isolateCoordinator = (setup: Setup): void => {
+    cutFromStore(setup);
+    setup.coordinator.state.isDeaf = true;
+};
+/** Cuts the successor of an isolated coordinator off, which the store serves again. */
+const isolateSuccessor = (setup: Setup): void => {
+    healStore(setup);
+    const successor = setup.hosts.find(host => host !== setup.coordinator && host.controller.isCoordinator());
+    if (successor === undefined) {
+        throw new Error("There is no successor.");
+    }
+    successor.access.fault = "silent";
+    successor.state.isDeaf = true;
+    setup.world.after(20_000, () => {
+        successor.access.fault = "none";
+    });
+};
+const startAnother = (setup: Setup): void => void setup.hosts.push(setup.startHost("h9/x"));
+
+const cases: Case[] = [
+    { title: "after 1 s", unservedMilliseconds: 0 },
+    { title: "after 100 ms", awayMilliseconds: 100, unservedMilliseconds: 0 },
+    { title: "after 4 s", awayMilliseconds: 4_000, unservedMilliseconds: 0 },
+    { title: "after 7 s", awayMilliseconds: 7_000, unservedMilliseconds: 0 },
+    { title: "and forgets moves of keys", lost: leave, lostMilliseconds: 1_500, unservedMilliseconds: 500 },
+    { title: "and forgets moves under way", lost: leave, lostMilliseconds: 100, unservedMilliseconds: 3_000 },
+    {
+        title: "after 4 s and forgets moves of keys",
+        lost: leave,
+        lostMilliseconds: 1_500,
+        awayMilliseconds: 4_000,
+        unservedMilliseconds: 500,
+    },
+    {
+        title: "and forgets a takeover from a coordinator that has ended",
+        lost: ({ coordinator }) => coordinator.kill(),
+        lostMilliseconds: 3_000,
+        unservedMilliseconds: 0,
+    },
+    {
+        title: "during a takeover from a coordinator that has ended",
+        lost: ({ coordinator }) => coordinator.kill(),
+        lostMilliseconds: 1_950,
+        unservedMilliseconds: 3_000,
+    },
+    {
+        title: "and the coordinator ends with it",
+        beside: ({ coordinator }) => coordinator.kill(),
+        unservedMilliseconds: 3_000,
+    },
+    {
+        title: "while the coordinator resigns and stops",
+        beside: ({ world, coordinator }) => {
+            void coordinator.controller.resign().catch(() => undefined);
+            world.after(500, coordinator.kill);
+        },
+        unservedMilliseconds: 3_000,
+    },
+    {
+        title: "and forgets that the coordinator resigned",
+        lost: ({ world, coordinator }) => {
+            void coordinator.controller.resign();
+            world.after(300, coordinator.kill);
+        },
+        lostMilliseconds: 2_000,
+        unservedMilliseconds: 0,
+    },
+    {
+        title: "to all but the coordinator, which comes back after 6 s",
+        beside: setup => {
+            cutFromStore(setup);
+            setup.world.after(6_000, () => healStore(setup));
+        },
+        unservedMilliseconds: 0,
+    },
+    {
+        title: "to all but the coordinator, which hears of nobody and comes back after 20 s",
+        beside: setup => {
+            cutFromStore(setup);
+            setup.coordinator.state.isDeaf = true;
+            setup.world.after(20_000, () => healStore(setup));
+        },
+        unservedMilliseconds: 0,
+    },
+    {
+        title: "to a coordinator that was deposed in the lost time and does not know its successor",
+        lost: isolateCoordinator,
+        lostMilliseconds: 6_000,
+        beside: setup => setup.world.after(1_000, () => healStore(setup)),
+        unservedMilliseconds: 3_000,
+    },
+    {
+        title: "and the successor that moved keys in the lost time is cut off",
+        lost: setup => {
+            isolateCoordinator(setup);
+            setup.world.after(3_500, () => leave(setup));
+        },
+        lostMilliseconds: 6_000,
+        beside: isolateSuccessor,
+        unservedMilliseconds: 4_000,
+    },
+    {
+        title: "and the successor that gave keys to a new target in the lost time is cut off",
+        prepare: ({ shared }) => shared.remove("servers", "c"),
+        lost: setup => {
+            isolateCoordinator(setup);
+            setup.world.after(3_500, () => setup.register("c"));
+        },
+        lostMilliseconds: 6_000,
+        beside: setup => {
+            isolateSuccessor(setup);
+            setup.world.after(2_500, () => setup.register("c"));
+        },
+        unservedMilliseconds: 4_000,
+    },
+    {
+        title: "and forgets a new target, which registers again 5 s later",
+        prepare: ({ shared }) => shared.remove("servers", "c"),
+        lost: ({ register }) => register("c"),
+        beside: ({ world, register }) => world.after(6_000, () => register("c")),
+        unservedMilliseconds: 1_000,
+    },
+    {
+        title: "as all hosts end and another starts",
+        beside: setup => {
+            setup.hosts.forEach(host => host.kill());
+            setup.world.after(1_500, () => startAnother(setup));
+        },
+        unservedMilliseconds: 12_500,
+    },
+    {
+        title: "as all hosts end but the coordinator, which is cut off, and another starts",
+        lost: leave,
+        beside: setup => {
+            cutFromStore(setup);
+            setup.coordinator.state.isDeaf = true;
+            setup.hosts.filter(host => host !== setup.coordinator).forEach(host => host.kill());
+            setup.world.after(1_500, () => startAnother(setup));
+            setup.world.after(20_000, () => healStore(setup));
+        },
+        unservedMilliseconds: 7_000,
+    },
+    {
+        title: "while a target is silent",
+        beside: ({ world, targets }) => {
+            targets.get("b").fault = "silent";
+            world.after(6_000, () => targets.get("b").fault = "none");
+        },
+        unservedMilliseconds: 9_500,
+    },
+    {
+        title: "after 4 s while a target is silent",
+        awayMilliseconds: 4_000,
+        beside: ({ world, targets }) => {
+            targets.get("b").fault = "silent";
+            world.after(9_000, () => targets.get("b").fault = "none");
+        },
+        unservedMilliseconds: 9_500,
+    },
+    {
+        title: "and writes of the coordinator are carried out afterwards",
+        lost: setup => {
+            setup.coordinator.access.fault = "writes-late";
+            leave(setup);
+        },
+        lostMilliseconds: 800,
+        beside: setup => setup.world.after(1_500, () => healStore(setup)),
+        unservedMilliseconds: 3_000,
+    },
+    {
+        title: "twice in a row",
+        beside: setup => {
+            setup.world.after(2_000, () => returnStore(setup, setup.shared.copy(), 1_000));
+        },
+        unservedMilliseconds: 0,
+    },
+    {
+        title: "twice in a row, the second time before the first has ended",
+        awayMilliseconds: 4_000,
+        beside: setup => {
+            setup.world.after(4_600, () => returnStore(setup, setup.shared.copy(), 500));
+        },
+        unservedMilliseconds: 500,
+    },
+];
+
+for (
+    const { title, prepare, lost, lostMilliseconds = 2_500, awayMilliseconds = 1_000, beside, unservedMilliseconds }
+        of cases
+) {
+    for (const size of [2, 5]) {
+        test(`the store comes back from a copy ${title}: one owner at most, unserved for ${unservedMilliseconds} ms at most, ${size} hosts`, async t => {
+            const setup = await setUp(new Array<number>(size).fill(1));
+            const { hosts, shared, targets, register } = setup;
+            if (prepare !== undefined) {
+                prepare(setup);
+                await setup.world.advance(15_000);
+            }
+            t.deepEqual(targets.unheld(), []);
+            const copy = shared.copy();
+            lost?.(setup);
+            const before = await unservedDuring(setup, lostMilliseconds);
+            beside?.(setup);
+            returnStore(setup, copy, awayMilliseconds);
+            const after = await unservedDuring(setup, 25_000);
+            t.log(`unserved for ${Math.max(before, after)} ms`);
+            t.deepEqual(targets.violations.slice(0, 3), []);
+            t.true(Math.max(before, after) <= unservedMilliseconds, `${before} and ${after} ms`);
+            t.deepEqual(targets.unheld(), []);
+            t.is(hosts.filter(host => !host.hasEnded() && host.controller.isCoordinator()).length, 1);
+            // The keys go on being moved.
+            register("b", false);
+            register("c", true);
+            await unservedDuring(setup, 6_000);
+            t.deepEqual(targets.sampledKeys.filter(targets.get("c").holds), []);
+            t.deepEqual(targets.unheld(), []);
+            t.deepEqual(targets.violations.slice(0, 3), []);
+            hosts.forEach(host => host.kill());
+        });
+    }
+}
