--- a/model/main.ts
+++ b/model/main.ts
@@ -2,7 +2,7 @@
  * Explores every specification, prints a line for each, and exits with 1 when a property is violated.
  */
 import { runClaims } from "./claims/model.ts";
-import { runHolds } from "./holds/model.ts";
+import { runHolds, runHoldsAfterReturn } from "./holds/model.ts";
 import { runOwnership } from "./ownership/run.ts";
 import { formatReport, hasFailed, type Report } from "./report.ts";
 import { runVersions } from "./versions/model.ts";
@@ -12,6 +12,7 @@
     yield runClaims();
     yield runVersions();
     yield runHolds();
+    yield* runHoldsAfterReturn();
 };
 
 let states = 0;
--- a/test/machines/resident/storereturns.test.ts
+++ b/test/machines/resident/storereturns.test.ts
@@ -148,7 +148,7 @@
             isolateCoordinator(setup);
             setup.world.after(3_500, () => leave(setup));
         },
-        lostMilliseconds: 6_000,
+        lostMilliseconds: 4_500,
         beside: isolateSuccessor,
         unservedMilliseconds: 4_000,
     },
@@ -159,7 +159,7 @@
             isolateCoordinator(setup);
             setup.world.after(3_500, () => setup.register("c"));
         },
-        lostMilliseconds: 6_000,
+        lostMilliseconds: 4_500,
         beside: setup => {
             isolateSuccessor(setup);
             setup.world.after(2_500, () => setup.register("c"));
--- a/test/model/holds.test.ts
+++ b/test/model/holds.test.ts
@@ -10,9 +10,12 @@
 /** Number of states within which every break is found. */
 const maxStates = 60_000;
 
-for (const { title, rules, prefix } of holdBreaks) {
+for (const { title, rules, prefix, returnsLeft } of holdBreaks) {
     test(`a break of holds is found: ${title}`, t => {
-        const { violation, trace } = exploreAll(createHoldModel({ ...holdRules, ...rules }, prefix), maxStates);
+        const { violation, trace } = exploreAll(
+            createHoldModel({ ...holdRules, ...rules }, prefix, returnsLeft),
+            maxStates,
+        );
         t.truthy(violation);
         t.log(trace?.map(event => Object.values(event).join(" ")).join(", "));
     });
