--- a/src/machines/resident/grants.ts
+++ b/src/machines/resident/grants.ts
@@ -6,6 +6,7 @@
 import { isSameOwner, type OwnedRange, rangeId, type RangeOwner } from "../../contracts/ownership.ts";
 import type { OwnershipCallResult, OwnershipLink } from "../../contracts/resident.ts";
 import type { RegisteredTarget } from "../../contracts/routing.ts";
+import { isLater, laterOf } from "../../contracts/storehistory.ts";
 import { lapsedAt } from "../../decisions/coordinatorlease.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -132,7 +133,7 @@
         }
         if (result !== "unreachable") {
             recordArrival(range, now);
-            arrivedFences.set(ownerName(owner), Math.max(fence, arrivedFences.get(ownerName(owner)) ?? 0));
+            arrivedFences.set(ownerName(owner), laterOf(fence, arrivedFences.get(ownerName(owner)) ?? 0));
         }
         if (result === "done") {
             renewedAt.set(rangeId(range), now);
@@ -175,7 +176,7 @@
     /** Whether the process that took the grant with this fence may have been replaced since, under the same name. */
     const mayBeReplaced = ({ owner, fence }: OwnedRange, target: RegisteredTarget): boolean => {
         const name = ownerName(owner);
-        return suspects.has(name) && fence <= (arrivedFences.get(name) ?? 0)
+        return suspects.has(name) && !isLater(fence, arrivedFences.get(name) ?? 0)
             || isSessionOver(name, fence, link.session(target));
     };
 
