Send manifests to followers as differences, and large frames compressed

Callers got 404 for routes of a manifest that had been acknowledged for 2.9 s: a reader sends each version whole to every host of its zone, and its own link is often a thin one. 16 times 230 KB took a link of 7 Mbit/s 4.3 s. Its word that it is current waited behind them, so that nearly all followers of all zones left their readers as silent in the same 0.2 s, and asked the store.

The manifest now goes as a JSON patch, as ownership goes as changed ranges; frames beyond 1 KB are compressed once for all followers that take them. Frames are kept by what followers hold, so that followers at two positions do not have each frame encoded again. Routes of one host with one prefix are chosen by name, as the order of a patched object's fields may differ. Logs and metrics tell which followers wait and for how many bytes.

--- a/src/contracts/statemessages.ts
+++ b/src/contracts/statemessages.ts
@@ -10,6 +10,8 @@
     host: z.string(),
     /** Position up to which the follower knows each kind; a kind that is absent is sent whole. */
     positions: z.record(z.string(), z.int().min(0)),
+    /** Whether the follower takes `deflated` messages; absent from a host of an earlier version. */
+    inflates: z.boolean().optional(),
 });
 
 const objectSchema = z.tuple([
@@ -36,6 +38,13 @@
     removed: z.array(z.string()),
 });
 
+/** Sent by the reader in place of a large message. */
+export const deflatedSchema = z.object({
+    kind: z.literal("deflated"),
+    /** The message's frame, compressed by DEFLATE. */
+    frame: z.instanceof(Buffer),
+});
+
 /**
  * Sent by the reader a few times a second. While `current`, the store has confirmed the reader's state within about a
  * second and all changes known to the reader were sent before this message.
@@ -60,11 +69,13 @@
 });
 
 export const readerMessageSchema = z.discriminatedUnion("kind", [changesSchema, readerStatusSchema, loadsSchema]);
+export const readerFrameSchema = z.discriminatedUnion("kind", [...readerMessageSchema.options, deflatedSchema]);
 export const followerMessageSchema = z.discriminatedUnion("kind", [followSchema, loadsSchema]);
 
 export type FollowMessage = z.infer<typeof followSchema>;
 export type ChangesMessage = z.infer<typeof changesSchema>;
 export type LoadsMessage = z.infer<typeof loadsSchema>;
+export type DeflatedMessage = z.infer<typeof deflatedSchema>;
 export type ReaderStatusMessage = z.infer<typeof readerStatusSchema>;
 
 /** Path at which a host serves its followers. */
--- a/src/decisions/routetable.ts
+++ b/src/decisions/routetable.ts
@@ -29,7 +29,10 @@
         byHost.set(route.host, routes);
     }
     for (const routes of byHost.values()) {
-        routes.sort((left, right) => right.prefix.length - left.prefix.length);
+        // The order of the routes in the table may differ between hosts.
+        routes.sort((left, right) =>
+            right.prefix.length - left.prefix.length || Number(left.name > right.name) - Number(left.name < right.name)
+        );
     }
     return {
         version: table.version,
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -8,7 +8,7 @@
 import { WebSocket, WebSocketServer } from "ws";
 import { descriptorParts } from "../decisions/descriptors.ts";
 import type { Descriptors } from "./descriptors.ts";
-import { decodeFrame, encodeFrame } from "./frames.ts";
+import { decodeFrame, encodeFrame, maxFrameBytes } from "./frames.ts";
 import { createUpgradeServer } from "./httpendpoint.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
@@ -46,8 +46,6 @@
     signal: AbortSignal;
 };
 
-const maxFrameBytes = 8_388_608;
-
 const toConnection = (socket: WebSocket): PeerConnection => ({
     send: value => {
         if (socket.readyState === WebSocket.OPEN) {
--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -9,11 +9,13 @@
     type ChangesMessage,
     type FollowMessage,
     type LoadsMessage,
+    readerFrameSchema,
     readerMessageSchema,
     statePath,
     type ValuePatch,
 } from "../../contracts/statemessages.ts";
 import { createLateness } from "../../decisions/lateness.ts";
+import { inflateFrame } from "../../links/frames.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer } from "../../links/peers.ts";
@@ -93,7 +95,7 @@
     const sendFollow = (whole: readonly string[] = []): void => {
         const known = kinds.filter(kind => !whole.includes(kind) && cache.position(kind) !== undefined);
         const positions = Object.fromEntries(known.map(kind => [kind, cache.position(kind) ?? 0]));
-        const message: FollowMessage = { kind: "follow", host: options.self, positions };
+        const message: FollowMessage = { kind: "follow", host: options.self, positions, inflates: true };
         connection.send(message);
     };
 
@@ -136,7 +138,10 @@
     const connection = options.dial(reader.address, statePath, {
         onOpen: () => sendFollow(),
         onFrame: value => {
-            const parsed = readerMessageSchema.safeParse(value);
+            const frame = readerFrameSchema.safeParse(value).data;
+            const parsed = readerMessageSchema.safeParse(
+                frame?.kind === "deflated" ? inflateFrame(frame.frame) : frame,
+            );
             if (!parsed.success) {
                 return false;
             }
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -6,12 +6,13 @@
 import type { StoreObject } from "../../contracts/objectstore.ts";
 import {
     type ChangesMessage,
+    type DeflatedMessage,
     followerMessageSchema,
     type LoadsMessage,
     type ReaderStatusMessage,
     type ValuePatch,
 } from "../../contracts/statemessages.ts";
-import { encodeFrame } from "../../links/frames.ts";
+import { deflateFrame, encodeFrame } from "../../links/frames.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerService } from "../../links/peers.ts";
@@ -50,14 +51,22 @@
     id: string;
     connection: PeerConnection;
     host: string;
+    /** Whether it takes compressed messages. */
+    inflates: boolean;
     /** Position up to which each kind was sent. */
     positions: Map<string, number>;
+    /** Monotonic time since which it gets no changes, as too many bytes wait; undefined while it gets them. */
+    behindSince: number | undefined;
     /** Monotonic time since which bytes have waited to be sent; undefined while none wait. */
     queuedSince: number | undefined;
 };
 
 /** A follower ignores a reader from which it heard nothing for about three times this. */
 export const statusMilliseconds = 400;
+/** Larger frames are compressed: a reader sends each to all its followers, and its link may be thin. */
+const minDeflatedBytes = 1_024;
+/** Frames of a kind that are kept, for followers that hold different positions. */
+const maxKeptFrames = 8;
 /** While more bytes wait to be sent to a follower, it gets no more changes. */
 const maxQueuedBytes = 262_144;
 /** A follower to which bytes wait for this long is dropped: its connection may be silent for good. */
@@ -68,8 +77,8 @@
     const { cache, kinds, patches, clock, log, metrics, signal } = options;
     const followers = new Set<Follower>();
     let lastId = 0;
-    /** Frames of the newest changes by kind and position, since nearly all followers get the same. */
-    const frames = new Map<string, { key: string; frame: Buffer }>();
+    /** Frames up to the newest position of each kind, by what the follower holds: many followers get the same. */
+    const frames = new Map<string, { position: number | undefined; kept: Map<string, Buffer> }>();
 
     const patchOf = (
         kind: string,
@@ -121,28 +130,66 @@
         return message;
     };
 
-    const frameOf = (kind: string, since: number | undefined): Buffer | undefined => {
-        const key = `${since ?? "all"}-${cache.position(kind)}`;
+    const encodeChanges = (kind: string, since: number | undefined, inflates: boolean): Buffer | undefined => {
+        const message = createChanges(kind, since);
+        const frame = message && encodeFrame(message);
+        if (frame === undefined || !inflates || frame.length < minDeflatedBytes) {
+            return frame;
+        }
+        const deflated: DeflatedMessage = { kind: "deflated", frame: deflateFrame(frame) };
+        return encodeFrame(deflated);
+    };
+
+    /** Returns the frames of the kind that lead to its newest position. */
+    const keptFrames = (kind: string): Map<string, Buffer> => {
+        const position = cache.position(kind);
         const known = frames.get(kind);
-        if (known?.key === key) {
-            return known.frame;
+        if (known !== undefined && known.position === position && known.kept.size < maxKeptFrames) {
+            return known.kept;
         }
-        const message = createChanges(kind, since);
-        if (message === undefined) {
-            return undefined;
+        const kept = new Map<string, Buffer>();
+        frames.set(kind, { position, kept });
+        return kept;
+    };
+
+    const frameOf = (kind: string, { positions, inflates }: Follower): Buffer | undefined => {
+        const since = positions.get(kind);
+        const kept = keptFrames(kind);
+        const key = `${since ?? "all"}-${inflates}`;
+        const frame = kept.get(key) ?? encodeChanges(kind, since, inflates);
+        if (frame !== undefined) {
+            kept.set(key, frame);
         }
-        const frame = encodeFrame(message);
-        frames.set(kind, { key, frame });
         return frame;
     };
 
+    /** Whether the follower has to wait for changes until its connection has taken what it was sent. */
+    const isBehind = (follower: Follower, kind: string): boolean => {
+        const queuedBytes = follower.connection.queuedBytes();
+        const { behindSince } = follower;
+        if (queuedBytes > maxQueuedBytes) {
+            metrics.count("state-sends-skipped", { kind });
+            if (behindSince === undefined) {
+                follower.behindSince = clock.now();
+                log.info("follower-behind", { follower: follower.host, kind, queuedBytes });
+            }
+            return true;
+        }
+        if (behindSince !== undefined) {
+            follower.behindSince = undefined;
+            const afterMilliseconds = Math.round(clock.now() - behindSince);
+            log.info("follower-caught-up", { follower: follower.host, kind, afterMilliseconds });
+        }
+        return false;
+    };
+
     const sendKind = (follower: Follower, kind: string): void => {
         const since = follower.positions.get(kind);
         const position = cache.position(kind);
-        if (position === undefined || position <= (since ?? -1) || follower.connection.queuedBytes() > maxQueuedBytes) {
+        if (position === undefined || position <= (since ?? -1) || isBehind(follower, kind)) {
             return;
         }
-        const frame = frameOf(kind, since);
+        const frame = frameOf(kind, follower);
         if (frame !== undefined) {
             follower.connection.sendFrame(frame);
             follower.positions.set(kind, position);
@@ -188,6 +235,8 @@
             await clock.sleep(statusMilliseconds, signal);
             announce();
             forEachFollower(dropIfStuck);
+            const queuedBytes = [...followers].reduce((sum, { connection }) => sum + connection.queuedBytes(), 0);
+            metrics.gauge("state-queued-bytes", queuedBytes);
         }
     };
     void keepRunning("reader-status", announceRepeatedly, { clock, log, metrics, signal });
@@ -214,7 +263,9 @@
                 id: String(lastId),
                 connection,
                 host: "",
+                inflates: false,
                 positions: new Map(),
+                behindSince: undefined,
                 queuedSince: undefined,
             };
             return {
@@ -227,9 +278,10 @@
                         options.onLoads(follower.id, parsed.data);
                         return true;
                     }
-                    const { host, positions } = parsed.data;
+                    const { host, positions, inflates = false } = parsed.data;
                     log.info("follower-joined", { follower: host, current: options.isCurrent() });
                     follower.host = host;
+                    follower.inflates = inflates;
                     follower.positions = new Map(Object.entries(positions));
                     followers.add(follower);
                     metrics.gauge("state-followers", followers.size);
--- a/src/machines/resident/statespread.ts
+++ b/src/machines/resident/statespread.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { ObjectStore } from "../../contracts/objectstore.ts";
 import type { PlatformObjects } from "../../contracts/resident.ts";
+import { documentPatch } from "../../decisions/documentpatch.ts";
 import { ownershipPatch } from "../../decisions/ownershipchanges.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -58,7 +59,7 @@
         [storeKinds.coordination]: { pauseMilliseconds: 100, maxWaitMilliseconds: livenessMilliseconds },
         [processKind]: { pauseMilliseconds: 500, maxWaitMilliseconds: watchMilliseconds },
     };
-    const patches = { [storeKinds.ownership]: ownershipPatch };
+    const patches = { [storeKinds.ownership]: ownershipPatch, [objects.tableKind]: documentPatch };
     const source = createStateSource({
         self: self.name,
         store,
--- a/test/machines/resident/fakenetwork.ts
+++ b/test/machines/resident/fakenetwork.ts
@@ -15,6 +15,8 @@
     silence: (address: string) => void;
     /** From now on what the host sends arrives ever later: each second by half a second more, up to the given time. */
     slow: (address: string, upToMilliseconds: number) => void;
+    /** From now on all that the host sends goes through one link of this speed, in the order in which it was sent. */
+    thin: (address: string, bytesPerMillisecond: number) => void;
     /** Ends the silence; what was sent meanwhile is lost. */
     heal: (address: string) => void;
 };
@@ -23,12 +25,16 @@
 
 const latencyMilliseconds = 1;
 const handshakeMilliseconds = 400;
+/** What the system takes of the bytes that wait for a thin link, so that the process does not see them. */
+const socketBufferBytes = 65_536;
 
 /** Creates a network without hosts. */
 export const createFakeNetwork = (clock: Clock): FakeNetwork => {
     const listening = new Map<string, Record<string, PeerService>>();
     const silent = new Set<string>();
     const slowed = new Map<string, { since: number; upTo: number }>();
+    /** Speed of the links of hosts, and when they will have sent what they were given. */
+    const links = new Map<string, { bytesPerMillisecond: number; freeAt: number }>();
     const open = new Set<{ ends: [End, End]; close: () => void }>();
 
     const delayOf = (address: string): number => {
@@ -36,6 +42,16 @@
         return latencyMilliseconds + Math.min(upTo, (clock.now() - since) / 2);
     };
 
+    /** Returns the time until the host's link has taken the frame. */
+    const transmit = (address: string, bytes: number): number => {
+        const link = links.get(address);
+        if (link === undefined) {
+            return 0;
+        }
+        link.freeAt = Math.max(clock.now(), link.freeAt) + bytes / link.bytesPerMillisecond;
+        return link.freeAt - clock.now();
+    };
+
     const connect = (from: string, to: string, path: string, listener: PeerListener): PeerConnection => {
         let isOpen = false;
         let isClosed = false;
@@ -52,9 +68,15 @@
         };
 
         const createEnd = (address: string, other: () => End): End => {
+            let queuedBytes = 0;
             const sendFrame = (frame: Buffer): void => {
                 if (isOpen) {
-                    clock.after(delayOf(address), () => {
+                    const taken = transmit(address, frame.length);
+                    queuedBytes += frame.length;
+                    clock.after(taken, () => {
+                        queuedBytes -= frame.length;
+                    });
+                    clock.after(taken + delayOf(address), () => {
                         if (isOpen && !isCut() && other().listener?.onFrame(decodeFrame(frame)) === false) {
                             close();
                         }
@@ -68,7 +90,7 @@
                     send: value => sendFrame(encodeFrame(value)),
                     sendFrame,
                     isOpen: () => isOpen,
-                    queuedBytes: () => 0,
+                    queuedBytes: () => links.has(address) ? Math.max(0, queuedBytes - socketBufferBytes) : 0,
                     close,
                 },
             };
@@ -100,6 +122,9 @@
         },
         silence: address => silent.add(address),
         slow: (address, upTo) => slowed.set(address, { since: clock.now(), upTo }),
+        thin: (address, bytesPerMillisecond) => {
+            links.set(address, { bytesPerMillisecond, freeAt: clock.now() });
+        },
         heal: address => silent.delete(address),
     };
 };
