Keep the object from before an answer of the store, not from within it

Where several versions came in one answer to a reader's watch, as in a storm, the object before the last of them was kept as the earlier one. No follower held it, so each got the whole object in place of a difference, in the moments when the link has most to send. Of each object only the last change of an answer is applied now.

test/machines/resident/statecache.test.ts "the earlier object is the one before all changes that came together" failed before (revision 11 in place of 3).

--- a/src/machines/resident/statecache.ts
+++ b/src/machines/resident/statecache.ts
@@ -23,7 +23,7 @@
     list: (kind: string) => StoreListResult | undefined;
     /** Returns the changes after the position; `history-lost` when they are not known as far back. */
     changesAfter: (kind: string, position: number) => StoreWatchResult;
-    /** Returns the object as it was before its latest change; undefined when that is not known. */
+    /** Returns the object as it was before the changes that came last; undefined when that is not known. */
     previous: (kind: string, name: string) => StoreObject | undefined;
     /** Returns the current object; undefined when there is none. */
     get: (kind: string, name: string) => StoreObject | undefined;
@@ -44,6 +44,12 @@
 /** Changes kept for each kind. Only names are kept, so even a follower that was away for long can continue. */
 const maxChanges = 8_192;
 
+/** Returns the last event of each object, in the order of the events. */
+export const latestOf = (events: readonly StoreEvent[]): StoreEvent[] => {
+    const last = new Map(events.map((event, index) => [event.object.name, index]));
+    return events.filter((event, index) => last.get(event.object.name) === index);
+};
+
 /**
  * Creates an empty cache.
  *
@@ -131,8 +137,9 @@
             if (state === undefined || position <= state.position) {
                 return;
             }
-            events.forEach(event => applyEvent(state, event, position));
-            for (const { object, removed } of events) {
+            const latest = latestOf(events);
+            latest.forEach(event => applyEvent(state, event, position));
+            for (const { object, removed } of latest) {
                 if (removed) {
                     budgets.get(kind)?.release(object.name);
                 }
--- a/src/machines/resident/storewatcher.ts
+++ b/src/machines/resident/storewatcher.ts
@@ -9,6 +9,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { keepRunning } from "../longtasks.ts";
+import { latestOf } from "./statecache.ts";
 
 export type StoreWatcherOptions = {
     store: Pick<ObjectStore, "list" | "watch">;
@@ -63,12 +64,6 @@
 /** After so many lists in a row that failed, a watch is tried: the store may refuse lists for longer. */
 const maxFailedLists = 8;
 
-/** Returns the last event of each object, in the order of the events. */
-const latestOf = (events: StoreEvent[]): StoreEvent[] => {
-    const last = new Map(events.map((event, index) => [event.object.name, index]));
-    return events.filter((event, index) => last.get(event.object.name) === index);
-};
-
 /** Starts to watch. Ends when the signal aborts. */
 export const createStoreWatcher = (options: StoreWatcherOptions): StoreWatcher => {
     const { store, kind, clock, log, signal } = options;
--- a/test/machines/resident/statecache.test.ts
+++ b/test/machines/resident/statecache.test.ts
@@ -79,6 +79,14 @@
     t.deepEqual(cache.changesAfter("k", 20), { result: "changes", events: [], position: 20, bytes: 0 });
 });
 
+/** Guards against whole objects for followers that hold what was there before several versions came in one answer. */
+test("the earlier object is the one before all changes that came together", t => {
+    const cache = filled();
+    cache.applyChanges("k", { events: [put("a", 11), put("a", 12), put("b", 13)], position: 13 });
+    t.is(cache.get("k", "a")?.revision, 12);
+    t.is(cache.previous("k", "a")?.revision, 3);
+});
+
 test("a position before the list, or before the changes that are kept, is lost history", t => {
     const cache = filled();
     t.is(cache.changesAfter("k", 9).result, "history-lost");
