--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -235,8 +235,6 @@
             await clock.sleep(statusMilliseconds, signal);
             announce();
             forEachFollower(dropIfStuck);
-            const queuedBytes = [...followers].reduce((sum, { connection }) => sum + connection.queuedBytes(), 0);
-            metrics.gauge("state-queued-bytes", queuedBytes);
         }
     };
     void keepRunning("reader-status", announceRepeatedly, { clock, log, metrics, signal });
