--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -9,6 +9,7 @@
     type ChangesMessage,
     type FollowMessage,
     type LoadsMessage,
+    readerFrameSchema,
     readerMessageSchema,
     type ReaderStatusMessage,
     statePath,
@@ -16,6 +17,7 @@
 } from "../../contracts/statemessages.ts";
 import { eraOf, isLater } from "../../contracts/storehistory.ts";
 import { createLateness } from "../../decisions/lateness.ts";
+import { inflateFrame } from "../../links/frames.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer } from "../../links/peers.ts";
@@ -102,7 +104,13 @@
         const known = kinds.filter(kind => !whole.includes(kind) && cache.position(kind) !== undefined);
         const positions = Object.fromEntries(known.map(kind => [kind, cache.position(kind) ?? 0]));
         toldEra = store.era();
-        const message: FollowMessage = { kind: "follow", host: options.self, positions, era: toldEra };
+        const message: FollowMessage = {
+            kind: "follow",
+            host: options.self,
+            positions,
+            era: toldEra,
+            inflates: true,
+        };
         connection.send(message);
     };
 
@@ -166,7 +174,10 @@
     const connection = options.dial(reader.address, statePath, {
         onOpen: () => sendFollow(),
         onFrame: value => {
-            const parsed = readerMessageSchema.safeParse(value);
+            const frame = readerFrameSchema.safeParse(value).data;
+            const parsed = readerMessageSchema.safeParse(
+                frame?.kind === "deflated" ? inflateFrame(frame.frame) : frame,
+            );
             if (!parsed.success) {
                 return false;
             }
