--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -2,8 +2,10 @@
  * Plays seeded disturbances against processes of the built program and prints what broke a rule.
  *
  *     npx tsx test/soak/main.ts --seed N --hosts H --seconds S [--site NAME] [--play NAME] [--share X] [--program PATH]
- *         [--verbose]
+ *         [--logs FOLDER] [--verbose]
  */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { createPlan, plays, sites } from "./plan.ts";
 import { play } from "./play.ts";
@@ -53,6 +55,7 @@
             play: { type: "string", default: "mixed" },
             share: { type: "string", default: "" },
             program: { type: "string" },
+            logs: { type: "string" },
             verbose: { type: "boolean", default: false },
         },
     });
@@ -67,6 +70,11 @@
         path: values.program,
         report: line => values.verbose && console.log(line),
     });
+    const { logs } = values;
+    if (logs !== undefined) {
+        mkdirSync(logs, { recursive: true });
+        records.lives.forEach(({ host, log }, index) => writeFileSync(join(logs, `${index}-${host}.log`), log));
+    }
     findings.forEach(finding => console.log(describe(finding)));
     const statuses = new Map<string, number>();
     for (const { outcome, status } of records.requests) {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -201,19 +201,20 @@
 });
 
 const soaks = [
-    { site: "hallam", play: "mixed", seed: 1 },
-    { site: "verhaeghe", play: "mixed", seed: 2 },
-    { site: "hallam", play: "garble", seed: 451 },
-    { site: "verhaeghe", play: "garble", seed: 452 },
+    { site: "hallam", play: "mixed", seed: 1, seconds: 15 },
+    { site: "verhaeghe", play: "mixed", seed: 2, seconds: 15 },
+    { site: "hallam", play: "garble", seed: 451, seconds: 15 },
+    { site: "verhaeghe", play: "garble", seed: 452, seconds: 15 },
+    { site: "hallam", play: "store-return", seed: 7, seconds: 36 },
 ];
-for (const { site, play, seed } of soaks) {
+for (const { site, play, seed, seconds } of soaks) {
     test.serial(`processes of ${site} keep the rules through ${play} disturbances, seed ${seed}`, async t => {
         const { findings, records } = await soak({
             seed,
             site,
             play,
             hosts: 4,
-            seconds: 15,
+            seconds,
             share: 0.2,
             slack: { early: 3_000, unread: 4_000, grace: 4_000 },
             report: line => t.log(line),
