--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -4,6 +4,7 @@
  */
 import { once } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
+import { poolObjectName } from "../../src/decisions/poolobjectnames.ts";
 import { type BackendStandIn, startBackendStandIn } from "../../stand-ins/resident/backend.ts";
 import { startStoreStandIn, type StoreCopy } from "../../stand-ins/resident/store.ts";
 import { isReady, limits, type Program, startProgram } from "../platform/program.ts";
@@ -283,11 +284,14 @@
             report(`${Math.round(now())} ${backend.address} is now ${targets.at(-1)?.name}`);
         }
     };
-    /** The host that coordinates the first service with keys, as the store has it. */
+    /** The host that coordinates the first service with keys, as the store has it for the latest era. */
     const coordinatorHost = (): Host | undefined => {
-        const name = site.services.find(({ isSharded }) => isSharded)?.name ?? "";
-        const held = store.read("coordination", name) as { coordinator?: string } | undefined;
-        return hosts.find(host => held?.coordinator?.startsWith(host.name));
+        const pool = site.services.find(({ isSharded }) => isSharded)?.name ?? "";
+        const [held] = [...Array(store.era() + 1).keys()].reverse()
+            .flatMap(era => store.read("coordination", poolObjectName(pool, era)) ?? []) as Array<
+                { coordinator: string }
+            >;
+        return hosts.find(host => held?.coordinator.startsWith(host.name));
     };
 
     let copy: StoreCopy | undefined;
