--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -4,6 +4,7 @@
  */
 import { once } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
+import { poolObjectName } from "../../src/decisions/poolobjectnames.ts";
 import { type BackendStandIn, startBackendStandIn } from "../../stand-ins/resident/backend.ts";
 import { startStoreStandIn, type StoreCopy } from "../../stand-ins/resident/store.ts";
 import { isReady, limits, type Program, startProgram } from "../platform/program.ts";
@@ -75,6 +76,7 @@
     const delayed: Array<Promise<void>> = [];
     let stallMilliseconds = 0;
     let isEnding = false;
+    let trafficAt = Infinity;
 
     let tickAt = now();
     const ticker = setInterval(() => {
@@ -137,7 +139,7 @@
             displacedIds,
             holds,
             service: name,
-            joinedAt: now(),
+            joinedAt: trafficAt === Infinity ? 0 : now(),
             endedAt: Infinity,
         };
         const target = { name: id, service, backend, record, entry };
@@ -282,11 +284,14 @@
             report(`${Math.round(now())} ${backend.address} is now ${targets.at(-1)?.name}`);
         }
     };
-    /** The host that coordinates the first service with keys, as the store has it. */
+    /** The host that coordinates the first service with keys, as the store has it for the latest era. */
     const coordinatorHost = (): Host | undefined => {
-        const name = site.services.find(({ isSharded }) => isSharded)?.name ?? "";
-        const held = store.read("coordination", name) as { coordinator?: string } | undefined;
-        return hosts.find(host => held?.coordinator?.startsWith(host.name));
+        const pool = site.services.find(({ isSharded }) => isSharded)?.name ?? "";
+        const [held] = [...Array(store.era() + 1).keys()].reverse()
+            .flatMap(era => store.read("coordination", poolObjectName(pool, era)) ?? []) as Array<
+                { coordinator: string }
+            >;
+        return hosts.find(host => held?.coordinator.startsWith(host.name));
     };
 
     let copy: StoreCopy | undefined;
@@ -329,7 +334,7 @@
             versions.push({ version: addedRoutes, confirmedAt: now(), isLost: false });
         }
         else if (step.kind === "join") {
-            delayed.push(addTarget(step.service, site.zones[targets.length % site.zones.length] ?? ""));
+            delayed.push(addTarget(step.service, hosts[targets.length % hosts.length]?.zone ?? ""));
         }
         else if (step.kind === "cut") {
             storeRelays[step.host]?.cut(step.isCut);
@@ -388,7 +393,6 @@
         }
     };
 
-    let trafficAt = Infinity;
     await Promise.all(hosts.map(start));
     const balancer = setInterval(() => void Promise.all(hosts.map(check)), 1_000);
     const readyBy = now() + readyWaitMilliseconds;
@@ -431,7 +435,7 @@
             addProbe: probe => probes.push(probe),
             addKeys: round => {
                 keyRounds.push(round);
-                report(`${Math.round(round.at)} keys served: ${round.served} of ${round.asked}`);
+                report(`${Math.round(round.at)} keys served: ${round.served.length} of ${round.asked}`);
             },
             signal: probing.signal,
         })
