Serve no follower that takes places for revisions

Beside a store that counts eras, a host of the version before takes the places of its reader for revisions of the store. When it reads the store itself, its watch gets 410, and each list is older than what it holds: it is blind for good, with no return at all, as long as two versions run. A reader serves only followers that tell an era, while the store's is above 0.

test/machines/resident/followeras.test.ts: the case fails on the code before, and passes.

--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -54,6 +54,8 @@
     host: string;
     /** Position up to which each kind was sent. */
     positions: Map<string, number>;
+    /** Whether it tells places in the store's history from revisions; a host of an earlier version does not. */
+    knowsEras: boolean;
     /** Monotonic time since which bytes have waited to be sent; undefined while none wait. */
     queuedSince: number | undefined;
 };
@@ -159,8 +161,11 @@
             return position !== undefined && !isLater(position, follower.positions.get(kind));
         });
 
+    /** A host that takes places for revisions would watch the store from them. */
+    const mayServe = (follower: Follower): boolean => options.isCurrent() && (follower.knowsEras || store.era() === 0);
+
     const sendStatus = (follower: Follower): void => {
-        const current = options.isCurrent();
+        const current = mayServe(follower);
         if (current) {
             kinds.forEach(kind => sendKind(follower, kind));
         }
@@ -200,9 +205,11 @@
     void keepRunning("reader-status", announceRepeatedly, { clock, log, metrics, signal });
 
     cache.onAdvance(kind => {
-        if (options.isCurrent()) {
-            forEachFollower(follower => sendKind(follower, kind));
-        }
+        forEachFollower(follower => {
+            if (mayServe(follower)) {
+                sendKind(follower, kind);
+            }
+        });
     });
 
     return {
@@ -222,6 +229,7 @@
                 connection,
                 host: "",
                 positions: new Map(),
+                knowsEras: false,
                 queuedSince: undefined,
             };
             return {
@@ -234,8 +242,9 @@
                         options.onLoads(follower.id, parsed.data);
                         return true;
                     }
-                    const { host, positions, era = 0 } = parsed.data;
-                    store.learnEra(era);
+                    const { host, positions, era } = parsed.data;
+                    store.learnEra(era ?? 0);
+                    follower.knowsEras = era !== undefined;
                     log.info("follower-joined", { follower: host, current: options.isCurrent() });
                     follower.host = host;
                     follower.positions = new Map(Object.entries(positions));
--- a/test/machines/resident/followeras.test.ts
+++ b/test/machines/resident/followeras.test.ts
@@ -4,6 +4,7 @@
  */
 import test from "ava";
 import { placeOf } from "../../../src/contracts/storehistory.ts";
+import { decodeFrame } from "../../../src/links/frames.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import type { PeerListener } from "../../../src/links/peers.ts";
@@ -166,7 +167,8 @@
     });
 }
 
-test("a reader learns of the era from its follower, and tells it", t => {
+/** Starts a server with one follower, of which the test is the other end. */
+const setUpServer = () => {
     const { store, cache, common } = setUp();
     const told: Frame[] = [];
     const server = createStateServer({
@@ -179,18 +181,43 @@
         onLoads: () => undefined,
         wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
     });
-    const listener = server.service({
+    const { onFrame } = server.service({
         send: value => told.push(value as Frame),
-        sendFrame: () => undefined,
+        sendFrame: frame => told.push(decodeFrame(frame) as Frame),
         isOpen: () => true,
         queuedBytes: () => 0,
         close: () => undefined,
     });
-    listener.onFrame({ kind: "follow", host: "h1", positions: {}, era: 3 });
+    const toldOf = (of: string): Frame[] => told.filter(frame => frame.kind === of);
+    return { store, cache, onFrame, toldOf };
+};
+
+test("a reader learns of the era from its follower, and tells it", t => {
+    const { store, onFrame, toldOf } = setUpServer();
+    onFrame({ kind: "follow", host: "h1", positions: {}, era: 3 });
     t.is(store.era(), 3);
-    t.is(told.find(({ kind: of }) => of === "status")?.era, 3);
+    t.is(toldOf("status")[0]?.era, 3);
 });
 
+/** Guards against a host of an earlier version that watches the store from a place, and lists an older position. */
+for (
+    const { era, follower, isServed } of [
+        { era: 1, follower: undefined, isServed: false },
+        { era: 1, follower: 1, isServed: true },
+        { era: 0, follower: undefined, isServed: true },
+    ]
+) {
+    test(`in era ${era}, a follower that tells the era ${follower} is ${isServed ? "" : "not "}served`, t => {
+        const { store, cache, onFrame, toldOf } = setUpServer();
+        store.learnEra(era);
+        cache.applyList(kind, { objects: [], position: placeOf(era, 5) });
+        onFrame({ kind: "follow", host: "h1", positions: {}, era: follower });
+        cache.applyChanges(kind, { events: [], position: placeOf(era, 6) });
+        t.is(toldOf("changes").length, isServed ? 2 : 0);
+        t.is(toldOf("status")[0]?.current, isServed);
+    });
+}
+
 test("a reader is current only once all kinds are of the latest era", async t => {
     const { store, cache, common } = setUp();
     const both = ["config", "servers"];
