--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -61,6 +61,8 @@
     positions: Map<string, number>;
     /** Monotonic time since which it gets no changes, as too many bytes wait; undefined while it gets them. */
     behindSince: number | undefined;
+    /** Whether it tells places in the store's history from revisions; a host of an earlier version does not. */
+    knowsEras: boolean;
     /** Monotonic time since which bytes have waited to be sent; undefined while none wait. */
     queuedSince: number | undefined;
 };
@@ -207,8 +209,11 @@
             return position !== undefined && !isLater(position, follower.positions.get(kind));
         });
 
+    /** A host that takes places for revisions would watch the store from them. */
+    const mayServe = (follower: Follower): boolean => options.isCurrent() && (follower.knowsEras || store.era() === 0);
+
     const sendStatus = (follower: Follower): void => {
-        const current = options.isCurrent();
+        const current = mayServe(follower);
         if (current) {
             kinds.forEach(kind => sendKind(follower, kind));
         }
@@ -263,9 +268,11 @@
     void keepRunning("reader-status", announceRepeatedly, { clock, log, metrics, signal });
 
     cache.onAdvance(kind => {
-        if (options.isCurrent()) {
-            forEachFollower(follower => sendKind(follower, kind));
-        }
+        forEachFollower(follower => {
+            if (mayServe(follower)) {
+                sendKind(follower, kind);
+            }
+        });
     });
 
     return {
@@ -290,6 +297,7 @@
                 inflates: false,
                 positions: new Map(),
                 behindSince: undefined,
+                knowsEras: false,
                 queuedSince: undefined,
             };
             return {
@@ -302,8 +310,9 @@
                         options.onLoads(follower.id, parsed.data);
                         return true;
                     }
-                    const { host, positions, era = 0, inflates = false } = parsed.data;
-                    store.learnEra(era);
+                    const { host, positions, era, inflates = false } = parsed.data;
+                    store.learnEra(era ?? 0);
+                    follower.knowsEras = era !== undefined;
                     log.info("follower-joined", { follower: host, current: options.isCurrent() });
                     follower.host = host;
                     follower.inflates = inflates;
