--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -13,7 +13,6 @@
 import { eraOf, isLater, laterOf, startOfEra } from "../../contracts/storehistory.ts";
 import {
     type ClockReading,
-    type CoordinatorLease,
     createCoordinatorLease,
     takeoverDelayMilliseconds,
 } from "../../decisions/coordinatorlease.ts";
@@ -24,6 +23,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PoolNews, PoolNewsListener, Term } from "./coordinatornews.ts";
+import { createOutlivedTerm } from "./outlivedterm.ts";
 import type { Processes } from "./processes.ts";
 
 /** Kinds of the two objects that each pool has in the store. */
@@ -139,10 +139,6 @@
  * are wasted if all processes try at once.
  */
 const vacancyTakeOverProbability = 0.3;
-/**
- * Nobody has taken over from a coordinator that the store confirmed within this time: others wait longer for its heartbeat.
- */
-const undisputedMilliseconds = 1_700;
 /** Pause after a failed attempt to take over. */
 const takeOverRetryMilliseconds = 1_000;
 /**
@@ -183,20 +179,10 @@
     ranges: [],
 };
 
-/** The term of this process that the end of an era has cut short. */
-type OutlivedTerm = {
-    ownership: Ownership;
-    /** The lease that the store had confirmed in that era. */
-    lease: CoordinatorLease;
-    /** Whether certainly nobody else has changed the ownership since. */
-    isUndisputed: boolean;
-};
-
 /** Creates this process's part in the election of one pool's coordinator. The process is not coordinator at first. */
 export const createCoordinator = (options: CoordinatorOptions): Coordinator => {
     const { pool, self, store, processes, clock, log, signal, random } = options;
     let era = store.era();
-    let outlivedTerm: OutlivedTerm | undefined;
     /** The last ownership of this process in an earlier era. */
     let lastOwnership: Ownership | undefined;
     /** Whether an earlier era had a coordinator, which may take over in this one before others do. */
@@ -242,28 +228,14 @@
             && newest.isUncleared !== true;
     };
 
-    /** Returns the ownership of the era before while this process may renew its grants. */
-    const outlivedOwnership = (): Ownership | undefined => {
-        if (outlivedTerm === undefined) {
-            return undefined;
-        }
-        const isExpired = !outlivedTerm.lease.isValid(readClocks());
-        if (!isExpired && !isSucceeded()) {
-            return outlivedTerm.ownership;
-        }
-        const { term } = outlivedTerm.ownership;
-        outlivedTerm = undefined;
-        log.info("outlived-term-ended", { term, era, reason: isExpired ? "its lease is over" : "it has a successor" });
-        void retire();
-        return undefined;
-    };
+    const outlivedTerm = createOutlivedTerm({ readClocks, isSucceeded, onEnd: () => void retire(), log });
 
     /** Takes in what the store holds of this process's term. */
     const hold = (held: HeldOwnership): void => {
         const mayGrantBefore = heldOwnership !== undefined && heldOwnership.ownership.isUncleared !== true;
         if (!mayGrantBefore && held.ownership.isUncleared !== true) {
             options.onTermStart();
-            outlivedTerm = undefined;
+            outlivedTerm.end();
         }
         heldOwnership = held;
     };
@@ -278,7 +250,7 @@
             while (options.hasGrantsInFlight() && !signal.aborted) {
                 await clock.sleep(retirementCheckMilliseconds, signal);
             }
-            const mayGrant = heldOwnership !== undefined || outlivedTerm !== undefined;
+            const mayGrant = heldOwnership !== undefined || outlivedTerm.ownership() !== undefined;
             if (!mayGrant && retiredFor !== latest && !signal.aborted) {
                 retiredFor = latest;
                 log.info("coordinator-retired", { latestTerm: latest.term, by: latest.coordinator });
@@ -373,10 +345,9 @@
         lastOwnership = ownership;
         // Before the keys were cleared, only the grants of the era before were renewed.
         if (ownership.isUncleared !== true) {
-            const isUndisputed = lease.wasConfirmedWithin(undisputedMilliseconds, readClocks());
-            outlivedTerm = { ownership, lease, isUndisputed };
+            outlivedTerm.begin(ownership, lease);
         }
-        log.info("coordinator-outlived-era", { term: ownership.term, undisputed: outlivedTerm?.isUndisputed });
+        log.info("coordinator-outlived-era", { term: ownership.term, undisputed: outlivedTerm.isUndisputed() });
     };
 
     const lookBack = (): void => {
@@ -389,9 +360,7 @@
 
     const enterEra = (next: number): void => {
         const before = era;
-        if (outlivedTerm !== undefined) {
-            outlivedTerm.isUndisputed = false;
-        }
+        outlivedTerm.dispute();
         if (heldOwnership !== undefined) {
             outlive(heldOwnership.ownership);
         }
@@ -438,7 +407,7 @@
         if (era === 0) {
             return noOwnership;
         }
-        const isUndisputed = outlivedTerm?.isUndisputed === true;
+        const isUndisputed = outlivedTerm.isUndisputed();
         const remembered = earlierOwnership();
         const base = remembered ?? await readCopy();
         const isUncleared = !isUndisputed && (base !== undefined || pastEras.learnedAt !== undefined);
@@ -602,12 +571,12 @@
         ownership: () => heldOwnership?.ownership,
         grantedOwnership: () =>
             heldOwnership === undefined || heldOwnership.ownership.isUncleared === true
-                ? outlivedOwnership()
+                ? outlivedTerm.ownership()
                 : heldOwnership.ownership,
         updateOwnership,
         mayGrant: () =>
             heldOwnership === undefined || heldOwnership.ownership.isUncleared === true
-                ? outlivedOwnership() !== undefined
+                ? outlivedTerm.ownership() !== undefined
                 : lease.isValid(readClocks()),
         mayPlan: () => heldOwnership !== undefined && clock.now() - confirmedAt < planningWindowMilliseconds,
         formerMayGrantUntil: () =>
@@ -642,7 +611,7 @@
                 ? hadCoordinator !== true
                 : known.coordination.coordinator === noCoordinator;
             // Only the coordinator of the era before knows how it left the keys.
-            const goesOn = known === undefined && outlivedOwnership() !== undefined;
+            const goesOn = known === undefined && outlivedTerm.ownership() !== undefined;
             // The object names this process, but the process does not hold the ownership: the answer to its write was
             // lost, the new term could not be written, or it stepped down since the ownership is not of its term.
             const isNamedButNotCoordinator = known?.coordination.coordinator === self;
@@ -690,7 +659,7 @@
             applyCurrent(write.current);
         },
         resign: async () => {
-            outlivedTerm?.lease.revoke();
+            outlivedTerm.revoke();
             if (options.reachableSince() === undefined) {
                 return;
             }
