--- a/test/machines/resident/followeras.test.ts
+++ b/test/machines/resident/followeras.test.ts
@@ -163,7 +163,7 @@
         t.is(follower.follow.state(), state);
         t.is(follower.store.era(), era);
         t.is(follower.cache.position(kind), position);
-        t.deepEqual(follower.sent, sent.map(message => ({ kind: "follow", host: "h1", ...message })));
+        t.deepEqual(follower.sent, sent.map(message => ({ kind: "follow", host: "h1", inflates: true, ...message })));
     });
 }
 
