--- a/test/machines/resident/deflatedframes.test.ts
+++ b/test/machines/resident/deflatedframes.test.ts
@@ -11,15 +11,16 @@
 import { createStateServer } from "../../../src/machines/resident/stateserver.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
 import { createFakeNetwork } from "./fakenetwork.ts";
+import { createFakeStore } from "./fakestore.ts";
 
 const large = { text: "route ".repeat(2_000) };
 
-const common = () => ({
-    clock: createVirtualClock(),
-    log: silentLog,
-    metrics: createMetrics(),
-    signal: new AbortController().signal,
-});
+const common = () => {
+    const clock = createVirtualClock();
+    const { store } = createFakeStore(clock);
+    const { signal } = new AbortController();
+    return { store, ages: () => ({}), clock, log: silentLog, metrics: createMetrics(), signal };
+};
 
 const followers = [
     {
