--- a/test/machines/resident/deflatedframes.test.ts
+++ b/test/machines/resident/deflatedframes.test.ts
@@ -15,12 +15,12 @@
 
 const large = { text: "route ".repeat(2_000) };
 
-const common = () => ({
-    clock: createVirtualClock(),
-    log: silentLog,
-    metrics: createMetrics(),
-    signal: new AbortController().signal,
-});
+const common = () => {
+    const clock = createVirtualClock();
+    const { store } = createFakeStore(clock);
+    const { signal } = new AbortController();
+    return { store, ages: () => ({}), clock, log: silentLog, metrics: createMetrics(), signal };
+};
 
 const followers = [
     {
