Let a host that the store does not serve follow hosts behind it

Of a zone's two readers, one that the store refused could follow only the other. When both were refused, or the other was too busy to answer within 0.9 s and then counted as unreachable for 10 s, both stayed blind though hosts behind them in the rank read the store and served the rest of the zone.

While the store does not serve a host, it may also follow the spare hosts of the rank that come behind it. Only hosts that read the store are current, so that two that follow each other by crossing words both leave with the next.

--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -145,7 +145,11 @@
             return;
         }
         const left = describeAges(ages());
-        probedKind = source.kind === "store" ? overdueKind() ?? kinds[0] : probedKind;
+        if (source.kind === "store") {
+            const overdue = overdueKind();
+            probedKind = overdue ?? kinds[0];
+            failures = overdue === undefined ? failures : Math.max(failures, failuresUntilRefused);
+        }
         source = next;
         epoch.abort();
         epoch = new AbortController();
--- a/src/machines/resident/readersearch.ts
+++ b/src/machines/resident/readersearch.ts
@@ -193,7 +193,7 @@
         && candidates.some(candidate => follows.get(candidate.name)?.state() === "refused");
 
     const search = async (): Promise<number> => {
-        const { isReader, candidates } = options.choose();
+        const { isReader, candidates: preferred, refuges } = options.choose();
         if (isReader && current.get().kind === "reader") {
             await probeStore();
         }
@@ -202,6 +202,7 @@
             closeOthers([], "is-reader");
             return searchMilliseconds;
         }
+        const candidates = current.storeServes() ? preferred : [...preferred, ...refuges];
         const better = betterCandidates(candidates);
         const unasked = [...better];
         const askNext = (): void => {
@@ -228,7 +229,7 @@
         if (current.get().kind !== "reader") {
             current.set({ kind: "store" }, "no-reader");
         }
-        closeOthers(candidates.map(candidate => candidate.name), "not-a-candidate");
+        closeOthers([...candidates.map(candidate => candidate.name), current.name() ?? ""], "not-a-candidate");
         return isReader || !current.storeServes() ? refusedSearchMilliseconds : searchMilliseconds;
     };
 
--- a/src/zones/readers.ts
+++ b/src/zones/readers.ts
@@ -1,7 +1,8 @@
 /**
  * Choice of readers: the one or two hosts of a zone that read the platform's store for all hosts of the zone. Every host
- * ranks the hosts of its zone in the same order, follows only hosts that rank before it, and reads the store itself when
- * it can follow none. So there is no election, and hosts never follow each other in a circle.
+ * ranks the hosts of its zone in the same order, follows hosts that rank before it, and reads the store itself when it can
+ * follow none. One that the store does not serve also follows hosts that rank behind it. There is no election. Only hosts that
+ * read the store are followed, so a circle, which has none, ends with the next word of either host.
  */
 import type { SlotHash } from "../decisions/hash.ts";
 import { rankHosts, type ZonedHost } from "./relays.ts";
@@ -23,6 +24,8 @@
      * the store does not serve it.
      */
     candidates: ReaderCandidate[];
+    /** Hosts behind it that it may follow too while the store does not serve it: they read the store if it serves them. */
+    refuges: ReaderCandidate[];
 };
 
 /** In a smaller zone, hosts without a reader read the store themselves until there is another. */
@@ -54,12 +57,16 @@
     const readerCount = ranked.length < minHostsForTwoReaders ? 1 : 2;
     const readers = ranked.slice(0, readerCount);
     const others = readers.filter(host => host.name !== self.name);
+    const spare = ranked.slice(readerCount, readerCount + spareCandidates);
     if (others.length < readers.length) {
-        return { isReader: true, candidates: others };
+        return { isReader: true, candidates: others, refuges: spare };
     }
-    const rank = ranked.findIndex(host => host.name === self.name);
-    const spare = ranked.slice(readerCount, Math.min(rank, readerCount + spareCandidates));
-    return { isReader: false, candidates: [...readers, ...spare] };
+    const rank = ranked.findIndex(host => host.name === self.name) - readerCount;
+    return {
+        isReader: false,
+        candidates: [...readers, ...spare.slice(0, rank)],
+        refuges: spare.slice(rank).filter(host => host.name !== self.name),
+    };
 };
 
 /**
--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -165,7 +165,7 @@
                 hostsKnown: Promise.resolve(),
                 choose: () => {
                     step();
-                    return { isReader: true, candidates: [] };
+                    return { isReader: true, candidates: [], refuges: [] };
                 },
                 dial,
                 onChange: () => undefined,
--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -263,6 +263,27 @@
     t.is(refused.source.name(), "store");
 });
 
+/** Guards against readers that stay blind because they ask only each other. */
+test("two readers that the store refuses follow a host of the zone that reads the store", async t => {
+    const { clock, shared, hosts, readers } = setUp(20);
+    shared.put(kind, "main", 1);
+    await clock.advance(3_000);
+    const refused = readers();
+    t.is(refused.length, 2);
+    refused.forEach(({ access }) => {
+        access.fault = "refusing";
+    });
+    await clock.advance(3_000);
+    shared.put(kind, "main", 2);
+    await clock.advance(200);
+    t.true(hosts.every(host => host.version() === 2));
+    refused.forEach(({ access }) => {
+        access.fault = "none";
+    });
+    await clock.advance(10_000);
+    t.deepEqual(readers().map(({ host }) => host.name).sort(), refused.map(({ host }) => host.name).sort());
+});
+
 /** Guards against followers that go on with a reader behind a thin link, whose word is seconds old. */
 test("a reader whose word arrives ever later is left, and for a while not followed again", async t => {
     const setup = setUp(20);
--- a/test/zones/readers.test.ts
+++ b/test/zones/readers.test.ts
@@ -33,6 +33,8 @@
                 candidates.slice(0, readers).map(({ name }) => name).sort(),
                 chosen.map(({ name }) => name).sort(),
             );
+            const { refuges } = choices.get(host.name) ?? { refuges: [] };
+            t.false([host, ...candidates].some(({ name }) => refuges.some(refuge => refuge.name === name)));
             // Spare candidates rank before the host, so that none of them has the host as a candidate.
             for (const spare of candidates.slice(readers)) {
                 t.false(choices.get(spare.name)?.candidates.some(({ name }) => name === host.name));
@@ -59,5 +61,5 @@
 test("hosts of other zones are no candidates, and a host that is not in the list counts itself", t => {
     const [self, ...others] = createHosts(3);
     const elsewhere = others.map(host => ({ ...host, zone: "z2" }));
-    t.deepEqual(chooseReaders(digestHash, self, elsewhere), { isReader: true, candidates: [] });
+    t.deepEqual(chooseReaders(digestHash, self, elsewhere), { isReader: true, candidates: [], refuges: [] });
 });
