--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -42,8 +42,8 @@
 };
 
 export type CurrentSourceOptions = {
-    /** The kinds that are read, each with the longest wait of its watches. */
-    paces: Readonly<Record<string, Pick<ReadPace, "maxWaitMilliseconds">>>;
+    /** The kinds that are read. */
+    paces: Readonly<Record<string, Pick<ReadPace, "maxAgeMilliseconds">>>;
     cache: Pick<StateCache, "position">;
     /** Called when this host became current as a reader or stopped being so, and when it reads from another source. */
     onChange: () => void;
@@ -57,11 +57,6 @@
     signal: AbortSignal;
 };
 
-/**
- * A host to which the store has not confirmed a kind for this much longer than its watch waits is not current: it may be cut
- * off without an error, or the call be answered slowly. One lost answer is found and asked for again in this time.
- */
-const maxOverdueMilliseconds = 800;
 /** One failed call may be chance, for example a connection that was reset. */
 const failuresUntilRefused = 2;
 
@@ -90,7 +85,7 @@
     let wasCurrent = false;
 
     const overdueAt = (kind: string): number =>
-        (confirmedAts.get(kind) ?? sourceSince) + paces[kind].maxWaitMilliseconds + maxOverdueMilliseconds;
+        (confirmedAts.get(kind) ?? sourceSince) + paces[kind].maxAgeMilliseconds;
 
     const overdueKind = (): string | undefined => kinds.find(kind => overdueAt(kind) <= clock.now());
 
--- a/src/machines/resident/statereading.ts
+++ b/src/machines/resident/statereading.ts
@@ -13,6 +13,11 @@
     pauseMilliseconds: number;
     /** Longest wait of one watch call. */
     maxWaitMilliseconds: number;
+    /**
+     * A host to which the store has not confirmed the kind for so long is not current: it may be cut off without an error, or
+     * its calls be answered slowly. Longer than the wait by the time in which a lost answer is found and asked for again.
+     */
+    maxAgeMilliseconds: number;
 };
 
 export type StateReading = Pick<ObjectStore, "list" | "watch"> & {
--- a/test/machines/resident/longtasks.test.ts
+++ b/test/machines/resident/longtasks.test.ts
@@ -160,7 +160,7 @@
                 self: "h1",
                 store: createFakeStore(common.clock).store,
                 cache: createStateCache(),
-                paces: { k: { pauseMilliseconds: 100, maxWaitMilliseconds: 1_000 } },
+                paces: { k: { pauseMilliseconds: 100, maxWaitMilliseconds: 1_000, maxAgeMilliseconds: 1_400 } },
                 patches: {},
                 hostsKnown: Promise.resolve(),
                 choose: () => {
--- a/test/machines/resident/statesource.test.ts
+++ b/test/machines/resident/statesource.test.ts
@@ -21,7 +21,7 @@
 import { createFakeStore, type FakeStore } from "./fakestore.ts";
 
 const kind = "config";
-const configPaces = { [kind]: { pauseMilliseconds: 50, maxWaitMilliseconds: 600 } };
+const configPaces = { [kind]: { pauseMilliseconds: 50, maxWaitMilliseconds: 600, maxAgeMilliseconds: 1_400 } };
 
 /** As hosts read the kinds. */
 const productPaces = createStatePaces({ targetKind: "servers", tableKind: kind });
