--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -45,8 +45,8 @@
 
 export type CurrentSourceOptions = {
     store: Pick<ObjectStore, "era" | "onEra">;
-    /** The kinds that are read, each with the longest wait of its watches. */
-    paces: Readonly<Record<string, Pick<ReadPace, "maxWaitMilliseconds">>>;
+    /** The kinds that are read. */
+    paces: Readonly<Record<string, Pick<ReadPace, "maxAgeMilliseconds">>>;
     cache: Pick<StateCache, "position">;
     /** Called when this host became current as a reader or stopped being so, and when it reads from another source. */
     onChange: () => void;
@@ -60,11 +60,6 @@
     signal: AbortSignal;
 };
 
-/**
- * A host to which the store has not confirmed a kind for this much longer than its watch waits is not current: it may be cut
- * off without an error, or the call be answered slowly. One lost answer is found and asked for again in this time.
- */
-const maxOverdueMilliseconds = 800;
 /** One failed call may be chance, for example a connection that was reset. */
 const failuresUntilRefused = 2;
 
@@ -93,7 +88,7 @@
     let wasCurrent = false;
 
     const overdueAt = (kind: string): number =>
-        (confirmedAts.get(kind) ?? sourceSince) + paces[kind].maxWaitMilliseconds + maxOverdueMilliseconds;
+        (confirmedAts.get(kind) ?? sourceSince) + paces[kind].maxAgeMilliseconds;
 
     const overdueKind = (): string | undefined => kinds.find(kind => overdueAt(kind) <= clock.now());
 
@@ -154,7 +149,11 @@
             return;
         }
         const left = describeAges(ages());
-        probedKind = source.kind === "store" ? overdueKind() ?? kinds[0] : probedKind;
+        if (source.kind === "store") {
+            const overdue = overdueKind();
+            probedKind = overdue ?? kinds[0];
+            failures = overdue === undefined ? failures : Math.max(failures, failuresUntilRefused);
+        }
         source = next;
         epoch.abort();
         epoch = new AbortController();
--- a/test/machines/resident/deflatedframes.test.ts
+++ b/test/machines/resident/deflatedframes.test.ts
@@ -45,12 +45,10 @@
         cache.applyList("config", { objects: [{ name: "main", revision: 2, value: large }], position: 2 });
         const options = common();
         const server = createStateServer({
-            store: createFakeStore(options.clock).store,
             cache,
             kinds: ["config"],
             patches: {},
             isCurrent: () => true,
-            ages: () => ({}),
             onLoads: () => undefined,
             wholeLoads: () => ({ kind: "loads", whole: true, loads: [] }),
             ...options,
@@ -101,7 +99,6 @@
             }),
         });
         const follow = createStateFollow({
-            store: createFakeStore(options.clock).store,
             self: "h2",
             reader: { name: "h1", zone: "z", address: "10.0.0.1:1", processor: 1 },
             cache: createStateCache(),
--- a/test/machines/resident/followeras.test.ts
+++ b/test/machines/resident/followeras.test.ts
@@ -225,7 +225,7 @@
     let changes = 0;
     const current = createCurrentSource({
         ...common,
-        paces: Object.fromEntries(both.map(of => [of, { maxWaitMilliseconds: 1_000 }])),
+        paces: Object.fromEntries(both.map(of => [of, { maxAgeMilliseconds: 1_000 }])),
         store,
         cache,
         onChange: () => {
