--- a/test/soak/probes.ts
+++ b/test/soak/probes.ts
@@ -93,7 +93,13 @@
             await sleep(index * keyGapMilliseconds);
             return askKey(Math.floor((index + 0.5) * allKeys / keyCount), keyTries);
         }));
-        options.addKeys({ at, asked: keyCount, served: [...statuses.keys()].filter(index => statuses[index] === 200) });
+        if (!signal.aborted) {
+            options.addKeys({
+                at,
+                asked: keyCount,
+                served: [...statuses.keys()].filter(index => statuses[index] === 200),
+            });
+        }
     };
 
     const repeat = async (milliseconds: number, act: () => Array<Promise<void>>): Promise<void> => {
