Test that a removal which the store forgot is not taken for a wrong one

The row was untested. With the gone hosts of before the era, a copy that holds the record again stops all removals for an hour: the case fails there, and passes now.

--- a/test/machines/resident/gonehosts.test.ts
+++ b/test/machines/resident/gonehosts.test.ts
@@ -128,6 +128,21 @@
     }
 });
 
+/** Guards against a copy that is taken for a host that writes itself again, after which none is removed for an hour. */
+test("the registration of a host that is gone is removed again when the store comes back from a copy that has it", async t => {
+    const { clock, shared, hosts, registered } = await setUp(names);
+    hosts[3].end();
+    await clock.advance(9 * minuteMilliseconds);
+    const copy = shared.copy();
+    await clock.advance(8 * minuteMilliseconds);
+    t.deepEqual(registered(), ["h1", "h2", "h3"]);
+    shared.returnFrom(copy);
+    t.deepEqual(registered(), names);
+    await clock.advance(18 * minuteMilliseconds);
+    t.deepEqual(registered(), ["h1", "h2", "h3"]);
+    t.is(hosts[0].processes.hostCount(), 3);
+});
+
 test("thirty hosts that are gone are removed one after the other", async t => {
     const many = Array.from({ length: 32 }, (...[, index]) => `h${index + 1}`);
     const { clock, hosts, registered } = await setUp(many);
