--- a/test/stand-ins/store.test.ts
+++ b/test/stand-ins/store.test.ts
@@ -4,6 +4,7 @@
  */
 import test from "ava";
 import { startStoreStandIn, type StoreFaults, type StoreStandIn } from "../../stand-ins/resident/store.ts";
+import { waitUntil } from "../platform/program.ts";
 
 const call = (store: StoreStandIn, path: string, body?: unknown): Promise<Response> =>
     fetch(`http://${store.address}/v1/objects/${path}`, {
@@ -107,12 +108,19 @@
     t.teardown(store.close);
     const copy = store.copy();
     store.put("things", "lost", 1);
-    store.faults.lateMilliseconds = 200;
+    const arrived = new Promise<void>(resolve => {
+        const get = (): number => {
+            resolve();
+            return 2_000;
+        };
+        Object.defineProperty(store.faults, "lateMilliseconds", { get });
+    });
     const written = call(store, "things/lost", { metadata: { rev: 2 }, spec: "late" });
-    await new Promise(resolve => setTimeout(resolve, 100));
+    await arrived;
     await Promise.all([store.goAway(), t.throwsAsync(written)]);
     await store.returnFrom(copy);
     store.put("things", "lost", "again");
-    await new Promise(resolve => setTimeout(resolve, 200));
-    t.is(store.read("things", "lost"), "late");
+    t.is(store.read("things", "lost"), "again");
+    await waitUntil("the late write is carried out", () => store.read("things", "lost") === "late");
+    t.pass();
 });
