Leave the first term of an era to a process that remembers the owners

A process that had started after the return won the election. It knows no owners of the era before, so that it may clear no target and waits until all earlier holds have expired, though other hosts remembered them.

Such a process now waits 1.5 s longer before it takes over an era that has no coordinator yet. Where no other host is there, the wait costs nothing: the holds run from the moment at which the era was learned.

Measured: test/machines/resident/storereturns.test.ts, "processes without memory start ... after it", four of eight cases failed before (keys unserved for 9.8 and 9.9 s, bound 0.5 s), all pass now.

--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -139,6 +139,11 @@
  * are wasted if all processes try at once.
  */
 const vacancyTakeOverProbability = 0.3;
+/**
+ * How much longer a process that knows nothing of earlier eras waits to become the first coordinator of an era: it has to wait
+ * until all earlier holds have expired, while one that remembers the owners clears the targets at once.
+ */
+const withoutMemoryDelayMilliseconds = 1_500;
 /** Pause after a failed attempt to take over. */
 const takeOverRetryMilliseconds = 1_000;
 /**
@@ -615,10 +620,12 @@
             // The object names this process, but the process does not hold the ownership: the answer to its write was
             // lost, the new term could not be written, or it stepped down since the ownership is not of its term.
             const isNamedButNotCoordinator = known?.coordination.coordinator === self;
+            const lacksMemory = known === undefined && pastEras.learnedAt !== undefined && !pastEras.isRemembered;
             // Time without a heartbeat while the store answered, less this process's takeover delay. It is negative
             // until that delay is over.
             const overdueMilliseconds = clock.now() - Math.max(knownChangeAt, storeReachableSince)
-                - takeoverDelayMilliseconds(options.processor, processes.maxProcessor());
+                - takeoverDelayMilliseconds(options.processor, processes.maxProcessor())
+                - (lacksMemory ? withoutMemoryDelayMilliseconds : 0);
             const isSilent =
                 overdueMilliseconds >= heartbeatTimeoutMilliseconds * (1 + heartbeatTimeoutSpread * random());
             const mayFillVacancy = hasNoCoordinator && overdueMilliseconds >= 0
--- a/test/machines/resident/storereturns.test.ts
+++ b/test/machines/resident/storereturns.test.ts
@@ -104,6 +104,16 @@
         beside: ({ coordinator }) => coordinator.kill(),
         unservedMilliseconds: 500,
     },
+    ...[0, 100, 300, 600].map((startMilliseconds): Case => ({
+        title: `and the coordinator ends with it, and processes without memory start ${startMilliseconds} ms after it`,
+        beside: setup => {
+            setup.coordinator.kill();
+            for (const name of ["h7/x", "h8/x", "h9/x"]) {
+                setup.world.after(1_000 + startMilliseconds, () => void setup.hosts.push(setup.startHost(name)));
+            }
+        },
+        unservedMilliseconds: 500,
+    })),
     {
         title: "while the coordinator resigns and stops",
         beside: ({ world, coordinator }) => {
