--- a/test/machines/resident/fakestore.ts
+++ b/test/machines/resident/fakestore.ts
@@ -60,9 +60,15 @@
     oldest,
 });
 
-const rejectWhenAborted = (signal: AbortSignal | undefined): Promise<never> =>
-    new Promise((...[, reject]) => {
-        signal?.addEventListener("abort", () => reject(new PlatformError("aborted")), { once: true });
+/** Rejects as soon as the signal aborts. */
+const unlessAborted = (work: Promise<void>, signal: AbortSignal | undefined): Promise<void> =>
+    new Promise((resolve, reject) => {
+        const abort = (): void => reject(new PlatformError("aborted"));
+        signal?.addEventListener("abort", abort, { once: true });
+        void work.then(() => {
+            signal?.removeEventListener("abort", abort);
+            resolve();
+        });
     });
 
 const access = (shared: Shared, clock: Clock): FakeStore => {
@@ -241,7 +247,7 @@
             const bytes = JSON.stringify(events).length;
             const readTo = placeOf(era, shared.revision);
             const slowness = faultOf(kind) === "slow" && events.length > 0 ? slowMilliseconds : 0;
-            await Promise.race([clock.sleep(bytes / fake.bytesPerMillisecond + slowness), rejectWhenAborted(signal)]);
+            await unlessAborted(clock.sleep(bytes / fake.bytesPerMillisecond + slowness), signal);
             checkConnected(era);
             learnFromAnswer();
             if (eraOf(position) !== era) {
