Take no reader that tells no era for current beside a store that counts them

A follower that held all kinds of a later era took the word of a reader of the version before for its own state: that reader compares places with revisions, never sends anything, and says that it is current. The follower stayed with it, blind for good, as in a fleet of both versions. Found by review.

test/machines/resident/followeras.test.ts, "a reader that does not tell its era is not current for a follower that holds all of a later one", failed before.

--- a/src/machines/resident/statefollow.ts
+++ b/src/machines/resident/statefollow.ts
@@ -168,7 +168,7 @@
             const position = cache.position(kind);
             return position !== undefined && eraOf(position) === store.era();
         });
-        setState(current && isSynced ? "current" : "refused");
+        setState(current && isSynced && (era ?? 0) === store.era() ? "current" : "refused");
     };
 
     const connection = options.dial(reader.address, statePath, {
--- a/test/machines/resident/followeras.test.ts
+++ b/test/machines/resident/followeras.test.ts
@@ -120,6 +120,15 @@
         position: undefined,
         sent: [],
     },
+    {
+        title: "a reader that does not tell its era is not current for a follower that holds all of a later one",
+        known: 2,
+        told: [listAt(placeOf(2, 5)), status()],
+        state: "refused",
+        era: 2,
+        position: placeOf(2, 5),
+        sent: [],
+    },
     {
         title: "a reader whose era is later than what it sent is not current",
         known: 1,
