Confirm nothing of the time after an early answer to a watch

A watch that the store answered without changes before its wait was over counted as confirmed at the end of that wait, in the future.

test/machines/resident/followeras.test.ts, "an answer before the end of its wait confirms nothing of the time after it", failed before (age -3,000).

--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -177,7 +177,8 @@
         try {
             const result = await call(aborter.signal);
             if (!current.aborted) {
-                recordConfirmed(kind, confirmedAt(result, calledAt));
+                // The store may answer a watch before its wait is over.
+                recordConfirmed(kind, Math.min(clock.now(), confirmedAt(result, calledAt)));
                 failures = 0;
             }
             return result;
--- a/test/machines/resident/followeras.test.ts
+++ b/test/machines/resident/followeras.test.ts
@@ -259,3 +259,24 @@
     cache.applyList("servers", { objects: [], position: placeOf(2, 3) });
     t.true(current.isCurrent());
 });
+
+/** Guards against a reader that stays current after the store has answered its watches early and fallen silent. */
+test("an answer before the end of its wait confirms nothing of the time after it", async t => {
+    const { store, cache, common } = setUp();
+    const current = createCurrentSource({
+        ...common,
+        paces: { [kind]: { maxAgeMilliseconds: 1_000 } },
+        store,
+        cache,
+        onChange: () => undefined,
+        onSourceChange: () => undefined,
+        onStoreFailure: () => undefined,
+    });
+    current.set({ kind: "store" }, "test");
+    cache.applyList(kind, { objects: [], position: 9 });
+    await current.callStore(kind, () => Promise.resolve(), (...[, calledAt]) => calledAt + 3_000, undefined);
+    t.deepEqual(current.ages(), { [kind]: 0 });
+    t.true(current.isCurrent());
+    await common.clock.advance(1_100);
+    t.false(current.isCurrent());
+});
