Wait for all former holds where a copy has no ownership

A process that knows nothing of earlier eras, and finds a copy from before the pool's first ownership, cleared the targets that it saw and granted keys after 2 s, while a former coordinator that was cut off renewed the grants of a target whose entry was not back: two owners of a key. It waits until the holds have expired now, as where the copy has an ownership. The plan of a step begins from the ownership as it is after the clearing. Found by review.

--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -267,7 +267,7 @@
         const eraLearnedAt = learnedAt ?? -Infinity;
         const targets = targetsToClear(ownership, eraLearnedAt);
         // Whoever does not know what it may have missed waits until all former holds are over.
-        const remembersTargets = isRemembered || ownership.ranges.length === 0;
+        const remembersTargets = isRemembered || learnedAt === undefined;
         if (remembersTargets) {
             clearing.advance(targets, fence);
         }
@@ -364,10 +364,11 @@
 
     const coordinate = async (): Promise<void> => {
         await coordinator.pruneFormer();
-        const ownership = coordinator.ownership();
-        if (ownership !== undefined) {
-            await clear(ownership);
+        const uncleared = coordinator.ownership();
+        if (uncleared !== undefined) {
+            await clear(uncleared);
         }
+        const ownership = coordinator.ownership();
         if (ownership !== undefined && ownership.isUncleared !== true) {
             await plan(ownership);
         }
--- a/test/machines/resident/storereturns.test.ts
+++ b/test/machines/resident/storereturns.test.ts
@@ -286,6 +286,28 @@
     }
 }
 
+/** Guards against clearing only the targets that are seen, while a former coordinator renews the grants of others. */
+test("a process without memory that finds a copy from before the pool's first ownership waits for all former holds", async t => {
+    const setup = await setUp();
+    const { world, shared, hosts, coordinator, register, targets } = setup;
+    returnStore(setup, shared.copy(), 500);
+    await world.advance(15_000);
+    const copy = shared.copy();
+    [...copy.objects.keys()].filter(key => /^(ownership|coordination)\/|^servers\/c$/.test(key))
+        .forEach(key => copy.objects.delete(key));
+    cutFromStore(setup);
+    coordinator.state.isDeaf = true;
+    hosts.filter(host => host !== coordinator).forEach(host => host.kill());
+    returnStore(setup, copy, 500);
+    world.after(600, () => startAnother(setup));
+    world.after(4_600, () => register("c"));
+    world.after(20_000, () => healStore(setup));
+    await unservedDuring(setup, 25_000);
+    t.deepEqual(targets.violations.slice(0, 3), []);
+    t.deepEqual(targets.unheld(), []);
+    hosts.forEach(host => host.kill());
+});
+
 const readOwnership = ({ shared }: Setup, era: number): Ownership =>
     ownershipSchema.parse(shared.read("ownership", poolObjectName("stock", era))?.value);
 
