Name the objects of the first era as those of a store without eras

The plain name now serves the first era too. After a return, which begins era 2, both versions together still have two coordinators: open.

Mixed versions were not played on this commit.

--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -18,7 +18,7 @@
 } from "../../decisions/coordinatorlease.ts";
 import { newestOwnership, withFencesOfEra } from "../../decisions/eraclearing.ts";
 import { createFormerCoordinators } from "../../decisions/formercoordinators.ts";
-import { poolObjectName, readPoolObjectName } from "../../decisions/poolobjectnames.ts";
+import { firstEra, poolObjectName, readPoolObjectName } from "../../decisions/poolobjectnames.ts";
 import { renewAllFences } from "../../decisions/rangemoves.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -173,8 +173,6 @@
 /** The coordination object as last read or written. */
 type KnownCoordination = { coordination: Coordination; revision: number };
 
-/** The first era of a store that tells its eras. */
-const firstEra = 1;
 const noCoordinator = "";
 const resigned = "it resigned";
 const noOwnership: Ownership = {
@@ -328,10 +326,11 @@
 
     const applyCoordination: Coordinator["applyCoordination"] = (object, removed) => {
         const named = readPoolObjectName(object.name).era;
-        if (isLater(named, era)) {
+        const current = laterOf(era, firstEra);
+        if (isLater(named, current)) {
             ahead = object;
         }
-        else if (isLater(era, named)) {
+        else if (isLater(current, named)) {
             applyEarlier(object);
         }
         else if (eraOf(object.revision) === era) {
--- a/src/machines/resident/ownershipcache.ts
+++ b/src/machines/resident/ownershipcache.ts
@@ -5,8 +5,8 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { StoreObject } from "../../contracts/objectstore.ts";
 import { findRangeOfKey, type OwnedRange, type Ownership, ownershipSchema } from "../../contracts/ownership.ts";
-import { eraOf, isLater } from "../../contracts/storehistory.ts";
-import { readPoolObjectName } from "../../decisions/poolobjectnames.ts";
+import { eraOf, isLater, laterOf } from "../../contracts/storehistory.ts";
+import { firstEra, readPoolObjectName } from "../../decisions/poolobjectnames.ts";
 import type { Log } from "../../links/logs.ts";
 
 export type OwnershipCache = {
@@ -30,7 +30,7 @@
 };
 
 /** Whether the object was read in the era whose coordinators write it, and not from a copy in a later one. */
-const isOfItsEra = ({ revision, era }: CachedOwnership): boolean => eraOf(revision) === era;
+const isOfItsEra = ({ revision, era }: CachedOwnership): boolean => laterOf(eraOf(revision), firstEra) === era;
 
 /** Whether an ownership takes the place of the cached one. A copy takes only that of another copy. */
 const replaces = (next: CachedOwnership, cached: CachedOwnership | undefined): boolean => {
