--- a/src/machines/resident/currentsource.ts
+++ b/src/machines/resident/currentsource.ts
@@ -112,6 +112,7 @@
     };
 
     store.onEra(reportIfChanged);
+
     /** Notices when the store does not confirm a kind in time, as no call need end then. */
     const expectConfirmation = (): void => {
         cancelExpiry();
