Read from the sockets before a late timer calls back

Cause: Node runs the timers that are due before it reads from its sockets. A timer that fires late judges by what was known before the event loop was held.

Change: a timer of the system clock that is 20 ms late or more calls back after the next reads, and so do those that fire while it waits, so that their order holds. A punctual timer costs one comparison more.

Evidence: test/links/heldtimers.test.ts holds the event loop for 600 ms while a server in another thread answers.

--- a/src/links/clock.ts
+++ b/src/links/clock.ts
@@ -1,20 +1,46 @@
 /**
- * The clock of a running process: its monotonic time and its timers.
+ * The clock of a running process: its monotonic time and its timers. Timers that fire late call back after the sockets
+ * were read, in the order in which they fired.
  */
 import type { Clock } from "../contracts/clock.ts";
+import { afterNextReads } from "./nextreads.ts";
 
-const after: Clock["after"] = (milliseconds, callback, signal) => {
-    const timer = setTimeout(() => {
-        signal?.removeEventListener("abort", cancel);
+/** Delay of a timer from which the event loop counts as held. */
+const lateMilliseconds = 20;
+
+/** Timers that have fired and wait for the next reads. */
+let waiting = 0;
+
+const runInTurn = (dueAt: number, callback: () => void): void => {
+    if (waiting === 0 && performance.now() - dueAt < lateMilliseconds) {
         callback();
-    }, milliseconds);
+        return;
+    }
+    waiting += 1;
+    afterNextReads(() => {
+        waiting -= 1;
+        callback();
+    });
+};
+
+const after: Clock["after"] = (milliseconds, callback, signal) => {
+    if (signal?.aborted) {
+        return () => undefined;
+    }
+    const dueAt = performance.now() + milliseconds;
+    let isOver = false;
     const cancel = (): void => {
+        isOver = true;
         clearTimeout(timer);
         signal?.removeEventListener("abort", cancel);
     };
-    if (signal?.aborted) {
-        cancel();
-    }
+    const finish = (): void => {
+        if (!isOver) {
+            cancel();
+            callback();
+        }
+    };
+    const timer = setTimeout(() => runInTurn(dueAt, finish), milliseconds);
     signal?.addEventListener("abort", cancel, { once: true });
     return cancel;
 };
@@ -27,10 +53,10 @@
         }
         const finish = (): void => {
             signal?.removeEventListener("abort", finish);
-            clearTimeout(timer);
+            cancel();
             resolve();
         };
-        const timer = setTimeout(finish, milliseconds);
+        const cancel = after(milliseconds, finish);
         signal?.addEventListener("abort", finish, { once: true });
     });
 
--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -5,6 +5,7 @@
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import type { Socket } from "node:net";
 import { messageOf } from "../contracts/errors.ts";
+import { systemClock } from "./clock.ts";
 
 export type JsonCall = {
     /** IP address and port. */
@@ -87,7 +88,7 @@
                     return;
                 }
                 settled = true;
-                clearTimeout(timer);
+                cancelTimer();
                 resolve(result);
             };
             const abandon = (error: string): void => {
@@ -95,9 +96,9 @@
                 outgoing.destroy();
                 finish({ answered: false, mayHaveArrived: connected, error });
             };
-            const timer = setTimeout(
-                () => abandon(`no answer within ${call.timeoutMilliseconds} ms`),
+            const cancelTimer = systemClock.after(
                 call.timeoutMilliseconds,
+                () => abandon(`no answer within ${call.timeoutMilliseconds} ms`),
             );
             outgoing.on("socket", socket => {
                 if (!known.has(socket)) {
--- a/src/links/targets.ts
+++ b/src/links/targets.ts
@@ -13,6 +13,7 @@
     targetPaths,
 } from "../contracts/targetprotocol.ts";
 import { descriptorParts } from "../decisions/descriptors.ts";
+import { systemClock } from "./clock.ts";
 import { countConnections, type Descriptors } from "./descriptors.ts";
 import { type AnswerReceiver, startExchange, type TargetExchange, type TargetRequest } from "./exchange.ts";
 import { createResetDetectingConnector } from "./resets.ts";
@@ -82,11 +83,11 @@
             };
             const chunks: Buffer[] = [];
             const finish = (answer: Shape | undefined): void => {
-                clearTimeout(timer);
+                cancelTimer();
                 resolve(answer);
             };
             // Clearing a timer costs far less than a timeout signal, which creates an error for each answer.
-            const timer = setTimeout(() => exchange?.abort(), timeoutMilliseconds);
+            const cancelTimer = systemClock.after(timeoutMilliseconds, () => exchange?.abort());
             const exchange: TargetExchange | undefined = startExchange(control, request, {
                 mayStart: () => true,
                 onHead: () => undefined,
--- /dev/null
+++ b/test/links/heldtimers.test.ts
@@ -0,0 +1,109 @@
+/**
+ * Timers that are due while the event loop is held: an answer that has arrived meanwhile comes before the verdict that
+ * there is none.
+ */
+import test from "ava";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { Worker } from "node:worker_threads";
+import { createStore } from "../../platform/store.ts";
+import { systemClock } from "../../src/links/clock.ts";
+import { createJsonCaller } from "../../src/links/jsoncall.ts";
+
+const timeoutMilliseconds = 200;
+const answerMilliseconds = 100;
+const holdMilliseconds = 600;
+
+/** A server in a thread of its own, which answers every request after a while. */
+const serverProgram = `
+    const { parentPort, workerData } = require("node:worker_threads");
+    const server = require("node:http").createServer((request, response) => {
+        request.resume();
+        setTimeout(() => response.end(JSON.stringify({ items: [], more: false, currentRev: 9 })), workerData);
+    });
+    server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));`;
+
+const hold = (): void => {
+    const until = performance.now() + holdMilliseconds;
+    while (performance.now() < until) {
+        // The server is in another thread and goes on.
+    }
+};
+
+/** Each resolves to whether the answer came before the end of its time. */
+const waits: Record<string, (port: number) => Promise<boolean>> = {
+    "a timer": port =>
+        new Promise(resolve => {
+            const socket = connect(port, "127.0.0.1", () => {
+                socket.write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+                systemClock.after(timeoutMilliseconds, () => resolve(false));
+            });
+            socket.once("data", () => resolve(true));
+        }),
+    "a pause": port =>
+        new Promise(resolve => {
+            const socket = connect(port, "127.0.0.1", () => {
+                socket.write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+                void systemClock.sleep(timeoutMilliseconds).then(() => resolve(false));
+            });
+            socket.once("data", () => resolve(true));
+        }),
+    "a call": async port => {
+        const caller = createJsonCaller();
+        const result = await caller.post({
+            address: `127.0.0.1:${port}`,
+            path: "/",
+            headers: {},
+            body: {},
+            timeoutMilliseconds,
+        });
+        caller.close();
+        return result.answered;
+    },
+    "a call to the store": async port => {
+        const store = createStore({ address: `127.0.0.1:${port}`, timeoutMilliseconds });
+        const isAnswered = await store.list("servers").then(() => true, () => false);
+        store.close();
+        return isAnswered;
+    },
+};
+
+for (const [title, wait] of Object.entries(waits)) {
+    test.serial(`an answer that arrives while the event loop is held ends the wait for it: ${title}`, async t => {
+        const server = new Worker(serverProgram, { eval: true, workerData: answerMilliseconds });
+        t.teardown(() => server.terminate());
+        const [port] = await once(server, "message") as [number];
+        const result = wait(port);
+        // The request is written before. Behind immediates, timers come ahead of reads.
+        setTimeout(() => setImmediate(hold), answerMilliseconds / 2);
+        t.true(await result);
+    });
+}
+
+test.serial("timers that are due while the event loop is held call back in the order of their times", async t => {
+    const order: number[] = [];
+    const done = new Promise<void>(resolve => {
+        [30, 10, 50, 20, 40].forEach(time => systemClock.after(time, () => order.push(time)));
+        systemClock.after(holdMilliseconds + 1, resolve);
+    });
+    const cancel = systemClock.after(25, () => order.push(25));
+    setTimeout(cancel, 0);
+    hold();
+    await done;
+    t.deepEqual(order, [10, 20, 30, 40, 50]);
+});
+
+test.serial("a timer that waits for the next reads can still be cancelled", async t => {
+    const called: string[] = [];
+    const cancel = systemClock.after(10, () => called.push("cancelled"));
+    const abortion = new AbortController();
+    systemClock.after(10, () => called.push("aborted"), abortion.signal);
+    hold();
+    // Runs in the same turn as the timers above.
+    setTimeout(() => {
+        cancel();
+        abortion.abort();
+    }, 0);
+    await systemClock.sleep(50);
+    t.deepEqual(called, []);
+});
