Close no caller's connection before what has arrived on it is read

What callers saw: requests on kept connections ended without an answer when the host's event loop was late by some hundred milliseconds at a planned stop, at the end of the idle time, when a connection was closed in favour of a new one, at the end of the time for a head (408), or at the close of all connections.

Cause: each of these judged a connection by the bytes that had been read, and came ahead of the read of those that had arrived: a timer runs before reads, and a new connection may be accepted before the bytes of an older one are read.

Change: all of them look again after the next reads. A full server keeps up to 16 new connections beyond its limit until idle ones are found for them. A stop reads, and refuses, what has arrived before it closes all connections.

Evidence: test/links/heldloop.test.ts, five ends with GET and POST, a loop that is held for 500 ms and callers in another thread.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../contracts/clock.ts";
 import type { Reason } from "../contracts/outcome.ts";
 import type { BodyBreaker } from "./callerbody.ts";
+import { afterNextReads } from "./nextreads.ts";
 import type { SendQueues } from "./sendqueues.ts";
 
 /** Why a connection ended while answers were due on it, and who ended it. */
@@ -66,6 +67,8 @@
     hasBegun: () => boolean;
     /** Whether the connection takes requests. */
     isOpen: () => boolean;
+    /** Number of bytes that were read up to the end of the latest request that has arrived. */
+    requestBytes: () => number;
     /** Ends the connection with these bytes, after the answers that are due. */
     refuse: (bytes: string) => void;
     /** Notes that bytes arrived which are dropped, on the socket or as the body of a request. */
@@ -266,6 +269,7 @@
         },
         hasBegun: () => hasBegun,
         isOpen: () => phase === "open",
+        requestBytes: () => requestBytes,
         refuse: bytes => {
             if (phase === "open") {
                 refusal = bytes;
@@ -304,12 +308,16 @@
         },
         watchTaking,
         onTimeout: () => {
-            if (dueAnswers.size > 0) {
-                watchTaking();
-                socket.setTimeout(idleMilliseconds());
-                return;
-            }
-            destroy("caller-stalled");
+            const { bytesRead } = socket;
+            afterNextReads(() => {
+                if (dueAnswers.size > 0) {
+                    watchTaking();
+                    socket.setTimeout(idleMilliseconds());
+                }
+                else if (socket.bytesRead === bytesRead) {
+                    destroy("caller-stalled");
+                }
+            });
         },
         nameEnd,
         destroy,
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -16,6 +16,7 @@
     createCallerConnections,
     type DueAnswer,
 } from "./callerconnections.ts";
+import { afterNextReads, waitForNextReads } from "./nextreads.ts";
 import { createSendQueues } from "./sendqueues.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
@@ -68,9 +69,12 @@
     setTimeouts: (idleMilliseconds: number, headMilliseconds: number) => void;
     /** Closes each keep-alive connection after its next answer. New connections are still accepted. */
     disableKeepAlive: () => void;
-    /** Accepts no new connections, closes idle ones, and closes the others after their next answer. */
-    stopAccepting: () => void;
-    /** Closes the server and all connections at once. */
+    /**
+     * Accepts no new connections, closes idle ones, and closes the others after their next answer. Resolves when the idle ones
+     * are closed.
+     */
+    stopAccepting: () => Promise<void>;
+    /** Closes the server and all connections, once what has arrived is read. */
     close: () => Promise<void>;
 };
 
@@ -78,12 +82,6 @@
 /** Pause between checks for heads that take too long to arrive. */
 const headCheckMilliseconds = 500;
 
-/**
- * Waits until the event loop has read from all sockets once more. A host whose event loop runs late receives requests
- * whose callers have already hung up, which only another read shows.
- */
-const waitForNextReads = (): Promise<void> => new Promise(resolve => setImmediate(() => setImmediate(resolve)));
-
 const hasHungUp = ({ socket }: IncomingMessage): boolean => socket.readableEnded || socket.destroyed;
 
 /**
@@ -96,8 +94,9 @@
 /** Reasons of refusals by the code of the parser's error; `malformed-request` for all others. */
 const reasonsOfErrors: Partial<Record<string, Reason>> = {
     HPE_HEADER_OVERFLOW: "head-too-large",
-    ERR_HTTP_REQUEST_TIMEOUT: "read-timed-out",
 };
+/** Code of the parser's error when a request takes too long to arrive. */
+const requestTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
 
 /** Opens the server; resolves once it listens. */
 export const createCallerLink = async <Request extends BaseCallerRequest>(
@@ -127,6 +126,7 @@
     });
 
     const answerCaller = async (request: Request, incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
+        // A host whose event loop runs late receives requests whose callers have already hung up.
         await waitForNextReads();
         if (hasHungUp(incoming)) {
             const reason: Reason = "cancelled";
@@ -271,16 +271,26 @@
             return;
         }
         const connection = connections.of(stream as Socket);
+        if (error.code !== requestTimeoutCode) {
+            refuseBytes(connection, reasonsOfErrors[error.code ?? ""] ?? "malformed-request");
+            return;
+        }
         // Node also counts the time before the first byte, of which the idle time is the limit. Behind a request, it counts
         // only from the first byte of the next one, which may have come with that request.
-        if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT" || connection.hasBegun() || !connection.isIdle()) {
-            refuseBytes(connection, reasonsOfErrors[error.code ?? ""] ?? "malformed-request");
+        if (connection.hasBegun() || !connection.isIdle()) {
+            const before = connection.requestBytes();
+            afterNextReads(() => {
+                if (connection.requestBytes() === before && !stream.destroyed) {
+                    refuseBytes(connection, "read-timed-out");
+                }
+            });
         }
     });
     // A caller that closes its sending half may still read; see docs/decisions/closed-callers.md.
     Object.assign(server, { httpAllowHalfOpen: true });
-    // Node's own function ends connections whose last answer was not handed to the operating system yet.
-    server.closeIdleConnections = connections.endIdle;
+    // Node's own function ends connections whose last answer was not handed to the operating system yet, and closes idle ones
+    // before what has arrived on them is read.
+    server.closeIdleConnections = () => undefined;
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(settings.port, options.bindAddress, resolve);
@@ -297,18 +307,25 @@
         disableKeepAlive: () => {
             keepsAlive = false;
         },
-        stopAccepting: () => {
+        stopAccepting: async () => {
             keepsAlive = false;
             server.close();
             // A closed server checks no heads any more.
             cancelHeadLimit = clock.after(server.headersTimeout, () => refuseUnfinished("read-timed-out"));
+            await waitForNextReads();
+            connections.endIdle();
         },
-        close: () =>
-            new Promise(resolve => {
-                cancelHeadLimit();
+        close: async () => {
+            cancelHeadLimit();
+            const closed = new Promise<void>(resolve => {
                 server.close(() => resolve());
-                refuseUnfinished("host-stopping");
-                connections.destroyAll("host-stopped");
-            }),
+            });
+            await waitForNextReads();
+            // Requests that were read only now are refused within further turns.
+            await waitForNextReads();
+            refuseUnfinished("host-stopping");
+            connections.destroyAll("host-stopped");
+            await closed;
+        },
     };
 };
--- a/src/links/connectionlimit.ts
+++ b/src/links/connectionlimit.ts
@@ -1,19 +1,22 @@
 /**
  * Admits connections to a server within a number of descriptors. When they are used up, the connection that has been
  * idle longest is closed in favour of a new one; while none is idle, the new one is closed. When their number is lowered,
- * idle ones are closed until it is kept.
+ * idle ones are closed until it is kept. None is closed as idle before what has arrived is read.
  */
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../contracts/clock.ts";
 import type { DescriptorPart } from "../decisions/descriptors.ts";
 import type { Descriptors } from "./descriptors.ts";
+import { afterNextReads } from "./nextreads.ts";
 
 export type ConnectionLimitOptions = {
     /** The part to which the connections belong. */
     part: DescriptorPart;
     descriptors: Descriptors;
     clock: Pick<Clock, "now">;
+    /** Calls back once what has arrived is read; `afterNextReads` by default. */
+    readFirst?: (callback: () => void) => void;
 };
 
 export type ConnectionLimit = {
@@ -25,6 +28,8 @@
 
 /** A request may be on its way on a connection that has been idle for less. */
 const minIdleMilliseconds = 250;
+/** Connections beyond the limit that may wait for an idle one to be closed. */
+const maxReplacing = 16;
 /** Connections that are looked at for one that is idle. Those in use are then looked at last. */
 const maxLookedAt = 64;
 
@@ -34,12 +39,13 @@
  * @param isIdle whether no answer is due on a connection and no request was received in part.
  */
 export const createConnectionLimit = (
-    { part, descriptors, clock }: ConnectionLimitOptions,
+    { part, descriptors, clock, readFirst = afterNextReads }: ConnectionLimitOptions,
     isIdle: (socket: Socket) => boolean,
 ): ConnectionLimit => {
     /** When each connection was last in use, from the one that was not for longest. */
     const usedAt = new Map<Socket, number>();
     const releases = new WeakMap<Socket, () => void>();
+    let replacing = 0;
 
     const touch = (socket: Socket): void => {
         if (usedAt.delete(socket)) {
@@ -71,7 +77,7 @@
         releases.get(socket)?.();
     };
 
-    descriptors.onExcess(part, () => {
+    const reduce = (): void => {
         const idleSince = clock.now() - minIdleMilliseconds;
         for (const [socket, since] of usedAt) {
             if (since > idleSince || descriptors.inUse(part) <= descriptors.limitOf(part)) {
@@ -84,21 +90,39 @@
                 touch(socket);
             }
         }
-    });
+    };
+    descriptors.onExcess(part, () => readFirst(reduce));
 
-    const admit = (socket: Socket): void => {
-        if (descriptors.isFull(part)) {
-            const idle = findIdle();
-            if (idle === undefined) {
-                descriptors.recordFull(part, "new");
-                socket.destroy();
-                return;
-            }
+    const closeNew = (socket: Socket): void => {
+        descriptors.recordFull(part, "new");
+        socket.destroy();
+    };
+
+    /** Closes an idle connection for one that was added, or else that one if it is still unused. */
+    const replaceIdle = (added: Socket): void => {
+        replacing -= 1;
+        const idle = findIdle();
+        if (idle !== undefined) {
             closeIdle(idle);
         }
+        else if (!added.destroyed && isIdle(added)) {
+            closeNew(added);
+        }
+    };
+
+    const admit = (socket: Socket): void => {
+        const isFull = descriptors.isFull(part);
+        if (isFull && (replacing === maxReplacing || findIdle() === undefined)) {
+            closeNew(socket);
+            return;
+        }
         releases.set(socket, descriptors.track(part, socket));
         usedAt.set(socket, clock.now());
         socket.once("close", () => usedAt.delete(socket));
+        if (isFull) {
+            replacing += 1;
+            readFirst(() => replaceIdle(socket));
+        }
     };
 
     return { admit, touch };
--- a/src/machines/host.ts
+++ b/src/machines/host.ts
@@ -325,7 +325,7 @@
             log.info("host-leaving", { host: name, inFlight: callers.inFlight() });
             await fleet.announceLeaving();
             await clock.sleep(balancerNoticeMilliseconds);
-            callers.stopAccepting();
+            await callers.stopAccepting();
             while (callers.inFlight() > 0) {
                 await clock.sleep(stopPollMilliseconds);
             }
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -415,7 +415,7 @@
             // The store may never answer, so nothing waits for it.
             controllers.resign();
             await clock.sleep(Math.min(servingMilliseconds, endAt - clock.now()));
-            callers.stopAccepting();
+            await callers.stopAccepting();
             await waitUntilIdle(endAt);
             log.info("host-stopped", { inFlight: callers.inFlight(), calls: JSON.stringify(store.callCounts()) });
             close();
--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -138,7 +138,7 @@
 
 const stop = ({ link }: Opened): void => {
     link.disableKeepAlive();
-    link.stopAccepting();
+    void link.stopAccepting();
 };
 
 const halfClose = (...[, socket]: [Opened, Socket]): void => void socket.end();
--- a/test/links/connectionlimit.test.ts
+++ b/test/links/connectionlimit.test.ts
@@ -52,7 +52,7 @@
         const limits = { process: 1_024, stated: undefined, files: 48 };
         const full = { ...createDescriptors({ limits, clock, log: silentLog, metrics }), isFull: () => now === 10_000 };
         const limit = createConnectionLimit(
-            { part: "callers", descriptors: full, clock },
+            { part: "callers", descriptors: full, clock, readFirst: call => call() },
             socket => !(socket as unknown as FakeSocket).isBusy,
         );
         const sockets = open.map(([age, isBusy]) => {
@@ -76,7 +76,7 @@
     const limits = { process: undefined, stated: 4_100, files: 48 };
     const descriptors = createDescriptors({ limits, clock, log: silentLog, metrics: createMetrics() });
     const limit = createConnectionLimit(
-        { part: "callers", descriptors, clock },
+        { part: "callers", descriptors, clock, readFirst: call => call() },
         socket => !(socket as unknown as FakeSocket).isBusy,
     );
     const sockets = Array.from({ length: 200 }, (...[, index]) => createSocket(index < 10));
--- /dev/null
+++ b/test/links/heldloop.test.ts
@@ -0,0 +1,179 @@
+/**
+ * An event loop that is held while requests arrive. Timers that are due meanwhile must not close a connection before what
+ * has arrived on it is read.
+ */
+import test from "ava";
+import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
+import { settingsSchema } from "../../src/contracts/settings.ts";
+import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
+import { type CallerLink, type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
+import { systemClock } from "../../src/links/clock.ts";
+import { limitConnections } from "../../src/links/connectionlimit.ts";
+import { createDescriptors } from "../../src/links/descriptors.ts";
+import { silentLog } from "../../src/links/logs.ts";
+import { createMetrics } from "../../src/links/metrics.ts";
+
+const connections = 8;
+const body = "an answer";
+const holdMilliseconds = 500;
+
+/** Keeps this process from running its event loop. */
+const hold = (milliseconds: number): void => {
+    const until = performance.now() + milliseconds;
+    while (performance.now() < until) {
+        // The caller is in another thread and goes on.
+    }
+};
+
+/** Callers with kept connections, in a thread of their own. Messages: texts to write after a delay, or a new connection. */
+const callersProgram = `
+    const { connect } = require("node:net");
+    const { parentPort, workerData: { port, count } } = require("node:worker_threads");
+    const open = () => {
+        const state = { received: "", closed: false };
+        state.socket = connect(port, "127.0.0.1");
+        state.socket.on("data", part => { state.received += part; });
+        state.socket.on("error", () => undefined);
+        state.socket.on("close", () => { state.closed = true; });
+        return state;
+    };
+    const states = Array.from({ length: count }, open);
+    parentPort.on("message", ({ write, opens, delay, tell }) => setTimeout(() => {
+        if (write !== undefined) states.forEach(({ socket }) => socket.write(write));
+        if (opens) states.push(open());
+        if (tell) parentPort.postMessage(states.map(({ received, closed }) => ({ received, closed })));
+    }, delay));`;
+
+type Held = { link: CallerLink; served: () => number };
+
+type Case = {
+    title: string;
+    /** Part of a request that has arrived before the event loop is held. */
+    before?: string;
+    /** What arrives while it is held. */
+    during: string;
+    idleMilliseconds?: number;
+    headMilliseconds?: number;
+    /** Connections that the link takes. */
+    limit?: number;
+    /** Time after the first answers at which the event loop is held. */
+    heldAfter?: number;
+    /** What becomes due while it is held. */
+    act?: (held: Held) => void;
+    opens?: boolean;
+    status: number;
+};
+
+const get = "GET /orders/b HTTP/1.1\r\nhost: x\r\n\r\n";
+const post = "POST /orders/b HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc";
+const requests = { get, post };
+
+const cases: Case[] = Object.entries(requests).flatMap(([method, request]) => [
+    {
+        title: `a planned stop, ${method}`,
+        during: request,
+        act: ({ link }: Held) => void systemClock.after(50, () => void link.stopAccepting()),
+        status: 200,
+    },
+    {
+        title: `the end of the idle time, ${method}`,
+        during: request,
+        idleMilliseconds: 100,
+        // Node closes a connection one second after the time that it announces.
+        heldAfter: 900,
+        status: 200,
+    },
+    {
+        title: `a new connection beyond the limit, ${method}`,
+        during: request,
+        limit: connections,
+        heldAfter: 400,
+        opens: true,
+        status: 200,
+    },
+    {
+        title: `the end of the time for a head, ${method}`,
+        before: request.slice(0, 20),
+        during: request.slice(20),
+        // Node looks for overdue heads twice a second.
+        headMilliseconds: 600,
+        heldAfter: 650,
+        status: 200,
+    },
+    {
+        title: `the close of all connections, ${method}`,
+        during: request,
+        act: ({ link }: Held) => void systemClock.after(50, () => void link.close()),
+        status: 200,
+    },
+]);
+
+const openLink = async ({ idleMilliseconds = 5_000, headMilliseconds = 5_000, limit }: Case): Promise<Held> => {
+    const settings = settingsSchema.parse({
+        host: { name: "host-a", zone: "zone-1" },
+        platform: { url: "http://127.0.0.1:1" },
+        callers: { port: 0 },
+    }).callers;
+    let served = 0;
+    const descriptors = createDescriptors({
+        limits: { process: undefined, stated: 1_024, files: 48 },
+        clock: systemClock,
+        log: silentLog,
+        metrics: createMetrics(),
+    });
+    const limited = { ...descriptors, isFull: () => descriptors.inUse("callers") >= (limit ?? Infinity) };
+    const link = await createCallerLink<CallerRequest>({
+        bindAddress: "127.0.0.1",
+        settings,
+        limitConnections: (server, isIdle) =>
+            limitConnections(server, { part: "callers", descriptors: limited, clock: systemClock }, isIdle),
+        protocol: createCallerProtocol(settings),
+        clock: systemClock,
+        serve: () => {
+            served += 1;
+            return Promise.resolve({
+                kind: "answer",
+                statusCode: 200,
+                headers: { "content-length": String(body.length) },
+                body: Buffer.from(body),
+            });
+        },
+        onDone: () => undefined,
+        onMalformed: () => undefined,
+        healthy: () => true,
+    });
+    link.setTimeouts(idleMilliseconds, headMilliseconds);
+    return { link, served: () => served };
+};
+
+for (const each of cases) {
+    const { title, before, during, heldAfter = 50, act, opens = false, status } = each;
+    test.serial(`requests that arrive while the event loop is held are answered: ${title}`, async t => {
+        const held = await openLink(each);
+        t.teardown(held.link.close);
+        const port = Number(held.link.address.split(":")[1]);
+        const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: connections } });
+        t.teardown(() => callers.terminate());
+        callers.postMessage({ write: get, delay: 0 });
+        while (held.served() < connections) {
+            await sleep(5);
+        }
+        if (before !== undefined) {
+            callers.postMessage({ write: before, delay: 0 });
+        }
+        await sleep(heldAfter);
+        act?.(held);
+        callers.postMessage({ opens, delay: 100 });
+        callers.postMessage({ write: during, delay: 150 });
+        hold(holdMilliseconds);
+        await sleep(500);
+        callers.postMessage({ tell: true, delay: 0 });
+        const [states] = await once(callers, "message") as [Array<{ received: string; closed: boolean }>];
+        const statuses = states.slice(0, connections).map(({ received }) =>
+            received.split("HTTP/1.1 ").slice(1).map(answer => Number(answer.slice(0, 3)))
+        );
+        t.deepEqual(statuses, Array.from({ length: connections }, () => [200, status]));
+    });
+}
