Refuse requests that cross the end of an idle connection

What callers saw: a request that was sent while the host's end of an idle connection was still on its way ended without an answer, a POST could not be sent again, and on a link whose bytes wait for longer than lossSlack (200 ms) this counts as LOST.

Cause: an idle connection was ended without a word. The host reads such a request behind its own end and drops it; nothing tells the caller that it was not read.

Change: an idle connection that has had a request is ended with a 408, at a planned stop and at the end of the idle time. It answers a request that crosses the end, promises that it has not run, and is what RFC 9110 (15.5.9) has for it. Callers without a request ignore it with the close.

Evidence: test/links/crossings.test.ts, a link that delays what the host sends by 400 ms, two ends with GET and POST.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -106,6 +106,11 @@
     /** Time after which a caller that takes no bytes of its answers is given up; 0 for none. */
     idleMilliseconds: () => number;
     sendQueues: SendQueues;
+    /**
+     * Returns the bytes with which the host ends an idle connection: the refusal of a request that crosses the end, which the
+     * caller would see as lost otherwise.
+     */
+    formatIdleEnd: () => string;
     /** Called once when a connection, or the caller's half of it, has ended while answers were due on it. */
     onEnd: (end: ConnectionEnd) => void;
 };
@@ -133,7 +138,7 @@
 
 const openConnection = (
     socket: Socket,
-    { clock, idleMilliseconds, sendQueues, onEnd }: CallerConnectionsOptions,
+    { clock, idleMilliseconds, sendQueues, formatIdleEnd, onEnd }: CallerConnectionsOptions,
 ): CallerConnection => {
     const dueAnswers = new Set<DueAnswer>();
     let phase: Phase = "open";
@@ -179,7 +184,17 @@
             end(refusal);
         }
         else if (endsWhenIdle && hasBegun && isIdle()) {
-            end("");
+            end(formatIdleEnd());
+        }
+    };
+
+    /** Ends the connection after a time without bytes. */
+    const endUnused = (): void => {
+        if (hasBegun && isIdle() && socket.writable) {
+            end(formatIdleEnd());
+        }
+        else {
+            destroy("caller-stalled");
         }
     };
 
@@ -315,7 +330,7 @@
                     socket.setTimeout(idleMilliseconds());
                 }
                 else if (socket.bytesRead === bytesRead) {
-                    destroy("caller-stalled");
+                    endUnused();
                 }
             });
         },
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -109,6 +109,7 @@
         clock,
         idleMilliseconds: () => server.keepAliveTimeout,
         sendQueues: createSendQueues(clock),
+        formatIdleEnd: () => formatBytes({ kind: "refusal", reason: "read-timed-out", detail: "" }),
         onEnd: end => options.onConnectionEnd?.(end),
     });
     const { writeRefusal, writeAnswer, formatBytes } = createAnswerWriter({ protocol, keepsAlive: () => keepsAlive });
--- /dev/null
+++ b/test/links/crossings.test.ts
@@ -0,0 +1,103 @@
+/**
+ * Requests that cross the end of an idle connection, on a link that delays what the host sends. They are refused, so that
+ * callers may send them again, whatever their method.
+ */
+import test from "ava";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { settingsSchema } from "../../src/contracts/settings.ts";
+import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
+import { type CallerLink, type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
+import { systemClock } from "../../src/links/clock.ts";
+
+const delayMilliseconds = 400;
+const body = "an answer";
+
+const openLink = async (served: string[]): Promise<CallerLink> => {
+    const settings = settingsSchema.parse({
+        host: { name: "host-a", zone: "zone-1" },
+        platform: { url: "http://127.0.0.1:1" },
+        callers: { port: 0 },
+    }).callers;
+    return createCallerLink<CallerRequest>({
+        bindAddress: "127.0.0.1",
+        settings,
+        protocol: createCallerProtocol(settings),
+        clock: systemClock,
+        serve: request => {
+            served.push(request.path);
+            return Promise.resolve({
+                kind: "answer",
+                statusCode: 200,
+                headers: { "content-length": String(body.length) },
+                body: Buffer.from(body),
+            });
+        },
+        onDone: () => undefined,
+        onMalformed: () => undefined,
+        healthy: () => true,
+    });
+};
+
+/** Passes bytes on at once to the host, and after a delay to the caller. */
+const openSlowLink = async (hostPort: number) => {
+    const sockets: Socket[] = [];
+    const server = createServer(caller => {
+        const host = connect(hostPort, "127.0.0.1");
+        sockets.push(caller, host);
+        sockets.forEach(socket => socket.on("error", () => undefined));
+        caller.pipe(host);
+        host.on("data", bytes => void setTimeout(() => caller.write(bytes), delayMilliseconds));
+        host.on("close", () => void setTimeout(() => caller.end(), delayMilliseconds));
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const close = (): void => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    };
+    return { port: (server.address() as AddressInfo).port, close };
+};
+
+const requests = {
+    GET: "GET /orders/b HTTP/1.1\r\nhost: x\r\n\r\n",
+    POST: "POST /orders/b HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc",
+};
+
+const ends: Record<string, (link: CallerLink) => Promise<unknown>> = {
+    "a planned stop": link => link.stopAccepting(),
+    // Node closes a connection one second after the time that it announces.
+    "the end of the idle time": () => sleep(1_300 - delayMilliseconds),
+};
+
+for (const [end, act] of Object.entries(ends)) {
+    for (const [method, request] of Object.entries(requests)) {
+        test(`a request that crosses the end of an idle connection is refused as not run: ${end}, ${method}`, async t => {
+            const served: string[] = [];
+            const link = await openLink(served);
+            t.teardown(link.close);
+            link.setTimeouts(end === "a planned stop" ? 10_000 : 200, 10_000);
+            const slow = await openSlowLink(Number(link.address.split(":")[1]));
+            t.teardown(slow.close);
+            const socket = connect(slow.port, "127.0.0.1").on("error", () => undefined);
+            t.teardown(() => socket.destroy());
+            let received = "";
+            socket.on("data", part => {
+                received += String(part);
+            });
+            socket.write(requests.GET);
+            while (!received.endsWith(body)) {
+                await sleep(5);
+            }
+            await act(link);
+            await sleep(delayMilliseconds / 4);
+            socket.write(request);
+            await once(socket, "close");
+            const answers = received.split("HTTP/1.1 ").slice(1);
+            t.deepEqual(answers.map(answer => answer.slice(0, 3)), ["200", "408"]);
+            t.regex(answers[1], /connection: close\r\n/);
+            t.is(served.length, 1);
+        });
+    }
+}
