Take only 200 to 599 for the status of an answer

What callers saw: a target in trouble that answered with a status of 600 to 999 had it passed on, signature and all, with any method; without a length, they waited for the end of the connection. A status of 000 to 099, 100 or 101 ended as 502, never as the status, but as `connection-lost`, which counts as a crash of the target: after three, the path was refused as `quarantined`, though no target had crashed. The same statuses passed as a sign of life of a target (600 and above), were read to the end of a connection that was kept for the next grant, and taught the era that their header named to the client of the store.

Cause: HTTP parsers accept any three digits, and each reader of answers decided by itself, if at all, which of them are an answer. Whatever was below 200 counted as interim; what undici's assertions then threw looked like a broken connection.

Now `links/answerstatus.ts` says which statuses are an answer (200 to 599) and which announce one (1xx other than 101), for exchanges of both kinds of hosts, checks of health, grants and releases, and the store. All else is malformed: it ends at once, its connection is not used again, and it is no sign of a crash. undici refuses a 100 that was not asked for, so that it can not be skipped there; it counts as malformed too, while calls for grants, by Node's client, skip it. The older hosts told a malformed answer by the parser's errors only; they ask the exchange now, and so also know an overflow of interim answers, which was `connection-lost`.

Evidence (statuses 000, 001, 010, 099, 100, 101, 102, 103, 110, 199, 200, 204, 299, 304, 404, 599, 600, 601, 700, 999, and twelve lines without three digits; GET, POST, HEAD; a length, the length 0, chunks, none). Lines without three digits were malformed before.

test/contracts/reasons.test.ts goes over "malformed or not" in place of the two names of errors, as the function is asked now: the same 30 cases.

--- a/src/decisions/failurereasons.ts
+++ b/src/decisions/failurereasons.ts
@@ -21,9 +21,10 @@
      * How far the exchange had come. Only `unsent` is certain; in the other stages the target may have run the request.
      */
     stage: "unsent" | "sent" | "answering";
-    /** Code and name of the HTTP client's error. */
+    /** Code of the HTTP client's error. */
     code: string | undefined;
-    name: string;
+    /** Whether what the target sent is no answer. */
+    isMalformed: boolean;
     /** Set when the host itself aborted the exchange. */
     stopped: StopCause | undefined;
 };
@@ -31,9 +32,6 @@
 /** Codes with which the HTTP client rejects a request as invalid. */
 const invalidCodes = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 
-const isParserError = (name: string, code: string | undefined): boolean =>
-    name === "HTTPParserError" || code === "UND_ERR_HEADERS_OVERFLOW";
-
 const unsentReasons: Record<StopCause, Reason> = {
     [stopCauses.deadline]: "deadline-unreachable",
     [stopCauses.hangUp]: "cancelled",
@@ -49,7 +47,7 @@
 };
 
 /** Returns the reason of a failed exchange. No byte of an unsent request can have reached the target. */
-export const reasonOfFailure = ({ stage, code, name, stopped }: ExchangeFailure): Reason => {
+export const reasonOfFailure = ({ stage, code, isMalformed, stopped }: ExchangeFailure): Reason => {
     if (stage === "unsent") {
         if (stopped !== undefined) {
             return unsentReasons[stopped];
@@ -59,7 +57,7 @@
     if (stopped !== undefined) {
         return sentReasons[stopped];
     }
-    if (isParserError(name, code)) {
+    if (isMalformed) {
         return "answer-malformed";
     }
     return stage === "answering" ? "answer-cut-short" : "connection-lost";
--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Client, type Dispatcher } from "undici";
 import { messageOf } from "../contracts/errors.ts";
+import { isAnswerStatus, isInterimStatus } from "./answerstatus.ts";
 import { createConnectionPool } from "./connectionpool.ts";
 import { createResetDetectingConnector } from "./resets.ts";
 import type { TargetConnections } from "./targetconnections.ts";
@@ -54,10 +55,21 @@
 /** Error code of an exchange whose target sent more interim answers than that. */
 const interimOverflowCode = "TARGET_INTERIM_OVERFLOW";
 
+/** Error code of an exchange whose target sent a status that is neither an answer's nor an interim answer's. */
+const invalidStatusCode = "TARGET_INVALID_STATUS";
+
+const malformedCodes = ["UND_ERR_HEADERS_OVERFLOW", interimOverflowCode, invalidStatusCode];
+/** Messages of undici's socket errors for a 100 or 101 that the request did not ask for; their code is that of any close. */
+const unaskedStatusMessages = ["bad response", "bad upgrade"];
+
 /** Whether the error says that the bytes of the target are no answer, rather than that its connection broke. */
-export const isMalformedAnswer = (error: Error): boolean =>
-    error.name === "HTTPParserError"
-    || ["UND_ERR_HEADERS_OVERFLOW", interimOverflowCode].includes((error as NodeJS.ErrnoException).code ?? "");
+export const isMalformedAnswer = (error: Error): boolean => {
+    const { code = "" } = error as NodeJS.ErrnoException;
+    return error.name === "HTTPParserError" || malformedCodes.includes(code)
+        || (code === "UND_ERR_SOCKET" && unaskedStatusMessages.includes(error.message));
+};
+
+const malformedAnswer = (code: string, message: string): Error => Object.assign(new Error(message), { code });
 
 /** Error of an exchange that was aborted, or was not allowed to start, as when `mayStart` returned false. */
 const abortedError = new Error("The exchange was aborted.");
@@ -120,19 +132,22 @@
             stage = sendStages.sent;
         },
         onResponseStart: (...[, statusCode, headers]) => {
-            if (!settled && statusCode >= 200) {
+            if (settled) {
+                return;
+            }
+            if (isAnswerStatus(statusCode)) {
                 stage = sendStages.answering;
                 receiver.onHead(statusCode, headers);
                 return;
             }
-            // Interim answers (1xx) are skipped. Without an end to them, they would take all of the processor.
+            if (!isInterimStatus(statusCode)) {
+                abort(malformedAnswer(invalidStatusCode, `The target answered with the status ${statusCode}.`));
+                return;
+            }
+            // Interim answers are skipped. Without an end to them, they would take all of the processor.
             interimAnswers += 1;
             if (interimAnswers > maxInterimAnswers) {
-                abort(
-                    Object.assign(new Error("The target sent too many interim answers."), {
-                        code: interimOverflowCode,
-                    }),
-                );
+                abort(malformedAnswer(interimOverflowCode, "The target sent too many interim answers."));
             }
         },
         onResponseData: (current, bytes) => {
--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -5,6 +5,7 @@
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import type { Socket } from "node:net";
 import { messageOf } from "../contracts/errors.ts";
+import { isAnswerStatus } from "./answerstatus.ts";
 import { systemClock } from "./clock.ts";
 
 export type JsonCall = {
@@ -96,6 +97,8 @@
                 outgoing.destroy();
                 finish({ answered: false, mayHaveArrived: connected, error });
             };
+            const abandonStatus = (statusCode: number): void =>
+                abandon(`the status ${statusCode} is that of no answer`);
             const cancelTimer = systemClock.after(
                 call.timeoutMilliseconds,
                 () => abandon(`no answer within ${call.timeoutMilliseconds} ms`),
@@ -117,15 +120,20 @@
                 });
             });
             outgoing.on("response", response => {
+                const { statusCode = 0 } = response;
+                if (!isAnswerStatus(statusCode)) {
+                    abandonStatus(statusCode);
+                    return;
+                }
                 response.resume();
                 if (response.headers.connection?.toLowerCase() === "close") {
                     closingWell.add(response.socket);
                 }
-                response.once("end", () =>
-                    finish({ answered: true, statusCode: response.statusCode ?? 0, headers: response.headers }));
-                response.once("error", error =>
-                    abandon(messageOf(error)));
+                response.once("end", () => finish({ answered: true, statusCode, headers: response.headers }));
+                response.once("error", error => abandon(messageOf(error)));
             });
+            // Without a listener, a change of protocol closes the connection and reports nothing.
+            outgoing.on("upgrade", ({ statusCode = 0 }) => abandonStatus(statusCode));
             outgoing.on("error", error => abandon(messageOf(error)));
             outgoing.end(body);
         });
--- a/src/machines/sender.ts
+++ b/src/machines/sender.ts
@@ -8,7 +8,7 @@
 import { targetAnswerHeaders, targetRequestHeaders } from "../contracts/targetprotocol.ts";
 import { reasonOfFailure, reasonOfRefusal, type StopCause, stopCauses } from "../decisions/failurereasons.ts";
 import type { AnswerStream, CallerAnswer, CallerRequest } from "../links/callers.ts";
-import { type SendStage, sendStages, type TargetExchange } from "../links/exchange.ts";
+import { isMalformedAnswer, type SendStage, sendStages, type TargetExchange } from "../links/exchange.ts";
 import { answerHeadersToPass, hasKnownEnd, requestHeadersToPass } from "../links/headers.ts";
 import { createBodyCollector } from "./bodycollector.ts";
 import { recordAnswer, recordClockReading, recordFailure, type TargetView } from "./target.ts";
@@ -188,7 +188,12 @@
         finishExchange();
         const written = stage !== sendStages.unsent;
         const { code } = error as { code?: string };
-        const reason = reasonOfFailure({ stage, code, name: error.name, stopped: stopCause });
+        const reason = reasonOfFailure({
+            stage,
+            code,
+            isMalformed: isMalformedAnswer(error),
+            stopped: stopCause,
+        });
         if (stopCause === stopCauses.deadline || reason === "connect-failed" || reason === "connection-lost") {
             recordFailure(view, clock.now());
         }
--- a/test/contracts/reasons.test.ts
+++ b/test/contracts/reasons.test.ts
@@ -27,8 +27,8 @@
 test("a request counts as not run only when it was not sent or the target refused it", t => {
     for (const stage of stages) {
         for (const stopped of [undefined, ...Object.values(stopCauses)]) {
-            for (const name of ["Error", "HTTPParserError"]) {
-                const reason = reasonOfFailure({ stage, code: "UND_ERR_SOCKET", name, stopped });
+            for (const isMalformed of [false, true]) {
+                const reason = reasonOfFailure({ stage, code: "UND_ERR_SOCKET", isMalformed, stopped });
                 t.is(reasons[reason].outcome, stage === "unsent" ? "not-run" : "unknown", `${stage} ${stopped}`);
             }
         }
--- a/test/machines/resident/lonehost.ts
+++ b/test/machines/resident/lonehost.ts
@@ -12,8 +12,9 @@
 import { createGateway } from "../../../src/machines/resident/gateway.ts";
 import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
 import { createRouteTableHolder } from "../../../src/machines/resident/routetableholder.ts";
+import type { Suspicions } from "../../../src/machines/resident/suspicions.ts";
 import { createTargetRegistry } from "../../../src/machines/resident/targetregistry.ts";
-import { createTargetStates } from "../../../src/machines/resident/targetstates.ts";
+import { createTargetStates, type TargetStates } from "../../../src/machines/resident/targetstates.ts";
 import { noLimits, noNotices } from "./nonotices.ts";
 import { noSuspicions } from "./nosuspicions.ts";
 
@@ -27,12 +28,22 @@
     /** Path of the targets' health check; none by default. */
     healthPath?: string;
     log?: Log;
+    /** Creates the suspicions of the host; it suspects no request by default. */
+    createSuspicions?: (targetStates: TargetStates) => Suspicions;
 };
 
 /** Starts a host without a store, whose only pool has these targets. */
 export const startHost = async (
-    { addresses, kind = "safe", timeoutMilliseconds, maxAttempts = 1, descriptors, healthPath, log = silentLog }:
-        HostOptions,
+    {
+        addresses,
+        kind = "safe",
+        timeoutMilliseconds,
+        maxAttempts = 1,
+        descriptors,
+        healthPath,
+        log = silentLog,
+        createSuspicions = () => noSuspicions,
+    }: HostOptions,
 ) => {
     const lifetime = new AbortController();
     const common = { clock: systemClock, log: silentLog, signal: lifetime.signal };
@@ -73,7 +84,7 @@
         addresses.length,
     );
     const gateway = createGateway({
-        suspicions: noSuspicions,
+        suspicions: createSuspicions(views),
         notices: noNotices,
         limits: noLimits,
         routeTable: tables,
--- a/test/machines/sender.test.ts
+++ b/test/machines/sender.test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
 import { type CallerRequest } from "../../src/links/callers.ts";
 import type { AnswerStream } from "../../src/links/callers.ts";
+import { systemClock } from "../../src/links/clock.ts";
 import type { Attempt } from "../../src/machines/sender.ts";
+import { framings, malformedStatuses, unaskedStatus } from "../answerstatuses.ts";
 import { headOf, openExchange, type RawAnswer, requestOf, startRawTarget, wholeAnswer } from "../rawtarget.ts";
 
 const verdictOf = (attempt: Attempt): string => {
@@ -43,6 +45,11 @@
             socket.write(`HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n${headOf(id, "content-length: 2")}ok`),
         verdict: "200 ok",
     },
+    {
+        title: "interim answers without end",
+        answer: socket => socket.write("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100)),
+        verdict: "answer-malformed",
+    },
     {
         title: "the id of another request",
         answer: socket => socket.write(`${headOf("request-other", "content-length: 5")}wrong`),
@@ -111,6 +118,29 @@
     });
 }
 
+for (const status of [...malformedStatuses, unaskedStatus]) {
+    test(`answer: the status "${status}" is none, whatever the method and the framing`, async t => {
+        for (const method of ["GET", "POST", "HEAD"]) {
+            for (const { title, header, body } of framings) {
+                const answer: RawAnswer = (socket, id) =>
+                    socket.write(
+                        headOf(id).replace("200 OK", `${status} X`).replace(/\r\n$/, `${header}\r\n`)
+                            + (method === "HEAD" ? "" : body),
+                    );
+                const target = await startRawTarget([answer, wholeAnswer]);
+                const exchange = openExchange(target.address);
+                t.teardown(target.close);
+                t.teardown(exchange.close);
+                const attempt = await exchange.send(requestOf({ method, deadlineAt: systemClock.now() + 3_000 }));
+                t.is(verdictOf(attempt), "answer-malformed", `${method} ${title}`);
+                t.is(verdictOf(await exchange.send(requestOf())), "200 whole");
+                t.is(target.used(), 2, "the connection is not used again");
+                await exchange.close();
+            }
+        }
+    });
+}
+
 const nextCases: Array<{ title: string; first: RawAnswer; connections: number }> = [
     { title: "a whole answer leaves the connection open", first: wholeAnswer, connections: 1 },
     {
