Tell a follower the changes of loads that it missed

It so sends requests to busy targets, or leaves free ones unused. Behind a thin link bytes wait often.

Cause: the reader keeps one record of the totals that it has told. A follower with bytes queued was left out of a message, while the record went on for all.

Now the server of state keeps for each follower the changes that it was not sent, the last number of each target, and sends them in one message as soon as nothing waits, also when nothing else changes. All loads anew, as after joining, take their place. The other directions (to the reader, and between readers) recorded as sent only what they sent.

deflatedframes.test.ts and sharedloads.test.ts hand the server the changes, no longer a message around them; what they check is unchanged.

--- a/src/machines/resident/sharedloads.ts
+++ b/src/machines/resident/sharedloads.ts
@@ -38,7 +38,8 @@
     dial: PeerDialer;
     /** Sends to the reader that this host follows, if it follows one. */
     sendToReader: (message: LoadsMessage) => boolean;
-    sendToFollowers: (message: LoadsMessage) => void;
+    /** Tells followers what has changed. Also called without changes, for followers that could not be told before. */
+    sendToFollowers: (changes: LoadsMessage["loads"]) => void;
     clock: Clock;
     log: Log;
     metrics: Metrics;
@@ -141,11 +142,9 @@
         const sums = zoneSums();
         tellReaders(sums);
         zones.forEach(counts => add(sums, counts));
-        const loads = takeChanges(sums, totals);
+        const changes = takeChanges(sums, totals);
         areTotalsKnown = true;
-        if (loads.length > 0) {
-            options.sendToFollowers({ kind: "loads", whole: false, loads });
-        }
+        options.sendToFollowers(changes);
     };
 
     const shareAsFollower = (): void => {
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -46,8 +46,11 @@
     service: PeerService;
     /** Tells all followers now whether this host is current. */
     announce: () => void;
-    /** Sends loads to all followers. */
-    sendLoads: (message: LoadsMessage) => void;
+    /**
+     * Sends changes of loads to all followers, except those for which bytes wait. What these miss is sent with a later call,
+     * also one without changes.
+     */
+    sendLoads: (changes: LoadsMessage["loads"]) => void;
 };
 
 type Follower = {
@@ -65,6 +68,8 @@
     knowsEras: boolean;
     /** Monotonic time since which bytes have waited to be sent; undefined while none wait. */
     queuedSince: number | undefined;
+    /** Changes of loads that were not sent to it, by target. */
+    missedLoads: Map<string, number>;
 };
 
 /** A follower ignores a reader from which it heard nothing for about three times this. */
@@ -88,6 +93,9 @@
     return encodeFrame(deflated);
 };
 
+const encodeLoads = (changes: LoadsMessage["loads"], inflates: boolean): Buffer =>
+    encodeMessage({ kind: "loads", whole: false, loads: changes }, inflates);
+
 /** Creates the server. */
 export const createStateServer = (options: StateServerOptions): StateServer => {
     const { store, cache, kinds, patches, clock, log, metrics, signal } = options;
@@ -227,6 +235,11 @@
         follower.connection.send(message);
     };
 
+    const sendLoadsFrame = ({ connection }: Follower, frame: Buffer): void => {
+        connection.sendFrame(frame);
+        metrics.count("state-bytes-sent", { kind: "loads" }, frame.length);
+    };
+
     const dropIfStuck = (follower: Follower): void => {
         if (follower.connection.queuedBytes() === 0) {
             follower.queuedSince = undefined;
@@ -277,14 +290,21 @@
 
     return {
         announce,
-        sendLoads: message => {
+        sendLoads: changes => {
             const encoded = new Map<boolean, Buffer>();
-            for (const { connection, inflates } of followers) {
-                if (connection.queuedBytes() === 0) {
-                    const frame = encoded.get(inflates) ?? encodeMessage(message, inflates);
+            for (const follower of followers) {
+                const { connection, inflates, missedLoads } = follower;
+                if (connection.queuedBytes() > 0) {
+                    changes.forEach(([target, requests]) => missedLoads.set(target, requests));
+                }
+                else if (missedLoads.size > 0) {
+                    follower.missedLoads = new Map();
+                    sendLoadsFrame(follower, encodeLoads([...new Map([...missedLoads, ...changes])], inflates));
+                }
+                else if (changes.length > 0) {
+                    const frame = encoded.get(inflates) ?? encodeLoads(changes, inflates);
                     encoded.set(inflates, frame);
-                    connection.sendFrame(frame);
-                    metrics.count("state-bytes-sent", { kind: "loads" }, frame.length);
+                    sendLoadsFrame(follower, frame);
                 }
             }
         },
@@ -299,6 +319,7 @@
                 behindSince: undefined,
                 knowsEras: false,
                 queuedSince: undefined,
+                missedLoads: new Map(),
             };
             return {
                 onFrame: value => {
@@ -320,6 +341,7 @@
                     followers.add(follower);
                     metrics.gauge("state-followers", followers.size);
                     sendStatus(follower);
+                    follower.missedLoads.clear();
                     connection.sendFrame(encodeMessage(options.wholeLoads(), inflates));
                     return true;
                 },
--- a/src/machines/resident/statespread.ts
+++ b/src/machines/resident/statespread.ts
@@ -76,7 +76,7 @@
         otherReaders: () => otherReadersFor(processes.hosts()),
         dial,
         sendToReader: source.sendLoads,
-        sendToFollowers: message => server.sendLoads(message),
+        sendToFollowers: changes => server.sendLoads(changes),
         clock,
         log,
         metrics,
--- a/test/machines/resident/deflatedframes.test.ts
+++ b/test/machines/resident/deflatedframes.test.ts
@@ -63,7 +63,7 @@
             close: () => undefined,
         });
         t.true(listener.onFrame({ kind: "follow", host: "h2", positions: {}, ...follow }));
-        server.sendLoads({ kind: "loads", whole: false, loads });
+        server.sendLoads(loads);
         const kinds = sent.map(frame => readerFrameSchema.parse(decodeFrame(frame)).kind);
         t.deepEqual(kinds, [expected, "loads", expectedLoads]);
         t.deepEqual(loadsIn(sent[2]), loads);
--- a/test/machines/resident/sharedloads.test.ts
+++ b/test/machines/resident/sharedloads.test.ts
@@ -4,12 +4,15 @@
  */
 import test from "ava";
 import { createRandom, type Random } from "../../../bench/random.ts";
-import { loadsPath } from "../../../src/contracts/statemessages.ts";
+import { loadsPath, readerMessageSchema } from "../../../src/contracts/statemessages.ts";
 import { placeRequest } from "../../../src/decisions/placement.ts";
 import { createTargetLoad, type TargetLoad } from "../../../src/decisions/targetload.ts";
+import { decodeFrame, encodeFrame } from "../../../src/links/frames.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import { createSharedLoads, type SharedLoads } from "../../../src/machines/resident/sharedloads.ts";
+import { createStateCache } from "../../../src/machines/resident/statecache.ts";
+import { createStateServer } from "../../../src/machines/resident/stateserver.ts";
 import type { ReaderCandidate } from "../../../src/zones/readers.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
 import { createFakeNetwork } from "./fakenetwork.ts";
@@ -158,9 +161,9 @@
                     all.get(reader.name)?.receiveFollower(name, message);
                     return true;
                 },
-                sendToFollowers: message =>
+                sendToFollowers: loads =>
                     names.filter(other => other !== reader.name).forEach(other =>
-                        all.get(other)?.receiveTotals(message)
+                        all.get(other)?.receiveTotals({ kind: "loads", whole: false, loads })
                     ),
                 clock,
                 log: silentLog,
@@ -220,3 +223,88 @@
     all.get("z3-a")?.resetSource();
     t.is(seenBy(all, "t")["z3-a"], undefined);
 });
+
+/** A reader, which serves its followers, and a follower whose connection holds bytes back while `queuedBytes` is set. */
+const setUpFollower = () => {
+    const clock = createVirtualClock();
+    const { signal } = new AbortController();
+    const common = { clock, log: silentLog, metrics: createMetrics(), signal };
+    const sharedOptions = { otherReaders: () => [], dial: createFakeNetwork(clock).dialerOf("r"), ...common };
+    const reader = createSharedLoads({
+        ...sharedOptions,
+        isReader: () => true,
+        sendToReader: () => true,
+        sendToFollowers: changes => server.sendLoads(changes),
+    });
+    const cache = createStateCache();
+    const server = createStateServer({
+        store: { era: () => 0, learnEra: () => undefined },
+        cache,
+        kinds: [],
+        patches: {},
+        isCurrent: () => true,
+        ages: () => ({}),
+        onLoads: () => undefined,
+        wholeLoads: reader.wholeTotals,
+        ...common,
+    });
+    const follower = createSharedLoads({
+        ...sharedOptions,
+        isReader: () => false,
+        sendToReader: () => true,
+        sendToFollowers: () => undefined,
+    });
+    const link = { queuedBytes: 0, loadMessages: 0 };
+    const onFrame = (frame: Buffer): void => {
+        const parsed = readerMessageSchema.parse(decodeFrame(frame));
+        if (parsed.kind === "loads") {
+            link.loadMessages += 1;
+            follower.receiveTotals(parsed);
+        }
+    };
+    const { onFrame: serve } = server.service({
+        send: value => onFrame(encodeFrame(value)),
+        sendFrame: onFrame,
+        isOpen: () => true,
+        queuedBytes: () => link.queuedBytes,
+        close: () => undefined,
+    });
+    serve({ kind: "follow", host: "f", positions: {} });
+    return { clock, reader, follower, link };
+};
+
+type Change = [target: string, requests: number];
+const changesWhileQueued: Array<{ title: string; during: Change[]; after?: Change[]; seen: Record<string, number> }> = [
+    { title: "more requests", during: [["t", 50]], seen: { t: 50, u: 3 } },
+    { title: "no requests any more", during: [["t", 0]], seen: { t: 0, u: 3 } },
+    { title: "requests at another target", during: [["v", 7]], seen: { t: 5, u: 3, v: 7 } },
+    { title: "several changes", during: [["t", 50], ["v", 7], ["t", 20], ["u", 0]], seen: { t: 20, u: 0, v: 7 } },
+    { title: "a change and one that follows", during: [["t", 50]], after: [["u", 9]], seen: { t: 50, u: 9 } },
+    { title: "a change that the next one replaces", during: [["t", 50]], after: [["t", 1]], seen: { t: 1, u: 3 } },
+];
+
+for (const { title, during, after = [], seen } of changesWhileQueued) {
+    test(`loads that change while bytes wait for a follower are told once none wait: ${title}`, async t => {
+        const { clock, reader, follower, link } = setUpFollower();
+        reader.record("t", 5);
+        reader.record("u", 3);
+        await clock.advance(500);
+        t.is(follower.requestsOfOthers("t"), 5);
+        link.queuedBytes = 100_000;
+        const before = link.loadMessages;
+        for (const [target, requests] of during) {
+            reader.record(target, requests);
+            await clock.advance(200);
+        }
+        t.is(link.loadMessages, before, "nothing is added to what waits");
+        link.queuedBytes = 0;
+        after.forEach(([target, requests]) => reader.record(target, requests));
+        await clock.advance(200);
+        t.deepEqual(
+            Object.fromEntries(Object.keys(seen).map(target => [target, follower.requestsOfOthers(target)])),
+            seen,
+        );
+        await clock.advance(1_000);
+        t.is(link.loadMessages, before + 1, "they are told once");
+    });
+}
