Show that a move outlives the hosts that could release it

Callers see: when four of five hosts are lost just as slots move, the slots are served again only when hosts are back under their names, although their former owner answers again and the platform is reachable.

Three plays in virtual time, listed in KNOWN-RED.txt: unserved for 20 s of 20. Three more pass: no slot has two owners meanwhile, and once the lost hosts return the slots are served within 4 s.

A trial took such moves back when every host that may have renewed the new owner's grant since the move was written had acknowledged the newest revision. It did not help in these plays, since the hosts that were lost are such renewers, and it is not part of the code.

--- a/test/machines/ownership.test.ts
+++ b/test/machines/ownership.test.ts
@@ -248,6 +248,68 @@
     }
 }
 
+const movesCutShort: Array<{ title: string; begin: (fleet: FakeFleet, target: FakeTarget) => void }> = [
+    {
+        title: "that is silent for a while",
+        begin: (fleet, target) => {
+            target.freeze();
+            fleet.clock.after(awayMilliseconds, target.thaw);
+        },
+    },
+    {
+        title: "that crashes and returns",
+        begin: (fleet, target) => {
+            target.crash();
+            fleet.clock.after(awayMilliseconds, target.restart);
+        },
+    },
+    {
+        title: "that has too large a share",
+        begin: (fleet, target) => {
+            fleet.targets.filter(other => other !== target).forEach(other => {
+                other.target.speed = 4;
+            });
+            fleet.writePool(fleet.targets);
+        },
+    },
+];
+
+/** Kills all hosts but the coordinator as soon as a move has been written, and returns the names of the killed ones. */
+const cutMoveShort = async (fleet: FakeFleet, begin: (target: FakeTarget) => void): Promise<string[]> => {
+    begin(fleet.busiestTarget());
+    while (fleet.assignment().moves.length === 0) {
+        await fleet.clock.advance(1);
+    }
+    const lost = fleet.hosts.filter(host => host !== fleet.coordinator());
+    lost.forEach(host => host.kill());
+    return lost.map(host => host.name);
+};
+
+for (const { title, begin } of movesCutShort) {
+    // Nobody who is left knows whether the move was released, so that it is not taken back (KNOWN-RED.txt).
+    test.failing(`slots are not left unserved for good: four of five hosts are lost as slots leave a target ${title}`, async t => {
+        const fleet = await createFakeFleet(5, 2);
+        await cutMoveShort(fleet, target => begin(fleet, target));
+        const { unservedMilliseconds } = await fleet.observe(20_000);
+        fleet.hosts.forEach(host => host.kill());
+        t.true(unservedMilliseconds <= doubleLossLimit, `unserved for ${unservedMilliseconds} virtual ms`);
+    });
+
+    test(`slots that leave a target ${title} never have two owners, and are served when lost hosts return`, async t => {
+        const fleet = await createFakeFleet(5, 2);
+        const names = await cutMoveShort(fleet, target => begin(fleet, target));
+        const alone = await fleet.observe(5_000);
+        for (const [index, name] of names.entries()) {
+            await fleet.addHost(name, `zone-${index % 3}`);
+        }
+        const returning = await fleet.observe(doubleLossLimit);
+        const settled = await fleet.observe(1_000);
+        fleet.hosts.forEach(host => host.kill());
+        t.is(Math.max(alone.owners, returning.owners, settled.owners), 1);
+        t.true(settled.unservedMilliseconds <= moveLimit, `unserved for ${settled.unservedMilliseconds} virtual ms`);
+    });
+}
+
 const cutConnections = [
     { title: "from all targets", cutTargets: 4 },
     { title: "from one target", cutTargets: 1 },
