Show that lost targets keep their slots after hosts are replaced under other names

Callers see: when four of five hosts are replaced by hosts of other names at once, slots of a target that is lost later are never served again.

Resident hosts have no such wait: what a lost coordinator may have granted ends with its lease, which the store alone renews.

--- a/test/machines/ownership.test.ts
+++ b/test/machines/ownership.test.ts
@@ -310,6 +310,22 @@
     });
 }
 
+// Nothing shows that the lost hosts renew no grants any more (KNOWN-RED.txt).
+test.failing("slots are not left unserved for good: four of five hosts are replaced under other names, and then a target is lost", async t => {
+    const fleet = await createFakeFleet(5, 2);
+    const lost = fleet.hosts.filter(host => host !== fleet.coordinator());
+    lost.forEach(host => host.kill());
+    await fleet.clock.advance(5_000);
+    for (const [index, { name }] of lost.entries()) {
+        await fleet.addHost(`next-${name}`, `zone-${index % 3}`);
+    }
+    await fleet.clock.advance(10_000);
+    fleet.busiestTarget().crash();
+    const { unservedMilliseconds } = await fleet.observe(20_000);
+    fleet.hosts.forEach(host => host.kill());
+    t.true(unservedMilliseconds <= targetLossLimit, `unserved for ${unservedMilliseconds} virtual ms`);
+});
+
 const cutConnections = [
     { title: "from all targets", cutTargets: 4 },
     { title: "from one target", cutTargets: 1 },
--- a/test/machines/resident/takeovers.test.ts
+++ b/test/machines/resident/takeovers.test.ts
@@ -182,6 +182,25 @@
     });
 }
 
+test("keys do not wait for lost hosts: one of five is left, and a silent target's keys have another owner in 17 s", async t => {
+    const { coordinator, hosts, world, targets } = await setUp(new Array<number>(5).fill(1));
+    const silent = targets.get(unreachableTarget);
+    const key = targets.sampledKeys.find(silent.holds);
+    t.not(key, undefined);
+    const [left, ...others] = hosts.filter(host => host !== coordinator);
+    [coordinator, ...others].forEach(host => host.kill());
+    left.state.cutFrom.add(unreachableTarget);
+    let passed = 0;
+    while (passed <= 17_000 && !["a", "c"].some(name => targets.get(name).holds(key ?? 0))) {
+        await world.advance(stepMilliseconds);
+        passed += stepMilliseconds;
+    }
+    t.log(passed);
+    t.true(passed <= 17_000, `${passed} ms`);
+    t.deepEqual(targets.violations, []);
+    left.kill();
+});
+
 /** Guards against lines that leave an operator without the reason of a change. */
 test("a resignation that is read before its answer comes is told as one", async t => {
     const { world, shared, coordinator, lines, hosts } = await setUp();
