--- a/test/machines/ownership.test.ts
+++ b/test/machines/ownership.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { createFakeFleet, type FakeFleet, type FakeHost, poolName } from "./fakes/fleet.ts";
+import type { FakeTarget } from "./fakes/target.ts";
 
 type Scenario = {
     title: string;
@@ -207,6 +208,124 @@
     fleet.hosts.forEach(host => host.kill());
 });
 
+const awayMilliseconds = 600;
+
+const returningTargets: Array<
+    { title: string; lose: (target: FakeTarget) => void; back: (target: FakeTarget) => void }
+> = [
+    { title: "freezes and thaws", lose: target => target.freeze(), back: target => target.thaw() },
+    { title: "crashes and returns", lose: target => target.crash(), back: target => target.restart() },
+];
+
+for (const { title, lose, back } of returningTargets) {
+    for (const outage of [false, true]) {
+        const when = outage ? "since an outage of the platform" : "with the platform reachable";
+        test(`slots are not left unserved for good: a target ${title} while one of five hosts is left, ${when}`, async t => {
+            const fleet = await createFakeFleet(5, 2);
+            const left = fleet.coordinator();
+            fleet.platform.setUnreachable(outage);
+            await fleet.clock.advance(3_000);
+            fleet.hosts.filter(host => host !== left).forEach(host => host.kill());
+            await fleet.clock.advance(2_000);
+            fleet.platform.setUnreachable(false);
+            await fleet.clock.advance(4_000);
+            const target = fleet.busiestTarget();
+            lose(target);
+            fleet.clock.after(awayMilliseconds - 100, () => {
+                const waiting = left.ownership.report().pools[poolName].waiting.join();
+                t.regex(waiting, new RegExp(`^Slots can not move away from ${target.target.name}:`));
+            });
+            fleet.clock.after(awayMilliseconds, () => back(target));
+            const { unservedMilliseconds, owners } = await fleet.observe(20_000);
+            t.is(owners, 1);
+            t.true(
+                unservedMilliseconds <= awayMilliseconds + targetLossLimit,
+                `unserved for ${unservedMilliseconds} virtual ms`,
+            );
+            t.deepEqual(left.ownership.report().pools[poolName].waiting, []);
+            left.kill();
+        });
+    }
+}
+
+const movesCutShort: Array<{ title: string; begin: (fleet: FakeFleet, target: FakeTarget) => void }> = [
+    {
+        title: "that is silent for a while",
+        begin: (fleet, target) => {
+            target.freeze();
+            fleet.clock.after(awayMilliseconds, target.thaw);
+        },
+    },
+    {
+        title: "that crashes and returns",
+        begin: (fleet, target) => {
+            target.crash();
+            fleet.clock.after(awayMilliseconds, target.restart);
+        },
+    },
+    {
+        title: "that has too large a share",
+        begin: (fleet, target) => {
+            fleet.targets.filter(other => other !== target).forEach(other => {
+                other.target.speed = 4;
+            });
+            fleet.writePool(fleet.targets);
+        },
+    },
+];
+
+/** Kills all hosts but the coordinator as soon as a move has been written, and returns the names of the killed ones. */
+const cutMoveShort = async (fleet: FakeFleet, begin: (target: FakeTarget) => void): Promise<string[]> => {
+    begin(fleet.busiestTarget());
+    while (fleet.assignment().moves.length === 0) {
+        await fleet.clock.advance(1);
+    }
+    const lost = fleet.hosts.filter(host => host !== fleet.coordinator());
+    lost.forEach(host => host.kill());
+    return lost.map(host => host.name);
+};
+
+for (const { title, begin } of movesCutShort) {
+    // Nobody who is left knows whether the move was released, so that it is not taken back (KNOWN-RED.txt).
+    test.failing(`slots are not left unserved for good: four of five hosts are lost as slots leave a target ${title}`, async t => {
+        const fleet = await createFakeFleet(5, 2);
+        await cutMoveShort(fleet, target => begin(fleet, target));
+        const { unservedMilliseconds } = await fleet.observe(20_000);
+        fleet.hosts.forEach(host => host.kill());
+        t.true(unservedMilliseconds <= doubleLossLimit, `unserved for ${unservedMilliseconds} virtual ms`);
+    });
+
+    test(`slots that leave a target ${title} never have two owners, and are served when lost hosts return`, async t => {
+        const fleet = await createFakeFleet(5, 2);
+        const names = await cutMoveShort(fleet, target => begin(fleet, target));
+        const alone = await fleet.observe(5_000);
+        for (const [index, name] of names.entries()) {
+            await fleet.addHost(name, `zone-${index % 3}`);
+        }
+        const returning = await fleet.observe(doubleLossLimit);
+        const settled = await fleet.observe(1_000);
+        fleet.hosts.forEach(host => host.kill());
+        t.is(Math.max(alone.owners, returning.owners, settled.owners), 1);
+        t.true(settled.unservedMilliseconds <= moveLimit, `unserved for ${settled.unservedMilliseconds} virtual ms`);
+    });
+}
+
+// Nothing shows that the lost hosts renew no grants any more (KNOWN-RED.txt).
+test.failing("slots are not left unserved for good: four of five hosts are replaced under other names, and then a target is lost", async t => {
+    const fleet = await createFakeFleet(5, 2);
+    const lost = fleet.hosts.filter(host => host !== fleet.coordinator());
+    lost.forEach(host => host.kill());
+    await fleet.clock.advance(5_000);
+    for (const [index, { name }] of lost.entries()) {
+        await fleet.addHost(`next-${name}`, `zone-${index % 3}`);
+    }
+    await fleet.clock.advance(10_000);
+    fleet.busiestTarget().crash();
+    const { unservedMilliseconds } = await fleet.observe(20_000);
+    fleet.hosts.forEach(host => host.kill());
+    t.true(unservedMilliseconds <= targetLossLimit, `unserved for ${unservedMilliseconds} virtual ms`);
+});
+
 const cutConnections = [
     { title: "from all targets", cutTargets: 4 },
     { title: "from one target", cutTargets: 1 },
