Tell with a connection's end what may have caused it

What was missing: the line `caller-connection-ended` told the reason and the answers that were due. It could not tell a late event loop from a request that crossed the host's own end, nor a planned stop from a reload or a change of the table, and requests that were dropped behind an announced end left no line at all.

It is also written for ends that leave no answer due but a dropped or unfinished request. `table-in-force` tells the idle and head time-outs.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -36,8 +36,22 @@
 
 export type ConnectionEndReason = keyof typeof connectionEnds;
 
-/** The end of a connection on which `due` answers had not been written whole; `requestIds` names the first few. */
-export type ConnectionEnd = { reason: ConnectionEndReason; due: number; requestIds: string[] };
+type Phase = "open" | "closing" | "refused" | "ended";
+
+/** The end of a connection that left a request unanswered, dropped or unfinished. */
+export type ConnectionEnd = {
+    reason: ConnectionEndReason;
+    phase: Phase;
+    /** Number of answers that had not been written whole; `requestIds` names the first few. */
+    due: number;
+    requestIds: string[];
+    /** Number of requests that arrived after the host had begun to end the connection. */
+    dropped: number;
+    /** Bytes of a request whose head had not arrived whole when the host closed the connection. */
+    unfinishedBytes: number;
+    /** Bytes that the system held unread shortly before the end; undefined when the system does not tell. */
+    unreadBytes: number | undefined;
+};
 
 /**
  * An answer that is due. The id is set when it has been read, `breakBody` when the reading of the request's body has
@@ -99,6 +113,8 @@
     /** Returns the connections on which a part of a request has arrived and no answer is due. */
     unfinished: () => CallerConnection[];
     destroyAll: (reason: ConnectionEndReason) => void;
+    /** Notes what is unread on the connections on which answers are due. Takes a limited time. */
+    measureUnread: () => Promise<void>;
 };
 
 export type CallerConnectionsOptions = {
@@ -106,7 +122,10 @@
     /** Time after which a caller that takes no bytes of its answers is given up; 0 for none. */
     idleMilliseconds: () => number;
     sendQueues: SendQueues;
-    /** Called once when a connection, or the caller's half of it, has ended while answers were due on it. */
+    /**
+     * Called once when a connection, or the caller's half of it, has ended while answers were due on it, and when a
+     * connection has ended on which the host dropped requests or left one unfinished.
+     */
     onEnd: (end: ConnectionEnd) => void;
 };
 
@@ -119,8 +138,6 @@
 const unwrittenBytes = (socket: Socket): number | undefined =>
     (socket as { _handle?: { writeQueueSize?: number } | null })._handle?.writeQueueSize;
 
-type Phase = "open" | "closing" | "refused" | "ended";
-
 const maxIdsTold = 5;
 /** Bytes that are read and dropped before each pause. The close of a caller's connection is noticed behind them. */
 const maxDroppedBytes = 16_384;
@@ -130,11 +147,13 @@
  * the caller may lose the answers that were written last.
  */
 const lingerMilliseconds = 1_000;
+/** Limit on the time for which a close waits to be told what is unread. */
+const measureMilliseconds = 30;
 
 const openConnection = (
     socket: Socket,
     { clock, idleMilliseconds, sendQueues, onEnd }: CallerConnectionsOptions,
-): CallerConnection => {
+): CallerConnection & { measureUnread: () => Promise<void> } => {
     const dueAnswers = new Set<DueAnswer>();
     let phase: Phase = "open";
     let refusal: string | undefined;
@@ -146,6 +165,8 @@
     let namedEnd: ConnectionEndReason | undefined;
     let failed = false;
     let wasEndTold = false;
+    let dropped = 0;
+    let unreadBytes: number | undefined;
     let cancelLinger = (): void => undefined;
     let cancelPause: (() => void) | undefined;
     let cancelLook: (() => void) | undefined;
@@ -164,10 +185,15 @@
         phase = next;
         socket.setTimeout(idleMilliseconds());
     };
+    const measureUnread = async (): Promise<void> => {
+        if (dueAnswers.size > 0 || dropped > 0) {
+            unreadBytes = await sendQueues.unread(socket);
+        }
+    };
     const end = (lastBytes: string): void => {
         leave("ended");
         socket.end(lastBytes, () => {
-            cancelLinger = clock.after(lingerMilliseconds, () => socket.destroy());
+            cancelLinger = clock.after(lingerMilliseconds, () => void measureUnread().finally(() => socket.destroy()));
         });
     };
     const isIdle = (): boolean => phase === "open" && dueAnswers.size === 0 && socket.bytesRead === requestBytes;
@@ -193,6 +219,7 @@
         const seen = [socket.bytesWritten, socket.writableLength, unwrittenBytes(socket), unacknowledged].join();
         const count = seen === lastSeen ? unchanged + 1 : 0;
         if (count === looksPerIdleTime * (unacknowledged === undefined ? unknownFactor : 1)) {
+            await measureUnread();
             destroy("caller-stalled");
             return;
         }
@@ -212,27 +239,38 @@
         failed = true;
     });
     const tellEnd = (reason: ConnectionEndReason): void => {
-        if (dueAnswers.size > 0 && !wasEndTold) {
-            wasEndTold = true;
-            const requestIds = [...dueAnswers].flatMap(({ requestId }) => requestId ?? []).slice(0, maxIdsTold);
-            onEnd({ reason, due: dueAnswers.size, requestIds });
+        const due = dueAnswers.size;
+        const isOfCaller = reason === "caller-closed" || reason === "caller-reset";
+        const isUnfinished = phase === "open" && due === 0 && !isOfCaller;
+        const unfinishedBytes = isUnfinished ? socket.bytesRead - requestBytes : 0;
+        if (wasEndTold || (due === 0 && dropped === 0 && unfinishedBytes === 0)) {
+            return;
         }
+        wasEndTold = true;
+        const requestIds = [...dueAnswers].flatMap(({ requestId }) => requestId ?? []).slice(0, maxIdsTold);
+        onEnd({ reason, phase, due, requestIds, dropped, unfinishedBytes, unreadBytes });
     };
+    /** Who ended its half first, once one of them has. */
+    let firstEnd: ConnectionEndReason | undefined;
     socket.once("end", () => {
         // A caller also closes its half when the host has ended the connection.
-        tellEnd(phase === "ended" ? namedEnd ?? "host-closed" : "caller-closed");
+        firstEnd = phase === "ended" ? namedEnd ?? "host-closed" : "caller-closed";
+        if (dueAnswers.size > 0) {
+            tellEnd(firstEnd);
+        }
         dueAnswers.forEach(({ onCallerEnd }) => onCallerEnd?.());
     });
     socket.once("close", () => {
         cancelLinger();
         cancelPause?.();
         cancelLook?.();
-        tellEnd(namedEnd ?? (failed ? "caller-reset" : "host-closed"));
+        tellEnd(namedEnd ?? firstEnd ?? (failed ? "caller-reset" : "host-closed"));
     });
 
     const connection: CallerConnection = {
         begin: response => {
             if (phase !== "open") {
+                dropped += 1;
                 return undefined;
             }
             const answer: DueAnswer = {
@@ -322,12 +360,12 @@
         nameEnd,
         destroy,
     };
-    return connection;
+    return Object.assign(connection, { measureUnread });
 };
 
 /** Creates the set of a link's connections, which is empty at first. */
 export const createCallerConnections = (options: CallerConnectionsOptions): CallerConnections => {
-    const connections = new Map<Socket, CallerConnection>();
+    const connections = new Map<Socket, ReturnType<typeof openConnection>>();
     return {
         of: socket => {
             const connection = connections.get(socket) ?? openConnection(socket, options);
@@ -343,5 +381,9 @@
                 connection.isOpen() && connection.due() === 0 && !connection.isIdle()
             ),
         destroyAll: reason => connections.forEach(connection => connection.destroy(reason)),
+        measureUnread: async () => {
+            const measured = Promise.all([...connections.values()].map(connection => connection.measureUnread()));
+            await Promise.race([measured, options.clock.sleep(measureMilliseconds)]);
+        },
     };
 };
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -49,7 +49,7 @@
      * were due on their connection.
      */
     onMalformed: (reason: Reason, due: number) => void;
-    /** Called when a connection has ended while answers were due on it. */
+    /** Called when a connection has ended that left a request unanswered, dropped or unfinished. */
     onConnectionEnd?: (end: ConnectionEnd) => void;
     /**
      * Called when serving a request threw an exception. The request is answered as `host-failed`, or its connection is
@@ -320,6 +320,7 @@
             const closed = new Promise<void>(resolve => {
                 server.close(() => resolve());
             });
+            await connections.measureUnread();
             await waitForNextReads();
             // Requests that were read only now are refused within further turns.
             await waitForNextReads();
--- a/src/machines/loadshedding.ts
+++ b/src/machines/loadshedding.ts
@@ -21,7 +21,7 @@
     signal: AbortSignal;
 };
 
-const sampleIntervalMilliseconds = 50;
+export const sampleIntervalMilliseconds = 50;
 
 /** Sleeps for a regular interval until the signal aborts, and reports by how much each sleep took longer. */
 export const sampleLateness = async ({ onSample, clock, signal }: SampleLatenessOptions): Promise<void> => {
--- a/src/machines/resident/callerlog.ts
+++ b/src/machines/resident/callerlog.ts
@@ -15,13 +15,30 @@
     onException: (error: unknown, requestId: string | undefined) => void;
 };
 
+/** Changes that operators have made, for lines on what they may have caused. */
+export type PlannedWork = {
+    isStopping: boolean;
+    /** Monotonic times of the last reload of the settings and of the last change of the route table. */
+    reloadedAt: number | undefined;
+    tableChangedAt: number | undefined;
+};
+
+export type CallerLogOptions = {
+    log: Log;
+    metrics: Metrics;
+    clock: Clock;
+    /** By how much the event loop was late in the last second or two, in milliseconds. */
+    lateness: () => number;
+    plannedWork: () => PlannedWork;
+};
+
 /** Limit on the lines of each kind; those left out are counted in the next one. */
 const linesPerSecond = 20;
 
 /** Creates the functions. */
-export const createCallerLog = (
-    { log, metrics, clock }: { log: Log; metrics: Metrics; clock: Clock },
-): CallerLog => {
+export const createCallerLog = ({ log, metrics, clock, lateness, plannedWork }: CallerLogOptions): CallerLog => {
+    const millisecondsSince = (time: number | undefined): number | undefined =>
+        time === undefined ? undefined : Math.round(clock.now() - time);
     const createLine = (event: string): (fields: LogFields) => void => {
         const limit = createLogRateLimit(linesPerSecond);
         return fields => {
@@ -39,10 +56,27 @@
             metrics.count("requests", { outcome: "not-run", reason });
             logRefusedBytes({ reason, due });
         },
-        onConnectionEnd: ({ reason, due, requestIds }) => {
+        onConnectionEnd: ({ reason, phase, due, requestIds, dropped, unfinishedBytes, unreadBytes }) => {
             const endedBy = connectionEnds[reason];
-            metrics.count("answers-lost", { reason, by: endedBy }, due);
-            logConnectionEnd({ reason, by: endedBy, due, request: requestIds[0], requests: requestIds.join(",") });
+            if (due > 0) {
+                metrics.count("answers-lost", { reason, by: endedBy }, due);
+            }
+            const { isStopping, reloadedAt, tableChangedAt } = plannedWork();
+            logConnectionEnd({
+                reason,
+                by: endedBy,
+                phase,
+                due,
+                dropped,
+                unfinishedBytes,
+                unreadBytes,
+                lateMilliseconds: Math.round(lateness()),
+                isStopping,
+                sinceReloadMilliseconds: millisecondsSince(reloadedAt),
+                sinceTableMilliseconds: millisecondsSince(tableChangedAt),
+                request: requestIds[0],
+                requests: requestIds.join(","),
+            });
         },
         onException: (error, requestId) =>
             log.error("request-exception", {
--- a/src/machines/resident/eventloopmonitor.ts
+++ b/src/machines/resident/eventloopmonitor.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
-import { sampleLateness } from "../loadshedding.ts";
+import { sampleIntervalMilliseconds, sampleLateness } from "../loadshedding.ts";
 import { keepRunning } from "../longtasks.ts";
 
 /** Tasks that can block the event loop on a small machine. */
@@ -14,6 +14,8 @@
 export type EventLoopMonitor = {
     /** Runs a task and records the time that it took. */
     measure: <Result>(task: HostTask, run: () => Result) => Result;
+    /** By how much the event loop was late at most in the last second or two, or is late now, in milliseconds. */
+    lateness: () => number;
 };
 
 export type EventLoopMonitorOptions = {
@@ -37,6 +39,8 @@
     let reportedAt = clock.now();
     let processorAtReport = processorMilliseconds();
     let longestDelay = 0;
+    let longestDelayBefore = 0;
+    let turnedAt = clock.now();
 
     const report = (now: number): void => {
         const passed = now - reportedAt;
@@ -53,6 +57,7 @@
 
     const onTurn = (delay: number): void => {
         const now = clock.now();
+        turnedAt = now;
         longestDelay = Math.max(longestDelay, delay);
         metrics.timing("lateness", delay);
         if (now - reportedAt < reportMilliseconds) {
@@ -65,6 +70,7 @@
             processorAtReport = processorMilliseconds();
         }
         taskTimes = {};
+        longestDelayBefore = longestDelay;
         longestDelay = 0;
         reportedAt = now;
     };
@@ -80,5 +86,6 @@
                 taskTimes[task] = (taskTimes[task] ?? 0) + clock.now() - startedAt;
             }
         },
+        lateness: () => Math.max(longestDelay, longestDelayBefore, clock.now() - turnedAt - sampleIntervalMilliseconds),
     };
 };
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -19,7 +19,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import { createPeerDialer } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
-import { createCallerLog } from "./callerlog.ts";
+import { createCallerLog, type PlannedWork } from "./callerlog.ts";
 import { storeKinds } from "./coordination.ts";
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
 import { createFleetFacts } from "./fleetfacts.ts";
@@ -58,6 +58,8 @@
     metrics: Metrics;
     /** Returns all metrics as text. */
     metricsText: () => string;
+    /** Returns the monotonic time of the last reload of the settings; undefined before the first. */
+    reloadedAt: () => number | undefined;
     /** Ends the wait for addresses that can not be opened yet, when it aborts while the host starts. */
     startSignal: AbortSignal;
 };
@@ -113,6 +115,8 @@
     setMaxListeners(0, signal);
     const processName = `${settings.host.name}/${randomUUID().slice(0, 8)}`;
     let stopping = false;
+    let tableChangedAt: number | undefined;
+    const plannedWork = (): PlannedWork => ({ isStopping: stopping, reloadedAt: options.reloadedAt(), tableChangedAt });
 
     log.info("host-starting", {
         process: processName,
@@ -124,7 +128,7 @@
     reportEra({ store, log, metrics });
 
     const { processorMilliseconds } = options;
-    const { measure } = createEventLoopMonitor({ processorMilliseconds, clock, log, metrics, signal });
+    const { measure, lateness } = createEventLoopMonitor({ processorMilliseconds, clock, log, metrics, signal });
     monitorHeap({ readHeap, clock, log, metrics, signal });
 
     const peerOptions = { descriptors, log, metrics, signal };
@@ -249,6 +253,7 @@
     const controllers = createPoolControllers(createController, log);
 
     const applyTable = (table: RouteTable): void => {
+        tableChangedAt = clock.now();
         targetStates.applyLimits();
         const { idleTimeoutMilliseconds, headTimeoutMilliseconds } = table.limits;
         callers.setTimeouts(idleTimeoutMilliseconds, headTimeoutMilliseconds);
@@ -316,7 +321,7 @@
                     });
                 }
             },
-            ...createCallerLog({ log, metrics, clock }),
+            ...createCallerLog({ log, metrics, clock, lateness, plannedWork }),
             healthy: () => true,
         });
 
--- a/src/machines/resident/routetableholder.ts
+++ b/src/machines/resident/routetableholder.ts
@@ -49,6 +49,8 @@
                 before: version,
                 revision,
                 routes: table.routes.length,
+                idleMilliseconds: table.limits.idleTimeoutMilliseconds,
+                headMilliseconds: table.limits.headTimeoutMilliseconds,
             });
             listeners.forEach(listener => listener(table));
         },
--- a/test/links/callerends.test.ts
+++ b/test/links/callerends.test.ts
@@ -1,7 +1,8 @@
 /**
- * What the link to callers tells of connections that end while answers are due: who ended them, and how many answers.
+ * What the link to callers tells of connections that end while answers are due, or that leave a request dropped or
+ * unfinished: who ended them, and how many requests.
  */
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { settingsSchema } from "../../src/contracts/settings.ts";
@@ -15,8 +16,49 @@
     answer?: CallerAnswer;
     act: (socket: Socket, link: CallerLink) => unknown;
     reason: ConnectionEndReason;
+    phase?: ConnectionEnd["phase"];
 };
 
+/** What the system held unread at the end depends on the system and the moment. */
+const withoutUnread = (ends: ConnectionEnd[]) => ends.map(end => ({ ...end, unreadBytes: undefined }));
+
+const openLink = async (t: ExecutionContext, answer?: CallerAnswer) => {
+    const settings = settingsSchema.parse({
+        host: { name: "host-a", zone: "zone-1" },
+        platform: { url: "http://127.0.0.1:1" },
+        callers: { port: 0 },
+    }).callers;
+    const ends: ConnectionEnd[] = [];
+    const ids: string[] = [];
+    const link = await createCallerLink({
+        bindAddress: "127.0.0.1",
+        settings,
+        protocol: createCallerProtocol(settings),
+        clock: systemClock,
+        serve: async ({ id }) => {
+            ids.push(id);
+            return answer ?? sleep(2_000, { kind: "answer", statusCode: 200, headers: {}, body: undefined });
+        },
+        onDone: () => undefined,
+        onMalformed: () => undefined,
+        onConnectionEnd: end => ends.push(end),
+        healthy: () => true,
+    });
+    t.teardown(link.close);
+    const [host, port] = link.address.split(":");
+    const socket = connect(Number(port), host).on("error", () => undefined);
+    t.teardown(() => socket.destroy());
+    const waitForEnd = async (): Promise<void> => {
+        const endAt = performance.now() + 2_000;
+        while (ends.length === 0 && performance.now() < endAt) {
+            await sleep(5);
+        }
+    };
+    return { link, socket, ends, ids, waitForEnd };
+};
+
+const get = "GET /orders/a HTTP/1.1\r\nhost: x\r\n\r\n";
+
 const streamCutBy = (cut: StreamCut): CallerAnswer => ({
     kind: "answer",
     statusCode: 200,
@@ -41,41 +83,85 @@
     ] as const).map(([title, reason]) => ({ title, answer: streamCutBy(reason), act: () => undefined, reason })),
 ];
 
-for (const { title, answer, act, reason } of cases) {
+for (const { title, answer, act, reason, phase = "open" } of cases) {
     test(`the end of a connection with an answer due names ${title}`, async t => {
-        const settings = settingsSchema.parse({
-            host: { name: "host-a", zone: "zone-1" },
-            platform: { url: "http://127.0.0.1:1" },
-            callers: { port: 0 },
-        }).callers;
-        const ends: ConnectionEnd[] = [];
-        const ids: string[] = [];
-        const link = await createCallerLink({
-            bindAddress: "127.0.0.1",
-            settings,
-            protocol: createCallerProtocol(settings),
-            clock: systemClock,
-            serve: async ({ id }) => {
-                ids.push(id);
-                return answer ?? sleep(2_000, { kind: "answer", statusCode: 200, headers: {}, body: undefined });
-            },
-            onDone: () => undefined,
-            onMalformed: () => undefined,
-            onConnectionEnd: end => ends.push(end),
-            healthy: () => true,
-        });
-        t.teardown(link.close);
-        const [host, port] = link.address.split(":");
-        const socket = connect(Number(port), host).on("error", () => undefined).resume();
-        socket.write("GET /orders/a HTTP/1.1\r\nhost: x\r\n\r\n");
+        const { link, socket, ends, ids, waitForEnd } = await openLink(t, answer);
+        socket.resume().write(get);
         while (ids.length === 0) {
             await sleep(5);
         }
         act(socket, link);
-        const endAt = performance.now() + 1_000;
-        while (ends.length === 0 && performance.now() < endAt) {
-            await sleep(5);
-        }
-        t.deepEqual(ends, [{ reason, due: 1, requestIds: ids }]);
+        await waitForEnd();
+        t.deepEqual(withoutUnread(ends), [{
+            reason,
+            phase,
+            due: 1,
+            requestIds: ids,
+            dropped: 0,
+            unfinishedBytes: 0,
+            unreadBytes: undefined,
+        }]);
     });
 }
+
+test("a request that arrives behind the announced end of its connection is told as dropped", async t => {
+    const { link, socket, ends, ids, waitForEnd } = await openLink(t, {
+        kind: "answer",
+        statusCode: 200,
+        headers: { "content-length": "9" },
+        body: {
+            start: ({ onBytes, onEnd }) => {
+                onBytes(Buffer.from("part"));
+                setTimeout(() => {
+                    onBytes(Buffer.from(" two."));
+                    onEnd();
+                }, 300);
+            },
+            resume: () => undefined,
+            abort: () => undefined,
+        },
+    });
+    link.disableKeepAlive();
+    let received = "";
+    socket.on("data", part => {
+        received += String(part);
+    });
+    socket.write(get);
+    while (received === "") {
+        await sleep(5);
+    }
+    socket.write(get + get);
+    await waitForEnd();
+    t.true(received.endsWith("part two."));
+    t.is(ids.length, 1);
+    t.deepEqual(withoutUnread(ends), [
+        {
+            reason: "host-closed",
+            phase: "ended",
+            due: 0,
+            requestIds: [],
+            dropped: 2,
+            unfinishedBytes: 0,
+            unreadBytes: undefined,
+        },
+    ]);
+});
+
+test("a head whose rest does not come within the idle time is told as unfinished", async t => {
+    const { link, socket, ends, waitForEnd } = await openLink(t);
+    link.setTimeouts(100, 60_000);
+    const part = "GET /orders/a";
+    socket.resume().write(part);
+    await waitForEnd();
+    t.deepEqual(withoutUnread(ends), [
+        {
+            reason: "caller-stalled",
+            phase: "open",
+            due: 0,
+            requestIds: [],
+            dropped: 0,
+            unfinishedBytes: part.length,
+            unreadBytes: undefined,
+        },
+    ]);
+});
