Keep a ledger of callers' requests and how each ends

What was missing: `requests` counts what the router ended and `answers-lost` what connections took along, so that no sum told whether a request that arrived had any end at all. Requests that were dropped behind the host's own end of a connection were counted nowhere.

Change: each request that begins ends once, as answered, refused, caller-gone, cut or dropped, with the reason: `request-begins`, `request-ends{end,reason}` and `requests-in-flight`. A caller that ends its half within a head counts as gone also when its refusal fails to be written; it was told as `host-closed` before.

--- a/src/links/answerwriter.ts
+++ b/src/links/answerwriter.ts
@@ -71,6 +71,7 @@
 export const createAnswerWriter = ({ protocol, keepsAlive }: AnswerWriterOptions): AnswerWriter => ({
     writeRefusal: (due, refusal, unread) => {
         const { response, requestId, connection } = due;
+        due.refusedFor = refusal.reason;
         const { statusCode, headers, body } = protocol.formatRefusal(refusal, requestId);
         headers["content-length"] = Buffer.byteLength(body);
         // When another request has begun behind this one, this one was read in spite of the refusal.
--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -12,6 +12,7 @@
 import type { Reason } from "../contracts/outcome.ts";
 import type { BodyBreaker } from "./callerbody.ts";
 import { afterNextReads } from "./nextreads.ts";
+import { type RecordRequestEnd, requestEnds, type RequestLedger } from "./requestledger.ts";
 import type { SendQueues } from "./sendqueues.ts";
 
 /** Why a connection ended while answers were due on it, and who ended it. */
@@ -61,6 +62,8 @@
     connection: CallerConnection;
     response: ServerResponse;
     requestId: string | undefined;
+    /** Set when a refusal is written as the answer. */
+    refusedFor: Reason | undefined;
     breakBody: BodyBreaker | undefined;
     onCallerEnd: (() => void) | undefined;
 };
@@ -68,9 +71,9 @@
 export type CallerConnection = {
     /**
      * Records that a request has begun, so that its answer is due until it is written whole. Returns undefined when the
-     * connection takes no more requests; the request must be dropped.
+     * connection takes no more requests; the request must be dropped. The ledger leaves out health checks.
      */
-    begin: (response: ServerResponse) => DueAnswer | undefined;
+    begin: (response: ServerResponse, isHealthCheck?: boolean) => DueAnswer | undefined;
     /** Number of answers that are due. */
     due: () => number;
     /** Whether the connection may end after the answer: neither another answer nor a refusal is due behind it. */
@@ -83,8 +86,8 @@
     isOpen: () => boolean;
     /** Number of bytes that were read up to the end of the latest request that has arrived. */
     requestBytes: () => number;
-    /** Ends the connection with these bytes, after the answers that are due. */
-    refuse: (bytes: string) => void;
+    /** Ends the connection with the bytes of a refusal, after the answers that are due. */
+    refuse: (bytes: string, reason: Reason) => void;
     /** Notes that bytes arrived which are dropped, on the socket or as the body of a request. */
     drop: (incoming?: IncomingMessage) => void;
     /** Ends the reading of a body that can not be completed. Returns false when all requests have arrived whole. */
@@ -122,6 +125,7 @@
     /** Time after which a caller that takes no bytes of its answers is given up; 0 for none. */
     idleMilliseconds: () => number;
     sendQueues: SendQueues;
+    ledger: RequestLedger;
     /**
      * Called once when a connection, or the caller's half of it, has ended while answers were due on it, and when a
      * connection has ended on which the host dropped requests or left one unfinished.
@@ -152,11 +156,13 @@
 
 const openConnection = (
     socket: Socket,
-    { clock, idleMilliseconds, sendQueues, onEnd }: CallerConnectionsOptions,
+    { clock, idleMilliseconds, sendQueues, ledger, onEnd }: CallerConnectionsOptions,
 ): CallerConnection & { measureUnread: () => Promise<void> } => {
     const dueAnswers = new Set<DueAnswer>();
     let phase: Phase = "open";
-    let refusal: string | undefined;
+    let refusal: { bytes: string; reason: Reason; recordEnd: RecordRequestEnd } | undefined;
+    /** Record the ends of requests that have begun. */
+    const recordEnds = new Set<RecordRequestEnd>();
     let endsWhenIdle = false;
     let hasBegun = false;
     /** Bytes that were read up to the end of the latest request, and up to the last one that was taken. */
@@ -190,11 +196,27 @@
             unreadBytes = await sendQueues.unread(socket);
         }
     };
-    const end = (lastBytes: string): void => {
+    const beginRequest = (): RecordRequestEnd => {
+        const recordInLedger = ledger.begin();
+        const recordEnd: RecordRequestEnd = (...request) => {
+            recordEnds.delete(recordEnd);
+            recordInLedger(...request);
+        };
+        recordEnds.add(recordEnd);
+        return recordEnd;
+    };
+    const end = (lastBytes: string, onWritten = (): void => undefined): void => {
         leave("ended");
         socket.end(lastBytes, () => {
+            if (!socket.destroyed) {
+                onWritten();
+            }
             cancelLinger = clock.after(lingerMilliseconds, () => void measureUnread().finally(() => socket.destroy()));
         });
+        // The close of all connections may come before Node tells that the system has taken the bytes.
+        if (unwrittenBytes(socket) === 0) {
+            onWritten();
+        }
     };
     const isIdle = (): boolean => phase === "open" && dueAnswers.size === 0 && socket.bytesRead === requestBytes;
     const endIfNothingIsDue = (): void => {
@@ -202,7 +224,8 @@
             return;
         }
         if (refusal !== undefined) {
-            end(refusal);
+            const { bytes, reason, recordEnd } = refusal;
+            end(bytes, () => recordEnd(requestEnds.refused, reason));
         }
         else if (endsWhenIdle && hasBegun && isIdle()) {
             end("");
@@ -252,10 +275,13 @@
     };
     /** Who ended its half first, once one of them has. */
     let firstEnd: ConnectionEndReason | undefined;
-    socket.once("end", () => {
+    // Ahead of Node's listener, which has a head that has come in part refused.
+    socket.prependOnceListener("end", () => {
         // A caller also closes its half when the host has ended the connection.
         firstEnd = phase === "ended" ? namedEnd ?? "host-closed" : "caller-closed";
-        if (dueAnswers.size > 0) {
+    });
+    socket.once("end", () => {
+        if (firstEnd !== undefined && dueAnswers.size > 0) {
             tellEnd(firstEnd);
         }
         dueAnswers.forEach(({ onCallerEnd }) => onCallerEnd?.());
@@ -264,19 +290,30 @@
         cancelLinger();
         cancelPause?.();
         cancelLook?.();
-        tellEnd(namedEnd ?? firstEnd ?? (failed ? "caller-reset" : "host-closed"));
+        const reason = namedEnd ?? firstEnd ?? (failed ? "caller-reset" : "host-closed");
+        tellEnd(reason);
+        if (phase === "open" && dueAnswers.size === 0 && socket.bytesRead > requestBytes) {
+            beginRequest();
+        }
+        const requestEnd = connectionEnds[reason] === "caller" ? requestEnds.callerGone : requestEnds.cut;
+        recordEnds.forEach(recordEnd => recordEnd(requestEnd, reason));
     });
 
     const connection: CallerConnection = {
-        begin: response => {
+        begin: (response, isHealthCheck = false) => {
             if (phase !== "open") {
-                dropped += 1;
+                if (!isHealthCheck) {
+                    dropped += 1;
+                    ledger.begin()(requestEnds.dropped, phase);
+                }
                 return undefined;
             }
+            const recordEnd = isHealthCheck ? undefined : beginRequest();
             const answer: DueAnswer = {
                 connection,
                 response,
                 requestId: undefined,
+                refusedFor: undefined,
                 breakBody: undefined,
                 onCallerEnd: undefined,
             };
@@ -290,6 +327,8 @@
                 // Node also emits this for an answer of which a part was dropped with the connection.
                 if (!socket.destroyed) {
                     dueAnswers.delete(answer);
+                    const { refusedFor } = answer;
+                    recordEnd?.(refusedFor === undefined ? requestEnds.answered : requestEnds.refused, refusedFor);
                     endIfNothingIsDue();
                     watchTaking();
                 }
@@ -308,9 +347,9 @@
         hasBegun: () => hasBegun,
         isOpen: () => phase === "open",
         requestBytes: () => requestBytes,
-        refuse: bytes => {
+        refuse: (bytes, reason) => {
             if (phase === "open") {
-                refusal = bytes;
+                refusal = { bytes, reason, recordEnd: beginRequest() };
                 leave("refused");
                 endIfNothingIsDue();
             }
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -17,6 +17,7 @@
     type DueAnswer,
 } from "./callerconnections.ts";
 import { afterNextReads, waitForNextReads } from "./nextreads.ts";
+import { createRequestLedger, type RequestLedger } from "./requestledger.ts";
 import { createSendQueues } from "./sendqueues.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
@@ -56,6 +57,8 @@
      * closed if an answer has begun. `requestId` is undefined while the request was not read yet.
      */
     onException?: (error: unknown, requestId: string | undefined) => void;
+    /** Counts the requests and their ends; by default, nothing does. */
+    ledger?: RequestLedger;
     /** Whether the load balancer may send requests to this host; answers the health check. */
     healthy: () => boolean;
 };
@@ -109,6 +112,7 @@
         clock,
         idleMilliseconds: () => server.keepAliveTimeout,
         sendQueues: createSendQueues(clock),
+        ledger: options.ledger ?? createRequestLedger(),
         onEnd: end => options.onConnectionEnd?.(end),
     });
     const { writeRefusal, writeAnswer, formatBytes } = createAnswerWriter({ protocol, keepsAlive: () => keepsAlive });
@@ -212,12 +216,13 @@
         },
         (incoming, response) => {
             const connection = connections.of(incoming.socket);
-            const due = connection.begin(response);
+            const isHealthCheck = protocol.isHealthCheck(incoming);
+            const due = connection.begin(response, isHealthCheck);
             if (due === undefined) {
                 dropRequest(connection, incoming);
                 return;
             }
-            if (protocol.isHealthCheck(incoming)) {
+            if (isHealthCheck) {
                 response.writeHead(options.healthy() ? 200 : 503).end();
                 return;
             }
@@ -243,7 +248,7 @@
         const detail = "The bytes received are not an acceptable HTTP request.";
         options.onMalformed(reason, connection.due());
         if (!connection.breakBody(reason, detail)) {
-            connection.refuse(formatBytes({ kind: "refusal", reason, detail }));
+            connection.refuse(formatBytes({ kind: "refusal", reason, detail }), reason);
         }
     };
     const refuseUnfinished = (reason: Reason): void =>
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -18,6 +18,7 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { createPeerDialer } from "../../links/peers.ts";
+import { createRequestLedger } from "../../links/requestledger.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
 import { createCallerLog, type PlannedWork } from "./callerlog.ts";
 import { storeKinds } from "./coordination.ts";
@@ -322,6 +323,7 @@
                 }
             },
             ...createCallerLog({ log, metrics, clock, lateness, plannedWork }),
+            ledger: createRequestLedger(metrics),
             healthy: () => true,
         });
 
