Pass on no request that is read while all connections are closed

What callers saw: a request that arrived just when a stopping host closed all connections was passed on, and its connection was closed at once without an answer. The router refuses only those whose time may go beyond the end of the grace.

Cause: the close waits for what has arrived to be read, and served what it read like any other request.

Change: from the start of the close the link itself refuses what it reads, as `host-stopping`: not run.

Evidence: test/links/requestledger.test.ts, "a request that arrives when all connections are about to close": before, it was served and cut (host-stopped); now it gets 503.

A write that fails at once no longer counts as a refusal that was handed to the system.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -214,7 +214,7 @@
             cancelLinger = clock.after(lingerMilliseconds, () => void measureUnread().finally(() => socket.destroy()));
         });
         // The close of all connections may come before Node tells that the system has taken the bytes.
-        if (unwrittenBytes(socket) === 0) {
+        if (unwrittenBytes(socket) === 0 && !socket.errored) {
             onWritten();
         }
     };
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -77,7 +77,7 @@
      * are closed.
      */
     stopAccepting: () => Promise<void>;
-    /** Closes the server and all connections, once what has arrived is read. */
+    /** Closes the server and all connections, once what has arrived is read and refused. */
     close: () => Promise<void>;
 };
 
@@ -108,6 +108,7 @@
     const { settings, clock, protocol } = options;
     let inFlight = 0;
     let keepsAlive = true;
+    let isClosing = false;
     const connections = createCallerConnections({
         clock,
         idleMilliseconds: () => server.keepAliveTimeout,
@@ -132,8 +133,8 @@
     const answerCaller = async (request: Request, incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
         // A host whose event loop runs late receives requests whose callers have already hung up.
         await waitForNextReads();
-        if (hasHungUp(incoming)) {
-            const reason: Reason = "cancelled";
+        if (isClosing || hasHungUp(incoming)) {
+            const reason: Reason = hasHungUp(incoming) ? "cancelled" : "host-stopping";
             writeRefusal(due, { kind: "refusal", reason, detail: reasons[reason].title }, false);
             options.onDone(request, reasons[reason].outcome, reason);
             return;
@@ -321,6 +322,9 @@
             connections.endIdle();
         },
         close: async () => {
+            // What is read from now on could not be answered before its connection is closed.
+            isClosing = true;
+            keepsAlive = false;
             cancelHeadLimit();
             const closed = new Promise<void>(resolve => {
                 server.close(() => resolve());
--- a/test/links/requestledger.test.ts
+++ b/test/links/requestledger.test.ts
@@ -345,6 +345,17 @@
         statuses: [200, 503],
         ends: { "answered none": 1, "refused host-stopping": 1 },
     },
+    {
+        title: "a request that arrives when all connections are about to close",
+        bytes: get("a"),
+        served: 1,
+        act: ({ link, socket }) => {
+            socket.write(get("long"));
+            void link.close();
+        },
+        statuses: [200, 503],
+        ends: { "answered none": 1, "refused host-stopping": 1 },
+    },
     {
         title: "a planned stop while requests run",
         bytes: get("running") + get("half"),
