--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -12,6 +12,7 @@
 import type { Reason } from "../contracts/outcome.ts";
 import type { BodyBreaker } from "./callerbody.ts";
 import { afterNextReads } from "./nextreads.ts";
+import { type RecordRequestEnd, requestEnds, type RequestLedger } from "./requestledger.ts";
 import type { SendQueues } from "./sendqueues.ts";
 
 /** Why a connection ended while answers were due on it, and who ended it. */
@@ -36,8 +37,22 @@
 
 export type ConnectionEndReason = keyof typeof connectionEnds;
 
-/** The end of a connection on which `due` answers had not been written whole; `requestIds` names the first few. */
-export type ConnectionEnd = { reason: ConnectionEndReason; due: number; requestIds: string[] };
+type Phase = "open" | "closing" | "refused" | "ended";
+
+/** The end of a connection that left a request unanswered, dropped or unfinished. */
+export type ConnectionEnd = {
+    reason: ConnectionEndReason;
+    phase: Phase;
+    /** Number of answers that had not been written whole; `requestIds` names the first few. */
+    due: number;
+    requestIds: string[];
+    /** Number of requests that arrived after the host had begun to end the connection. */
+    dropped: number;
+    /** Bytes of a request whose head had not arrived whole when the host closed the connection. */
+    unfinishedBytes: number;
+    /** Bytes that the system held unread shortly before the end; undefined when the system does not tell. */
+    unreadBytes: number | undefined;
+};
 
 /**
  * An answer that is due. The id is set when it has been read, `breakBody` when the reading of the request's body has
@@ -47,6 +62,8 @@
     connection: CallerConnection;
     response: ServerResponse;
     requestId: string | undefined;
+    /** Set when a refusal is written as the answer. */
+    refusedFor: Reason | undefined;
     breakBody: BodyBreaker | undefined;
     onCallerEnd: (() => void) | undefined;
 };
@@ -54,9 +71,9 @@
 export type CallerConnection = {
     /**
      * Records that a request has begun, so that its answer is due until it is written whole. Returns undefined when the
-     * connection takes no more requests; the request must be dropped.
+     * connection takes no more requests; the request must be dropped. The ledger leaves out health checks.
      */
-    begin: (response: ServerResponse) => DueAnswer | undefined;
+    begin: (response: ServerResponse, isHealthCheck?: boolean) => DueAnswer | undefined;
     /** Number of answers that are due. */
     due: () => number;
     /** Whether the connection may end after the answer: neither another answer nor a refusal is due behind it. */
@@ -69,8 +86,8 @@
     isOpen: () => boolean;
     /** Number of bytes that were read up to the end of the latest request that has arrived. */
     requestBytes: () => number;
-    /** Ends the connection with these bytes, after the answers that are due. */
-    refuse: (bytes: string) => void;
+    /** Ends the connection with the bytes of a refusal, after the answers that are due. */
+    refuse: (bytes: string, reason: Reason) => void;
     /** Notes that bytes arrived which are dropped, on the socket or as the body of a request. */
     drop: (incoming?: IncomingMessage) => void;
     /** Ends the reading of a body that can not be completed. Returns false when all requests have arrived whole. */
@@ -99,6 +116,8 @@
     /** Returns the connections on which a part of a request has arrived and no answer is due. */
     unfinished: () => CallerConnection[];
     destroyAll: (reason: ConnectionEndReason) => void;
+    /** Notes what is unread on the connections on which answers are due. Takes a limited time. */
+    measureUnread: () => Promise<void>;
 };
 
 export type CallerConnectionsOptions = {
@@ -111,7 +130,11 @@
      * caller would see as lost otherwise.
      */
     formatIdleEnd: () => string;
-    /** Called once when a connection, or the caller's half of it, has ended while answers were due on it. */
+    ledger: RequestLedger;
+    /**
+     * Called once when a connection, or the caller's half of it, has ended while answers were due on it, and when a
+     * connection has ended on which the host dropped requests or left one unfinished.
+     */
     onEnd: (end: ConnectionEnd) => void;
 };
 
@@ -124,8 +147,6 @@
 const unwrittenBytes = (socket: Socket): number | undefined =>
     (socket as { _handle?: { writeQueueSize?: number } | null })._handle?.writeQueueSize;
 
-type Phase = "open" | "closing" | "refused" | "ended";
-
 const maxIdsTold = 5;
 /** Bytes that are read and dropped before each pause. The close of a caller's connection is noticed behind them. */
 const maxDroppedBytes = 16_384;
@@ -135,14 +156,18 @@
  * the caller may lose the answers that were written last.
  */
 const lingerMilliseconds = 1_000;
+/** Limit on the time for which a close waits to be told what is unread. */
+const measureMilliseconds = 30;
 
 const openConnection = (
     socket: Socket,
-    { clock, idleMilliseconds, sendQueues, formatIdleEnd, onEnd }: CallerConnectionsOptions,
-): CallerConnection => {
+    { clock, idleMilliseconds, sendQueues, formatIdleEnd, ledger, onEnd }: CallerConnectionsOptions,
+): CallerConnection & { measureUnread: () => Promise<void> } => {
     const dueAnswers = new Set<DueAnswer>();
     let phase: Phase = "open";
-    let refusal: string | undefined;
+    let refusal: { bytes: string; reason: Reason; recordEnd: RecordRequestEnd } | undefined;
+    /** Record the ends of requests that have begun. */
+    const recordEnds = new Set<RecordRequestEnd>();
     let endsWhenIdle = false;
     let hasBegun = false;
     /** Bytes that were read up to the end of the latest request, and up to the last one that was taken. */
@@ -151,6 +176,8 @@
     let namedEnd: ConnectionEndReason | undefined;
     let failed = false;
     let wasEndTold = false;
+    let dropped = 0;
+    let unreadBytes: number | undefined;
     let cancelLinger = (): void => undefined;
     let cancelPause: (() => void) | undefined;
     let cancelLook: (() => void) | undefined;
@@ -169,11 +196,32 @@
         phase = next;
         socket.setTimeout(idleMilliseconds());
     };
-    const end = (lastBytes: string): void => {
+    const measureUnread = async (): Promise<void> => {
+        if (dueAnswers.size > 0 || dropped > 0) {
+            unreadBytes = await sendQueues.unread(socket);
+        }
+    };
+    const beginRequest = (): RecordRequestEnd => {
+        const recordInLedger = ledger.begin();
+        const recordEnd: RecordRequestEnd = (...request) => {
+            recordEnds.delete(recordEnd);
+            recordInLedger(...request);
+        };
+        recordEnds.add(recordEnd);
+        return recordEnd;
+    };
+    const end = (lastBytes: string, onWritten = (): void => undefined): void => {
         leave("ended");
         socket.end(lastBytes, () => {
-            cancelLinger = clock.after(lingerMilliseconds, () => socket.destroy());
+            if (!socket.destroyed) {
+                onWritten();
+            }
+            cancelLinger = clock.after(lingerMilliseconds, () => void measureUnread().finally(() => socket.destroy()));
         });
+        // The close of all connections may come before Node tells that the system has taken the bytes.
+        if (unwrittenBytes(socket) === 0 && !socket.errored) {
+            onWritten();
+        }
     };
     const isIdle = (): boolean => phase === "open" && dueAnswers.size === 0 && socket.bytesRead === requestBytes;
     const endIfNothingIsDue = (): void => {
@@ -181,7 +229,8 @@
             return;
         }
         if (refusal !== undefined) {
-            end(refusal);
+            const { bytes, reason, recordEnd } = refusal;
+            end(bytes, () => recordEnd(requestEnds.refused, reason));
         }
         else if (endsWhenIdle && hasBegun && isIdle()) {
             end(formatIdleEnd());
@@ -208,6 +257,7 @@
         const seen = [socket.bytesWritten, socket.writableLength, unwrittenBytes(socket), unacknowledged].join();
         const count = seen === lastSeen ? unchanged + 1 : 0;
         if (count === looksPerIdleTime * (unacknowledged === undefined ? unknownFactor : 1)) {
+            await measureUnread();
             destroy("caller-stalled");
             return;
         }
@@ -227,33 +277,58 @@
         failed = true;
     });
     const tellEnd = (reason: ConnectionEndReason): void => {
-        if (dueAnswers.size > 0 && !wasEndTold) {
-            wasEndTold = true;
-            const requestIds = [...dueAnswers].flatMap(({ requestId }) => requestId ?? []).slice(0, maxIdsTold);
-            onEnd({ reason, due: dueAnswers.size, requestIds });
+        const due = dueAnswers.size;
+        const isOfCaller = reason === "caller-closed" || reason === "caller-reset";
+        const isUnfinished = phase === "open" && due === 0 && !isOfCaller;
+        const unfinishedBytes = isUnfinished ? socket.bytesRead - requestBytes : 0;
+        if (wasEndTold || (due === 0 && dropped === 0 && unfinishedBytes === 0)) {
+            return;
         }
+        wasEndTold = true;
+        const requestIds = [...dueAnswers].flatMap(({ requestId }) => requestId ?? []).slice(0, maxIdsTold);
+        onEnd({ reason, phase, due, requestIds, dropped, unfinishedBytes, unreadBytes });
     };
-    socket.once("end", () => {
+    /** Who ended its half first, once one of them has. */
+    let firstEnd: ConnectionEndReason | undefined;
+    // Ahead of Node's listener, which has a head that has come in part refused.
+    socket.prependOnceListener("end", () => {
         // A caller also closes its half when the host has ended the connection.
-        tellEnd(phase === "ended" ? namedEnd ?? "host-closed" : "caller-closed");
+        firstEnd = phase === "ended" ? namedEnd ?? "host-closed" : "caller-closed";
+    });
+    socket.once("end", () => {
+        if (firstEnd !== undefined && dueAnswers.size > 0) {
+            tellEnd(firstEnd);
+        }
         dueAnswers.forEach(({ onCallerEnd }) => onCallerEnd?.());
     });
     socket.once("close", () => {
         cancelLinger();
         cancelPause?.();
         cancelLook?.();
-        tellEnd(namedEnd ?? (failed ? "caller-reset" : "host-closed"));
+        const reason = namedEnd ?? firstEnd ?? (failed ? "caller-reset" : "host-closed");
+        tellEnd(reason);
+        if (phase === "open" && dueAnswers.size === 0 && socket.bytesRead > requestBytes) {
+            beginRequest();
+        }
+        const requestEnd = connectionEnds[reason] === "caller" ? requestEnds.callerGone : requestEnds.cut;
+        recordEnds.forEach(recordEnd => recordEnd(requestEnd, reason));
     });
 
     const connection: CallerConnection = {
-        begin: response => {
+        begin: (response, isHealthCheck = false) => {
             if (phase !== "open") {
+                if (!isHealthCheck) {
+                    dropped += 1;
+                    ledger.begin()(requestEnds.dropped, phase);
+                }
                 return undefined;
             }
+            const recordEnd = isHealthCheck ? undefined : beginRequest();
             const answer: DueAnswer = {
                 connection,
                 response,
                 requestId: undefined,
+                refusedFor: undefined,
                 breakBody: undefined,
                 onCallerEnd: undefined,
             };
@@ -267,6 +342,8 @@
                 // Node also emits this for an answer of which a part was dropped with the connection.
                 if (!socket.destroyed) {
                     dueAnswers.delete(answer);
+                    const { refusedFor } = answer;
+                    recordEnd?.(refusedFor === undefined ? requestEnds.answered : requestEnds.refused, refusedFor);
                     endIfNothingIsDue();
                     watchTaking();
                 }
@@ -285,9 +362,9 @@
         hasBegun: () => hasBegun,
         isOpen: () => phase === "open",
         requestBytes: () => requestBytes,
-        refuse: bytes => {
+        refuse: (bytes, reason) => {
             if (phase === "open") {
-                refusal = bytes;
+                refusal = { bytes, reason, recordEnd: beginRequest() };
                 leave("refused");
                 endIfNothingIsDue();
             }
@@ -337,12 +414,12 @@
         nameEnd,
         destroy,
     };
-    return connection;
+    return Object.assign(connection, { measureUnread });
 };
 
 /** Creates the set of a link's connections, which is empty at first. */
 export const createCallerConnections = (options: CallerConnectionsOptions): CallerConnections => {
-    const connections = new Map<Socket, CallerConnection>();
+    const connections = new Map<Socket, ReturnType<typeof openConnection>>();
     return {
         of: socket => {
             const connection = connections.get(socket) ?? openConnection(socket, options);
@@ -358,5 +435,9 @@
                 connection.isOpen() && connection.due() === 0 && !connection.isIdle()
             ),
         destroyAll: reason => connections.forEach(connection => connection.destroy(reason)),
+        measureUnread: async () => {
+            const measured = Promise.all([...connections.values()].map(connection => connection.measureUnread()));
+            await Promise.race([measured, options.clock.sleep(measureMilliseconds)]);
+        },
     };
 };
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -17,6 +17,7 @@
     type DueAnswer,
 } from "./callerconnections.ts";
 import { afterNextReads, waitForNextReads } from "./nextreads.ts";
+import { createRequestLedger, type RequestLedger } from "./requestledger.ts";
 import { createSendQueues } from "./sendqueues.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
@@ -49,13 +50,15 @@
      * were due on their connection.
      */
     onMalformed: (reason: Reason, due: number) => void;
-    /** Called when a connection has ended while answers were due on it. */
+    /** Called when a connection has ended that left a request unanswered, dropped or unfinished. */
     onConnectionEnd?: (end: ConnectionEnd) => void;
     /**
      * Called when serving a request threw an exception. The request is answered as `host-failed`, or its connection is
      * closed if an answer has begun. `requestId` is undefined while the request was not read yet.
      */
     onException?: (error: unknown, requestId: string | undefined) => void;
+    /** Counts the requests and their ends; by default, nothing does. */
+    ledger?: RequestLedger;
     /** Whether the load balancer may send requests to this host; answers the health check. */
     healthy: () => boolean;
 };
@@ -74,7 +77,7 @@
      * are closed.
      */
     stopAccepting: () => Promise<void>;
-    /** Closes the server and all connections, once what has arrived is read. */
+    /** Closes the server and all connections, once what has arrived is read and refused. */
     close: () => Promise<void>;
 };
 
@@ -105,11 +108,13 @@
     const { settings, clock, protocol } = options;
     let inFlight = 0;
     let keepsAlive = true;
+    let isClosing = false;
     const connections = createCallerConnections({
         clock,
         idleMilliseconds: () => server.keepAliveTimeout,
         sendQueues: createSendQueues(clock),
         formatIdleEnd: () => formatBytes({ kind: "refusal", reason: "read-timed-out", detail: "" }),
+        ledger: options.ledger ?? createRequestLedger(),
         onEnd: end => options.onConnectionEnd?.(end),
     });
     const { writeRefusal, writeAnswer, formatBytes } = createAnswerWriter({ protocol, keepsAlive: () => keepsAlive });
@@ -129,8 +134,8 @@
     const answerCaller = async (request: Request, incoming: IncomingMessage, due: DueAnswer): Promise<void> => {
         // A host whose event loop runs late receives requests whose callers have already hung up.
         await waitForNextReads();
-        if (hasHungUp(incoming)) {
-            const reason: Reason = "cancelled";
+        if (isClosing || hasHungUp(incoming)) {
+            const reason: Reason = hasHungUp(incoming) ? "cancelled" : "host-stopping";
             writeRefusal(due, { kind: "refusal", reason, detail: reasons[reason].title }, false);
             options.onDone(request, reasons[reason].outcome, reason);
             return;
@@ -213,12 +218,13 @@
         },
         (incoming, response) => {
             const connection = connections.of(incoming.socket);
-            const due = connection.begin(response);
+            const isHealthCheck = protocol.isHealthCheck(incoming);
+            const due = connection.begin(response, isHealthCheck);
             if (due === undefined) {
                 dropRequest(connection, incoming);
                 return;
             }
-            if (protocol.isHealthCheck(incoming)) {
+            if (isHealthCheck) {
                 response.writeHead(options.healthy() ? 200 : 503).end();
                 return;
             }
@@ -244,7 +250,7 @@
         const detail = "The bytes received are not an acceptable HTTP request.";
         options.onMalformed(reason, connection.due());
         if (!connection.breakBody(reason, detail)) {
-            connection.refuse(formatBytes({ kind: "refusal", reason, detail }));
+            connection.refuse(formatBytes({ kind: "refusal", reason, detail }), reason);
         }
     };
     const refuseUnfinished = (reason: Reason): void =>
@@ -317,10 +323,14 @@
             connections.endIdle();
         },
         close: async () => {
+            // What is read from now on could not be answered before its connection is closed.
+            isClosing = true;
+            keepsAlive = false;
             cancelHeadLimit();
             const closed = new Promise<void>(resolve => {
                 server.close(() => resolve());
             });
+            await connections.measureUnread();
             await waitForNextReads();
             // Requests that were read only now are refused within further turns.
             await waitForNextReads();
