--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -177,6 +177,8 @@
     ports?: { callersPort: number; healthPort: number };
     /** The built program; that of this tree if left out. */
     path?: string;
+    /** Module that is loaded before the program. */
+    preload?: string | undefined;
     /** Lines that are added to the settings. */
     moreSettings?: string[];
 };
@@ -201,6 +203,7 @@
         processorShare = 1,
         ports,
         path = "target/carobpier.cjs",
+        preload,
         moreSettings = [],
     }: ProgramOptions = {},
 ): Promise<Program> => {
@@ -218,7 +221,7 @@
         ...moreSettings,
     ].join("\n");
     prepareFile(file, settings);
-    const words = [...programArguments, path];
+    const words = [...programArguments, ...(preload === undefined ? [] : ["--require", preload]), path];
     const limited = ["-c", `ulimit -n ${openFiles} && exec "$0" "$@"`, process.execPath, ...words];
     const [command, args] = openFiles === undefined ? [process.execPath, words] : ["sh", limited];
     const child = spawn(command, args, {
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -15,6 +15,8 @@
     services: SoakService[];
     /** Share of the services' requests a second that is sent. */
     share: number;
+    /** That each caller sends, without the time of its answers. */
+    requestsEachSecond: number;
     random: Random;
     now: () => number;
     /** The process that a new connection goes to, if there is one. */
@@ -22,7 +24,6 @@
     add: (record: RequestRecord) => void;
 };
 
-const requestsEachSecond = 2.5;
 /** Beyond the time that it has, after which a caller stops waiting. */
 const patienceMilliseconds = 5_000;
 const keyCount = 65_536;
@@ -48,7 +49,7 @@
 };
 
 export const startCallers = (options: CallersOptions): Caller[] => {
-    const { random, now, choose } = options;
+    const { random, now, choose, requestsEachSecond } = options;
     let lastId = 0;
 
     const startCaller = (service: SoakService): Caller => {
@@ -68,6 +69,7 @@
                 id,
                 life: to.life,
                 isSafe: service.isSafe,
+                isFirst: true,
                 timeoutMilliseconds: service.deadlineMilliseconds / 2,
                 sentAt: now(),
                 endedAt: Infinity,
@@ -109,6 +111,7 @@
                 let wasSent = false;
                 outgoing.on("socket", used => {
                     socket = used;
+                    record.isFirst = !outgoing.reusedSocket;
                 });
                 outgoing.on("finish", () => {
                     record.sentAt = now();
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -9,7 +9,7 @@
 import { parseArgs } from "node:util";
 import { createPlan, plays, sites } from "./plan.ts";
 import { play } from "./play.ts";
-import { type Finding, judge, type Slack, type SoakRecords } from "./verdict.ts";
+import { type Finding, heldSlack, judge, type Slack, type SoakRecords, usualSlack } from "./verdict.ts";
 
 export type SoakOptions = {
     seed: number;
@@ -33,7 +33,7 @@
     const steps = createPlan({ seed, play: name, hosts, seconds, services: site.services.length });
     const isThin = name === "thin" || (name === "mixed" && seed % 3 === 0);
     const records = await play({ seed, site, hosts, seconds, share, isThin, steps, path, report });
-    return { records, findings: judge(records, options.slack) };
+    return { records, findings: judge(records, options.slack ?? (name === "held" ? heldSlack : usualSlack)) };
 };
 
 /** Whether a finding breaks a rule. */
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -73,10 +73,22 @@
         | { kind: "join"; service: number }
         /** From then on, targets garble the share of their answers in one of these ways. */
         | { kind: "garble"; garbles: Garble[]; share: number }
+        /** The event loop of a host is held, by work of its own or as the process is stopped by the system. */
+        | { kind: "hold"; host: number; milliseconds: number; how: "work" | "stopped" }
     );
 
 /** Names of the plays. Each brings together the disturbances that it is named for; `mixed` draws from all. */
-export const plays = ["reuse", "resets", "manifest", "thin", "starts", "garble", "mixed", "store-return"] as const;
+export const plays = [
+    "reuse",
+    "resets",
+    "manifest",
+    "thin",
+    "starts",
+    "garble",
+    "mixed",
+    "store-return",
+    "held",
+] as const;
 export type Play = typeof plays[number];
 
 export type Random = { below: (limit: number) => number; chance: (share: number) => boolean };
@@ -92,6 +104,9 @@
     return { below: limit => Math.floor(next() * limit), chance: share => next() < share };
 };
 
+/** After a SIGTERM: the signal, the close of idle connections, the ends of a grace of 3 s and of one of 6 s. */
+const momentsOfStop = [0, 2_400, 2_600, 5_600];
+
 export type PlanOptions = { seed: number; play: Play; hosts: number; seconds: number; services: number };
 
 /** Steps in order of their time. The last seconds are free of them, so that what runs can end. */
@@ -101,7 +116,7 @@
     const pick = <T>(choices: readonly T[]): T => choices[random.below(choices.length)] as T;
 
     /** Hosts are stopped one after the other, some twice, some with a reload, while others are still stopping. */
-    const stops = (at: number): void => {
+    const stops = (at: number, onStop?: (host: number, time: number) => void): void => {
         const first = random.below(hosts);
         const gap = pick([200, 1_000, 1_300, 3_000]);
         for (let index = 0; index < Math.max(1, Math.ceil(hosts * 0.45)); index += 1) {
@@ -115,6 +130,34 @@
                 const signal = pick(["SIGTERM", "SIGHUP", "SIGINT"] as const);
                 steps.push({ at: time + random.below(4_000), kind: "signal", host, signal });
             }
+            onStop?.(host, time);
+        }
+    };
+    /** Holds a host so that what is due at the moment comes late. */
+    const holdAround = (moment: number, host: number): void => {
+        const milliseconds = 100 + random.below(701);
+        const how = random.chance(0.75) ? "work" : "stopped";
+        steps.push({ at: moment - random.below(milliseconds), kind: "hold", host, milliseconds, how });
+    };
+    const heldStops = (at: number): void =>
+        stops(at, (host, time) => {
+            for (const after of momentsOfStop) {
+                if (random.chance(0.6)) {
+                    holdAround(time + after, host);
+                }
+            }
+        });
+    const holds = (at: number): void => {
+        for (let count = 4 + random.below(2 * hosts); count > 0; count -= 1) {
+            holdAround(at + random.below(6_000), random.below(hosts));
+        }
+    };
+    const manifests = (at: number): void => {
+        const count = 2 + random.below(6);
+        const gap = pick([100, 300, 700]);
+        for (let index = 0; index <= count; index += 1) {
+            const how = index === count ? "restore" : pick(["add", "add", "drop", "move"] as const);
+            steps.push({ at: at + index * gap, kind: "manifest", how, service: random.below(services) });
         }
     };
     const reuse = (at: number): void => {
@@ -209,6 +252,7 @@
         garble: [garble, stops],
         mixed: [stops, reuse, resets, manifest, starts, store, kills],
         "store-return": [returns],
+        held: [heldStops, holds, manifests],
     };
     const [gap, end] = play === "store-return" ? [14_000, 34_000] : [5_000, 6_000];
     for (let at = 1_000; at < seconds * 1_000 - end; at += gap + random.below(3_000)) {
--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -3,6 +3,7 @@
  * the operator of the processes saw.
  */
 import { once } from "node:events";
+import { writeFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { poolObjectName } from "../../src/decisions/poolobjectnames.ts";
 import { type BackendStandIn, startBackendStandIn } from "../../stand-ins/resident/backend.ts";
@@ -37,15 +38,28 @@
     life: number;
     program: Program | undefined;
     misses: number;
+    /** Until then its event loop is held. */
+    heldUntil: number;
 };
 type Target = { name: string; service: number; backend: BackendStandIn; record: TargetRecord; entry: object };
 
-const graceMilliseconds = 6_000;
+const usualGraceMilliseconds = 6_000;
 const restartMilliseconds = 500;
 const drainMilliseconds = 2_000;
 const reuseAfterMilliseconds = 2_000;
 const stallTickMilliseconds = 50;
 const readyWaitMilliseconds = 20_000;
+const requestsEachSecond = 2.5;
+/**
+ * Where event loops are held: many callers that send seldom, so that idle connections end between their requests, and an
+ * early end of the grace for some hosts.
+ */
+const held = {
+    requestsEachSecond: 0.5,
+    idleTimeout: "2000ms",
+    graceMilliseconds: 3_000,
+    preload: "./test/soak/hold.cjs",
+};
 
 const routesOf = (services: SoakService[]): Record<string, object> =>
     Object.fromEntries(services.map(service => [service.name, {
@@ -69,6 +83,7 @@
     const targets: Target[] = [];
     const storeFaults: SoakRecords["storeFaults"] = [];
     const resets: number[] = [];
+    const stalls: SoakRecords["stalls"] = [];
     const versions: SoakRecords["versions"] = [];
     const cuts: SoakRecords["cuts"] = [];
     const probes: VersionProbe[] = [];
@@ -77,11 +92,17 @@
     let stallMilliseconds = 0;
     let isEnding = false;
     let trafficAt = Infinity;
+    const isHeld = options.steps.some(({ kind }) => kind === "hold");
 
     let tickAt = now();
     const ticker = setInterval(() => {
-        stallMilliseconds = Math.max(stallMilliseconds, now() - tickAt - stallTickMilliseconds);
-        tickAt = now();
+        const until = now();
+        const milliseconds = until - tickAt - stallTickMilliseconds;
+        if (milliseconds > 0) {
+            stalls.push({ from: tickAt, until, milliseconds });
+        }
+        stallMilliseconds = Math.max(stallMilliseconds, milliseconds);
+        tickAt = until;
     }, stallTickMilliseconds);
 
     const reserved = await reservePorts();
@@ -90,7 +111,16 @@
         const ports = { callersPort: reserved.next(), healthPort: reserved.next() };
         const zone = site.zones[index % site.zones.length] ?? "";
         const name = `front-${zone}-${index}`;
-        hosts.push({ name, zone, ports, linksPort: reserved.next(), life: -1, program: undefined, misses: 2 });
+        hosts.push({
+            name,
+            zone,
+            ports,
+            linksPort: reserved.next(),
+            life: -1,
+            program: undefined,
+            misses: 2,
+            heldUntil: 0,
+        });
     }
     const linkRelays = await Promise.all(hosts.map(host => startRelay(() => host.linksPort)));
     const relayed = new Map(hosts.map((host, index) => [host.linksPort, linkRelays[index]?.port ?? 0]));
@@ -167,7 +197,7 @@
             version: `r${version}`,
             routes: { ...routes, ...versionRoutes(site, addedRoutes) },
             services,
-            limits,
+            limits: isHeld ? { ...limits, idleTimeout: held.idleTimeout } : limits,
         };
         store.put("config", "main", newest);
     };
@@ -196,7 +226,7 @@
                     life.signals.push({ signal: "SIGKILL", at: now() });
                     child.kill("SIGKILL");
                 }
-            }, graceMilliseconds + 5_000 + stallMilliseconds);
+            }, life.graceMilliseconds + 5_000 + stallMilliseconds);
             child.once("exit", () => clearTimeout(timer));
         }
     };
@@ -204,8 +234,13 @@
     const start = async (host: Host): Promise<void> => {
         const relay = storeRelays[hosts.indexOf(host)];
         const seen = relay === undefined ? store : { ...store, address: `127.0.0.1:${relay.port}` };
+        const graceMilliseconds = isHeld && hosts.indexOf(host) % 2 === 1
+            ? held.graceMilliseconds
+            : usualGraceMilliseconds;
         const program = await startProgram(seen, {
             name: host.name,
+            grace: `${graceMilliseconds}ms`,
+            preload: isHeld ? held.preload : undefined,
             zone: host.zone,
             ports: host.ports,
             linksPort: host.linksPort,
@@ -215,6 +250,7 @@
         });
         const life: LifeRecord = {
             host: host.name,
+            graceMilliseconds,
             startedAt: now(),
             readyAt: undefined,
             signals: [],
@@ -248,6 +284,22 @@
         });
     };
 
+    /** Holds the event loop of a host that has been ready and is not held. */
+    const hold = (host: Host, milliseconds: number, how: "work" | "stopped"): void => {
+        const { program } = host;
+        if (program === undefined || lives[host.life]?.readyAt === undefined || now() < host.heldUntil) {
+            return;
+        }
+        host.heldUntil = now() + milliseconds;
+        if (how === "work") {
+            writeFileSync(`${program.file}.hold`, String(milliseconds));
+            program.child.kill("SIGUSR2");
+        }
+        else if (program.child.kill("SIGSTOP")) {
+            setTimeout(() => program.child.kill("SIGCONT"), milliseconds);
+        }
+    };
+
     /** As the load balancer does: each second, and two misses take a host out. */
     const check = async (host: Host): Promise<void> => {
         const { program } = host;
@@ -361,6 +413,9 @@
         else if (step.kind === "rewrite") {
             rewrite();
         }
+        else if (step.kind === "hold") {
+            hold(hosts[step.host] as Host, step.milliseconds, step.how);
+        }
         else if (step.kind === "manifest") {
             const { name } = site.services[step.service] as SoakService;
             const other = site.services[(step.service + 1) % site.services.length]?.name;
@@ -416,6 +471,7 @@
     const callers: Caller[] = startCallers({
         services: site.services,
         share: options.share,
+        requestsEachSecond: isHeld ? held.requestsEachSecond : requestsEachSecond,
         random,
         now,
         choose,
@@ -477,6 +533,7 @@
         storeFaults,
         resets,
         stallMilliseconds,
+        stalls,
         versions,
         cuts,
         probes,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -6,10 +6,20 @@
 import { buildProgram } from "../platform/program.ts";
 import { describe, isBreach, soak } from "./main.ts";
 import { createPlan, plays } from "./plan.ts";
-import { bodyOf, judge, type LifeRecord, type RequestRecord, type SoakRecords } from "./verdict.ts";
+import {
+    bodyOf,
+    heldSlack,
+    judge,
+    type LifeRecord,
+    type RequestRecord,
+    type Slack,
+    type SoakRecords,
+    usualSlack,
+} from "./verdict.ts";
 
 const life: LifeRecord = {
     host: "h1",
+    graceMilliseconds: 6_000,
     startedAt: 0,
     readyAt: 900,
     signals: [{ signal: "SIGTERM", at: 20_000 }],
@@ -22,6 +32,7 @@
     id: "q-1",
     life: 0,
     isSafe: false,
+    isFirst: false,
     timeoutMilliseconds: 1_000,
     sentAt: 20_000,
     endedAt: 20_100,
@@ -60,6 +71,7 @@
     life?: Partial<LifeRecord>;
     request?: Partial<RequestRecord>;
     records?: Partial<SoakRecords>;
+    slack?: Partial<Slack>;
     expected: string[];
 };
 const cases: Case[] = [
@@ -85,6 +97,46 @@
         records: { targets: [idle] },
         expected: ["LOST"],
     },
+    {
+        name: "a late cut before which the soak stood still",
+        request: { ...cut, sentAt: 15_000, timeoutMilliseconds: 9_000 },
+        records: {
+            targets: [idle],
+            stallMilliseconds: 9_000,
+            stalls: [{ from: 4_000, until: 14_000, milliseconds: 9_000 }],
+        },
+        expected: ["LOST"],
+    },
+    {
+        name: "a late cut while the soak stood still",
+        request: { ...cut, sentAt: 15_000, timeoutMilliseconds: 9_000 },
+        records: { targets: [idle], stalls: [{ from: 14_000, until: 19_000, milliseconds: 4_500 }] },
+        expected: [],
+    },
+    {
+        name: "a cut of an unread request, not much later than it was sent",
+        request: { ...cut, sentAt: 19_850, timeoutMilliseconds: 9_000 },
+        records: { targets: [idle] },
+        expected: [],
+    },
+    {
+        name: "a cut of an unread request, as late where event loops are held",
+        request: { ...cut, sentAt: 19_850, timeoutMilliseconds: 9_000 },
+        records: { targets: [idle] },
+        slack: heldSlack,
+        expected: ["LOST"],
+    },
+    {
+        name: "a failure of its own as long after SIGTERM, in a grace of 6 s",
+        request: { ...own, sentAt: 22_500, endedAt: 22_700 },
+        expected: ["LOST"],
+    },
+    {
+        name: "a failure of its own in the last sixth of a shorter grace",
+        life: { graceMilliseconds: 3_000 },
+        request: { ...own, sentAt: 22_500, endedAt: 22_700 },
+        expected: ["FAILED"],
+    },
     { name: "a cut at the timeout", request: { ...cut, sentAt: 19_000 }, expected: ["CUT"] },
     { name: "a cut by a kill", life: killed, request: cut, expected: [] },
     { name: "a cut after a reset", request: cut, records: { resets: [18_000] }, expected: ["CUT"] },
@@ -172,7 +224,7 @@
         expected: ["UNUSED"],
     },
 ];
-for (const { name, life: lifeFields, request: requestFields, records, expected } of cases) {
+for (const { name, life: lifeFields, request: requestFields, records, slack, expected } of cases) {
     test(`verdict: ${name} gives ${expected.join(", ") || "no finding"}`, t => {
         const findings = judge({
             requests: [{ ...request, ...requestFields }],
@@ -186,8 +238,9 @@
             keyRounds: [],
             endedAt: 30_000,
             stallMilliseconds: 0,
+            stalls: [],
             ...records,
-        });
+        }, { ...usualSlack, ...slack });
         t.deepEqual(findings.map(({ rule }) => rule), expected);
     });
 }
--- a/test/soak/verdict.ts
+++ b/test/soak/verdict.ts
@@ -10,6 +10,8 @@
     id: string;
     life: number;
     isSafe: boolean;
+    /** Whether no request was sent on the connection before. */
+    isFirst: boolean;
     /** Of the route. */
     timeoutMilliseconds: number;
     sentAt: number;
@@ -25,6 +27,7 @@
 /** A process from its start to its end. */
 export type LifeRecord = {
     host: string;
+    graceMilliseconds: number;
     startedAt: number;
     readyAt: number | undefined;
     signals: Array<{ signal: string; at: number }>;
@@ -74,6 +77,8 @@
     endedAt: number;
     /** The longest time for which the soak itself did not run; its times are late by as much. */
     stallMilliseconds: number;
+    /** All such times. */
+    stalls: Array<{ from: number; until: number; milliseconds: number }>;
 };
 export type Finding = {
     /** The rules' names; EARLY, CUT (after a reset) and FAILED (an own failure in place of an answer) are excused by them. */
@@ -109,12 +114,13 @@
     return `${requestId} served by ${targetId} `.padEnd(length, "x");
 };
 
-const graceMilliseconds = 6_000;
 const readyMilliseconds = 15_000;
 const calmMilliseconds = 3_000;
 /** Share of the route's timeout from which on its end counts as the reason of a failure. */
 const nearTimeout = 0.9;
 export const usualSlack: Slack = { early: 150, unread: 1_000, grace: 2_000 };
+/** The rules' own bound on unread requests, for event loops that are held for less than the usual slack. */
+export const heldSlack: Slack = { ...usualSlack, unread: 200 };
 const stopSignals = ["SIGTERM", "SIGINT", "SIGKILL"];
 /** Statuses that promise that the request has not run. */
 const promises = [408, 421, 429, 503];
@@ -139,7 +145,7 @@
         return "a planned stop ended with another code than 0";
     }
     const stop = stopOf(life);
-    if (life.endedAt - stop > graceMilliseconds + slack.grace + stall) {
+    if (life.endedAt - stop > life.graceMilliseconds + slack.grace + stall) {
         return "still ran after the grace of its stop";
     }
     const calm = storeFaults.filter(({ until }) => until > life.startedAt).map(({ until }) => until);
@@ -230,7 +236,7 @@
 };
 
 export const judge = (records: SoakRecords, slack = usualSlack): Finding[] => {
-    const { requests, lives, targets, storeFaults, resets, stallMilliseconds } = records;
+    const { requests, lives, targets, storeFaults, resets, stallMilliseconds, stalls } = records;
     const findings = [...judgeOwners(targets), ...judgeVersions(records, slack), ...judgeRecovery(records)];
     const add = (rule: Finding["rule"], at: number, life: LifeRecord, request: string, text: string): void => {
         const lines = life.log.split("\n").filter(line => request !== "" && line.includes(`request=${request}`));
@@ -258,7 +264,9 @@
         const report = (rule: Finding["rule"], text: string): void =>
             add(rule, request.endedAt, life, request.id, text);
         const passed = request.endedAt - request.sentAt;
-        const isLate = passed > slack.unread + stallMilliseconds;
+        const stalled = stalls.filter(({ from, until }) => from <= request.endedAt && until >= request.sentAt)
+            .reduce((sum, { milliseconds }) => sum + milliseconds, 0);
+        const isLate = passed > slack.unread + stalled;
         const isBrokenOff = reached.some(({ endedAt, cutIds }) =>
             cutIds.has(request.id) || (endedAt > request.sentAt && endedAt <= request.endedAt)
         );
@@ -268,7 +276,9 @@
         if (request.outcome === "cut" && !isKilled && (reached.length > 0 || isLate)) {
             report(
                 isExcused ? "CUT" : "LOST",
-                `cut ${Math.round(passed)} ms after it was sent, ${reached.length} targets`,
+                `cut ${Math.round(passed)} ms after it was sent, ${reached.length} targets, on a ${
+                    request.isFirst ? "new" : "kept"
+                } connection`,
             );
         }
         const isOwnFailure = request.outcome === "answer" && request.status >= 500 && request.signature === ""
@@ -276,7 +286,7 @@
         if (isOwnFailure && runs > 0 && !isExcused) {
             const stop = stopOf(life);
             const isLastSixth = request.sentAt <= stop + calmMilliseconds
-                && request.endedAt >= stop + graceMilliseconds * 5 / 6;
+                && request.endedAt >= stop + life.graceMilliseconds * 5 / 6;
             const isStopping = request.endedAt > stop && !isLastSixth;
             const isDisplaced = reached.some(({ displacedIds }) => displacedIds.has(request.id));
             report(
