Accept the connections that wait before a server stops accepting

What callers saw: a request on a new connection ended with a reset and without an answer, up to 1.7 s after it was sent, where the event loop of a stopping host was held around the close of its idle connections.

After the loop was held, many wait in the backlog; the two turns before the close read only one or two of them, and the system resets the others with the listening socket.

Change: a server that closes first accepts and reads until no further connection comes, for 200 ms at most.

Evidence: test/links/heldloop.test.ts, 30 connections that are opened, with a request each, while the event loop is held for 500 ms.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -81,6 +81,8 @@
 const defaultIdleTimeoutMilliseconds = 30_000;
 /** Pause between checks for heads that take too long to arrive. */
 const headCheckMilliseconds = 500;
+/** Time for which a server that closes goes on accepting connections that were opened before. */
+const maxAcceptMilliseconds = 200;
 
 const hasHungUp = ({ socket }: IncomingMessage): boolean => socket.readableEnded || socket.destroyed;
 
@@ -296,6 +298,24 @@
         server.listen(settings.port, options.bindAddress, resolve);
     });
     const { port } = server.address() as AddressInfo;
+    let accepted = 0;
+    server.on("connection", () => {
+        accepted += 1;
+    });
+
+    /**
+     * Accepts and reads what has arrived. Node accepts one connection in a turn of the event loop, and the system resets those
+     * that still wait when the server closes.
+     */
+    const acceptWaiting = async (): Promise<void> => {
+        const endAt = clock.now() + maxAcceptMilliseconds;
+        let before: number;
+        do {
+            before = accepted;
+            await waitForNextReads();
+        }
+        while (accepted > before && clock.now() < endAt);
+    };
 
     return {
         address: `${options.bindAddress}:${port}`,
@@ -309,6 +329,7 @@
         },
         stopAccepting: async () => {
             keepsAlive = false;
+            await acceptWaiting();
             server.close();
             // A closed server checks no heads any more.
             cancelHeadLimit = clock.after(server.headersTimeout, () => refuseUnfinished("read-timed-out"));
@@ -317,10 +338,10 @@
         },
         close: async () => {
             cancelHeadLimit();
+            await acceptWaiting();
             const closed = new Promise<void>(resolve => {
                 server.close(() => resolve());
             });
-            await waitForNextReads();
             // Requests that were read only now are refused within further turns.
             await waitForNextReads();
             refuseUnfinished("host-stopping");
--- a/test/links/heldloop.test.ts
+++ b/test/links/heldloop.test.ts
@@ -16,6 +16,8 @@
 import { createMetrics } from "../../src/links/metrics.ts";
 
 const connections = 8;
+/** Connections that wait to be accepted. */
+const waiting = 30;
 const body = "an answer";
 const holdMilliseconds = 500;
 
@@ -27,7 +29,7 @@
     }
 };
 
-/** Callers with kept connections, in a thread of their own. Messages: texts to write after a delay, or a new connection. */
+/** Callers with kept connections, in a thread of their own. Messages: texts to write after a delay, or new connections. */
 const callersProgram = `
     const { connect } = require("node:net");
     const { parentPort, workerData: { port, count } } = require("node:worker_threads");
@@ -42,7 +44,7 @@
     const states = Array.from({ length: count }, open);
     parentPort.on("message", ({ write, opens, delay, tell }) => setTimeout(() => {
         if (write !== undefined) states.forEach(({ socket }) => socket.write(write));
-        if (opens) states.push(open());
+        for (let count = opens ?? 0; count > 0; count -= 1) states.push(open());
         if (tell) parentPort.postMessage(states.map(({ received, closed }) => ({ received, closed })));
     }, delay));`;
 
@@ -62,7 +64,8 @@
     heldAfter?: number;
     /** What becomes due while it is held. */
     act?: (held: Held) => void;
-    opens?: boolean;
+    /** Connections that are opened while it is held. */
+    opens?: number;
     status: number;
 };
 
@@ -90,7 +93,7 @@
         during: request,
         limit: connections,
         heldAfter: 400,
-        opens: true,
+        opens: 1,
         status: 200,
     },
     {
@@ -110,7 +113,9 @@
     },
 ]);
 
-const openLink = async ({ idleMilliseconds = 5_000, headMilliseconds = 5_000, limit }: Case): Promise<Held> => {
+const openLink = async (
+    { idleMilliseconds = 5_000, headMilliseconds = 5_000, limit }: Partial<Case> = {},
+): Promise<Held> => {
     const settings = settingsSchema.parse({
         host: { name: "host-a", zone: "zone-1" },
         platform: { url: "http://127.0.0.1:1" },
@@ -149,7 +154,7 @@
 };
 
 for (const each of cases) {
-    const { title, before, during, heldAfter = 50, act, opens = false, status } = each;
+    const { title, before, during, heldAfter = 50, act, opens = 0, status } = each;
     test.serial(`requests that arrive while the event loop is held are answered: ${title}`, async t => {
         const held = await openLink(each);
         t.teardown(held.link.close);
@@ -177,3 +182,29 @@
         t.deepEqual(statuses, Array.from({ length: connections }, () => [200, status]));
     });
 }
+
+const ends = {
+    "a planned stop": (link: CallerLink) => link.stopAccepting(),
+    "the close of all connections": (link: CallerLink) => link.close(),
+};
+for (const [end, act] of Object.entries(ends)) {
+    for (const [method, request] of Object.entries(requests)) {
+        test.serial(`requests on connections that wait to be accepted are answered: ${end}, ${method}`, async t => {
+            const { link } = await openLink();
+            t.teardown(link.close);
+            const port = Number(link.address.split(":")[1]);
+            const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: 0 } });
+            t.teardown(() => callers.terminate());
+            await once(callers, "online");
+            systemClock.after(50, () => void act(link));
+            callers.postMessage({ opens: waiting, delay: 100 });
+            callers.postMessage({ write: request, delay: 150 });
+            hold(holdMilliseconds);
+            await sleep(500);
+            callers.postMessage({ tell: true, delay: 0 });
+            const [states] = await once(callers, "message") as [Array<{ received: string }>];
+            const statuses = states.map(({ received }) => received.slice(0, 12));
+            t.deepEqual(statuses, Array.from({ length: waiting }, () => "HTTP/1.1 200"));
+        });
+    }
+}
