Read before a connection or a call to the platform counts as too late

A host that was held for longer than the limit on the opening of a link, or on a call to its own platform, gave these up though they had been answered.

Cause: `ws` and `AbortSignal.timeout` have timers of their own, which Node runs ahead of reads.

Change: both limits are timers of the system clock.

Evidence: two more cases of test/links/heldtimers.test.ts; both fail on the code before, and pass now (aarch64, load 20).

--- a/src/links/hosts.ts
+++ b/src/links/hosts.ts
@@ -17,6 +17,7 @@
 import { createUpgradeServer } from "./httpendpoint.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
+import { limitOpening } from "./openinglimit.ts";
 
 /**
  * The name of another host, the address on which it accepts links, and its newest known incarnation. An incarnation is
@@ -217,9 +218,9 @@
         try {
             const socket = new WebSocket(`ws://${peer.address}`, {
                 maxPayload: options.maxFrameBytes,
-                handshakeTimeout: connectTimeoutMilliseconds,
                 localAddress: options.sourceAddress,
             });
+            limitOpening(socket, connectTimeoutMilliseconds);
             const release = options.descriptors?.open(descriptorParts.hosts);
             socket.once("close", () => release?.());
             socket.on("error", error => options.descriptors?.recordError(error));
--- a/src/links/peers.ts
+++ b/src/links/peers.ts
@@ -12,6 +12,7 @@
 import { createUpgradeServer } from "./httpendpoint.ts";
 import type { Log } from "./logs.ts";
 import type { Metrics } from "./metrics.ts";
+import { limitOpening } from "./openinglimit.ts";
 
 export type PeerConnection = {
     /** Sends a value; dropped while the connection is not open. */
@@ -154,10 +155,10 @@
     return (address, path, listener) => {
         const socket = new WebSocket(`ws://${address}${path}`, {
             perMessageDeflate: false,
-            handshakeTimeout: handshakeMilliseconds,
             maxPayload: maxFrameBytes,
             lookup: refuseName,
         });
+        limitOpening(socket, handshakeMilliseconds);
         open.add(socket);
         const release = options.descriptors?.open(descriptorParts.hosts);
         const onClose = (): void => {
--- a/src/links/platform.ts
+++ b/src/links/platform.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import { messageOf, PlatformError } from "../contracts/errors.ts";
 import { type ObjectKind, type StoredObject, storedObjectSchema } from "../contracts/objects.ts";
+import { systemClock } from "./clock.ts";
 
 /** A host in the platform's list of hosts, which lags behind the real state. */
 export const listedHostSchema = z.strictObject({
@@ -93,20 +94,26 @@
         signal?: AbortSignal,
     ): Promise<Reply> => {
         counts[name] = (counts[name] ?? 0) + 1;
-        const timeout = AbortSignal.timeout(options.timeoutMilliseconds + waitMilliseconds);
+        const timeout = new AbortController();
+        const cancelTimer = systemClock.after(options.timeoutMilliseconds + waitMilliseconds, () => {
+            timeout.abort(new Error("no answer in time"));
+        });
         try {
             const response = await connections.request({
                 method,
                 path,
                 headers,
                 body: body === undefined ? undefined : JSON.stringify(body),
-                signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
+                signal: signal === undefined ? timeout.signal : AbortSignal.any([timeout.signal, signal]),
             });
             return { statusCode: response.statusCode, text: await response.body.text() };
         }
         catch (error) {
             throw new PlatformError(`The platform did not answer ${method} ${path}: ${messageOf(error)}.`);
         }
+        finally {
+            cancelTimer();
+        }
     };
 
     const parseBody = <Shape>(schema: z.ZodType<Shape>, path: string, text: string): Shape => {
--- a/test/links/heldtimers.test.ts
+++ b/test/links/heldtimers.test.ts
@@ -7,8 +7,13 @@
 import { connect } from "node:net";
 import { Worker } from "node:worker_threads";
 import { createStore } from "../../platform/store.ts";
+import { messageOf } from "../../src/contracts/errors.ts";
 import { systemClock } from "../../src/links/clock.ts";
 import { createJsonCaller } from "../../src/links/jsoncall.ts";
+import { silentLog } from "../../src/links/logs.ts";
+import { createMetrics } from "../../src/links/metrics.ts";
+import { createPeerDialer } from "../../src/links/peers.ts";
+import { createPlatformLink } from "../../src/links/platform.ts";
 
 const timeoutMilliseconds = 200;
 const answerMilliseconds = 100;
@@ -17,10 +22,14 @@
 /** A server in a thread of its own, which answers every request after a while. */
 const serverProgram = `
     const { parentPort, workerData } = require("node:worker_threads");
+    const { WebSocketServer } = require("ws");
     const server = require("node:http").createServer((request, response) => {
         request.resume();
         setTimeout(() => response.end(JSON.stringify({ items: [], more: false, currentRev: 9 })), workerData);
     });
+    const sockets = new WebSocketServer({ noServer: true });
+    server.on("upgrade", (...request) =>
+        setTimeout(() => sockets.handleUpgrade(...request, () => undefined), workerData));
     server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));`;
 
 const hold = (): void => {
@@ -60,6 +69,27 @@
         caller.close();
         return result.answered;
     },
+    "a connection to another host": port =>
+        new Promise(resolve => {
+            const abortion = new AbortController();
+            const end = (isOpen: boolean): void => {
+                abortion.abort();
+                resolve(isOpen);
+            };
+            const dial = createPeerDialer(timeoutMilliseconds, {
+                log: silentLog,
+                metrics: createMetrics(),
+                signal: abortion.signal,
+            });
+            dial(`127.0.0.1:${port}`, "/", { onOpen: () => end(true), onFrame: () => true, onClose: () => end(false) });
+        }),
+    "a call to the platform": async port => {
+        const platform = createPlatformLink({ url: `http://127.0.0.1:${port}`, timeoutMilliseconds });
+        const result = await platform.list(0).then(() => "answered", messageOf);
+        await platform.close();
+        // The answer is one of the store's.
+        return result.includes("the wrong shape");
+    },
     "a call to the store": async port => {
         const store = createStore({ address: `127.0.0.1:${port}`, timeoutMilliseconds });
         const isAnswered = await store.list("servers").then(() => true, () => false);
