Read again before a connection is closed if the event loop was held in between

Cause: a connection is closed after the next reads. If the event loop is held between these and the close, what arrives meanwhile is not read.

Change: what closes a connection that seems idle or overdue reads again when the turn took 20 ms or longer, five times at most.

Evidence: test/links/heldloop.test.ts holds the event loop in just that turn. Without the further reads the request is not served; now it is.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "../contracts/clock.ts";
 import type { Reason } from "../contracts/outcome.ts";
 import type { BodyBreaker } from "./callerbody.ts";
-import { afterNextReads } from "./nextreads.ts";
+import { afterFreshReads } from "./nextreads.ts";
 import type { SendQueues } from "./sendqueues.ts";
 
 /** Why a connection ended while answers were due on it, and who ended it. */
@@ -309,7 +309,7 @@
         watchTaking,
         onTimeout: () => {
             const { bytesRead } = socket;
-            afterNextReads(() => {
+            afterFreshReads(() => {
                 if (dueAnswers.size > 0) {
                     watchTaking();
                     socket.setTimeout(idleMilliseconds());
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -16,7 +16,7 @@
     createCallerConnections,
     type DueAnswer,
 } from "./callerconnections.ts";
-import { afterNextReads, waitForNextReads } from "./nextreads.ts";
+import { afterFreshReads, waitForNextReads } from "./nextreads.ts";
 import { createSendQueues } from "./sendqueues.ts";
 
 export type { CallerRequest } from "./callerhead.ts";
@@ -281,7 +281,7 @@
         // only from the first byte of the next one, which may have come with that request.
         if (connection.hasBegun() || !connection.isIdle()) {
             const before = connection.requestBytes();
-            afterNextReads(() => {
+            afterFreshReads(() => {
                 if (connection.requestBytes() === before && !stream.destroyed) {
                     refuseBytes(connection, "read-timed-out");
                 }
@@ -333,7 +333,7 @@
             server.close();
             // A closed server checks no heads any more.
             cancelHeadLimit = clock.after(server.headersTimeout, () => refuseUnfinished("read-timed-out"));
-            await waitForNextReads();
+            await new Promise<void>(resolve => afterFreshReads(resolve));
             connections.endIdle();
         },
         close: async () => {
--- a/src/links/connectionlimit.ts
+++ b/src/links/connectionlimit.ts
@@ -8,14 +8,14 @@
 import type { Clock } from "../contracts/clock.ts";
 import type { DescriptorPart } from "../decisions/descriptors.ts";
 import type { Descriptors } from "./descriptors.ts";
-import { afterNextReads } from "./nextreads.ts";
+import { afterFreshReads } from "./nextreads.ts";
 
 export type ConnectionLimitOptions = {
     /** The part to which the connections belong. */
     part: DescriptorPart;
     descriptors: Descriptors;
     clock: Pick<Clock, "now">;
-    /** Calls back once what has arrived is read; `afterNextReads` by default. */
+    /** Calls back once what has arrived is read; `afterFreshReads` by default. */
     readFirst?: (callback: () => void) => void;
 };
 
@@ -39,7 +39,7 @@
  * @param isIdle whether no answer is due on a connection and no request was received in part.
  */
 export const createConnectionLimit = (
-    { part, descriptors, clock, readFirst = afterNextReads }: ConnectionLimitOptions,
+    { part, descriptors, clock, readFirst = afterFreshReads }: ConnectionLimitOptions,
     isIdle: (socket: Socket) => boolean,
 ): ConnectionLimit => {
     /** When each connection was last in use, from the one that was not for longest. */
--- a/src/links/nextreads.ts
+++ b/src/links/nextreads.ts
@@ -11,3 +11,23 @@
 
 /** Resolves after the event loop has read from all readable sockets. */
 export const waitForNextReads = (): Promise<void> => new Promise(afterNextReads);
+
+/** Length of a turn of the event loop in which it counts as held. */
+const heldMilliseconds = 20;
+/** Turns that are waited for on a host whose turns are all so long. */
+const maxHeldTurns = 5;
+
+/** Calls back as `afterNextReads` does, but reads again if the event loop was held between the reads and that moment. */
+export const afterFreshReads = (callback: () => void, turns = maxHeldTurns): void => {
+    setImmediate(() => {
+        const startedAt = performance.now();
+        setImmediate(() => {
+            if (turns > 0 && performance.now() - startedAt >= heldMilliseconds) {
+                afterFreshReads(callback, turns - 1);
+            }
+            else {
+                callback();
+            }
+        });
+    });
+};
--- a/test/links/heldloop.test.ts
+++ b/test/links/heldloop.test.ts
@@ -4,6 +4,7 @@
  */
 import test from "ava";
 import { once } from "node:events";
+import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 import { settingsSchema } from "../../src/contracts/settings.ts";
@@ -62,6 +63,8 @@
     limit?: number;
     /** Time after the first answers at which the event loop is held. */
     heldAfter?: number;
+    /** Called before the link listens to the server's events. */
+    onServer?: (server: Server) => void;
     /** What becomes due while it is held. */
     act?: (held: Held) => void;
     /** Connections that are opened while it is held. */
@@ -114,7 +117,7 @@
 ]);
 
 const openLink = async (
-    { idleMilliseconds = 5_000, headMilliseconds = 5_000, limit }: Partial<Case> = {},
+    { idleMilliseconds = 5_000, headMilliseconds = 5_000, limit, onServer }: Partial<Case> = {},
 ): Promise<Held> => {
     const settings = settingsSchema.parse({
         host: { name: "host-a", zone: "zone-1" },
@@ -132,8 +135,10 @@
     const link = await createCallerLink<CallerRequest>({
         bindAddress: "127.0.0.1",
         settings,
-        limitConnections: (server, isIdle) =>
-            limitConnections(server, { part: "callers", descriptors: limited, clock: systemClock }, isIdle),
+        limitConnections: (server, isIdle) => {
+            onServer?.(server);
+            limitConnections(server, { part: "callers", descriptors: limited, clock: systemClock }, isIdle);
+        },
         protocol: createCallerProtocol(settings),
         clock: systemClock,
         serve: () => {
@@ -208,3 +213,21 @@
         });
     }
 }
+
+test.serial("a request that arrives between the last reads and the end of the idle time is answered", async t => {
+    const onTimeout = (): void => {
+        callers.postMessage({ write: get, delay: 100 });
+        setImmediate(() => setImmediate(() => hold(holdMilliseconds)));
+    };
+    const { link, served } = await openLink({
+        idleMilliseconds: 100,
+        onServer: server => void server.once("timeout", onTimeout),
+    });
+    t.teardown(link.close);
+    const port = Number(link.address.split(":")[1]);
+    const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: 1 } });
+    t.teardown(() => callers.terminate());
+    callers.postMessage({ write: get, delay: 0 });
+    await sleep(2_500);
+    t.is(served(), 2);
+});
