Scale a planned stop to graces below three seconds

What callers saw, with a grace below 3 s: requests that could not end before the host were passed on and broken off with 504, and requests were broken off before the last sixth of the grace.

Cause: two fixed times. New requests were refused only 2.4 s after the signal, and sends ended 0.5 s before the grace.

Change: requests that may last beyond the grace are refused from half of it on, if that is sooner, and for a grace below 3 s the times before its end are in proportion. A grace of 3 s and more ends sends as before; one of 4.8 s and more is as before.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -84,7 +84,11 @@
 const maxHeadBytes = 16_384;
 /** Time until the load balancer sends nothing more: it removes a host after two failed checks, a second apart. */
 const balancerRemovalMilliseconds = 2_400;
-/** Time before that in which the last answers are written. */
+/** Largest part of the grace period after which a request is still taken that may last beyond its end. */
+const maxServingShare = 0.5;
+/** The grace period at which the times below are reached; shorter ones have shorter times. */
+const fullGraceMilliseconds = 3_000;
+/** Time in which the last answers are written before all connections are closed. */
 const lastAnswerMilliseconds = 200;
 /** Part of the grace period that remains when all connections are closed, even those with requests in flight. */
 const forcedCloseMilliseconds = 300;
@@ -410,12 +414,14 @@
     return {
         wasReady: () => wasReady,
         stop: async (servingMilliseconds = balancerRemovalMilliseconds) => {
-            const endAt = clock.now() + settings.stopping.grace - forcedCloseMilliseconds;
+            const { grace } = settings.stopping;
+            const scale = Math.min(1, grace / fullGraceMilliseconds);
+            const endAt = clock.now() + grace - forcedCloseMilliseconds * scale;
             stopping = true;
             log.info("host-stopping", { inFlight: callers.inFlight() });
             gateway.stop({
-                endsAt: endAt - lastAnswerMilliseconds,
-                refusesFrom: clock.now() + servingMilliseconds,
+                endsAt: endAt - lastAnswerMilliseconds * scale,
+                refusesFrom: clock.now() + Math.min(servingMilliseconds, grace * maxServingShare),
             });
             server.announce();
             callers.disableKeepAlive();
--- a/test/platform/plannedstop.test.ts
+++ b/test/platform/plannedstop.test.ts
@@ -25,13 +25,13 @@
 /** The load balancer sends nothing more to a host this long after its readiness check failed first. */
 const balancerMilliseconds = 2_300;
 
-const setUp = async (workMilliseconds: number, kind: string) => {
+const setUp = async (workMilliseconds: number, kind: string, grace?: string) => {
     const store = await startStoreStandIn();
     const backend = await startBackendStandIn({ id: "i-1", slots: 50, queue: 50, workMilliseconds, isSharded: false });
     store.put("servers", "i-1", { ...entry("orders", backend), slots: 50 });
     const routes = { r1: { ...route("a.example", "orders", kind), timeout: "10s", targetLatency: "9s" } };
     store.put("config", "main", { version: "r3", routes, services, limits });
-    const program = await startProgram(store);
+    const program = await startProgram(store, { grace });
     await waitUntil(
         "the host is ready",
         () => sendRequest(program.healthPort, "/").then(answer => answer.statusCode === 200, () => false),
@@ -115,4 +115,27 @@
     });
 }
 
+for (const kind of ["safe", "unsafe"]) {
+    test(`a ${kind} request that can not end within a short grace is refused at once and not passed on`, async t => {
+        const { backend, program, close } = await setUp(4_000, kind, "2s");
+        t.teardown(close);
+        program.child.kill("SIGTERM");
+        await sleep(1_150);
+        const sentAt = performance.now();
+        const answer = await send(program);
+        t.is(answer?.statusCode, 503);
+        t.true(performance.now() - sentAt < 300);
+        t.is(backend.arrivals.length, 0);
+    });
+
+    test(`a ${kind} request that ends just before the last sixth of a short grace is answered`, async t => {
+        const { backend, program, close } = await setUp(1_130, kind, "1500ms");
+        t.teardown(close);
+        const answer = send(program);
+        await waitUntil("the request runs", () => backend.arrivals.length === 1);
+        program.child.kill("SIGTERM");
+        t.is((await answer)?.statusCode, 200);
+    });
+}
+
 test.before(buildProgram);
