Remove a pool's objects of earlier eras from the store

What was seen: each return of the store to an older copy leaves one more ownership and coordination object of each pool behind.

Cause: each era has objects of its own, and nothing removed those of the eras before.

Now the coordinator removes them, one era a second, once its own ownership has been cleared for 10 s (earliereras.ts). By then the present ownership is in every copy from which the store may come back, so that a process without memory goes on from it. The coordination object goes last, since it is the one by which the rest is found, also by the next coordinator. What was read in a later era is left. A removal that the store carries out late, after one more return to a copy from before the era, may take the newest ownership from that copy: a process without memory then waits for the holds of all former coordinators, as it does where there was no ownership, and hosts that remember the owners do not need it. The removal of an object of an earlier era is no sign that the era had a coordinator.

Not run: real processes, the soak.

--- a/src/machines/resident/coordination.ts
+++ b/src/machines/resident/coordination.ts
@@ -331,7 +331,9 @@
             ahead = object;
         }
         else if (isLater(current, named)) {
-            applyEarlier(object);
+            if (!removed) {
+                applyEarlier(object);
+            }
         }
         else if (eraOf(object.revision) === era) {
             applyCurrent(removed ? undefined : object);
--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -30,6 +30,7 @@
 import { createClearing } from "./clearing.ts";
 import { createCoordinator } from "./coordination.ts";
 import type { PoolNews, PoolNewsListener } from "./coordinatornews.ts";
+import { createEarlierEras } from "./earliereras.ts";
 import type { EventLoopMonitor } from "./eventloopmonitor.ts";
 import { createGrants } from "./grants.ts";
 import { createMoves } from "./moves.ts";
@@ -95,6 +96,7 @@
 const balancingMilliseconds = 400;
 const targetsPerCut = 6;
 const heartbeatMilliseconds = 800;
+const earlierErasMilliseconds = 1_000;
 /** Moved keys do not move again for this time, in which their load at the new owner becomes known. */
 const settleMilliseconds = 800;
 /**
@@ -160,6 +162,8 @@
         hasGrantsInFlight: () => grants.areInFlight(),
     });
 
+    const earlierEras = createEarlierEras({ pool, store: options.store, clock, log, signal });
+
     const currentRanges = (): OwnedRange[] => coordinator.grantedOwnership()?.ranges ?? [];
 
     let currentIndex: { ranges: OwnedRange[]; ids: Set<string> } = { ranges: [], ids: new Set() };
@@ -375,6 +379,13 @@
         moves.start(currentRanges());
     };
 
+    const removeEarlierEras = async (): Promise<void> => {
+        const ownership = coordinator.ownership();
+        if (ownership !== undefined && ownership.isUncleared !== true && coordinator.mayPlan()) {
+            await earlierEras.removeBefore(eraOf(ownership.term));
+        }
+    };
+
     const resign = (): Promise<boolean> => runStep("resign", coordinator.resign);
 
     let failingSince: number | undefined;
@@ -425,11 +436,15 @@
         step,
     );
     repeat("coordination-beat", () => heartbeatMilliseconds, () => runStep("beat", coordinator.heartbeat));
+    repeat("earlier-eras", () => earlierErasMilliseconds, () => runStep("earlier-eras", removeEarlierEras));
     const renew = (): void => measure("renew", () => grants.renew(currentRanges().filter(moves.isGrantable)));
     repeat("grant-renewal", () => stepMilliseconds, renew);
 
     return {
-        applyCoordination: coordinator.applyCoordination,
+        applyCoordination: (object, removed) => {
+            coordinator.applyCoordination(object, removed);
+            earlierEras.applyCoordination(object, removed);
+        },
         applyTerm: coordinator.applyTerm,
         applyRetired: coordinator.applyRetired,
         isCoordinator: () => coordinator.ownership() !== undefined,
--- a/test/machines/resident/storereturns.test.ts
+++ b/test/machines/resident/storereturns.test.ts
@@ -355,3 +355,85 @@
     t.deepEqual(setup.targets.violations, []);
     setup.hosts.forEach(host => host.kill());
 });
+
+const namesOf = ({ shared }: Setup, kind: string): string[] =>
+    [...shared.copy().objects.keys()].filter(key => key.startsWith(`${kind}/`)).map(key => key.slice(kind.length + 1));
+
+/** Advances the clock and returns the greatest number of the pool's objects of a kind at any time. */
+const mostObjectsDuring = async (setup: Setup, milliseconds: number): Promise<number> => {
+    let most = 0;
+    for (let passed = 0; passed < milliseconds; passed += 1_000) {
+        await setup.world.advance(1_000);
+        most = Math.max(most, namesOf(setup, "ownership").length, namesOf(setup, "coordination").length);
+    }
+    return most;
+};
+
+const returnPauseMilliseconds = 18_000;
+/** Those of the first era, for hosts of earlier versions, of the era before and of the present one. */
+const maxObjects = 3;
+
+/** Guards against objects that add up until hosts have no room for the current ownership. */
+test("objects of earlier eras do not add up with each return of the store", async t => {
+    const setup = await setUp();
+    let most = 0;
+    for (let returns = 0; returns < 7; returns += 1) {
+        returnStore(setup, setup.shared.copy(), 500);
+        most = Math.max(most, await mostObjectsDuring(setup, returnPauseMilliseconds));
+    }
+    t.true(most <= maxObjects, `${most} objects of a kind`);
+    const last = poolObjectName("stock", firstEra + 7);
+    t.deepEqual(namesOf(setup, "ownership").sort(), ["stock", last]);
+    t.deepEqual(namesOf(setup, "coordination").sort(), ["stock", last]);
+    t.deepEqual(setup.targets.unheld(), []);
+    t.deepEqual(setup.targets.violations, []);
+    setup.hosts.forEach(host => host.kill());
+});
+
+for (const fault of ["writes-late", "answers-lost", "refusing"] as const) {
+    for (const kind of ["ownership", "coordination"]) {
+        test(`objects of earlier eras are removed in the end when calls for ${kind} are ${fault} meanwhile`, async t => {
+            const setup = await setUp();
+            returnStore(setup, setup.shared.copy(), 500);
+            await setup.world.advance(4_000);
+            returnStore(setup, setup.shared.copy(), 500);
+            await setup.world.advance(9_000);
+            setup.hosts.forEach(host => host.access.kindFaults.set(kind, fault));
+            await setup.world.advance(6_000);
+            setup.hosts.forEach(host => host.access.kindFaults.clear());
+            await setup.world.advance(20_000);
+            t.deepEqual(namesOf(setup, "ownership").sort(), ["stock", poolObjectName("stock", firstEra + 2)]);
+            t.deepEqual(namesOf(setup, "coordination").sort(), ["stock", poolObjectName("stock", firstEra + 2)]);
+            t.deepEqual(setup.targets.unheld(), []);
+            t.deepEqual(setup.targets.violations, []);
+            setup.hosts.forEach(host => host.kill());
+        });
+    }
+}
+
+/** Guards against an owner that a process without memory does not know of, since the copy's newest object was removed. */
+test("a removal that is carried out after a return to a copy from before the era costs time, not a second owner", async t => {
+    const setup = await setUp();
+    const { world, shared, targets } = setup;
+    const earlier = poolObjectName("stock", firstEra + 1);
+    returnStore(setup, shared.copy(), 500);
+    await world.advance(6_000);
+    const copy = shared.copy();
+    returnStore(setup, copy, 500);
+    await world.advance(6_000);
+    setup.hosts.forEach(({ access }) => {
+        access.kindFaults.set("ownership", "writes-late");
+        access.lateMilliseconds = 2_500;
+    });
+    await world.advance(6_500);
+    t.true(namesOf(setup, "ownership").includes(earlier), "not carried out yet");
+    setup.hosts.forEach(host => host.kill());
+    shared.returnFrom(copy);
+    world.after(600, () => startAnother(setup));
+    await world.advance(1_500);
+    t.deepEqual(namesOf(setup, "ownership"), ["stock"], "carried out before the next ownership");
+    await world.advance(30_000);
+    t.deepEqual(targets.unheld(), []);
+    t.deepEqual(targets.violations, []);
+    setup.hosts.forEach(host => host.kill());
+});
