Rank the readers of a zone by their links too

Hosts without a reader ask the store, and some had versions seconds late.

Cause: readers were ranked by processor and hash alone. A reader sends each change to all hosts of its zone through its link, and reads all versions from the store through it.

Now a host tells the speed of its link in its registration (`host.linkMegabits` of the settings), and hosts with at least half of the largest processor and of the fastest link of the zone rank first, then those with one of both. A host that does not tell its link, as one of an earlier version, counts as fast, so that the order stays as it was where nobody tells.

Evidence: in virtual time, 17 hosts with links of 7 Mbit/s, two with twenty times that, and three manifests of some 3,000 new routes a second apart (test/machines/resident/thinlinks.test.ts). Without the change three of four choices of the two fast hosts had 7 hosts late by the bound of 2 s and 24 or 26 changes of the source (in the fourth the fast hosts were the readers by chance); with it none. Three of the five new cases of test/zones/readers.test.ts failed before. The template of the deployment, filled in by hand with 750.0 and with nothing, is read as 750 and as not told. With real processes, whose settings do not tell a link, test/platform/process, storereturn and quarantine pass.

--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -22,6 +22,10 @@
         /** Processor of the machine: the fraction of a core that the process may use, and the speed of a core. */
         processor: z.object({ share: z.number().positive().default(1), speed: z.number().positive().default(1) })
             .prefault({}),
+        /** Speed of the machine's link in Mbit/s, none or 0 where the deployment does not tell. */
+        linkMegabits: z.number().nonnegative().nullish().transform(speed =>
+            speed === 0 ? undefined : speed ?? undefined
+        ),
     }),
     callers: z.object({ listen: addressSchema, maxBufferedBodyBytes: z.int().positive().default(67_108_864) }),
     health: z.object({ listen: addressSchema }),
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -106,7 +106,7 @@
 /** Starts the host. Resolves when it accepts requests. When the start signal aborts before, it rejects and has closed all. */
 export const startResidentHost = async (options: ResidentHostOptions): Promise<ResidentHost> => {
     const { settings, store, objects, descriptors, clock, metrics, random } = options;
-    const { zone, processor: { share, speed } } = settings.host;
+    const { zone, linkMegabits, processor: { share, speed } } = settings.host;
     const log = options.log.child({ host: settings.host.name });
     const lifetime = new AbortController();
     const { signal } = lifetime;
@@ -134,6 +134,7 @@
         zone,
         address: settings.links.listen,
         processor: share * speed,
+        linkMegabits,
     };
     let acceptsLinks = (): void => undefined;
     const acceptingLinks = new Promise<void>(resolve => {
--- a/src/machines/resident/processes.ts
+++ b/src/machines/resident/processes.ts
@@ -83,6 +83,7 @@
     processor: z.number().default(0),
     zone: z.string().default(""),
     address: z.string().default(""),
+    linkMegabits: z.number().positive().optional(),
     /** Era in which the record was written; in a later one, a copy of the store may have brought it back. */
     era: z.int().default(0),
 });
@@ -110,6 +111,7 @@
         processor: host.processor,
         zone: host.zone,
         address: host.address,
+        linkMegabits: host.linkMegabits,
         era: store.era(),
     });
     const isConfirmed = (): boolean => isRegistered && eraOf(confirmedAt) === store.era();
@@ -260,6 +262,7 @@
                 zone: record.zone,
                 address: record.address,
                 processor: record.processor,
+                linkMegabits: record.linkMegabits,
             }));
             return hosts;
         },
--- a/src/zones/readers.ts
+++ b/src/zones/readers.ts
@@ -13,6 +13,8 @@
     address: string;
     /** Processor of the host, in cores. */
     processor: number;
+    /** Speed of the host's link in Mbit/s; undefined where it does not tell. */
+    linkMegabits?: number | undefined;
 };
 
 export type ReaderChoice = {
@@ -32,15 +34,20 @@
 const minHostsForTwoReaders = 8;
 /** Candidates beyond the readers: they are needed only when readers are gone. */
 const spareCandidates = 3;
-/** A reader has at least this share of the processor of the zone's largest host. */
-const minProcessorShare = 0.5;
+/** A reader has at least this share of the processor of the zone's largest host, and of the link of its fastest. */
+const minShare = 0.5;
 
-/** Ranks the hosts of a zone: those with enough processor first, each group by rendezvous hashing. */
+/**
+ * Ranks the hosts of a zone: those with enough of both processor and link first, then those with enough of one of them, each
+ * group by rendezvous hashing. A host that does not tell the speed of its link counts as fast.
+ */
 const rankReaders = (hash: SlotHash, zone: string, hosts: readonly ReaderCandidate[]): ReaderCandidate[] => {
     const inZone = rankHosts(hash, zone, hosts.filter(host => host.zone === zone));
-    const largest = Math.max(0, ...inZone.map(host => host.processor));
-    const isLarge = (host: ReaderCandidate): boolean => host.processor >= largest * minProcessorShare;
-    return [...inZone.filter(isLarge), ...inZone.filter(host => !isLarge(host))];
+    const largest = Math.max(0, ...inZone.map(({ processor }) => processor));
+    const fastest = Math.max(0, ...inZone.map(({ linkMegabits = 0 }) => linkMegabits));
+    const fitness = ({ processor, linkMegabits = fastest }: ReaderCandidate): number =>
+        (processor >= largest * minShare ? 1 : 0) + (linkMegabits >= fastest * minShare ? 1 : 0);
+    return [2, 1, 0].flatMap(level => inZone.filter(host => fitness(host) === level));
 };
 
 /**
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -56,6 +56,18 @@
     });
 }
 
+const statedLinks: Array<[string, number | undefined]> = [["750.0", 750], ["0.5", 0.5], ["0", undefined], [
+    "",
+    undefined,
+]];
+for (const [text, expected] of statedLinks) {
+    test(`a speed of the link that is filled in as "${text}" is ${expected}`, t => {
+        const host = `host: { name: "h1", zone: "z1" }`;
+        const stated = valid.replace(host, `host:\n  name: "h1"\n  zone: "z1"\n  linkMegabits: ${text}`);
+        t.is(readResidentSettings(fileWith(stated)).settings.host.linkMegabits, expected);
+    });
+}
+
 const statedLimits: Array<[string, number | undefined]> = [["3075", 3_075], ["0", undefined], ["", undefined]];
 
 for (const [text, expected] of statedLimits) {
--- a/test/machines/resident/processes.test.ts
+++ b/test/machines/resident/processes.test.ts
@@ -12,9 +12,10 @@
     const clock = createVirtualClock();
     const shared = createFakeStore(clock);
     const { signal } = new AbortController();
-    const start = (self: string, processor = 1) => {
+    const start = (self: string, processor = 1, linkMegabits?: number) => {
         const access = shared.access();
-        const host = { name: self.slice(0, self.indexOf("/")), zone: "z1", address: "10.0.0.1:1", processor };
+        const name = self.slice(0, self.indexOf("/"));
+        const host = { name, zone: "z1", address: "10.0.0.1:1", processor, linkMegabits };
         return {
             access,
             processes: registerProcess({ store: access.store, self, host, clock, log: silentLog, signal }),
@@ -47,6 +48,17 @@
     t.deepEqual(first.processes.hosts().map(host => host.name).sort(), ["h1", "h2", "h3"]);
 });
 
+test("hosts learn of each other's links, also of one that does not tell its own", async t => {
+    const { clock, shared, start } = setUp();
+    const { processes } = start("h1/x", 1, 200);
+    start("h2/x", 1, 10);
+    await clock.advance(1_000);
+    shared.put("hosts", "h3", { process: "h3/a", zone: "z1", address: "10.0.0.3:1", processor: 1 });
+    takeIn(processes, [shared.read("hosts", "h2"), shared.read("hosts", "h3")]);
+    const links = new Map(processes.hosts().map(({ name, linkMegabits }) => [name, linkMegabits]));
+    t.deepEqual([links.get("h1"), links.get("h2"), links.get("h3")], [200, 10, undefined]);
+});
+
 test("an older record of a host does not replace a newer one", async t => {
     const { clock, shared, start } = setUp();
     const { processes } = start("h1/x");
--- a/test/machines/resident/thinlinks.test.ts
+++ b/test/machines/resident/thinlinks.test.ts
@@ -36,7 +36,8 @@
     return { version: "r1", routes: Object.fromEntries(routes) as Manifest["routes"], services: {}, limits: {} };
 };
 
-const setUp = (hostCount: number, bytesPerMillisecond: number) => {
+/** @param fastHosts places of hosts whose links are twenty times as fast. */
+const setUp = (hostCount: number, bytesPerMillisecond: number, fastHosts: readonly number[] = []) => {
     const clock = createVirtualClock();
     const shared = createFakeStore(clock);
     const network = createFakeNetwork(clock);
@@ -45,13 +46,15 @@
         zone: "z",
         address: `10.0.0.${index}:1`,
         processor: 1,
+        linkMegabits: fastHosts.includes(index) ? 200 : 10,
     }));
     const { signal } = new AbortController();
     setMaxListeners(0, signal);
 
     const start = (self: ReaderCandidate) => {
         const access = shared.access();
-        access.bytesPerMillisecond = bytesPerMillisecond;
+        const speed = bytesPerMillisecond * (self.linkMegabits ?? 0) / 10;
+        access.bytesPerMillisecond = speed;
         const metrics = createMetrics();
         const common = { clock, log: silentLog, metrics, signal };
         let held: unknown;
@@ -67,7 +70,7 @@
             ...common,
         });
         network.listen(self.address, { [statePath]: server.service, [loadsPath]: sharedLoads.service });
-        network.thin(self.address, bytesPerMillisecond);
+        network.thin(self.address, speed);
         const watchers = ["servers", "config", "ownership", "coordination", "hosts"].map(kind =>
             createStoreWatcher({
                 store: source,
@@ -162,3 +165,23 @@
         hosts.forEach(host => t.deepEqual(host.manifest(), manifest));
     });
 }
+
+/** Guards against a reader with a thin link in a zone that has hosts with fast ones. */
+for (const fastHosts of [[0, 1], [2, 9], [5, 14], [8, 16]]) {
+    test(`manifests that are new as a whole are in force in time where hosts ${fastHosts.join(" and ")} of a zone have fast links`, async t => {
+        const { clock, shared, hosts } = setUp(17, 875, fastHosts);
+        shared.put(objects.tableKind, "main", createManifest(150));
+        await clock.advance(20_000);
+        const before = hosts.reduce((sum, host) => sum + host.sourceChanges(), 0);
+        let manifest = createManifest(0);
+        for (let version = 2; version <= 4; version += 1) {
+            manifest = { ...createManifest(3_000 + version), version: `r${version}` };
+            shared.put(objects.tableKind, "main", manifest);
+            await clock.advance(1_000);
+        }
+        await clock.advance(applyMilliseconds - 1_000);
+        const late = hosts.filter(host => host.manifest().version !== manifest.version).length;
+        const left = hosts.reduce((sum, host) => sum + host.sourceChanges(), 0) - before;
+        t.deepEqual({ late, left }, { late: 0, left: 0 });
+    });
+}
--- a/test/zones/readers.test.ts
+++ b/test/zones/readers.test.ts
@@ -49,6 +49,45 @@
     t.true(readers.every(host => host.processor >= 0.675));
 });
 
+/** Speeds of the links of a zone's hosts in turn, and whether each of them may be one of the two readers. */
+const linkCases: Array<{ title: string; links: Array<number | undefined>; processors: number[]; may: boolean[] }> = [
+    {
+        title: "one in five is fast",
+        links: [10, 10, 200, 10, 10],
+        processors: [1],
+        may: [false, false, true, false, false],
+    },
+    { title: "half of the fastest is enough", links: [10, 100, 200], processors: [1], may: [false, true, true] },
+    {
+        title: "those that do not tell count as fast",
+        links: [10, 200, undefined],
+        processors: [1],
+        may: [false, true, true],
+    },
+    { title: "nobody tells", links: [undefined], processors: [1], may: [true] },
+    {
+        title: "a fast link does not outweigh a small processor where others have both",
+        links: [200, 10, 200],
+        processors: [0.2, 1, 1],
+        may: [false, false, true],
+    },
+];
+
+for (const { title, links, processors, may } of linkCases) {
+    test(`hosts with thin links are not preferred as readers: ${title}`, t => {
+        const hosts = createHosts(60, processors).map((host, index) => ({
+            ...host,
+            linkMegabits: links[index % links.length],
+        }));
+        const readers = hosts.map((host, index) => ({ host, index }))
+            .filter(({ host }) => chooseReaders(digestHash, host, hosts).isReader);
+        t.is(readers.length, 2);
+        for (const { index } of readers) {
+            t.true(may[index % may.length], `host ${index}`);
+        }
+    });
+}
+
 test("all followers of a zone prefer the same reader, through which they share loads", t => {
     const hosts = createHosts(40);
     const followed = hosts.map(host => chooseReaders(digestHash, host, hosts))
