Keep the order of the fields that name a lost answer, and wait for what tests on busy machines wait for

The line caller-connection-ended begins as before (reason, by, due, request, requests); what was added follows. Found by test/platform/refusedbytes.test.ts, which failed since the fields were added.

--- a/src/machines/resident/callerlog.ts
+++ b/src/machines/resident/callerlog.ts
@@ -65,8 +65,10 @@
             logConnectionEnd({
                 reason,
                 by: endedBy,
-                phase,
                 due,
+                request: requestIds[0],
+                requests: requestIds.join(","),
+                phase,
                 dropped,
                 unfinishedBytes,
                 unreadBytes,
@@ -74,8 +76,6 @@
                 isStopping,
                 sinceReloadMilliseconds: millisecondsSince(reloadedAt),
                 sinceTableMilliseconds: millisecondsSince(tableChangedAt),
-                request: requestIds[0],
-                requests: requestIds.join(","),
             });
         },
         onException: (error, requestId) =>
--- a/test/links/requestledger.test.ts
+++ b/test/links/requestledger.test.ts
@@ -441,7 +441,7 @@
         do {
             await sleep(1_000);
         }
-        while (statusesOf(text).length < statuses.length && performance.now() < giveUpAt);
+        while ((metrics.inFlight() > 0 || statusesOf(text).length < statuses.length) && performance.now() < giveUpAt);
         socket.end();
         return statusesOf(text);
     }));
