--- a/src/links/sendqueues.ts
+++ b/src/links/sendqueues.ts
@@ -1,6 +1,7 @@
 /**
- * What the system still holds of the bytes that were written to a connection or that have arrived on it. The system takes more from a process only
- * once a large part of what it holds has gone, so writes alone do not tell a slow reader from one that reads nothing.
+ * What the system holds of the bytes that were written to a connection, or that have arrived on it. The system takes more from
+ * a process only once a large part of what it holds has gone, so writes alone do not tell a slow reader from one that reads
+ * nothing.
  */
 import { readFile } from "node:fs/promises";
 import type { Socket } from "node:net";
