Accept the connections that wait also when a stop is late

Cause: the stop accepted for half of the time that was left to it, which is none when it is late.

Change: 0.2 s at least.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -92,6 +92,8 @@
 const fullGraceMilliseconds = 3_000;
 /** Time in which the last answers are written before all connections are closed. */
 const lastAnswerMilliseconds = 200;
+/** Time in which a stop accepts the connections that wait, also if it is late. */
+const minAcceptMilliseconds = 200;
 /** Part of the grace period that remains when all connections are closed, even those with requests in flight. */
 const forcedCloseMilliseconds = 300;
 /** Value of the metric's label `reason` for requests that a target answered. */
@@ -434,7 +436,7 @@
             // The store may never answer, so nothing waits for it.
             controllers.resign();
             await clock.sleep(Math.min(servingMilliseconds, endAt - clock.now()));
-            await callers.stopAccepting((endAt - clock.now()) / 2);
+            await callers.stopAccepting(Math.max(minAcceptMilliseconds, (endAt - clock.now()) / 2));
             await waitUntilIdle(endAt);
             log.info("host-stopped", { inFlight: callers.inFlight(), calls: JSON.stringify(store.callCounts()) });
             close();
