Hold the running answer until the stop in the test of callers' connections

Cause: the expectation was wrong, and passed only where the test's process ran late. An answer that is written after a stop announces the end of its connection, and no refusal has to follow it; the 408 is for ends that were not announced. With all 199 cases at once, the answer (200 ms) was mostly written before the stop (60 ms after it was read) had begun, so that the connection was idle and did end with a 408. By itself the case fails each time.

The answer of a running request now waits until the stop has begun. It has to announce the end, and nothing may follow; an answer half written, which could not announce it, is still followed by the 408.

--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -30,11 +30,14 @@
 const firstPart = "first part, ";
 const wholeBody = "first part, second part.";
 
-/** An answer that comes after some work, or one whose first part comes at once and the rest after the work. */
-const answerOf = async ({ path }: CallerRequest): Promise<CallerAnswer> => {
+/**
+ * An answer that comes after some work and not before `mayAnswer` has resolved, or one whose first part comes at once and
+ * the rest after the work.
+ */
+const answerOf = async ({ path }: CallerRequest, mayAnswer: Promise<void>): Promise<CallerAnswer> => {
     const answer = { kind: "answer" as const, statusCode: 200, headers: { "content-length": `${wholeBody.length}` } };
     if (path === "/running") {
-        await sleep(workMilliseconds);
+        await Promise.all([sleep(workMilliseconds), mayAnswer]);
         return { ...answer, body: Buffer.from(wholeBody) };
     }
     if (path === "/long") {
@@ -89,7 +92,7 @@
 
 type Opened = { link: CallerLink; served: string[]; ends: ConnectionEnd[] };
 
-const openLink = async (): Promise<Opened> => {
+const openLink = async (mayAnswer = Promise.resolve()): Promise<Opened> => {
     const settings = settingsSchema.parse({
         host: { name: "host-a", zone: "zone-1" },
         platform: { url: "http://127.0.0.1:1" },
@@ -104,7 +107,7 @@
         clock: systemClock,
         serve: request => {
             served.push(request.path);
-            return answerOf(request);
+            return answerOf(request, mayAnswer);
         },
         onDone: () => undefined,
         onMalformed: () => undefined,
@@ -128,6 +131,8 @@
     act?: (opened: Opened, socket: Socket) => void;
     /** Statuses after the answer of the first request, if there is one. */
     statuses: number[];
+    /** Paths of requests whose answer announces the end of the connection, so that no status comes after it. */
+    announcedBy?: Array<string | undefined>;
     /** Paths of requests after which a stop may end the connection without the last answer. */
     droppedByStop?: Array<string | undefined>;
     /** Whether the connection stays open. */
@@ -208,7 +213,7 @@
     },
     { title: "one more request and a planned stop", bytes: get("running"), act: stop, statuses: [200] },
     // The refusal is for a request that crosses the end.
-    { title: "a planned stop", act: stop, statuses: [408], staysUnused: true },
+    { title: "a planned stop", act: stop, statuses: [408], announcedBy: ["running"], staysUnused: true },
     {
         title: "a reload with shorter time-outs",
         act: ({ link }) => link.setTimeouts(10_000, 50),
@@ -250,12 +255,18 @@
         }))
     );
     for (const { follower, after } of plays) {
-        const { title, bytes, act, statuses, staysOpen = false, staysUnused = false } = follower;
+        const { title, bytes, act, staysOpen = false, staysUnused = false } = follower;
+        const statuses = follower.announcedBy?.includes(path) === true ? [] : follower.statuses;
         test(`answers that are due go first: ${title} after ${before}${after.title}`, async t => {
             const first = path === undefined ? [] : [200];
             const wanted = staysUnused && path === undefined ? [] : [...first, ...statuses];
             const mayBeDropped = after.act === stop && follower.droppedByStop?.includes(path) === true;
-            const opened = await openLink();
+            let allowAnswer = (): void => undefined;
+            const opened = await openLink(
+                new Promise(resolve => {
+                    allowAnswer = resolve;
+                }),
+            );
             t.teardown(opened.link.close);
             opened.link.setTimeouts(5_000, follower.headLimit ?? longHeadMilliseconds);
             const [host, port] = opened.link.address.split(":");
@@ -289,6 +300,7 @@
                 await waitTurns(thenMilliseconds, () => false);
                 after.act(opened, follower);
             }
+            allowAnswer();
             const stays = staysOpen || (staysUnused && path === undefined);
             await waitTurns(stays ? 800 : 2_000, () => ended);
             const found = received.split("HTTP/1.1 ").slice(1);
@@ -296,6 +308,8 @@
             const isShort = mayBeDropped && statusesFound.length === wanted.length - 1;
             t.deepEqual(statusesFound, isShort ? wanted.slice(0, -1) : wanted, received);
             t.true(found.filter(answer => answer.startsWith("200")).every(answer => answer.endsWith(wholeBody)));
+            const isAnnounced = found.some(answer => answer.startsWith("200") && answer.includes("connection: close"));
+            t.true(isAnnounced || follower.announcedBy?.includes(path) !== true);
             t.is(opened.served.length, wanted.filter(status => status === 200).length);
             t.is(ended, !stays);
         });
