Bound what stalls of the soak excuse by the longest of the run

Cause: the verdict excused a request's lateness by the sum of all stalls of the soak within its time. Many short ones added up, so that a cut 5 s after its request was sent was excused, where the longest of the run (60 ms) would not have excused it before.

Change: the sum counts up to the longest stall of the run, so that no request is excused that was not before the sum was taken.

Measured: test/soak/soak.test.ts, "a late cut with many short stalls of the soak before it", failed before (no finding) and passes; the three other late cuts pass as before. The record of "while the soak stood still" names its longest stall too, as a record of a run does.

--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -110,9 +110,27 @@
     {
         name: "a late cut while the soak stood still",
         request: { ...cut, sentAt: 15_000, timeoutMilliseconds: 9_000 },
-        records: { targets: [idle], stalls: [{ from: 14_000, until: 19_000, milliseconds: 4_500 }] },
+        records: {
+            targets: [idle],
+            stallMilliseconds: 4_500,
+            stalls: [{ from: 14_000, until: 19_000, milliseconds: 4_500 }],
+        },
         expected: [],
     },
+    {
+        name: "a late cut with many short stalls of the soak before it",
+        request: { ...cut, sentAt: 15_000, timeoutMilliseconds: 9_000 },
+        records: {
+            targets: [idle],
+            stallMilliseconds: 60,
+            stalls: Array.from({ length: 80 }, (...[, index]) => ({
+                from: 15_000 + index * 60,
+                until: 15_060 + index * 60,
+                milliseconds: 60,
+            })),
+        },
+        expected: ["LOST"],
+    },
     {
         name: "a cut of an unread request, not much later than it was sent",
         request: { ...cut, sentAt: 19_850, timeoutMilliseconds: 9_000 },
--- a/test/soak/verdict.ts
+++ b/test/soak/verdict.ts
@@ -266,7 +266,7 @@
         const passed = request.endedAt - request.sentAt;
         const stalled = stalls.filter(({ from, until }) => from <= request.endedAt && until >= request.sentAt)
             .reduce((sum, { milliseconds }) => sum + milliseconds, 0);
-        const isLate = passed > slack.unread + stalled;
+        const isLate = passed > slack.unread + Math.min(stalled, stallMilliseconds);
         const isBrokenOff = reached.some(({ endedAt, cutIds }) =>
             cutIds.has(request.id) || (endedAt > request.sentAt && endedAt <= request.endedAt)
         );
