--- a/test/links/crossings.test.ts
+++ b/test/links/crossings.test.ts
@@ -10,19 +10,32 @@
 import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
 import { type CallerLink, type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
 import { systemClock } from "../../src/links/clock.ts";
+import { limitConnections } from "../../src/links/connectionlimit.ts";
+import { createDescriptors } from "../../src/links/descriptors.ts";
+import { silentLog } from "../../src/links/logs.ts";
+import { createMetrics } from "../../src/links/metrics.ts";
 
 const delayMilliseconds = 400;
 const body = "an answer";
 
-const openLink = async (served: string[]): Promise<CallerLink> => {
+const openLink = async (served: string[], maxConnections: number): Promise<CallerLink> => {
     const settings = settingsSchema.parse({
         host: { name: "host-a", zone: "zone-1" },
         platform: { url: "http://127.0.0.1:1" },
         callers: { port: 0 },
     }).callers;
+    const descriptors = createDescriptors({
+        limits: { process: undefined, stated: 1_024, files: 48 },
+        clock: systemClock,
+        log: silentLog,
+        metrics: createMetrics(),
+    });
+    const limited = { ...descriptors, isFull: () => descriptors.inUse("callers") >= maxConnections };
     return createCallerLink<CallerRequest>({
         bindAddress: "127.0.0.1",
         settings,
+        limitConnections: (server, isIdle, close) =>
+            limitConnections(server, { part: "callers", descriptors: limited, clock: systemClock }, isIdle, close),
         protocol: createCallerProtocol(settings),
         clock: systemClock,
         serve: request => {
@@ -65,20 +78,30 @@
     POST: "POST /orders/b HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc",
 };
 
-const ends: Record<string, (link: CallerLink) => Promise<unknown>> = {
-    "a planned stop": link => link.stopAccepting(),
-    "the close of all connections": link => link.close(),
+/** Connects to the host, and waits until it has closed the connection. */
+const connectOnce = async ({ address }: CallerLink): Promise<void> => {
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host).on("error", () => undefined).resume();
+    socket.end("GET /-/health HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    await once(socket, "close");
+};
+
+type End = { act: (link: CallerLink) => Promise<unknown>; idleMilliseconds?: number; maxConnections?: number };
+const ends: Record<string, End> = {
+    "a planned stop": { act: link => link.stopAccepting() },
+    "the close of all connections": { act: link => link.close() },
     // Node closes a connection one second after the time that it announces.
-    "the end of the idle time": () => sleep(1_300 - delayMilliseconds),
+    "the end of the idle time": { act: () => sleep(1_300 - delayMilliseconds), idleMilliseconds: 200 },
+    "a new connection beyond the limit": { act: connectOnce, maxConnections: 1 },
 };
 
-for (const [end, act] of Object.entries(ends)) {
+for (const [end, { act, idleMilliseconds = 10_000, maxConnections = Infinity }] of Object.entries(ends)) {
     for (const [method, request] of Object.entries(requests)) {
         test(`a request that crosses the end of an idle connection is refused as not run: ${end}, ${method}`, async t => {
             const served: string[] = [];
-            const link = await openLink(served);
+            const link = await openLink(served, maxConnections);
             t.teardown(link.close);
-            link.setTimeouts(end === "the end of the idle time" ? 200 : 10_000, 10_000);
+            link.setTimeouts(idleMilliseconds, 10_000);
             const slow = await openSlowLink(Number(link.address.split(":")[1]));
             t.teardown(slow.close);
             const socket = connect(slow.port, "127.0.0.1").on("error", () => undefined);
