Open the link to callers of the tests in one place

Cause: nine files of test/links each set a link to callers up, with its settings, and two of them the limit on its connections, so that a new option of the link had to be added to all of them.

Change: test/links/callerlink.ts opens the link. It takes what differs (settings of callers, serve, ledger, onDone, limit on connections, a look at the server) and records the requests that were served and the ends of connections. The tests keep their expectations word for word. Two things differ in what runs: heldloop.test.ts closes a connection beyond the limit through the link, as the program does, not by destroying the socket; and callerinput.test.ts no longer collects the reasons of malformed input, which nothing read.

--- a/test/links/callerconnections.test.ts
+++ b/test/links/callerconnections.test.ts
@@ -8,17 +8,8 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { promisify } from "node:util";
-import { settingsSchema } from "../../src/contracts/settings.ts";
-import type { ConnectionEnd } from "../../src/links/callerconnections.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import {
-    type CallerAnswer,
-    type CallerLink,
-    type CallerRequest,
-    createCallerLink,
-    type StreamReceiver,
-} from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
+import type { CallerAnswer, CallerRequest, StreamReceiver } from "../../src/links/callers.ts";
+import { openCallerLink, type OpenedLink } from "./callerlink.ts";
 
 const workMilliseconds = 200;
 const pauseMilliseconds = 60;
@@ -90,32 +81,13 @@
     return { ...answer, body: Buffer.from(wholeBody) };
 };
 
-type Opened = { link: CallerLink; served: string[]; ends: ConnectionEnd[] };
-
-const openLink = async (mayAnswer = Promise.resolve()): Promise<Opened> => {
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0, maxBodyBytes: 64, maxHeadBytes: 2_048 },
-    }).callers;
-    const served: string[] = [];
-    const ends: ConnectionEnd[] = [];
-    const link = await createCallerLink<CallerRequest>({
-        bindAddress: "127.0.0.1",
-        settings,
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
-        serve: request => {
-            served.push(request.path);
-            return answerOf(request, mayAnswer);
-        },
-        onDone: () => undefined,
-        onMalformed: () => undefined,
-        onConnectionEnd: end => ends.push(end),
-        healthy: () => true,
+const openLink = async (mayAnswer = Promise.resolve()): Promise<OpenedLink> => {
+    const opened = await openCallerLink({
+        callers: { maxBodyBytes: 64, maxHeadBytes: 2_048 },
+        serve: request => answerOf(request, mayAnswer),
     });
-    link.setTimeouts(5_000, longHeadMilliseconds);
-    return { link, served, ends };
+    opened.link.setTimeouts(5_000, longHeadMilliseconds);
+    return opened;
 };
 
 const get = (path: string, ...lines: string[]): string =>
@@ -128,7 +100,7 @@
     bytes?: string;
     /** Time in which a head must have come whole. */
     headLimit?: number;
-    act?: (opened: Opened, socket: Socket) => void;
+    act?: (opened: OpenedLink, socket: Socket) => void;
     /** Statuses after the answer of the first request, if there is one. */
     statuses: number[];
     /** Paths of requests whose answer announces the end of the connection, so that no status comes after it. */
@@ -141,12 +113,12 @@
     staysUnused?: boolean;
 };
 
-const stop = ({ link }: Opened): void => {
+const stop = ({ link }: OpenedLink): void => {
     link.disableKeepAlive();
     void link.stopAccepting();
 };
 
-const halfClose = (...[, socket]: [Opened, Socket]): void => void socket.end();
+const halfClose = (...[, socket]: [OpenedLink, Socket]): void => void socket.end();
 
 const followers: Follower[] = [
     { title: "garbage", bytes: "\0\0 no request\r\n\r\n", statuses: [400] },
@@ -222,7 +194,7 @@
     },
 ];
 
-type After = { title: string; act?: (opened: Opened, follower: Follower) => void };
+type After = { title: string; act?: (opened: OpenedLink, follower: Follower) => void };
 /** What comes shortly after the bytes of a follower. */
 const afters: After[] = [
     { title: "" },
@@ -316,7 +288,7 @@
     }
 }
 
-const openSocket = (t: ExecutionContext, { link }: Opened): Socket => {
+const openSocket = (t: ExecutionContext, { link }: OpenedLink): Socket => {
     const [host, port] = link.address.split(":");
     const socket = connect(Number(port), host).on("error", () => undefined);
     t.teardown(() => socket.destroy());
--- a/test/links/callerends.test.ts
+++ b/test/links/callerends.test.ts
@@ -5,11 +5,9 @@
 import test, { type ExecutionContext } from "ava";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { settingsSchema } from "../../src/contracts/settings.ts";
 import type { ConnectionEnd, ConnectionEndReason } from "../../src/links/callerconnections.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerAnswer, type CallerLink, createCallerLink, type StreamCut } from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
+import type { CallerAnswer, CallerLink, StreamCut } from "../../src/links/callers.ts";
+import { openCallerLink } from "./callerlink.ts";
 
 type Case = {
     title: string;
@@ -23,26 +21,12 @@
 const withoutUnread = (ends: ConnectionEnd[]) => ends.map(end => ({ ...end, unreadBytes: undefined }));
 
 const openLink = async (t: ExecutionContext, answer?: CallerAnswer) => {
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0 },
-    }).callers;
-    const ends: ConnectionEnd[] = [];
     const ids: string[] = [];
-    const link = await createCallerLink({
-        bindAddress: "127.0.0.1",
-        settings,
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
+    const { link, ends } = await openCallerLink({
         serve: async ({ id }) => {
             ids.push(id);
             return answer ?? sleep(2_000, { kind: "answer", statusCode: 200, headers: {}, body: undefined });
         },
-        onDone: () => undefined,
-        onMalformed: () => undefined,
-        onConnectionEnd: end => ends.push(end),
-        healthy: () => true,
     });
     t.teardown(link.close);
     const [host, port] = link.address.split(":");
--- a/test/links/callerinput.test.ts
+++ b/test/links/callerinput.test.ts
@@ -5,12 +5,8 @@
 import test from "ava";
 import fc from "fast-check";
 import { connect } from "node:net";
-import type { Reason } from "../../src/contracts/outcome.ts";
-import { settingsSchema } from "../../src/contracts/settings.ts";
 import { splitUrl } from "../../src/links/callerhead.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
+import { openCallerLink } from "./callerlink.ts";
 
 const urls: Array<{ url: string; place: { pool: string; path: string } | undefined }> = [
     { url: "/orders", place: { pool: "orders", path: "/" } },
@@ -34,29 +30,11 @@
     });
 }
 
-const openLink = async () => {
-    const served: CallerRequest[] = [];
-    const malformed: Reason[] = [];
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0, maxBodyBytes: 64, maxHeadBytes: 2_048 },
-    }).callers;
-    const link = await createCallerLink({
-        bindAddress: "127.0.0.1",
-        settings,
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
-        serve: request => {
-            served.push(request);
-            return Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: Buffer.from("served") });
-        },
-        onDone: () => undefined,
-        onMalformed: reason => malformed.push(reason),
-        healthy: () => true,
+const openLink = () =>
+    openCallerLink({
+        callers: { maxBodyBytes: 64, maxHeadBytes: 2_048 },
+        serve: () => Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: Buffer.from("served") }),
     });
-    return { link, served, malformed };
-};
 
 /** The client and the link share an event loop; an answer would arrive within this many of its turns. */
 const turnsForAnswer = 50;
--- a/test/links/callers.test.ts
+++ b/test/links/callers.test.ts
@@ -5,16 +5,8 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { settingsSchema } from "../../src/contracts/settings.ts";
-import type { CallerRequest } from "../../src/links/callerhead.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import {
-    type CallerAnswer,
-    type CallerLink,
-    type CallerLinkOptions,
-    createCallerLink,
-} from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
+import type { CallerAnswer } from "../../src/links/callers.ts";
+import { openCallerLink } from "./callerlink.ts";
 
 const cases: Array<{ title: string; answer: CallerAnswer; contains: string[]; lacks: string[] }> = [
     {
@@ -32,30 +24,9 @@
     },
 ];
 
-const openLink = (
-    serve: (request: CallerRequest) => Promise<CallerAnswer>,
-    onDone: CallerLinkOptions<CallerRequest>["onDone"] = () => undefined,
-): Promise<CallerLink> => {
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0 },
-    }).callers;
-    return createCallerLink<CallerRequest>({
-        bindAddress: "127.0.0.1",
-        settings,
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
-        serve,
-        onDone,
-        onMalformed: () => undefined,
-        healthy: () => true,
-    });
-};
-
 for (const { title, answer, contains, lacks } of cases) {
     test(title, async t => {
-        const link = await openLink(() => Promise.resolve(answer));
+        const { link } = await openCallerLink({ serve: () => Promise.resolve(answer) });
         const [host, port] = link.address.split(":");
         const received = await new Promise<string>(resolve => {
             const chunks: Buffer[] = [];
@@ -86,9 +57,11 @@
 for (const { title, request } of abandonedRequests) {
     test(`${title} that a late host reads after its caller has hung up is not served`, async t => {
         const served: boolean[] = [];
-        const link = await openLink(({ hangUp }) => {
-            served.push(!hangUp.happened);
-            return Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: undefined });
+        const { link } = await openCallerLink({
+            serve: ({ hangUp }) => {
+                served.push(!hangUp.happened);
+                return Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: undefined });
+            },
         });
         t.teardown(link.close);
         const [host, port] = link.address.split(":");
@@ -118,7 +91,7 @@
 for (const { title, serve } of exceptions) {
     test(`a request is answered and reported when ${title}`, async t => {
         const done: Array<string | undefined> = [];
-        const link = await openLink(serve, (...[, , reason]) => done.push(reason));
+        const { link } = await openCallerLink({ serve, onDone: (...[, , reason]) => done.push(reason) });
         t.teardown(link.close);
         const [host, port] = link.address.split(":");
         const socket = connect(Number(port), host);
@@ -136,7 +109,7 @@
 test("a request is in flight until its answer has been handed to the operating system", async t => {
     const body = Buffer.alloc(33_554_432, "x");
     const answer: CallerAnswer = { kind: "answer", statusCode: 200, headers: {}, body };
-    const link = await openLink(() => Promise.resolve(answer));
+    const { link } = await openCallerLink({ serve: () => Promise.resolve(answer) });
     t.teardown(link.close);
     const [host, port] = link.address.split(":");
     const socket = connect(Number(port), host).pause();
--- a/test/links/crossings.test.ts
+++ b/test/links/crossings.test.ts
@@ -6,53 +6,12 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { settingsSchema } from "../../src/contracts/settings.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerLink, type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
-import { limitConnections } from "../../src/links/connectionlimit.ts";
-import { createDescriptors } from "../../src/links/descriptors.ts";
-import { silentLog } from "../../src/links/logs.ts";
-import { createMetrics } from "../../src/links/metrics.ts";
+import type { CallerLink } from "../../src/links/callers.ts";
+import { answerWithLength, openCallerLink } from "./callerlink.ts";
 
 const delayMilliseconds = 400;
 const body = "an answer";
 
-const openLink = async (served: string[], maxConnections: number): Promise<CallerLink> => {
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0 },
-    }).callers;
-    const descriptors = createDescriptors({
-        limits: { process: undefined, stated: 1_024, files: 48 },
-        clock: systemClock,
-        log: silentLog,
-        metrics: createMetrics(),
-    });
-    const limited = { ...descriptors, isFull: () => descriptors.inUse("callers") >= maxConnections };
-    return createCallerLink<CallerRequest>({
-        bindAddress: "127.0.0.1",
-        settings,
-        limitConnections: (server, isIdle, close) =>
-            limitConnections(server, { part: "callers", descriptors: limited, clock: systemClock }, isIdle, close),
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
-        serve: request => {
-            served.push(request.path);
-            return Promise.resolve({
-                kind: "answer",
-                statusCode: 200,
-                headers: { "content-length": String(body.length) },
-                body: Buffer.from(body),
-            });
-        },
-        onDone: () => undefined,
-        onMalformed: () => undefined,
-        healthy: () => true,
-    });
-};
-
 /** Passes bytes on at once to the host, and after a delay to the caller. */
 const openSlowLink = async (hostPort: number) => {
     const sockets: Socket[] = [];
@@ -98,8 +57,8 @@
 for (const [end, { act, idleMilliseconds = 10_000, maxConnections = Infinity }] of Object.entries(ends)) {
     for (const [method, request] of Object.entries(requests)) {
         test(`a request that crosses the end of an idle connection is refused as not run: ${end}, ${method}`, async t => {
-            const served: string[] = [];
-            const link = await openLink(served, maxConnections);
+            const serve = () => Promise.resolve(answerWithLength(body));
+            const { link, served } = await openCallerLink({ maxConnections, serve });
             t.teardown(link.close);
             link.setTimeouts(idleMilliseconds, 10_000);
             const slow = await openSlowLink(Number(link.address.split(":")[1]));
--- a/test/links/cutmessages.test.ts
+++ b/test/links/cutmessages.test.ts
@@ -6,15 +6,12 @@
 import { pack } from "msgpackr";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { settingsSchema } from "../../src/contracts/settings.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
 import { createJsonCaller } from "../../src/links/jsoncall.ts";
 import { silentLog } from "../../src/links/logs.ts";
 import { createMetrics } from "../../src/links/metrics.ts";
 import { openPeerEndpoint } from "../../src/links/peers.ts";
 import { until } from "../system.ts";
+import { openCallerLink } from "./callerlink.ts";
 
 type Message = { title: string; bytes: Buffer };
 
@@ -60,24 +57,8 @@
 for (const { title, bytes } of requests) {
     for (const { title: ending, end } of endings) {
         test(`a request whose connection ${ending} in ${title} is not served`, async t => {
-            const served: CallerRequest[] = [];
-            const settings = settingsSchema.parse({
-                host: { name: "host-a", zone: "zone-1" },
-                platform: { url: "http://127.0.0.1:1" },
-                callers: { port: 0 },
-            }).callers;
-            const link = await createCallerLink<CallerRequest>({
-                bindAddress: "127.0.0.1",
-                settings,
-                protocol: createCallerProtocol(settings),
-                clock: systemClock,
-                serve: request => {
-                    served.push(request);
-                    return Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: undefined });
-                },
-                onDone: () => undefined,
-                onMalformed: () => undefined,
-                healthy: () => true,
+            const { link, served } = await openCallerLink({
+                serve: () => Promise.resolve({ kind: "answer", statusCode: 200, headers: {}, body: undefined }),
             });
             t.teardown(link.close);
             const port = Number(link.address.split(":")[1]);
--- a/test/links/heldloop.test.ts
+++ b/test/links/heldloop.test.ts
@@ -7,14 +7,9 @@
 import type { Server } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
-import { settingsSchema } from "../../src/contracts/settings.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerLink, type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
+import type { CallerLink } from "../../src/links/callers.ts";
 import { systemClock } from "../../src/links/clock.ts";
-import { limitConnections } from "../../src/links/connectionlimit.ts";
-import { createDescriptors } from "../../src/links/descriptors.ts";
-import { silentLog } from "../../src/links/logs.ts";
-import { createMetrics } from "../../src/links/metrics.ts";
+import { answerWithLength, openCallerLink } from "./callerlink.ts";
 
 const connections = 8;
 /** Connections that wait to be accepted. */
@@ -117,45 +112,15 @@
 ]);
 
 const openLink = async (
-    { idleMilliseconds = 5_000, headMilliseconds = 5_000, limit, onServer }: Partial<Case> = {},
+    { idleMilliseconds = 5_000, headMilliseconds = 5_000, limit = Infinity, onServer }: Partial<Case> = {},
 ): Promise<Held> => {
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0 },
-    }).callers;
-    let served = 0;
-    const descriptors = createDescriptors({
-        limits: { process: undefined, stated: 1_024, files: 48 },
-        clock: systemClock,
-        log: silentLog,
-        metrics: createMetrics(),
-    });
-    const limited = { ...descriptors, isFull: () => descriptors.inUse("callers") >= (limit ?? Infinity) };
-    const link = await createCallerLink<CallerRequest>({
-        bindAddress: "127.0.0.1",
-        settings,
-        limitConnections: (server, isIdle) => {
-            onServer?.(server);
-            limitConnections(server, { part: "callers", descriptors: limited, clock: systemClock }, isIdle);
-        },
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
-        serve: () => {
-            served += 1;
-            return Promise.resolve({
-                kind: "answer",
-                statusCode: 200,
-                headers: { "content-length": String(body.length) },
-                body: Buffer.from(body),
-            });
-        },
-        onDone: () => undefined,
-        onMalformed: () => undefined,
-        healthy: () => true,
+    const { link, served } = await openCallerLink({
+        maxConnections: limit,
+        onServer,
+        serve: () => Promise.resolve(answerWithLength(body)),
     });
     link.setTimeouts(idleMilliseconds, headMilliseconds);
-    return { link, served: () => served };
+    return { link, served: () => served.length };
 };
 
 for (const each of cases) {
--- a/test/links/requestledger.test.ts
+++ b/test/links/requestledger.test.ts
@@ -5,19 +5,10 @@
 import test, { type ExecutionContext } from "ava";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { settingsSchema } from "../../src/contracts/settings.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import {
-    type CallerAnswer,
-    type CallerLink,
-    type CallerRequest,
-    createCallerLink,
-    type StreamCut,
-    type StreamReceiver,
-} from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
+import type { CallerAnswer, CallerLink, CallerRequest, StreamCut, StreamReceiver } from "../../src/links/callers.ts";
 import { createMetrics, type Metrics } from "../../src/links/metrics.ts";
 import { createRequestLedger } from "../../src/links/requestledger.ts";
+import { answerWithLength, openCallerLink } from "./callerlink.ts";
 
 const wholeBody = "first part, second part.";
 const firstPart = "first part, ";
@@ -38,12 +29,7 @@
         setTimeout(() => onFailure(cut), 20);
     }),
 });
-const whole = (): CallerAnswer & { kind: "answer" } => ({
-    kind: "answer",
-    statusCode: 200,
-    headers: { "content-length": String(wholeBody.length) },
-    body: Buffer.from(wholeBody),
-});
+const whole = () => answerWithLength(wholeBody);
 
 /** Answers by the path of the request. */
 const answers: Record<string, (request: CallerRequest) => CallerAnswer | Promise<CallerAnswer>> = {
@@ -104,26 +90,11 @@
 };
 
 const openLink = async (t: ExecutionContext) => {
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0, maxBodyBytes: 64, maxHeadBytes: 2_048 },
-    }).callers;
     const metrics = createCheckedMetrics();
-    const served: string[] = [];
-    const link = await createCallerLink<CallerRequest>({
-        bindAddress: "127.0.0.1",
-        settings,
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
-        serve: async request => {
-            served.push(request.path);
-            return await (answers[request.path] ?? whole)(request);
-        },
-        onDone: () => undefined,
-        onMalformed: () => undefined,
+    const { link, served } = await openCallerLink({
+        callers: { maxBodyBytes: 64, maxHeadBytes: 2_048 },
+        serve: async request => await (answers[request.path] ?? whole)(request),
         ledger: createRequestLedger(metrics.checked),
-        healthy: () => true,
     });
     t.teardown(link.close);
     link.setTimeouts(5_000, 60_000);
--- a/test/links/requeststates.test.ts
+++ b/test/links/requeststates.test.ts
@@ -5,12 +5,10 @@
 import test from "ava";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { settingsSchema } from "../../src/contracts/settings.ts";
-import { createCallerProtocol } from "../../src/links/callerprotocol.ts";
-import { type CallerAnswer, type CallerLink, type CallerRequest, createCallerLink } from "../../src/links/callers.ts";
-import { systemClock } from "../../src/links/clock.ts";
+import type { CallerAnswer, CallerLink, CallerRequest } from "../../src/links/callers.ts";
 import { createMetrics } from "../../src/links/metrics.ts";
 import { createRequestLedger } from "../../src/links/requestledger.ts";
+import { openCallerLink } from "./callerlink.ts";
 
 const workMilliseconds = 400;
 const largeBytes = 8_000_000;
@@ -44,23 +42,8 @@
 };
 
 const openLink = async () => {
-    const settings = settingsSchema.parse({
-        host: { name: "host-a", zone: "zone-1" },
-        platform: { url: "http://127.0.0.1:1" },
-        callers: { port: 0 },
-    }).callers;
     const metrics = createMetrics();
-    const link = await createCallerLink<CallerRequest>({
-        bindAddress: "127.0.0.1",
-        settings,
-        protocol: createCallerProtocol(settings),
-        clock: systemClock,
-        serve: answerOf,
-        onDone: () => undefined,
-        onMalformed: () => undefined,
-        ledger: createRequestLedger(metrics),
-        healthy: () => true,
-    });
+    const { link } = await openCallerLink({ serve: answerOf, ledger: createRequestLedger(metrics) });
     link.setTimeouts(5_000, 60_000);
     return { link, metrics };
 };
