Pass on a 204 or 304 that tells a length

What callers saw: 502 answer-cut-short for a target's 304 with a Content-Length, which is allowed and tells the length that a 200 would have.

Cause: undici compares the bytes of each answer with the length that its head tells, also where the status says that there are none.

Change: a mismatch of an answer whose status has no body ends it. undici closes the connection, as before. One function tells these statuses, where three places did.

--- a/src/links/exchange.ts
+++ b/src/links/exchange.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Client, type Dispatcher } from "undici";
 import { messageOf } from "../contracts/errors.ts";
-import { isAnswerStatus, isInterimStatus } from "./answerstatus.ts";
+import { isAnswerStatus, isBodyless, isInterimStatus } from "./answerstatus.ts";
 import { createConnectionPool } from "./connectionpool.ts";
 import { createResetDetectingConnector } from "./resets.ts";
 import type { TargetConnections } from "./targetconnections.ts";
@@ -95,6 +95,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let settled = false;
     let interimAnswers = 0;
+    let hasNoBody = false;
     let isDone = false;
 
     /** undici reports an error after the end when `onEnd` throws. The connection may have its next request by then. */
@@ -142,6 +143,7 @@
             }
             if (isAnswerStatus(statusCode)) {
                 stage = sendStages.answering;
+                hasNoBody = isBodyless(statusCode);
                 receiver.onHead(statusCode, headers);
                 return;
             }
@@ -169,8 +171,13 @@
         },
         onResponseError: (...[, error]) => {
             done(true);
-            const isOfHead = stage === sendStages.sent
-                && (error as NodeJS.ErrnoException).code === lengthMismatchCode;
+            const isMismatch = (error as NodeJS.ErrnoException).code === lengthMismatchCode;
+            if (isMismatch && hasNoBody && !settled) {
+                settled = true;
+                receiver.onEnd();
+                return;
+            }
+            const isOfHead = stage === sendStages.sent && isMismatch;
             fail(isOfHead ? malformedAnswer(invalidHeadCode, "The head of the target's answer is not valid.") : error);
         },
     });
--- a/src/links/headers.ts
+++ b/src/links/headers.ts
@@ -3,6 +3,7 @@
  * that the sender's `Connection` header names, and headers of the product's own protocols are left out.
  */
 import type { IncomingHttpHeaders } from "node:http";
+import { isBodyless } from "./answerstatus.ts";
 
 /** Hop-by-hop headers, and headers that the HTTP client or server writes itself. */
 const hopByHopHeaders = new Set([
@@ -76,7 +77,7 @@
  * body, and a truncated body looks whole. A transfer coding overrides a length.
  */
 export const hasKnownEnd = (method: string, statusCode: number, headers: IncomingHttpHeaders): boolean => {
-    if (method === "HEAD" || statusCode === 204 || statusCode === 304) {
+    if (method === "HEAD" || isBodyless(statusCode)) {
         return true;
     }
     const { "transfer-encoding": codings, "content-length": length } = headers;
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -7,6 +7,7 @@
 import { messageOf } from "../../contracts/errors.ts";
 import type { Reason } from "../../contracts/outcome.ts";
 import type { ResidentRequest, TargetNotice, TargetProtocol } from "../../contracts/resident.ts";
+import { isBodyless } from "../../links/answerstatus.ts";
 import type { AnswerStream, CallerAnswer, StreamCut } from "../../links/callers.ts";
 import { isDescriptorShortage } from "../../links/descriptors.ts";
 import {
@@ -98,7 +99,7 @@
 ): CallerAnswer & { kind: "answer" } => {
     const { statusCode } = head;
     const isBuffered = body === undefined || Buffer.isBuffer(body);
-    const hasBody = request.method !== "HEAD" && statusCode !== 204 && statusCode !== 304;
+    const hasBody = request.method !== "HEAD" && !isBodyless(statusCode);
     if (!hasKnownEnd(request.method, statusCode, head.headers) && (isBuffered || !confirmsEnd)) {
         return { kind: "answer", statusCode, headers, body, endsWithConnection: true };
     }
--- a/test/links/exchange.test.ts
+++ b/test/links/exchange.test.ts
@@ -56,6 +56,12 @@
         expected: "failed",
     },
     { title: "a length, ended early", bytes: `${head}content-length: 9\r\n\r\nbody`, then: end, expected: "failed" },
+    ...[204, 304].map(status => ({
+        title: `the status ${status}, which has no body, and a length`,
+        bytes: `HTTP/1.1 ${status} X\r\nrequest-id: 1\r\ncontent-length: 9\r\n\r\n`,
+        then: () => undefined,
+        expected: "whole" as const,
+    })),
 ];
 
 for (const { title, bytes, then, expected } of cases) {
--- a/test/machines/resident/answerstatus.test.ts
+++ b/test/machines/resident/answerstatus.test.ts
@@ -70,6 +70,20 @@
     });
 }
 
+test.serial("a caller gets a 304 that tells the length of the body that a 200 would have", async t => {
+    const target = await startRawTarget([answerWith("304", "content-length: 5\r\n", "")]);
+    t.teardown(target.close);
+    const host = await startHost({ addresses: [target.address], kind: "safe", timeoutMilliseconds });
+    t.teardown(host.close);
+    for (const method of ["GET", "HEAD"]) {
+        t.deepEqual(
+            await ask(host.link.address, method),
+            { statusCode: 304, reason: undefined, signature: "s" },
+            method,
+        );
+    }
+});
+
 /** Creates the suspicions of a host that knows no others. */
 const createLoneSuspicions = (targetStates: TargetStates, signal: AbortSignal): Suspicions => {
     const common = { clock: systemClock, log: silentLog, metrics: createMetrics() };
