Go on accepting what waits after a stop was held within it

A stopping host accepts the connections that wait before it closes its address, one in a turn of the event loop, for 0.2 s at least. A hold within that time used it up, and a hold after the reads of a turn that had found no connection ended it, so that the system reset the connections that were left.

Turns in which the event loop was held do not count now, five of them at most: their time is given back, and another turn looks for what came meanwhile. The last resort of a stop bounds it as before.

Tests: two cases in heldloop.test.ts, each with 30 connections that wait. The other tests of heldloop, callerconnections, requestledger, crossings, requeststates and heldstop pass.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -16,7 +16,7 @@
     createCallerConnections,
     type DueAnswer,
 } from "./callerconnections.ts";
-import { afterFreshReads, waitForNextReads } from "./nextreads.ts";
+import { afterFreshReads, heldMilliseconds, maxHeldTurns, waitForNextReads } from "./nextreads.ts";
 import { createRequestLedger, type RequestLedger } from "./requestledger.ts";
 import { createSendQueues } from "./sendqueues.ts";
 
@@ -320,16 +320,26 @@
 
     /**
      * Accepts and reads what has arrived. Node accepts one connection in a turn of the event loop, and the system resets those
-     * that still wait when the server closes.
+     * that still wait when the server closes. A few turns in which it was held do not count: nothing was accepted meanwhile, and
+     * others may have come.
      */
     const acceptWaiting = async (milliseconds: number): Promise<void> => {
-        const endAt = clock.now() + milliseconds;
+        let endAt = clock.now() + milliseconds;
+        let heldTurns = 0;
+        let wasHeld: boolean;
         let before: number;
         do {
             before = accepted;
+            const startedAt = clock.now();
             await waitForNextReads();
+            const passed = clock.now() - startedAt;
+            wasHeld = passed >= heldMilliseconds && heldTurns < maxHeldTurns;
+            if (wasHeld) {
+                heldTurns += 1;
+                endAt += passed;
+            }
         }
-        while (accepted > before && clock.now() < endAt);
+        while ((accepted > before || wasHeld) && clock.now() < endAt);
     };
 
     return {
--- a/src/links/nextreads.ts
+++ b/src/links/nextreads.ts
@@ -13,9 +13,9 @@
 export const waitForNextReads = (): Promise<void> => new Promise(afterNextReads);
 
 /** Length of a turn of the event loop in which it counts as held. */
-const heldMilliseconds = 20;
+export const heldMilliseconds = 20;
 /** Turns that are waited for on a host whose turns are all so long. */
-const maxHeldTurns = 5;
+export const maxHeldTurns = 5;
 
 /** Calls back as `afterNextReads` does, but reads again if the event loop was held between the reads and that moment. */
 export const afterFreshReads = (callback: () => void, turns = maxHeldTurns): void => {
--- a/test/links/heldloop.test.ts
+++ b/test/links/heldloop.test.ts
@@ -215,6 +215,58 @@
     }
 }
 
+type HeldAccept = {
+    title: string;
+    /** When connections are opened, from the start of the first hold. */
+    opensAfter: number;
+    /** Hold the event loop once more while the link accepts. */
+    onAccepted?: (count: number) => void;
+    onStop?: () => void;
+};
+const heldAccepts: HeldAccept[] = [
+    {
+        title: "after a part of them",
+        opensAfter: 100,
+        onAccepted: count => {
+            if (count === waiting / 3) {
+                hold(holdMilliseconds);
+            }
+        },
+    },
+    {
+        title: "after the reads of a turn that found none",
+        opensAfter: holdMilliseconds + 150,
+        onStop: () => setImmediate(() => setImmediate(() => hold(holdMilliseconds))),
+    },
+];
+for (const { title, opensAfter, onAccepted, onStop } of heldAccepts) {
+    test.serial(`requests on connections that wait are answered by a host held again while it stops accepting, ${title}`, async t => {
+        let accepted = 0;
+        const onConnection = (): void => {
+            accepted += 1;
+            onAccepted?.(accepted);
+        };
+        const { link } = await openLink({ onServer: server => void server.on("connection", onConnection) });
+        t.teardown(link.close);
+        const port = Number(link.address.split(":")[1]);
+        const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: 0 } });
+        t.teardown(() => callers.terminate());
+        await once(callers, "online");
+        systemClock.after(50, () => {
+            onStop?.();
+            void link.stopAccepting(200);
+        });
+        callers.postMessage({ opens: waiting, delay: opensAfter });
+        callers.postMessage({ write: get, delay: opensAfter + 50 });
+        hold(holdMilliseconds);
+        await sleep(1_500);
+        callers.postMessage({ tell: true, delay: 0 });
+        const [states] = await once(callers, "message") as [Array<{ received: string }>];
+        const statuses = states.map(({ received }) => received.slice(0, 12));
+        t.deepEqual(statuses, Array.from({ length: waiting }, () => "HTTP/1.1 200"));
+    });
+}
+
 test.serial("a request that arrives between the last reads and the end of the idle time is answered", async t => {
     const onTimeout = (): void => {
         callers.postMessage({ write: get, delay: 100 });
