Close idle connections for grants only once their other end's close is read

Cause: the agent's time-out of 5 s, a timer of Node, closed an idle connection and marked its close as no sign of a replaced process, ahead of reads. A host that was held over that time did not see that the target's process had closed the connection meanwhile, and could repeat a fence at the next process. The time-out also ran during calls: after a call of more than 5 s, the close of its connection was never a sign again.

Change: the agent has no time-out. The idle time runs on the system's clock from when a connection becomes free until a call uses it, and its end closes the connection after fresh reads, unless the other end has closed it. The announced idle time of a target, less one second, still counts where it is shorter, which the agent does only with a time-out of its own.

Measured: on the source before, four new cases of test/links/jsoncall.test.ts fail: three holds over the idle time (close, reset, announced time), and the call that runs longer than the idle time. They pass, as do the four that passed before: idle connections are closed after 5 s or the announced time, which changes no session, and each call begins the time anew. Beside them heldtimers, cutmessages, ownershiplink and endless pass (95 cases).

--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -7,6 +7,7 @@
 import { messageOf } from "../contracts/errors.ts";
 import { isAnswerStatus } from "./answerstatus.ts";
 import { systemClock } from "./clock.ts";
+import { afterFreshReads } from "./nextreads.ts";
 
 export type JsonCall = {
     /** IP address and port. */
@@ -37,8 +38,28 @@
     close: () => void;
 };
 
+/** A connection that is kept between calls. */
+type KeptConnection = {
+    /** Time after which it is closed when idle. */
+    idleMilliseconds: number;
+    /** Whether its close is no sign that the process at the other end has ended. */
+    closesWell: boolean;
+    /** Ends its idle time, as a call uses it. */
+    use: () => void;
+};
+
 /** Idle connections are closed after this time, before targets close them. */
-const idleTimeoutMilliseconds = 5_000;
+const maxIdleMilliseconds = 5_000;
+/** How long before the end of the idle time that a target announces its connections are closed. */
+const idleSlackMilliseconds = 1_000;
+
+/** Returns the idle time after an answer. A target may announce its own. */
+const idleMillisecondsAfter = (headers: IncomingHttpHeaders): number => {
+    const seconds = /^timeout=(\d+)/.exec(String(headers["keep-alive"] ?? ""))?.[1];
+    return seconds === undefined
+        ? maxIdleMilliseconds
+        : Math.min(maxIdleMilliseconds, Math.max(0, Number(seconds) * 1_000 - idleSlackMilliseconds));
+};
 
 /**
  * Creates a caller with its own connections.
@@ -46,22 +67,46 @@
  * @param onConnection called with each connection once, when it begins to be opened.
  */
 export const createJsonCaller = (onConnection?: (socket: Socket) => void): JsonCaller => {
-    const agent = new Agent({ keepAlive: true, timeout: idleTimeoutMilliseconds });
+    // Without a time-out, which would close an idle connection before the close by its other end is read.
+    const agent = new Agent({ keepAlive: true });
     const sessions = new Map<string, number>();
-    const known = new WeakSet<Socket>();
-    /** Connections whose close is no sign that their process has ended. */
-    const closingWell = new WeakSet<Socket>();
+    const connections = new WeakMap<Socket, KeptConnection>();
 
     const session = (address: string): number => sessions.get(address) ?? 0;
 
     /** Follows a connection that is kept after its call. */
     const follow = (socket: Socket, address: string): void => {
-        socket.once("timeout", () => closingWell.add(socket));
+        let cancelIdleTime = (): void => undefined;
+        const connection: KeptConnection = {
+            idleMilliseconds: maxIdleMilliseconds,
+            closesWell: false,
+            use: () => cancelIdleTime(),
+        };
+        const closeIdle = (): void => {
+            if (!socket.destroyed && !socket.readableEnded) {
+                connection.closesWell = true;
+                socket.destroy();
+                // The agent would offer it to calls until the event of the close.
+                socket.emit("agentRemove");
+            }
+        };
+        socket.on("free", () => {
+            let isIdle = true;
+            const cancelTimer = systemClock.after(connection.idleMilliseconds, () => {
+                afterFreshReads(() => isIdle && closeIdle());
+            });
+            cancelIdleTime = () => {
+                isIdle = false;
+                cancelTimer();
+            };
+        });
         socket.once("close", () => {
-            if (!closingWell.has(socket)) {
+            cancelIdleTime();
+            if (!connection.closesWell) {
                 sessions.set(address, session(address) + 1);
             }
         });
+        connections.set(socket, connection);
     };
 
     const post = (call: JsonCall): Promise<JsonCallResult> =>
@@ -104,8 +149,9 @@
                 () => abandon(`no answer within ${call.timeoutMilliseconds} ms`),
             );
             outgoing.on("socket", socket => {
-                if (!known.has(socket)) {
-                    known.add(socket);
+                const kept = connections.get(socket);
+                kept?.use();
+                if (kept === undefined) {
                     onConnection?.(socket);
                     if (call.ownConnection !== true) {
                         follow(socket, call.address);
@@ -126,8 +172,10 @@
                     return;
                 }
                 response.resume();
-                if (response.headers.connection?.toLowerCase() === "close") {
-                    closingWell.add(response.socket);
+                const kept = connections.get(response.socket);
+                if (kept !== undefined) {
+                    kept.idleMilliseconds = idleMillisecondsAfter(response.headers);
+                    kept.closesWell ||= response.headers.connection?.toLowerCase() === "close";
                 }
                 response.once("end", () => finish({ answered: true, statusCode, headers: response.headers }));
                 response.once("error", error => abandon(messageOf(error)));
