Change a session when the end of a connection is read

Cause: a session of the calls to a target changed with the event of a connection's close, which Node emits behind the immediates of the turn that reads the end. Timers that were due while the event loop was held call back in between: a renewal of grants saw the session of before, with connections that had ended, and could repeat a fence over a new one.

Change: the end or the error of the connection changes the session, whichever comes first, and the close as before.

--- a/src/links/jsoncall.ts
+++ b/src/links/jsoncall.ts
@@ -100,11 +100,19 @@
                 cancelTimer();
             };
         });
-        socket.once("close", () => {
-            cancelIdleTime();
-            if (!connection.closesWell) {
+        let isOver = false;
+        const recordEnd = (): void => {
+            if (!isOver && !connection.closesWell) {
                 sessions.set(address, session(address) + 1);
             }
+            isOver = true;
+        };
+        // The event of the close comes behind timers that are due when the end is read.
+        socket.once("end", recordEnd);
+        socket.once("error", recordEnd);
+        socket.once("close", () => {
+            cancelIdleTime();
+            recordEnd();
         });
         connections.set(socket, connection);
     };
--- a/test/links/jsoncall.test.ts
+++ b/test/links/jsoncall.test.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
+import { systemClock } from "../../src/links/clock.ts";
 import { createJsonCaller } from "../../src/links/jsoncall.ts";
 
 type Case = {
@@ -98,6 +99,8 @@
 
 /** `idle` is the time from the answer to the hold, within which the target closes the connection. */
 const holds = [
+    { end: "for a while", idle: 100, isReset: false },
+    { end: "for a while, by a reset", idle: 100, isReset: true },
     { end: "over the idle time", idle: 4_800, isReset: false },
     { end: "over the idle time, by a reset", idle: 4_800, isReset: true },
     { end: "over the idle time that the target announced", keepAlive: "timeout=2", idle: 800, isReset: false },
@@ -111,8 +114,12 @@
         await sleep(idle);
         // Behind immediates, the timers of the next turn come ahead of its reads.
         await new Promise(resolve => setImmediate(resolve));
+        const sessionAtTimer = new Promise<number>(resolve => {
+            systemClock.after(100, () => resolve(caller.session(address)));
+        });
         target.postMessage({ isReset, delay: 50 });
         hold(500);
+        t.not(await sessionAtTimer, before, "A timer that was due meanwhile sees the change.");
         await sleep(100);
         t.not(caller.session(address), before);
     });
