Read what has arrived before requests to health, metrics and links are refused as late

Cause: Node looks for requests that have not arrived in time by a timer, ahead of reads. A connection to health, metrics or a link that was accepted before the event loop was held for longer than the time for a head (2 s) got 408, though its request had arrived: the host looked unhealthy, or another host's link failed.

Change: the servers handle these errors themselves, as the callers' link does: after fresh reads the connection is refused unless a request has arrived whole meanwhile. Other errors are refused as Node does, with the same status lines, and none within an answer. Node watches a connection again from the first byte of its next request; those that send nothing or a part still end with 408.

--- a/src/links/httpendpoint.ts
+++ b/src/links/httpendpoint.ts
@@ -1,19 +1,75 @@
 /**
  * A small HTTP server that answers every request with the result of one function; serves health checks and metrics.
  */
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { Duplex } from "node:stream";
+import { afterFreshReads } from "./nextreads.ts";
 
 export type HttpEndpointAnswer = { statusCode: number; contentType: string; body: string };
 
 /** Requests between machines of a deployment are small, and those that do not arrive must not keep others out. */
 export const requestTimeouts = { headersTimeout: 2_000, requestTimeout: 4_000, connectionsCheckingInterval: 500 };
 
+/** Code of Node's error when a request takes too long to arrive. */
+const requestTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+/** Status lines of refusals by the code of the error, as Node sends them; 400 for all others. */
+const statusesOfErrors: Partial<Record<string, string>> = {
+    [requestTimeoutCode]: "408 Request Timeout",
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+};
+
+/**
+ * Refuses what is no request, and requests that do not arrive in time. Node decides the latter ahead of reads, so what has
+ * arrived is read first. A connection that Node has found late is not looked at again before its next request.
+ */
+const refuseClientErrors = (server: Server): void => {
+    const latest = new WeakMap<Duplex, IncomingMessage>();
+    const due = new WeakMap<Duplex, number>();
+    const addDue = (socket: Duplex, count: number): void => void due.set(socket, (due.get(socket) ?? 0) + count);
+    /** Returns the latest request, if its body has arrived as well. */
+    const latestWhole = (socket: Duplex): IncomingMessage | undefined => {
+        const incoming = latest.get(socket);
+        return incoming?.complete === true ? incoming : undefined;
+    };
+    const refuse = (error: NodeJS.ErrnoException, socket: Duplex): void => {
+        // A refusal within an answer would be taken for a part of it.
+        if (socket.writable && (due.get(socket) ?? 0) === 0) {
+            socket.write(
+                `HTTP/1.1 ${statusesOfErrors[error.code ?? ""] ?? "400 Bad Request"}\r\nConnection: close\r\n\r\n`,
+            );
+        }
+        socket.destroy(error);
+    };
+    server.on("request", (incoming, response) => {
+        const { socket } = incoming;
+        latest.set(socket, incoming);
+        addDue(socket, 1);
+        response.once("close", () => addDue(socket, -1));
+    });
+    server.on("upgrade", incoming => void latest.set(incoming.socket, incoming));
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        if (error.code !== requestTimeoutCode) {
+            refuse(error, socket);
+            return;
+        }
+        const before = latestWhole(socket);
+        afterFreshReads(() => {
+            const now = latestWhole(socket);
+            if (now === undefined || now === before) {
+                refuse(error, socket);
+            }
+        });
+    });
+};
+
 /** Creates a server that accepts upgraded connections only. */
 export const createUpgradeServer = (limitConnections?: (server: Server) => void): Server => {
     const server = createServer(requestTimeouts, (request, response) => {
         request.resume();
         response.writeHead(426).end();
     });
+    refuseClientErrors(server);
     limitConnections?.(server);
     return server;
 };
@@ -40,6 +96,7 @@
             response.writeHead(statusCode, { "content-type": contentType, "content-length": Buffer.byteLength(body) });
             response.end(body);
         });
+        refuseClientErrors(server);
         // Requests are answered as they arrive, so any connection may be closed for another.
         limitConnections?.(server, () => true);
         server.once("error", reject);
