Count answers of hosts that arrive while a command is held

Cause: status and the wait for a version gave a host one second by AbortSignal.timeout, a timer of Node, whose end comes ahead of reads. A command that was held over that moment took a host that had answered for unreachable, and a version for not in force.

Change: both ask through commands/askhost.ts, whose time-out runs on the system's clock and calls back after reads.

--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -3,12 +3,12 @@
  * host.
  */
 import { Flags } from "@oclif/core";
-import { request } from "undici";
 import { z } from "zod";
 import { InputError } from "../contracts/errors.ts";
 import { describeFinding, type Finding } from "../contracts/finding.ts";
 import { type HostStatus, hostStatusSchema, type ObjectKind, type StoredObject } from "../contracts/objects.ts";
 import type { PlatformLink } from "../links/platform.ts";
+import { askHost } from "./askhost.ts";
 import { exitCodes } from "./exitcodes.ts";
 import { readReferenceFindings } from "./objectoperations.ts";
 import { OperatorCommand, platformFlags } from "./operator.ts";
@@ -54,15 +54,11 @@
     findings: string[];
 };
 
-const requestTimeoutMilliseconds = 1_000;
 const shownKinds: ReadonlySet<string> = new Set<ObjectKind>(["plans", "allowances", "pools", "assignments"]);
 
 const askReport = async (address: string): Promise<Report | undefined> => {
     try {
-        const answer = await request(`http://${address}/status`, {
-            signal: AbortSignal.timeout(requestTimeoutMilliseconds),
-        });
-        return reportSchema.parse(await answer.body.json());
+        return reportSchema.parse(await askHost(address, "/status"));
     }
     catch {
         return undefined;
--- a/src/commands/wait.ts
+++ b/src/commands/wait.ts
@@ -1,7 +1,6 @@
 /**
  * Waits until a written version is in force on every host, and reports the progress of each host.
  */
-import { request } from "undici";
 import { z } from "zod";
 import type { Clock } from "../contracts/clock.ts";
 import { type HostStatus, hostStatusSchema } from "../contracts/objects.ts";
@@ -15,6 +14,7 @@
 } from "../decisions/rollout.ts";
 import type { PlatformLink } from "../links/platform.ts";
 import { majorityHosts } from "../zones/relays.ts";
+import { askHost } from "./askhost.ts";
 
 export type WaitOptions = {
     platform: PlatformLink;
@@ -30,7 +30,6 @@
 /** The fields of a host's answer on one object that this module uses. */
 const objectStatusSchema = z.object({ incarnation: z.string(), bar: z.string().optional(), inForce: z.int() });
 
-const requestTimeoutMilliseconds = 1_000;
 const pollIntervalMilliseconds = 100;
 const memberReadIntervalMilliseconds = 1_000;
 
@@ -54,12 +53,13 @@
         .map(({ name, value }) => ({ name, status: hostStatusSchema.safeParse(value).data ?? unreadableStatus }));
 };
 
-const askHost = async (host: AnnouncedHost, place: string): Promise<HostVersionReport | undefined> => {
+const askVersion = async (host: AnnouncedHost, place: string): Promise<HostVersionReport | undefined> => {
     const [kind, name] = place.split("/");
     try {
-        const url = `http://${host.status.operatorAddress}/standing/${kind}/${encodeURIComponent(name)}`;
-        const answer = await request(url, { signal: AbortSignal.timeout(requestTimeoutMilliseconds) });
-        const { incarnation, bar, inForce } = objectStatusSchema.parse(await answer.body.json());
+        const path = `/standing/${kind}/${encodeURIComponent(name)}`;
+        const { incarnation, bar, inForce } = objectStatusSchema.parse(
+            await askHost(host.status.operatorAddress, path),
+        );
         return { incarnation, admits: bar === undefined, inForce };
     }
     catch {
@@ -85,7 +85,7 @@
     const askAllHosts = async (): Promise<RolloutVerdict> => {
         const reports = new Map<string, HostVersionReport>();
         await Promise.all(members.map(async member => {
-            const report = await askHost(member, place);
+            const report = await askVersion(member, place);
             if (report !== undefined) {
                 reports.set(member.name, report);
             }
