Keep operators' connections over Node's idle time

Cause: the operators' server had Node's limit of 5 s on the idle time of a connection, whose end comes ahead of reads. A host that was held over that moment reset a health check or a command's question that had arrived.

Measured: test/links/httpendpoint.test.ts plays both addresses now. The case of operators failed on the source before (one answer, then a reset) and passes; that of health and metrics passes before and after. operators (7 cases), fleet, program and rotation (23) pass.

--- a/src/links/operators.ts
+++ b/src/links/operators.ts
@@ -37,7 +37,8 @@
  * `GET /standing/KIND/NAME` with the state of one object, or 400 when its name has a wrong escape.
  */
 export const createOperatorLink = async (options: OperatorLinkOptions): Promise<OperatorLink> => {
-    const server = createServer((request, response) => {
+    // Without a limit on the idle time, whose end may come ahead of a request that has arrived.
+    const server = createServer({ keepAliveTimeout: 0 }, (request, response) => {
         if (request.url === "/health") {
             response.writeHead(options.healthy() ? 200 : 503).end();
             return;
--- a/test/links/httpendpoint.test.ts
+++ b/test/links/httpendpoint.test.ts
@@ -1,5 +1,5 @@
 /**
- * The addresses of health and metrics keep connections until their callers or the limit on connections end them, so that no
+ * The addresses of health, metrics and operators keep connections until their callers or the limit on connections end them, so that no
  * request is lost at the end of an idle time.
  */
 import test from "ava";
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 import { openHttpEndpoint } from "../../src/links/httpendpoint.ts";
+import { createOperatorLink } from "../../src/links/operators.ts";
 import { freePort } from "../platform/program.ts";
 
 /** Node's own limit on the idle time of a connection is 5 s, and one second of slack. */
@@ -23,29 +24,49 @@
     socket.on("data", part => { received += part; tell(false); });
     socket.on("error", () => undefined);
     socket.on("close", () => tell(true));
-    const send = () => socket.write("GET / HTTP/1.1\\r\\nhost: x\\r\\n\\r\\n");
+    const send = () => socket.write("GET /health HTTP/1.1\\r\\nhost: x\\r\\n\\r\\n");
     parentPort.on("message", delay => setTimeout(send, delay));
     send();`;
 
 type Told = { statuses: string[]; isEnded: boolean };
 
-test("a request that arrives while the event loop is held over the end of Node's idle time is answered", async t => {
-    const port = await freePort();
-    const ending = new AbortController();
-    t.teardown(() => ending.abort());
-    const answer = () => ({ statusCode: 200, contentType: "text/plain", body: "an answer" });
-    await openHttpEndpoint(`127.0.0.1:${port}`, answer, ending.signal);
-    const caller = new Worker(callerProgram, { eval: true, workerData: port });
-    t.teardown(() => caller.terminate());
-    await once(caller, "message");
-    await sleep(idleMilliseconds);
-    // The timers of the next turn come ahead of its reads.
-    await new Promise(resolve => setImmediate(resolve));
-    caller.postMessage(100);
-    const until = performance.now() + holdMilliseconds;
-    while (performance.now() < until) {
-        // The caller is in another thread and goes on.
-    }
-    const [told] = await once(caller, "message") as [Told];
-    t.deepEqual(told, { statuses: ["HTTP/1.1 200", "HTTP/1.1 200"], isEnded: false });
-});
+/** Each opens an address until the signal aborts and returns its port. */
+const addresses: Record<string, (signal: AbortSignal) => Promise<number>> = {
+    "health and metrics": async signal => {
+        const port = await freePort();
+        const answer = () => ({ statusCode: 200, contentType: "text/plain", body: "an answer" });
+        await openHttpEndpoint(`127.0.0.1:${port}`, answer, signal);
+        return port;
+    },
+    operators: async signal => {
+        const link = await createOperatorLink({
+            bindAddress: "127.0.0.1",
+            port: 0,
+            healthy: () => true,
+            status: () => ({}),
+            objectStatus: () => ({}),
+        });
+        signal.addEventListener("abort", () => void link.close());
+        return Number(link.address.split(":")[1]);
+    },
+};
+
+for (const [address, open] of Object.entries(addresses)) {
+    test.serial(`a request that arrives while the event loop is held over the end of Node's idle time is answered: ${address}`, async t => {
+        const ending = new AbortController();
+        t.teardown(() => ending.abort());
+        const caller = new Worker(callerProgram, { eval: true, workerData: await open(ending.signal) });
+        t.teardown(() => caller.terminate());
+        await once(caller, "message");
+        await sleep(idleMilliseconds);
+        // The timers of the next turn come ahead of its reads.
+        await new Promise(resolve => setImmediate(resolve));
+        caller.postMessage(100);
+        const until = performance.now() + holdMilliseconds;
+        while (performance.now() < until) {
+            // The caller is in another thread and goes on.
+        }
+        const [told] = await once(caller, "message") as [Told];
+        t.deepEqual(told, { statuses: ["HTTP/1.1 200", "HTTP/1.1 200"], isEnded: false });
+    });
+}
