Let health and metrics answer requests that offer another protocol

Cause: listened for upgrades on the servers of health and metrics too, which then answer none of them: Node hands such a connection over and nobody takes it. Clients that offer h2c with each request had no answer.

Change: only the server of links, which upgrades, listens.

--- a/src/links/httpendpoint.ts
+++ b/src/links/httpendpoint.ts
@@ -22,8 +22,10 @@
 /**
  * Refuses what is no request, and requests that do not arrive in time. Node decides the latter ahead of reads, so what has
  * arrived is read first. A connection that Node has found late is not looked at again before its next request.
+ *
+ * @param takesUpgrades whether the server upgrades connections; one that does not answers such a request as any other.
  */
-const refuseClientErrors = (server: Server): void => {
+const refuseClientErrors = (server: Server, takesUpgrades: boolean): void => {
     const latest = new WeakMap<Duplex, IncomingMessage>();
     const due = new WeakMap<Duplex, number>();
     const addDue = (socket: Duplex, count: number): void => void due.set(socket, (due.get(socket) ?? 0) + count);
@@ -47,7 +49,9 @@
         addDue(socket, 1);
         response.once("close", () => addDue(socket, -1));
     });
-    server.on("upgrade", incoming => void latest.set(incoming.socket, incoming));
+    if (takesUpgrades) {
+        server.on("upgrade", incoming => void latest.set(incoming.socket, incoming));
+    }
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         if (error.code !== requestTimeoutCode) {
             refuse(error, socket);
@@ -69,7 +73,7 @@
         request.resume();
         response.writeHead(426).end();
     });
-    refuseClientErrors(server);
+    refuseClientErrors(server, true);
     limitConnections?.(server);
     return server;
 };
@@ -96,7 +100,7 @@
             response.writeHead(statusCode, { "content-type": contentType, "content-length": Buffer.byteLength(body) });
             response.end(body);
         });
-        refuseClientErrors(server);
+        refuseClientErrors(server, false);
         // Requests are answered as they arrive, so any connection may be closed for another.
         limitConnections?.(server, () => true);
         server.once("error", reject);
--- a/test/links/httpendpoint.test.ts
+++ b/test/links/httpendpoint.test.ts
@@ -1,6 +1,6 @@
 /**
- * The addresses of health, metrics and operators keep connections until their callers or the limit on connections end them, so that no
- * request is lost at the end of an idle time.
+ * The addresses of health, metrics and operators keep connections until their callers or the limit on connections end them, so
+ * that no request is lost at the end of an idle time.
  */
 import test from "ava";
 import { once } from "node:events";
@@ -8,7 +8,7 @@
 import { Worker } from "node:worker_threads";
 import { openHttpEndpoint } from "../../src/links/httpendpoint.ts";
 import { createOperatorLink } from "../../src/links/operators.ts";
-import { freePort } from "../platform/program.ts";
+import { freePort, sendRequest } from "../platform/program.ts";
 
 /** Node's own limit on the idle time of a connection is 5 s, and one second of slack. */
 const idleMilliseconds = 4_800;
@@ -70,3 +70,15 @@
         t.deepEqual(told, { statuses: ["HTTP/1.1 200", "HTTP/1.1 200"], isEnded: false });
     });
 }
+
+test("health and metrics answer a request that offers another protocol", async t => {
+    const ending = new AbortController();
+    t.teardown(() => ending.abort());
+    const port = await addresses["health and metrics"](ending.signal);
+    const offer = { connection: "upgrade, http2-settings", upgrade: "h2c", "http2-settings": "AAMAAABk" };
+    const { statusCode, body } = await Promise.race([
+        sendRequest(port, "/", offer),
+        sleep(2_000, { statusCode: 0, body: "no answer" }),
+    ]);
+    t.deepEqual({ statusCode, body }, { statusCode: 200, body: "an answer" });
+});
