Bound the time in which a stop on a slow host accepts connections

Cause: gave each held turn back in whole, and the close of all connections waited again at a server that was closed already. A host whose every turn is long accepted for seconds more, and its stop came to the last resort.

Change: after a held turn, 0.2 s are left at least, for five such turns; a server that is closed is not waited at; idle connections wait for two long turns, not five.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -16,7 +16,7 @@
     createCallerConnections,
     type DueAnswer,
 } from "./callerconnections.ts";
-import { afterFreshReads, heldMilliseconds, maxHeldTurns, waitForNextReads } from "./nextreads.ts";
+import { afterFreshReads, maxHeldTurns, waitForNextReads } from "./nextreads.ts";
 import { createRequestLedger, type RequestLedger } from "./requestledger.ts";
 import { createSendQueues } from "./sendqueues.ts";
 
@@ -90,6 +90,10 @@
 const headCheckMilliseconds = 500;
 /** Time for which a server accepts connections that were opened before it stops to, and before it closes. */
 const acceptMilliseconds = { beforeStop: 1_000, beforeClose: 200 };
+/** Length of a turn within which a connection may have come to a server that is about to accept no more. */
+const heldAcceptMilliseconds = 20;
+/** Turns that a stop waits for before it closes idle connections, on a host whose turns are long; it has to end in time. */
+const heldTurnsBeforeStop = 2;
 
 const hasHungUp = ({ socket }: IncomingMessage): boolean => socket.readableEnded || socket.destroyed;
 
@@ -320,8 +324,8 @@
 
     /**
      * Accepts and reads what has arrived. Node accepts one connection in a turn of the event loop, and the system resets those
-     * that still wait when the server closes. A few turns in which it was held do not count: nothing was accepted meanwhile, and
-     * others may have come.
+     * that still wait when the server closes. After a turn in which it was held others may have come, so that some time is left
+     * to accept them, for a few such turns.
      */
     const acceptWaiting = async (milliseconds: number): Promise<void> => {
         let endAt = clock.now() + milliseconds;
@@ -333,10 +337,10 @@
             const startedAt = clock.now();
             await waitForNextReads();
             const passed = clock.now() - startedAt;
-            wasHeld = passed >= heldMilliseconds && heldTurns < maxHeldTurns;
+            wasHeld = passed >= heldAcceptMilliseconds && heldTurns < maxHeldTurns;
             if (wasHeld) {
                 heldTurns += 1;
-                endAt += passed;
+                endAt = Math.max(endAt, clock.now() + acceptMilliseconds.beforeClose);
             }
         }
         while ((accepted > before || wasHeld) && clock.now() < endAt);
@@ -358,7 +362,7 @@
             server.close();
             // A closed server checks no heads any more.
             cancelHeadLimit = clock.after(server.headersTimeout, () => refuseUnfinished("read-timed-out"));
-            await new Promise<void>(resolve => afterFreshReads(resolve));
+            await new Promise<void>(resolve => afterFreshReads(resolve, heldTurnsBeforeStop));
             connections.endIdle();
         },
         close: async () => {
@@ -367,7 +371,9 @@
             keepsAlive = false;
             cancelHeadLimit();
             await connections.measureUnread();
-            await acceptWaiting(acceptMilliseconds.beforeClose);
+            if (server.listening) {
+                await acceptWaiting(acceptMilliseconds.beforeClose);
+            }
             const closed = new Promise<void>(resolve => {
                 server.close(() => resolve());
             });
--- a/src/links/nextreads.ts
+++ b/src/links/nextreads.ts
@@ -13,7 +13,7 @@
 export const waitForNextReads = (): Promise<void> => new Promise(afterNextReads);
 
 /** Length of a turn of the event loop in which it counts as held. */
-export const heldMilliseconds = 20;
+const heldMilliseconds = 20;
 /** Turns that are waited for on a host whose turns are all so long. */
 export const maxHeldTurns = 5;
 
--- a/test/links/heldloop.test.ts
+++ b/test/links/heldloop.test.ts
@@ -271,3 +271,31 @@
     const statuses = states.map(({ received }) => received.slice(0, 12));
     t.deepEqual(statuses, Array.from({ length: waiting }, () => "HTTP/1.1 200"));
 });
+
+test.serial("a host whose every turn is long accepts no more in time, though connections go on coming", async t => {
+    const acceptMilliseconds = 1_650;
+    const turnMilliseconds = 150;
+    const { link } = await openLink();
+    t.teardown(link.close);
+    const port = Number(link.address.split(":")[1]);
+    const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: 0 } });
+    t.teardown(() => callers.terminate());
+    await once(callers, "online");
+    for (let delay = 0; delay < 6_000; delay += 60) {
+        callers.postMessage({ opens: 1, delay });
+    }
+    let isOver = false;
+    const runTurn = (): void => {
+        if (!isOver) {
+            hold(turnMilliseconds);
+            setImmediate(runTurn);
+        }
+    };
+    runTurn();
+    const startedAt = performance.now();
+    await link.stopAccepting(acceptMilliseconds);
+    isOver = true;
+    const late = performance.now() - startedAt - acceptMilliseconds;
+    // The last wait for reads, and those before idle connections are closed, take some turns each.
+    t.true(late < 9 * turnMilliseconds, `${Math.round(late)} ms late`);
+});
