Accept connections that come in a short turn just before a stop closes the address

Cause: only a turn of 20 ms or more counted as one in which connections may have come. One that came in a turn of 15 ms between the last look and the close of the address was reset.

--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -91,7 +91,7 @@
 /** Time for which a server accepts connections that were opened before it stops to, and before it closes. */
 const acceptMilliseconds = { beforeStop: 1_000, beforeClose: 200 };
 /** Length of a turn within which a connection may have come to a server that is about to accept no more. */
-const heldAcceptMilliseconds = 20;
+const heldAcceptMilliseconds = 2;
 /** Turns that a stop waits for before it closes idle connections, on a host whose turns are long; it has to end in time. */
 const heldTurnsBeforeStop = 2;
 
--- a/test/links/heldloop.test.ts
+++ b/test/links/heldloop.test.ts
@@ -232,6 +232,29 @@
     });
 }
 
+test.serial("a request on a new connection that arrives in a short turn just before the address is closed is answered", async t => {
+    for (let round = 0; round < 5; round += 1) {
+        const { link } = await openLink();
+        t.teardown(link.close);
+        const port = Number(link.address.split(":")[1]);
+        const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: 0 } });
+        t.teardown(() => callers.terminate());
+        await once(callers, "online");
+        setImmediate(() =>
+            setImmediate(() => {
+                callers.postMessage({ opens: 1, delay: 0 });
+                callers.postMessage({ write: get, delay: 2 });
+                hold(15);
+            })
+        );
+        await link.stopAccepting(200);
+        await sleep(200);
+        callers.postMessage({ tell: true, delay: 0 });
+        const [states] = await once(callers, "message") as [Array<{ received: string }>];
+        t.deepEqual(states.map(({ received }) => received.slice(0, 12)), ["HTTP/1.1 200"]);
+    }
+});
+
 test.serial("a request that arrives between the last reads and the end of the idle time is answered", async t => {
     const onTimeout = (): void => {
         callers.postMessage({ write: get, delay: 100 });
