Refuse requests whose body has come in part when all connections close

Cause: the close refuses what is unfinished only where no answer is due, and the answer to such a request is due since its head.

Change: the reading of these bodies is ended as by bytes that are no body, and their refusals are written before the close.

Measured: test/links/requestledger.test.ts, "the close of all connections within a body", expects a 503 now in place of none, failed before and passes; 35 cases of it, and those of requeststates, crossings, heldloop, callerconnections and callerends pass.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -116,6 +116,8 @@
     endIdle: () => void;
     /** Returns the connections on which a part of a request has arrived and no answer is due. */
     unfinished: () => CallerConnection[];
+    /** Calls `breakBody` of all connections. */
+    breakBodies: (reason: Reason, detail: string) => void;
     destroyAll: (reason: ConnectionEndReason) => void;
     /** Notes what is unread on the connections on which answers are due. Takes a limited time. */
     measureUnread: () => Promise<void>;
@@ -401,6 +403,7 @@
             [...connections.values()].filter(connection =>
                 connection.isOpen() && connection.due() === 0 && !connection.isIdle()
             ),
+        breakBodies: (reason, detail) => connections.forEach(connection => connection.breakBody(reason, detail)),
         destroyAll: reason => connections.forEach(connection => connection.destroy(reason)),
         measureUnread: async () => {
             const measured = Promise.all([...connections.values()].map(connection => connection.measureUnread()));
--- a/src/links/callers.ts
+++ b/src/links/callers.ts
@@ -380,6 +380,9 @@
             // Requests that were read only now are refused within further turns.
             await waitForNextReads();
             refuseUnfinished("host-stopping");
+            connections.breakBodies("host-stopping", "The host stops before the request has arrived whole.");
+            // The refusals are written behind promises.
+            await waitForNextReads();
             connections.destroyAll("host-stopped");
             await closed;
         },
--- a/test/links/requestledger.test.ts
+++ b/test/links/requestledger.test.ts
@@ -219,8 +219,8 @@
         title: "the close of all connections within a body",
         bytes: `${post("a", "content-length: 5")}12`,
         act: closeLink,
-        statuses: [],
-        ends: { "cut host-stopped": 1 },
+        statuses: [503],
+        ends: { "refused host-stopping": 1 },
     },
     {
         title: "a head whose rest does not come within the idle time",
