Wait for the connection in the test of a short turn before the address is closed

Cause, suspected: the test held the event loop for 15 ms, in which the caller's thread was to connect; on a busy machine it connects later, to an address that is closed. The hold lasts until the connection stands now, and 5 ms at least. What is expected is as before.

--- a/test/links/heldloop.test.ts
+++ b/test/links/heldloop.test.ts
@@ -28,10 +28,11 @@
 /** Callers with kept connections, in a thread of their own. Messages: texts to write after a delay, or new connections. */
 const callersProgram = `
     const { connect } = require("node:net");
-    const { parentPort, workerData: { port, count } } = require("node:worker_threads");
+    const { parentPort, workerData: { port, count, connected } } = require("node:worker_threads");
     const open = () => {
         const state = { received: "", closed: false };
         state.socket = connect(port, "127.0.0.1");
+        state.socket.on("connect", () => connected && Atomics.add(connected, 0, 1));
         state.socket.on("data", part => { state.received += part; });
         state.socket.on("error", () => undefined);
         state.socket.on("close", () => { state.closed = true; });
@@ -237,14 +238,19 @@
         const { link } = await openLink();
         t.teardown(link.close);
         const port = Number(link.address.split(":")[1]);
-        const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: 0 } });
+        const connected = new Int32Array(new SharedArrayBuffer(4));
+        const callers = new Worker(callersProgram, { eval: true, workerData: { port, count: 0, connected } });
         t.teardown(() => callers.terminate());
         await once(callers, "online");
         setImmediate(() =>
             setImmediate(() => {
                 callers.postMessage({ opens: 1, delay: 0 });
-                callers.postMessage({ write: get, delay: 2 });
-                hold(15);
+                callers.postMessage({ write: get, delay: 20 });
+                hold(5);
+                const until = performance.now() + holdMilliseconds;
+                while (Atomics.load(connected, 0) === 0 && performance.now() < until) {
+                    // The caller is in another thread and connects meanwhile.
+                }
             })
         );
         await link.stopAccepting(200);
