Decode what limits cold targets and which zones are evacuated

Cause: the table's time and rate of cold targets and the kind of objects that names evacuated zones were not decoded, and no setting said whether a deployment uses them. Nothing reads them yet.

--- a/src/contracts/resident.ts
+++ b/src/contracts/resident.ts
@@ -108,6 +108,8 @@
     tableKind: string;
     tableName: string;
     decodeTable: (object: StoreObject) => RouteTable | string;
+    /** Kind of the objects that name zones whose targets are to get nothing, by their names; the values say nothing. */
+    evacuationKind: string;
     targetKind: string;
     decodeTarget: (object: StoreObject) => RegisteredTarget | string;
 };
--- a/src/contracts/residentsettings.ts
+++ b/src/contracts/residentsettings.ts
@@ -44,6 +44,14 @@
         /** Resends that all hosts together may make in that window regardless of the number of requests. */
         slack: z.number().min(0).default(10),
     }).prefault({}),
+    /** Whether the operators may empty zones of requests, and the longest time until an emptied zone gets none any more. */
+    evacuations: z.object({ within: durationSchema }).nullish().transform(value => value ?? undefined),
+    /**
+     * By how much all hosts together may exceed, within any second, the requests that a cold target takes: a factor of
+     * their number, and a number beside it. Where it is not set, cold targets have no limit of their own.
+     */
+    coldTargets: z.object({ factor: z.number().min(1), slack: z.number().min(0) }).nullish()
+        .transform(value => value ?? undefined),
     /**
      * Descriptors that the deployment allows the process, none or 0 where it does not tell and the process's own limit
      * holds. `files` of them are kept for files.
--- a/src/contracts/routing.ts
+++ b/src/contracts/routing.ts
@@ -38,6 +38,16 @@
     healthPath?: string | undefined;
     /** Time for which a target serves keys slowly after it received them without their former owner's state. */
     coldKeysMilliseconds: number;
+    /** How targets that have just started are to be used; undefined when the table does not limit it. */
+    coldTargets?: ColdTargets | undefined;
+};
+
+/** Targets of a pool that are cold: from their start on, or when they become cold again. */
+export type ColdTargets = {
+    /** Time for which a target is cold after its start. */
+    milliseconds: number;
+    /** Requests per second that a cold target takes from all hosts together. */
+    requestsPerSecond: number;
 };
 
 /** Limits on the size of requests and on the time that a caller may take to send them. */
@@ -73,4 +83,6 @@
     leaving: boolean;
     /** Remaining time for which the target is slow after its start. */
     warmupMilliseconds: number;
+    /** Whether the target's zone is evacuated, so that it gets no new requests until that ends. */
+    evacuated?: boolean | undefined;
 };
--- a/test/links/residentsettings.test.ts
+++ b/test/links/residentsettings.test.ts
@@ -300,6 +300,24 @@
     t.throws(() => read(`${framed}logs: {}\n`), { instanceOf: InputError });
 });
 
+const optionalSections = [
+    { title: "absent", text: "", evacuations: undefined, coldTargets: undefined },
+    { title: "empty", text: "evacuations:\ncoldTargets:\n", evacuations: undefined, coldTargets: undefined },
+    {
+        title: "set",
+        text: "evacuations:\n  within: 5000ms\ncoldTargets:\n  factor: 1.5\n  slack: 8\n",
+        evacuations: { within: 5_000 },
+        coldTargets: { factor: 1.5, slack: 8 },
+    },
+];
+
+for (const { title, text, evacuations, coldTargets } of optionalSections) {
+    test(`the sections for evacuations and cold targets are read where they are ${title}`, t => {
+        const { settings } = readResidentSettings("settings.yaml", () => `---\n${valid}${text}...\n`);
+        t.deepEqual([settings.evacuations, settings.coldTargets], [evacuations, coldTargets]);
+    });
+}
+
 test("the template of the deployment stands between the markers of a document", t => {
     const template = readFileSync("deploy/settings.yaml", "utf8");
     t.regex(template, /^---\n[^]*\n\.\.\.\n$/);
--- a/test/machines/resident/statehosts.ts
+++ b/test/machines/resident/statehosts.ts
@@ -53,6 +53,7 @@
 const objects: PlatformObjects = {
     tableKind,
     tableName: "main",
+    evacuationKind: "evacuations",
     targetKind,
     decodeTable: ({ value }) => ({ ...emptyTable, version: value as number }),
     decodeTarget: ({ name, value }) => ({ ...emptyTarget, ...value as Partial<RegisteredTarget>, name }),
--- a/test/platform/objects.test.ts
+++ b/test/platform/objects.test.ts
@@ -103,6 +103,21 @@
     }
 });
 
+const coldTargets = [
+    { title: "a time and a rate", service: { warmup: "3s", warmupPerS: 2.5 }, cold: [3_000, 2.5] },
+    { title: "a time without a rate", service: { warmup: "3s" }, cold: undefined },
+    { title: "a rate without a time", service: { warmupPerS: 2.5 }, cold: undefined },
+];
+
+for (const { title, service, cold } of coldTargets) {
+    test(`cold targets of a service with ${title} are limited as it says`, t => {
+        const services = { orders: { maxConnections: 9, ...service } };
+        const table = decodeTable({ name: "main", revision: 9, value: { ...manifest, services } });
+        const decoded = typeof table === "object" ? table.pools.get("orders")?.coldTargets : undefined;
+        t.deepEqual(decoded && [decoded.milliseconds, decoded.requestsPerSecond], cold);
+    });
+}
+
 test("requests of an unknown route kind run at most once", t => {
     const table = decodeTable({
         name: "main",
