--- a/src/machines/resident/gossip.ts
+++ b/src/machines/resident/gossip.ts
@@ -51,8 +51,13 @@
 const maxEntries = 1_000;
 /** Entries older than this are sent only when a link opens. */
 const repairMilliseconds = 10_000;
-/** While more bytes wait to be sent to a host, it gets nothing more; the digests show later what it misses. */
-const maxQueuedBytes = 1_048_576;
+/**
+ * While more bytes wait to be sent to a host, it gets nothing more; the digests show later what it misses. Hosts behind
+ * 10 Mbit/s take 1.25 MB a second, and need it for their callers.
+ */
+const maxQueuedBytes = 65_536;
+/** Digests of parts that are taken from a beat. */
+const maxParts = 256;
 /** The ranking of the known hosts is used for this time. */
 const rankingMilliseconds = 1_000;
 const maxKeyLength = 300;
@@ -81,7 +86,12 @@
 
 const messageSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("entries"), entries: z.array(entrySchema) }),
-    z.object({ kind: z.literal("beat"), digest: z.int() }),
+    z.object({
+        kind: z.literal("beat"),
+        digest: z.int(),
+        /** Digests of the parts; absent from a host of an earlier version. */
+        parts: z.array(z.int()).max(maxParts).optional(),
+    }),
 ]);
 type GossipMessage = z.infer<typeof messageSchema>;
 
@@ -174,6 +184,15 @@
         }
     };
 
+    /** Returns the entries that a host may miss that sent the beat. */
+    const missingEntries = ({ digest, parts }: GossipMessage & { kind: "beat" }): GossipEntry[] => {
+        const now = clock.now();
+        if (parts !== undefined) {
+            return state.repairs(parts, now);
+        }
+        return digest === state.digest(now) ? [] : state.list(now).filter(isRecent);
+    };
+
     let peers: GossipPeers | undefined;
     let peersUntil = -Infinity;
     const startEndsAt = clock.now() + startMilliseconds;
@@ -203,7 +222,7 @@
         dial: options.dial,
         groups,
         beatMilliseconds,
-        beat: () => ({ kind: "beat", digest: state.digest(clock.now()) }),
+        beat: () => ({ kind: "beat", digest: state.digest(clock.now()), parts: state.partDigests(clock.now()) }),
         onOpen: sendAll,
         onFrame: (connection, value) => {
             const parsed = messageSchema.safeParse(value);
@@ -214,8 +233,8 @@
                 toldBy.add(connection);
                 receive(connection, parsed.data);
             }
-            else if (parsed.data.digest !== state.digest(clock.now())) {
-                sendEntries(connection, state.list(clock.now()).filter(isRecent));
+            else {
+                sendEntries(connection, missingEntries(parsed.data));
             }
             return true;
         },
