--- a/src/zones/readers.ts
+++ b/src/zones/readers.ts
@@ -38,18 +38,25 @@
 const minShare = 0.5;
 
 /**
- * Ranks the hosts of a zone: those with enough of both processor and link first, then those with enough of one of them, each
- * group by rendezvous hashing. A host that does not tell the speed of its link counts as fast.
+ * Ranks hosts for a task that serves many others: those with enough of both processor and link first, then those with enough
+ * of one of them, each group by rendezvous hashing. A host that does not tell the speed of its link counts as fast.
  */
-const rankReaders = (hash: SlotHash, zone: string, hosts: readonly ReaderCandidate[]): ReaderCandidate[] => {
-    const inZone = rankHosts(hash, zone, hosts.filter(host => host.zone === zone));
-    const largest = Math.max(0, ...inZone.map(({ processor }) => processor));
-    const fastest = Math.max(0, ...inZone.map(({ linkMegabits = 0 }) => linkMegabits));
+export const rankByCapacity = (
+    hash: SlotHash,
+    task: string,
+    hosts: readonly ReaderCandidate[],
+): ReaderCandidate[] => {
+    const ranked = rankHosts(hash, task, hosts);
+    const largest = Math.max(0, ...ranked.map(({ processor }) => processor));
+    const fastest = Math.max(0, ...ranked.map(({ linkMegabits = 0 }) => linkMegabits));
     const fitness = ({ processor, linkMegabits = fastest }: ReaderCandidate): number =>
         (processor >= largest * minShare ? 1 : 0) + (linkMegabits >= fastest * minShare ? 1 : 0);
-    return [2, 1, 0].flatMap(level => inZone.filter(host => fitness(host) === level));
+    return [2, 1, 0].flatMap(level => ranked.filter(host => fitness(host) === level));
 };
 
+const rankReaders = (hash: SlotHash, zone: string, hosts: readonly ReaderCandidate[]): ReaderCandidate[] =>
+    rankByCapacity(hash, zone, hosts.filter(host => host.zone === zone));
+
 /**
  * Chooses what a host reads from.
  *
