Follow evacuated zones and mark their targets

Change: where the settings have `evacuations`, one more kind is followed, with a pace that follows from `evacuations.within`. evacuations.ts holds the zones; the target registry marks targets that are known and those that register later, and tells its listeners. Until the first list all zones count as evacuated, and hosts are not ready. Targets of a restored zone are as cold as after a start for the pool's time, whatever later entries say. The values of the objects are not kept. Nothing is remembered of a target, so none becomes a leaving one. Result: evacuations.test.ts passes (31 tests): in virtual time 12 hosts in 2 zones know of an evacuation after 20 ms, after 1,420 ms with a silent reader and after 2,860 ms where the store loses the readers' calls for the kind; the bound is 5,000 ms. targetregistry, statesource, storeeras, followeras and objects tests pass.

--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -22,6 +22,7 @@
 import type { ReaderCandidate } from "../../zones/readers.ts";
 import { createCallerLog, type PlannedWork } from "./callerlog.ts";
 import { storeKinds } from "./coordination.ts";
+import { createEvacuations } from "./evacuations.ts";
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
 import { createFleetFacts } from "./fleetfacts.ts";
 import { createGateway } from "./gateway.ts";
@@ -162,10 +163,15 @@
         signal,
         listening: acceptingLinks,
     });
+    const followedEvacuations = settings.evacuations && {
+        kind: objects.evacuationKind,
+        withinMilliseconds: settings.evacuations.within,
+    };
     const { source, server, sharedLoads } = createStateSpread({
         self,
         store,
         objects,
+        evacuations: followedEvacuations,
         processes,
         isStopping: () => stopping,
         onSourceChange: () => watchers.retryNow(),
@@ -187,9 +193,17 @@
     };
     const poolOf = (name: string) => routeTable.current()?.table.pools.get(name);
 
+    const evacuations = followedEvacuations && createEvacuations({
+        countTargets: evacuated => registry.ofZone(evacuated).length,
+        coldMilliseconds: pool => poolOf(pool)?.coldTargets?.milliseconds ?? 0,
+        clock,
+        log,
+        metrics,
+    });
     const registry = createTargetRegistry({
         decode: objects.decodeTarget,
         reachableSince: () => targetWatcher?.reachableSince(),
+        evacuations,
         clock,
         log,
         signal,
@@ -397,6 +411,9 @@
             onHosts();
         },
     );
+    if (evacuations !== undefined) {
+        watchers.watch(objects.evacuationKind, evacuations.applyList, evacuations.applyChanges);
+    }
     routeTable.onChange(applyTable);
 
     // A host that served at once would send requests to targets of which the others know that they leave.
--- a/src/machines/resident/statespread.ts
+++ b/src/machines/resident/statespread.ts
@@ -17,7 +17,7 @@
 import type { Processes } from "./processes.ts";
 import { createSharedLoads, type SharedLoads } from "./sharedloads.ts";
 import { createStateCache } from "./statecache.ts";
-import { createStatePaces } from "./statepaces.ts";
+import { createStatePaces, type FollowedEvacuations } from "./statepaces.ts";
 import { createStateServer, type StateServer } from "./stateserver.ts";
 import { createStateSource, type StateSource } from "./statesource.ts";
 import { largeValueBytes } from "./valuelimits.ts";
@@ -28,6 +28,8 @@
     self: ReaderCandidate;
     store: ObjectStore;
     objects: Pick<PlatformObjects, "targetKind" | "tableKind">;
+    /** Undefined where evacuations are not followed. */
+    evacuations?: FollowedEvacuations | undefined;
     processes: Pick<Processes, "hosts" | "known">;
     isStopping: () => boolean;
     /** Called when this host reads from another source, or became current as a reader or stopped being so. */
@@ -48,7 +50,7 @@
         readersToTell(digestHash, self, hosts)
     );
     const cache = createStateCache(largeValueBytes);
-    const paces = createStatePaces(objects);
+    const paces = createStatePaces(objects, options.evacuations);
     const patches = { [storeKinds.ownership]: ownershipPatch, [objects.tableKind]: documentPatch };
     const source = createStateSource({
         self: self.name,
--- a/src/machines/resident/targetregistry.ts
+++ b/src/machines/resident/targetregistry.ts
@@ -9,10 +9,12 @@
 import { type RegisteredTarget, unknownIncarnation } from "../../contracts/routing.ts";
 import { eraOf, isLater } from "../../contracts/storehistory.ts";
 import type { Log } from "../../links/logs.ts";
+import type { Evacuations } from "./evacuations.ts";
 
 export type TargetRegistry = {
     get: (name: string) => RegisteredTarget | undefined;
     ofPool: (pool: string) => RegisteredTarget[];
+    ofZone: (zone: string) => RegisteredTarget[];
     /** Adds a listener that is called after an entry was added, changed or removed. */
     onChange: (listener: (target: RegisteredTarget, gone: boolean) => void) => void;
     /** Takes in the list of all entries at the position. Targets that are not among them are removed. */
@@ -31,6 +33,8 @@
     decode: (object: StoreObject) => RegisteredTarget | string;
     /** Returns the monotonic time since which the store has answered without a failure; undefined while it does not. */
     reachableSince: () => number | undefined;
+    /** The evacuated zones, which targets are marked with; undefined in a deployment that evacuates none. */
+    evacuations?: Pick<Evacuations, "mark" | "onChange"> | undefined;
     clock: Clock;
     log: Log;
     signal: AbortSignal;
@@ -52,7 +56,7 @@
 
 /** Creates an empty registry. */
 export const createTargetRegistry = (options: TargetRegistryOptions): TargetRegistry => {
-    const { clock, log, signal } = options;
+    const { evacuations, clock, log, signal } = options;
     const targets = new Map<string, RegisteredTarget>();
     const pendingRemovals = new Map<string, () => void>();
     /** Incarnations of targets that leave, by name; the oldest are dropped. */
@@ -162,7 +166,8 @@
         }
         const hasLeft = isBroughtBack(object, decoded.incarnation, isReturn);
         const isLeaver = leavers.get(object.name) === decoded.incarnation;
-        const target = { ...decoded, leaving: decoded.leaving || isLeaver || hasLeft };
+        const registered = { ...decoded, leaving: decoded.leaving || isLeaver || hasLeft };
+        const target = evacuations?.mark(registered) ?? registered;
         cancelRemoval(object.name);
         if (hasLeft && isReturn) {
             log.info("target-brought-back", { target: object.name, incarnation: target.incarnation });
@@ -176,9 +181,10 @@
         const isChanged = before === undefined || before.incarnation !== target.incarnation
             || before.leaving !== target.leaving;
         if (isChanged && logsChange) {
-            const { name, pool, incarnation, leaving, zone, address } = target;
+            const { name, pool, incarnation, leaving, evacuated, zone, address } = target;
             const { revision } = object;
-            log.info("target-registered", { target: name, pool, incarnation, leaving, zone, address, revision });
+            const fields = { target: name, pool, incarnation, leaving, evacuated, zone, address, revision };
+            log.info("target-registered", fields);
         }
         notify(target, false);
     };
@@ -201,9 +207,20 @@
         }
     };
 
+    evacuations?.onChange(() => {
+        for (const target of [...targets.values()]) {
+            const marked = evacuations.mark(target);
+            if (marked.evacuated !== target.evacuated) {
+                targets.set(target.name, marked);
+                notify(marked, false);
+            }
+        }
+    });
+
     return {
         get: name => targets.get(name),
         ofPool: pool => [...targets.values()].filter(target => target.pool === pool),
+        ofZone: zone => [...targets.values()].filter(target => target.zone === zone),
         onChange: listener => listeners.push(listener),
         applyList: (objects, position) => {
             const names = new Set(objects.map(object => object.name));
--- a/test/machines/resident/statehosts.ts
+++ b/test/machines/resident/statehosts.ts
@@ -8,6 +8,7 @@
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import { storeKinds } from "../../../src/machines/resident/coordination.ts";
+import { createEvacuations } from "../../../src/machines/resident/evacuations.ts";
 import { type Processes, registerProcess } from "../../../src/machines/resident/processes.ts";
 import { createRouteTableHolder } from "../../../src/machines/resident/routetableholder.ts";
 import type { StateSource } from "../../../src/machines/resident/statesource.ts";
@@ -25,6 +26,8 @@
     source: StateSource;
     processes: Processes;
     registry: TargetRegistry;
+    /** Whether the host has read all kinds. */
+    isSynced: () => boolean;
     /** Versions of the tables that were in force on this host, in order. */
     versions: number[];
     end: () => void;
@@ -59,13 +62,25 @@
     decodeTarget: ({ name, value }) => ({ ...emptyTarget, ...value as Partial<RegisteredTarget>, name }),
 };
 
+/** Time for which the targets of a zone count as cold once it is restored. */
+export const coldMilliseconds = 3_000;
+
 /** Starts hosts in as many zones. They differ in the random numbers that they draw. */
-export const setUpStateHosts = (hostCount: number, zoneCount: number) => {
+export const setUpStateHosts = (
+    hostCount: number,
+    zoneCount: number,
+    /** Time within which an evacuation has to be in force; undefined where evacuations are not followed. */
+    evacuationMilliseconds?: number,
+) => {
     const clock = createVirtualClock();
     const shared = createFakeStore(clock);
     const network = createFakeNetwork(clock);
     let starts = 0;
 
+    const followed = evacuationMilliseconds === undefined
+        ? undefined
+        : { kind: objects.evacuationKind, withinMilliseconds: evacuationMilliseconds };
+
     const start = (host: ReaderCandidate): StateHost => {
         starts += 1;
         const drawn = starts / (hostCount + 1) % 1;
@@ -80,6 +95,7 @@
             self: host,
             store,
             objects,
+            evacuations: followed,
             processes,
             isStopping: () => false,
             onSourceChange: () => watchers.retryNow(),
@@ -90,8 +106,14 @@
         const routeTable = createRouteTableHolder({ decode: objects.decodeTable, log: silentLog });
         const versions: number[] = [];
         routeTable.onChange(({ version }) => versions.push(version));
+        const evacuations = followed && createEvacuations({
+            ...common,
+            countTargets: zone => registry.ofZone(zone).length,
+            coldMilliseconds: () => coldMilliseconds,
+        });
         const registry = createTargetRegistry({
             ...common,
+            evacuations,
             decode: objects.decodeTarget,
             reachableSince: () => targetWatcher.reachableSince(),
         });
@@ -105,11 +127,18 @@
             processes.applyChanges(events, position);
             source.reconsider();
         });
+        if (evacuations !== undefined) {
+            watchers.watch(objects.evacuationKind, evacuations.applyList, evacuations.applyChanges);
+        }
+        let synced = false;
+        void watchers.synced().then(() => {
+            synced = true;
+        });
         const end = (): void => {
             lifetime.abort();
             network.kill(host.address);
         };
-        return { host, access, source, processes, registry, versions, end };
+        return { host, access, source, processes, registry, isSynced: () => synced, versions, end };
     };
 
     const hosts = Array.from(
