Send nothing to evacuated targets

Cause: a target whose zone is evacuated still got requests. Change: such targets are not chosen, requests that wait for a connection to one are withdrawn (new reason target-evacuated), and where all targets of a pool that do not leave are evacuated requests are refused at once with a time of 1 to 1.5 s, with and without a key. Result: evacuatedtargets.test.ts passes (10 cases in virtual time), connectionwait and reasons tests pass.

--- a/src/contracts/outcome.ts
+++ b/src/contracts/outcome.ts
@@ -94,6 +94,12 @@
     },
     "target-refused": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The target did not run it." },
     "target-draining": { outcome: "not-run", statusCode: 503, sendAgain: true, title: "The target is draining." },
+    "target-evacuated": {
+        outcome: "not-run",
+        statusCode: 503,
+        sendAgain: true,
+        title: "The target's zone is evacuated.",
+    },
     "fence-refused": {
         outcome: "not-run",
         statusCode: 503,
--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -31,7 +31,12 @@
     | { kind: "failed"; reason: Reason; detail: string; notRun: boolean; arrived: boolean; ofHost: boolean };
 
 /** Why a request is not sent to the target that was chosen for it. The target is not to blame. */
-export const withdrawalReasons = ["no-target", "target-draining", "target-paused"] as const satisfies Reason[];
+export const withdrawalReasons = [
+    "no-target",
+    "target-draining",
+    "target-evacuated",
+    "target-paused",
+] as const satisfies Reason[];
 export type WithdrawalReason = (typeof withdrawalReasons)[number];
 
 export type AttemptOptions = {
--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -50,6 +50,8 @@
      * and why it takes none; undefined when no target said so.
      */
     untilUsable: (pool: string) => { milliseconds: number; reason: "target-limited" | "target-paused" } | undefined;
+    /** Whether the pool has targets that do not leave, all of them in evacuated zones. */
+    isEvacuated: (pool: string) => boolean;
     /** Returns the median service time of the pool's targets. */
     typicalServiceMilliseconds: (pool: string) => number;
 };
@@ -130,8 +132,12 @@
         };
     };
 
+    /** Whether the target is there and neither leaves nor is in an evacuated zone. */
+    const takesRequests = ({ gone, target }: TargetState): boolean =>
+        !gone && !target.leaving && target.evacuated !== true;
+
     const isOpen = (targetState: TargetState): boolean =>
-        !targetState.gone && !targetState.target.leaving && targetState.blockedUntil <= clock.now();
+        takesRequests(targetState) && targetState.blockedUntil <= clock.now();
 
     const hasConnection = (targetState: TargetState, endAt: number): boolean =>
         targetState.load.ownRequests() < targetStates.maxConnections(targetState, endAt);
@@ -190,6 +196,9 @@
         ) {
             return `the owner "${range.owner.target}" is gone`;
         }
+        if (targetState.target.evacuated === true) {
+            return `the zone of the owner "${range.owner.target}" is evacuated`;
+        }
         if (context.failedTargets.has(targetState) && context.runs === 0) {
             return `the owner "${range.owner.target}" does not serve the key at fence ${range.fence}`;
         }
@@ -211,7 +220,7 @@
     const untilUsable: CandidateSelector["untilUsable"] = pool => {
         const now = clock.now();
         const [first] = targetStates.ofPool(pool)
-            .filter(state => !state.gone && !state.target.leaving && notBefore(state) > now)
+            .filter(state => takesRequests(state) && notBefore(state) > now)
             .sort((left, right) => notBefore(left) - notBefore(right));
         return first === undefined ? undefined : {
             milliseconds: notBefore(first) - now,
@@ -219,5 +228,10 @@
         };
     };
 
-    return { usableTargets, targetsInUse, keyOwner, untilUsable, typicalServiceMilliseconds };
+    const isEvacuated: CandidateSelector["isEvacuated"] = pool => {
+        const staying = targetStates.ofPool(pool).filter(({ gone, target }) => !gone && !target.leaving);
+        return staying.length > 0 && staying.every(({ target }) => target.evacuated === true);
+    };
+
+    return { usableTargets, targetsInUse, keyOwner, untilUsable, isEvacuated, typicalServiceMilliseconds };
 };
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -207,6 +207,9 @@
         if (target.leaving) {
             return "target-draining";
         }
+        if (target.evacuated === true) {
+            return "target-evacuated";
+        }
         return pausedUntil > clock.now() ? "target-paused" : undefined;
     };
 
--- a/src/machines/resident/targetchooser.ts
+++ b/src/machines/resident/targetchooser.ts
@@ -53,6 +53,11 @@
 const connectionCheckMilliseconds = 100;
 /** Delay, before a random spread, after which a caller is told to retry when its key has no usable owner. */
 const noOwnerRetryMilliseconds = 300;
+/**
+ * Delay, before a random spread, after which a caller is told to retry when all targets of the pool are in evacuated
+ * zones. An evacuation lasts longer than most callers wait, and targets that join may serve them at any time.
+ */
+const evacuatedRetryMilliseconds = 1_000;
 
 /** Creates the chooser of one host. */
 export const createTargetChooser = (options: TargetChooserOptions): TargetChooser => {
@@ -130,6 +135,19 @@
             : undefined;
     };
 
+    /** Returns a refusal if the pool has only targets in evacuated zones, so that waiting is of no use. */
+    const refuseEvacuated = (context: RequestContext): CallerRefusal | undefined => {
+        const { name } = context.pool;
+        return candidateSelector.isEvacuated(name)
+            ? refuse(
+                context,
+                "target-evacuated",
+                `The zones of all targets of pool "${name}" are evacuated.`,
+                retryAfterMilliseconds(evacuatedRetryMilliseconds, random),
+            )
+            : undefined;
+    };
+
     /** Returns targets of a pool without key owners. Waits for a connection where that is useful. */
     const findUnowned = async (context: RequestContext): Promise<Candidate[] | CallerRefusal> => {
         const { name } = context.pool;
@@ -140,6 +158,10 @@
             }
             const inUse = candidateSelector.targetsInUse(context);
             if (inUse === undefined) {
+                const evacuated = refuseEvacuated(context);
+                if (evacuated !== undefined) {
+                    return evacuated;
+                }
                 const wait = candidateSelector.untilUsable(name);
                 const detail = `No target of pool "${name}" takes new work.`;
                 const milliseconds = Math.max(shedBlockMilliseconds, wait?.milliseconds ?? 0);
@@ -191,6 +213,10 @@
             if (typeof owner !== "string") {
                 return [owner];
             }
+            const evacuated = refuseEvacuated(context);
+            if (evacuated !== undefined) {
+                return evacuated;
+            }
             const left = context.holdUntil - clock.now();
             if (left <= 0 || request.hangUp.happened) {
                 const detail = `Key ${request.key} of pool "${pool.name}": ${owner}.`;
