Move the keys of evacuated targets

Cause: the coordinator went on to assign keys to targets of evacuated zones. Change: it plans without them, so that their keys move with handover like those of leaving targets; while there is no other target they stay granted. The test's controllers have a zone for each target and can follow evacuations, and fake targets record the states handed over.

--- a/src/machines/resident/rangecontroller.ts
+++ b/src/machines/resident/rangecontroller.ts
@@ -299,7 +299,9 @@
     };
 
     const targetsToPlan = (): RegisteredTarget[] =>
-        registry.ofPool(pool).filter(target => !target.leaving && !grants.isLost(ownerOf(target)));
+        registry.ofPool(pool).filter(target =>
+            !target.leaving && target.evacuated !== true && !grants.isLost(ownerOf(target))
+        );
 
     const planTargetOf = (target: RegisteredTarget): RangeTarget => ({
         owner: ownerOf(target),
--- a/test/machines/resident/controllers.ts
+++ b/test/machines/resident/controllers.ts
@@ -8,6 +8,7 @@
 import type { Log, LogFields } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
 import type { PoolNewsListener } from "../../../src/machines/resident/coordinatornews.ts";
+import { createEvacuations } from "../../../src/machines/resident/evacuations.ts";
 import { createOwnershipCache } from "../../../src/machines/resident/ownershipcache.ts";
 import { registerProcess } from "../../../src/machines/resident/processes.ts";
 import { createRangeController } from "../../../src/machines/resident/rangecontroller.ts";
@@ -21,13 +22,16 @@
 /** Time in which hosts hear the news of each other. */
 const newsMilliseconds = 100;
 const targetNames = ["a", "b", "c"];
+/** Each target is in a zone of its own. */
+export const zoneOf = (target: string): string => `z-${target}`;
 
 /**
  * Starts a controller on each host and waits until one of them coordinates.
  *
  * @param processors processor of each host, in cores.
+ * @param followsEvacuations whether hosts read which zones are evacuated.
  */
-export const setUp = async (processors = [1, 1, 1]) => {
+export const setUp = async (processors = [1, 1, 1], followsEvacuations = false) => {
     const world = createVirtualClock();
     const shared = createFakeStore(world, firstEra);
     const targets = createFakeTargets(targetNames, world);
@@ -52,7 +56,7 @@
             incarnation,
             pool,
             address,
-            zone: "z",
+            zone: zoneOf(name),
             slots: 3,
             leaving,
             warmupMilliseconds: 0,
@@ -82,7 +86,15 @@
             onRecovered: () => undefined,
             ...common,
         };
+        const evacuations = followsEvacuations
+            ? createEvacuations({
+                countTargets: zone => registry.ofZone(zone).length,
+                coldMilliseconds: () => 0,
+                ...common,
+            })
+            : undefined;
         const registry = createTargetRegistry({
+            evacuations,
             decode: object => object.value as RegisteredTarget,
             reachableSince: () => entryWatcher.reachableSince(),
             ...common,
@@ -93,6 +105,14 @@
             onList: registry.applyList,
             onChanges: registry.applyChanges,
         });
+        if (evacuations !== undefined) {
+            createStoreWatcher({
+                ...watcherOptions,
+                kind: "evacuations",
+                onList: evacuations.applyList,
+                onChanges: evacuations.applyChanges,
+            });
+        }
         const coordinationWatcher = createStoreWatcher({
             ...watcherOptions,
             kind: "coordination",
@@ -166,6 +186,8 @@
             access,
             state,
             controller,
+            registry,
+            ownership: () => ownerships.getRemembered(pool),
             kill: () => lifetime.abort(),
             hasEnded: () => signal.aborted,
         };
--- a/test/machines/resident/faketargets.ts
+++ b/test/machines/resident/faketargets.ts
@@ -27,6 +27,8 @@
     /** Returns the link of one host, which does not reach the targets from which the host is cut off. */
     linkOf: (isCut: (target: string) => boolean) => OwnershipLink;
     sampledKeys: number[];
+    /** States that former owners handed over and that a grant carried to the new owner, as `STATE to TARGET`. */
+    handovers: Set<string>;
     /** Returns the sampled keys that no target holds. */
     unheld: () => number[];
     /**
@@ -52,6 +54,7 @@
 /** Creates targets that hold nothing. */
 export const createFakeTargets = (names: string[], clock: Clock): FakeTargets => {
     const violations: string[] = [];
+    const handovers = new Set<string>();
     const lastOwners = new Map<number, { by: string; fence: number }>();
 
     /** Records a violation when a key gets another owner without a fence above all earlier ones. */
@@ -152,6 +155,7 @@
 
     return {
         sampledKeys,
+        handovers,
         get: name => {
             const fake = targets.get(name);
             if (fake === undefined) {
@@ -160,7 +164,10 @@
             return fake.target;
         },
         linkOf: isCut => ({
-            grant: (target, { from, to, fence }, holdMilliseconds) => {
+            grant: (target, { from, to, fence }, holdMilliseconds, handover) => {
+                if (handover !== undefined) {
+                    handovers.add(`${handover} to ${target.name}`);
+                }
                 const until = clock.now() + holdMilliseconds * clockSlowdown;
                 return call(target, isCut(target.name), () => targets.get(target.name)!.grant(from, to, fence, until));
             },
