--- a/stand-ins/resident/store.ts
+++ b/stand-ins/resident/store.ts
@@ -47,6 +47,8 @@
     remove: (kind: string, name: string) => void;
     /** Returns the spec of an object; undefined when it doesn't exist. */
     read: (kind: string, name: string) => unknown;
+    /** Kinds that were listed or watched. */
+    readKinds: ReadonlySet<string>;
     /** Drops all past events, so that a watch from an earlier revision is answered with 410. */
     forgetHistory: () => void;
     /** Resets all connections; new ones are accepted. */
@@ -83,6 +85,7 @@
     publicAddresses: (text: string) => string = text => text,
 ): Promise<StoreStandIn> => {
     const objects = new Map<string, WireObject>();
+    const readKinds = new Set<string>();
     const faults: StoreFaults = {
         refuse: undefined,
         silent: false,
@@ -176,9 +179,11 @@
             sendJson(response, object === undefined ? 404 : 200, object ?? {});
         }
         else if (query.has("watch")) {
+            readKinds.add(kind);
             await watch(response, kind, Number(query.get("watch")), Number(query.get("waitMs") ?? 0));
         }
         else {
+            readKinds.add(kind);
             list(response, kind, query.get("after") ?? "");
         }
     };
@@ -254,6 +259,7 @@
         put: write,
         remove,
         read: (kind, name) => objects.get(`${kind}/${name}`)?.spec,
+        readKinds,
         forgetHistory: () => {
             events = [];
             oldestRevision = revision;
