Count the requests for a cold target in a bucket of one request

Cause: one host counts the requests for a limited target with a burst of half a second and for a whole pool. Three partitioned groups of hosts would exceed the bound on a cold target, and the questions for a zone of cold targets would go to one host.

--- a/src/decisions/sharedlimit.ts
+++ b/src/decisions/sharedlimit.ts
@@ -20,8 +20,9 @@
      * @param perSecond the limit that is in force now.
      * @param priority rank of the request, 0 the most urgent.
      * @param now monotonic time in milliseconds.
+     * @param coldPerSecond rate of a cold target, whose bucket holds one token; undefined while it is not cold.
      */
-    take: (perSecond: number, priority: number, now: number) => LimitVerdict;
+    take: (perSecond: number, priority: number, now: number, coldPerSecond?: number) => LimitVerdict;
 };
 
 /** Lowest rate that is allowed, so that it becomes known when a target lifts its limit. */
@@ -51,9 +52,9 @@
         [...refusedAt].some(([other, refused]) => other < priority && at - refused < urgencyMilliseconds);
 
     return {
-        take: (perSecond, priority, at) => {
-            const perMillisecond = effectiveLimit(perSecond) / 1_000;
-            const capacity = 1 + burstSeconds * 1_000 * perMillisecond;
+        take: (perSecond, priority, at, coldPerSecond) => {
+            const perMillisecond = Math.min(effectiveLimit(perSecond), coldPerSecond ?? Infinity) / 1_000;
+            const capacity = coldPerSecond === undefined ? 1 + burstSeconds * 1_000 * perMillisecond : 1;
             tokens = Math.min(capacity, tokens + Math.max(0, at - filledAt) * perMillisecond);
             filledAt = at;
             if (tokens >= 1 && !isMoreUrgentWaiting(priority, at)) {
@@ -61,6 +62,13 @@
                 return { allowed: true };
             }
             refusedAt.set(priority, at);
+            if (perMillisecond === 0) {
+                return {
+                    allowed: false,
+                    roomMilliseconds: maxRetryAfterMilliseconds,
+                    retryAfterMilliseconds: maxRetryAfterMilliseconds,
+                };
+            }
             const roomMilliseconds = Math.max(0, 1 - tokens) / perMillisecond;
             const roomAt = Math.min(at + maxRetryAfterMilliseconds, Math.max(backlogEndsAt, at + roomMilliseconds));
             backlogEndsAt = roomAt + 1 / perMillisecond;
--- a/src/machines/resident/fleetfacts.ts
+++ b/src/machines/resident/fleetfacts.ts
@@ -7,7 +7,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerDialer, PeerService } from "../../links/peers.ts";
 import { digestHash } from "../../zones/digesthash.ts";
-import { rankedBefore, rankGossipPeers } from "../../zones/gossippeers.ts";
+import { rankedBefore, rankedBeforeByCapacity, rankGossipPeers } from "../../zones/gossippeers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
 import {
     coordinatorGossipSchema,
@@ -28,7 +28,7 @@
 import { keepLastResult } from "./lastresult.ts";
 import type { Processes } from "./processes.ts";
 import { crashGossipKind, crashGossipSchema, createSuspicions, type Suspicions } from "./suspicions.ts";
-import { createTargetLimits, limitsPath, type TargetLimits } from "./targetlimits.ts";
+import { createTargetLimits, isColdGroup, limitsPath, type TargetLimits } from "./targetlimits.ts";
 import {
     createTargetNotices,
     leavingGossipKind,
@@ -95,7 +95,8 @@
         signal,
     });
     const limits = createTargetLimits({
-        rankedBefore: pool => rankedBefore(digestHash, `limits/${pool}`, self, hosts()),
+        rankedBefore: group =>
+            (isColdGroup(group) ? rankedBeforeByCapacity : rankedBefore)(digestHash, `limits/${group}`, self, hosts()),
         dial,
         clock,
         log,
--- a/src/zones/gossippeers.ts
+++ b/src/zones/gossippeers.ts
@@ -30,6 +30,34 @@
     return ranked.slice(0, ranked.findIndex(host => host.name === self.name));
 };
 
+const hashRange = 2 ** 32;
+/** Hosts with links of 7 to 10 Mbit/s exist: a link of this speed weighs as much as one core. */
+const megabitsPerCore = 10;
+
+/**
+ * Rendezvous hashing in which the chance of a host to come first is proportional to its capacity. The order of two hosts
+ * depends on these two alone, so that hosts that know different others agree on it.
+ */
+const capacityScore = (hash: SlotHash, task: string, { name, processor, linkMegabits }: ReaderCandidate): number => {
+    const weight = Math.min(processor, (linkMegabits ?? Infinity) / megabitsPerCore);
+    return -weight / Math.log((hash(`${task}/${name}`, hashRange) + 0.5) / hashRange);
+};
+
+/** As `rankedBefore`, but hosts with more capacity are preferred. */
+export const rankedBeforeByCapacity = (
+    hash: SlotHash,
+    task: string,
+    self: ReaderCandidate,
+    hosts: readonly ReaderCandidate[],
+): ReaderCandidate[] => {
+    const own = capacityScore(hash, task, self);
+    return hosts.filter(host => host.name !== self.name)
+        .map(host => ({ host, score: capacityScore(hash, task, host) }))
+        .filter(({ host, score }) => score > own || (score === own && host.name < self.name))
+        .sort((left, right) => right.score - left.score || (left.host.name < right.host.name ? -1 : 1))
+        .map(({ host }) => host);
+};
+
 /** Ranks the hosts that a host may link to. `hosts` may contain the host itself. */
 export const rankGossipPeers = (
     hash: SlotHash,
