Limit what all hosts send to a cold target

Cause: the warm-up of a target's first entry was kept, so that a target that became cold again was not noticed, and nothing limited the requests of all hosts to a cold one. Change: each entry sets the time until which a target is cold; an entry that is read again counts from when it was first read. A target that appears after the first list, could not be reached or lost a connection is cold for the pool's time, whatever its entry says. The coordinator takes the limit for the target's capacity. Nothing changes where the settings or the pool name no limit for cold targets.

--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -31,7 +31,12 @@
     | { kind: "failed"; reason: Reason; detail: string; notRun: boolean; arrived: boolean; ofHost: boolean };
 
 /** Why a request is not sent to the target that was chosen for it. The target is not to blame. */
-export const withdrawalReasons = ["no-target", "target-draining", "target-paused"] as const satisfies Reason[];
+export const withdrawalReasons = [
+    "no-target",
+    "target-draining",
+    "target-paused",
+    "target-limited",
+] as const satisfies Reason[];
 export type WithdrawalReason = (typeof withdrawalReasons)[number];
 
 export type AttemptOptions = {
@@ -58,6 +63,8 @@
     confirmEnd?: (() => Promise<boolean>) | undefined;
     /** Called when an answer that only the close of its connection can end was ended or cut. */
     onUnframedEnd: (end: UnframedEnd) => void;
+    /** Called when the connection broke after the request was written. */
+    onConnectionLost?: () => void;
     clock: Clock;
 };
 
@@ -298,6 +305,10 @@
             onFailure: (failedStage, error) => {
                 const { code = error.name } = error as NodeJS.ErrnoException;
                 recordUnframedEnd(forcedFailure?.reason ?? code, "nothing");
+                const { code: brokenBy } = error as NodeJS.ErrnoException;
+                if (forcedFailure === undefined && failedStage !== sendStages.unsent && brokenBy !== undefined) {
+                    options.onConnectionLost?.();
+                }
                 const streaming = collector.onFailure(cutBy);
                 if (streaming) {
                     finish(undefined);
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -20,7 +20,7 @@
 import type { RouteTableHolder } from "./routetableholder.ts";
 import { askForLife } from "./signoflife.ts";
 import type { Suspicions } from "./suspicions.ts";
-import { createTargetChooser, shedBlockMilliseconds } from "./targetchooser.ts";
+import { type ChosenTarget, createTargetChooser, shedBlockMilliseconds } from "./targetchooser.ts";
 import type { TargetLimits } from "./targetlimits.ts";
 import type { TargetNotices } from "./targetnotices.ts";
 import type { TargetState, TargetStates } from "./targetstates.ts";
@@ -200,17 +200,29 @@
         });
     };
 
-    const withdrawalOf = ({ gone, target, pausedUntil }: TargetState): WithdrawalReason | undefined => {
+    const withdrawalOf = ({ targetState, sendBefore = -Infinity }: ChosenTarget): WithdrawalReason | undefined => {
+        const { gone, target, pausedUntil } = targetState;
         if (gone) {
             return "no-target";
         }
         if (target.leaving) {
             return "target-draining";
         }
-        return pausedUntil > clock.now() ? "target-paused" : undefined;
+        if (pausedUntil > clock.now()) {
+            return "target-paused";
+        }
+        // The target may have become cold, or the permit may have expired, while the request waited for a connection.
+        if (targetStates.coldLimit(targetState) !== undefined) {
+            if (clock.now() > sendBefore) {
+                return "target-limited";
+            }
+            metrics.count("cold-sends", { pool: target.pool });
+        }
+        return undefined;
     };
 
-    const send = async (context: RequestContext, targetState: TargetState): Promise<AttemptResult> => {
+    const send = async (context: RequestContext, chosen: ChosenTarget): Promise<AttemptResult> => {
+        const { targetState } = chosen;
         const { request, route, pool } = context;
         const { healthPath } = pool;
         context.sends += 1;
@@ -223,13 +235,14 @@
                 runningSends.add(stopSend);
                 return () => runningSends.delete(stopSend);
             },
-            withdrawnFor: () => withdrawalOf(targetState),
+            withdrawnFor: () => withdrawalOf(chosen),
             abortOnHangUp: route.kind === routeKinds.idempotent,
             onNotice: (notice, sentAt) => options.notices.record(targetState, notice, sentAt),
             confirmEnd: healthPath === undefined
                 ? undefined
                 : () => confirmEnd(context, targetState, healthPath),
             onUnframedEnd: end => recordUnframedEnd(context, targetState, end),
+            onConnectionLost: () => targetStates.recordConnectionLost(targetState),
             clock,
         });
         if (attempt.kind === "answered" || !attempt.notRun) {
@@ -265,7 +278,7 @@
                 return chosen;
             }
             const { targetState } = chosen;
-            const attempt = await send(context, targetState);
+            const attempt = await send(context, chosen);
             if (attempt.kind === "answered") {
                 if (shouldResendAnswer(context, attempt)) {
                     context.failedTargets.add(targetState);
@@ -286,7 +299,10 @@
                     : undefined;
                 return refuse(context, attempt.reason, attempt.detail, wait);
             }
-            context.failedTargets.add(targetState);
+            // A target that became cold while the request waited may take it when it has a token.
+            if (attempt.reason !== "target-limited") {
+                context.failedTargets.add(targetState);
+            }
             if (route.kind === routeKinds.once && attempt.arrived) {
                 context.refusedBy.add(targetState);
             }
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -9,7 +9,7 @@
 import type { ObjectStore, StoreObject } from "../../contracts/objectstore.ts";
 import type { OwnershipLink, PlatformObjects, ResidentRequest, TargetProtocol } from "../../contracts/resident.ts";
 import type { ResidentSettings } from "../../contracts/residentsettings.ts";
-import type { RouteTable } from "../../contracts/routing.ts";
+import type { RegisteredTarget, RouteTable } from "../../contracts/routing.ts";
 import { loadsPath, statePath } from "../../contracts/statemessages.ts";
 import { type CallerLink, type CallerProtocol, createCallerLink } from "../../links/callers.ts";
 import type { Descriptors } from "../../links/descriptors.ts";
@@ -20,6 +20,7 @@
 import { createPeerDialer } from "../../links/peers.ts";
 import { createRequestLedger } from "../../links/requestledger.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
+import { repeatTask } from "../longtasks.ts";
 import { createCallerLog, type PlannedWork } from "./callerlog.ts";
 import { storeKinds } from "./coordination.ts";
 import { createEventLoopMonitor } from "./eventloopmonitor.ts";
@@ -37,6 +38,8 @@
 import { createSharingHosts } from "./sharinghosts.ts";
 import { createStateSpread } from "./statespread.ts";
 import { createStoreWatchers } from "./storewatchers.ts";
+import { lowerLimit } from "./targetchooser.ts";
+import { countedAs } from "./targetlimits.ts";
 import { createTargetRegistry } from "./targetregistry.ts";
 import { createTargetStates } from "./targetstates.ts";
 
@@ -99,6 +102,7 @@
 /** Value of the metric's label `reason` for requests that a target answered. */
 const noReason = "none";
 const inFlightCheckMilliseconds = 50;
+const coldGaugeMilliseconds = 1_000;
 /** The slack of resends is divided by at least this many hosts, since some may not be counted yet. */
 const minHostsSharingSlack = 24;
 /** Each host stays below the retry ratio that all share by this factor, since hosts see different parts of the load. */
@@ -218,10 +222,16 @@
         requestsOfOthers: sharedLoads.requestsOfOthers,
         recordOwnRequests: sharedLoads.record,
         loans,
+        coldBound: settings.coldTargets,
+        onCold: target => facts.limits.prepare(countedAs(target, true).pool),
         descriptors,
         clock,
         signal,
     });
+    const limitOf = (target: RegisteredTarget): number | undefined => {
+        const state = targetStates.get(target.name);
+        return lowerLimit(facts.notices.limitOf(target), state && targetStates.coldLimit(state)?.perSecond);
+    };
     const ownerships = createOwnershipCache(clock, log, signal);
     const loadReporter = createLoadReporter({
         dial,
@@ -247,7 +257,7 @@
             processor: share * speed,
             loads: loadReporter.loadsOf(pool),
             work: loadReporter.workOf(pool),
-            limitOf: facts.notices.limitOf,
+            limitOf,
             reachableSince: () => coordinationWatcher.reachableSince(),
             rememberedOwnership: () => ownerships.getRemembered(pool),
             news: facts.coordinators.of(pool),
@@ -289,6 +299,10 @@
         signal,
     });
     facts.coordinators.listen(controllers.get);
+    if (settings.coldTargets !== undefined) {
+        const recordCold = (): void => metrics.gauge("cold-targets", targetStates.coldCount());
+        void repeatTask("cold-targets", () => coldGaugeMilliseconds, recordCold, { clock, log, metrics, signal });
+    }
 
     const gateway = createGateway({
         routeTable,
--- a/src/machines/resident/targetchooser.ts
+++ b/src/machines/resident/targetchooser.ts
@@ -2,6 +2,7 @@
  * Chooses the target to which a request is sent next: waits for the owner of its key, compares the usable targets, and
  * asks for a place within a limit that the target has named.
  */
+import { permitMilliseconds } from "../../decisions/coldlimit.ts";
 import { expectedWaitMilliseconds, isWaitUseful } from "../../decisions/connectionwait.ts";
 import {
     maxUsefulMilliseconds,
@@ -21,9 +22,8 @@
 } from "./candidateselector.ts";
 import { placeOfPool, placeOfTarget } from "./connectionqueue.ts";
 import { refuse, type RequestContext } from "./requestcontext.ts";
-import type { TargetLimits } from "./targetlimits.ts";
+import { countedAs, type TargetLimits } from "./targetlimits.ts";
 import type { TargetNotices } from "./targetnotices.ts";
-import type { TargetState } from "./targetstates.ts";
 
 export type TargetChooserOptions = CandidateSelectorOptions & {
     notices: Pick<TargetNotices, "limitOf">;
@@ -34,9 +34,12 @@
     metrics: Metrics;
 };
 
+/** A target to which a request may be sent; to a cold one only before the monotonic time. */
+export type ChosenTarget = Candidate & { sendBefore?: number | undefined };
+
 export type TargetChooser = {
     /** Resolves to the target that is chosen, or to a refusal. Asked again after each send that failed. */
-    choose: (context: RequestContext) => Promise<Candidate | CallerRefusal>;
+    choose: (context: RequestContext) => Promise<ChosenTarget | CallerRefusal>;
     /** Returns the median service time of the pool's targets. */
     typicalServiceMilliseconds: (pool: string) => number;
 };
@@ -54,6 +57,10 @@
 /** Delay, before a random spread, after which a caller is told to retry when its key has no usable owner. */
 const noOwnerRetryMilliseconds = 300;
 
+/** Returns the lower of a limit that a target has named and the limit that it has while it is cold. */
+export const lowerLimit = (named: number | undefined, cold: number | undefined): number | undefined =>
+    named === undefined || cold === undefined ? named ?? cold : Math.min(named, cold);
+
 /** Creates the chooser of one host. */
 export const createTargetChooser = (options: TargetChooserOptions): TargetChooser => {
     const { ownerships, remaining, clock, log, metrics, random } = options;
@@ -204,28 +211,37 @@
     };
 
     /**
-     * Asks for a place within the limit that the target has named. Returns a refusal for a request whose key nobody else
-     * may serve; `elsewhere` for one that may go to another target.
+     * Asks for a place within the limit that the target has named, or has while it is cold. Returns a refusal for a
+     * request whose key nobody else may serve; `elsewhere` for one that may go to another target.
      */
     const takeFromLimit = async (
         context: RequestContext,
-        state: TargetState,
-    ): Promise<CallerRefusal | "elsewhere" | undefined> => {
-        const perSecond = options.notices.limitOf(state.target);
+        candidate: Candidate,
+    ): Promise<CallerRefusal | "elsewhere" | ChosenTarget> => {
+        const { targetState: state } = candidate;
+        const { targetStates } = options;
+        const named = options.notices.limitOf(state.target);
+        const cold = targetStates.coldLimit(state);
+        const perSecond = lowerLimit(named, cold?.perSecond);
         if (perSecond === undefined) {
-            return undefined;
+            return candidate;
         }
         const { request, route, pool } = context;
-        const { name, incarnation } = state.target;
-        const target = `${name}#${incarnation}`;
-        const verdict = await options.limits.take({ pool: pool.name, target, perSecond, priority: route.priority });
+        const question = countedAs(state.target, targetStates.limitsColdTargets(pool.name));
+        const sendBefore = cold === undefined ? undefined : clock.now() + permitMilliseconds;
+        const verdict = await options.limits.take({ ...question, perSecond, priority: route.priority, cold });
         if (verdict.allowed) {
-            return undefined;
+            return { ...candidate, sendBefore };
         }
-        const { roomMilliseconds, retryAfterMilliseconds } = verdict;
+        // A limit that holds only while the target is cold ends with that.
+        const longest = named === undefined && cold !== undefined ? cold.milliseconds : Infinity;
+        const roomMilliseconds = Math.min(verdict.roomMilliseconds, longest);
+        const retryAfterMilliseconds = Math.min(verdict.retryAfterMilliseconds, longest);
+        const { name, incarnation } = state.target;
         log.info("limit-refused", {
             request: request.id,
-            target,
+            target: `${name}#${incarnation}`,
+            cause: cold === undefined || perSecond === named ? "named" : "cold",
             perSecond,
             roomMilliseconds: Math.round(roomMilliseconds),
             retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
@@ -238,7 +254,7 @@
         return "elsewhere";
     };
 
-    const choose = async (context: RequestContext): Promise<Candidate | CallerRefusal> => {
+    const choose = async (context: RequestContext): Promise<ChosenTarget | CallerRefusal> => {
         const { request } = context;
         for (;;) {
             const candidates = await findCandidates(context);
@@ -252,12 +268,12 @@
             if ("kind" in placement) {
                 return placement;
             }
-            const limited = await takeFromLimit(context, placement.candidate.targetState);
+            const chosen = await takeFromLimit(context, placement.candidate);
             if (request.hangUp.happened) {
                 return refuse(context, "cancelled", "The caller hung up before the request was sent.");
             }
-            if (limited !== "elsewhere") {
-                return limited ?? placement.candidate;
+            if (chosen !== "elsewhere") {
+                return chosen;
             }
         }
     };
--- a/src/machines/resident/targetregistry.ts
+++ b/src/machines/resident/targetregistry.ts
@@ -15,6 +15,8 @@
     ofPool: (pool: string) => RegisteredTarget[];
     /** Adds a listener that is called after an entry was added, changed or removed. */
     onChange: (listener: (target: RegisteredTarget, gone: boolean) => void) => void;
+    /** Whether the first list of entries was taken in. A target that appears later was not there before. */
+    wasListed: () => boolean;
     /** Takes in the list of all entries at the position. Targets that are not among them are removed. */
     applyList: (objects: StoreObject[], position: number) => void;
     /** Takes in changes of entries. */
@@ -59,6 +61,9 @@
     const leavers = new Map<string, string>();
     /** Incarnations of targets whose entries were removed, by name, and the place of the entry that a copy brought back. */
     const departed = new Map<string, { incarnation: string; broughtBackAt: number }>();
+    /** Revision of each target's entry, and when it was first seen. */
+    const seenEntries = new Map<string, { revision: number; at: number }>();
+    let wasListed = false;
     /** Place of the newest list. */
     let listedAt: number | undefined;
     /** When the first list of the latest era was read. */
@@ -94,6 +99,7 @@
         }
         if (target !== undefined) {
             targets.delete(name);
+            seenEntries.delete(name);
             if (target.incarnation === unknownIncarnation) {
                 leavers.delete(name);
             }
@@ -152,6 +158,14 @@
             && clock.now() - returnedAt < doubtMilliseconds;
     };
 
+    /** Returns what is left of the warm-up that an entry tells. The same entry may be read again much later. */
+    const warmupLeft = ({ name, revision }: StoreObject, toldMilliseconds: number): number => {
+        const seen = seenEntries.get(name);
+        const entry = seen?.revision === revision ? seen : { revision, at: clock.now() };
+        seenEntries.set(name, entry);
+        return Math.max(0, toldMilliseconds - (clock.now() - entry.at));
+    };
+
     /** Takes in an entry. A change is logged; the many entries of the first list are not, but for their number. */
     const put = (object: StoreObject, logsChange = true, isReturn = false): void => {
         const decoded = decode(object);
@@ -162,7 +176,11 @@
         }
         const hasLeft = isBroughtBack(object, decoded.incarnation, isReturn);
         const isLeaver = leavers.get(object.name) === decoded.incarnation;
-        const target = { ...decoded, leaving: decoded.leaving || isLeaver || hasLeft };
+        const target = {
+            ...decoded,
+            leaving: decoded.leaving || isLeaver || hasLeft,
+            warmupMilliseconds: warmupLeft(object, decoded.warmupMilliseconds),
+        };
         cancelRemoval(object.name);
         if (hasLeft && isReturn) {
             log.info("target-brought-back", { target: object.name, incarnation: target.incarnation });
@@ -205,6 +223,7 @@
         get: name => targets.get(name),
         ofPool: pool => [...targets.values()].filter(target => target.pool === pool),
         onChange: listener => listeners.push(listener),
+        wasListed: () => wasListed,
         applyList: (objects, position) => {
             const names = new Set(objects.map(object => object.name));
             const isFirst = targets.size === 0;
@@ -219,6 +238,7 @@
             objects.forEach(object => put(object, !isFirst, isReturn));
             log.info("targets-listed", { targets: targets.size, objects: objects.length, isReturn });
             removeMissing([...targets.keys()].filter(name => !names.has(name)), isReturn);
+            wasListed = true;
         },
         applyChanges: events => {
             events.filter(event => !event.removed).forEach(event => put(event.object));
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -2,7 +2,8 @@
  * The state of each target as this host observes it: its load, its failures and the connections to it.
  */
 import type { Clock } from "../../contracts/clock.ts";
-import type { RegisteredTarget, TablePool } from "../../contracts/routing.ts";
+import type { ColdTargets, RegisteredTarget, TablePool } from "../../contracts/routing.ts";
+import { type ColdBound, type ColdLimit, coldRate } from "../../decisions/coldlimit.ts";
 import { descriptorParts } from "../../decisions/descriptors.ts";
 import { grantedConnections, isLent, ownConnections } from "../../decisions/partlending.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
@@ -34,6 +35,8 @@
     connectFailures: number;
     /** Monotonic time until which the target is slow after its start. */
     warmupEndsAt: number;
+    /** Monotonic time of the last sign that the target may have started again, whatever its entry tells of a warm-up. */
+    restartSuspectedAt: number;
     /** Set when the target was removed or replaced by another incarnation. */
     gone: boolean;
 };
@@ -60,8 +63,16 @@
     applyLimits: () => void;
     recordFailure: (state: TargetState) => void;
     recordSuccess: (state: TargetState) => void;
-    /** Records a failure to connect and blocks the target, each time for longer. */
+    /** Records a failure to connect and blocks the target, each time for longer. The target may have restarted. */
     recordConnectFailure: (state: TargetState) => void;
+    /** Records that a connection broke during a request: the target may have restarted. */
+    recordConnectionLost: (state: TargetState) => void;
+    /** Whether requests for cold targets of the pool are limited. */
+    limitsColdTargets: (pool: string) => boolean;
+    /** Returns the limit of the target while it is cold; undefined while it is not, or where cold targets have none. */
+    coldLimit: (state: TargetState) => ColdLimit | undefined;
+    /** Number of targets that have such a limit now. */
+    coldCount: () => number;
     /** Sends nothing to the target for the given time. */
     block: (state: TargetState, milliseconds: number) => void;
 };
@@ -77,6 +88,10 @@
     recordOwnRequests: (target: string, requests: number) => void;
     /** Connections that are lent to other hosts and borrowed from them. */
     loans?: Pick<Loans, "want" | "lent" | "borrowed">;
+    /** Bound on the requests of all hosts for a cold target; without it, such targets have no limit of their own. */
+    coldBound?: ColdBound | undefined;
+    /** Called when a target whose requests are limited while it is cold may have become cold. */
+    onCold?: (target: RegisteredTarget) => void;
     /** Counts and limits the connections to targets. */
     descriptors?: Descriptors;
     /** Creates the link to a target; by default one over HTTP. */
@@ -103,6 +118,8 @@
         requestsOfOthers,
         recordOwnRequests,
         loans,
+        coldBound,
+        onCold = () => undefined,
         descriptors,
         openLink = createExchangeLink,
         clock,
@@ -186,11 +203,37 @@
             answeredSentAt: -Infinity,
             connectFailures: 0,
             warmupEndsAt: clock.now() + target.warmupMilliseconds,
+            // Its entry may have been written before it started again.
+            restartSuspectedAt: coldBound !== undefined && registry.wasListed() ? clock.now() : -Infinity,
             gone: false,
         };
         return state;
     };
 
+    const coldTargetsOf = (pool: string): ColdTargets | undefined =>
+        coldBound === undefined ? undefined : findPool(pool)?.coldTargets;
+
+    const coldLimit = (state: TargetState): ColdLimit | undefined => {
+        const cold = coldTargetsOf(state.target.pool);
+        if (coldBound === undefined || cold === undefined) {
+            return undefined;
+        }
+        const until = Math.max(state.warmupEndsAt, state.restartSuspectedAt + cold.milliseconds);
+        const milliseconds = until - clock.now();
+        return milliseconds > 0 ? { perSecond: coldRate(cold, coldBound), milliseconds } : undefined;
+    };
+
+    const notifyIfCold = (state: TargetState): void => {
+        if (coldLimit(state) !== undefined) {
+            onCold(state.target);
+        }
+    };
+
+    const suspectRestart = (state: TargetState): void => {
+        state.restartSuspectedAt = clock.now();
+        notifyIfCold(state);
+    };
+
     const remove = (state: TargetState): void => {
         state.gone = true;
         states.delete(state.target.name);
@@ -207,12 +250,18 @@
         }
         if (state !== undefined && state.target.incarnation === target.incarnation) {
             state.target = target;
+            if (coldTargetsOf(target.pool) !== undefined) {
+                state.warmupEndsAt = clock.now() + target.warmupMilliseconds;
+                notifyIfCold(state);
+            }
             return;
         }
         if (state !== undefined) {
             remove(state);
         }
-        states.set(target.name, create(target));
+        const created = create(target);
+        states.set(target.name, created);
+        notifyIfCold(created);
     });
     signal.addEventListener("abort", () => [...states.values()].forEach(remove), { once: true });
 
@@ -259,7 +308,12 @@
         recordConnectFailure: state => {
             block(state, Math.min(maxBlockMilliseconds, firstBlockMilliseconds * 2 ** state.connectFailures));
             state.connectFailures += 1;
+            suspectRestart(state);
         },
+        recordConnectionLost: suspectRestart,
+        limitsColdTargets: pool => coldTargetsOf(pool) !== undefined,
+        coldLimit,
+        coldCount: () => [...states.values()].filter(state => coldLimit(state) !== undefined).length,
         block,
     };
 };
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -59,6 +59,7 @@
         answeredSentAt: -Infinity,
         connectFailures: 0,
         warmupEndsAt: 0,
+        restartSuspectedAt: -Infinity,
         gone: false,
     };
     let isAborted = false;
--- a/test/machines/resident/fakenetwork.ts
+++ b/test/machines/resident/fakenetwork.ts
@@ -17,6 +17,8 @@
     slow: (address: string, upToMilliseconds: number) => void;
     /** From now on all that the host sends goes through one link of this speed, in the order in which it was sent. */
     thin: (address: string, bytesPerMillisecond: number) => void;
+    /** From now on nothing passes between hosts of different groups, and their connections stay open. */
+    partition: (groupOf: (address: string) => number) => void;
     /** Ends the silence; what was sent meanwhile is lost. */
     heal: (address: string) => void;
 };
@@ -35,6 +37,7 @@
     const slowed = new Map<string, { since: number; upTo: number }>();
     /** Speed of the links of hosts, and when they will have sent what they were given. */
     const links = new Map<string, { bytesPerMillisecond: number; freeAt: number }>();
+    let groupOf: (address: string) => number = () => 0;
     const open = new Set<{ ends: [End, End]; close: () => void }>();
 
     const delayOf = (address: string): number => {
@@ -55,7 +58,7 @@
     const connect = (from: string, to: string, path: string, listener: PeerListener): PeerConnection => {
         let isOpen = false;
         let isClosed = false;
-        const isCut = (): boolean => silent.has(from) || silent.has(to);
+        const isCut = (): boolean => silent.has(from) || silent.has(to) || groupOf(from) !== groupOf(to);
 
         const close = (): void => {
             if (!isClosed) {
@@ -125,6 +128,9 @@
         thin: (address, bytesPerMillisecond) => {
             links.set(address, { bytesPerMillisecond, freeAt: clock.now() });
         },
+        partition: next => {
+            groupOf = next;
+        },
         heal: address => silent.delete(address),
     };
 };
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -5,6 +5,7 @@
 import test from "ava";
 import type { ResidentRequest, TargetProtocol } from "../../../src/contracts/resident.ts";
 import type { RouteTable } from "../../../src/contracts/routing.ts";
+import type { ColdLimit } from "../../../src/decisions/coldlimit.ts";
 import { createRouteIndex } from "../../../src/decisions/routetable.ts";
 import { createTargetLoad } from "../../../src/decisions/targetload.ts";
 import type { CallerAnswer } from "../../../src/links/callers.ts";
@@ -60,7 +61,7 @@
     isAnswerOf: () => true,
 };
 
-const setUp = (kind: "idempotent" | "once", ownsKeys: boolean, limits = noLimits, limit?: number) => {
+const setUp = (kind: "idempotent" | "once", ownsKeys: boolean, limits = noLimits, limit?: number, cold?: ColdLimit) => {
     const clock = createVirtualClock();
     const { signal } = new AbortController();
     const receivers: AnswerReceiver[] = [];
@@ -87,6 +88,7 @@
         answeredSentAt: -Infinity,
         connectFailures: 0,
         warmupEndsAt: 0,
+        restartSuspectedAt: -Infinity,
         gone: false,
     };
     const targetStates: TargetStates = {
@@ -95,6 +97,10 @@
         recordFailure: ({ target: { name } }) => failed.push(name),
         recordSuccess: () => undefined,
         recordConnectFailure: ({ target: { name } }) => unreachable.push(name),
+        recordConnectionLost: () => undefined,
+        limitsColdTargets: () => cold !== undefined,
+        coldLimit: () => cold,
+        coldCount: () => 0,
         block: () => undefined,
         maxConnections: () => 4,
         wantConnections: () => undefined,
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -59,6 +59,7 @@
     answeredSentAt: -Infinity,
     connectFailures: 0,
     warmupEndsAt: 0,
+    restartSuspectedAt: -Infinity,
     gone: false,
 });
 
