--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -36,6 +36,7 @@
     "target-draining",
     "target-evacuated",
     "target-paused",
+    "target-limited",
 ] as const satisfies Reason[];
 export type WithdrawalReason = (typeof withdrawalReasons)[number];
 
@@ -63,6 +64,8 @@
     confirmEnd?: (() => Promise<boolean>) | undefined;
     /** Called when an answer that only the close of its connection can end was ended or cut. */
     onUnframedEnd: (end: UnframedEnd) => void;
+    /** Called when the connection broke after the request was written. */
+    onConnectionLost?: () => void;
     clock: Clock;
 };
 
@@ -303,6 +306,10 @@
             onFailure: (failedStage, error) => {
                 const { code = error.name } = error as NodeJS.ErrnoException;
                 recordUnframedEnd(forcedFailure?.reason ?? code, "nothing");
+                const { code: brokenBy } = error as NodeJS.ErrnoException;
+                if (forcedFailure === undefined && failedStage !== sendStages.unsent && brokenBy !== undefined) {
+                    options.onConnectionLost?.();
+                }
                 const streaming = collector.onFailure(cutBy);
                 if (streaming) {
                     finish(undefined);
