--- a/test/machines/resident/evacuations.test.ts
+++ b/test/machines/resident/evacuations.test.ts
@@ -421,3 +421,24 @@
     t.true(late.isSynced());
     t.deepEqual(names.map(name => isEvacuated(late, name)), [true, true, false]);
 });
+
+/** Guards against hosts that trust readers which do not follow the kind, as while the setting comes into force. */
+test("hosts with the setting learn of evacuations though all readers are without it, which serve the others as before", async t => {
+    const setup = setUpStateHosts(12, 2);
+    const { clock, shared, hosts, start } = setup;
+    shared.put(targetKind, names[0], { zone: "t1" });
+    await clock.advance(5_000);
+    const following = [1, 2, 3].map(index =>
+        start({ name: `h9${index}`, zone: "z0", address: `10.0.0.9${index}:1`, processor: 1 }, withinMilliseconds)
+    );
+    await clock.advance(5_000);
+    t.true(following.every(host => host.isSynced()));
+    shared.put(kind, "t1", {});
+    const milliseconds = await timeUntil(setup, () => following.every(host => isEvacuated(host)));
+    t.log(`${milliseconds} ms, read from ${following.map(({ source }) => source.name()).join(", ")}`);
+    t.true(milliseconds <= withinMilliseconds, `${milliseconds} ms`);
+    shared.put(targetKind, names[1], { zone: "t1" });
+    await clock.advance(500);
+    t.true([...hosts, ...following].every(({ registry }) => registry.get(names[1]) !== undefined));
+    t.false(hosts.some(host => isEvacuated(host)));
+});
--- a/test/machines/resident/statehosts.ts
+++ b/test/machines/resident/statehosts.ts
@@ -77,12 +77,11 @@
     const network = createFakeNetwork(clock);
     let starts = 0;
 
-    const followed = evacuationMilliseconds === undefined
-        ? undefined
-        : { kind: objects.evacuationKind, withinMilliseconds: evacuationMilliseconds };
-
-    const start = (host: ReaderCandidate): StateHost => {
+    const start = (host: ReaderCandidate, withinMilliseconds = evacuationMilliseconds): StateHost => {
         starts += 1;
+        const followed = withinMilliseconds === undefined
+            ? undefined
+            : { kind: objects.evacuationKind, withinMilliseconds };
         const drawn = starts / (hostCount + 1) % 1;
         const lifetime = new AbortController();
         const { signal } = lifetime;
