--- a/src/decisions/targetload.ts
+++ b/src/decisions/targetload.ts
@@ -5,7 +5,12 @@
  */
 
 /** Load that a target reports in an answer: the requests of all hosts that run or wait there. */
-export type ReportedLoad = { running: number; waiting: number };
+export type ReportedLoad = {
+    running: number;
+    waiting: number;
+    /** Service time at the moment as a multiple of the usual one; absent where the target does not tell it. */
+    serviceScale?: number | undefined;
+};
 
 export type TargetLoad = {
     /** Records that this host sent a request. */
@@ -25,6 +30,10 @@
     expectedRequests: (now: number) => number;
     /** Mean time that the target takes for a request while a slot is free; undefined before the first answer. */
     serviceMilliseconds: () => number | undefined;
+    /** Number of answers that this mean rests on. */
+    serviceAnswers: () => number;
+    /** Service time at the moment as a multiple of the usual one, as the target said within the last second; else 1. */
+    serviceScale: (now: number) => number;
     /** Milliseconds since the target last reported its load; very large before its first report. */
     reportAge: (now: number) => number;
 };
@@ -37,6 +46,10 @@
 const meanWeight = 0.15;
 /** Weight of a new answer in the mean service time. */
 const serviceWeight = 0.12;
+/** Time in which the effect of a reported scale ends: targets change it many times a second. */
+const scaleMilliseconds = 1_000;
+/** A reported scale counts as at most this, and as at least its inverse. */
+const maxServiceScale = 8;
 
 /**
  * Creates the estimate for a target with the number of slots given.
@@ -49,6 +62,9 @@
     let othersMean = 0;
     let reportedAt = Number.MIN_SAFE_INTEGER;
     let service: number | undefined;
+    let serviceAnswers = 0;
+    let serviceScale = 1;
+    let scaledAt = Number.MIN_SAFE_INTEGER;
 
     return {
         recordSent: () => {
@@ -63,6 +79,7 @@
             }
             const rounds = Math.max(1, (Math.max(sentAtLoad, others + own) + 1) / slots);
             const sample = latencyMilliseconds / rounds;
+            serviceAnswers += 1;
             service = service === undefined ? sample : service + (sample - service) * serviceWeight;
             return sample;
         },
@@ -70,6 +87,10 @@
             others = Math.max(0, reported.running + reported.waiting - own);
             othersMean += (others - othersMean) * meanWeight;
             reportedAt = now;
+            if (reported.serviceScale !== undefined) {
+                serviceScale = Math.min(maxServiceScale, Math.max(1 / maxServiceScale, reported.serviceScale));
+                scaledAt = now;
+            }
         },
         ownRequests: () => own,
         expectedRequests: now => {
@@ -78,6 +99,8 @@
             return own + mean + (others - mean) * Math.exp(-age / excessDecayMilliseconds);
         },
         serviceMilliseconds: () => service,
+        serviceAnswers: () => serviceAnswers,
+        serviceScale: now => 1 + (serviceScale - 1) * Math.max(0, 1 - (now - scaledAt) / scaleMilliseconds),
         reportAge: now => now - reportedAt,
     };
 };
