Share measures of targets with the messages of shared loads

Cause: what a host measured at a target was known to that host alone. Change: the optional field measures carries answers, their service times and failures by a number of the target's name and incarnation. A reader passes on what its zone measured to other readers and everything to its followers; a late follower gets all figures.

--- a/src/contracts/statemessages.ts
+++ b/src/contracts/statemessages.ts
@@ -64,6 +64,17 @@
     ages: z.record(z.string(), z.number()).optional(),
 });
 
+/**
+ * What was measured at a target: its number (see `sharedmeasures.ts`), answers, sum of their service times, failures if
+ * there were any.
+ */
+const measureSchema = z.tuple([
+    z.int().min(0).max(2 ** 32 - 1),
+    z.int().min(0),
+    z.int().min(0),
+    z.int().min(0).optional(),
+]);
+
 /**
  * How many requests hosts have at targets: sent by a follower for itself, by a reader for its zone to other readers, and
  * for all hosts to its followers.
@@ -74,6 +85,11 @@
     whole: z.boolean(),
     /** Target and number of requests. */
     loads: z.array(z.tuple([z.string(), z.int().min(0)])),
+    /**
+     * What was measured since the message before, or, where the loads are whole, what is known of all targets. Absent from
+     * a host of an earlier version and where nothing was measured.
+     */
+    measures: z.array(measureSchema).optional(),
 });
 
 export const readerMessageSchema = z.discriminatedUnion("kind", [changesSchema, readerStatusSchema, loadsSchema]);
@@ -83,6 +99,7 @@
 export type FollowMessage = z.infer<typeof followSchema>;
 export type ChangesMessage = z.infer<typeof changesSchema>;
 export type LoadsMessage = z.infer<typeof loadsSchema>;
+export type MeasureTuple = z.infer<typeof measureSchema>;
 export type DeflatedMessage = z.infer<typeof deflatedSchema>;
 export type ReaderStatusMessage = z.infer<typeof readerStatusSchema>;
 
--- a/src/machines/resident/sharedloads.ts
+++ b/src/machines/resident/sharedloads.ts
@@ -1,15 +1,18 @@
 /**
  * Shares among all hosts how many requests each of them has at each target. With hundreds of hosts, each one hears of a
  * target so rarely that its own view is nearly always old. A host tells its counts to its zone's reader; readers tell
- * each other the sums of their zones, and their followers the totals.
+ * each other the sums of their zones, and their followers the totals. The messages also carry what hosts measured at
+ * targets (`sharedmeasures.ts`).
  */
 import type { Clock } from "../../contracts/clock.ts";
-import { type LoadsMessage, loadsPath, loadsSchema } from "../../contracts/statemessages.ts";
+import { type LoadsMessage, loadsPath, loadsSchema, type MeasureTuple } from "../../contracts/statemessages.ts";
+import type { PendingMeasures } from "../../decisions/targetmeasures.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerDialer, PeerService } from "../../links/peers.ts";
 import type { ReaderCandidate } from "../../zones/readers.ts";
 import { forEachAlone, keepRunning } from "../longtasks.ts";
+import { createSharedMeasures, measuresField, measureTuples, type SharedMeasures } from "./sharedmeasures.ts";
 
 export type SharedLoads = {
     /** Records how many requests this host has at the target. */
@@ -28,6 +31,8 @@
     resetSource: () => void;
     /** Accepts the sums of other readers. */
     service: PeerService;
+    /** What this host and others measured at targets. */
+    measures: SharedMeasures;
 };
 
 export type SharedLoadsOptions = {
@@ -38,8 +43,11 @@
     dial: PeerDialer;
     /** Sends to the reader that this host follows, if it follows one. */
     sendToReader: (message: LoadsMessage) => boolean;
-    /** Tells followers what has changed. Also called without changes, for followers that could not be told before. */
-    sendToFollowers: (changes: LoadsMessage["loads"]) => void;
+    /**
+     * Tells followers what has changed and what was measured. Also called with neither, for followers that could not be
+     * told before.
+     */
+    sendToFollowers: (changes: LoadsMessage["loads"], measures: MeasureTuple[]) => void;
     clock: Clock;
     log: Log;
     metrics: Metrics;
@@ -80,7 +88,7 @@
 };
 
 /** A connection to another reader, and what was sent on it. */
-type Outgoing = { reader: ReaderCandidate; connection: PeerConnection; sent: Counts };
+type Outgoing = { reader: ReaderCandidate; connection: PeerConnection; sent: Counts; measures: PendingMeasures };
 
 /** Starts to share. */
 export const createSharedLoads = (options: SharedLoadsOptions): SharedLoads => {
@@ -94,6 +102,7 @@
     let sentToReader: Counts = new Map();
     const outgoing = new Map<number, Outgoing>();
     const attempts = new Map<number, number>();
+    const shared = createSharedMeasures(options);
 
     const zoneSums = (): Counts => {
         const sums = new Map(own);
@@ -105,15 +114,17 @@
         const attempt = attempts.get(group) ?? 0;
         attempts.set(group, attempt + 1);
         const reader = candidates[attempt % candidates.length];
+        const measures = shared.addReader();
         const connection = dial(reader.address, loadsPath, {
             onFrame: () => false,
             onClose: () => {
+                shared.removeReader(measures);
                 if (outgoing.get(group)?.connection === connection) {
                     outgoing.delete(group);
                 }
             },
         });
-        outgoing.set(group, { reader, connection, sent: new Map() });
+        outgoing.set(group, { reader, connection, sent: new Map(), measures });
     };
 
     const tellReaders = (sums: Counts): void => {
@@ -128,23 +139,29 @@
                 return;
             }
             if (known.connection.isOpen() && known.connection.queuedBytes() === 0) {
+                const measures = known.measures.due(clock.now());
                 const message: LoadsMessage = {
                     kind: "loads",
                     whole: known.sent.size === 0,
                     loads: takeChanges(sums, known.sent),
+                    ...measuresField(measureTuples(measures)),
                 };
                 known.connection.send(message);
+                known.measures.markSent(measures, clock.now());
             }
         }, options);
     };
 
     const shareAsReader = (): void => {
         const sums = zoneSums();
+        shared.passOwn();
         tellReaders(sums);
         zones.forEach(counts => add(sums, counts));
         const changes = takeChanges(sums, totals);
         areTotalsKnown = true;
-        options.sendToFollowers(changes);
+        const measures = shared.forFollowers.due(clock.now());
+        shared.forFollowers.markSent(measures, clock.now());
+        options.sendToFollowers(changes, measureTuples(measures));
     };
 
     const shareAsFollower = (): void => {
@@ -152,8 +169,11 @@
         const sent = new Map(sentToReader);
         const whole = sent.size === 0;
         const loads = takeChanges(own, sent);
-        if (loads.length > 0 && options.sendToReader({ kind: "loads", whole, loads })) {
+        const measures = shared.dueToReader();
+        const message: LoadsMessage = { kind: "loads", whole, loads, ...measuresField(measureTuples(measures)) };
+        if (loads.length + measures.length > 0 && options.sendToReader(message)) {
             sentToReader = sent;
+            shared.markSentToReader(measures);
         }
     };
 
@@ -184,18 +204,24 @@
         receiveTotals: message => {
             areTotalsKnown ||= message.whole;
             applyMessage(totals, message);
+            shared.receiveTotals(message.measures ?? [], message.whole);
         },
         receiveFollower: (follower, message) => {
             const counts = followers.get(follower) ?? new Map<string, number>();
             followers.set(follower, counts);
             applyMessage(counts, message);
+            shared.receiveFollower(follower, message.measures ?? []);
         },
-        removeFollower: follower => followers.delete(follower),
-        wholeTotals: () => ({ kind: "loads", whole: true, loads: [...totals] }),
+        removeFollower: follower => {
+            followers.delete(follower);
+            shared.removeFollower(follower);
+        },
+        wholeTotals: () => ({ kind: "loads", whole: true, loads: [...totals], ...measuresField(shared.all()) }),
         resetSource: () => {
             totals = new Map();
             areTotalsKnown = false;
             sentToReader = new Map();
+            shared.resetSource();
         },
         service: connection => ({
             onFrame: value => {
@@ -206,9 +232,11 @@
                 const counts = zones.get(connection) ?? new Map<string, number>();
                 zones.set(connection, counts);
                 applyMessage(counts, parsed.data);
+                shared.receiveZone(connection, parsed.data.measures ?? []);
                 return true;
             },
             onClose: () => zones.delete(connection),
         }),
+        measures: shared,
     };
 };
--- a/src/machines/resident/stateserver.ts
+++ b/src/machines/resident/stateserver.ts
@@ -9,15 +9,18 @@
     type DeflatedMessage,
     followerMessageSchema,
     type LoadsMessage,
+    type MeasureTuple,
     type ReaderStatusMessage,
     type ValuePatch,
 } from "../../contracts/statemessages.ts";
 import { isLater } from "../../contracts/storehistory.ts";
+import { addMeasure, type TargetMeasure } from "../../decisions/targetmeasures.ts";
 import { deflateFrame, encodeFrame } from "../../links/frames.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import type { PeerConnection, PeerService } from "../../links/peers.ts";
 import { forEachAlone, keepRunning } from "../longtasks.ts";
+import { measureOf, measuresField, measureTuples } from "./sharedmeasures.ts";
 import type { StateCache } from "./statecache.ts";
 
 export type StateServerOptions = {
@@ -47,10 +50,10 @@
     /** Tells all followers now whether this host is current. */
     announce: () => void;
     /**
-     * Sends changes of loads to all followers, except those for which bytes wait. What these miss is sent with a later call,
-     * also one without changes.
+     * Sends changes of loads and measures to all followers, except those for which bytes wait. What these miss is sent with
+     * a later call, also one without changes.
      */
-    sendLoads: (changes: LoadsMessage["loads"]) => void;
+    sendLoads: (changes: LoadsMessage["loads"], measures?: MeasureTuple[]) => void;
 };
 
 type Follower = {
@@ -70,6 +73,8 @@
     queuedSince: number | undefined;
     /** Changes of loads that were not sent to it, by target. */
     missedLoads: Map<string, number>;
+    /** Measures that were not sent to it, by the target's number. */
+    missedMeasures: Map<number, TargetMeasure>;
 };
 
 /** A follower ignores a reader from which it heard nothing for about three times this. */
@@ -93,8 +98,8 @@
     return encodeFrame(deflated);
 };
 
-const encodeLoads = (changes: LoadsMessage["loads"], inflates: boolean): Buffer =>
-    encodeMessage({ kind: "loads", whole: false, loads: changes }, inflates);
+const encodeLoads = (changes: LoadsMessage["loads"], measures: MeasureTuple[], inflates: boolean): Buffer =>
+    encodeMessage({ kind: "loads", whole: false, loads: changes, ...measuresField(measures) }, inflates);
 
 /** Creates the server. */
 export const createStateServer = (options: StateServerOptions): StateServer => {
@@ -290,19 +295,24 @@
 
     return {
         announce,
-        sendLoads: changes => {
+        sendLoads: (changes, measures = []) => {
             const encoded = new Map<boolean, Buffer>();
             for (const follower of followers) {
-                const { connection, inflates, missedLoads } = follower;
+                const { connection, inflates, missedLoads, missedMeasures } = follower;
                 if (connection.queuedBytes() > 0) {
                     changes.forEach(([target, requests]) => missedLoads.set(target, requests));
+                    measures.forEach(tuple => addMeasure(missedMeasures, tuple[0], measureOf(tuple)));
                 }
-                else if (missedLoads.size > 0) {
+                else if (missedLoads.size + missedMeasures.size > 0) {
                     follower.missedLoads = new Map();
-                    sendLoadsFrame(follower, encodeLoads([...new Map([...missedLoads, ...changes])], inflates));
+                    follower.missedMeasures = new Map();
+                    measures.forEach(tuple => addMeasure(missedMeasures, tuple[0], measureOf(tuple)));
+                    const missed = [...missedMeasures].map(([id, measure]) => ({ id, measure }));
+                    const loads = [...new Map([...missedLoads, ...changes])];
+                    sendLoadsFrame(follower, encodeLoads(loads, measureTuples(missed), inflates));
                 }
-                else if (changes.length > 0) {
-                    const frame = encoded.get(inflates) ?? encodeLoads(changes, inflates);
+                else if (changes.length + measures.length > 0) {
+                    const frame = encoded.get(inflates) ?? encodeLoads(changes, measures, inflates);
                     encoded.set(inflates, frame);
                     sendLoadsFrame(follower, frame);
                 }
@@ -320,6 +330,7 @@
                 knowsEras: false,
                 queuedSince: undefined,
                 missedLoads: new Map(),
+                missedMeasures: new Map(),
             };
             return {
                 onFrame: value => {
@@ -342,6 +353,7 @@
                     metrics.gauge("state-followers", followers.size);
                     sendStatus(follower);
                     follower.missedLoads.clear();
+                    follower.missedMeasures.clear();
                     connection.sendFrame(encodeMessage(options.wholeLoads(), inflates));
                     return true;
                 },
--- a/src/machines/resident/statespread.ts
+++ b/src/machines/resident/statespread.ts
@@ -76,7 +76,7 @@
         otherReaders: () => otherReadersFor(processes.hosts()),
         dial,
         sendToReader: source.sendLoads,
-        sendToFollowers: changes => server.sendLoads(changes),
+        sendToFollowers: (changes, measures) => server.sendLoads(changes, measures),
         clock,
         log,
         metrics,
--- a/test/machines/resident/sharedloads.test.ts
+++ b/test/machines/resident/sharedloads.test.ts
@@ -4,7 +4,7 @@
  */
 import test from "ava";
 import { createRandom, type Random } from "../../../bench/random.ts";
-import { loadsPath, readerMessageSchema } from "../../../src/contracts/statemessages.ts";
+import { readerMessageSchema } from "../../../src/contracts/statemessages.ts";
 import { placeRequest } from "../../../src/decisions/placement.ts";
 import { createTargetLoad, type TargetLoad } from "../../../src/decisions/targetload.ts";
 import { decodeFrame, encodeFrame } from "../../../src/links/frames.ts";
@@ -13,9 +13,9 @@
 import { createSharedLoads, type SharedLoads } from "../../../src/machines/resident/sharedloads.ts";
 import { createStateCache } from "../../../src/machines/resident/statecache.ts";
 import { createStateServer } from "../../../src/machines/resident/stateserver.ts";
-import type { ReaderCandidate } from "../../../src/zones/readers.ts";
 import { createVirtualClock } from "../fakes/clock.ts";
 import { createFakeNetwork } from "./fakenetwork.ts";
+import { setUpZones } from "./zonesofloads.ts";
 
 const slots = 3;
 const workMilliseconds = 400;
@@ -138,54 +138,11 @@
     });
 }
 
-/** Three zones with a reader and two followers each, and their shared loads. */
-const setUp = () => {
-    const clock = createVirtualClock();
-    const network = createFakeNetwork(clock);
-    const { signal } = new AbortController();
-    const zones = ["z1", "z2", "z3"].map(zone => {
-        const reader: ReaderCandidate = { name: `${zone}-reader`, zone, address: `${zone}:0`, processor: 1 };
-        const names = [reader.name, `${zone}-a`, `${zone}-b`];
-        return { zone, reader, names };
-    });
-    const all = new Map<string, SharedLoads>();
-    for (const { zone, reader, names } of zones) {
-        for (const name of names) {
-            const isReader = name === reader.name;
-            const others = zones.filter(other => other.zone !== zone).map(other => [other.reader]);
-            const shared = createSharedLoads({
-                isReader: () => isReader,
-                otherReaders: () => others,
-                dial: network.dialerOf(isReader ? reader.address : name),
-                sendToReader: message => {
-                    all.get(reader.name)?.receiveFollower(name, message);
-                    return true;
-                },
-                sendToFollowers: loads =>
-                    names.filter(other => other !== reader.name).forEach(other =>
-                        all.get(other)?.receiveTotals({ kind: "loads", whole: false, loads })
-                    ),
-                clock,
-                log: silentLog,
-                metrics: createMetrics(),
-                signal,
-            });
-            if (isReader) {
-                network.listen(reader.address, { [loadsPath]: shared.service });
-            }
-            all.set(name, shared);
-        }
-        names.filter(name => name !== reader.name)
-            .forEach(name => all.get(name)?.receiveTotals({ kind: "loads", whole: true, loads: [] }));
-    }
-    return { clock, network, zones, all };
-};
-
 const seenBy = (all: Map<string, SharedLoads>, target: string): Record<string, number | undefined> =>
     Object.fromEntries([...all].map(([name, shared]) => [name, shared.requestsOfOthers(target)]));
 
 test("every host knows the requests of all others at a target, of its own zone and of other zones, soon after each change", async t => {
-    const { clock, all } = setUp();
+    const { clock, all } = setUpZones();
     await clock.advance(500);
     all.get("z1-a")?.record("t", 2);
     all.get("z2-b")?.record("t", 1);
@@ -204,7 +161,7 @@
 });
 
 test("counts of a follower that is gone are dropped, those of a zone until its reader has connected again, and a new source starts unknown", async t => {
-    const { clock, network, all, zones } = setUp();
+    const { clock, network, all, zones } = setUpZones();
     await clock.advance(500);
     all.get("z1-a")?.record("t", 2);
     all.get("z2-b")?.record("t", 1);
@@ -234,7 +191,7 @@
         ...sharedOptions,
         isReader: () => true,
         sendToReader: () => true,
-        sendToFollowers: changes => server.sendLoads(changes),
+        sendToFollowers: (changes, measures) => server.sendLoads(changes, measures),
     });
     const cache = createStateCache();
     const server = createStateServer({
@@ -308,3 +265,22 @@
         t.is(link.loadMessages, before + 1, "they are told once");
     });
 }
+
+test("measures that wait while bytes wait for a follower are told once none wait, once and with their sum", async t => {
+    const { clock, reader, follower, link } = setUpFollower();
+    const target = { name: "t", incarnation: "1", pool: "p" };
+    reader.measures.setTarget(target, false);
+    follower.measures.setTarget(target, false);
+    const told: number[] = [];
+    follower.measures.onMeasure((...[, { answered, serviceMilliseconds }]) => told.push(answered, serviceMilliseconds));
+    await clock.advance(500);
+    link.queuedBytes = 100_000;
+    for (const milliseconds of [100, 200, 300]) {
+        reader.measures.recordAnswer(target, milliseconds);
+        await clock.advance(700);
+    }
+    t.deepEqual(told, []);
+    link.queuedBytes = 0;
+    await clock.advance(2_000);
+    t.deepEqual(told, [3, 600]);
+});
