Choose targets by the service times of all hosts

Cause: with few answers a host limited one slow answer to twice the pool's median, and refused requests for a free target by it. Change: candidate selection uses the fleet's figure and falls back to this host's own, then to the median. The load known at the send, not only the target's own reports, tells how long an answer waited.

--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -38,6 +38,11 @@
     request: ResidentRequest;
     targetState: TargetState;
     protocol: TargetProtocol;
+    /**
+     * Requests of all hosts expected at the target, from which the part of the answer's time that it waited there is told;
+     * without it, what the target's own reports let expect.
+     */
+    expectedLoad?: number;
     /** Monotonic time by which the answer must be complete. */
     endAt: number;
     /**
@@ -115,7 +120,7 @@
         const { request, targetState, protocol, clock } = options;
         const { load } = targetState;
         const sentAt = clock.now();
-        const loadAtSend = load.expectedRequests(sentAt);
+        const loadAtSend = options.expectedLoad ?? load.expectedRequests(sentAt);
         let workMilliseconds: number | undefined;
         let settled = false;
         let finished = false;
--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -4,8 +4,10 @@
 import type { Clock } from "../../contracts/clock.ts";
 import type { TableRoute } from "../../contracts/routing.ts";
 import type { PlacementCandidate } from "../../decisions/placement.ts";
+import { estimateServiceMilliseconds, scaleServiceMilliseconds } from "../../decisions/targetmeasures.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
 import type { RequestContext } from "./requestcontext.ts";
+import type { SharedMeasures } from "./sharedmeasures.ts";
 import type { TargetState, TargetStates } from "./targetstates.ts";
 
 /** A target to which a request may be sent. */
@@ -16,6 +18,8 @@
     ownerships: OwnershipCache;
     /** Returns the requests of all other hosts at a target; undefined while they are not known. */
     requestsOfOthers: (target: string) => number | undefined;
+    /** What all hosts measured at targets; without it, only this host's own measurements count. */
+    measures?: Pick<SharedMeasures, "figureOf">;
     /** Zone of this host. */
     zone: string;
     /** Returns a number from 0 (inclusive) to 1 (exclusive). */
@@ -62,8 +66,6 @@
 const otherZonePenaltyShare = 0.35;
 /** Requests take about this many times as long at a target that has just started. */
 const coldFactor = 2;
-/** Measured service times are limited to this factor of the pool's median: larger ones include time spent waiting. */
-const maxServiceFactor = 2;
 /** Penalty in service times of a target that failed all recent requests; proportional to the share that failed. */
 const failurePenaltyFactor = 4;
 
@@ -84,13 +86,13 @@
 
 /** Creates the candidate selector of one host. */
 export const createCandidateSelector = (
-    { targetStates, ownerships, requestsOfOthers, zone, random, clock }: CandidateSelectorOptions,
+    { targetStates, ownerships, requestsOfOthers, measures, zone, random, clock }: CandidateSelectorOptions,
 ): CandidateSelector => {
     const medians = new Map<string, { milliseconds: number; until: number }>();
 
     const medianServiceMilliseconds = (pool: string): number => {
         const known = targetStates.ofPool(pool)
-            .map(targetState => targetState.load.serviceMilliseconds())
+            .map(({ target, load }) => measures?.figureOf(target)?.milliseconds ?? load.serviceMilliseconds())
             .filter(service => service !== undefined)
             .sort((left, right) => left - right);
         return known[known.length >> 1] ?? defaultServiceMilliseconds;
@@ -109,11 +111,11 @@
 
     const candidateOf = (targetState: TargetState, route: TableRoute, typicalMilliseconds: number): Candidate => {
         const now = clock.now();
-        const measured = targetState.load.serviceMilliseconds() ?? typicalMilliseconds;
-        const service = Math.min(
-            typicalMilliseconds * maxServiceFactor,
-            Math.max(typicalMilliseconds / maxServiceFactor, measured),
-        );
+        const { load, target } = targetState;
+        const milliseconds = load.serviceMilliseconds();
+        const own = milliseconds === undefined ? undefined : { milliseconds, answers: load.serviceAnswers() };
+        const estimate = estimateServiceMilliseconds(measures?.figureOf(target), own, typicalMilliseconds);
+        const service = scaleServiceMilliseconds(estimate, typicalMilliseconds, load.serviceScale(now));
         const isCold = now < targetState.warmupEndsAt;
         const others = requestsOfOthers(targetState.target.name);
         const isSameZone = targetState.target.zone === zone;
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -15,9 +15,11 @@
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
 import { type AttemptResult, sendOnce, type UnframedEnd, type WithdrawalReason, withdrawalReasons } from "./attempt.ts";
+import type { Candidate } from "./candidateselector.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
 import { createRefusal, refuse, type RequestContext } from "./requestcontext.ts";
 import type { RouteTableHolder } from "./routetableholder.ts";
+import type { SharedMeasures } from "./sharedmeasures.ts";
 import { askForLife } from "./signoflife.ts";
 import type { Suspicions } from "./suspicions.ts";
 import { createTargetChooser, shedBlockMilliseconds } from "./targetchooser.ts";
@@ -47,6 +49,8 @@
     recordWork: (pool: string, target: string, milliseconds: number) => void;
     /** Returns the requests of all other hosts at a target; undefined while they are not known. */
     requestsOfOthers: (target: string) => number | undefined;
+    /** Shares what this host measures at targets; without it, only its own measurements count. */
+    measures?: Pick<SharedMeasures, "figureOf" | "recordAnswer" | "recordFailure">;
     /** Returns a number from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
     clock: Clock;
@@ -113,6 +117,12 @@
                 options.suspicions.recordAnswered(context.request);
             }
             (failed ? targetStates.recordFailure : targetStates.recordSuccess)(targetState);
+            if (failed) {
+                options.measures?.recordFailure(targetState.target);
+            }
+            else if (attempt.workMilliseconds !== undefined) {
+                options.measures?.recordAnswer(targetState.target, attempt.workMilliseconds);
+            }
             return;
         }
         const { reason } = attempt;
@@ -130,6 +140,7 @@
         // addition to the failure to connect above.
         if (!ownReasons.has(reason) && reason !== "fence-refused" && !attempt.ofHost) {
             targetStates.recordFailure(targetState);
+            options.measures?.recordFailure(targetState.target);
         }
         log.info("send-failed", {
             request: context.request.id,
@@ -210,7 +221,7 @@
         return pausedUntil > clock.now() ? "target-paused" : undefined;
     };
 
-    const send = async (context: RequestContext, targetState: TargetState): Promise<AttemptResult> => {
+    const send = async (context: RequestContext, { targetState, load }: Candidate): Promise<AttemptResult> => {
         const { request, route, pool } = context;
         const { healthPath } = pool;
         context.sends += 1;
@@ -218,6 +229,7 @@
             request,
             targetState,
             protocol: options.protocol,
+            expectedLoad: load,
             endAt: endOf(context),
             registerStop: stopSend => {
                 runningSends.add(stopSend);
@@ -265,7 +277,7 @@
                 return chosen;
             }
             const { targetState } = chosen;
-            const attempt = await send(context, targetState);
+            const attempt = await send(context, chosen);
             if (attempt.kind === "answered") {
                 if (shouldResendAnswer(context, attempt)) {
                     context.failedTargets.add(targetState);
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -194,6 +194,7 @@
         log,
         signal,
     });
+    registry.onChange(sharedLoads.measures.setTarget);
     const loans = createLoans({
         others: () => processes.hosts().filter(({ name }) => name !== settings.host.name),
         grant: (target, asked) => targetStates.grantConnections(target, asked),
@@ -304,6 +305,7 @@
         recordKey: loadReporter.recordKey,
         recordWork: loadReporter.recordWork,
         requestsOfOthers: sharedLoads.requestsOfOthers,
+        measures: sharedLoads.measures,
         random,
         clock,
         log,
--- a/src/machines/resident/targetchooser.ts
+++ b/src/machines/resident/targetchooser.ts
@@ -61,6 +61,7 @@
 
     const logRefusedPlacement = (context: RequestContext, placement: RefusedPlacement<Candidate>): void => {
         const { targetState, serviceMilliseconds, load } = placement.candidate;
+        const figure = options.measures?.figureOf(targetState.target);
         log.info("placement-refused", {
             request: context.request.id,
             pool: context.pool.name,
@@ -68,6 +69,8 @@
             expectedMilliseconds: Math.round(placement.expectedMilliseconds),
             remainingMilliseconds: Math.round(remaining(context)),
             serviceMilliseconds: Math.round(serviceMilliseconds),
+            serviceWeight: Math.round((figure?.weight ?? 0) * 10) / 10,
+            serviceAgeMilliseconds: figure === undefined ? undefined : Math.round(figure.ageMilliseconds),
             load: Math.round(load * 10) / 10,
             own: targetState.load.ownRequests(),
             toldAgeMilliseconds: Math.round(targetState.load.reportAge(clock.now())),
