Plan with the service times of all hosts after a coordinator takes over

Cause: a coordinator that has just taken over has no measurements and plans with the pool's median for targets that differ in speed by 2 to 3 times. Change: the service time that all hosts know takes the place of the median where it rests on six answers or more. Tests of the load header's fourth figure.

--- a/src/decisions/servicetimes.ts
+++ b/src/decisions/servicetimes.ts
@@ -28,8 +28,15 @@
 /** Service time assumed while the pool has no measurements. */
 const assumedMilliseconds = 150;
 
-/** Creates an estimate without measurements. */
-export const createServiceTimes = (): ServiceTimes => {
+/**
+ * Creates an estimate without measurements.
+ *
+ * @param knownMilliseconds returns the service time of a target as known elsewhere. It takes the place of the pool's
+ * median, so that a coordinator that has just taken over does not plan with the median alone.
+ */
+export const createServiceTimes = (
+    knownMilliseconds: (target: string) => number | undefined = () => undefined,
+): ServiceTimes => {
     const targets = new Map<string, { mean: number; shortTermMean: number; count: number }>();
 
     /** Median of the targets' means; undefined when it must be computed again. */
@@ -57,10 +64,10 @@
             targets.set(target, held);
         },
         capacity: (target, slots) => {
-            const poolMedian = median();
+            const prior = knownMilliseconds(target) ?? median();
             const held = targets.get(target);
             const weight = held === undefined ? 0 : held.count / (held.count + priorSamples);
-            const milliseconds = weight * (held?.mean ?? poolMedian) + (1 - weight) * poolMedian;
+            const milliseconds = weight * (held?.mean ?? prior) + (1 - weight) * prior;
             return slots * 1_000 / milliseconds;
         },
         forget: target => {
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -230,6 +230,7 @@
             const controller = controllers.get(pool);
             return controller?.isCoordinator() === true ? "self" : controller?.reportsAddress();
         },
+        knownMilliseconds: sharedLoads.measures.knownMilliseconds,
         measure,
         clock,
         log,
--- a/src/machines/resident/loadreporter.ts
+++ b/src/machines/resident/loadreporter.ts
@@ -29,6 +29,8 @@
     dial: PeerDialer;
     /** Returns `self`, or the address at which the coordinator receives reports; undefined while there is none. */
     coordinatorAddress: (pool: string) => "self" | string | undefined;
+    /** Returns the service time of a target as known from all hosts; undefined when it rests on little. */
+    knownMilliseconds?: (target: string) => number | undefined;
     measure: EventLoopMonitor["measure"];
     clock: Clock;
     log: Log;
@@ -55,7 +57,11 @@
 
     const poolOf = (name: string): Pool => {
         const known = pools.get(name)
-            ?? { loads: createKeyLoads(), work: createServiceTimes(), pending: emptyReport(name) };
+            ?? {
+                loads: createKeyLoads(),
+                work: createServiceTimes(options.knownMilliseconds),
+                pending: emptyReport(name),
+            };
         pools.set(name, known);
         return known;
     };
--- a/src/machines/resident/sharedmeasures.ts
+++ b/src/machines/resident/sharedmeasures.ts
@@ -37,6 +37,8 @@
      * Returns the target's service time as known from all hosts; undefined when nothing is known of this incarnation.
      */
     figureOf: (target: MeasuredTarget) => ServiceFigure | undefined;
+    /** Returns the service time of the target's current incarnation; undefined when it rests on few answers. */
+    knownMilliseconds: (target: string) => number | undefined;
     /**
      * Calls the listener with each measure of a known target, once: those of this host at once, those of others when they
      * arrive. Those that a host gets when it begins to follow a reader are left out, since they are not new.
@@ -78,6 +80,8 @@
 const zoneSumLimit: RateLimit = { perSecond: 10_000, burst: 10_000 };
 /** What the reader was told comes back with its totals after this time at the latest, or not at all. */
 const maxReturnMilliseconds = 3_000;
+/** Figures that rest on fewer answers are not better than the pool's median. */
+const minKnownWeight = 6;
 /** The median of a pool's service times changes slowly. */
 const medianValidMilliseconds = 1_000;
 
@@ -239,6 +243,11 @@
             recordOwn(target, { answered: 1, serviceMilliseconds, failed: 0 }),
         recordFailure: target => recordOwn(target, { answered: 0, serviceMilliseconds: 0, failed: 1 }),
         figureOf: target => figures.figure(idOf(target), clock.now()),
+        knownMilliseconds: name => {
+            const known = ids.get(name);
+            const figure = known === undefined ? undefined : figures.figure(known.id, clock.now());
+            return figure !== undefined && figure.weight >= minKnownWeight ? figure.milliseconds : undefined;
+        },
         onMeasure: listener => listeners.push(listener),
         dueToReader: () => own.due(clock.now()),
         markSentToReader: entries => {
--- a/test/decisions/targetload.test.ts
+++ b/test/decisions/targetload.test.ts
@@ -51,3 +51,14 @@
         t.is(placeRequest([candidate], limits, () => 0.5).verdict, verdict);
     });
 }
+
+test("the effect of a reported service time ends within a second, and is limited", t => {
+    const load = createTargetLoad(slots);
+    t.is(load.serviceScale(0), 1);
+    load.recordReport(1_000, { running: 1, waiting: 0, serviceScale: 4 });
+    t.is(load.serviceScale(1_000), 4);
+    t.is(load.serviceScale(1_500), 2.5);
+    t.is(load.serviceScale(2_000), 1);
+    load.recordReport(3_000, { running: 1, waiting: 0, serviceScale: 1_000 });
+    t.is(load.serviceScale(3_000), 8);
+});
--- a/test/decisions/targetmeasures.test.ts
+++ b/test/decisions/targetmeasures.test.ts
@@ -3,6 +3,7 @@
  * target which is slower than its pool, and that one host can falsify.
  */
 import test from "ava";
+import { createServiceTimes } from "../../src/decisions/servicetimes.ts";
 import {
     createMeasureLimit,
     createPendingMeasures,
@@ -115,3 +116,10 @@
     t.true(sent > 100 && sent <= 450, String(sent));
     t.is(sendAt(9_000), 0, "what waited for 4 s is dropped");
 });
+
+test("a coordinator without measurements plans with the service time that all hosts know", t => {
+    const times = createServiceTimes(target => target === "known" ? 500 : undefined);
+    t.is(times.capacity("known", 2), 4);
+    times.recordServiceTime("other", 100);
+    t.is(times.capacity("other", 2), 20);
+});
--- a/test/platform/protocols.test.ts
+++ b/test/platform/protocols.test.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { targetProtocol } from "../../platform/protocols.ts";
 import type { TargetNotice } from "../../src/contracts/resident.ts";
+import type { ReportedLoad } from "../../src/decisions/targetload.ts";
 
 const nothing: TargetNotice = { leaving: false, limitPerSecond: "none", pauseMilliseconds: undefined };
 
@@ -32,6 +33,18 @@
     test(`an answer says ${title}`, t => t.deepEqual(targetProtocol.readAnswer(statusCode, headers).notice, notice));
 }
 
+const loads: Array<[header: string, load: ReportedLoad | undefined]> = [
+    ["1,2,3", { running: 1, waiting: 2 }],
+    ["1,2,3,250", { running: 1, waiting: 2, serviceScale: 2.5 }],
+    ["1,2,3,0", { running: 1, waiting: 2 }],
+    ["1,2,3,x", undefined],
+    ["1", undefined],
+];
+for (const [header, load] of loads) {
+    test(`the load "${header}" is read`, t =>
+        t.deepEqual(targetProtocol.readAnswer(200, { "server-load": header }).load, load));
+}
+
 test("callers do not get what targets say to hosts", t => {
     const headers = { "server-leaving": "1", "server-limit": "2", "server-load": "1,2,3", "x-own": "kept" };
     t.deepEqual(targetProtocol.buildAnswerHeaders(headers), { "x-own": "kept" });
