--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -18,6 +18,7 @@
 import type { OwnershipCache } from "./ownershipcache.ts";
 import { createRefusal, refuse, type RequestContext } from "./requestcontext.ts";
 import type { RouteTableHolder } from "./routetableholder.ts";
+import type { SharedMeasures } from "./sharedmeasures.ts";
 import { askForLife } from "./signoflife.ts";
 import type { Suspicions } from "./suspicions.ts";
 import { type ChosenTarget, createTargetChooser, shedBlockMilliseconds } from "./targetchooser.ts";
@@ -47,6 +48,8 @@
     recordWork: (pool: string, target: string, milliseconds: number) => void;
     /** Returns the requests of all other hosts at a target; undefined while they are not known. */
     requestsOfOthers: (target: string) => number | undefined;
+    /** Shares what this host measures at targets; without it, only its own measurements count. */
+    measures?: Pick<SharedMeasures, "figureOf" | "recordAnswer" | "recordFailure">;
     /** Returns a number from 0 (inclusive) to 1 (exclusive). */
     random: () => number;
     clock: Clock;
@@ -113,6 +116,12 @@
                 options.suspicions.recordAnswered(context.request);
             }
             (failed ? targetStates.recordFailure : targetStates.recordSuccess)(targetState);
+            if (failed) {
+                options.measures?.recordFailure(targetState.target);
+            }
+            else if (attempt.workMilliseconds !== undefined) {
+                options.measures?.recordAnswer(targetState.target, attempt.workMilliseconds);
+            }
             return;
         }
         const { reason } = attempt;
@@ -135,6 +144,7 @@
         // addition to the failure to connect above.
         if (!ownReasons.has(reason) && reason !== "fence-refused" && !attempt.ofHost) {
             targetStates.recordFailure(targetState);
+            options.measures?.recordFailure(targetState.target);
         }
         log.info("send-failed", {
             request: context.request.id,
@@ -230,7 +240,7 @@
     };
 
     const send = async (context: RequestContext, chosen: ChosenTarget): Promise<AttemptResult> => {
-        const { targetState } = chosen;
+        const { targetState, load } = chosen;
         const { request, route, pool } = context;
         const { healthPath } = pool;
         context.sends += 1;
@@ -238,6 +248,7 @@
             request,
             targetState,
             protocol: options.protocol,
+            expectedLoad: load,
             endAt: endOf(context),
             registerStop: stopSend => {
                 runningSends.add(stopSend);
--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -212,6 +212,7 @@
         log,
         signal,
     });
+    registry.onChange(sharedLoads.measures.setTarget);
     const loans = createLoans({
         others: () => processes.hosts().filter(({ name }) => name !== settings.host.name),
         grant: (target, asked) => targetStates.grantConnections(target, asked),
@@ -253,6 +254,7 @@
             const controller = controllers.get(pool);
             return controller?.isCoordinator() === true ? "self" : controller?.reportsAddress();
         },
+        knownMilliseconds: sharedLoads.measures.knownMilliseconds,
         measure,
         clock,
         log,
@@ -332,6 +334,7 @@
         recordKey: loadReporter.recordKey,
         recordWork: loadReporter.recordWork,
         requestsOfOthers: sharedLoads.requestsOfOthers,
+        measures: sharedLoads.measures,
         random,
         clock,
         log,
--- a/test/machines/resident/evacuations.test.ts
+++ b/test/machines/resident/evacuations.test.ts
@@ -139,9 +139,9 @@
             evacuations.applyChanges([put(zone("z1"))], 5);
             evacuations.applyChanges([drop("z1")], 6);
             await clock.advance(1_000);
-            registry.applyChanges([put(entry("a")), put(entry("b", { warmupMilliseconds: 2_500 }))]);
+            registry.applyChanges([put(entry("a", {}, 7)), put(entry("b", { warmupMilliseconds: 2_500 }, 8))]);
             await clock.advance(2_000);
-            registry.applyChanges([put(entry("a"))]);
+            registry.applyChanges([put(entry("a", {}, 9))]);
         },
         open: ["a", "b", "c"],
         told: ["a evacuated", "b evacuated", "a 3000", "b 3000", "a 2000", "b 2500", "a 0"],
