Share the queues of a pool among its routes by priority, and space retry times

Cause: a target serves requests in order of arrival, so a route with a long objective filled the queue and the most urgent route, with the shortest objective, was refused for it. Retry-After was an estimate for one request, so that callers refused together came back together.

Change: a less urgent route is sent up to 0.75 of the shortest queue that a more urgent route of the pool accepts; every tenth request that only this refuses is sent. A key with most of its owner's requests, a third of them refused, gets a quarter of the queue. The uses of a pool are computed once for each route table; a pool of one route has none. Retry times are recorded for each target, or pool without key owners, and spread. placement-refused tells route, rule and bound; room-refusals counts by pool, route and rule. placement.test.ts takes its retry times from the new module, since placeRequest returns none any more; its bounds are unchanged.

--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -26,8 +26,8 @@
     /** The best candidate. */
     candidate: Candidate;
     expectedMilliseconds: number;
-    /** Expected time until a request could be answered within the objective. */
-    retryAfterMilliseconds: number;
+    /** Longest expected time for which the request would have been sent. */
+    longestMilliseconds: number;
 };
 
 export type Placement<Candidate> =
@@ -55,14 +55,20 @@
     return candidate.serviceMilliseconds * (1 + queued / candidate.slots);
 };
 
+/** Longest expected wait for which a request with the given objective and service time is sent. */
+export const maxQueueMilliseconds = (objectiveMilliseconds: number, serviceMilliseconds: number): number =>
+    Math.max(0, objectiveMilliseconds - serviceMilliseconds) * usableShareOfSpare;
+
 /** Longest expected time to an answer for which a request is sent to a target with the given service time. */
 export const maxUsefulMilliseconds = (limits: PlacementLimits, serviceMilliseconds: number): number => {
-    const spare = Math.max(0, limits.objectiveMilliseconds - serviceMilliseconds);
-    const useful = serviceMilliseconds + spare * usableShareOfSpare;
+    const useful = serviceMilliseconds + maxQueueMilliseconds(limits.objectiveMilliseconds, serviceMilliseconds);
     return Math.min(useful, limits.remainingMilliseconds * usableShareOfRemaining);
 };
 
-/** Time after which a refused caller should retry: when the excess load has been served, spread at random. */
+/**
+ * Time after which a caller should retry that was refused for another reason than the load, spread at random; see
+ * `retrytimes.ts` for the load.
+ */
 export const retryAfterMilliseconds = (excessMilliseconds: number, random: () => number): number =>
     Math.max(minRetryAfterMilliseconds, excessMilliseconds) * (1 + retrySpreadShare * random());
 
@@ -92,6 +98,5 @@
     if (expected <= longest) {
         return { verdict: "placed", candidate: best, expectedMilliseconds: expected };
     }
-    const wait = retryAfterMilliseconds(expected - longest, random);
-    return { verdict: "refused", candidate: best, expectedMilliseconds: expected, retryAfterMilliseconds: wait };
+    return { verdict: "refused", candidate: best, expectedMilliseconds: expected, longestMilliseconds: longest };
 };
--- a/src/decisions/routetable.ts
+++ b/src/decisions/routetable.ts
@@ -2,11 +2,14 @@
  * Finds the route of a request, and chooses one of the pools among which the route's requests are divided.
  */
 import type { RouteTable, TableRoute } from "../contracts/routing.ts";
+import { type PoolUse, poolUsesOf } from "./poolroom.ts";
 
 export type RouteIndex = {
     version: number;
     /** Returns the host's route with the longest prefix that matches the path; undefined when none matches. */
     match: (host: string, path: string) => TableRoute | undefined;
+    /** Returns how the route uses the pool beside other routes; undefined when no other route uses it. */
+    poolUse: (pool: string, route: string) => PoolUse | undefined;
 };
 
 /**
@@ -34,8 +37,10 @@
             right.prefix.length - left.prefix.length || Number(left.name > right.name) - Number(left.name < right.name)
         );
     }
+    const poolUses = poolUsesOf(table.routes);
     return {
         version: table.version,
+        poolUse: (pool, route) => poolUses.get(pool)?.get(route),
         match: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
     };
 };
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -324,6 +324,7 @@
                 request,
                 route,
                 pool,
+                poolUse: active.index.poolUse(pool.name, route.name),
                 endAt,
                 holdUntil: receivedAt + route.objectiveMilliseconds * holdShareOfObjective,
                 failedTargets: new Set(),
--- a/src/machines/resident/requestcontext.ts
+++ b/src/machines/resident/requestcontext.ts
@@ -4,6 +4,7 @@
 import { outcomes, type Reason, reasons } from "../../contracts/outcome.ts";
 import type { ResidentRequest } from "../../contracts/resident.ts";
 import type { TablePool, TableRoute } from "../../contracts/routing.ts";
+import type { PoolUse } from "../../decisions/poolroom.ts";
 import type { CallerRefusal } from "../../links/callers.ts";
 import type { TargetState } from "./targetstates.ts";
 
@@ -12,6 +13,8 @@
     request: ResidentRequest;
     route: TableRoute;
     pool: TablePool;
+    /** How the route uses the pool beside other routes; undefined when no other route uses it. */
+    poolUse: PoolUse | undefined;
     /** Monotonic time by which the caller must have its answer. */
     endAt: number;
     /** Monotonic time until which the request may wait for its key to get an owner. */
--- a/src/machines/resident/targetchooser.ts
+++ b/src/machines/resident/targetchooser.ts
@@ -7,9 +7,10 @@
     maxUsefulMilliseconds,
     type Placement,
     placeRequest,
-    type RefusedPlacement,
     retryAfterMilliseconds,
 } from "../../decisions/placement.ts";
+import { createPoolRoom, type PoolRoomRefusal } from "../../decisions/poolroom.ts";
+import { createRetryTimes } from "../../decisions/retrytimes.ts";
 import type { CallerRefusal } from "../../links/callers.ts";
 import type { Log } from "../../links/logs.ts";
 import type { Metrics } from "../../links/metrics.ts";
@@ -34,6 +35,9 @@
     metrics: Metrics;
 };
 
+/** Rule that bounds the expected time of a request, and the longest time that it allows. */
+type PlacementBound = { rule: "deadline" | "objective" | PoolRoomRefusal["rule"]; longestMilliseconds: number };
+
 export type TargetChooser = {
     /** Resolves to the target that is chosen, or to a refusal. Asked again after each send that failed. */
     choose: (context: RequestContext) => Promise<Candidate | CallerRefusal>;
@@ -54,48 +58,124 @@
 /** Delay, before a random spread, after which a caller is told to retry when its key has no usable owner. */
 const noOwnerRetryMilliseconds = 300;
 
+/** What a refused caller is told of the rule. */
+const boundDetails: Record<PlacementBound["rule"], (milliseconds: number) => string> = {
+    deadline: milliseconds => `of ${milliseconds} ms left.`,
+    objective: milliseconds => `of ${milliseconds} ms that the route's objective allows.`,
+    priority: milliseconds => `of ${milliseconds} ms that more urgent routes leave.`,
+    "key-share": milliseconds => `of ${milliseconds} ms for a key with most of its owner's requests.`,
+};
+
 /** Creates the chooser of one host. */
 export const createTargetChooser = (options: TargetChooserOptions): TargetChooser => {
     const { ownerships, remaining, clock, log, metrics, random } = options;
     const candidateSelector = createCandidateSelector(options);
+    const poolRoom = createPoolRoom(random);
+    const retryTimes = createRetryTimes(random);
+    /** Requests that the pool's other routes left room for: they are not judged again after a wait for a connection. */
+    const admitted = new WeakSet<RequestContext>();
 
-    const logRefusedPlacement = (context: RequestContext, placement: RefusedPlacement<Candidate>): void => {
-        const { targetState, serviceMilliseconds, load } = placement.candidate;
+    /**
+     * Returns when the caller should retry: when its place has served the given excess, and after the callers that this
+     * host has refused there before.
+     */
+    const retryAfter = (
+        context: RequestContext,
+        candidate: Candidate,
+        excessMilliseconds: number,
+        longestMilliseconds: number,
+    ): number => {
+        const { pool, route: { objectiveMilliseconds } } = context;
+        const targets = pool.isSharded ? 1 : Math.max(1, options.targetStates.ofPool(pool.name).length);
+        return retryTimes.next({
+            pool: pool.name,
+            place: pool.isSharded ? placeOfTarget(candidate.name) : placeOfPool(pool.name),
+            excessMilliseconds,
+            intervalMilliseconds: candidate.serviceMilliseconds / candidate.slots / targets,
+            own: candidate.targetState.load.ownRequests(),
+            load: candidate.load,
+            spareMilliseconds: Math.max(0, Math.min(objectiveMilliseconds, remaining(context)) - longestMilliseconds),
+            now: clock.now(),
+        });
+    };
+
+    /** Refuses a request that a rule does not allow at the candidate. */
+    const refusePlacement = (
+        context: RequestContext,
+        { candidate, expectedMilliseconds }: Placement<Candidate>,
+        { rule, longestMilliseconds }: PlacementBound,
+    ): CallerRefusal => {
+        const { request, route, pool } = context;
+        const { targetState, serviceMilliseconds, load } = candidate;
+        const remainingMilliseconds = remaining(context);
+        const excessMilliseconds = expectedMilliseconds - longestMilliseconds;
+        const milliseconds = retryAfter(context, candidate, excessMilliseconds, longestMilliseconds);
         log.info("placement-refused", {
-            request: context.request.id,
-            pool: context.pool.name,
+            request: request.id,
+            route: route.name,
+            pool: pool.name,
             target: targetState.target.name,
-            expectedMilliseconds: Math.round(placement.expectedMilliseconds),
-            remainingMilliseconds: Math.round(remaining(context)),
+            rule,
+            expectedMilliseconds: Math.round(expectedMilliseconds),
+            longestMilliseconds: Math.round(longestMilliseconds),
+            remainingMilliseconds: Math.round(remainingMilliseconds),
             serviceMilliseconds: Math.round(serviceMilliseconds),
             load: Math.round(load * 10) / 10,
             own: targetState.load.ownRequests(),
             toldAgeMilliseconds: Math.round(targetState.load.reportAge(clock.now())),
-            retryAfterMilliseconds: Math.round(placement.retryAfterMilliseconds),
+            retryAfterMilliseconds: Math.round(milliseconds),
         });
+        if (rule === "priority" || rule === "key-share") {
+            metrics.count("room-refusals", { pool: pool.name, route: route.name, reason: rule });
+        }
+        const bound = boundDetails[rule](Math.round(rule === "deadline" ? remainingMilliseconds : longestMilliseconds));
+        const detail = `Expected ${Math.round(expectedMilliseconds)} ms, ${bound}`;
+        return refuse(context, "deadline-unreachable", detail, milliseconds);
     };
 
+    /** Returns the rule by which the other routes of the pool leave no room for the request, if there is one. */
+    const findPoolBound = (
+        { poolUse, request, pool }: RequestContext,
+        { candidate, expectedMilliseconds, verdict }: Placement<Candidate>,
+    ): PlacementBound | undefined =>
+        poolUse && poolRoom.decide({
+            use: poolUse,
+            target: candidate.name,
+            key: pool.isSharded ? request.key : undefined,
+            serviceMilliseconds: candidate.serviceMilliseconds,
+            expectedMilliseconds,
+            isRefused: verdict === "refused",
+            now: clock.now(),
+        });
+
     /** Places the request on one of the candidates, or returns a refusal. */
     const place = (
         context: RequestContext,
         candidates: Candidate[],
     ): Extract<Placement<Candidate>, { verdict: "placed" }> | CallerRefusal => {
-        const remainingMilliseconds = remaining(context);
-        const limits = { objectiveMilliseconds: context.route.objectiveMilliseconds, remainingMilliseconds };
+        const limits = {
+            objectiveMilliseconds: context.route.objectiveMilliseconds,
+            remainingMilliseconds: remaining(context),
+        };
         const placement = placeRequest(candidates, limits, random);
-        if (placement.verdict === "placed") {
-            return placement;
+        const poolBound = admitted.has(context) ? undefined : findPoolBound(context, placement);
+        if (placement.verdict === "refused") {
+            const { longestMilliseconds, candidate: { serviceMilliseconds } } = placement;
+            const withoutObjective = { ...limits, objectiveMilliseconds: Infinity };
+            const isDeadline = longestMilliseconds === maxUsefulMilliseconds(withoutObjective, serviceMilliseconds);
+            return refusePlacement(context, placement, {
+                rule: isDeadline ? "deadline" : "objective",
+                longestMilliseconds,
+            });
+        }
+        if (poolBound !== undefined) {
+            return refusePlacement(context, placement, poolBound);
+        }
+        if (!admitted.has(context)) {
+            admitted.add(context);
+            retryTimes.recordSent(context.pool.name, clock.now());
         }
-        logRefusedPlacement(context, placement);
-        const { serviceMilliseconds } = placement.candidate;
-        const usefulMilliseconds = maxUsefulMilliseconds(limits, serviceMilliseconds);
-        const withoutObjective = { ...limits, objectiveMilliseconds: Infinity };
-        const isDeadline = usefulMilliseconds === maxUsefulMilliseconds(withoutObjective, serviceMilliseconds);
-        const bound = isDeadline
-            ? `of ${Math.round(remainingMilliseconds)} ms left.`
-            : `of ${Math.round(usefulMilliseconds)} ms that the route's objective allows.`;
-        const detail = `Expected ${Math.round(placement.expectedMilliseconds)} ms, ${bound}`;
-        return refuse(context, "deadline-unreachable", detail, placement.retryAfterMilliseconds);
+        return placement;
     };
 
     /** Waits until a connection may be free. Returns a refusal where that is not likely to bring an answer in time. */
@@ -121,7 +201,9 @@
             const detail = `This host may use ${connections} connections, ${wait.ahead} requests wait for them.`;
             const expected = connections === 0 ? shedBlockMilliseconds : expectedWaitMilliseconds(wait);
             const milliseconds = Math.min(Math.max(shedBlockMilliseconds, expected), wait.remainingMilliseconds);
-            return refuse(context, "connections-used", detail, retryAfterMilliseconds(milliseconds, random));
+            const { candidate, expectedMilliseconds } = placement;
+            const retryMilliseconds = retryAfter(context, candidate, milliseconds, milliseconds + expectedMilliseconds);
+            return refuse(context, "connections-used", detail, retryMilliseconds);
         }
         metrics.count("connection-waits", { pool: pool.name });
         await connectionQueue.wait(queuePlace, waiter, connectionCheckMilliseconds);
--- a/test/decisions/placement.test.ts
+++ b/test/decisions/placement.test.ts
@@ -7,6 +7,7 @@
 import { Heap } from "mnemonist";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { placeRequest, retryAfterMilliseconds } from "../../src/decisions/placement.ts";
+import { createRetryTimes, type RetryTimes } from "../../src/decisions/retrytimes.ts";
 import { createTargetLoad, type TargetLoad } from "../../src/decisions/targetload.ts";
 
 const createRandom = (seed: number): () => number => {
@@ -112,6 +113,9 @@
 
 const limits = { objectiveMilliseconds, remainingMilliseconds: timeoutMilliseconds };
 
+/** The retry times of each host, by its loads. */
+const retryTimes = new WeakMap<TargetLoad[], RetryTimes>();
+
 const byExpectedWait: Simulation["choose"] = (loads, now, random) => {
     const candidates = loads.map((load, index) => ({
         name: String(index),
@@ -122,9 +126,24 @@
         serviceMilliseconds: load.serviceMilliseconds() ?? workMilliseconds,
     }));
     const placement = placeRequest(candidates, limits, random);
-    return placement.verdict === "placed"
-        ? { index: placement.candidate.index }
-        : { waitMilliseconds: placement.retryAfterMilliseconds };
+    const times = retryTimes.get(loads) ?? createRetryTimes(random);
+    retryTimes.set(loads, times);
+    if (placement.verdict === "placed") {
+        times.recordSent("pool", now);
+        return { index: placement.candidate.index };
+    }
+    const { candidate, expectedMilliseconds, longestMilliseconds } = placement;
+    const waitMilliseconds = times.next({
+        pool: "pool",
+        place: "pool",
+        excessMilliseconds: expectedMilliseconds - longestMilliseconds,
+        intervalMilliseconds: candidate.serviceMilliseconds / slots / loads.length,
+        own: loads[candidate.index].ownRequests(),
+        load: candidate.load,
+        spareMilliseconds: Math.max(0, objectiveMilliseconds - longestMilliseconds),
+        now,
+    });
+    return { waitMilliseconds };
 };
 
 const atRandom: Simulation["choose"] = (loads, ...[, random]) => ({ index: Math.floor(random() * loads.length) });
