Use the pace for the shares of targets in the product's own fleet

Cause: slow start by age had a module of its own. Change: decisions/paceshares.ts replaces decisions/ramp.ts.

--- a/src/machines/poolhealth.ts
+++ b/src/machines/poolhealth.ts
@@ -6,7 +6,7 @@
 import type { ProbeReport } from "../contracts/ownershipmessages.ts";
 import type { Pool } from "../contracts/pool.ts";
 import { createHoldDown, defaultHoldDownOptions, lostTargets } from "../decisions/detect.ts";
-import { createRamp } from "../decisions/ramp.ts";
+import { createPaceShares } from "../decisions/paceshares.ts";
 import type { Log } from "../links/logs.ts";
 
 export type PoolHealthMonitorOptions = { pool: string; clock: Clock; log: Log };
@@ -43,7 +43,7 @@
     const { pool: poolName, clock, log } = options;
     const reports = new Map<string, { at: number; report: ProbeReport }>();
     const holdDown = createHoldDown(defaultHoldDownOptions);
-    const ramp = createRamp();
+    const paceShares = createPaceShares();
     let lost = new Set<string>();
 
     const recentReports = (): Array<[string, ProbeReport]> => {
@@ -98,7 +98,7 @@
                     heldDown.add(name);
                 }
                 const isUnavailable = isHeldDown || lost.has(name) || draining.has(name);
-                shares.set(name, ramp.share(name, isUnavailable, now));
+                shares.set(name, paceShares.share(name, isUnavailable, now));
             }
             const queues = new Map(
                 recent.flatMap(([, report]) => report.queues.map(({ target, queue }) => [target, queue])),
