Use the pace of targets that start or recover in resident hosts

Cause: a target in its warm-up was placed at half its speed, and one that could not be reached was used with all its slots as soon as its block ended. Change: the pace's limit stands for the target's slots where requests are placed, in place of coldFactor. It starts when a target appears after the first list, tells a warm-up or can not be connected to. Each host records its own attempts (ownmeasures.ts); measures of other hosts can be recorded by TargetStates.recordMeasure. Result: tests of the candidate selector, measures, gateway and cold targets pass.

--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -2,8 +2,10 @@
  * Selects the targets to which a request may be sent, each with the load and the penalties that placing compares.
  */
 import type { Clock } from "../../contracts/clock.ts";
+import { routeKinds } from "../../contracts/pool.ts";
 import type { TableRoute } from "../../contracts/routing.ts";
-import type { PlacementCandidate } from "../../decisions/placement.ts";
+import { fewRequests, limitedShare, usableSlots } from "../../decisions/pace.ts";
+import { expectedMilliseconds, maxUsefulMilliseconds, type PlacementCandidate } from "../../decisions/placement.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
 import type { RequestContext } from "./requestcontext.ts";
 import type { TargetState, TargetStates } from "./targetstates.ts";
@@ -56,12 +58,12 @@
 
 /** The median of a pool's service times changes slowly, and computing it for each request costs much processor time. */
 const medianValidMilliseconds = 200;
+/** The limited share of a pool is computed as seldom. */
+const limitedValidMilliseconds = 100;
 /** Service time that is assumed until a target of the pool has answered. */
 const defaultServiceMilliseconds = 100;
 /** Penalty of a target in another zone besides its network latency, as a share of the route's latency objective. */
 const otherZonePenaltyShare = 0.35;
-/** Requests take about this many times as long at a target that has just started. */
-const coldFactor = 2;
 /** Measured service times are limited to this factor of the pool's median: larger ones include time spent waiting. */
 const maxServiceFactor = 2;
 /** Penalty in service times of a target that failed all recent requests; proportional to the share that failed. */
@@ -107,6 +109,23 @@
         return milliseconds;
     };
 
+    const limitedShares = new Map<string, { share: number; until: number }>();
+
+    /** Returns the share of the pool's slots at targets that have started or recovered lately. */
+    const limitedShareOf = (pool: string): number => {
+        const now = clock.now();
+        const known = limitedShares.get(pool);
+        if (known !== undefined && now < known.until) {
+            return known.share;
+        }
+        const present = targetStates.ofPool(pool).filter(({ gone, target }) => !gone && !target.leaving);
+        const share = limitedShare(
+            present.map(({ target: { slots }, pace }) => ({ slots, concurrency: pace.concurrency(now) })),
+        );
+        limitedShares.set(pool, { share, until: now + limitedValidMilliseconds });
+        return share;
+    };
+
     const candidateOf = (targetState: TargetState, route: TableRoute, typicalMilliseconds: number): Candidate => {
         const now = clock.now();
         const measured = targetState.load.serviceMilliseconds() ?? typicalMilliseconds;
@@ -114,7 +133,8 @@
             typicalMilliseconds * maxServiceFactor,
             Math.max(typicalMilliseconds / maxServiceFactor, measured),
         );
-        const isCold = now < targetState.warmupEndsAt;
+        const { pool, slots } = targetState.target;
+        const concurrency = targetState.pace.concurrency(now);
         const others = requestsOfOthers(targetState.target.name);
         const isSameZone = targetState.target.zone === zone;
         return {
@@ -122,11 +142,11 @@
             name: targetState.target.name,
             penaltyMilliseconds: (isSameZone ? 0 : route.objectiveMilliseconds * otherZonePenaltyShare)
                 + service * failurePenaltyFactor * targetState.failureShare,
-            slots: targetState.target.slots,
+            slots: concurrency < slots ? usableSlots({ slots, concurrency }, limitedShareOf(pool)) : slots,
             load: others === undefined
                 ? targetState.load.expectedRequests(now)
                 : targetState.load.ownRequests() + others,
-            serviceMilliseconds: service * (isCold ? coldFactor : 1),
+            serviceMilliseconds: service,
         };
     };
 
@@ -144,6 +164,20 @@
             isOpen(targetState) && notBefore(targetState) <= clock.now() && !refusedBy.has(targetState)
         );
 
+    /** Leaves out targets that have hardly answered since their start, while others can take a request that runs once. */
+    const withoutUnproven = (candidates: Candidate[], { route, endAt }: RequestContext): Candidate[] => {
+        const now = clock.now();
+        const { objectiveMilliseconds } = route;
+        const limits = { objectiveMilliseconds, remainingMilliseconds: endAt - now };
+        const proven = candidates.filter(({ targetState: { pace, target } }) =>
+            pace.concurrency(now) >= Math.min(fewRequests, target.slots + 1)
+        );
+        const canTake = proven.some(candidate =>
+            expectedMilliseconds(candidate) <= maxUsefulMilliseconds(limits, candidate.serviceMilliseconds)
+        );
+        return canTake ? proven : candidates;
+    };
+
     const candidatesAmong = (usable: TargetState[], context: RequestContext): Candidate[] => {
         const { route, pool, failedTargets } = context;
         const untried = usable.filter(targetState => !failedTargets.has(targetState));
@@ -156,7 +190,8 @@
             ...sampleOf(nearFirst.slice(0, nearCount), maxCompared, random),
             ...sampleOf(nearFirst.slice(nearCount), maxCompared, random),
         ];
-        return compared.map(targetState => candidateOf(targetState, route, typicalMilliseconds));
+        const candidates = compared.map(targetState => candidateOf(targetState, route, typicalMilliseconds));
+        return route.kind === routeKinds.once ? withoutUnproven(candidates, context) : candidates;
     };
 
     const usableTargets = (context: RequestContext): Candidate[] =>
--- a/src/machines/resident/gateway.ts
+++ b/src/machines/resident/gateway.ts
@@ -16,6 +16,7 @@
 import type { Metrics } from "../../links/metrics.ts";
 import { type AttemptResult, sendOnce, type UnframedEnd, type WithdrawalReason, withdrawalReasons } from "./attempt.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
+import { measureOf } from "./ownmeasures.ts";
 import { createRefusal, refuse, type RequestContext } from "./requestcontext.ts";
 import type { RouteTableHolder } from "./routetableholder.ts";
 import { askForLife } from "./signoflife.ts";
@@ -106,6 +107,10 @@
     const chooser = createTargetChooser({ ...options, remaining });
 
     const recordAttempt = (context: RequestContext, targetState: TargetState, attempt: AttemptResult): void => {
+        const measure = measureOf(attempt, targetState.pace.concurrency(clock.now()) !== Infinity);
+        if (measure !== undefined) {
+            targetStates.recordMeasure(targetState, measure);
+        }
         if (attempt.kind === "answered") {
             const failed = attempt.answer.statusCode >= 500;
             // A target may fail a request before it runs what crashes others.
--- a/src/machines/resident/targetstates.ts
+++ b/src/machines/resident/targetstates.ts
@@ -5,6 +5,7 @@
 import type { ColdTargets, RegisteredTarget, TablePool } from "../../contracts/routing.ts";
 import { type ColdBound, type ColdLimit, coldRate } from "../../decisions/coldlimit.ts";
 import { descriptorParts } from "../../decisions/descriptors.ts";
+import { createPace, type Pace, type TargetMeasure } from "../../decisions/pace.ts";
 import { grantedConnections, isLent, ownConnections } from "../../decisions/partlending.ts";
 import { createTargetLoad, type TargetLoad } from "../../decisions/targetload.ts";
 import { connectionPart, type SharingHosts, sparseLimit } from "../../decisions/targetroom.ts";
@@ -33,8 +34,10 @@
     answeredSentAt: number;
     /** Consecutive failures to connect. */
     connectFailures: number;
-    /** Monotonic time until which the target is slow after its start. */
+    /** Monotonic time until which the target is slow after its start, as its latest entry tells. */
     warmupEndsAt: number;
+    /** Limit on the requests of all hosts after a start or a failure. */
+    pace: Pace;
     /** Monotonic time of the last sign that the target may have started again, whatever its entry tells of a warm-up. */
     restartSuspectedAt: number;
     /** Set when the target was removed or replaced by another incarnation. */
@@ -61,6 +64,8 @@
     connectionQueue: ConnectionQueue;
     /** Applies the limits on connections after the hosts or the pools have changed. */
     applyLimits: () => void;
+    /** Records what was measured of the target since the last record, by this host or by others. */
+    recordMeasure: (state: TargetState, measure: TargetMeasure) => void;
     recordFailure: (state: TargetState) => void;
     recordSuccess: (state: TargetState) => void;
     /** Records a failure to connect and blocks the target, each time for longer. The target may have restarted. */
@@ -176,7 +181,17 @@
         connectionQueue.wakeFirst(placeOfPool(pool));
     };
 
+    /** Returns the median service time of the pool's targets; undefined before the first answer. */
+    const typicalMilliseconds = (pool: string): number | undefined => {
+        const known = [...states.values()]
+            .map(({ target, load }) => target.pool === pool ? load.serviceMilliseconds() : undefined)
+            .filter(service => service !== undefined)
+            .sort((left, right) => left - right);
+        return known[known.length >> 1];
+    };
+
     const create = (target: RegisteredTarget): TargetState => {
+        const isNew = registry.wasListed();
         let lastOwn = 0;
         const recordOwn = (own: number): void => {
             recordOwnRequests(target.name, own);
@@ -204,9 +219,16 @@
             connectFailures: 0,
             warmupEndsAt: clock.now() + target.warmupMilliseconds,
             // Its entry may have been written before it started again.
-            restartSuspectedAt: coldBound !== undefined && registry.wasListed() ? clock.now() : -Infinity,
+            restartSuspectedAt: isNew ? clock.now() : -Infinity,
+            pace: createPace({
+                slots: target.slots,
+                typicalMilliseconds: () => typicalMilliseconds(target.pool),
+            }),
             gone: false,
         };
+        if (isNew || target.warmupMilliseconds > 0) {
+            state.pace.start(clock.now());
+        }
         return state;
     };
 
@@ -250,10 +272,12 @@
         }
         if (state !== undefined && state.target.incarnation === target.incarnation) {
             state.target = target;
-            if (coldTargetsOf(target.pool) !== undefined) {
-                state.warmupEndsAt = clock.now() + target.warmupMilliseconds;
-                notifyIfCold(state);
+            const wasWarm = state.warmupEndsAt <= clock.now();
+            state.warmupEndsAt = clock.now() + target.warmupMilliseconds;
+            if (wasWarm && target.warmupMilliseconds > 0) {
+                state.pace.start(clock.now());
             }
+            notifyIfCold(state);
             return;
         }
         if (state !== undefined) {
@@ -308,8 +332,10 @@
         recordConnectFailure: state => {
             block(state, Math.min(maxBlockMilliseconds, firstBlockMilliseconds * 2 ** state.connectFailures));
             state.connectFailures += 1;
+            state.pace.start(clock.now());
             suspectRestart(state);
         },
+        recordMeasure: (state, measure) => state.pace.record(measure, clock.now()),
         recordConnectionLost: suspectRestart,
         limitsColdTargets: pool => coldTargetsOf(pool) !== undefined,
         coldLimit,
--- a/test/machines/resident/attempt.test.ts
+++ b/test/machines/resident/attempt.test.ts
@@ -5,6 +5,7 @@
 import test from "ava";
 import type { IncomingHttpHeaders } from "node:http";
 import { targetProtocol } from "../../../platform/protocols.ts";
+import { createPace } from "../../../src/decisions/pace.ts";
 import { createTargetLoad } from "../../../src/decisions/targetload.ts";
 import type { AnswerReceiver } from "../../../src/links/exchange.ts";
 import {
@@ -60,6 +61,7 @@
         connectFailures: 0,
         warmupEndsAt: 0,
         restartSuspectedAt: -Infinity,
+        pace: createPace({ slots: 2, typicalMilliseconds: () => undefined }),
         gone: false,
     };
     let isAborted = false;
--- a/test/machines/resident/gateway.test.ts
+++ b/test/machines/resident/gateway.test.ts
@@ -6,6 +6,7 @@
 import type { ResidentRequest, TargetProtocol } from "../../../src/contracts/resident.ts";
 import type { RouteTable } from "../../../src/contracts/routing.ts";
 import type { ColdLimit } from "../../../src/decisions/coldlimit.ts";
+import { createPace } from "../../../src/decisions/pace.ts";
 import { createRouteIndex } from "../../../src/decisions/routetable.ts";
 import { createTargetLoad } from "../../../src/decisions/targetload.ts";
 import type { CallerAnswer } from "../../../src/links/callers.ts";
@@ -89,6 +90,7 @@
         connectFailures: 0,
         warmupEndsAt: 0,
         restartSuspectedAt: -Infinity,
+        pace: createPace({ slots: 2, typicalMilliseconds: () => undefined }),
         gone: false,
     };
     const targetStates: TargetStates = {
@@ -97,6 +99,7 @@
         recordFailure: ({ target: { name } }) => failed.push(name),
         recordSuccess: () => undefined,
         recordConnectFailure: ({ target: { name } }) => unreachable.push(name),
+        recordMeasure: () => undefined,
         recordConnectionLost: () => undefined,
         limitsColdTargets: () => cold !== undefined,
         coldLimit: () => cold,
--- a/test/machines/resident/suspicions.test.ts
+++ b/test/machines/resident/suspicions.test.ts
@@ -4,6 +4,7 @@
  */
 import test from "ava";
 import type { ResidentRequest } from "../../../src/contracts/resident.ts";
+import { createPace } from "../../../src/decisions/pace.ts";
 import { createTargetLoad } from "../../../src/decisions/targetload.ts";
 import { silentLog } from "../../../src/links/logs.ts";
 import { createMetrics } from "../../../src/links/metrics.ts";
@@ -60,6 +61,7 @@
     connectFailures: 0,
     warmupEndsAt: 0,
     restartSuspectedAt: -Infinity,
+    pace: createPace({ slots: 2, typicalMilliseconds: () => undefined }),
     gone: false,
 });
 
--- a/test/machines/resident/virtualhosts.ts
+++ b/test/machines/resident/virtualhosts.ts
@@ -253,8 +253,9 @@
             });
         };
         const requestsOfOthers = (target: string): number => (groupTold.get(target) ?? 0) - (ownTold.get(target) ?? 0);
-        const registry: Pick<TargetRegistry, "onChange"> = {
+        const registry: Pick<TargetRegistry, "onChange" | "wasListed"> = {
             onChange: listener => registered.forEach(target => listener(target, false)),
+            wasListed: () => false,
         };
         const loans = createLoans({
             others: () =>
