--- a/src/machines/resident/host.ts
+++ b/src/machines/resident/host.ts
@@ -32,6 +32,7 @@
 import { createLoadReporter } from "./loadreporter.ts";
 import { createLoans } from "./loans.ts";
 import { createOwnershipCache } from "./ownershipcache.ts";
+import { measureOfOthers } from "./ownmeasures.ts";
 import { createPoolControllers } from "./poolcontrollers.ts";
 import { processKind, registerProcess } from "./processes.ts";
 import { createRangeController, type RangeController } from "./rangecontroller.ts";
@@ -247,6 +248,14 @@
         const state = targetStates.get(target.name);
         return lowerLimit(facts.notices.limitOf(target), state && targetStates.coldLimit(state)?.perSecond);
     };
+    sharedLoads.measures.onMeasure(({ name, incarnation }, measure, isOwn) => {
+        const state = targetStates.get(name);
+        // What this host measured is recorded with each attempt.
+        if (state !== undefined && state.target.incarnation === incarnation && !isOwn) {
+            const isLimited = state.pace.concurrency(clock.now()) !== Infinity;
+            targetStates.recordMeasure(state, measureOfOthers(measure, isLimited));
+        }
+    });
     const ownerships = createOwnershipCache(clock, log, signal);
     const loadReporter = createLoadReporter({
         dial,
--- a/src/machines/resident/sharedmeasures.ts
+++ b/src/machines/resident/sharedmeasures.ts
@@ -24,7 +24,8 @@
 
 export type MeasuredTarget = Pick<RegisteredTarget, "name" | "incarnation" | "pool">;
 
-export type MeasureListener = (target: MeasuredTarget, measure: TargetMeasure) => void;
+/** `isOwn` tells whether this host measured it. */
+export type MeasureListener = (target: MeasuredTarget, measure: TargetMeasure, isOwn: boolean) => void;
 
 export type SharedMeasures = {
     /** Takes in a target, or that it is gone. */
@@ -168,11 +169,11 @@
         return milliseconds;
     };
 
-    const take = (id: number, measure: TargetMeasure): void => {
+    const take = (id: number, measure: TargetMeasure, isOwn = false): void => {
         figures.record(id, measure, clock.now());
         const target = targets.get(id);
         if (target !== undefined) {
-            listeners.forEach(listener => listener(target, measure));
+            listeners.forEach(listener => listener(target, measure, isOwn));
         }
     };
 
@@ -180,7 +181,7 @@
         const id = idOf(target);
         // Keeps the median and its metrics up to date also on a host that hears nothing of others.
         medianOf(id);
-        take(id, measure);
+        take(id, measure, true);
         own.add(id, measure, clock.now());
     };
 
