Write the metrics' text once at a time

Cause: each fetch began to format all metrics, and fetches that were sent ahead held as many texts at once.

Change: a fetch begins to format only when no other text is being written; it still gets the text of the fetch before.

--- a/src/links/prometheusmetrics.ts
+++ b/src/links/prometheusmetrics.ts
@@ -23,6 +23,7 @@
     const histograms = new Map<string, Histogram>();
     const values = new Map<string, number>();
     let text = "";
+    let isWriting = false;
 
     const findOrCreate = <Kind>(known: Map<string, Kind>, name: string, create: () => Kind): Kind => {
         const metric = known.get(name) ?? create();
@@ -41,9 +42,15 @@
     };
     /** prom-client formats its text asynchronously, so a fetch gets the text that the fetch before it requested. */
     const refresh = (): void => {
-        void registry.metrics().then(written => {
-            text = written;
-        });
+        // Texts that are written at the same time would be held all at once.
+        if (!isWriting) {
+            isWriting = true;
+            void registry.metrics().then(written => {
+                text = written;
+            }).finally(() => {
+                isWriting = false;
+            });
+        }
     };
 
     return {
