--- a/test/platform/program.ts
+++ b/test/platform/program.ts
@@ -181,10 +181,14 @@
     preload?: string | undefined;
     /** Lines that are added to the settings. */
     moreSettings?: string[];
+    /** Settings of the callers' address beside it, as YAML. */
+    callers?: string;
+    /** Limit on the old part of the heap. */
+    heapMegabytes?: number;
 };
 
 /** As in deploy/system.toml. */
-const programArguments = ["--max-old-space-size=128", "--max-semi-space-size=2"];
+const defaultHeapMegabytes = 128;
 
 export const startProgram = async (
     store: StoreStandIn,
@@ -205,6 +209,8 @@
         path = "target/carobpier.cjs",
         preload,
         moreSettings = [],
+        callers = "",
+        heapMegabytes = defaultHeapMegabytes,
     }: ProgramOptions = {},
 ): Promise<Program> => {
     const { callersPort, healthPort } = ports ?? { callersPort: await freePort(), healthPort: await freePort() };
@@ -212,7 +218,7 @@
     const file = join(mkdtempSync(join(tmpdir(), "carobpier-")), "settings.yaml");
     const settings = [
         `host: { name: ${name}, zone: ${zone}, processor: { share: ${processorShare} } }`,
-        `callers: { listen: "127.0.0.1:${callersPort}" }`,
+        `callers: { listen: "127.0.0.1:${callersPort}"${callers && `, ${callers}`} }`,
         `health: { listen: "127.0.0.1:${healthPort}" }`,
         `links: { listen: "${linksHost}:${linksAt}" }`,
         `store: { address: "${store.address}" }`,
@@ -221,6 +227,7 @@
         ...moreSettings,
     ].join("\n");
     prepareFile(file, settings);
+    const programArguments = [`--max-old-space-size=${heapMegabytes}`, "--max-semi-space-size=2"];
     const words = [...programArguments, ...(preload === undefined ? [] : ["--require", preload]), path];
     const limited = ["-c", `ulimit -n ${openFiles} && exec "$0" "$@"`, process.execPath, ...words];
     const [command, args] = openFiles === undefined ? [process.execPath, words] : ["sh", limited];
