Keep numbers of measured targets only while they are registered

Cause: an answer that arrives after its target is gone entered the target's name into the table of numbers again, which then grew with the names of targets. Change: only registration enters a name; others are hashed at each look-up.

--- a/src/machines/resident/sharedmeasures.ts
+++ b/src/machines/resident/sharedmeasures.ts
@@ -109,6 +109,7 @@
     const figures = createTargetMeasures();
     const levelOf = (id: number): number | undefined => figures.figure(id, clock.now())?.milliseconds;
     const targets = new Map<number, MeasuredTarget>();
+    /** Numbers of the known targets by name, since a digest for each request would cost more than the look-up. */
     const ids = new Map<string, { incarnation: string; id: number }>();
     const listeners: MeasureListener[] = [];
     const own = createPendingMeasures(levelOf);
@@ -128,12 +129,7 @@
 
     const idOf = ({ name, incarnation }: MeasuredTarget): number => {
         const known = ids.get(name);
-        if (known?.incarnation === incarnation) {
-            return known.id;
-        }
-        const id = digestHash(`${name}#${incarnation}`, idRange);
-        ids.set(name, { incarnation, id });
-        return id;
+        return known?.incarnation === incarnation ? known.id : digestHash(`${name}#${incarnation}`, idRange);
     };
 
     const computeMedian = (pool: string, now: number): number | undefined => {
@@ -227,17 +223,16 @@
 
     return {
         setTarget: (target, gone) => {
-            const before = ids.get(target.name);
             const id = idOf(target);
-            if (before !== undefined && before.id !== id) {
+            const before = ids.get(target.name);
+            if (before !== undefined && (gone || before.id !== id)) {
                 targets.delete(before.id);
-            }
-            if (gone) {
-                targets.delete(id);
                 ids.delete(target.name);
-                return;
             }
-            targets.set(id, target);
+            if (!gone) {
+                targets.set(id, target);
+                ids.set(target.name, { incarnation: target.incarnation, id });
+            }
         },
         recordAnswer: (target, serviceMilliseconds) =>
             recordOwn(target, { answered: 1, serviceMilliseconds, failed: 0 }),
