Do not take a malformed answer for a lost connection

Cause: the exchange's errors for malformed answers have codes too, so that such an answer made its target count as cold at this host. Change: they are left out.

--- a/src/machines/resident/attempt.ts
+++ b/src/machines/resident/attempt.ts
@@ -306,7 +306,8 @@
                 const { code = error.name } = error as NodeJS.ErrnoException;
                 recordUnframedEnd(forcedFailure?.reason ?? code, "nothing");
                 const { code: brokenBy } = error as NodeJS.ErrnoException;
-                if (forcedFailure === undefined && failedStage !== sendStages.unsent && brokenBy !== undefined) {
+                const isBroken = brokenBy !== undefined && !isMalformedAnswer(error);
+                if (forcedFailure === undefined && failedStage !== sendStages.unsent && isBroken) {
                     options.onConnectionLost?.();
                 }
                 const streaming = collector.onFailure(cutBy);
