Bound the time that requests sent ahead take in a turn

Cause: 150 connections with 64 answers due each were served in turns of the event loop of about a second, so that the host lost its connection to the store and accepted few of the connections.

Change: on a connection with eight answers due, the next slice waits in a queue of all connections, which has 5 ms a turn.

--- a/src/links/callerconnections.ts
+++ b/src/links/callerconnections.ts
@@ -151,6 +151,8 @@
 };
 
 const maxIdsTold = 5;
+/** Answers that are due on a connection from which its further requests wait their turn among those of other connections. */
+const minDeferredRequests = 8;
 /** Requests that are dropped one by one on a connection; what follows is dropped unparsed. */
 const maxDroppedRequests = 64;
 /** Bytes that are read and dropped before each pause. The close of a caller's connection is noticed behind them. */
@@ -203,6 +205,7 @@
         // The rest of a body is always read, since the answer to its request waits for it.
         mayRead: () => phase !== "open" || latest?.complete === false || held.mayRead(heldNow()),
         sliceBytes: () => Math.max(bodyBytes, held.sliceBytes()),
+        isDeferred: () => dueAnswers.size >= minDeferredRequests && latest?.complete === true,
         onSlice: bytes => {
             sliceBytes = bytes;
             bodyBytes = Math.max(0, bodyBytes - bytes);
--- a/src/links/pacedreads.ts
+++ b/src/links/pacedreads.ts
@@ -21,14 +21,46 @@
     mayRead: () => boolean;
     /** Number of bytes that may be parsed at a time. */
     sliceBytes: () => number;
+    /** Whether the next slice waits its turn among those of all connections, in place of following at once; false by default. */
+    isDeferred?: () => boolean;
     /** Called with the size of each slice before it is parsed. */
     onSlice?: (bytes: number) => void;
 };
 
 const nothing = Buffer.alloc(0);
 
+/** Time of a turn of the event loop for the slices that wait in it; without a limit, turns of a second lost the store. */
+const turnMilliseconds = 5;
+const deferred: Array<() => void> = [];
+let isRunScheduled = false;
+
+const scheduleRun = (): void => {
+    if (!isRunScheduled && deferred.length > 0) {
+        isRunScheduled = true;
+        setImmediate(runDeferred);
+    }
+};
+
+const runDeferred = (): void => {
+    const endAt = performance.now() + turnMilliseconds;
+    do {
+        deferred.shift()?.();
+    }
+    while (deferred.length > 0 && performance.now() < endAt);
+    isRunScheduled = false;
+    scheduleRun();
+};
+
+const defer = (callback: () => void): void => {
+    deferred.push(callback);
+    scheduleRun();
+};
+
 /** Begins to pace a socket that an HTTP server has accepted. */
-export const paceReads = (socket: Socket, { mayRead, sliceBytes, onSlice }: PacedReadsOptions): PacedReads => {
+export const paceReads = (
+    socket: Socket,
+    { mayRead, sliceBytes, isDeferred, onSlice }: PacedReadsOptions,
+): PacedReads => {
     const push = socket.push.bind(socket);
     const read = socket._read.bind(socket);
     let waiting = nothing;
@@ -78,10 +110,16 @@
     const goOnSoon = (): void => {
         if (!isScheduled) {
             isScheduled = true;
-            process.nextTick(() => {
+            const run = (): void => {
                 isScheduled = false;
                 goOn();
-            });
+            };
+            if (isDeferred?.() === true) {
+                defer(run);
+            }
+            else {
+                process.nextTick(run);
+            }
         }
     };
 
