--- a/src/decisions/poolroom.ts
+++ b/src/decisions/poolroom.ts
@@ -2,7 +2,8 @@
  * Shares the queues of a pool's targets among the routes that use it. A target serves requests in the order of their
  * arrival, so a route that accepts a long queue causes the refusal of routes that accept a short one. When the expected
  * wait at a target grows, less urgent routes are refused first, and so is a key that alone causes most of the requests
- * there. The host decides from what it has seen itself. A pool that one route uses is not limited.
+ * there. The host decides from what it has seen itself. A pool whose routes all have
+ * one priority is not limited: none of them needs room before another.
  */
 import { LRUMap } from "mnemonist";
 import type { TableRoute } from "../contracts/routing.ts";
@@ -69,8 +70,8 @@
 type TargetCount = { asked: number; countedAt: number; keys: Map<number, KeyCount> };
 
 /**
- * Returns the use of each pool by each route, by pool and name of the route. Pools that only one route uses are left
- * out.
+ * Returns the use of each pool by each route, by pool and name of the route. Pools whose
+ * routes all have one priority are left out.
  */
 export const poolUsesOf = (routes: readonly TableRoute[]): Map<string, Map<string, PoolUse>> => {
     const byPool = new Map<string, TableRoute[]>();
@@ -80,7 +81,7 @@
     }
     const uses = new Map<string, Map<string, PoolUse>>();
     for (const [pool, users] of byPool) {
-        if (users.length > 1) {
+        if (new Set(users.map(user => user.priority)).size > 1) {
             const shortestObjectiveMilliseconds = Math.min(...users.map(user => user.objectiveMilliseconds));
             uses.set(
                 pool,
