--- a/src/machines/resident/targetregistry.ts
+++ b/src/machines/resident/targetregistry.ts
@@ -163,7 +163,7 @@
     };
 
     /** Returns what is left of the warm-up that an entry tells. The same entry may be read again much later. */
-    const warmupLeft = ({ name, revision }: StoreObject, toldMilliseconds: number): number => {
+    const remainingWarmup = ({ name, revision }: StoreObject, toldMilliseconds: number): number => {
         const seen = seenEntries.get(name);
         const entry = seen?.revision === revision ? seen : { revision, at: clock.now() };
         seenEntries.set(name, entry);
@@ -183,7 +183,7 @@
         const registered = {
             ...decoded,
             leaving: decoded.leaving || isLeaver || hasLeft,
-            warmupMilliseconds: warmupLeft(object, decoded.warmupMilliseconds),
+            warmupMilliseconds: remainingWarmup(object, decoded.warmupMilliseconds),
         };
         const target = evacuations?.mark(registered) ?? registered;
         cancelRemoval(object.name);
