Do not limit the owner of a key by its pace after a failure

Cause: the concurrency limit of a target that failed or started counted as its slots also where the target owns the request's key. No other target can take that request, so it was refused. Change: an owner counts with all its slots, with half of them at least while it warms up.

--- a/src/decisions/pace.ts
+++ b/src/decisions/pace.ts
@@ -155,3 +155,13 @@
  */
 export const usableSlots = ({ slots, concurrency }: PacedTarget, limited: number): number =>
     Math.max(1, Math.min(slots, Math.max(concurrency, slots * limited ** 2)));
+
+/** Requests take about this many times as long at a target that is warming up. */
+const warmupFactor = 2;
+
+/**
+ * Returns the slots with which the owner of a key counts. No other target can take its requests, so a limit after a failure
+ * would only have them refused; while it warms up it serves them more slowly.
+ */
+export const ownerSlots = (slots: number, usable: number, isWarmingUp: boolean): number =>
+    isWarmingUp ? Math.min(slots, Math.max(usable, slots / warmupFactor)) : slots;
--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../../contracts/clock.ts";
 import { routeKinds } from "../../contracts/pool.ts";
 import type { TableRoute } from "../../contracts/routing.ts";
-import { fewRequests, limitedShare, usableSlots } from "../../decisions/pace.ts";
+import { fewRequests, limitedShare, ownerSlots, usableSlots } from "../../decisions/pace.ts";
 import { expectedMilliseconds, maxUsefulMilliseconds, type PlacementCandidate } from "../../decisions/placement.ts";
 import { estimateServiceMilliseconds, scaleServiceMilliseconds } from "../../decisions/targetmeasures.ts";
 import type { OwnershipCache } from "./ownershipcache.ts";
@@ -130,15 +130,29 @@
         return share;
     };
 
-    const candidateOf = (targetState: TargetState, route: TableRoute, typicalMilliseconds: number): Candidate => {
+    /** Returns the slots with which the target counts. The owner of a request's key is the only one that can take it. */
+    const slotsOf = ({ target: { pool, slots }, pace, warmupEndsAt }: TargetState, isOwner: boolean): number => {
+        const now = clock.now();
+        const concurrency = pace.concurrency(now);
+        if (concurrency >= slots) {
+            return slots;
+        }
+        const usable = usableSlots({ slots, concurrency }, limitedShareOf(pool));
+        return isOwner ? ownerSlots(slots, usable, now < warmupEndsAt) : usable;
+    };
+
+    const candidateOf = (
+        targetState: TargetState,
+        route: TableRoute,
+        typicalMilliseconds: number,
+        isOwner = false,
+    ): Candidate => {
         const now = clock.now();
         const { load, target } = targetState;
-        const { pool, slots } = target;
         const milliseconds = load.serviceMilliseconds();
         const own = milliseconds === undefined ? undefined : { milliseconds, answers: load.serviceAnswers() };
         const estimate = estimateServiceMilliseconds(measures?.figureOf(target), own, typicalMilliseconds);
         const service = scaleServiceMilliseconds(estimate, typicalMilliseconds, load.serviceScale(now));
-        const concurrency = targetState.pace.concurrency(now);
         const others = requestsOfOthers(targetState.target.name);
         const isSameZone = targetState.target.zone === zone;
         return {
@@ -146,7 +160,7 @@
             name: targetState.target.name,
             penaltyMilliseconds: (isSameZone ? 0 : route.objectiveMilliseconds * otherZonePenaltyShare)
                 + service * failurePenaltyFactor * targetState.failureShare,
-            slots: concurrency < slots ? usableSlots({ slots, concurrency }, limitedShareOf(pool)) : slots,
+            slots: slotsOf(targetState, isOwner),
             load: others === undefined
                 ? targetState.load.expectedRequests(now)
                 : targetState.load.ownRequests() + others,
@@ -248,7 +262,7 @@
         if (!isOpen(targetState)) {
             return "the owner is not reachable";
         }
-        const candidate = candidateOf(targetState, route, typicalServiceMilliseconds(pool.name));
+        const candidate = candidateOf(targetState, route, typicalServiceMilliseconds(pool.name), true);
         return hasConnection(targetState, context.endAt)
             ? candidate
             : { inUse: { candidates: [candidate], connections: connectionsTo([targetState], context.endAt) } };
--- a/test/decisions/pace.test.ts
+++ b/test/decisions/pace.test.ts
@@ -3,7 +3,7 @@
  * that is left idle since nothing is measured of it, and a pool that is starved since all its targets come back at once.
  */
 import test from "ava";
-import { createPace, limitedShare, usableSlots } from "../../src/decisions/pace.ts";
+import { createPace, limitedShare, ownerSlots, usableSlots } from "../../src/decisions/pace.ts";
 import { createPaceShares } from "../../src/decisions/paceshares.ts";
 import type { TargetMeasure } from "../../src/decisions/targetmeasures.ts";
 
@@ -153,3 +153,16 @@
     t.deepEqual([61_000, 70_000].map(now => shares.share("new", true, now)), [0, 0]);
     t.deepEqual([71_000, 74_000, 77_000].map(now => shares.share("new", false, now)), [0.25, 0.5, 1]);
 });
+
+const owners = [
+    { title: "that failed counts with all its slots", slots: 4, usable: 1, isWarmingUp: false, expected: 4 },
+    { title: "that warms up counts with half of them at least", slots: 4, usable: 1, isWarmingUp: true, expected: 2 },
+    { title: "that warms up counts with those of its pace", slots: 4, usable: 3, isWarmingUp: true, expected: 3 },
+    { title: "of one slot that warms up counts with that", slots: 1, usable: 1, isWarmingUp: true, expected: 1 },
+];
+
+for (const { title, slots, usable, isWarmingUp, expected } of owners) {
+    test(`the owner of a key ${title}, since nobody else can take its requests`, t => {
+        t.is(ownerSlots(slots, usable, isWarmingUp), expected);
+    });
+}
