Give the test of shared pools the pace and limits of targets

Cause: the merge of the pace and of the room by priority left a fake of targets without a pace, which its cast hid from the compiler: six cases of poolroom.test.ts ended with a TypeError. Change: the fake has a pace and no limit for cold targets; no expectation changed. Result: the six cases pass; test/machines/resident, soak, stand-ins and zones were run beside it.

--- a/test/machines/resident/poolroom.test.ts
+++ b/test/machines/resident/poolroom.test.ts
@@ -3,6 +3,7 @@
  * one, also while its requests wait for a connection, and against a log that does not tell which rule refused.
  */
 import test from "ava";
+import { createPace } from "../../../src/decisions/pace.ts";
 import { createRouteIndex } from "../../../src/decisions/routetable.ts";
 import { createTargetLoad } from "../../../src/decisions/targetload.ts";
 import { type Log, type LogFields, silentLog } from "../../../src/links/logs.ts";
@@ -50,6 +51,8 @@
         pausedUntil: 0,
         limitedUntil: 0,
         warmupEndsAt: 0,
+        pace: createPace({ slots: 2, typicalMilliseconds: () => undefined }),
+        restartSuspectedAt: -Infinity,
         gone: false,
     } as unknown as TargetState;
     const targetStates = {
@@ -57,6 +60,8 @@
         get: () => targetState,
         maxConnections: () => connections,
         wantConnections: () => undefined,
+        coldLimit: () => undefined,
+        limitsColdTargets: () => false,
         connectionQueue: createConnectionQueue(clock),
     } as unknown as TargetStates;
     const ownerships = createOwnershipCache(clock, silentLog, signal);
