Let a target that has joined be measured soon

Change: such a target counts as a third of the median until a host has measured it; its pace bounds what it gets meanwhile.

--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -70,6 +70,11 @@
 const defaultServiceMilliseconds = 100;
 /** Penalty of a target in another zone besides its network latency, as a share of the route's latency objective. */
 const otherZonePenaltyShare = 0.35;
+/**
+ * A target that has joined counts as this part of the pool's median until somebody has measured it. As fast as the median,
+ * it would get nothing while faster targets have free slots.
+ */
+const unmeasuredFactor = 1 / 3;
 /** Penalty in service times of a target that failed all recent requests; proportional to the share that failed. */
 const failurePenaltyFactor = 4;
 
@@ -151,7 +156,11 @@
         const { load, target } = targetState;
         const milliseconds = load.serviceMilliseconds();
         const own = milliseconds === undefined ? undefined : { milliseconds, answers: load.serviceAnswers() };
-        const estimate = estimateServiceMilliseconds(measures?.figureOf(target), own, typicalMilliseconds);
+        const figure = measures?.figureOf(target);
+        const isUnmeasured = figure === undefined && own === undefined && targetState.restartSuspectedAt > -Infinity;
+        const estimate = isUnmeasured
+            ? typicalMilliseconds * unmeasuredFactor
+            : estimateServiceMilliseconds(figure, own, typicalMilliseconds);
         const service = scaleServiceMilliseconds(estimate, typicalMilliseconds, load.serviceScale(now));
         const others = requestsOfOthers(targetState.target.name);
         const isSameZone = targetState.target.zone === zone;
--- a/test/machines/resident/candidateselector.test.ts
+++ b/test/machines/resident/candidateselector.test.ts
@@ -106,3 +106,16 @@
     const { select } = setUp();
     t.deepEqual(select("idempotent").map(({ slots }) => slots), [8, 8]);
 });
+
+test("a target that has joined gets a request while faster targets have free slots", t => {
+    const setup = setUp();
+    setup.states.ofPool("p").forEach(({ load }) => {
+        for (let count = 0; count < 8; count += 1) {
+            load.recordSent();
+            load.recordFinished(100, 0);
+        }
+    });
+    setup.put("c", 2);
+    const limits = { objectiveMilliseconds: 600, remainingMilliseconds: 2_000 };
+    t.is(placeRequest(setup.select("idempotent"), limits, () => 0.5).candidate.name, "c");
+});
