Leave targets that could not be reached out of the first measurements

Change: only targets without failed connections count as unmeasured. Result: candidateselector.test.ts passes.

--- a/src/machines/resident/candidateselector.ts
+++ b/src/machines/resident/candidateselector.ts
@@ -157,7 +157,8 @@
         const milliseconds = load.serviceMilliseconds();
         const own = milliseconds === undefined ? undefined : { milliseconds, answers: load.serviceAnswers() };
         const figure = measures?.figureOf(target);
-        const isUnmeasured = figure === undefined && own === undefined && targetState.restartSuspectedAt > -Infinity;
+        const hasJoined = targetState.restartSuspectedAt > -Infinity && targetState.connectFailures === 0;
+        const isUnmeasured = hasJoined && figure === undefined && own === undefined;
         const estimate = isUnmeasured
             ? typicalMilliseconds * unmeasuredFactor
             : estimateServiceMilliseconds(figure, own, typicalMilliseconds);
